--- /dev/null
+++ b/src/process/View.h
@@ -0,0 +1,64 @@
+/// \file
+/// The immutable view that the control thread publishes to traffic threads.
+///
+/// Control makes a new View when a configuration, the membership or a move's
+/// share changes, and posts it to each traffic thread as
+/// shared_ptr<const View>. Traffic reads it without locks.
+///
+/// Thread safety: immutable; concurrent reads are safe.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "base/Ids.h"
+#include "base/NetworkAddress.h"
+#include "base/Units.h"
+#include "process/MemberRecord.h"
+#include "version/Configuration.h"
+
+namespace tarragontray {
+
+/// A VM whose upstream may get work.
+struct Target
+{
+  VmId m_vm;
+  DataCentreId m_dataCentre;
+  RegionId m_region;
+  NetworkAddress m_peerAddress;
+  UpstreamVersion m_version;
+  /// Starting or Live.
+  UpstreamState m_state = UpstreamState::Live;
+  SlotCount m_slots{ 0 };
+};
+
+/// How the calls of a service are split between its versions.
+struct VersionSplit
+{
+  /// Set while a move runs.
+  std::optional<MoveId> m_move;
+  UpstreamVersion m_from;
+  UpstreamVersion m_to;
+  /// The share that goes to m_to; the rest goes to m_from.
+  Share m_toShare = Share::None();
+};
+
+/// A service with the targets that may get work.
+struct ServiceView
+{
+  ServiceId m_id;
+  VersionSplit m_split;
+  std::vector<Target> m_targets;
+};
+
+/// Everything a traffic thread needs to serve a call.
+struct View
+{
+  std::unordered_map<ClientAccountId, std::shared_ptr<const Configuration>>
+    m_configurations;
+  std::unordered_map<ServiceId, ServiceView> m_services;
+};
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/request/BalancingPolicy.h
@@ -0,0 +1,54 @@
+/// \file
+/// Choice of a target for one attempt.
+///
+///     std::optional<std::size_t> index = policy->Choose(candidates, random);
+///     policy->Started(candidates[*index].m_vm, now);
+///     ...
+///     policy->Finished(candidates[*index].m_vm, result, now);
+///
+/// Each traffic thread owns one instance. Thread safety: one thread.
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include "base/Random.h"
+#include "process/View.h"
+#include "request/Call.h"
+
+namespace tarragontray {
+
+/// How an attempt at a target ended, for balancing and ejection.
+struct AttemptResult
+{
+  bool m_failed = false;
+  Duration m_latency{ 0 };
+  /// Set when the answer carried one.
+  std::optional<LoadReport> m_load;
+};
+
+/// Chooses targets and learns from results.
+class BalancingPolicy
+{
+public:
+  virtual ~BalancingPolicy() = default;
+
+  /// Picks one of the candidates, or nothing when none should get work now.
+  /// \param aCandidates targets of the service and version, not tried yet.
+  virtual std::optional<std::size_t> Choose(
+    const std::vector<const Target*>& aCandidates,
+    const DataCentreId& aOwnDataCentre,
+    MonotonicTime aNow,
+    Random& aRandom) = 0;
+
+  /// An attempt was sent to the target.
+  virtual void Started(const VmId& aVm, MonotonicTime aNow) = 0;
+
+  /// An attempt ended. Precondition: Started was called for it.
+  virtual void Finished(const VmId& aVm,
+                        const AttemptResult& aResult,
+                        MonotonicTime aNow) = 0;
+};
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/version/Configuration.cpp
@@ -0,0 +1,33 @@
+#include "version/Configuration.h"
+
+#include <algorithm>
+
+namespace tarragontray {
+
+namespace {
+
+bool
+Matches(const RouteSpec& aRoute,
+        std::string_view aMethod,
+        std::string_view aTarget)
+{
+  return (aRoute.m_method.empty() || aRoute.m_method == aMethod) &&
+         aTarget.starts_with(aRoute.m_pathPrefix);
+}
+
+} // namespace
+
+const RouteSpec*
+FindRoute(const Configuration& aConfiguration,
+          std::string_view aMethod,
+          std::string_view aTarget)
+{
+  const auto& routes = aConfiguration.m_routes;
+  const auto found =
+    std::find_if(routes.begin(), routes.end(), [&](const RouteSpec& aRoute) {
+      return Matches(aRoute, aMethod, aTarget);
+    });
+  return found == routes.end() ? nullptr : &*found;
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/version/Configuration.h
@@ -0,0 +1,81 @@
+/// \file
+/// One account's expanded configuration version, immutable once made.
+///
+/// A Configuration comes from ExpandTemplate (version/Expansion.h). Traffic
+/// threads hold it by shared_ptr<const Configuration>; a new version replaces
+/// it whole.
+///
+/// Thread safety: immutable; concurrent reads are safe.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/Ids.h"
+#include "base/Units.h"
+#include "version/MovePlan.h"
+
+namespace tarragontray {
+
+/// A class of callers with its priority and weight.
+struct CallerClass
+{
+  ClassName m_name;
+  /// Lower runs first.
+  std::uint8_t m_priority = 0;
+  /// Share among the classes of one priority, at least 1.
+  std::uint32_t m_weight = 1;
+};
+
+/// A service that the account exposes.
+struct ServiceSpec
+{
+  ServiceId m_id;
+  /// Upstream versions that may get traffic; the plan's two while it runs.
+  std::vector<UpstreamVersion> m_liveVersions;
+  std::optional<MovePlan> m_move;
+  /// Calls that may wait in one guard's queue.
+  std::uint32_t m_queueLimit = 64;
+  /// Share of a guard's slots that other accounts may hold together.
+  Share m_foreignShare = Share::FromFraction(0.5);
+};
+
+/// A route: which calls go to which service, and how.
+struct RouteSpec
+{
+  RouteName m_name;
+  ServiceId m_service;
+  /// "GET", "POST" ...; empty for any.
+  std::string m_method;
+  /// Matches targets that start with it.
+  std::string m_pathPrefix;
+  ClassName m_class;
+  bool m_idempotent = false;
+  Duration m_timeout{ 0 };
+  /// Attempts over one call, at least 1.
+  std::uint8_t m_maxAttempts = 3;
+};
+
+/// All that one account's version says.
+struct Configuration
+{
+  ClientAccountId m_account;
+  /// The platform's revision of the account's object: the version number.
+  Revision m_version;
+  TemplateName m_templateName;
+  TemplateVersion m_templateVersion;
+  std::vector<CallerClass> m_classes;
+  std::vector<ServiceSpec> m_services;
+  /// Longest path prefix first.
+  std::vector<RouteSpec> m_routes;
+};
+
+/// The first route that fits, or null.
+const RouteSpec*
+FindRoute(const Configuration& aConfiguration,
+          std::string_view aMethod,
+          std::string_view aTarget);
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/version/MoveProgress.cpp
@@ -0,0 +1,52 @@
+#include "version/MoveProgress.h"
+
+#include <algorithm>
+
+namespace tarragontray {
+
+namespace {
+
+bool
+MergeDataCentre(DataCentreProgress& aInto, const DataCentreProgress& aFrom)
+{
+  const DataCentreProgress before = aInto;
+  aInto.m_share = std::max(aInto.m_share, aFrom.m_share);
+  if (aFrom.m_wholeSince) {
+    aInto.m_wholeSince = aInto.m_wholeSince
+                           ? std::min(*aInto.m_wholeSince, *aFrom.m_wholeSince)
+                           : *aFrom.m_wholeSince;
+  }
+  return aInto != before;
+}
+
+} // namespace
+
+bool
+Merge(MoveProgress& aInto, const MoveProgress& aFrom)
+{
+  bool changed = false;
+  for (const auto& [dataCentre, progress] : aFrom.m_dataCentres) {
+    const auto [entry, isNew] =
+      aInto.m_dataCentres.try_emplace(dataCentre, progress);
+    changed |= isNew || MergeDataCentre(entry->second, progress);
+  }
+  // The earliest veto stays, so that every node gives the same reason.
+  if (aFrom.m_veto && (!aInto.m_veto || *aFrom.m_veto < *aInto.m_veto)) {
+    aInto.m_veto = aFrom.m_veto;
+    changed = true;
+  }
+  return changed;
+}
+
+Share
+EffectiveShare(const MoveProgress& aProgress, const DataCentreId& aDataCentre)
+{
+  if (aProgress.m_veto) {
+    return Share::None();
+  }
+  const auto found = aProgress.m_dataCentres.find(aDataCentre);
+  return found == aProgress.m_dataCentres.end() ? Share::None()
+                                                : found->second.m_share;
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/version/MoveProgress.h
@@ -0,0 +1,62 @@
+/// \file
+/// How far a move is: a join, so that merging needs no leader.
+///
+/// Shares only rise, and a veto outranks every share. Merge is commutative,
+/// associative and idempotent: a paused, stale or doubled steward cannot undo
+/// a veto (a join semilattice, as in state-based CRDTs; Shapiro et al., 2011).
+///
+/// Thread safety: values.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "base/Ids.h"
+#include "base/Units.h"
+
+namespace tarragontray {
+
+/// Why and when a move was taken back.
+struct Veto
+{
+  WallTime m_time{};
+  DataCentreId m_dataCentre;
+  RouteName m_route;
+  /// Figures in one line, for example "failures new=12/40 old=1/400".
+  std::string m_reason;
+
+  auto operator<=>(const Veto&) const = default;
+};
+
+/// A data centre's own progress.
+struct DataCentreProgress
+{
+  Share m_share = Share::None();
+  /// When this data centre reached the whole share.
+  std::optional<WallTime> m_wholeSince;
+
+  bool operator==(const DataCentreProgress&) const = default;
+};
+
+/// The state of one move.
+struct MoveProgress
+{
+  MoveId m_move;
+  std::map<DataCentreId, DataCentreProgress> m_dataCentres;
+  std::optional<Veto> m_veto;
+
+  bool operator==(const MoveProgress&) const = default;
+};
+
+/// Joins aFrom into aInto; true when aInto changed.
+/// Precondition: both are of the same move.
+bool
+Merge(MoveProgress& aInto, const MoveProgress& aFrom);
+
+/// The share that the data centre's nodes send to the new version: none after
+/// a veto, else the data centre's own share.
+Share
+EffectiveShare(const MoveProgress& aProgress, const DataCentreId& aDataCentre);
+
+} // namespace tarragontray
