--- a/src/base/Ids.h
+++ b/src/base/Ids.h
@@ -45,6 +45,8 @@
 using Revision = Amount<struct RevisionTag>;
 /// The version of a template, immutable once written.
 using TemplateVersion = Amount<struct TemplateVersionTag>;
+/// The number of a move's plan within its service; each new plan is higher.
+using PlanNumber = Amount<struct PlanNumberTag>;
 /// Rises each time a node starts or refutes a suspicion.
 using Incarnation = Amount<struct IncarnationTag>;
 
@@ -57,12 +59,11 @@
   auto operator<=>(const ServiceId&) const = default;
 };
 
-/// One move of a service; the configuration's revision makes it unique.
+/// One move of a service; the plan's number makes it unique.
 struct MoveId
 {
   ServiceId m_service;
-  /// The revision of the configuration that introduced the plan.
-  Revision m_planned;
+  PlanNumber m_plan;
 
   auto operator<=>(const MoveId&) const = default;
 };
--- /dev/null
+++ b/src/programs/Load.cmake
@@ -0,0 +1,1 @@
+# Targets; see cmake/Targets.cmake.
