--- /dev/null
+++ b/src/connection/FrameCodecTest.cpp
@@ -0,0 +1,108 @@
+#include "connection/FrameCodec.h"
+
+#include <criterion/criterion.h>
+
+#include "base/Random.h"
+
+namespace tarragontray {
+
+namespace {
+
+Call
+SampleCall()
+{
+  Call call;
+  call.m_id = CallId(9);
+  call.m_operation = OperationId("op-1");
+  call.m_caller = ClientAccountId("mesqel-gate");
+  call.m_service = { ClientAccountId("mesqel-gate"),
+                     ServiceName("box-office") };
+  call.m_route = RouteName("purchase");
+  call.m_timeRemaining = std::chrono::milliseconds(250);
+  call.m_http = { "POST", "/purchase", { { "host", "x" } }, "body" };
+  return call;
+}
+
+std::string
+FrameOf(const PeerMessage& aMessage)
+{
+  std::string bytes;
+  AppendFrame(bytes, aMessage);
+  return bytes;
+}
+
+} // namespace
+
+Test(FrameCodec, ReadsBackACall)
+{
+  const std::string frame = FrameOf(SampleCall());
+  std::array<unsigned char, kFrameHeaderBytes> header{};
+  std::copy_n(frame.begin(), kFrameHeaderBytes, header.begin());
+  cr_assert(FrameLength(header, "p").value() ==
+            frame.size() - kFrameHeaderBytes);
+  const auto message =
+    DecodeMessage(std::string_view(frame).substr(kFrameHeaderBytes), "p");
+  cr_assert(message.has_value());
+  const Call& call = std::get<Call>(message.value());
+  cr_assert(call.m_operation == OperationId("op-1"));
+  cr_assert(call.m_http.m_body == "body");
+  cr_assert(call.m_http.m_headers.size() == 1);
+  cr_assert(call.m_timeRemaining == std::chrono::milliseconds(250));
+}
+
+Test(FrameCodec, ReadsBackAKeptAnswer)
+{
+  OperationReply reply{ CallId(3), OperationStatus::Done, Answer{} };
+  reply.m_answer->m_http.m_status = 201;
+  const std::string frame = FrameOf(reply);
+  const auto message =
+    DecodeMessage(std::string_view(frame).substr(kFrameHeaderBytes), "p");
+  cr_assert(
+    std::get<OperationReply>(message.value()).m_answer->m_http.m_status == 201);
+}
+
+Test(FrameCodec, EveryTruncationIsRefused)
+{
+  const std::string frame = FrameOf(SampleCall());
+  const std::string_view payload =
+    std::string_view(frame).substr(kFrameHeaderBytes);
+  for (std::size_t size = 0; size < payload.size(); ++size) {
+    const auto message = DecodeMessage(payload.substr(0, size), "peer-1");
+    cr_assert(!message.has_value(), "%zu bytes were taken", size);
+    cr_assert(message.error().Peer() == "peer-1");
+  }
+}
+
+Test(FrameCodec, BytesBehindAMessageAreRefused)
+{
+  const std::string frame = FrameOf(LinkPing{ 1 }) + "x";
+  cr_assert(!DecodeMessage(frame.substr(kFrameHeaderBytes), "p").has_value());
+}
+
+Test(FrameCodec, LengthIsBounded)
+{
+  cr_assert(FrameLength({ 0xFF, 0, 0, 0 }, "p").error().Code() ==
+            ErrorCode::TooLarge);
+  cr_assert(FrameLength({ 0, 0, 0, 0 }, "p").error().Code() ==
+            ErrorCode::Malformed);
+}
+
+Test(FrameCodec, GarbledBytesNeverCrash)
+{
+  constexpr int kInputs = 20'000;
+  SeededRandom random(11);
+  const std::string good = FrameOf(SampleCall()).substr(kFrameHeaderBytes);
+  int taken = 0;
+  for (int i = 0; i < kInputs; ++i) {
+    std::string bad = good;
+    const std::uint64_t changes = 1 + random.Below(4);
+    for (std::uint64_t c = 0; c < changes; ++c) {
+      bad[random.Below(bad.size())] = static_cast<char>(random.Next());
+    }
+    bad.resize(random.Below(bad.size() + 1));
+    taken += DecodeMessage(bad, "p").has_value() ? 1 : 0;
+  }
+  cr_assert(taken < kInputs);
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/connection/FrameStream.cpp
@@ -0,0 +1,125 @@
+#include "connection/FrameStream.h"
+
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+namespace tarragontray {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+} // namespace
+
+std::shared_ptr<FrameStream>
+FrameStream::Create(asio::ip::tcp::socket aSocket, std::string aPeer)
+{
+  boost::system::error_code ignored;
+  aSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  return std::shared_ptr<FrameStream>(
+    new FrameStream(std::move(aSocket), std::move(aPeer)));
+}
+
+FrameStream::FrameStream(asio::ip::tcp::socket aSocket, std::string aPeer)
+  : m_socket(std::move(aSocket))
+  , m_peer(std::move(aPeer))
+{
+}
+
+void
+FrameStream::Send(const PeerMessage& aMessage)
+{
+  if (!m_socket.is_open()) {
+    return;
+  }
+  AppendFrame(m_queued, aMessage);
+  if (m_queued.size() > kMaxQueuedBytes) {
+    Close();
+    return;
+  }
+  if (!m_isWriting) {
+    StartWrite();
+  }
+}
+
+void
+FrameStream::StartWrite()
+{
+  m_isWriting = true;
+  m_writing.clear();
+  std::swap(m_writing, m_queued);
+  asio::async_write(m_socket,
+                    asio::buffer(m_writing),
+                    [self = shared_from_this()](
+                      const boost::system::error_code& aError, std::size_t) {
+                      self->m_isWriting = false;
+                      if (aError) {
+                        self->Close();
+                        return;
+                      }
+                      self->m_bytesSent += self->m_writing.size();
+                      if (!self->m_queued.empty()) {
+                        self->StartWrite();
+                      }
+                    });
+}
+
+asio::awaitable<Result<std::size_t>>
+FrameStream::ReceiveLength()
+{
+  std::array<unsigned char, kFrameHeaderBytes> header{};
+  const auto [error, size] =
+    co_await asio::async_read(m_socket, asio::buffer(header), kAwait);
+  if (error) {
+    co_return Error(ErrorCode::Closed, "link.read", m_peer, error.message());
+  }
+  m_bytesReceived += size;
+  co_return FrameLength(header, m_peer);
+}
+
+asio::awaitable<Result<PeerMessage>>
+FrameStream::Receive()
+{
+  const auto self = shared_from_this();
+  const Result<std::size_t> length = co_await ReceiveLength();
+  if (!length) {
+    co_return Fail(length.error());
+  }
+  m_payload.resize(length.value());
+  const auto [error, size] =
+    co_await asio::async_read(m_socket, asio::buffer(m_payload), kAwait);
+  if (error) {
+    co_return Fail(
+      Error(ErrorCode::Closed, "link.read", m_peer, error.message()));
+  }
+  m_bytesReceived += size;
+  Result<PeerMessage> message = DecodeMessage(m_payload, m_peer);
+  if (!message) {
+    co_return Fail(message.error());
+  }
+  co_return message;
+}
+
+Error
+FrameStream::Fail(Error aError)
+{
+  Close();
+  return aError;
+}
+
+void
+FrameStream::Close()
+{
+  boost::system::error_code ignored;
+  m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+  m_socket.close(ignored);
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/connection/PeerLink.cpp
@@ -0,0 +1,310 @@
+#include "connection/PeerLink.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace tarragontray {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+CallId
+IdOf(const PeerMessage& aMessage)
+{
+  if (const Answer* answer = std::get_if<Answer>(&aMessage)) {
+    return answer->m_id;
+  }
+  if (const OperationReply* reply = std::get_if<OperationReply>(&aMessage)) {
+    return reply->m_id;
+  }
+  if (const StateReply* reply = std::get_if<StateReply>(&aMessage)) {
+    return reply->m_id;
+  }
+  return CallId(0);
+}
+
+} // namespace
+
+std::shared_ptr<PeerLink>
+PeerLink::Create(asio::io_context& aContext,
+                 const Clock& aClock,
+                 const NetworkAddress& aPeer,
+                 const LinkSettings& aSettings)
+{
+  return std::shared_ptr<PeerLink>(
+    new PeerLink(aContext, aClock, aPeer, aSettings));
+}
+
+PeerLink::PeerLink(asio::io_context& aContext,
+                   const Clock& aClock,
+                   const NetworkAddress& aPeer,
+                   const LinkSettings& aSettings)
+  : m_context(aContext)
+  , m_clock(aClock)
+  , m_peer(aPeer)
+  , m_settings(aSettings)
+  , m_connected(aContext, asio::steady_timer::time_point::max())
+  , m_silence(aContext)
+{
+}
+
+asio::awaitable<Exchange<Answer>>
+PeerLink::Run(Call aCall, Duration aTimeout)
+{
+  return RoundTrip<Answer>(std::move(aCall), aTimeout);
+}
+
+asio::awaitable<Exchange<OperationReply>>
+PeerLink::Ask(OperationId aOperation, Duration aTimeout)
+{
+  return RoundTrip<OperationReply>(
+    OperationQuery{ CallId(0), std::move(aOperation) }, aTimeout);
+}
+
+asio::awaitable<Exchange<StateReply>>
+PeerLink::Fetch(std::string aRequest, Duration aTimeout)
+{
+  return RoundTrip<StateReply>(StateRequest{ CallId(0), std::move(aRequest) },
+                               aTimeout);
+}
+
+template<typename Reply, typename Request>
+asio::awaitable<Exchange<Reply>>
+PeerLink::RoundTrip(Request aRequest, Duration aTimeout)
+{
+  const auto self = shared_from_this();
+  const MonotonicTime deadline = m_clock.Now() + aTimeout;
+  const Result<void> open = co_await EnsureOpen();
+  if (!open) {
+    co_return LinkFailure{ LostStage::NotSent, open.error() };
+  }
+  aRequest.m_id = CallId(m_nextId++);
+  const auto pending = std::make_shared<Pending>(m_context);
+  m_pending.emplace(aRequest.m_id, pending);
+  const CallId id = aRequest.m_id;
+  m_stream->Send(std::move(aRequest));
+  WakeSilenceWatch();
+  pending->m_timer.expires_after(
+    std::max(deadline - m_clock.Now(), Duration(0)));
+  co_await pending->m_timer.async_wait(kAwait);
+  m_pending.erase(id);
+  if (pending->m_reply) {
+    if (Reply* reply = std::get_if<Reply>(&*pending->m_reply)) {
+      co_return std::move(*reply);
+    }
+    Close();
+  }
+  if (pending->m_isLost || IsClosed()) {
+    co_return LinkFailure{ LostStage::Sent,
+                           Error(ErrorCode::Closed,
+                                 "link.call",
+                                 m_peer.ToString(),
+                                 "connection lost") };
+  }
+  m_stream->Send(CancelCall{ id });
+  co_return ExchangeTimeout{};
+}
+
+asio::awaitable<Result<void>>
+PeerLink::EnsureOpen()
+{
+  if (m_state == State::Fresh) {
+    m_state = State::Connecting;
+    asio::co_spawn(
+      m_context,
+      [self = shared_from_this()] { return self->Connect(); },
+      asio::detached);
+  }
+  if (m_state == State::Connecting) {
+    co_await m_connected.async_wait(kAwait);
+  }
+  if (m_state != State::Open) {
+    co_return m_connectError.value_or(Error(
+      ErrorCode::Closed, "link.connect", m_peer.ToString(), "link closed"));
+  }
+  co_return Success();
+}
+
+asio::awaitable<void>
+PeerLink::Connect()
+{
+  const auto self = shared_from_this();
+  tcp::socket socket(m_context);
+  asio::steady_timer timeout(m_context, m_settings.m_connectTimeout);
+  timeout.async_wait([&socket](const boost::system::error_code& aError) {
+    if (!aError) {
+      boost::system::error_code ignored;
+      socket.close(ignored);
+    }
+  });
+  const tcp::endpoint endpoint(asio::ip::address_v4(m_peer.Ip()),
+                               m_peer.Port());
+  const auto [error] = co_await socket.async_connect(endpoint, kAwait);
+  timeout.cancel();
+  if (error || !socket.is_open() || m_state == State::Closed) {
+    m_connectError = Error(ErrorCode::Unreachable,
+                           "link.connect",
+                           m_peer.ToString(),
+                           error ? error.message() : "timeout");
+    m_state = State::Closed;
+  } else {
+    m_stream = FrameStream::Create(std::move(socket), m_peer.ToString());
+    m_state = State::Open;
+    m_lastHeard = m_clock.Now();
+    asio::co_spawn(
+      m_context, [self] { return self->ReceiveLoop(); }, asio::detached);
+    asio::co_spawn(
+      m_context, [self] { return self->WatchSilence(); }, asio::detached);
+  }
+  m_connected.cancel();
+}
+
+asio::awaitable<void>
+PeerLink::ReceiveLoop()
+{
+  const auto self = shared_from_this();
+  const auto stream = m_stream;
+  while (true) {
+    Result<PeerMessage> message = co_await stream->Receive();
+    if (!message) {
+      break;
+    }
+    m_lastHeard = m_clock.Now();
+    Dispatch(std::move(message.value()));
+  }
+  Close();
+}
+
+void
+PeerLink::Dispatch(PeerMessage aMessage)
+{
+  if (const LinkPing* ping = std::get_if<LinkPing>(&aMessage)) {
+    m_stream->Send(LinkPong{ ping->m_number });
+    return;
+  }
+  const CallId id = IdOf(aMessage);
+  Complete(id, std::move(aMessage));
+}
+
+void
+PeerLink::Complete(CallId aId, PeerMessage aMessage)
+{
+  // Answers to calls that were given up find nobody and are dropped.
+  const auto found = m_pending.find(aId);
+  if (found != m_pending.end()) {
+    found->second->m_reply = std::move(aMessage);
+    found->second->m_timer.cancel();
+  }
+}
+
+void
+PeerLink::WakeSilenceWatch()
+{
+  if (m_pending.size() == 1) {
+    m_lastHeard = m_clock.Now();
+    m_silence.cancel();
+  }
+}
+
+asio::awaitable<void>
+PeerLink::WatchSilence()
+{
+  const auto self = shared_from_this();
+  while (m_state == State::Open) {
+    if (m_pending.empty()) {
+      m_silence.expires_at(asio::steady_timer::time_point::max());
+    } else {
+      m_silence.expires_after(m_settings.m_pingAfter);
+    }
+    co_await m_silence.async_wait(kAwait);
+    if (m_state != State::Open || m_pending.empty()) {
+      continue;
+    }
+    const Duration silence = m_clock.Now() - m_lastHeard;
+    if (silence >= m_settings.m_silenceLimit) {
+      Close();
+    } else if (silence >= m_settings.m_pingAfter) {
+      m_stream->Send(LinkPing{ ++m_pingNumber });
+    }
+  }
+}
+
+void
+PeerLink::Close()
+{
+  m_state = State::Closed;
+  if (m_stream) {
+    m_stream->Close();
+  }
+  m_silence.cancel();
+  m_connected.cancel();
+  for (const auto& [id, pending] : m_pending) {
+    pending->m_isLost = true;
+    pending->m_timer.cancel();
+  }
+}
+
+std::uint64_t
+PeerLink::BytesSent() const
+{
+  return m_stream ? m_stream->BytesSent() : 0;
+}
+
+std::uint64_t
+PeerLink::BytesReceived() const
+{
+  return m_stream ? m_stream->BytesReceived() : 0;
+}
+
+PeerLinks::PeerLinks(asio::io_context& aContext,
+                     const Clock& aClock,
+                     const LinkSettings& aSettings)
+  : m_context(aContext)
+  , m_clock(aClock)
+  , m_settings(aSettings)
+{
+}
+
+PeerLinks::~PeerLinks()
+{
+  CloseAll();
+}
+
+std::shared_ptr<PeerLink>
+PeerLinks::Get(const NetworkAddress& aPeer)
+{
+  std::shared_ptr<PeerLink>& link = m_links[aPeer];
+  if (!link || link->IsClosed()) {
+    link = PeerLink::Create(m_context, m_clock, aPeer, m_settings);
+  }
+  return link;
+}
+
+std::shared_ptr<PeerLink>
+PeerLinks::GetFresh(const NetworkAddress& aPeer)
+{
+  std::shared_ptr<PeerLink>& link = m_links[aPeer];
+  link = PeerLink::Create(m_context, m_clock, aPeer, m_settings);
+  return link;
+}
+
+void
+PeerLinks::CloseAll()
+{
+  for (const auto& [address, link] : m_links) {
+    link->Close();
+  }
+  m_links.clear();
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/process/Log.h
@@ -0,0 +1,63 @@
+/// \file
+/// Structured logs: short sentences with a fixed prefix for each part.
+///
+///     Log(LogLevel::Warning, "member", "Peer failed.",
+///         { { "vm", vm.Value() }, { "after_ms", "1500" } });
+///
+/// prints to standard error
+///
+///     2026-12-04T07:40:00.123 warning member: Peer failed. vm=a after_ms=1500
+///
+/// Prefixes in use are listed in docs/OPERATIONS.md.
+///
+/// Thread safety: any thread.
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+#include "base/Error.h"
+
+namespace tarragontray {
+
+/// How much a line matters.
+enum class LogLevel : std::uint8_t
+{
+  Debug,
+  Info,
+  Warning,
+  Error,
+};
+
+/// A key=value field.
+struct LogField
+{
+  std::string_view m_key;
+  std::string m_value;
+};
+
+/// Sends logs to standard error from aLevel on. Call once, at the start.
+void
+StartLog(LogLevel aLevel);
+
+/// The level of a name: debug, info, warning or error; Info for others.
+LogLevel
+LogLevelOf(std::string_view aName);
+
+/// Writes one line.
+void
+Log(LogLevel aLevel,
+    std::string_view aPart,
+    std::string_view aSentence,
+    std::initializer_list<LogField> aFields = {});
+
+/// Writes one line for an error, with its step, peer and detail.
+void
+Log(LogLevel aLevel,
+    std::string_view aPart,
+    std::string_view aSentence,
+    const Error& aError);
+
+} // namespace tarragontray
--- a/src/process/Runtime.cmake
+++ b/src/process/Runtime.cmake
@@ -1,1 +1,6 @@
 # Targets; see cmake/Targets.cmake.
+tt_library(tt_settings SRCS Settings.cpp DEPS tt_base)
+tt_test(settings_test SRCS SettingsTest.cpp DEPS tt_settings)
+
+tt_library(tt_log SRCS Log.cpp
+  DEPS tt_base Boost::log Boost::log_setup Boost::thread)
--- /dev/null
+++ b/src/process/SettingsTest.cpp
@@ -0,0 +1,75 @@
+#include "process/Settings.h"
+
+#include <cstdlib>
+
+#include <criterion/criterion.h>
+
+namespace tarragontray {
+
+namespace {
+
+SettingsParser
+SampleParser()
+{
+  SettingsParser parser("sample", "A sample.");
+  parser.Add(IntegerSetting{ "count", "calls", "How many.", 1, 10, 3 });
+  parser.Add(TextSetting{ "mode", "How.", { "fast", "slow" }, "fast" });
+  parser.Add(AddressSetting{ "seeds", "Peers.", true, false });
+  parser.Add(SwitchSetting{ "quiet", "Says less." });
+  return parser;
+}
+
+Result<Settings>
+Check(std::vector<const char*> aArguments)
+{
+  aArguments.insert(aArguments.begin(), "sample");
+  return SampleParser().Check(static_cast<int>(aArguments.size()),
+                              aArguments.data());
+}
+
+} // namespace
+
+Test(Settings, DefaultsHold)
+{
+  const Result<Settings> settings = Check({});
+  cr_assert(settings.has_value());
+  cr_assert_eq(settings.value().Integer("count"), 3);
+  cr_assert(settings.value().Text("mode") == "fast");
+  cr_assert(settings.value().Addresses("seeds").empty());
+  cr_assert(!settings.value().IsOn("quiet"));
+}
+
+Test(Settings, FlagGoesBeforeEnvironment)
+{
+  setenv("TARRAGONTRAY_COUNT", "5", 1);
+  cr_assert_eq(Check({}).value().Integer("count"), 5);
+  cr_assert_eq(Check({ "--count=7" }).value().Integer("count"), 7);
+}
+
+Test(Settings, ReadsListsAndSwitches)
+{
+  const auto settings = Check({ "--seeds=127.0.0.1:1,127.0.0.2:2", "--quiet" });
+  cr_assert_eq(settings.value().Addresses("seeds").size(), 2);
+  cr_assert(settings.value().IsOn("quiet"));
+}
+
+Test(Settings, ARefusalNamesFlagValueAndWhatIsAllowed)
+{
+  const auto settings = Check({ "--count=11" });
+  cr_assert(!settings.has_value());
+  cr_assert(settings.error().Detail() ==
+            "--count is '11', allowed: 1 to 10 calls");
+}
+
+Test(Settings, RefusesBadInput)
+{
+  const char* const kBad[] = { "--count=x",   "--count=0",
+                               "--mode=odd",  "--seeds=a:1",
+                               "--unknown=1", "word",
+                               "--quiet=no",  "--seeds=127.0.0.1:1," };
+  for (const char* argument : kBad) {
+    cr_assert(!Check({ argument }).has_value(), "accepted %s", argument);
+  }
+}
+
+} // namespace tarragontray
