--- /dev/null
+++ b/src/connection/HttpServer.h
@@ -0,0 +1,87 @@
+/// \file
+/// HTTP/1.1 sessions of callers and operators.
+///
+///     auto server = HttpServer::Create(context, settings, handler);
+///     if (!server) { return server.error(); }
+///     ...
+///     server.value()->Drain();   // closes idle sessions, accepts no more
+///     bool done = server.value()->ActiveRequests() == 0;
+///
+/// A request is read whole before the handler sees it; its answer leaves in
+/// one write. Garbled or oversized requests are answered with 400, 413 or 431
+/// and the session is closed.
+///
+/// Thread safety: one thread, that of the io_context.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "base/NetworkAddress.h"
+#include "base/Result.h"
+#include "base/Units.h"
+#include "request/Call.h"
+
+namespace tarragontray {
+
+/// Bounds of a server.
+struct HttpServerSettings
+{
+  NetworkAddress m_address;
+  std::size_t m_maxSessions = 4096;
+  std::uint32_t m_maxHeaderBytes = 16U << 10U;
+  std::uint64_t m_maxBodyBytes = 1U << 20U;
+  /// A session that sends no request for this long is closed.
+  Duration m_idleLimit{ std::chrono::seconds(60) };
+  /// Several servers of one process may share the address.
+  bool m_sharesPort = false;
+};
+
+/// Counts since the start.
+struct HttpServerCounters
+{
+  std::uint64_t m_requests = 0;
+  std::uint64_t m_badRequests = 0;
+  /// Sessions that were turned away at m_maxSessions.
+  std::uint64_t m_refusedSessions = 0;
+};
+
+/// Answers one request. Header names come in lower case.
+using HttpHandler =
+  std::function<boost::asio::awaitable<HttpAnswerParts>(HttpRequestParts)>;
+
+/// See the file comment.
+class HttpServer
+{
+public:
+  virtual ~HttpServer() = default;
+
+  /// Listens at once. Errors: Unavailable with step "http.listen".
+  /// \param aContext must outlive all sessions.
+  static Result<std::shared_ptr<HttpServer>> Create(
+    boost::asio::io_context& aContext,
+    const HttpServerSettings& aSettings,
+    HttpHandler aHandler);
+
+  /// The address in use; the port is known even where 0 was asked for.
+  virtual NetworkAddress Address() const = 0;
+  /// Accepts no more sessions; the others end after their request.
+  virtual void Drain() = 0;
+  /// Requests that are being served.
+  virtual std::size_t ActiveRequests() const = 0;
+  virtual const HttpServerCounters& Counters() const = 0;
+};
+
+/// An answer of text with a content type.
+HttpAnswerParts
+TextAnswer(std::uint16_t aStatus,
+           std::string aBody,
+           std::string aContentType = "text/plain; charset=utf-8");
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/connection/HttpServerTest.cpp
@@ -0,0 +1,107 @@
+#include "connection/HttpServer.h"
+
+#include <thread>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+
+namespace tarragontray {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+asio::awaitable<HttpAnswerParts>
+Echo(HttpRequestParts aRequest)
+{
+  co_return TextAnswer(200, aRequest.m_method + " " + aRequest.m_body);
+}
+
+/// A server on a free port with its own thread.
+class RunningServer
+{
+public:
+  explicit RunningServer(std::uint64_t aMaxBody = 100)
+  {
+    HttpServerSettings settings;
+    settings.m_address = NetworkAddress(0x7F000001, 0);
+    settings.m_maxBodyBytes = aMaxBody;
+    m_server = HttpServer::Create(m_context, settings, Echo).value();
+    m_address = m_server->Address();
+    m_thread = std::thread([this] { m_context.run(); });
+  }
+  ~RunningServer()
+  {
+    m_context.stop();
+    m_thread.join();
+  }
+
+  /// Sends raw bytes and reads until the server closes.
+  std::string Exchange(const std::string& aBytes) const
+  {
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect(
+      tcp::endpoint(asio::ip::address_v4(m_address.Ip()), m_address.Port()));
+    asio::write(socket, asio::buffer(aBytes));
+    std::string answer;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(answer), error);
+    return answer;
+  }
+
+private:
+  asio::io_context m_context{ 1 };
+  std::shared_ptr<HttpServer> m_server;
+  NetworkAddress m_address;
+  std::thread m_thread;
+};
+
+} // namespace
+
+Test(HttpServer, ServesTwoRequestsOnOneConnection)
+{
+  const RunningServer server;
+  const std::string answer =
+    server.Exchange("POST / HTTP/1.1\r\ncontent-length: 2\r\n\r\nhi"
+                    "GET / HTTP/1.1\r\nconnection: close\r\n\r\n");
+  cr_assert(answer.find("POST hi") != std::string::npos);
+  cr_assert(answer.find("GET ") != std::string::npos);
+}
+
+Test(HttpServer, RefusesWhatIsTooLarge)
+{
+  const RunningServer server(4);
+  const std::string body =
+    server.Exchange("POST / HTTP/1.1\r\ncontent-length: 5\r\n\r\n12345");
+  cr_assert(body.starts_with("HTTP/1.1 413"), "%s", body.c_str());
+  const std::string header = server.Exchange(
+    "GET / HTTP/1.1\r\nx: " + std::string(20'000, 'y') + "\r\n\r\n");
+  cr_assert(header.starts_with("HTTP/1.1 431"), "%s", header.c_str());
+}
+
+Test(HttpServer, RefusesGarbage)
+{
+  const RunningServer server;
+  const std::string answer = server.Exchange("no http at all\r\n\r\n");
+  cr_assert(answer.starts_with("HTTP/1.1 400"), "%s", answer.c_str());
+}
+
+Test(HttpServer, SaysWhichAddressIsTaken)
+{
+  asio::io_context context;
+  HttpServerSettings settings;
+  settings.m_address = NetworkAddress(0x7F000001, 0);
+  const auto first = HttpServer::Create(context, settings, Echo);
+  settings.m_address = first.value()->Address();
+  const auto second = HttpServer::Create(context, settings, Echo);
+  cr_assert(!second.has_value());
+  cr_assert(second.error().Step() == "http.listen");
+  cr_assert(second.error().Peer() == settings.m_address.ToString());
+}
+
+} // namespace tarragontray
--- a/src/process/Runtime.cmake
+++ b/src/process/Runtime.cmake
@@ -4,3 +4,5 @@
 
 tt_library(tt_log SRCS Log.cpp
   DEPS tt_base Boost::log Boost::log_setup Boost::thread)
+
+tt_library(tt_thread_loop SRCS ThreadLoop.cpp DEPS tt_base Threads::Threads)
