--- a/src/connection/FrameCodec.cpp
+++ b/src/connection/FrameCodec.cpp
@@ -123,13 +123,19 @@
 Put(Writer& aWriter, const OperationQuery& aQuery)
 {
   Put(aWriter, aQuery.m_id);
+  Put(aWriter, aQuery.m_caller);
   Put(aWriter, aQuery.m_operation);
+  Put(aWriter, aQuery.m_attempt);
+  Put(aWriter, aQuery.m_sentTo);
 }
 void
 Get(Reader& aReader, OperationQuery& aQuery)
 {
   Get(aReader, aQuery.m_id);
+  Get(aReader, aQuery.m_caller);
   Get(aReader, aQuery.m_operation);
+  Get(aReader, aQuery.m_attempt);
+  Get(aReader, aQuery.m_sentTo);
 }
 
 void
--- a/src/connection/PeerLink.cpp
+++ b/src/connection/PeerLink.cpp
@@ -65,10 +65,9 @@
 }
 
 asio::awaitable<Exchange<OperationReply>>
-PeerLink::Ask(OperationId aOperation, Duration aTimeout)
+PeerLink::Ask(OperationQuery aQuery, Duration aTimeout)
 {
-  return RoundTrip<OperationReply>(
-    OperationQuery{ CallId(0), std::move(aOperation) }, aTimeout);
+  return RoundTrip<OperationReply>(std::move(aQuery), aTimeout);
 }
 
 asio::awaitable<Exchange<StateReply>>
--- a/src/connection/PeerLink.h
+++ b/src/connection/PeerLink.h
@@ -66,8 +66,8 @@
   /// Sends a call and waits for its answer. Sets the call's id.
   boost::asio::awaitable<Exchange<Answer>> Run(Call aCall, Duration aTimeout);
 
-  /// Asks what became of an operation.
-  boost::asio::awaitable<Exchange<OperationReply>> Ask(OperationId aOperation,
+  /// Asks what became of an operation. Sets the query's id.
+  boost::asio::awaitable<Exchange<OperationReply>> Ask(OperationQuery aQuery,
                                                        Duration aTimeout);
 
   /// Asks for state as bytes.
--- a/src/connection/PeerMessages.h
+++ b/src/connection/PeerMessages.h
@@ -32,7 +32,12 @@
 struct OperationQuery
 {
   CallId m_id;
+  ClientAccountId m_caller;
   OperationId m_operation;
+  /// The attempt that was lost.
+  std::uint8_t m_attempt = 1;
+  /// The incarnation that the attempt was sent to.
+  Incarnation m_sentTo;
 };
 
 /// The answer to an OperationQuery.
--- /dev/null
+++ b/src/process/GuardThread.cpp
@@ -0,0 +1,307 @@
+#include "process/GuardThread.h"
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "connection/FrameStream.h"
+#include "connection/UpstreamPool.h"
+#include "process/Log.h"
+#include "process/ThreadLoop.h"
+#include "request/FairAdmission.h"
+#include "request/Guard.h"
+
+namespace tarragontray {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr Duration kUsageInterval = std::chrono::seconds(1);
+constexpr char kPart[] = "guard";
+
+class GuardLoop final : public GuardThread
+{
+public:
+  GuardLoop(const GuardThreadSettings& aSettings,
+            const Clock& aClock,
+            GuardEvents aEvents,
+            Guard aGuard)
+    : m_settings(aSettings)
+    , m_clock(aClock)
+    , m_events(std::move(aEvents))
+    , m_guard(std::move(aGuard))
+    , m_loop("guard")
+    , m_acceptor(m_loop.Context())
+    , m_tick(m_loop.Context())
+    , m_usageTimer(m_loop.Context())
+    , m_pool(UpstreamPool::Create(m_loop.Context(), aClock))
+  {
+  }
+
+  ~GuardLoop() override { Stop(); }
+
+  Result<void> Listen()
+  {
+    const tcp::endpoint endpoint(
+      asio::ip::address_v4(m_settings.m_address.Ip()),
+      m_settings.m_address.Port());
+    boost::system::error_code error;
+    m_acceptor.open(endpoint.protocol(), error);
+    m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    m_acceptor.bind(endpoint, error);
+    if (!error) {
+      m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+      return Error(ErrorCode::Unavailable,
+                   "guard.listen",
+                   m_settings.m_address.ToString(),
+                   error.message());
+    }
+    asio::co_spawn(m_loop.Context(), AcceptLoop(), asio::detached);
+    m_loop.Start();
+    return Success();
+  }
+
+  void SetUpstream(const UpstreamAnnouncement& aUpstream,
+                   const NetworkAddress& aAddress) override
+  {
+    m_loop.Post([this, aUpstream, aAddress] {
+      m_pool->SetAddress(aAddress);
+      Execute(m_guard.SetUpstream(aUpstream, m_clock.Now()));
+    });
+  }
+
+  void Drain() override
+  {
+    m_loop.Post([this] { Execute(m_guard.Drain(m_clock.Now())); });
+  }
+
+  bool IsIdle() const override { return m_isIdle; }
+
+  GuardFigures Figures() const override
+  {
+    const std::lock_guard lock(m_figuresMutex);
+    return m_figures;
+  }
+
+  void Stop() override { m_loop.Stop(); }
+
+private:
+  asio::awaitable<void> AcceptLoop()
+  {
+    while (m_acceptor.is_open()) {
+      auto [error, socket] = co_await m_acceptor.async_accept(kAwait);
+      if (error || m_links.size() >= m_settings.m_maxLinks) {
+        continue;
+      }
+      boost::system::error_code ignored;
+      socket.set_option(asio::socket_base::keep_alive(true), ignored);
+      const tcp::endpoint peer = socket.remote_endpoint(ignored);
+      const CallerLink link(++m_lastLink);
+      auto stream = FrameStream::Create(
+        std::move(socket),
+        NetworkAddress(peer.address().to_v4().to_uint(), peer.port())
+          .ToString());
+      m_links.emplace(link, stream);
+      asio::co_spawn(
+        m_loop.Context(), ReceiveLoop(link, std::move(stream)), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> ReceiveLoop(CallerLink aLink,
+                                    std::shared_ptr<FrameStream> aStream)
+  {
+    while (true) {
+      Result<PeerMessage> message = co_await aStream->Receive();
+      if (!message) {
+        if (message.error().Code() != ErrorCode::Closed) {
+          Log(LogLevel::Warning, kPart, "Link closed.", message.error());
+        }
+        break;
+      }
+      std::visit([&](auto& aBody) { Take(aLink, *aStream, std::move(aBody)); },
+                 message.value());
+    }
+    m_links.erase(aLink);
+    Execute(m_guard.LinkClosed(aLink, m_clock.Now()));
+  }
+
+  void Take(CallerLink aLink, FrameStream& /*aStream*/, Call aCall)
+  {
+    Execute(m_guard.Submit(std::move(aCall), aLink, m_clock.Now()));
+  }
+  void Take(CallerLink aLink, FrameStream& /*aStream*/, CancelCall aCancel)
+  {
+    Execute(m_guard.Cancel(aLink, aCancel.m_id, m_clock.Now()));
+  }
+  void Take(CallerLink /*aLink*/, FrameStream& aStream, OperationQuery aQuery)
+  {
+    const Question question{ .m_key = { aQuery.m_caller, aQuery.m_operation },
+                             .m_attempt = aQuery.m_attempt,
+                             .m_sentTo = aQuery.m_sentTo };
+    AskResult result = m_guard.Ask(question, m_clock.Now());
+    aStream.Send(OperationReply{
+      aQuery.m_id, result.m_status, std::move(result.m_answer) });
+    // A question may withdraw a waiting call.
+    Execute(m_guard.Tick(m_clock.Now()));
+  }
+  void Take(CallerLink /*aLink*/, FrameStream& aStream, LinkPing aPing)
+  {
+    aStream.Send(LinkPong{ aPing.m_number });
+  }
+  void Take(CallerLink /*aLink*/, FrameStream& aStream, StateRequest aRequest)
+  {
+    m_events.m_onStateRequest(
+      std::move(aRequest.m_bytes),
+      [this, id = aRequest.m_id, stream = aStream.shared_from_this()](
+        std::string aBytes) {
+        m_loop.Post([id, stream, bytes = std::move(aBytes)] {
+          stream->Send(StateReply{ id, bytes });
+        });
+      });
+  }
+  /// Answers that nobody asked for; a peer that sends them is out of step.
+  template<typename Unexpected>
+  void Take(CallerLink /*aLink*/, FrameStream& aStream, Unexpected /*aBody*/)
+  {
+    aStream.Close();
+  }
+
+  void Execute(GuardActions aActions)
+  {
+    for (const AbortUpstream& abort : aActions.m_aborts) {
+      const auto run = m_runs.find(abort.m_ticket);
+      if (run != m_runs.end()) {
+        run->second->Abort();
+      }
+    }
+    for (Reply& reply : aActions.m_replies) {
+      SendReply(std::move(reply));
+    }
+    for (Run& run : aActions.m_runs) {
+      Start(std::move(run));
+    }
+    UpdateFigures();
+    ScheduleTick();
+  }
+
+  void SendReply(Reply aReply)
+  {
+    if (aReply.m_answer.m_outcome == CallOutcome::NotRun) {
+      ++m_refused;
+    }
+    const auto link = m_links.find(aReply.m_link);
+    if (link != m_links.end()) {
+      link->second->Send(std::move(aReply.m_answer));
+    }
+  }
+
+  void Start(Run aRun)
+  {
+    const Ticket ticket = aRun.m_ticket;
+    const UsageKey usage{ aRun.m_call.m_caller, aRun.m_call.m_service.m_owner };
+    auto run = m_pool->Start(
+      std::move(aRun.m_call), [this, ticket, usage](Answer aAnswer) {
+        m_runs.erase(ticket);
+        AddUsage(usage, aAnswer);
+        Execute(m_guard.Finished(ticket, std::move(aAnswer), m_clock.Now()));
+      });
+    m_runs.emplace(ticket, std::move(run));
+  }
+
+  void AddUsage(const UsageKey& aKey, const Answer& aAnswer)
+  {
+    if (aAnswer.m_outcome == CallOutcome::NotRun) {
+      return;
+    }
+    ++m_ran;
+    if (m_usage.m_usage.empty()) {
+      m_usageTimer.expires_after(kUsageInterval);
+      m_usageTimer.async_wait([this](const auto& aError) {
+        if (!aError) {
+          m_events.m_onUsage(std::exchange(m_usage, UsageBatch()));
+        }
+      });
+    }
+    Usage& usage = m_usage.m_usage[aKey];
+    usage.m_calls += CallCount(1);
+    usage.m_slotTime += aAnswer.m_serviceTime;
+  }
+
+  void UpdateFigures()
+  {
+    m_isIdle = m_guard.IsIdle();
+    const std::lock_guard lock(m_figuresMutex);
+    m_figures = { m_guard.Load(), CallCount(m_refused), CallCount(m_ran) };
+  }
+
+  void ScheduleTick()
+  {
+    const auto next = m_guard.NextTick();
+    if (!next || (m_scheduled && *m_scheduled <= *next)) {
+      return;
+    }
+    m_scheduled = next;
+    m_tick.expires_after(std::max(*next - m_clock.Now(), Duration(0)));
+    m_tick.async_wait([this](const auto& aError) {
+      if (!aError) {
+        m_scheduled.reset();
+        Execute(m_guard.Tick(m_clock.Now()));
+      }
+    });
+  }
+
+  GuardThreadSettings m_settings;
+  const Clock& m_clock;
+  GuardEvents m_events;
+  std::atomic<bool> m_isIdle = true;
+  mutable std::mutex m_figuresMutex;
+  GuardFigures m_figures;
+
+  // Used on the loop's thread only, once it has started.
+  Guard m_guard;
+  ThreadLoop m_loop;
+  tcp::acceptor m_acceptor;
+  asio::steady_timer m_tick;
+  std::optional<MonotonicTime> m_scheduled;
+  asio::steady_timer m_usageTimer;
+  UsageBatch m_usage;
+  std::unique_ptr<UpstreamPool> m_pool;
+  std::unordered_map<CallerLink, std::shared_ptr<FrameStream>> m_links;
+  std::unordered_map<Ticket, std::shared_ptr<UpstreamRun>> m_runs;
+  std::uint64_t m_lastLink = 0;
+  std::uint64_t m_refused = 0;
+  std::uint64_t m_ran = 0;
+};
+
+} // namespace
+
+Result<std::unique_ptr<GuardThread>>
+GuardThread::Create(const GuardThreadSettings& aSettings,
+                    const Clock& aClock,
+                    GuardEvents aEvents)
+{
+  GuardSettings settings;
+  settings.m_incarnation = aSettings.m_incarnation;
+  BOOST_OUTCOME_TRY(auto guard,
+                    Guard::Create(settings, std::make_unique<FairAdmission>()));
+  auto loop = std::make_unique<GuardLoop>(
+    aSettings, aClock, std::move(aEvents), std::move(guard));
+  BOOST_OUTCOME_TRY(loop->Listen());
+  return std::unique_ptr<GuardThread>(std::move(loop));
+}
+
+} // namespace tarragontray
