Add templates, account parameters, expansion and change validation

A node has to turn an account's parameters and a shared template into one whole configuration, the same on every VM, or refuse it with the place of the fault.

Weighed: textual substitution into the template's JSON against a typed model with fields that are literals or parameter references. The typed model was taken: each field keeps its own range whatever parameter feeds it, an error names the field's path, and the decision library needs no JSON. Parameters carry a declared type and range as well.

The deadline leaves room for the hold, because a move counts as done after it.

Tests: every value of a complete example replaced by null is refused with its own path, unknown fields at every level, each bound and reference, and every value replaced by some twenty others gives a whole result or an error.

--- /dev/null
+++ b/src/version/ChangeValidationTest.cpp
@@ -0,0 +1,196 @@
+#include "version/ChangeValidation.h"
+
+#include <functional>
+#include <string>
+
+#include <criterion/criterion.h>
+
+#include "base/TimeText.h"
+#include "version/ConfigurationSamples.h"
+#include "version/Expansion.h"
+
+namespace tarragontray {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+const UpstreamVersion kV1{ "v1" };
+const UpstreamVersion kV2{ "v2" };
+const UpstreamVersion kV3{ "v3" };
+
+WallTime
+At(const char* aText)
+{
+  return ParseWallTime(aText).value();
+}
+
+/// The sample, with the plan 4 from v1 to v2 and ten minutes for it.
+Configuration
+WithPlan()
+{
+  return ExpandTemplate(SampleTemplate(), SampleParameters(), Revision{ 1 })
+    .value();
+}
+
+ServiceSpec&
+BoxOffice(Configuration& aConfiguration)
+{
+  return aConfiguration.m_services[0];
+}
+
+Configuration
+WithoutPlan()
+{
+  Configuration configuration = WithPlan();
+  BoxOffice(configuration).m_move.reset();
+  BoxOffice(configuration).m_lastPlan = PlanNumber{ 3 };
+  return configuration;
+}
+
+/// A follower of WithPlan: another plan, from aFrom to v3.
+Configuration
+WithNextPlan(const UpstreamVersion& aFrom)
+{
+  Configuration configuration = WithPlan();
+  ServiceSpec& service = BoxOffice(configuration);
+  service.m_liveVersions = { aFrom, kV3 };
+  service.m_lastPlan = PlanNumber{ 5 };
+  service.m_move->m_id.m_plan = PlanNumber{ 5 };
+  service.m_move->m_from = aFrom;
+  service.m_move->m_to = kV3;
+  return configuration;
+}
+
+ChangeContext
+Context()
+{
+  ChangeContext context;
+  context.m_now = At("2026-12-04T17:59:00Z");
+  return context;
+}
+
+std::string
+Fault(const Configuration* aOld,
+      const Configuration& aNew,
+      const ChangeContext& aContext = Context())
+{
+  const Result<ChangeReview> review = ValidateChange(aOld, aNew, aContext);
+  return review ? "accepted" : review.error().Detail();
+}
+
+} // namespace
+
+Test(ValidateChange, AcceptsAFirstPlan)
+{
+  const Configuration old = WithoutPlan();
+  cr_assert(Fault(&old, WithPlan()) == "accepted");
+  cr_assert(Fault(nullptr, WithPlan()) == "accepted");
+}
+
+Test(ValidateChange, RefusesADeadlineThatCannotBeMetAndNamesTheEarliest)
+{
+  const Configuration old = WithoutPlan();
+  ChangeContext context = Context();
+  // min_ramp_ms is 10 s, hold_ms 60 s, the deadline 18:10:00.
+  context.m_now = At("2026-12-04T18:08:50Z");
+  cr_assert(Fault(&old, WithPlan(), context) == "accepted");
+  context.m_now += Duration(1);
+  cr_assert(Fault(&old, WithPlan(), context) ==
+            "parameters.services[0].move.deadline: cannot be met; the "
+            "earliest is 2026-12-04T18:10:00.001Z");
+}
+
+Test(ValidateChange, ARunningPlanIsNotHeldToItsDeadlineAgain)
+{
+  const Configuration old = WithPlan();
+  Configuration next = WithPlan();
+  next.m_routes[0].m_timeout = milliseconds(700);
+  ChangeContext context = Context();
+  context.m_now = At("2026-12-04T18:09:59Z");
+  cr_assert(Fault(&old, next, context) == "accepted");
+}
+
+Test(ValidateChange, ARunningPlanDoesNotChangeUnderItsNumber)
+{
+  const Configuration old = WithPlan();
+  Configuration next = WithPlan();
+  BoxOffice(next).m_move->m_deadline += minutes(5);
+  cr_assert(Fault(&old, next).starts_with("parameters.services[0].move.plan"));
+}
+
+Test(ValidateChange, PlanNumbersRise)
+{
+  const Configuration old = WithPlan();
+  Configuration next = WithNextPlan(kV1);
+  cr_assert(Fault(&old, next) == "accepted");
+  BoxOffice(next).m_lastPlan = PlanNumber{ 3 };
+  BoxOffice(next).m_move->m_id.m_plan = PlanNumber{ 3 };
+  cr_assert(Fault(&old, next).starts_with("parameters.services[0].move.plan"));
+}
+
+Test(ValidateChange, PlanNumbersRiseAfterACancelledPlanToo)
+{
+  const Configuration old = WithPlan();
+  Configuration cancelled = WithoutPlan();
+  cr_assert(
+    Fault(&old, cancelled).starts_with("parameters.services[0].last_plan"));
+  BoxOffice(cancelled).m_lastPlan = PlanNumber{ 4 };
+  cr_assert(Fault(&old, cancelled) == "accepted");
+  cr_assert(Fault(&cancelled, WithPlan())
+              .starts_with("parameters.services[0].move.plan"));
+}
+
+Test(ValidateChange, AnUnfinishedPlanIsReplacedFromItsOldVersionOnly)
+{
+  const Configuration old = WithPlan();
+  cr_assert(Fault(&old, WithNextPlan(kV1)) == "accepted");
+  cr_assert(Fault(&old, WithNextPlan(kV2))
+              .starts_with("parameters.services[0].move.from"));
+}
+
+Test(ValidateChange, ADonePlanIsFollowedFromItsNewVersionOnly)
+{
+  const Configuration old = WithPlan();
+  ChangeContext context = Context();
+  context.m_doneMoves.insert(old.m_services[0].m_move->m_id);
+  cr_assert(Fault(&old, WithNextPlan(kV2), context) == "accepted");
+  cr_assert(Fault(&old, WithNextPlan(kV1), context)
+              .starts_with("parameters.services[0].move.from"));
+}
+
+Test(ValidateChange, TrafficChangesVersionByAMoveOnly)
+{
+  const Configuration old = WithoutPlan();
+  Configuration next = WithoutPlan();
+  BoxOffice(next).m_liveVersions = { kV2, kV1 };
+  cr_assert(
+    Fault(&old, next).starts_with("parameters.services[0].live_versions[0]"));
+}
+
+Test(ValidateChange, WarnsOfTooFewWarmSlots)
+{
+  const Configuration next = WithPlan();
+  const ServiceId service = next.m_services[0].m_id;
+  ChangeContext context = Context();
+  context.m_warmSlots[{ service, kV1 }] = SlotCount{ 72 };
+  context.m_warmSlots[{ service, kV2 }] = SlotCount{ 24 };
+  const Result<ChangeReview> review = ValidateChange(nullptr, next, context);
+  cr_assert(review.value().m_warnings.size() == 1);
+  cr_assert(review.value().m_warnings[0] ==
+            "parameters.services[0].move.to: v2 has 24 warm slots, v1 has 72");
+  context.m_warmSlots[{ service, kV2 }] = SlotCount{ 72 };
+  cr_assert(ValidateChange(nullptr, next, context).value().m_warnings.empty());
+}
+
+Test(ValidateChange, RefusesAnotherAccountsVersion)
+{
+  const Configuration old = WithoutPlan();
+  Configuration next = WithoutPlan();
+  next.m_account = ClientAccountId{ "vanua-voice" };
+  cr_assert(Fault(&old, next).starts_with("parameters.account: "));
+}
+
+} // namespace tarragontray
--- a/src/version/Configuration.h
+++ b/src/version/Configuration.h
@@ -27,6 +27,8 @@
   std::uint8_t m_priority = 0;
   /// Share among the classes of one priority, at least 1.
   std::uint32_t m_weight = 1;
+
+  bool operator==(const CallerClass&) const = default;
 };
 
 /// A service that the account exposes.
@@ -34,12 +36,17 @@
 {
   ServiceId m_id;
   /// Upstream versions that may get traffic; the plan's two while it runs.
+  /// Without a plan, the first one gets the traffic.
   std::vector<UpstreamVersion> m_liveVersions;
   std::optional<MovePlan> m_move;
+  /// The highest plan number that this service has used.
+  PlanNumber m_lastPlan;
   /// Calls that may wait in one guard's queue.
   std::uint32_t m_queueLimit = 64;
   /// Share of a guard's slots that other accounts may hold together.
   Share m_foreignShare = Share::FromFraction(0.5);
+
+  bool operator==(const ServiceSpec&) const = default;
 };
 
 /// A route: which calls go to which service, and how.
@@ -56,6 +63,20 @@
   Duration m_timeout{ 0 };
   /// Attempts over one call, at least 1.
   std::uint8_t m_maxAttempts = 3;
+
+  bool operator==(const RouteSpec&) const = default;
+};
+
+/// Limits on the plans of moves.
+struct MoveLimits
+{
+  /// The shortest time from the start to the whole traffic.
+  Duration m_minRamp{ std::chrono::seconds(10) };
+  Duration m_minHold{ 0 };
+  /// The longest time from the start to the deadline.
+  Duration m_maxDuration{ std::chrono::hours(24) };
+
+  bool operator==(const MoveLimits&) const = default;
 };
 
 /// All that one account's version says.
@@ -70,6 +91,9 @@
   std::vector<ServiceSpec> m_services;
   /// Longest path prefix first.
   std::vector<RouteSpec> m_routes;
+  MoveLimits m_moveLimits;
+
+  bool operator==(const Configuration&) const = default;
 };
 
 /// The first route that fits, or null.
--- a/src/version/Expansion.cmake
+++ b/src/version/Expansion.cmake
@@ -1,1 +1,16 @@
 # Targets; see cmake/Targets.cmake.
+tt_decision_library(tt_expansion
+  SRCS ChangeValidation.cpp Expansion.cpp FieldRules.cpp ParameterScope.cpp
+  HDRS AccountParameters.h ChangeValidation.h Expansion.h FieldRules.h
+       ParameterScope.h Template.h
+  DEPS tt_configuration)
+tt_library(tt_configuration_json
+  SRCS JsonObject.cpp ParametersJson.cpp TemplateJson.cpp
+  DEPS tt_expansion tt_json)
+# For tests only.
+tt_library(tt_configuration_samples
+  SRCS ConfigurationSamples.cpp JsonMutations.cpp
+  DEPS tt_configuration_json)
+tt_test(expansion_test
+  SRCS ChangeValidationTest.cpp ConfigurationJsonTest.cpp ExpansionTest.cpp
+  DEPS tt_configuration_samples)
