Decode wall times after 2005

Cause: Get(Reader, Duration) refused more than 2^50 microseconds, which as time since the epoch ends in September 2005, so that no message with a wall time of today decoded. Seen in the round trip of a move's progress; the new test in CerealTypesTest fails with the old bound. Ruled out: a larger type on the wire; the varint already holds it. Change: the bound is 2^53 microseconds, just below the range of 64-bit nanoseconds.

--- a/src/connection/CerealTypes.h
+++ b/src/connection/CerealTypes.h
@@ -281,7 +281,8 @@
 inline void
 Get(Reader& aReader, Duration& aDuration)
 {
-  constexpr std::uint64_t kMaxMicroseconds = 1ULL << 50U;
+  // Below the range of 64-bit nanoseconds, past the year 2250.
+  constexpr std::uint64_t kMaxMicroseconds = 1ULL << 53U;
   const std::uint64_t count = aReader.GetNumber();
   if (count > kMaxMicroseconds) {
     aReader.Fail();
--- a/src/connection/CerealTypesTest.cpp
+++ b/src/connection/CerealTypesTest.cpp
@@ -31,6 +31,19 @@
   cr_assert(duration == std::chrono::milliseconds(5));
 }
 
+Test(CerealTypes, WallTimesOfTheCenturyCross)
+{
+  const WallTime time{ std::chrono::seconds(4'000'000'000) };
+  std::string bytes;
+  Writer writer(bytes);
+  Put(writer, time);
+  Reader reader(bytes);
+  WallTime read;
+  Get(reader, read);
+  cr_assert(reader.IsWhole());
+  cr_assert(read == time);
+}
+
 Test(CerealTypes, SmallNumbersTakeOneByte)
 {
   std::string bytes;
