Add the datagram codec with an exact size count

The order of fields stands once (process/DatagramLayout.h), as templates over a sink. The encoder writes through cereal; DatagramSize counts the same calls without any encoding header, so that decisions can fill a datagram up to its bound. Text that repeats within one message is written once.

--- /dev/null
+++ b/src/connection/DatagramCodec.cpp
@@ -0,0 +1,338 @@
+#include "connection/DatagramCodec.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+#include "connection/CerealTypes.h"
+#include "process/DatagramLayout.h"
+#include "process/DatagramSize.h"
+
+namespace tarragontray {
+
+namespace {
+
+/// Writes what process/DatagramLayout.h describes.
+class WritingSink
+{
+public:
+  explicit WritingSink(std::string& aBytes)
+    : m_writer(aBytes)
+  {
+  }
+
+  void Number(std::uint64_t aNumber) { m_writer.PutNumber(aNumber); }
+  void Text(const std::string& aText) { m_writer.PutText(aText); }
+  void Shared(const std::string& aText)
+  {
+    const auto found = std::find(m_shared.begin(), m_shared.end(), aText);
+    if (found != m_shared.end()) {
+      Number(static_cast<std::uint64_t>(found - m_shared.begin()) + 1);
+      return;
+    }
+    Number(0);
+    Text(aText);
+    if (m_shared.size() < kMaxSharedTexts) {
+      m_shared.push_back(aText);
+    }
+  }
+
+private:
+  Writer m_writer;
+  std::vector<std::string> m_shared;
+};
+
+/// Reads texts that are written once and then named by number.
+class Source
+{
+public:
+  explicit Source(std::string_view aBytes)
+    : m_reader(aBytes)
+  {
+  }
+
+  Reader& Values() { return m_reader; }
+  std::string Shared()
+  {
+    const std::uint64_t number = m_reader.GetNumber();
+    if (number > m_shared.size()) {
+      m_reader.Fail();
+      return {};
+    }
+    if (number > 0) {
+      return m_shared[number - 1];
+    }
+    std::string text;
+    m_reader.GetText(text);
+    if (m_shared.size() < kMaxSharedTexts) {
+      m_shared.push_back(text);
+    }
+    return text;
+  }
+  template<typename Tag>
+  void Shared(StringId<Tag>& aId)
+  {
+    aId = StringId<Tag>(Shared());
+  }
+
+private:
+  Reader m_reader;
+  std::vector<std::string> m_shared;
+};
+
+void
+Get(Source& aSource, ServiceId& aService)
+{
+  aSource.Shared(aService.m_owner);
+  aSource.Shared(aService.m_name);
+}
+
+void
+Get(Source& aSource, MemberRecord& aRecord)
+{
+  Reader& reader = aSource.Values();
+  Get(reader, aRecord.m_vm);
+  aSource.Shared(aRecord.m_dataCentre);
+  aSource.Shared(aRecord.m_region);
+  Get(reader, aRecord.m_peerAddress);
+  Get(reader, aRecord.m_incarnation);
+  Get(reader, aRecord.m_sequence);
+  GetEnum(reader, aRecord.m_state, NodeState::Dead);
+  Get(aSource, aRecord.m_upstream.m_service);
+  aSource.Shared(aRecord.m_upstream.m_version);
+  GetEnum(reader, aRecord.m_upstream.m_state, UpstreamState::Draining);
+  Get(reader, aRecord.m_upstream.m_slots);
+}
+
+void
+Get(Source& aSource, Document& aDocument)
+{
+  Get(aSource.Values(), aDocument.m_key);
+  Get(aSource.Values(), aDocument.m_revision);
+  Get(aSource.Values(), aDocument.m_body);
+}
+
+void
+Get(Source& aSource, MoveId& aMove)
+{
+  Get(aSource, aMove.m_service);
+  Get(aSource.Values(), aMove.m_plan);
+}
+
+bool
+GetFlag(Reader& aReader)
+{
+  const std::uint64_t flag = aReader.GetNumber();
+  if (flag > 1) {
+    aReader.Fail();
+  }
+  return flag == 1;
+}
+
+void
+Get(Source& aSource, Veto& aVeto)
+{
+  Get(aSource.Values(), aVeto.m_time);
+  aSource.Shared(aVeto.m_dataCentre);
+  aSource.Shared(aVeto.m_route);
+  Get(aSource.Values(), aVeto.m_reason);
+}
+
+void
+Get(Source& aSource, MoveProgress& aProgress)
+{
+  Reader& reader = aSource.Values();
+  Get(aSource, aProgress.m_move);
+  const std::size_t count = reader.GetCount();
+  for (std::size_t i = 0; i < count && !reader.IsFailed(); ++i) {
+    DataCentreId dataCentre;
+    aSource.Shared(dataCentre);
+    DataCentreProgress& progress = aProgress.m_dataCentres[dataCentre];
+    Get(reader, progress.m_share);
+    if (GetFlag(reader)) {
+      Get(reader, progress.m_wholeSince.emplace());
+    }
+  }
+  if (GetFlag(reader)) {
+    Get(aSource, aProgress.m_veto.emplace());
+  }
+}
+
+void
+Get(Source& aSource, EvidenceEntry& aEntry)
+{
+  Reader& reader = aSource.Values();
+  aSource.Shared(aEntry.m_route);
+  aSource.Shared(aEntry.m_version);
+  aSource.Shared(aEntry.m_target);
+  Get(reader, aEntry.m_counters.m_calls);
+  Get(reader, aEntry.m_counters.m_failures);
+  Get(reader, aEntry.m_counters.m_callerErrors);
+  for (std::uint32_t& count : aEntry.m_counters.m_latency) {
+    Get(reader, count);
+  }
+}
+
+template<typename T>
+void
+Get(Source& aSource, std::vector<T>& aItems)
+{
+  Reader& reader = aSource.Values();
+  const std::size_t count = reader.GetCount();
+  for (std::size_t i = 0; i < count && !reader.IsFailed(); ++i) {
+    Get(aSource, aItems.emplace_back());
+  }
+}
+
+void
+Get(Source& aSource, EvidenceReport& aReport)
+{
+  Get(aSource, aReport.m_move);
+  aSource.Shared(aReport.m_reporter);
+  Get(aSource.Values(), aReport.m_incarnation);
+  aSource.Shared(aReport.m_dataCentre);
+  Get(aSource, aReport.m_entries);
+}
+
+void
+Get(Source& aSource, SpreadPath& aPath)
+{
+  Get(aSource.Values(), aPath.m_root);
+  Get(aSource.Values(), aPath.m_seed);
+}
+
+void
+Get(Source& aSource, StateDigest& aDigest)
+{
+  Reader& reader = aSource.Values();
+  Get(reader, aDigest.m_members);
+  Get(reader, aDigest.m_documents.m_hash);
+  Get(reader, aDigest.m_documents.m_highest);
+  Get(reader, aDigest.m_moves);
+}
+
+template<typename T>
+void
+GetOptional(Source& aSource, std::optional<T>& aValue)
+{
+  if (GetFlag(aSource.Values())) {
+    Get(aSource, aValue.emplace());
+  }
+}
+
+void
+Get(Source& aSource, Datagram& aDatagram)
+{
+  Reader& reader = aSource.Values();
+  GetEnum(reader, aDatagram.m_kind, DatagramKind::News);
+  Get(reader, aDatagram.m_from);
+  Get(reader, aDatagram.m_probe);
+  if (aDatagram.m_kind == DatagramKind::IndirectPing) {
+    Get(reader, aDatagram.m_target);
+    Get(reader, aDatagram.m_targetAddress);
+  }
+  GetOptional(aSource, aDatagram.m_path);
+  GetOptional(aSource, aDatagram.m_digest);
+  Get(aSource, aDatagram.m_members);
+  Get(aSource, aDatagram.m_documents);
+  Get(aSource, aDatagram.m_moves);
+  Get(aSource, aDatagram.m_evidence);
+}
+
+void
+Get(Source& aSource, BucketHashes& aHashes)
+{
+  for (std::uint32_t& hash : aHashes) {
+    Get(aSource.Values(), hash);
+  }
+}
+
+void
+Get(Source& aSource, PullRequest& aRequest)
+{
+  Get(aSource.Values(), aRequest.m_from);
+  Get(aSource, aRequest.m_members);
+  Get(aSource, aRequest.m_documents);
+  Get(aSource.Values(), aRequest.m_moves);
+}
+
+void
+Get(Source& aSource, PullAnswer& aAnswer)
+{
+  aAnswer.m_busy = GetFlag(aSource.Values());
+  Get(aSource, aAnswer.m_members);
+  Get(aSource, aAnswer.m_documents);
+  Get(aSource, aAnswer.m_moves);
+}
+
+template<typename T>
+std::string
+Encode(const T& aMessage)
+{
+  std::string bytes;
+  WritingSink sink(bytes);
+  sink.Number(kDatagramFormat);
+  Layout(sink, aMessage);
+  return bytes;
+}
+
+template<typename T>
+Result<T>
+Decode(std::string_view aBytes, const char* aStep, std::string_view aPeer)
+{
+  Source source(aBytes);
+  T message;
+  if (source.Values().GetNumber() != kDatagramFormat) {
+    return Error(
+      ErrorCode::Malformed, aStep, std::string(aPeer), "unknown format");
+  }
+  Get(source, message);
+  if (!source.Values().IsWhole()) {
+    return Error(ErrorCode::Malformed,
+                 aStep,
+                 std::string(aPeer),
+                 "truncated or out of range");
+  }
+  return message;
+}
+
+} // namespace
+
+std::string
+EncodeDatagram(const Datagram& aDatagram)
+{
+  return Encode(aDatagram);
+}
+
+Result<Datagram>
+DecodeDatagram(std::string_view aBytes, std::string_view aPeer)
+{
+  return Decode<Datagram>(aBytes, "datagram.decode", aPeer);
+}
+
+std::string
+EncodePullRequest(const PullRequest& aRequest)
+{
+  return Encode(aRequest);
+}
+
+Result<PullRequest>
+DecodePullRequest(std::string_view aBytes, std::string_view aPeer)
+{
+  return Decode<PullRequest>(aBytes, "pull.decode-request", aPeer);
+}
+
+std::string
+EncodePullAnswer(const PullAnswer& aAnswer)
+{
+  return Encode(aAnswer);
+}
+
+Result<PullAnswer>
+DecodePullAnswer(std::string_view aBytes, std::string_view aPeer)
+{
+  return Decode<PullAnswer>(aBytes, "pull.decode-answer", aPeer);
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/process/DatagramLayout.h
@@ -0,0 +1,227 @@
+/// \file
+/// The order of fields in messages between nodes, written once for the encoder
+/// (connection/DatagramCodec.cpp) and the size count (process/DatagramSize.h).
+///
+/// A sink gives three operations: Number(n) for whole numbers, Text(s) for
+/// text, and Shared(s) for text that tends to repeat within one message and is
+/// written in full only the first time.
+///
+///     CountingSink sink;
+///     Layout(sink, record);
+///
+/// Thread safety: pure functions, given one sink for each thread.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "process/Datagram.h"
+#include "process/Pull.h"
+
+namespace tarragontray {
+
+/// Wall times cross as microseconds since the epoch; earlier ones as zero.
+inline std::uint64_t
+WireMicroseconds(WallTime aTime)
+{
+  const auto count = std::chrono::duration_cast<std::chrono::microseconds>(
+                       aTime.time_since_epoch())
+                       .count();
+  return count > 0 ? static_cast<std::uint64_t>(count) : 0;
+}
+
+template<typename Sink>
+void
+Layout(Sink& aSink, const NetworkAddress& aAddress)
+{
+  aSink.Number(aAddress.Ip());
+  aSink.Number(aAddress.Port());
+}
+
+template<typename Sink>
+void
+Layout(Sink& aSink, const ServiceId& aService)
+{
+  aSink.Shared(aService.m_owner.Value());
+  aSink.Shared(aService.m_name.Value());
+}
+
+template<typename Sink>
+void
+Layout(Sink& aSink, const MemberRecord& aRecord)
+{
+  aSink.Text(aRecord.m_vm.Value());
+  aSink.Shared(aRecord.m_dataCentre.Value());
+  aSink.Shared(aRecord.m_region.Value());
+  Layout(aSink, aRecord.m_peerAddress);
+  aSink.Number(aRecord.m_incarnation.Value());
+  aSink.Number(aRecord.m_sequence);
+  aSink.Number(static_cast<std::uint64_t>(aRecord.m_state));
+  Layout(aSink, aRecord.m_upstream.m_service);
+  aSink.Shared(aRecord.m_upstream.m_version.Value());
+  aSink.Number(static_cast<std::uint64_t>(aRecord.m_upstream.m_state));
+  aSink.Number(aRecord.m_upstream.m_slots.Value());
+}
+
+template<typename Sink>
+void
+Layout(Sink& aSink, const Document& aDocument)
+{
+  aSink.Text(aDocument.m_key.Value());
+  aSink.Number(aDocument.m_revision.Value());
+  aSink.Text(aDocument.m_body);
+}
+
+template<typename Sink>
+void
+Layout(Sink& aSink, const MoveId& aMove)
+{
+  Layout(aSink, aMove.m_service);
+  aSink.Number(aMove.m_plan.Value());
+}
+
+template<typename Sink>
+void
+Layout(Sink& aSink, const Veto& aVeto)
+{
+  aSink.Number(WireMicroseconds(aVeto.m_time));
+  aSink.Shared(aVeto.m_dataCentre.Value());
+  aSink.Shared(aVeto.m_route.Value());
+  aSink.Text(aVeto.m_reason);
+}
+
+template<typename Sink>
+void
+Layout(Sink& aSink, const MoveProgress& aProgress)
+{
+  Layout(aSink, aProgress.m_move);
+  aSink.Number(aProgress.m_dataCentres.size());
+  for (const auto& [dataCentre, progress] : aProgress.m_dataCentres) {
+    aSink.Shared(dataCentre.Value());
+    aSink.Number(progress.m_share.Parts());
+    aSink.Number(progress.m_wholeSince ? 1 : 0);
+    if (progress.m_wholeSince) {
+      aSink.Number(WireMicroseconds(*progress.m_wholeSince));
+    }
+  }
+  aSink.Number(aProgress.m_veto ? 1 : 0);
+  if (aProgress.m_veto) {
+    Layout(aSink, *aProgress.m_veto);
+  }
+}
+
+template<typename Sink>
+void
+Layout(Sink& aSink, const EvidenceEntry& aEntry)
+{
+  aSink.Shared(aEntry.m_route.Value());
+  aSink.Shared(aEntry.m_version.Value());
+  aSink.Shared(aEntry.m_target.Value());
+  aSink.Number(aEntry.m_counters.m_calls);
+  aSink.Number(aEntry.m_counters.m_failures);
+  aSink.Number(aEntry.m_counters.m_callerErrors);
+  for (const std::uint32_t count : aEntry.m_counters.m_latency) {
+    aSink.Number(count);
+  }
+}
+
+template<typename Sink, typename T>
+void
+Layout(Sink& aSink, const std::vector<T>& aItems)
+{
+  aSink.Number(aItems.size());
+  for (const T& item : aItems) {
+    Layout(aSink, item);
+  }
+}
+
+template<typename Sink>
+void
+Layout(Sink& aSink, const EvidenceReport& aReport)
+{
+  Layout(aSink, aReport.m_move);
+  aSink.Shared(aReport.m_reporter.Value());
+  aSink.Number(aReport.m_incarnation.Value());
+  aSink.Shared(aReport.m_dataCentre.Value());
+  Layout(aSink, aReport.m_entries);
+}
+
+template<typename Sink>
+void
+Layout(Sink& aSink, const SpreadPath& aPath)
+{
+  aSink.Text(aPath.m_root.Value());
+  aSink.Number(aPath.m_seed);
+}
+
+template<typename Sink>
+void
+Layout(Sink& aSink, const StateDigest& aDigest)
+{
+  aSink.Number(aDigest.m_members);
+  aSink.Number(aDigest.m_documents.m_hash);
+  aSink.Number(aDigest.m_documents.m_highest.Value());
+  aSink.Number(aDigest.m_moves);
+}
+
+template<typename Sink, typename T>
+void
+LayoutOptional(Sink& aSink, const std::optional<T>& aValue)
+{
+  aSink.Number(aValue ? 1 : 0);
+  if (aValue) {
+    Layout(aSink, *aValue);
+  }
+}
+
+template<typename Sink>
+void
+Layout(Sink& aSink, const Datagram& aDatagram)
+{
+  aSink.Number(static_cast<std::uint64_t>(aDatagram.m_kind));
+  aSink.Text(aDatagram.m_from.Value());
+  aSink.Number(aDatagram.m_probe);
+  if (aDatagram.m_kind == DatagramKind::IndirectPing) {
+    aSink.Text(aDatagram.m_target.Value());
+    Layout(aSink, aDatagram.m_targetAddress);
+  }
+  LayoutOptional(aSink, aDatagram.m_path);
+  LayoutOptional(aSink, aDatagram.m_digest);
+  Layout(aSink, aDatagram.m_members);
+  Layout(aSink, aDatagram.m_documents);
+  Layout(aSink, aDatagram.m_moves);
+  Layout(aSink, aDatagram.m_evidence);
+}
+
+template<typename Sink>
+void
+Layout(Sink& aSink, const BucketHashes& aHashes)
+{
+  for (const std::uint32_t hash : aHashes) {
+    aSink.Number(hash);
+  }
+}
+
+template<typename Sink>
+void
+Layout(Sink& aSink, const PullRequest& aRequest)
+{
+  aSink.Text(aRequest.m_from.Value());
+  Layout(aSink, aRequest.m_members);
+  Layout(aSink, aRequest.m_documents);
+  aSink.Number(aRequest.m_moves);
+}
+
+template<typename Sink>
+void
+Layout(Sink& aSink, const PullAnswer& aAnswer)
+{
+  aSink.Number(aAnswer.m_busy ? 1 : 0);
+  Layout(aSink, aAnswer.m_members);
+  Layout(aSink, aAnswer.m_documents);
+  Layout(aSink, aAnswer.m_moves);
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/process/Pull.h
@@ -0,0 +1,46 @@
+/// \file
+/// A pull over TCP: a node asks a peer for what differs between them.
+///
+/// The request carries a hash for each bucket of keys; the answer holds the
+/// entries of the buckets whose hashes differ. Merging an answer is
+/// idempotent, so a lost or repeated pull does no harm.
+///
+/// Thread safety: values.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "process/Datagram.h"
+
+namespace tarragontray {
+
+/// Buckets that keys are hashed into for comparison.
+inline constexpr std::size_t kDigestBuckets = 64;
+
+/// One hash for each bucket.
+using BucketHashes = std::array<std::uint32_t, kDigestBuckets>;
+
+/// Asks for the entries that differ.
+struct PullRequest
+{
+  VmId m_from;
+  BucketHashes m_members{};
+  BucketHashes m_documents{};
+  std::uint32_t m_moves = 0;
+};
+
+/// What the peer holds in the buckets that differ.
+struct PullAnswer
+{
+  /// The peer's serving budget is spent: m_members is a sample of other peers
+  /// to ask, and the rest is empty.
+  bool m_busy = false;
+  std::vector<MemberRecord> m_members;
+  std::vector<Document> m_documents;
+  std::vector<MoveProgress> m_moves;
+};
+
+} // namespace tarragontray
