--- /dev/null
+++ b/src/process/ViewBuilder.cpp
@@ -0,0 +1,146 @@
+#include "process/ViewBuilder.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "request/Subset.h"
+
+namespace tarragontray {
+
+namespace {
+
+bool
+MayGetWork(const MemberRecord& aMember)
+{
+  const UpstreamState state = aMember.m_upstream.m_state;
+  return aMember.m_state != NodeState::Dead &&
+         (state == UpstreamState::Starting || state == UpstreamState::Live);
+}
+
+Target
+TargetOf(const MemberRecord& aMember)
+{
+  return Target{ .m_vm = aMember.m_vm,
+                 .m_dataCentre = aMember.m_dataCentre,
+                 .m_region = aMember.m_region,
+                 .m_peerAddress = aMember.m_peerAddress,
+                 .m_version = aMember.m_upstream.m_version,
+                 .m_state = aMember.m_upstream.m_state,
+                 .m_slots = aMember.m_upstream.m_slots,
+                 .m_incarnation = aMember.m_incarnation };
+}
+
+/// The split of a service without a move: all to its first live version.
+VersionSplit
+SteadySplit(const ServiceSpec& aService)
+{
+  VersionSplit split;
+  if (!aService.m_liveVersions.empty()) {
+    split.m_from = aService.m_liveVersions.front();
+  }
+  return split;
+}
+
+bool
+IsServed(const VersionSplit& aSplit, const UpstreamVersion& aVersion)
+{
+  return aVersion == aSplit.m_from ||
+         (aSplit.m_move && aVersion == aSplit.m_to);
+}
+
+using TargetsByService = std::map<ServiceId, std::vector<Target>>;
+
+TargetsByService
+GroupTargets(const std::map<VmId, MemberRecord>& aMembers)
+{
+  TargetsByService groups;
+  for (const auto& [vm, member] : aMembers) {
+    if (MayGetWork(member)) {
+      groups[member.m_upstream.m_service].push_back(TargetOf(member));
+    }
+  }
+  return groups;
+}
+
+ServiceView
+BuildService(const SubsetSettings& aSubset,
+             const ServiceSpec& aSpec,
+             VersionSplit aSplit,
+             const std::vector<Target>& aTargets)
+{
+  ServiceView service;
+  service.m_id = aSpec.m_id;
+  service.m_split = std::move(aSplit);
+  std::vector<Target> served;
+  std::copy_if(aTargets.begin(),
+               aTargets.end(),
+               std::back_inserter(served),
+               [&](const Target& aTarget) {
+                 return IsServed(service.m_split, aTarget.m_version);
+               });
+  service.m_targets = SelectSubset(aSubset, served);
+  const auto keys = KeyPlacement::Create(std::move(served));
+  if (keys) {
+    service.m_keys = keys.value();
+  }
+  return service;
+}
+
+} // namespace
+
+std::shared_ptr<const View>
+BuildView(const MemberRecord& aSelf, const ViewInputs& aInputs)
+{
+  const SubsetSettings subset{ .m_node = aSelf.m_vm,
+                               .m_dataCentre = aSelf.m_dataCentre,
+                               .m_region = aSelf.m_region };
+  const TargetsByService targets = GroupTargets(aInputs.m_members);
+  auto view = std::make_shared<View>();
+  for (const auto& configuration : aInputs.m_configurations) {
+    view->m_configurations.emplace(configuration->m_account, configuration);
+    for (const ServiceSpec& spec : configuration->m_services) {
+      const auto found = targets.find(spec.m_id);
+      auto split = aInputs.m_splitOf(spec.m_id);
+      view->m_services.emplace(
+        spec.m_id,
+        BuildService(subset,
+                     spec,
+                     split ? std::move(*split) : SteadySplit(spec),
+                     found == targets.end() ? std::vector<Target>()
+                                            : found->second));
+    }
+  }
+  return view;
+}
+
+std::set<ServiceId>
+AnnouncedServices(const std::map<VmId, MemberRecord>& aMembers)
+{
+  std::set<ServiceId> services;
+  for (const auto& [vm, member] : aMembers) {
+    if (member.m_state != NodeState::Dead &&
+        member.m_upstream.m_state != UpstreamState::Absent) {
+      services.insert(member.m_upstream.m_service);
+    }
+  }
+  return services;
+}
+
+SlotCount
+WarmSlots(const std::map<VmId, MemberRecord>& aMembers,
+          const ServiceId& aService,
+          const UpstreamVersion& aVersion)
+{
+  SlotCount slots(0);
+  for (const auto& [vm, member] : aMembers) {
+    const UpstreamAnnouncement& upstream = member.m_upstream;
+    if (member.m_state == NodeState::Alive &&
+        upstream.m_state == UpstreamState::Live &&
+        upstream.m_service == aService && upstream.m_version == aVersion) {
+      slots += upstream.m_slots;
+    }
+  }
+  return slots;
+}
+
+} // namespace tarragontray
