Add the request decisions: targets, retries, admission, at-most-once, ledger

Cause: the node's I/O needs the contracts of one call: which target to try, when to try another, who runs at an upstream, and what is counted.

Ruled out: - Drawing the version of each call by chance: 1 % of little traffic would be nothing or a burst. The splitter diffuses the error from a random phase. - Evicting the oldest operations from a full table: a forgotten operation could run twice. A full table refuses new ones instead. - Retrying a call with its caller's key at any target: a repeat would not find its former run. Such calls stay at the key's home (KeyPlacement), and while a move runs the home under the other version is asked first. - Vouching for an operation after a restart: the question carries the incarnation that the attempt was sent to; an older one is answered Forgotten.

Change: request/Subset, VersionSplitter, TwoChoicesBalancing (baseline RoundRobinBalancing), RetryBudget (baseline ThreeTries), TargetSequence and CallPlan for the entry node; Guard, OperationTable, FairAdmission (baseline FifoAdmission) for the upstream's node; process/Ledger. View gains the incarnation of a target and the placement of keys.

--- a/src/process/Ledger.cmake
+++ b/src/process/Ledger.cmake
@@ -1,1 +1,1 @@
-# Targets; see cmake/Targets.cmake.
+tt_decision_library(tt_ledger SRCS Ledger.cpp HDRS Ledger.h DEPS tt_base)
--- a/src/process/View.h
+++ b/src/process/View.h
@@ -21,6 +21,8 @@
 
 namespace tarragontray {
 
+class KeyPlacement;
+
 /// A VM whose upstream may get work.
 struct Target
 {
@@ -32,6 +34,10 @@
   /// Starting or Live.
   UpstreamState m_state = UpstreamState::Live;
   SlotCount m_slots{ 0 };
+  /// The node's incarnation as this view knows it; goes with a question about
+  /// a lost operation, so that a restarted node doesn't vouch for its former
+  /// life.
+  Incarnation m_incarnation;
 };
 
 /// How the calls of a service are split between its versions.
@@ -50,7 +56,11 @@
 {
   ServiceId m_id;
   VersionSplit m_split;
+  /// This node's subset of the targets, from SelectSubset (request/Subset.h).
   std::vector<Target> m_targets;
+  /// Where callers' idempotency keys live, over all targets of the service;
+  /// the same on every node of the same view. Null: no calls are placed.
+  std::shared_ptr<const KeyPlacement> m_keys;
 };
 
 /// Everything a traffic thread needs to serve a call.
--- /dev/null
+++ b/src/request/AdmissionPolicy.h
@@ -0,0 +1,82 @@
+/// \file
+/// The queue of calls in front of one upstream: who waits, who runs next, who
+/// is refused.
+///
+///     Admission admission = policy->Offer(waiting, room, now);
+///     ...
+///     while (std::optional<Ticket> next = policy->Next(room, now)) { ... }
+///     policy->Released(caller);
+///
+/// The guard counts the running calls and owns the calls themselves.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "base/Ids.h"
+#include "base/Units.h"
+#include "request/Call.h"
+
+namespace tarragontray {
+
+/// One admitted call within its guard; rises with each call.
+using Ticket = Amount<struct TicketTag>;
+
+/// A call that wants a slot.
+struct WaitingCall
+{
+  Ticket m_ticket;
+  ClientAccountId m_caller;
+  /// Lower runs first.
+  std::uint8_t m_priority = 0;
+  /// After this time its answer is of no use.
+  MonotonicTime m_deadline{};
+};
+
+/// What the guard knows of its upstream.
+struct AdmissionRoom
+{
+  SlotCount m_slots{ 0 };
+  std::uint32_t m_running = 0;
+  /// Smoothed time of one call in the upstream; 0 while unknown.
+  Duration m_serviceTime{ 0 };
+};
+
+/// A waiting call that has to be refused.
+struct Refused
+{
+  Ticket m_ticket;
+  RefusalReason m_reason = RefusalReason::None;
+};
+
+/// Orders and bounds the waiting calls.
+/// Thread safety: one thread for each instance.
+class AdmissionPolicy
+{
+public:
+  virtual ~AdmissionPolicy() = default;
+
+  /// Adds a call. Returns the calls to refuse for it, maybe itself.
+  virtual std::vector<Refused> Offer(const WaitingCall& aCall,
+                                     const AdmissionRoom& aRoom,
+                                     MonotonicTime aNow) = 0;
+  /// Takes the call that runs now, if one may. The caller counts it as
+  /// running until Released.
+  virtual std::optional<Ticket> Next(const AdmissionRoom& aRoom,
+                                     MonotonicTime aNow) = 0;
+  /// Takes the calls that can't be answered in time any more.
+  virtual std::vector<Refused> TakeExpired(const AdmissionRoom& aRoom,
+                                           MonotonicTime aNow) = 0;
+  /// When TakeExpired may have something; not set when never.
+  virtual std::optional<MonotonicTime> NextExpiry() const = 0;
+  /// Removes a waiting call; false when it isn't here.
+  virtual bool Remove(Ticket aTicket) = 0;
+  /// A call that Next gave has ended.
+  virtual void Released(const ClientAccountId& aCaller) = 0;
+  /// Waiting calls.
+  virtual std::size_t Size() const = 0;
+};
+
+} // namespace tarragontray
--- a/src/request/BalancingPolicy.h
+++ b/src/request/BalancingPolicy.h
@@ -23,9 +23,11 @@
 struct AttemptResult
 {
   bool m_failed = false;
+  /// Not run: the latency is that of the refusal.
+  bool m_isRefused = false;
   Duration m_latency{ 0 };
   /// Set when the answer carried one.
-  std::optional<LoadReport> m_load;
+  std::optional<LoadReport> m_load = std::nullopt;
 };
 
 /// Chooses targets and learns from results.
--- a/src/request/Call.cpp
+++ b/src/request/Call.cpp
@@ -42,6 +42,12 @@
       return "retry-budget";
     case RefusalReason::WithdrawnOperation:
       return "withdrawn-operation";
+    case RefusalReason::Cancelled:
+      return "cancelled";
+    case RefusalReason::OperationMismatch:
+      return "operation-mismatch";
+    case RefusalReason::OperationTableFull:
+      return "operation-table-full";
   }
   return "none";
 }
--- a/src/request/Call.h
+++ b/src/request/Call.h
@@ -47,6 +47,11 @@
   UpstreamGone,
   RetryBudget,
   WithdrawnOperation,
+  Cancelled,
+  /// The operation id was used before for another request.
+  OperationMismatch,
+  /// No more operations can be remembered now.
+  OperationTableFull,
 };
 
 /// The stable name of a reason, for logs, metrics and the answer's header.
--- /dev/null
+++ b/src/request/CallPlan.cpp
@@ -0,0 +1,315 @@
+#include "request/CallPlan.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tarragontray {
+
+namespace {
+
+constexpr Duration kFirstAskInterval = std::chrono::milliseconds(5);
+constexpr Duration kMaxAskInterval = std::chrono::milliseconds(200);
+/// Asks that may fail before the outcome counts as unknown.
+constexpr std::uint8_t kMaxAskFailures = 3;
+/// Withdraws whatever attempt of an operation may still arrive.
+constexpr std::uint8_t kAllAttempts = 255;
+/// A call that waited for less than 1 / kPatientPart of its route's timeout
+/// says nothing about the version when it ends.
+constexpr int kPatientPart = 2;
+constexpr std::uint16_t kFirstServerError = 500;
+constexpr std::uint16_t kFirstCallerError = 400;
+
+bool
+IsServerError(const Answer& aAnswer)
+{
+  return aAnswer.m_http.m_status >= kFirstServerError;
+}
+
+bool
+IsCallerError(const Answer& aAnswer)
+{
+  return aAnswer.m_http.m_status >= kFirstCallerError &&
+         aAnswer.m_http.m_status < kFirstServerError;
+}
+
+Answer
+NotRun(RefusalReason aReason)
+{
+  Answer answer;
+  answer.m_outcome = CallOutcome::NotRun;
+  answer.m_refusal = aReason;
+  return answer;
+}
+
+/// True for refusals that a node gives for its own state, not for load.
+bool
+IsTargetGone(RefusalReason aReason)
+{
+  return aReason == RefusalReason::Draining ||
+         aReason == RefusalReason::UpstreamGone ||
+         aReason == RefusalReason::NoConfiguration;
+}
+
+} // namespace
+
+Step
+CallPlan::Begin(MonotonicTime aNow)
+{
+  if (aNow >= m_setup.m_deadline) {
+    return m_targets.IsPlaced() ? EndUnknown()
+                                : End(NotRun(RefusalReason::DeadlineTooShort));
+  }
+  m_target = m_targets.FormerHome();
+  return m_target != nullptr ? Ask() : SendFirst(aNow);
+}
+
+Step
+CallPlan::SendFirst(MonotonicTime aNow)
+{
+  const Target* target = m_targets.First(aNow);
+  if (target == nullptr) {
+    return End(NotRun(RefusalReason::NoTarget));
+  }
+  m_setup.m_policies.m_retries.OnFirstAttempt(m_setup.m_service.m_id, aNow);
+  return Send(*target, aNow);
+}
+
+Step
+CallPlan::OnAnswer(const Answer& aAnswer, MonotonicTime aNow)
+{
+  if (aAnswer.m_outcome == CallOutcome::NotRun) {
+    return OnRefused(aAnswer, aNow);
+  }
+  const bool failed = aAnswer.m_outcome == CallOutcome::Unknown ||
+                      IsServerError(aAnswer) || aNow > m_setup.m_deadline;
+  EndAttempt(&aAnswer, failed, aNow);
+  m_mayHaveRun = true;
+  if (aAnswer.m_outcome == CallOutcome::Done) {
+    m_lastDone = aAnswer;
+  }
+  if (failed && m_setup.m_route.m_idempotent) {
+    return RetryOr(aAnswer, RetryReason::Failed, aNow);
+  }
+  return End(aAnswer);
+}
+
+Step
+CallPlan::OnRefused(const Answer& aAnswer, MonotonicTime aNow)
+{
+  EndAttemptUnobserved({ .m_isRefused = true, .m_load = aAnswer.m_load }, aNow);
+  const bool isWithdrawn =
+    aAnswer.m_refusal == RefusalReason::WithdrawnOperation;
+  if (m_targets.IsPlaced() && isWithdrawn) {
+    // Another call with this key withdrew it and may run it elsewhere.
+    return EndUnknown();
+  }
+  return RetryOr(aAnswer,
+                 IsTargetGone(aAnswer.m_refusal) ? RetryReason::TargetGone
+                                                 : RetryReason::Overload,
+                 aNow);
+}
+
+Step
+CallPlan::OnLost(LostStage aStage, MonotonicTime aNow)
+{
+  if (aStage == LostStage::NotSent) {
+    EndAttemptUnobserved({ .m_failed = true }, aNow);
+    // Only the home can say that no call with the key ran.
+    const Answer answer =
+      m_targets.IsPlaced() ? Answer{} : NotRun(RefusalReason::NoTarget);
+    return RetryOr(answer, RetryReason::NotSent, aNow);
+  }
+  if (m_setup.m_route.m_idempotent) {
+    EndAttempt(nullptr, true, aNow);
+    m_mayHaveRun = true;
+    return RetryOr(Answer{}, RetryReason::Failed, aNow);
+  }
+  return Ask();
+}
+
+Step
+CallPlan::OnOperationStatus(OperationStatus aStatus,
+                            const std::optional<Answer>& aAnswer,
+                            MonotonicTime aNow)
+{
+  switch (aStatus) {
+    case OperationStatus::Done:
+      if (aAnswer) {
+        return IsAskingFormerHome() ? End(*aAnswer) : OnAnswer(*aAnswer, aNow);
+      }
+      break;
+    case OperationStatus::Running:
+      m_askFailures = 0;
+      return AskLater(aNow);
+    case OperationStatus::NotReceived:
+      return OnNotReceived(aNow);
+    case OperationStatus::Forgotten:
+      break;
+  }
+  EndAttempt(nullptr, true, aNow);
+  return EndUnknown();
+}
+
+Step
+CallPlan::OnNotReceived(MonotonicTime aNow)
+{
+  if (IsAskingFormerHome()) {
+    return SendFirst(aNow);
+  }
+  EndAttemptUnobserved({ .m_failed = true }, aNow);
+  return RetryOr(
+    NotRun(RefusalReason::NoTarget), RetryReason::NotReceived, aNow);
+}
+
+Step
+CallPlan::OnAskFailed(MonotonicTime aNow)
+{
+  ++m_askFailures;
+  if (m_askFailures < kMaxAskFailures) {
+    return AskLater(aNow);
+  }
+  EndAttempt(nullptr, true, aNow);
+  return EndUnknown();
+}
+
+Step
+CallPlan::OnTimer(MonotonicTime aNow)
+{
+  if (aNow < m_setup.m_deadline) {
+    return m_state == State::WaitingToAsk ? AskAgain()
+                                          : WaitUntil{ m_setup.m_deadline };
+  }
+  const bool isPatient =
+    aNow - m_attemptStart >= m_setup.m_route.m_timeout / kPatientPart;
+  if (isPatient) {
+    EndAttempt(nullptr, true, aNow);
+  } else {
+    EndAttemptUnobserved({ .m_failed = true }, aNow);
+  }
+  return m_lastDone ? End(*m_lastDone) : EndUnknown();
+}
+
+Step
+CallPlan::Send(const Target& aTarget, MonotonicTime aNow)
+{
+  m_state = State::AttemptOut;
+  m_target = &aTarget;
+  m_isAttemptOut = true;
+  m_attemptStart = aNow;
+  ++m_attempts;
+  m_setup.m_policies.m_balancing.Started(aTarget.m_vm, aNow);
+  return SendAttempt{
+    &aTarget, m_attempts, aTarget.m_version, m_setup.m_deadline - aNow
+  };
+}
+
+Step
+CallPlan::RetryOr(Answer aAnswer, RetryReason aReason, MonotonicTime aNow)
+{
+  if (aNow < m_setup.m_deadline && m_attempts < m_setup.m_route.m_maxAttempts) {
+    const Target* target = m_targets.Next(aReason, aNow);
+    if (target != nullptr && MayRetry(aReason, aNow)) {
+      return Send(*target, aNow);
+    }
+  }
+  if (aAnswer.m_outcome != CallOutcome::Done && m_lastDone) {
+    return End(*m_lastDone);
+  }
+  return m_mayHaveRun && aAnswer.m_outcome == CallOutcome::NotRun
+           ? EndUnknown()
+           : End(std::move(aAnswer));
+}
+
+bool
+CallPlan::MayRetry(RetryReason aReason, MonotonicTime aNow)
+{
+  // The others don't add load: what wasn't handed over is not run twice, and
+  // a target that leaves takes none.
+  const bool addsLoad =
+    aReason == RetryReason::Failed || aReason == RetryReason::Overload;
+  return !addsLoad || m_setup.m_policies.m_retries.TryRetry(
+                        m_setup.m_service.m_id, m_attempts, aNow);
+}
+
+Step
+CallPlan::Ask()
+{
+  m_askInterval = kFirstAskInterval;
+  m_askFailures = 0;
+  return AskAgain();
+}
+
+Step
+CallPlan::AskAgain()
+{
+  m_state = State::AskOut;
+  return AskOperation{ m_target,
+                       IsAskingFormerHome() ? kAllAttempts : m_attempts };
+}
+
+Step
+CallPlan::AskLater(MonotonicTime aNow)
+{
+  m_state = State::WaitingToAsk;
+  const MonotonicTime next = std::min(aNow + m_askInterval, m_setup.m_deadline);
+  m_askInterval = std::min(m_askInterval * 2, kMaxAskInterval);
+  return WaitUntil{ next };
+}
+
+Step
+CallPlan::End(Answer aAnswer)
+{
+  m_state = State::Finished;
+  return Finish{ std::move(aAnswer) };
+}
+
+Step
+CallPlan::EndUnknown()
+{
+  Answer answer;
+  answer.m_outcome = CallOutcome::Unknown;
+  return End(std::move(answer));
+}
+
+void
+CallPlan::EndAttempt(const Answer* aAnswer, bool aFailed, MonotonicTime aNow)
+{
+  if (!m_isAttemptOut) {
+    return;
+  }
+  Observe(aAnswer, aFailed, aNow);
+  AttemptResult result;
+  result.m_failed = aFailed;
+  if (aAnswer != nullptr) {
+    result.m_load = aAnswer->m_load;
+  }
+  EndAttemptUnobserved(result, aNow);
+}
+
+void
+CallPlan::EndAttemptUnobserved(const AttemptResult& aResult, MonotonicTime aNow)
+{
+  if (!m_isAttemptOut) {
+    return;
+  }
+  m_isAttemptOut = false;
+  AttemptResult result = aResult;
+  result.m_latency = aNow - m_attemptStart;
+  m_setup.m_policies.m_balancing.Finished(m_target->m_vm, result, aNow);
+}
+
+void
+CallPlan::Observe(const Answer* aAnswer, bool aFailed, MonotonicTime aNow)
+{
+  const bool isCallerError = aAnswer != nullptr && IsCallerError(*aAnswer);
+  m_observations.push_back({ m_setup.m_service.m_id,
+                             m_setup.m_route.m_name,
+                             m_target->m_version,
+                             m_target->m_vm,
+                             m_attempts == 1,
+                             aFailed,
+                             isCallerError,
+                             aNow - m_attemptStart });
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/request/Guard.cpp
@@ -0,0 +1,408 @@
+#include "request/Guard.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/Hash.h"
+
+namespace tarragontray {
+
+namespace {
+
+/// Part of a new service time in the smoothed one: 1 / kSmoothing.
+constexpr int kSmoothing = 8;
+
+OperationKey
+KeyOf(const Call& aCall)
+{
+  return { aCall.m_caller, aCall.m_operation };
+}
+
+std::uint64_t
+Fingerprint(const Call& aCall)
+{
+  const std::uint64_t method = StableHash(aCall.m_http.m_method);
+  const std::uint64_t target = StableHash(aCall.m_http.m_target, method);
+  return StableHash(aCall.m_http.m_body, target);
+}
+
+bool
+HasKey(const Call& aCall)
+{
+  return !aCall.m_idempotent && !aCall.m_operation.IsEmpty();
+}
+
+} // namespace
+
+Result<Guard>
+Guard::Create(const GuardSettings& aSettings,
+              std::unique_ptr<AdmissionPolicy> aPolicy)
+{
+  if (aSettings.m_operations.m_retention < kLeastRetention) {
+    return Error(
+      ErrorCode::InvalidArgument, "guard.create", "", "retention too short");
+  }
+  return Guard(aSettings, std::move(aPolicy));
+}
+
+Guard::Guard(const GuardSettings& aSettings,
+             std::unique_ptr<AdmissionPolicy> aPolicy)
+  : m_settings(aSettings)
+  , m_policy(std::move(aPolicy))
+  , m_operations(aSettings.m_operations)
+{
+}
+
+GuardActions
+Guard::Submit(Call aCall, CallerLink aFrom, MonotonicTime aNow)
+{
+  GuardActions actions;
+  const std::uint64_t fingerprint = HasKey(aCall) ? Fingerprint(aCall) : 0;
+  if (HasKey(aCall) && ReplyFromTable(aCall, fingerprint, aFrom, actions)) {
+    return actions;
+  }
+  const RefusalReason reason = CheckUpstream(aCall);
+  if (reason != RefusalReason::None) {
+    ReplyNotRun({ aFrom, aCall.m_id }, reason, actions);
+    return actions;
+  }
+  const Ticket ticket = m_lastTicket + Ticket(1);
+  if (HasKey(aCall) &&
+      !m_operations.Begin(KeyOf(aCall), ticket, fingerprint, aNow)) {
+    ReplyNotRun(
+      { aFrom, aCall.m_id }, RefusalReason::OperationTableFull, actions);
+    return actions;
+  }
+  Admit(std::move(aCall), aFrom, aNow, actions);
+  RunNext(aNow, actions);
+  return actions;
+}
+
+bool
+Guard::ReplyFromTable(const Call& aCall,
+                      std::uint64_t aFingerprint,
+                      CallerLink aFrom,
+                      GuardActions& aActions)
+{
+  const OperationEntry* known = m_operations.Find(KeyOf(aCall));
+  if (known == nullptr) {
+    return false;
+  }
+  const Waiter waiter{ aFrom, aCall.m_id };
+  if (known->m_state == OperationEntry::State::Withdrawn) {
+    const bool isRefused = aCall.m_attempt <= known->m_withdrawnAttempt;
+    if (isRefused) {
+      ReplyNotRun(waiter, RefusalReason::WithdrawnOperation, aActions);
+    }
+    return isRefused;
+  }
+  if (known->m_fingerprint != aFingerprint) {
+    ReplyNotRun(waiter, RefusalReason::OperationMismatch, aActions);
+    return true;
+  }
+  Join(*known, aCall, aFrom, aActions);
+  return true;
+}
+
+void
+Guard::Join(const OperationEntry& aKnown,
+            const Call& aCall,
+            CallerLink aFrom,
+            GuardActions& aActions)
+{
+  const Waiter waiter{ aFrom, aCall.m_id };
+  if (aKnown.m_state == OperationEntry::State::Ended) {
+    ReplyTo(waiter, aKnown.m_answer.value_or(Answer{}), aActions);
+    return;
+  }
+  Entry& entry = m_entries.at(aKnown.m_ticket);
+  if (entry.m_waiters.size() >= m_settings.m_maxWaiters) {
+    // Not NotRun: the operation itself may run.
+    ReplyTo(waiter, Answer{}, aActions);
+    return;
+  }
+  entry.m_waiters.push_back(waiter);
+  m_links[aFrom][aCall.m_id] = aKnown.m_ticket;
+}
+
+RefusalReason
+Guard::CheckUpstream(const Call& aCall) const
+{
+  if (m_isDraining || m_upstream.m_state == UpstreamState::Draining) {
+    return RefusalReason::Draining;
+  }
+  const bool isThere = m_upstream.m_state != UpstreamState::Absent &&
+                       m_upstream.m_service == aCall.m_service &&
+                       m_upstream.m_version == aCall.m_version;
+  return isThere ? RefusalReason::None : RefusalReason::UpstreamGone;
+}
+
+void
+Guard::Admit(Call aCall,
+             CallerLink aFrom,
+             MonotonicTime aNow,
+             GuardActions& aActions)
+{
+  const Ticket ticket = m_lastTicket += Ticket(1);
+  const WaitingCall waiting{
+    ticket, aCall.m_caller, aCall.m_priority, aNow + aCall.m_timeRemaining
+  };
+  m_links[aFrom][aCall.m_id] = ticket;
+  Entry& entry = m_entries[ticket];
+  entry.m_waiters.push_back({ aFrom, aCall.m_id });
+  entry.m_deadline = waiting.m_deadline;
+  entry.m_call = std::move(aCall);
+  for (const Refused& refused : m_policy->Offer(waiting, Room(), aNow)) {
+    Refuse(refused.m_ticket, refused.m_reason, aActions);
+  }
+}
+
+void
+Guard::RunNext(MonotonicTime aNow, GuardActions& aActions)
+{
+  for (const Refused& refused : m_policy->TakeExpired(Room(), aNow)) {
+    Refuse(refused.m_ticket, refused.m_reason, aActions);
+  }
+  while (const std::optional<Ticket> next = m_policy->Next(Room(), aNow)) {
+    Entry& entry = m_entries.at(*next);
+    entry.m_isRunning = true;
+    entry.m_started = aNow;
+    ++m_running;
+    Call call = entry.m_call;
+    entry.m_call.m_http = {};
+    call.m_timeRemaining = entry.m_deadline - aNow;
+    aActions.m_runs.push_back({ *next, std::move(call) });
+  }
+}
+
+GuardActions
+Guard::Finished(Ticket aTicket, Answer aAnswer, MonotonicTime aNow)
+{
+  GuardActions actions;
+  const auto found = m_entries.find(aTicket);
+  if (found == m_entries.end() || !found->second.m_isRunning) {
+    return actions;
+  }
+  const Entry entry = std::move(found->second);
+  m_entries.erase(found);
+  --m_running;
+  m_policy->Released(entry.m_call.m_caller);
+  aAnswer.m_serviceTime = aNow - entry.m_started;
+  if (aAnswer.m_outcome == CallOutcome::Done) {
+    LearnServiceTime(aAnswer.m_serviceTime);
+  }
+  if (HasKey(entry.m_call)) {
+    if (aAnswer.m_outcome == CallOutcome::NotRun) {
+      m_operations.Erase(KeyOf(entry.m_call));
+    } else {
+      m_operations.Finish(KeyOf(entry.m_call), aAnswer, aNow);
+    }
+  }
+  for (const Waiter& waiter : entry.m_waiters) {
+    ReplyTo(waiter, aAnswer, actions);
+    ForgetWaiter(waiter);
+  }
+  RunNext(aNow, actions);
+  return actions;
+}
+
+GuardActions
+Guard::Cancel(CallerLink aFrom, CallId aCall, MonotonicTime aNow)
+{
+  GuardActions actions;
+  const auto link = m_links.find(aFrom);
+  if (link == m_links.end() || !link->second.contains(aCall)) {
+    return actions;
+  }
+  const Ticket ticket = link->second.at(aCall);
+  const bool wasRunning = m_entries.at(ticket).m_isRunning;
+  Leave(ticket, { aFrom, aCall }, actions);
+  if (!wasRunning && !m_entries.contains(ticket)) {
+    ReplyNotRun({ aFrom, aCall }, RefusalReason::Cancelled, actions);
+  }
+  RunNext(aNow, actions);
+  return actions;
+}
+
+GuardActions
+Guard::LinkClosed(CallerLink aFrom, MonotonicTime aNow)
+{
+  GuardActions actions;
+  const auto link = m_links.find(aFrom);
+  if (link == m_links.end()) {
+    return actions;
+  }
+  const auto calls = link->second;
+  for (const auto& [call, ticket] : calls) {
+    Leave(ticket, { aFrom, call }, actions);
+  }
+  RunNext(aNow, actions);
+  return actions;
+}
+
+void
+Guard::Leave(Ticket aTicket, const Waiter& aWaiter, GuardActions& aActions)
+{
+  ForgetWaiter(aWaiter);
+  Entry& entry = m_entries.at(aTicket);
+  std::erase_if(entry.m_waiters, [&](const Waiter& aOther) {
+    return aOther.m_link == aWaiter.m_link && aOther.m_call == aWaiter.m_call;
+  });
+  if (!entry.m_waiters.empty()) {
+    return;
+  }
+  if (!entry.m_isRunning) {
+    m_policy->Remove(aTicket);
+    Refuse(aTicket, RefusalReason::Cancelled, aActions);
+  } else if (entry.m_call.m_idempotent) {
+    aActions.m_aborts.push_back({ aTicket });
+  }
+}
+
+AskResult
+Guard::Ask(const Question& aQuestion, MonotonicTime aNow)
+{
+  const OperationEntry* known = m_operations.Find(aQuestion.m_key);
+  if (known != nullptr && known->m_state == OperationEntry::State::Accepted) {
+    return { OperationStatus::Running, std::nullopt };
+  }
+  if (known != nullptr && known->m_state == OperationEntry::State::Ended) {
+    return { known->m_answer ? OperationStatus::Done
+                             : OperationStatus::Forgotten,
+             known->m_answer };
+  }
+  const bool isOwnLife = aQuestion.m_sentTo >= m_settings.m_incarnation;
+  const bool isWithdrawn =
+    isOwnLife &&
+    m_operations.Withdraw(aQuestion.m_key, aQuestion.m_attempt, aNow);
+  return { isWithdrawn ? OperationStatus::NotReceived
+                       : OperationStatus::Forgotten,
+           std::nullopt };
+}
+
+GuardActions
+Guard::Tick(MonotonicTime aNow)
+{
+  GuardActions actions;
+  RunNext(aNow, actions);
+  return actions;
+}
+
+std::optional<MonotonicTime>
+Guard::NextTick() const
+{
+  return m_policy->NextExpiry();
+}
+
+GuardActions
+Guard::SetUpstream(const UpstreamAnnouncement& aUpstream, MonotonicTime aNow)
+{
+  GuardActions actions;
+  const bool isOther = aUpstream.m_service != m_upstream.m_service ||
+                       aUpstream.m_version != m_upstream.m_version;
+  m_upstream = aUpstream;
+  const bool isGone = aUpstream.m_state == UpstreamState::Absent || isOther;
+  if (isGone || aUpstream.m_state == UpstreamState::Draining) {
+    RefuseWaiting(
+      isGone ? RefusalReason::UpstreamGone : RefusalReason::Draining, actions);
+    return actions;
+  }
+  RunNext(aNow, actions);
+  return actions;
+}
+
+GuardActions
+Guard::Drain(MonotonicTime /*aNow*/)
+{
+  GuardActions actions;
+  m_isDraining = true;
+  RefuseWaiting(RefusalReason::Draining, actions);
+  return actions;
+}
+
+void
+Guard::RefuseWaiting(RefusalReason aReason, GuardActions& aActions)
+{
+  std::vector<Ticket> waiting;
+  for (const auto& [ticket, entry] : m_entries) {
+    if (!entry.m_isRunning) {
+      waiting.push_back(ticket);
+    }
+  }
+  std::sort(waiting.begin(), waiting.end());
+  for (const Ticket ticket : waiting) {
+    m_policy->Remove(ticket);
+    Refuse(ticket, aReason, aActions);
+  }
+}
+
+void
+Guard::Refuse(Ticket aTicket, RefusalReason aReason, GuardActions& aActions)
+{
+  const auto found = m_entries.find(aTicket);
+  const Entry entry = std::move(found->second);
+  m_entries.erase(found);
+  if (HasKey(entry.m_call)) {
+    m_operations.Erase(KeyOf(entry.m_call));
+  }
+  for (const Waiter& waiter : entry.m_waiters) {
+    ReplyNotRun(waiter, aReason, aActions);
+    ForgetWaiter(waiter);
+  }
+}
+
+void
+Guard::ReplyTo(const Waiter& aWaiter, Answer aAnswer, GuardActions& aActions)
+{
+  aAnswer.m_id = aWaiter.m_call;
+  aAnswer.m_load = Load();
+  aActions.m_replies.push_back({ aWaiter.m_link, std::move(aAnswer) });
+}
+
+void
+Guard::ReplyNotRun(const Waiter& aWaiter,
+                   RefusalReason aReason,
+                   GuardActions& aActions)
+{
+  Answer answer;
+  answer.m_outcome = CallOutcome::NotRun;
+  answer.m_refusal = aReason;
+  ReplyTo(aWaiter, std::move(answer), aActions);
+}
+
+void
+Guard::ForgetWaiter(const Waiter& aWaiter)
+{
+  const auto link = m_links.find(aWaiter.m_link);
+  if (link == m_links.end()) {
+    return;
+  }
+  link->second.erase(aWaiter.m_call);
+  if (link->second.empty()) {
+    m_links.erase(link);
+  }
+}
+
+void
+Guard::LearnServiceTime(Duration aTime)
+{
+  m_serviceTime = m_serviceTime == Duration::zero()
+                    ? aTime
+                    : m_serviceTime + (aTime - m_serviceTime) / kSmoothing;
+}
+
+AdmissionRoom
+Guard::Room() const
+{
+  return { m_upstream.m_slots, m_running, m_serviceTime };
+}
+
+LoadReport
+Guard::Load() const
+{
+  return { m_running,
+           static_cast<std::uint32_t>(m_policy->Size()),
+           m_upstream.m_slots };
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/request/Guard.h
@@ -0,0 +1,195 @@
+/// \file
+/// The guard of one upstream: the only way to it. Decides which call runs,
+/// waits or is refused, and runs each non-idempotent operation at most once.
+///
+///     Result<Guard> guard = Guard::Create(settings, std::move(policy));
+///     GuardActions actions = guard.value().Submit(call, link, now);
+///     // Run: send the call to the upstream, later Finished(ticket, ...).
+///     // AbortUpstream: close the upstream's connection, then Finished with
+///     //   outcome Unknown.
+///     // Reply: send the answer on the link; m_answer.m_id is the call's id.
+///
+/// What a guard refuses was never handed to the upstream, so its NotRun is
+/// true. Calls that are known by their operation id are looked up before any
+/// other check: a repeat joins the run or gets the kept answer even while the
+/// guard drains.
+///
+/// Thread safety: one thread for each guard.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "base/Ids.h"
+#include "base/Result.h"
+#include "base/Units.h"
+#include "process/MemberRecord.h"
+#include "request/AdmissionPolicy.h"
+#include "request/Call.h"
+#include "request/OperationTable.h"
+
+namespace tarragontray {
+
+/// The link a call came on; the driver gives the numbers, none twice.
+using CallerLink = Amount<struct CallerLinkTag>;
+
+struct GuardSettings
+{
+  /// The node's incarnation at its start. Questions about calls that were sent
+  /// to an earlier one are answered Forgotten.
+  Incarnation m_incarnation;
+  OperationTableSettings m_operations;
+  /// Links that may wait for one operation.
+  std::size_t m_maxWaiters = 16;
+};
+
+/// Hand the call to the upstream.
+struct Run
+{
+  Ticket m_ticket;
+  Call m_call;
+};
+
+/// Answer a call.
+struct Reply
+{
+  CallerLink m_link;
+  Answer m_answer;
+};
+
+/// Stop a running call.
+struct AbortUpstream
+{
+  Ticket m_ticket;
+};
+
+/// What the driver has to do, in this order.
+struct GuardActions
+{
+  std::vector<AbortUpstream> m_aborts;
+  std::vector<Reply> m_replies;
+  std::vector<Run> m_runs;
+};
+
+/// The answer to a question about an operation.
+struct AskResult
+{
+  OperationStatus m_status = OperationStatus::Forgotten;
+  /// Set for Done.
+  std::optional<Answer> m_answer;
+};
+
+/// Which attempt is asked about, as the entry node knows it.
+struct Question
+{
+  OperationKey m_key;
+  /// The attempt that was lost.
+  std::uint8_t m_attempt = 1;
+  /// Target::m_incarnation of the view that the attempt was sent by.
+  Incarnation m_sentTo;
+};
+
+class Guard
+{
+public:
+  /// Precondition: aPolicy is set.
+  /// Errors: InvalidArgument when the retention is below kLeastRetention.
+  static Result<Guard> Create(const GuardSettings& aSettings,
+                              std::unique_ptr<AdmissionPolicy> aPolicy);
+
+  /// A call arrived on a link. Precondition: aCall.m_id is new on this link.
+  GuardActions Submit(Call aCall, CallerLink aFrom, MonotonicTime aNow);
+  /// A Run ended: Done, Unknown, or NotRun when the upstream shed the call.
+  GuardActions Finished(Ticket aTicket, Answer aAnswer, MonotonicTime aNow);
+  /// The caller does not wait any longer. Replies NotRun when the call had
+  /// not run; replies nothing otherwise.
+  GuardActions Cancel(CallerLink aFrom, CallId aCall, MonotonicTime aNow);
+  /// The link is gone; its waiting calls are dropped, its running idempotent
+  /// ones aborted.
+  GuardActions LinkClosed(CallerLink aFrom, MonotonicTime aNow);
+  /// What became of an operation. After NotReceived this attempt and earlier
+  /// ones of the operation never run here.
+  AskResult Ask(const Question& aQuestion, MonotonicTime aNow);
+  /// Refuses the waiting calls that can't be answered in time any more.
+  GuardActions Tick(MonotonicTime aNow);
+  /// When Tick is due; not set when nothing waits.
+  std::optional<MonotonicTime> NextTick() const;
+
+  /// What the upstream announced of itself; Absent when it lapsed.
+  GuardActions SetUpstream(const UpstreamAnnouncement& aUpstream,
+                           MonotonicTime aNow);
+  /// Refuses waiting and new calls from now on; running ones go on.
+  GuardActions Drain(MonotonicTime aNow);
+  /// True when nothing waits or runs.
+  bool IsIdle() const { return m_entries.empty(); }
+
+  LoadReport Load() const;
+  const OperationTableCounters& OperationCounters() const
+  {
+    return m_operations.Counters();
+  }
+
+private:
+  /// A call of a link that waits for an entry's answer.
+  struct Waiter
+  {
+    CallerLink m_link;
+    CallId m_call;
+  };
+  /// An admitted call.
+  struct Entry
+  {
+    /// Without its HTTP parts once it runs.
+    Call m_call;
+    std::vector<Waiter> m_waiters;
+    bool m_isRunning = false;
+    MonotonicTime m_started{};
+    MonotonicTime m_deadline{};
+  };
+  using Entries = std::unordered_map<Ticket, Entry>;
+
+  Guard(const GuardSettings& aSettings,
+        std::unique_ptr<AdmissionPolicy> aPolicy);
+
+  /// Answers from what is known of the operation; false when it is new.
+  bool ReplyFromTable(const Call& aCall,
+                      std::uint64_t aFingerprint,
+                      CallerLink aFrom,
+                      GuardActions& aActions);
+  void Join(const OperationEntry& aKnown,
+            const Call& aCall,
+            CallerLink aFrom,
+            GuardActions& aActions);
+  RefusalReason CheckUpstream(const Call& aCall) const;
+  void Admit(Call aCall, CallerLink aFrom, MonotonicTime aNow, GuardActions&);
+  void RunNext(MonotonicTime aNow, GuardActions& aActions);
+  /// Removes a waiting entry and tells its waiters that it was not run.
+  void Refuse(Ticket aTicket, RefusalReason aReason, GuardActions& aActions);
+  void RefuseWaiting(RefusalReason aReason, GuardActions& aActions);
+  /// One waiter gave up.
+  void Leave(Ticket aTicket, const Waiter& aWaiter, GuardActions& aActions);
+  void ReplyTo(const Waiter& aWaiter, Answer aAnswer, GuardActions& aActions);
+  void ReplyNotRun(const Waiter& aWaiter,
+                   RefusalReason aReason,
+                   GuardActions& aActions);
+  void ForgetWaiter(const Waiter& aWaiter);
+  void LearnServiceTime(Duration aTime);
+  AdmissionRoom Room() const;
+
+  GuardSettings m_settings;
+  std::unique_ptr<AdmissionPolicy> m_policy;
+  OperationTable m_operations;
+  UpstreamAnnouncement m_upstream;
+  bool m_isDraining = false;
+  Entries m_entries;
+  std::unordered_map<CallerLink, std::unordered_map<CallId, Ticket>> m_links;
+  std::uint32_t m_running = 0;
+  Ticket m_lastTicket;
+  Duration m_serviceTime{ 0 };
+};
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/request/Subset.cpp
@@ -0,0 +1,157 @@
+#include "request/Subset.h"
+
+#include <algorithm>
+#include <limits>
+#include <string>
+#include <tuple>
+#include <utility>
+
+#include "base/Hash.h"
+#include "base/Random.h"
+
+namespace tarragontray {
+
+namespace {
+
+/// Keeps the buckets of keys independent of other hashes of an operation id.
+constexpr std::uint64_t kKeySeed = 0x6b6579;
+
+/// 0 for the own data centre, 1 for the own region, 2 for the rest.
+int
+Distance(const SubsetSettings& aSettings, const Target& aTarget)
+{
+  if (aTarget.m_dataCentre == aSettings.m_dataCentre) {
+    return 0;
+  }
+  return aTarget.m_region == aSettings.m_region ? 1 : 2;
+}
+
+struct Ranked
+{
+  int m_distance;
+  std::uint64_t m_rank;
+  const Target* m_target;
+};
+
+bool
+RanksBefore(const Ranked& aLeft, const Ranked& aRight)
+{
+  return std::tie(aLeft.m_distance, aRight.m_rank, aLeft.m_target->m_vm) <
+         std::tie(aRight.m_distance, aLeft.m_rank, aRight.m_target->m_vm);
+}
+
+void
+AppendBest(std::vector<Ranked>& aRanked,
+           std::size_t aSize,
+           std::vector<Target>& aSubset)
+{
+  std::sort(aRanked.begin(), aRanked.end(), RanksBefore);
+  const std::size_t count = std::min(aSize, aRanked.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    aSubset.push_back(*aRanked[i].m_target);
+  }
+}
+
+} // namespace
+
+std::vector<Target>
+SelectSubset(const SubsetSettings& aSettings,
+             const std::vector<Target>& aTargets)
+{
+  const std::uint64_t seed = StableHash(aSettings.m_node.Value());
+  std::map<UpstreamVersion, std::vector<Ranked>> byVersion;
+  for (const Target& target : aTargets) {
+    byVersion[target.m_version].push_back(
+      { Distance(aSettings, target),
+        StableHash(target.m_vm.Value(), seed),
+        &target });
+  }
+  std::vector<Target> subset;
+  for (auto& [version, ranked] : byVersion) {
+    AppendBest(ranked, aSettings.m_size, subset);
+  }
+  return subset;
+}
+
+Result<std::shared_ptr<const KeyPlacement>>
+KeyPlacement::Create(std::vector<Target> aTargets)
+{
+  if (aTargets.size() > std::numeric_limits<std::uint16_t>::max()) {
+    return Error(ErrorCode::TooLarge,
+                 "request.placement",
+                 "",
+                 "targets=" + std::to_string(aTargets.size()));
+  }
+  return std::shared_ptr<const KeyPlacement>(
+    new KeyPlacement(std::move(aTargets)));
+}
+
+KeyPlacement::KeyPlacement(std::vector<Target> aTargets)
+  : m_targets(std::move(aTargets))
+{
+  for (const Target& target : m_targets) {
+    const auto [found, isNew] = m_tables.try_emplace(target.m_version);
+    if (isNew) {
+      Fill(target.m_version, found->second);
+    }
+  }
+}
+
+void
+KeyPlacement::Fill(const UpstreamVersion& aVersion, Table& aTable) const
+{
+  std::vector<std::pair<std::uint64_t, std::uint16_t>> members;
+  for (std::size_t i = 0; i < m_targets.size(); ++i) {
+    if (m_targets[i].m_version == aVersion) {
+      members.emplace_back(StableHash(m_targets[i].m_vm.Value()),
+                           static_cast<std::uint16_t>(i));
+    }
+  }
+  for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
+    std::uint64_t best = 0;
+    std::uint64_t second = 0;
+    Homes homes{ members.front().second, members.front().second };
+    for (const auto& [hash, index] : members) {
+      const std::uint64_t rank = SeededRandom(hash ^ bucket).Next();
+      if (rank >= best) {
+        second = std::exchange(best, rank);
+        homes = { index, homes.m_first };
+      } else if (rank >= second) {
+        second = rank;
+        homes.m_second = index;
+      }
+    }
+    aTable[bucket] = homes;
+  }
+}
+
+const KeyPlacement::Homes*
+KeyPlacement::Find(const OperationId& aOperation,
+                   const UpstreamVersion& aVersion) const
+{
+  const auto found = m_tables.find(aVersion);
+  if (found == m_tables.end()) {
+    return nullptr;
+  }
+  return &found->second[StableHash(aOperation.Value(), kKeySeed) % kBuckets];
+}
+
+const Target*
+KeyPlacement::Home(const OperationId& aOperation,
+                   const UpstreamVersion& aVersion) const
+{
+  const Homes* homes = Find(aOperation, aVersion);
+  return homes == nullptr ? nullptr : &m_targets[homes->m_first];
+}
+
+const Target*
+KeyPlacement::NextHome(const OperationId& aOperation,
+                       const UpstreamVersion& aVersion) const
+{
+  const Homes* homes = Find(aOperation, aVersion);
+  return homes == nullptr || homes->m_first == homes->m_second
+           ? nullptr
+           : &m_targets[homes->m_second];
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/request/TargetSequence.h
@@ -0,0 +1,97 @@
+/// \file
+/// The targets of one call, one attempt after the other.
+///
+///     TargetSequence targets(setup);
+///     const Target* first = targets.First(now);
+///     const Target* second = targets.Next(RetryReason::Failed, now);
+///
+/// Thread safety: one thread.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "base/Ids.h"
+#include "base/Random.h"
+#include "base/Units.h"
+#include "process/View.h"
+#include "request/BalancingPolicy.h"
+#include "request/RetryPolicy.h"
+#include "request/VersionSplitter.h"
+#include "version/Configuration.h"
+
+namespace tarragontray {
+
+/// The policies that the calls of one traffic thread share.
+struct TrafficPolicies
+{
+  BalancingPolicy& m_balancing;
+  VersionSplitter& m_splitter;
+  RetryPolicy& m_retries;
+  Random& m_random;
+  /// Room for the choice of one call, kept so that none allocates.
+  std::vector<const Target*> m_candidates = {};
+};
+
+/// One call as its caller gave it. The references must outlive the plan; the
+/// driver holds the view and the configuration for that.
+struct CallSetup
+{
+  const RouteSpec& m_route;
+  const ServiceView& m_service;
+  OperationId m_operation;
+  /// The caller gave the operation id itself and may repeat it.
+  bool m_isCallerKey = false;
+  ClientAccountId m_caller;
+  std::uint8_t m_priority = 0;
+  MonotonicTime m_deadline{};
+  DataCentreId m_dataCentre;
+  TrafficPolicies& m_policies;
+};
+
+/// Why another attempt is wanted.
+enum class RetryReason : std::uint8_t
+{
+  /// The target refused for load.
+  Overload,
+  /// The target refused because it leaves or has no upstream.
+  TargetGone,
+  /// Nothing was handed to the socket.
+  NotSent,
+  /// The target says that it never received the call, and never will run it.
+  NotReceived,
+  /// An idempotent call failed or was lost.
+  Failed,
+};
+
+/// One per call.
+class TargetSequence
+{
+public:
+  /// The references of aSetup must outlive this object.
+  explicit TargetSequence(const CallSetup& aSetup);
+
+  /// The target of the first attempt; null when there is none.
+  const Target* First(MonotonicTime aNow);
+  /// The target of the next attempt; null when there is none.
+  /// Precondition: First gave a target.
+  const Target* Next(RetryReason aReason, MonotonicTime aNow);
+
+  /// The call runs only at the home of its key.
+  bool IsPlaced() const { return m_isPlaced; }
+  /// Where a call with this key may have run before the share of the move
+  /// changed; null when there is no such place.
+  const Target* FormerHome() const;
+
+private:
+  const Target* NextPlaced(RetryReason aReason);
+  const Target* ChooseAmong(const UpstreamVersion& aVersion,
+                            MonotonicTime aNow);
+  bool WasTried(const VmId& aVm) const;
+
+  CallSetup m_setup;
+  bool m_isPlaced = false;
+  std::vector<const Target*> m_tried;
+};
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/request/TwoChoicesBalancing.cpp
@@ -0,0 +1,201 @@
+#include "request/TwoChoicesBalancing.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tarragontray {
+
+namespace {
+
+/// Weight of a new latency in the smoothed one.
+constexpr double kLatencyWeight = 0.2;
+/// A target that has not answered yet counts as this fast, in seconds.
+constexpr double kUnknownLatency = 0.001;
+constexpr int kTiers = 3;
+
+double
+Seconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+} // namespace
+
+std::optional<std::size_t>
+TwoChoicesBalancing::Choose(const std::vector<const Target*>& aCandidates,
+                            const DataCentreId& aOwnDataCentre,
+                            MonotonicTime aNow,
+                            Random& aRandom)
+{
+  if (aCandidates.empty()) {
+    return std::nullopt;
+  }
+  KeepHealthy(aCandidates, aNow);
+  SelectTier(aCandidates, aOwnDataCentre, aNow);
+  const std::size_t count = m_tier.size();
+  if (count == 1) {
+    return m_tier.front();
+  }
+  const std::size_t first = aRandom.Below(count);
+  const std::size_t second = (first + 1 + aRandom.Below(count - 1)) % count;
+  const std::size_t left = m_tier[first];
+  const std::size_t right = m_tier[second];
+  return Cost(*aCandidates[left], aNow) <= Cost(*aCandidates[right], aNow)
+           ? left
+           : right;
+}
+
+void
+TwoChoicesBalancing::KeepHealthy(const std::vector<const Target*>& aCandidates,
+                                 MonotonicTime aNow)
+{
+  m_healthy.clear();
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    if (!IsEjected(aCandidates[i]->m_vm, aNow)) {
+      m_healthy.push_back(i);
+    }
+  }
+  if (m_healthy.size() * 2 >= aCandidates.size()) {
+    return;
+  }
+  // Ejecting most of the candidates would only move the overload.
+  m_healthy.clear();
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    m_healthy.push_back(i);
+  }
+}
+
+void
+TwoChoicesBalancing::SelectTier(const std::vector<const Target*>& aCandidates,
+                                const DataCentreId& aOwnDataCentre,
+                                MonotonicTime aNow)
+{
+  for (int limit = 0; limit < kTiers; ++limit) {
+    m_tier.clear();
+    bool hasRoom = false;
+    for (const std::size_t index : m_healthy) {
+      const Target& target = *aCandidates[index];
+      if (Tier(target, aOwnDataCentre) <= limit) {
+        m_tier.push_back(index);
+        hasRoom = hasRoom || Load(target, aNow) < m_settings.m_saturation;
+      }
+    }
+    if (hasRoom) {
+      return;
+    }
+  }
+}
+
+int
+TwoChoicesBalancing::Tier(const Target& aTarget,
+                          const DataCentreId& aOwnDataCentre) const
+{
+  if (aTarget.m_dataCentre == aOwnDataCentre) {
+    return 0;
+  }
+  return aTarget.m_region == m_settings.m_region ? 1 : 2;
+}
+
+double
+TwoChoicesBalancing::Load(const Target& aTarget, MonotonicTime aNow) const
+{
+  const Stats* stats = Find(aTarget.m_vm);
+  if (stats == nullptr) {
+    return 0;
+  }
+  const double age = Seconds(aNow - stats->m_reportTime);
+  const double faded =
+    stats->m_reported * std::exp2(-age / Seconds(m_settings.m_reportHalfLife));
+  const double load = std::max<double>(stats->m_inFlight, faded);
+  const double slots = std::max<double>(1, aTarget.m_slots.Value());
+  const bool isStarting = aTarget.m_state == UpstreamState::Starting;
+  return load * (isStarting ? m_settings.m_startingPenalty : 1) / slots;
+}
+
+double
+TwoChoicesBalancing::Cost(const Target& aTarget, MonotonicTime aNow) const
+{
+  const Stats* stats = Find(aTarget.m_vm);
+  const double latency = stats != nullptr && stats->m_latency > 0
+                           ? stats->m_latency
+                           : kUnknownLatency;
+  const double slots = std::max<double>(1, aTarget.m_slots.Value());
+  const bool isStarting = aTarget.m_state == UpstreamState::Starting;
+  const double own = (isStarting ? m_settings.m_startingPenalty : 1) / slots;
+  return (Load(aTarget, aNow) + own) * latency;
+}
+
+void
+TwoChoicesBalancing::Started(const VmId& aVm, MonotonicTime /*aNow*/)
+{
+  if (m_stats.size() >= m_settings.m_maxTargets) {
+    ForgetIdle();
+  }
+  ++m_stats[aVm].m_inFlight;
+}
+
+void
+TwoChoicesBalancing::Finished(const VmId& aVm,
+                              const AttemptResult& aResult,
+                              MonotonicTime aNow)
+{
+  Stats& stats = m_stats[aVm];
+  stats.m_inFlight -= stats.m_inFlight > 0 ? 1 : 0;
+  if (aResult.m_load) {
+    stats.m_reported = aResult.m_load->m_running + aResult.m_load->m_queued;
+    stats.m_reportTime = aNow;
+  }
+  if (aResult.m_isRefused) {
+    // A refusal is quick and says nothing of the target's speed or health.
+    return;
+  }
+  const double latency = Seconds(aResult.m_latency);
+  stats.m_latency =
+    stats.m_latency > 0
+      ? stats.m_latency + kLatencyWeight * (latency - stats.m_latency)
+      : latency;
+  if (!aResult.m_failed) {
+    stats.m_failuresInRow = 0;
+    stats.m_ejections = 0;
+    return;
+  }
+  ++stats.m_failuresInRow;
+  if (stats.m_failuresInRow >= m_settings.m_ejectAfter) {
+    Eject(stats, aNow);
+  }
+}
+
+void
+TwoChoicesBalancing::Eject(Stats& aStats, MonotonicTime aNow) const
+{
+  constexpr std::uint32_t kMaxDoublings = 10;
+  const std::uint32_t doublings = std::min(aStats.m_ejections, kMaxDoublings);
+  const Duration span = m_settings.m_firstEjection * (1U << doublings);
+  aStats.m_ejectedUntil = aNow + std::min(span, m_settings.m_maxEjection);
+  ++aStats.m_ejections;
+  // After the ejection one more failure ejects again.
+  aStats.m_failuresInRow = m_settings.m_ejectAfter - 1;
+}
+
+bool
+TwoChoicesBalancing::IsEjected(const VmId& aVm, MonotonicTime aNow) const
+{
+  const Stats* stats = Find(aVm);
+  return stats != nullptr && aNow < stats->m_ejectedUntil;
+}
+
+const TwoChoicesBalancing::Stats*
+TwoChoicesBalancing::Find(const VmId& aVm) const
+{
+  const auto found = m_stats.find(aVm);
+  return found == m_stats.end() ? nullptr : &found->second;
+}
+
+void
+TwoChoicesBalancing::ForgetIdle()
+{
+  std::erase_if(
+    m_stats, [](const auto& aEntry) { return aEntry.second.m_inFlight == 0; });
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/request/TwoChoicesBalancing.h
@@ -0,0 +1,110 @@
+/// \file
+/// Balancing by two random choices on load, near targets first.
+///
+///     TwoChoicesBalancing policy(TwoChoicesSettings{});
+///     std::optional<std::size_t> index =
+///       policy.Choose(candidates, dataCentre, now, random);
+///     policy.Started(candidates[*index]->m_vm, now);
+///     policy.Finished(candidates[*index]->m_vm, result, now);
+///
+/// Of two targets drawn at random the less loaded one gets the call
+/// (Mitzenmacher, 2001). Load is what this thread has in flight plus what the
+/// target last reported, the report fading with its age, relative to slots and
+/// weighted by the latency seen. Targets of the own data centre are used until
+/// they are saturated, then those of the own region, then all. A target whose
+/// attempts fail in a row is ejected for a bounded time, and never more than
+/// half of the candidates are.
+///
+/// Each traffic thread owns one instance. Thread safety: one thread.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "request/BalancingPolicy.h"
+
+namespace tarragontray {
+
+struct TwoChoicesSettings
+{
+  /// The region of this node; spilling goes there before other regions.
+  RegionId m_region;
+  /// Load over slots at which a target counts as saturated.
+  double m_saturation = 1.0;
+  /// Time in which a report loses half of its weight.
+  Duration m_reportHalfLife = std::chrono::milliseconds(500);
+  /// Failures in a row that eject a target.
+  std::uint32_t m_ejectAfter = 5;
+  Duration m_firstEjection = std::chrono::seconds(2);
+  Duration m_maxEjection = std::chrono::seconds(30);
+  /// The load of a starting target counts this many times.
+  double m_startingPenalty = 8;
+  /// Targets tracked; on more, idle ones are forgotten.
+  std::size_t m_maxTargets = 8192;
+};
+
+class TwoChoicesBalancing final : public BalancingPolicy
+{
+public:
+  explicit TwoChoicesBalancing(const TwoChoicesSettings& aSettings)
+    : m_settings(aSettings)
+  {
+  }
+
+  /// Gives a target whenever there is a candidate: guards refuse what is too
+  /// much, and only they know it.
+  std::optional<std::size_t> Choose(
+    const std::vector<const Target*>& aCandidates,
+    const DataCentreId& aOwnDataCentre,
+    MonotonicTime aNow,
+    Random& aRandom) override;
+  void Started(const VmId& aVm, MonotonicTime aNow) override;
+  void Finished(const VmId& aVm,
+                const AttemptResult& aResult,
+                MonotonicTime aNow) override;
+
+  /// True while the target is ejected. Thread safety: as the class.
+  bool IsEjected(const VmId& aVm, MonotonicTime aNow) const;
+
+private:
+  struct Stats
+  {
+    std::uint32_t m_inFlight = 0;
+    /// Running and queued at the target, by its last report.
+    double m_reported = 0;
+    MonotonicTime m_reportTime{};
+    /// Smoothed latency in seconds; 0 until the first answer.
+    double m_latency = 0;
+    std::uint32_t m_failuresInRow = 0;
+    std::uint32_t m_ejections = 0;
+    MonotonicTime m_ejectedUntil{};
+  };
+
+  using Indices = std::vector<std::size_t>;
+
+  const Stats* Find(const VmId& aVm) const;
+  /// Load over slots.
+  double Load(const Target& aTarget, MonotonicTime aNow) const;
+  /// What two choices compare: load weighted by latency.
+  double Cost(const Target& aTarget, MonotonicTime aNow) const;
+  void KeepHealthy(const std::vector<const Target*>& aCandidates,
+                   MonotonicTime aNow);
+  /// Fills m_tier with the healthy targets of the nearest tier with room.
+  void SelectTier(const std::vector<const Target*>& aCandidates,
+                  const DataCentreId& aOwnDataCentre,
+                  MonotonicTime aNow);
+  int Tier(const Target& aTarget, const DataCentreId& aOwnDataCentre) const;
+  void Eject(Stats& aStats, MonotonicTime aNow) const;
+  void ForgetIdle();
+
+  TwoChoicesSettings m_settings;
+  std::unordered_map<VmId, Stats> m_stats;
+  /// Kept between calls, so that a choice allocates nothing.
+  Indices m_healthy;
+  Indices m_tier;
+};
+
+} // namespace tarragontray
