Build the front and guard threads on the request decisions

Admission bounds come from the owner's configuration, so AdmissionPolicy gets SetBounds: a guard starts before it knows whose service it guards.

--- a/src/process/FrontThread.cpp
+++ b/src/process/FrontThread.cpp
@@ -117,7 +117,9 @@
     , m_onBatch(std::move(aOnBatch))
     , m_loop("front-" + std::to_string(aSettings.m_index))
     , m_random(aSettings.m_seed)
+    , m_balancing(TwoChoicesSettings{ .m_region = aSettings.m_region })
     , m_splitter(m_random)
+    , m_retries(RetryBudgetSettings{})
     , m_links(m_loop.Context(), aClock, aSettings.m_links)
     , m_batchTimer(m_loop.Context())
   {
--- a/src/process/FrontThread.h
+++ b/src/process/FrontThread.h
@@ -33,6 +33,7 @@
 {
   VmId m_vm;
   DataCentreId m_dataCentre;
+  RegionId m_region;
   Incarnation m_incarnation;
   NetworkAddress m_address;
   /// Tells the threads of one process apart.
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -84,6 +84,11 @@
     });
   }
 
+  void SetBounds(const AdmissionBounds& aBounds) override
+  {
+    m_loop.Post([this, aBounds] { m_guard.SetBounds(aBounds); });
+  }
+
   void Drain() override
   {
     m_loop.Post([this] { Execute(m_guard.Drain(m_clock.Now())); });
@@ -296,8 +301,8 @@
 {
   GuardSettings settings;
   settings.m_incarnation = aSettings.m_incarnation;
-  BOOST_OUTCOME_TRY(auto guard,
-                    Guard::Create(settings, std::make_unique<FairAdmission>()));
+  BOOST_OUTCOME_TRY(auto policy, FairAdmission::Create({}));
+  BOOST_OUTCOME_TRY(auto guard, Guard::Create(settings, std::move(policy)));
   auto loop = std::make_unique<GuardLoop>(
     aSettings, aClock, std::move(aEvents), std::move(guard));
   BOOST_OUTCOME_TRY(loop->Listen());
--- a/src/process/GuardThread.h
+++ b/src/process/GuardThread.h
@@ -19,6 +19,7 @@
 #include "process/MemberRecord.h"
 #include "process/Metrics.h"
 #include "process/TrafficReport.h"
+#include "request/AdmissionPolicy.h"
 
 namespace tarragontray {
 
@@ -57,6 +58,8 @@
   /// What the upstream announced of itself, and where it listens.
   virtual void SetUpstream(const UpstreamAnnouncement& aUpstream,
                            const NetworkAddress& aAddress) = 0;
+  /// Bounds of admission, from the configuration of the service's owner.
+  virtual void SetBounds(const AdmissionBounds& aBounds) = 0;
   /// Refuses waiting and new calls with NotRun; running ones go on.
   virtual void Drain() = 0;
   /// True when nothing waits or runs.
--- a/src/request/AdmissionPolicy.h
+++ b/src/request/AdmissionPolicy.h
@@ -51,6 +51,20 @@
   RefusalReason m_reason = RefusalReason::None;
 };
 
+/// The owner of the upstream's service, and what the owner's configuration
+/// allows.
+struct AdmissionBounds
+{
+  /// All other accounts are foreign.
+  ClientAccountId m_owner;
+  /// Calls that may wait, at least 1.
+  std::size_t m_limit = 64;
+  /// Share of the slots that foreign accounts may hold together.
+  Share m_foreignShare = Share::FromFraction(0.5);
+
+  bool operator==(const AdmissionBounds&) const = default;
+};
+
 /// Orders and bounds the waiting calls.
 /// Thread safety: one thread for each instance.
 class AdmissionPolicy
@@ -58,6 +72,9 @@
 public:
   virtual ~AdmissionPolicy() = default;
 
+  /// New bounds for the calls that come from now on.
+  virtual void SetBounds(const AdmissionBounds& aBounds) = 0;
+
   /// Adds a call. Returns the calls to refuse for it, maybe itself.
   virtual std::vector<Refused> Offer(const WaitingCall& aCall,
                                      const AdmissionRoom& aRoom,
--- a/src/request/FairAdmission.cpp
+++ b/src/request/FairAdmission.cpp
@@ -22,20 +22,30 @@
 } // namespace
 
 Result<std::unique_ptr<AdmissionPolicy>>
-FairAdmission::Create(FairAdmissionSettings aSettings)
+FairAdmission::Create(AdmissionBounds aBounds)
 {
-  if (aSettings.m_limit == 0) {
+  if (aBounds.m_limit == 0) {
     return Error(ErrorCode::InvalidArgument, "admission.create", "", "limit=0");
   }
   return std::unique_ptr<AdmissionPolicy>(
-    new FairAdmission(std::move(aSettings)));
+    new FairAdmission(std::move(aBounds)));
 }
 
-FairAdmission::FairAdmission(FairAdmissionSettings aSettings)
-  : m_settings(std::move(aSettings))
+FairAdmission::FairAdmission(AdmissionBounds aBounds)
+  : m_bounds(std::move(aBounds))
 {
 }
 
+void
+FairAdmission::SetBounds(const AdmissionBounds& aBounds)
+{
+  // Runs of a former owner's time are not counted against the new one.
+  if (aBounds.m_owner != m_bounds.m_owner) {
+    m_foreignRunning = 0;
+  }
+  m_bounds = aBounds;
+}
+
 std::vector<Refused>
 FairAdmission::Offer(const WaitingCall& aCall,
                      const AdmissionRoom& aRoom,
@@ -45,7 +55,7 @@
   if (reason != RefusalReason::None) {
     return { { aCall.m_ticket, reason } };
   }
-  if (m_size >= m_settings.m_limit) {
+  if (m_size >= m_bounds.m_limit) {
     return OfferToFull(aCall);
   }
   Append(aCall);
@@ -266,13 +276,13 @@
 bool
 FairAdmission::IsForeign(const ClientAccountId& aCaller) const
 {
-  return aCaller != m_settings.m_owner;
+  return aCaller != m_bounds.m_owner;
 }
 
 std::uint32_t
 FairAdmission::ForeignSlots(const AdmissionRoom& aRoom) const
 {
-  const double share = m_settings.m_foreignShare.Fraction();
+  const double share = m_bounds.m_foreignShare.Fraction();
   const double slots = std::floor(share * aRoom.m_slots.Value());
   return share > 0 ? std::max(1U, static_cast<std::uint32_t>(slots)) : 0;
 }
@@ -280,7 +290,7 @@
 void
 FairAdmission::ForgetIdleFlows(Level& aLevel) const
 {
-  const bool isTooMany = aLevel.m_flows.size() > 2 * m_settings.m_limit;
+  const bool isTooMany = aLevel.m_flows.size() > 2 * m_bounds.m_limit;
   std::erase_if(aLevel.m_flows, [&](const auto& aEntry) {
     const Flow& flow = aEntry.second;
     return flow.m_items.empty() &&
--- a/src/request/FairAdmission.h
+++ b/src/request/FairAdmission.h
@@ -28,23 +28,14 @@
 
 namespace tarragontray {
 
-struct FairAdmissionSettings
-{
-  /// The account that owns the service; all others are foreign.
-  ClientAccountId m_owner;
-  /// Calls that may wait.
-  std::size_t m_limit = 64;
-  /// Share of the slots that foreign accounts may hold together.
-  Share m_foreignShare = Share::FromFraction(0.5);
-};
-
 class FairAdmission final : public AdmissionPolicy
 {
 public:
   /// Errors: InvalidArgument when the limit is 0.
   static Result<std::unique_ptr<AdmissionPolicy>> Create(
-    FairAdmissionSettings aSettings);
+    AdmissionBounds aBounds);
 
+  void SetBounds(const AdmissionBounds& aBounds) override;
   std::vector<Refused> Offer(const WaitingCall& aCall,
                              const AdmissionRoom& aRoom,
                              MonotonicTime aNow) override;
@@ -80,7 +71,7 @@
   };
   using Levels = std::map<std::uint8_t, Level>;
 
-  explicit FairAdmission(FairAdmissionSettings aSettings);
+  explicit FairAdmission(AdmissionBounds aBounds);
 
   bool IsForeign(const ClientAccountId& aCaller) const;
   std::uint32_t ForeignSlots(const AdmissionRoom& aRoom) const;
@@ -96,7 +87,7 @@
   std::optional<Ticket> NextOf(Level& aLevel, bool aForeignMayRun);
   void ForgetIdleFlows(Level& aLevel) const;
 
-  FairAdmissionSettings m_settings;
+  AdmissionBounds m_bounds;
   Levels m_levels;
   std::size_t m_size = 0;
   std::uint32_t m_foreignRunning = 0;
--- a/src/request/FifoAdmission.h
+++ b/src/request/FifoAdmission.h
@@ -27,6 +27,10 @@
   {
   }
 
+  void SetBounds(const AdmissionBounds& aBounds) override
+  {
+    m_limit = aBounds.m_limit;
+  }
   std::vector<Refused> Offer(const WaitingCall& aCall,
                              const AdmissionRoom& /*aRoom*/,
                              MonotonicTime /*aNow*/) override
--- a/src/request/Guard.h
+++ b/src/request/Guard.h
@@ -122,6 +122,11 @@
   /// What the upstream announced of itself; Absent when it lapsed.
   GuardActions SetUpstream(const UpstreamAnnouncement& aUpstream,
                            MonotonicTime aNow);
+  /// Bounds of admission, from the owner's configuration.
+  void SetBounds(const AdmissionBounds& aBounds)
+  {
+    m_policy->SetBounds(aBounds);
+  }
   /// Refuses waiting and new calls from now on; running ones go on.
   GuardActions Drain(MonotonicTime aNow);
   /// True when nothing waits or runs.
