Add moves: paced by time, judged by sequential tests

Change: Moves holds every move of a node. A steward in each data centre sums cumulative reports, raises the share by doubling stages and vetoes; each node has a tripwire on its own evidence. Tests are cumulative sums of log likelihood ratios on failures, caller errors and slow calls, with the worst target left out. When nearly all calls are on the new version there is nothing to compare with, so a steward opens a new epoch at equal load first. The progress of a data centre therefore gains an epoch; the join stays one. VersionSplit moves to version/.

Ruled out: a conditional test on failures alone (it ignores the calls that went well and needs far more of them when the old version hardly fails); an absolute threshold (kept as the baseline FixedStepPolicy).

--- a/src/process/View.h
+++ b/src/process/View.h
@@ -9,7 +9,6 @@
 #pragma once
 
 #include <memory>
-#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -18,6 +17,7 @@
 #include "base/Units.h"
 #include "process/MemberRecord.h"
 #include "version/Configuration.h"
+#include "version/VersionSplit.h"
 
 namespace tarragontray {
 
@@ -34,17 +34,6 @@
   SlotCount m_slots{ 0 };
 };
 
-/// How the calls of a service are split between its versions.
-struct VersionSplit
-{
-  /// Set while a move runs.
-  std::optional<MoveId> m_move;
-  UpstreamVersion m_from;
-  UpstreamVersion m_to;
-  /// The share that goes to m_to; the rest goes to m_from.
-  Share m_toShare = Share::None();
-};
-
 /// A service with the targets that may get work.
 struct ServiceView
 {
--- /dev/null
+++ b/src/version/EvidenceTable.h
@@ -0,0 +1,98 @@
+/// \file
+/// Cumulative evidence of one move by reporter, and windows cut out of it.
+///
+///     EvidenceTable table(plan);
+///     table.Learn(report, now);
+///     EvidenceWindow window = table.TakeWindow(now);
+///
+/// A report that is lost, resent or late changes nothing: of each counter the
+/// largest is kept, and a window holds what rose since the last one.
+///
+/// Thread safety: one thread.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <tuple>
+
+#include "base/Ids.h"
+#include "base/Units.h"
+#include "version/EvidenceReport.h"
+#include "version/EvidenceWindow.h"
+#include "version/MovePlan.h"
+
+namespace tarragontray {
+
+/// aInto takes the larger of each counter. Thread safety: pure function.
+void
+MergeMax(VersionCounters& aInto, const VersionCounters& aFrom);
+/// aInto gains what aFrom counts. Thread safety: pure function.
+void
+AddCounters(VersionCounters& aInto, const VersionCounters& aFrom);
+
+/// The evidence that one observer holds of one move.
+class EvidenceTable
+{
+public:
+  /// Reporters of one move; further ones are turned away.
+  static constexpr std::size_t kMaxReporters = 1024;
+  /// Entries of one reporter; further ones are turned away.
+  static constexpr std::size_t kMaxEntries = 256;
+
+  explicit EvidenceTable(MovePlan aPlan)
+    : m_plan(std::move(aPlan))
+  {
+  }
+
+  /// Takes a report in. A lower incarnation than the reporter's known one is
+  /// ignored; a higher one starts from zero.
+  /// Precondition: the report is of this table's move.
+  void Learn(const EvidenceReport& aReport);
+
+  /// What reporters say for the first time before the next window is kept as
+  /// their starting point and is in no window. For an observer that joins
+  /// while the move runs.
+  void TakeFirstReportsAsBaseline(bool aOn) { m_baselineFirst = aOn; }
+
+  /// What rose since the last window.
+  EvidenceWindow TakeWindow(MonotonicTime aNow);
+
+  /// Entries that were turned away because a bound was reached.
+  std::uint64_t TurnedAway() const { return m_turnedAway; }
+
+private:
+  using EntryKey = std::tuple<RouteName, UpstreamVersion, VmId>;
+  struct Entry
+  {
+    VersionCounters m_seen;
+    VersionCounters m_taken;
+  };
+  struct Reporter
+  {
+    Incarnation m_incarnation;
+    std::map<EntryKey, Entry> m_entries;
+  };
+  struct TargetHistory
+  {
+    std::uint64_t m_calls = 0;
+    MonotonicTime m_firstSeen{};
+  };
+
+  Reporter* FindReporter(const EvidenceReport& aReport, bool& aIsFirst);
+  void LearnEntry(Reporter& aReporter,
+                  const EvidenceEntry& aEntry,
+                  bool aIsBaseline);
+  std::map<EntryKey, VersionCounters> TakeDeltas();
+  WindowEntry MakeEntry(const EntryKey& aKey,
+                        const VersionCounters& aDelta,
+                        MonotonicTime aNow);
+
+  MovePlan m_plan;
+  std::map<VmId, Reporter> m_reporters;
+  std::map<std::tuple<UpstreamVersion, VmId>, TargetHistory> m_targets;
+  MonotonicTime m_lastTaken{};
+  bool m_baselineFirst = false;
+  std::uint64_t m_turnedAway = 0;
+};
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/version/Move.cpp
@@ -0,0 +1,287 @@
+#include "version/Move.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace tarragontray {
+
+namespace {
+
+/// Part of the old version's warm slots that its load needs.
+constexpr double kNeededSlots = 0.8;
+
+bool
+IsDue(const std::optional<MonotonicTime>& aLast,
+      MonotonicTime aNow,
+      Duration aInterval)
+{
+  return !aLast || aNow - *aLast >= aInterval;
+}
+
+EvidenceReport
+ReportHead(const MovePlan& aPlan, const MovesSettings& aSettings)
+{
+  EvidenceReport head;
+  head.m_move = aPlan.m_id;
+  head.m_reporter = aSettings.m_vm;
+  head.m_incarnation = aSettings.m_incarnation;
+  head.m_dataCentre = aSettings.m_dataCentre;
+  return head;
+}
+
+} // namespace
+
+std::string_view
+Name(MoveState aState)
+{
+  switch (aState) {
+    case MoveState::Planned:
+      return "planned";
+    case MoveState::Moving:
+      return "moving";
+    case MoveState::Holding:
+      return "holding";
+    case MoveState::Done:
+      return "done";
+    case MoveState::TakenBack:
+      return "taken-back";
+  }
+  return "unknown";
+}
+
+Move::Move(const MovePlan& aPlan,
+           const MovesSettings& aSettings,
+           const MovePolicy& aPolicy)
+  : m_plan(aPlan)
+  , m_settings(&aSettings)
+  , m_policy(&aPolicy)
+  , m_evidence(ReportHead(aPlan, aSettings))
+  , m_tripwire(aPlan, aPolicy.MakeJudge(EvidenceScope::Node))
+{
+  m_progress.m_move = aPlan.m_id;
+}
+
+void
+Move::SetDataCentres(const std::set<DataCentreId>& aDataCentres)
+{
+  m_dataCentres = aDataCentres;
+}
+
+void
+Move::SetSteward(bool aOn)
+{
+  if (aOn && !m_steward) {
+    m_steward.emplace(m_plan, m_settings->m_dataCentre, *m_policy);
+  }
+  if (!aOn) {
+    m_steward.reset();
+  }
+}
+
+void
+Move::LearnLocal(const LocalObservation& aObservation)
+{
+  if (aObservation.m_version == m_plan.m_to) {
+    m_newCalls += aObservation.m_delta.m_calls;
+  }
+  m_evidence.Add(aObservation);
+}
+
+void
+Move::LearnReport(const EvidenceReport& aReport)
+{
+  if (m_steward && aReport.m_dataCentre == m_settings->m_dataCentre) {
+    m_steward->Learn(aReport);
+  }
+}
+
+bool
+Move::MergeProgress(const MoveProgress& aProgress)
+{
+  const bool changed = Merge(m_progress, aProgress);
+  m_mustSpread |= changed;
+  return changed;
+}
+
+bool
+Move::IsWholeEverywhere(Duration aHold, WallTime aWall) const
+{
+  if (m_dataCentres.empty()) {
+    return false;
+  }
+  return std::all_of(
+    m_dataCentres.begin(), m_dataCentres.end(), [&](const DataCentreId& aId) {
+      const auto found = m_progress.m_dataCentres.find(aId);
+      return found != m_progress.m_dataCentres.end() &&
+             found->second.m_wholeSince &&
+             *found->second.m_wholeSince + aHold <= aWall;
+    });
+}
+
+bool
+Move::IsWatched() const
+{
+  return !m_progress.m_veto && !m_doneAt;
+}
+
+void
+Move::Judge(const Times& aTimes)
+{
+  const Verdict own =
+    m_tripwire.Observe(m_evidence.Whole(), m_slots, aTimes.m_now);
+  if (own.m_kind == VerdictKind::Bad && !m_progress.m_veto) {
+    m_progress.m_veto = Veto{
+      aTimes.m_wall, m_settings->m_dataCentre, own.m_route, own.m_reason
+    };
+    m_mustSpread = true;
+  }
+  if (m_steward) {
+    m_steward->Learn(m_evidence.Whole());
+    m_mustSpread |= m_steward->Advance(m_slots, aTimes, m_progress);
+  }
+  if (!m_progress.m_veto && IsWholeEverywhere(m_plan.m_hold, aTimes.m_wall)) {
+    m_doneAt = aTimes.m_wall;
+  }
+}
+
+void
+Move::EmitProgress(MonotonicTime aNow, MoveActions& aActions)
+{
+  const bool refresh =
+    m_steward && IsDue(m_lastSpread, aNow, m_settings->m_refreshInterval);
+  if (!m_mustSpread && !refresh) {
+    return;
+  }
+  m_mustSpread = false;
+  m_lastSpread = aNow;
+  aActions.m_spread.push_back(m_progress);
+}
+
+void
+Move::EmitOutcome(const Times& aTimes, MoveActions& aActions)
+{
+  const MoveState state = State(aTimes.m_wall);
+  const bool isOver = state == MoveState::Done || state == MoveState::TakenBack;
+  if (!isOver || !m_steward || m_isOutcomeWritten ||
+      !IsDue(m_lastOutcome, aTimes.m_now, m_settings->m_refreshInterval)) {
+    return;
+  }
+  m_lastOutcome = aTimes.m_now;
+  MoveOutcome outcome;
+  outcome.m_move = m_plan.m_id;
+  outcome.m_state = state;
+  outcome.m_reason = Reason(state);
+  if (m_progress.m_veto) {
+    outcome.m_time = m_progress.m_veto->m_time;
+    outcome.m_route = m_progress.m_veto->m_route;
+  } else {
+    outcome.m_time = *m_doneAt;
+  }
+  aActions.m_outcomes.push_back(std::move(outcome));
+}
+
+void
+Move::Tick(const Times& aTimes, MoveActions& aActions)
+{
+  if (IsWatched() &&
+      IsDue(m_lastWindow, aTimes.m_now, m_settings->m_windowInterval)) {
+    m_lastWindow = aTimes.m_now;
+    Judge(aTimes);
+  }
+  if (IsWatched() && !m_steward) {
+    std::optional<EvidenceReport> report =
+      m_evidence.TakeReport(aTimes.m_now, m_settings->m_reportInterval);
+    if (report) {
+      aActions.m_reports.push_back(std::move(*report));
+    }
+  }
+  EmitProgress(aTimes.m_now, aActions);
+  EmitOutcome(aTimes, aActions);
+  const VersionSplit split = Split();
+  aActions.m_splitsChanged |= m_lastSplit != split;
+  m_lastSplit = split;
+}
+
+Share
+Move::SlotCeiling() const
+{
+  if (m_slots.m_old.Value() == 0) {
+    return Share::All();
+  }
+  return Share::FromFraction(
+    static_cast<double>(m_slots.m_new.Value()) /
+    (kNeededSlots * static_cast<double>(m_slots.m_old.Value())));
+}
+
+VersionSplit
+Move::Split() const
+{
+  VersionSplit split;
+  split.m_move = m_plan.m_id;
+  split.m_from = m_plan.m_from;
+  split.m_to = m_plan.m_to;
+  split.m_toShare =
+    m_doneAt && !m_progress.m_veto
+      ? Share::All()
+      : std::min({ EffectiveShare(m_progress, m_settings->m_dataCentre),
+                   m_tripwire.Ceiling(),
+                   SlotCeiling() });
+  return split;
+}
+
+MoveState
+Move::State(WallTime aWall) const
+{
+  if (m_progress.m_veto) {
+    return MoveState::TakenBack;
+  }
+  if (m_doneAt) {
+    return MoveState::Done;
+  }
+  if (IsWholeEverywhere(Duration::zero(), aWall)) {
+    return MoveState::Holding;
+  }
+  return aWall < m_plan.m_start ? MoveState::Planned : MoveState::Moving;
+}
+
+std::string
+Move::Reason(MoveState aState) const
+{
+  if (m_progress.m_veto) {
+    return m_progress.m_veto->m_reason;
+  }
+  if (aState == MoveState::Done) {
+    return "nothing against it through the hold time";
+  }
+  if (m_steward && m_steward->LastVerdict().m_kind != VerdictKind::Clear) {
+    return m_steward->LastVerdict().m_reason;
+  }
+  if (aState != MoveState::Planned && SlotCeiling() < Share::All()) {
+    return "held by warm slots new=" + std::to_string(m_slots.m_new.Value()) +
+           " old=" + std::to_string(m_slots.m_old.Value());
+  }
+  return "";
+}
+
+MoveStatus
+Move::Status(WallTime aWall) const
+{
+  MoveStatus status;
+  status.m_plan = m_plan;
+  status.m_state = State(aWall);
+  for (const auto& [dataCentre, progress] : m_progress.m_dataCentres) {
+    status.m_shares[dataCentre] = EffectiveShare(m_progress, dataCentre);
+  }
+  status.m_reason = Reason(status.m_state);
+  status.m_calls = CallCount(m_newCalls);
+  if (m_progress.m_veto) {
+    status.m_route = m_progress.m_veto->m_route;
+    status.m_time = m_progress.m_veto->m_time;
+  } else {
+    status.m_time = m_doneAt;
+  }
+  return status;
+}
+
+} // namespace tarragontray
--- a/src/version/MoveProgress.cpp
+++ b/src/version/MoveProgress.cpp
@@ -9,6 +9,11 @@
 bool
 MergeDataCentre(DataCentreProgress& aInto, const DataCentreProgress& aFrom)
 {
+  if (aFrom.m_epoch != aInto.m_epoch) {
+    const bool isNewer = aFrom.m_epoch > aInto.m_epoch;
+    aInto = isNewer ? aFrom : aInto;
+    return isNewer;
+  }
   const DataCentreProgress before = aInto;
   aInto.m_share = std::max(aInto.m_share, aFrom.m_share);
   if (aFrom.m_wholeSince) {
--- a/src/version/MoveProgress.h
+++ b/src/version/MoveProgress.h
@@ -1,13 +1,16 @@
 /// \file
 /// How far a move is: a join, so that merging needs no leader.
 ///
-/// Shares only rise, and a veto outranks every share. Merge is commutative,
-/// associative and idempotent: a paused, stale or doubled steward cannot undo
-/// a veto (a join semilattice, as in state-based CRDTs; Shapiro et al., 2011).
+/// A data centre's share rises within an epoch. A steward that needs the old
+/// version's traffic for a comparison opens the next epoch with a lower share.
+/// A veto outranks every epoch and share. Merge is commutative, associative and
+/// idempotent: a paused, stale or doubled steward cannot undo a veto (a join
+/// semilattice, as in state-based CRDTs; Shapiro et al., 2011).
 ///
 /// Thread safety: values.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -29,11 +32,16 @@
   auto operator<=>(const Veto&) const = default;
 };
 
+/// Counts the times a data centre's share was lowered for a comparison.
+using ProgressEpoch = Amount<struct ProgressEpochTag, std::uint32_t>;
+
 /// A data centre's own progress.
 struct DataCentreProgress
 {
+  /// The higher epoch wins; within one epoch the higher share wins.
+  ProgressEpoch m_epoch;
   Share m_share = Share::None();
-  /// When this data centre reached the whole share.
+  /// When this data centre reached the whole share in this epoch.
   std::optional<WallTime> m_wholeSince;
 
   bool operator==(const DataCentreProgress&) const = default;
--- a/src/version/Moves.cmake
+++ b/src/version/Moves.cmake
@@ -1,1 +1,17 @@
-# Targets; see cmake/Targets.cmake.
+tt_decision_library(tt_moves
+  SRCS EvidenceTable.cpp FixedStepPolicy.cpp LoadComparison.cpp
+       LocalEvidence.cpp Move.cpp Moves.cpp RouteComparison.cpp
+       SequentialJudge.cpp SequentialMovePolicy.cpp SequentialTest.cpp
+       Steward.cpp Tripwire.cpp
+  HDRS EvidenceTable.h EvidenceWindow.h FixedStepPolicy.h LoadComparison.h
+       LocalEvidence.h Move.h MovePolicy.h Moves.h MoveStatus.h
+       RouteComparison.h SequentialJudge.h SequentialMovePolicy.h
+       SequentialTest.h Steward.h Tripwire.h VersionSplit.h
+  DEPS tt_base tt_configuration tt_move_values)
+
+# The model of the systems served and scripted sessions, for tests and
+# experiments.
+tt_library(tt_move_session
+  SRCS testing/MoveSession.cpp testing/UpstreamModel.cpp
+  DEPS tt_moves)
+tt_test(moves_test SRCS MovesTest.cpp DEPS tt_move_session)
--- /dev/null
+++ b/src/version/RouteComparison.cpp
@@ -0,0 +1,237 @@
+#include "version/RouteComparison.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace tarragontray {
+
+namespace {
+
+/// Calls that the old version's past weighs in a window's reference.
+constexpr double kPastWeight = 20.0;
+/// Assumed of an old version without a past.
+constexpr double kPriorRate = 0.002;
+constexpr double kPriorCalls = 5.0;
+/// What one window's past is worth at the next one.
+constexpr double kPastDecay = 0.98;
+/// Bad calls of the old version in one window that count as a shared fault.
+constexpr std::uint64_t kSharedFaultCalls = 2;
+/// Calls that a latency limit needs.
+constexpr double kLatencyCalls = 30.0;
+constexpr double kLatencyQuantile = 0.9;
+/// Buckets above the quantile's; each is a factor of sqrt(2).
+constexpr std::size_t kSlowBuckets = 1;
+
+/// How far above the old version the new one may be, and what counts as bad.
+struct SignalRule
+{
+  std::string_view m_name;
+  double m_tolerance;
+  std::array<double, 3> m_excess;
+};
+
+constexpr std::array<SignalRule, kSignals> kRules{ {
+  { "failures", 0.005, { 0.03, 0.15, 0.5 } },
+  { "caller-errors", 0.02, { 0.05, 0.2, 0.5 } },
+  { "slow-calls", 0.05, { 0.1, 0.25, 0.5 } },
+} };
+
+std::size_t
+Index(Signal aSignal)
+{
+  return static_cast<std::size_t>(aSignal);
+}
+
+double
+Rate(const BadCount& aCount)
+{
+  return aCount.m_calls == 0 ? 0.0
+                             : static_cast<double>(aCount.m_bad) /
+                                 static_cast<double>(aCount.m_calls);
+}
+
+/// The old version's rate in a window, steadied by its past.
+double
+Reference(const BadCount& aOld, double aPastRate)
+{
+  const auto calls = static_cast<double>(aOld.m_calls);
+  const auto bad = static_cast<double>(aOld.m_bad);
+  const double pooled = (bad + kPastWeight * aPastRate) / (calls + kPastWeight);
+  if (aOld.m_bad < kSharedFaultCalls) {
+    return pooled;
+  }
+  return std::max(pooled, (bad + 1.0) / (calls + 1.0));
+}
+
+} // namespace
+
+std::string_view
+Name(Signal aSignal)
+{
+  return kRules[Index(aSignal)].m_name;
+}
+
+std::string
+Describe(const SignalScore& aScore)
+{
+  const auto ratio = [](const BadCount& aCount) {
+    return std::to_string(aCount.m_bad) + "/" + std::to_string(aCount.m_calls);
+  };
+  return std::string(Name(aScore.m_signal)) + " new=" + ratio(aScore.m_new) +
+         " old=" + ratio(aScore.m_old);
+}
+
+std::optional<std::uint64_t>
+RouteComparison::BadCalls(const WindowEntry& aEntry, Signal aSignal) const
+{
+  if (aEntry.m_isFresh) {
+    return std::nullopt;
+  }
+  const VersionCounters& counters = aEntry.m_counters;
+  switch (aSignal) {
+    case Signal::Failures:
+      return counters.m_failures;
+    case Signal::CallerErrors:
+      return counters.m_callerErrors;
+    case Signal::SlowCalls:
+      break;
+  }
+  if (aEntry.m_isWarming || !m_slowLimit) {
+    return std::nullopt;
+  }
+  const auto first =
+    counters.m_latency.begin() + static_cast<std::ptrdiff_t>(*m_slowLimit) + 1;
+  return std::accumulate(first, counters.m_latency.end(), std::uint64_t{ 0 });
+}
+
+void
+RouteComparison::AddSignal(const std::vector<const WindowEntry*>& aEntries,
+                           Signal aSignal,
+                           bool aTest)
+{
+  BadCount old;
+  std::vector<TargetSample> samples;
+  for (const WindowEntry* entry : aEntries) {
+    const std::optional<std::uint64_t> bad = BadCalls(*entry, aSignal);
+    if (!bad) {
+      continue;
+    }
+    const std::uint64_t calls = entry->m_counters.m_calls;
+    const std::uint64_t bounded = std::min(*bad, calls);
+    if (entry->m_side == VersionSide::Old) {
+      old += BadCount{ calls, bounded };
+    } else {
+      samples.push_back({ entry->m_target, calls, bounded });
+    }
+  }
+  SignalState& state = m_signals[Index(aSignal)];
+  const SignalRule& rule = kRules[Index(aSignal)];
+  const double pastRate = (state.m_pastBad + kPriorRate * kPriorCalls) /
+                          (state.m_pastCalls + kPriorCalls);
+  state.m_reference = Reference(old, pastRate) + rule.m_tolerance;
+  state.m_isOldHealthy = old.m_bad < kSharedFaultCalls ||
+                         Rate(old) <= pastRate + 4 * rule.m_tolerance;
+  if (aTest && !samples.empty()) {
+    state.m_test.Add({ state.m_reference, rule.m_excess }, samples);
+    state.m_oldEpisode += old;
+    if (state.m_test.Episode().m_calls == 0) {
+      state.m_oldEpisode = BadCount();
+    }
+  }
+  if (old.m_calls > 0) {
+    state.m_pastCalls =
+      state.m_pastCalls * kPastDecay + static_cast<double>(old.m_calls);
+    state.m_pastBad =
+      state.m_pastBad * kPastDecay + static_cast<double>(old.m_bad);
+  }
+}
+
+void
+RouteComparison::AddLatencyPast(const std::vector<const WindowEntry*>& aEntries)
+{
+  bool sawOld = false;
+  std::array<double, kLatencyBuckets> window{};
+  for (const WindowEntry* entry : aEntries) {
+    if (entry->m_side == VersionSide::New || entry->m_isFresh ||
+        entry->m_isWarming) {
+      continue;
+    }
+    sawOld = true;
+    for (std::size_t i = 0; i < kLatencyBuckets; ++i) {
+      window[i] += static_cast<double>(entry->m_counters.m_latency[i]);
+    }
+  }
+  if (!sawOld) {
+    return;
+  }
+  for (std::size_t i = 0; i < kLatencyBuckets; ++i) {
+    m_pastLatency[i] = m_pastLatency[i] * kPastDecay + window[i];
+  }
+  SetSlowLimit();
+}
+
+void
+RouteComparison::SetSlowLimit()
+{
+  const double total =
+    std::accumulate(m_pastLatency.begin(), m_pastLatency.end(), 0.0);
+  if (total < kLatencyCalls) {
+    return;
+  }
+  double below = 0.0;
+  std::size_t bucket = 0;
+  while (bucket + 1 < kLatencyBuckets) {
+    below += m_pastLatency[bucket];
+    if (below >= kLatencyQuantile * total) {
+      break;
+    }
+    ++bucket;
+  }
+  m_slowLimit = std::min(bucket + kSlowBuckets, kLatencyBuckets - 2);
+}
+
+void
+RouteComparison::Add(const std::vector<const WindowEntry*>& aEntries,
+                     bool aTest)
+{
+  AddSignal(aEntries, Signal::Failures, aTest);
+  AddSignal(aEntries, Signal::CallerErrors, aTest);
+  AddSignal(aEntries, Signal::SlowCalls, aTest);
+  AddLatencyPast(aEntries);
+}
+
+SignalScore
+RouteComparison::Worst() const
+{
+  SignalScore worst;
+  for (std::size_t i = 0; i < kSignals; ++i) {
+    const SignalState& state = m_signals[i];
+    const double score = state.m_test.Score();
+    if (i == 0 || score > worst.m_score) {
+      worst = SignalScore{ static_cast<Signal>(i),
+                           score,
+                           state.m_test.Episode(),
+                           state.m_oldEpisode,
+                           state.m_reference };
+    }
+  }
+  return worst;
+}
+
+bool
+RouteComparison::IsOldHealthy(Signal aSignal) const
+{
+  return m_signals[Index(aSignal)].m_isOldHealthy;
+}
+
+void
+RouteComparison::ResetTests()
+{
+  for (SignalState& state : m_signals) {
+    state.m_test.Reset();
+    state.m_oldEpisode = BadCount();
+  }
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/version/SequentialJudge.cpp
@@ -0,0 +1,177 @@
+#include "version/SequentialJudge.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tarragontray {
+
+namespace {
+
+/// Bad calls below which a score is chance.
+constexpr std::uint64_t kSuspectCalls = 2;
+constexpr std::uint64_t kVerdictCalls = 3;
+/// A comparison ends well after this many calls of the new version, or this
+/// time, with nothing against it.
+constexpr std::uint64_t kComparisonCalls = 40;
+constexpr Duration kComparisonTime = std::chrono::seconds(20);
+constexpr Duration kShortestComparison = std::chrono::seconds(3);
+/// Comparisons after which a version counts as bad under load.
+constexpr int kMaxFailuresUnderLoad = 3;
+/// Comparisons at loads that the old version never carried.
+constexpr int kMaxBeyondProven = 2;
+
+Verdict
+MakeVerdict(VerdictKind aKind,
+            const RouteName& aRoute,
+            const SignalScore& aScore)
+{
+  return Verdict{
+    aKind, aRoute, Describe(aScore), CallCount(aScore.m_new.m_calls)
+  };
+}
+
+std::uint64_t
+NewCalls(const EvidenceWindow& aWindow)
+{
+  std::uint64_t calls = 0;
+  for (const WindowEntry& entry : aWindow.m_entries) {
+    calls += entry.m_side == VersionSide::New ? entry.m_counters.m_calls : 0;
+  }
+  return calls;
+}
+
+} // namespace
+
+void
+SequentialJudge::Learn(const EvidenceWindow& aWindow)
+{
+  std::map<RouteName, std::vector<const WindowEntry*>> byRoute;
+  for (const WindowEntry& entry : aWindow.m_entries) {
+    byRoute[entry.m_route].push_back(&entry);
+  }
+  // Load first: during a comparison only windows at comparable load count.
+  m_loads.Add(aWindow, IsOldHealthy());
+  const bool test = !m_comparison || m_loads.IsComparable();
+  for (const auto& [route, entries] : byRoute) {
+    m_routes[route].Add(entries, test);
+  }
+}
+
+bool
+SequentialJudge::IsOldHealthy() const
+{
+  return std::all_of(m_routes.begin(), m_routes.end(), [](const auto& aRoute) {
+    return aRoute.second.IsOldHealthy(Signal::Failures) &&
+           aRoute.second.IsOldHealthy(Signal::SlowCalls);
+  });
+}
+
+SequentialJudge::WorstRoute
+SequentialJudge::FindWorst() const
+{
+  WorstRoute worst;
+  for (const auto& [name, route] : m_routes) {
+    const SignalScore score = route.Worst();
+    if (worst.m_route.IsEmpty() || score.m_score > worst.m_score.m_score) {
+      worst = WorstRoute{ name, score };
+    }
+  }
+  return worst;
+}
+
+void
+SequentialJudge::ResetTests()
+{
+  for (auto& [name, route] : m_routes) {
+    route.ResetTests();
+  }
+}
+
+Verdict
+SequentialJudge::BeginComparison(const WorstRoute& aWorst)
+{
+  Verdict suspect =
+    MakeVerdict(VerdictKind::Suspect, aWorst.m_route, aWorst.m_score);
+  const bool isProven = m_loads.IsProven();
+  if (!isProven && m_comparisonsBeyondProven >= kMaxBeyondProven) {
+    return suspect;
+  }
+  m_comparisonsBeyondProven += isProven ? 0 : 1;
+  Comparison comparison;
+  comparison.m_cause = suspect;
+  comparison.m_signal = aWorst.m_score.m_signal;
+  comparison.m_isProven = isProven;
+  m_comparison = std::move(comparison);
+  ResetTests();
+  Verdict verdict = suspect;
+  verdict.m_kind = VerdictKind::NeedsComparison;
+  return verdict;
+}
+
+Verdict
+SequentialJudge::EndComparison()
+{
+  const Comparison ended = *m_comparison;
+  m_comparison.reset();
+  ResetTests();
+  if (!m_limits.m_judgesLoad || !ended.m_isProven || !ended.m_wasOldHealthy) {
+    return Verdict();
+  }
+  ++m_failuresUnderLoad;
+  if (m_failuresUnderLoad < kMaxFailuresUnderLoad) {
+    return Verdict();
+  }
+  Verdict verdict = ended.m_cause;
+  verdict.m_kind = VerdictKind::Bad;
+  verdict.m_reason += " only-under-load=" + std::to_string(m_failuresUnderLoad);
+  return verdict;
+}
+
+Verdict
+SequentialJudge::Compare(const EvidenceWindow& aWindow,
+                         const WorstRoute& aWorst)
+{
+  if (!m_loads.IsComparable()) {
+    return m_comparison->m_cause;
+  }
+  const auto route = m_routes.find(m_comparison->m_cause.m_route);
+  m_comparison->m_wasOldHealthy &=
+    route == m_routes.end() ||
+    route->second.IsOldHealthy(m_comparison->m_signal);
+  m_comparison->m_length += aWindow.m_length;
+  m_comparison->m_calls += NewCalls(aWindow);
+  if (aWorst.m_score.m_score >= m_limits.m_suspectScore) {
+    return MakeVerdict(VerdictKind::Suspect, aWorst.m_route, aWorst.m_score);
+  }
+  const bool isEnough = m_comparison->m_calls >= kComparisonCalls &&
+                        m_comparison->m_length >= kShortestComparison;
+  if (isEnough || m_comparison->m_length >= kComparisonTime) {
+    return EndComparison();
+  }
+  return m_comparison->m_cause;
+}
+
+Verdict
+SequentialJudge::Judge(const EvidenceWindow& aWindow)
+{
+  Learn(aWindow);
+  const WorstRoute worst = FindWorst();
+  const SignalScore& score = worst.m_score;
+  if (m_loads.IsComparable() && score.m_score >= m_limits.m_verdictScore &&
+      score.m_new.m_bad >= kVerdictCalls) {
+    return MakeVerdict(VerdictKind::Bad, worst.m_route, score);
+  }
+  if (m_comparison) {
+    return Compare(aWindow, worst);
+  }
+  if (score.m_score < m_limits.m_suspectScore ||
+      score.m_new.m_bad < kSuspectCalls) {
+    return Verdict();
+  }
+  if (m_loads.IsComparable()) {
+    return MakeVerdict(VerdictKind::Suspect, worst.m_route, score);
+  }
+  return BeginComparison(worst);
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/version/SequentialJudge.h
@@ -0,0 +1,74 @@
+/// \file
+/// Judges one move by sequential tests on each route.
+///
+///     SequentialJudge judge({ 3.5, 9.0, true });
+///     Verdict verdict = judge.Judge(window);
+///
+/// Thread safety: one thread.
+#pragma once
+
+#include <cstdint>
+#include <map>
+
+#include "version/LoadComparison.h"
+#include "version/MovePolicy.h"
+#include "version/RouteComparison.h"
+
+namespace tarragontray {
+
+/// How strict a judge is.
+struct JudgeLimits
+{
+  double m_suspectScore = 0.0;
+  double m_verdictScore = 0.0;
+  /// Whether repeated comparisons condemn a version as bad under load.
+  bool m_judgesLoad = false;
+};
+
+/// See the file comment.
+class SequentialJudge final : public VersionJudge
+{
+public:
+  explicit SequentialJudge(const JudgeLimits& aLimits)
+    : m_limits(aLimits)
+  {
+  }
+
+  Verdict Judge(const EvidenceWindow& aWindow) override;
+
+private:
+  /// A time at equal load after the new version looked bad at a higher one.
+  struct Comparison
+  {
+    Verdict m_cause;
+    Signal m_signal = Signal::Failures;
+    /// The old version had carried the load at which it began.
+    bool m_isProven = false;
+    bool m_wasOldHealthy = true;
+    Duration m_length{ 0 };
+    std::uint64_t m_calls = 0;
+  };
+  struct WorstRoute
+  {
+    RouteName m_route;
+    SignalScore m_score;
+  };
+
+  void Learn(const EvidenceWindow& aWindow);
+  bool IsOldHealthy() const;
+  WorstRoute FindWorst() const;
+  Verdict BeginComparison(const WorstRoute& aWorst);
+  Verdict Compare(const EvidenceWindow& aWindow, const WorstRoute& aWorst);
+  Verdict EndComparison();
+  void ResetTests();
+
+  JudgeLimits m_limits;
+  LoadComparison m_loads;
+  std::map<RouteName, RouteComparison> m_routes;
+  std::optional<Comparison> m_comparison;
+  /// Comparisons that ended well after a load that the old version carries.
+  int m_failuresUnderLoad = 0;
+  int m_comparisonsBeyondProven = 0;
+};
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/version/Steward.cpp
@@ -0,0 +1,130 @@
+#include "version/Steward.h"
+
+#include <algorithm>
+
+#include "base/Hash.h"
+#include "version/LoadComparison.h"
+
+namespace tarragontray {
+
+namespace {
+
+/// A gap after which what the steward knew is out of date.
+constexpr Duration kPause = std::chrono::seconds(5);
+/// Time over which a new steward only listens.
+constexpr Duration kListen = std::chrono::seconds(3);
+
+Veto
+MakeVeto(const Verdict& aVerdict,
+         const DataCentreId& aDataCentre,
+         WallTime aWall)
+{
+  return Veto{ aWall, aDataCentre, aVerdict.m_route, aVerdict.m_reason };
+}
+
+} // namespace
+
+std::optional<VmId>
+PickSteward(const MoveId& aMove,
+            const DataCentreId& aDataCentre,
+            const std::vector<VmId>& aLiveVms)
+{
+  const std::string purpose = "steward/" + aMove.m_service.m_owner.Value() +
+                              "/" + aMove.m_service.m_name.Value() + "/" +
+                              std::to_string(aMove.m_plan.Value()) + "/" +
+                              aDataCentre.Value();
+  const std::vector<VmId> top = TopRanked(purpose, aLiveVms, 1);
+  return top.empty() ? std::nullopt : std::optional<VmId>(top.front());
+}
+
+Steward::Steward(MovePlan aPlan,
+                 DataCentreId aDataCentre,
+                 const MovePolicy& aPolicy)
+  : m_plan(std::move(aPlan))
+  , m_dataCentre(std::move(aDataCentre))
+  , m_policy(&aPolicy)
+  , m_table(m_plan)
+  , m_judge(aPolicy.MakeJudge(EvidenceScope::DataCentre))
+{
+}
+
+void
+Steward::Begin(MonotonicTime aNow)
+{
+  m_judge = m_policy->MakeJudge(EvidenceScope::DataCentre);
+  m_verdict = Verdict();
+  m_begin = aNow;
+  m_changed = aNow;
+  m_table.TakeFirstReportsAsBaseline(true);
+  m_table.TakeWindow(aNow);
+}
+
+bool
+Steward::Raise(const Times& aTimes, DataCentreProgress& aProgress)
+{
+  const Share next = m_policy->NextShare(PaceInput{
+    m_plan, aTimes.m_wall, aProgress.m_share, aTimes.m_now - m_changed });
+  if (next <= aProgress.m_share) {
+    return false;
+  }
+  aProgress.m_share = next;
+  if (next == Share::All()) {
+    aProgress.m_wholeSince = aTimes.m_wall;
+  }
+  return true;
+}
+
+bool
+Steward::LowerForComparison(const WarmSlots& aSlots,
+                            DataCentreProgress& aProgress)
+{
+  const Share equal = EqualLoadShare(aSlots.m_old, aSlots.m_new);
+  if (equal >= aProgress.m_share) {
+    return false;
+  }
+  aProgress.m_epoch += ProgressEpoch(1);
+  aProgress.m_share = equal;
+  aProgress.m_wholeSince.reset();
+  return true;
+}
+
+bool
+Steward::Advance(const WarmSlots& aSlots,
+                 const Times& aTimes,
+                 MoveProgress& aProgress)
+{
+  if (!m_lastAdvance || aTimes.m_now - *m_lastAdvance > kPause) {
+    Begin(aTimes.m_now);
+  }
+  m_lastAdvance = aTimes.m_now;
+  EvidenceWindow window = m_table.TakeWindow(aTimes.m_now);
+  window.m_oldSlots = aSlots.m_old;
+  window.m_newSlots = aSlots.m_new;
+  m_verdict = m_judge->Judge(window);
+  if (aProgress.m_veto) {
+    return false;
+  }
+  if (m_verdict.m_kind == VerdictKind::Bad) {
+    aProgress.m_veto = MakeVeto(m_verdict, m_dataCentre, aTimes.m_wall);
+    return true;
+  }
+  DataCentreProgress& own = aProgress.m_dataCentres[m_dataCentre];
+  if (own != m_lastProgress) {
+    m_changed = aTimes.m_now;
+  }
+  bool changed = false;
+  if (m_verdict.m_kind == VerdictKind::NeedsComparison) {
+    changed = LowerForComparison(aSlots, own);
+  } else if (m_verdict.m_kind == VerdictKind::Clear &&
+             aTimes.m_now - m_begin >= kListen) {
+    m_table.TakeFirstReportsAsBaseline(false);
+    changed = Raise(aTimes, own);
+  }
+  if (changed) {
+    m_changed = aTimes.m_now;
+  }
+  m_lastProgress = own;
+  return changed;
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/version/Tripwire.cpp
@@ -0,0 +1,33 @@
+#include "version/Tripwire.h"
+
+#include "version/LoadComparison.h"
+
+namespace tarragontray {
+
+Verdict
+Tripwire::Observe(const EvidenceReport& aWhole,
+                  const WarmSlots& aSlots,
+                  MonotonicTime aNow)
+{
+  m_table.Learn(aWhole);
+  EvidenceWindow window = m_table.TakeWindow(aNow);
+  window.m_oldSlots = aSlots.m_old;
+  window.m_newSlots = aSlots.m_new;
+  Verdict verdict = m_judge->Judge(window);
+  switch (verdict.m_kind) {
+    case VerdictKind::Bad:
+      m_ceiling = Share::None();
+      break;
+    case VerdictKind::NeedsComparison:
+      m_ceiling = EqualLoadShare(aSlots.m_old, aSlots.m_new);
+      break;
+    case VerdictKind::Clear:
+      m_ceiling = Share::All();
+      break;
+    case VerdictKind::Suspect:
+      break;
+  }
+  return verdict;
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/version/testing/UpstreamModel.cpp
@@ -0,0 +1,132 @@
+#include "version/testing/UpstreamModel.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numbers>
+
+namespace tarragontray::testing {
+
+namespace {
+
+/// Time constant of a target's load.
+constexpr double kLoadSeconds = 2.0;
+/// Latency of calls at a target whose slots are all used.
+constexpr double kOverloadSlowdown = 4.0;
+/// Means above which a Poisson draw is approximated by a normal one.
+constexpr double kLargeMean = 50.0;
+
+double
+Seconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+/// Slowdown by waiting for one of several slots.
+double
+QueueSlowdown(double aLoad)
+{
+  if (aLoad >= 1.0) {
+    return kOverloadSlowdown;
+  }
+  return std::min(kOverloadSlowdown,
+                  1.0 + 0.2 * std::pow(aLoad, 6.0) / (1.0 - aLoad));
+}
+
+template<typename T>
+bool
+Matches(const std::optional<T>& aWanted, const T& aValue)
+{
+  return !aWanted || *aWanted == aValue;
+}
+
+} // namespace
+
+double
+DrawNormal(Random& aRandom)
+{
+  const double radius = std::sqrt(-2.0 * std::log(1.0 - aRandom.Fraction()));
+  return radius * std::cos(2.0 * std::numbers::pi * aRandom.Fraction());
+}
+
+std::size_t
+DrawPoisson(double aMean, Random& aRandom)
+{
+  if (aMean > kLargeMean) {
+    const double draw = aMean + std::sqrt(aMean) * DrawNormal(aRandom);
+    return static_cast<std::size_t>(std::max(0.0, std::round(draw)));
+  }
+  const double limit = std::exp(-aMean);
+  std::size_t count = 0;
+  for (double product = aRandom.Fraction(); product > limit;
+       product *= aRandom.Fraction()) {
+    ++count;
+  }
+  return count;
+}
+
+double
+UpstreamModel::TakeLoad(TargetState& aState, SessionTime aNow) const
+{
+  const double gap = Seconds(aNow - aState.m_lastCall);
+  aState.m_lastCall = aNow;
+  aState.m_callsPerSecond =
+    aState.m_callsPerSecond * std::exp(-gap / kLoadSeconds) +
+    1.0 / kLoadSeconds;
+  return aState.m_callsPerSecond * Seconds(m_settings.m_serviceTime) /
+         static_cast<double>(m_settings.m_slots);
+}
+
+bool
+UpstreamModel::Acts(const ModelFault& aFault,
+                    const ModelCall& aCall,
+                    SessionTime aNow,
+                    double aLoad) const
+{
+  return Matches(aFault.m_side, aCall.m_side) &&
+         Matches(aFault.m_dataCentre, aCall.m_dataCentre) &&
+         Matches(aFault.m_target, aCall.m_target) &&
+         Matches(aFault.m_route, aCall.m_route) && aNow >= aFault.m_begin &&
+         aNow < aFault.m_end && aLoad >= aFault.m_aboveLoad;
+}
+
+ModelAnswer
+UpstreamModel::Answer(const ModelCall& aCall, SessionTime aNow, Random& aRandom)
+{
+  TargetState& state =
+    m_states[{ aCall.m_side, aCall.m_dataCentre, aCall.m_target }];
+  if (!state.m_firstCall) {
+    state.m_firstCall = aNow;
+  }
+  const double load = TakeLoad(state, aNow);
+  double failureRate = m_settings.m_baseFailureRate;
+  double callerErrorRate = m_settings.m_baseCallerErrorRate;
+  double slowdown = QueueSlowdown(load);
+  if (load > 1.0) {
+    failureRate += 1.0 - 1.0 / load;
+  }
+  if (aCall.m_side == VersionSide::New &&
+      aNow - *state.m_firstCall < m_settings.m_coldTime) {
+    slowdown *= m_settings.m_coldSlowdown;
+  }
+  ModelAnswer answer;
+  for (const ModelFault& fault : m_settings.m_faults) {
+    if (!Acts(fault, aCall, aNow, load)) {
+      continue;
+    }
+    failureRate += fault.m_failureRate;
+    callerErrorRate += fault.m_callerErrorRate;
+    slowdown *= fault.m_slowdown;
+    answer.m_isVersionFault |= fault.m_side == VersionSide::New;
+  }
+  const double draw = aRandom.Fraction();
+  answer.m_failed = draw < failureRate;
+  answer.m_isCallerError =
+    !answer.m_failed && draw < failureRate + callerErrorRate;
+  const double seconds = Seconds(m_settings.m_serviceTime) * slowdown *
+                         std::exp(m_settings.m_spread * DrawNormal(aRandom));
+  answer.m_latency = std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(seconds));
+  return answer;
+}
+
+} // namespace tarragontray::testing
