Add the store that decides which configuration is in force

Documents reach a node from relays, peers and the platform in any order, and versions may fail to expand, come before their template or name services that the node has not seen.

Weighed: trying only the newest version of an account, or keeping a few. A node passes on the version in force beside a newer one that it rejected.

A service counts as known when some member announced it, or when the version in force routes to it already: a neighbour's service that disappears withdraws nothing and blocks no later change.

--- /dev/null
+++ b/src/process/DocumentTable.cpp
@@ -0,0 +1,138 @@
+#include "process/DocumentTable.h"
+
+#include <algorithm>
+
+namespace tarragontray {
+
+namespace {
+
+ByteCount
+SizeOf(const Document& aDocument)
+{
+  return ByteCount(aDocument.m_key.Value().size() + aDocument.m_body.size());
+}
+
+} // namespace
+
+PutResult
+DocumentTable::Put(const Document& aDocument)
+{
+  const auto found = m_entries.find(aDocument.m_key);
+  const bool isNew = found == m_entries.end();
+  if (!isNew) {
+    const Entry& entry = found->second;
+    const bool isFull = entry.m_revisions.size() >= m_limits.m_maxRevisions;
+    if (aDocument.m_revision < entry.m_least ||
+        entry.m_revisions.contains(aDocument.m_revision) ||
+        (isFull && aDocument.m_revision < entry.m_revisions.begin()->first)) {
+      return PutResult::Stale;
+    }
+  }
+  if ((isNew && m_entries.size() >= m_limits.m_maxKeys) ||
+      m_bytes + SizeOf(aDocument) > m_limits.m_maxBytes) {
+    return PutResult::TurnedAway;
+  }
+  Entry& entry = m_entries[aDocument.m_key];
+  entry.m_revisions.emplace(aDocument.m_revision, aDocument);
+  m_bytes += SizeOf(aDocument);
+  if (entry.m_revisions.size() > m_limits.m_maxRevisions) {
+    Remove(entry, entry.m_revisions.begin());
+  }
+  return PutResult::Stored;
+}
+
+const Document*
+DocumentTable::Newest(const ObjectKey& aKey) const
+{
+  const auto found = m_entries.find(aKey);
+  if (found == m_entries.end() || found->second.m_revisions.empty()) {
+    return nullptr;
+  }
+  return &found->second.m_revisions.rbegin()->second;
+}
+
+std::vector<const Document*>
+DocumentTable::Revisions(const ObjectKey& aKey) const
+{
+  std::vector<const Document*> result;
+  const auto found = m_entries.find(aKey);
+  if (found != m_entries.end()) {
+    for (const auto& [revision, document] : found->second.m_revisions) {
+      result.push_back(&document);
+    }
+  }
+  std::reverse(result.begin(), result.end());
+  return result;
+}
+
+void
+DocumentTable::DropBelow(const ObjectKey& aKey, Revision aRevision)
+{
+  const auto found = m_entries.find(aKey);
+  if (found == m_entries.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  entry.m_least = std::max(entry.m_least, aRevision);
+  while (!entry.m_revisions.empty() &&
+         entry.m_revisions.begin()->first < aRevision) {
+    Remove(entry, entry.m_revisions.begin());
+  }
+}
+
+bool
+DocumentTable::DropOldest(const std::function<bool(const ObjectKey&)>& aMayDrop)
+{
+  auto oldest = m_entries.end();
+  for (auto place = m_entries.begin(); place != m_entries.end(); ++place) {
+    if (place->second.m_revisions.empty() || !aMayDrop(place->first)) {
+      continue;
+    }
+    if (oldest == m_entries.end() ||
+        place->second.m_revisions.rbegin()->first <
+          oldest->second.m_revisions.rbegin()->first) {
+      oldest = place;
+    }
+  }
+  if (oldest == m_entries.end()) {
+    return false;
+  }
+  while (!oldest->second.m_revisions.empty()) {
+    Remove(oldest->second, oldest->second.m_revisions.begin());
+  }
+  m_entries.erase(oldest);
+  return true;
+}
+
+std::vector<Document>
+DocumentTable::All() const
+{
+  std::vector<Document> result;
+  for (const auto& [key, entry] : m_entries) {
+    for (const auto& [revision, document] : entry.m_revisions) {
+      result.push_back(document);
+    }
+  }
+  return result;
+}
+
+std::vector<ObjectKey>
+DocumentTable::Keys() const
+{
+  std::vector<ObjectKey> result;
+  result.reserve(m_entries.size());
+  for (const auto& [key, entry] : m_entries) {
+    result.push_back(key);
+  }
+  return result;
+}
+
+void
+DocumentTable::Remove(Entry& aEntry,
+                      std::map<Revision, Document>::iterator aPlace)
+{
+  m_bytes -= SizeOf(aPlace->second);
+  aEntry.m_revisions.erase(aPlace);
+}
+
+} // namespace tarragontray
--- a/src/version/ConfigurationJson.h
+++ b/src/version/ConfigurationJson.h
@@ -18,6 +18,7 @@
 
 #include "base/Result.h"
 #include "version/AccountParameters.h"
+#include "version/ConfigurationDecoder.h"
 #include "version/Template.h"
 
 namespace tarragontray {
@@ -42,4 +43,19 @@
 std::string
 EncodeParameters(const AccountParameters& aParameters);
 
+/// The functions above as a ConfigurationDecoder. Thread safety: any thread.
+class JsonConfigurationDecoder final : public ConfigurationDecoder
+{
+public:
+  Result<Template> DecodeTemplate(std::string_view aText) const override
+  {
+    return tarragontray::DecodeTemplate(aText);
+  }
+  Result<AccountParameters> DecodeParameters(
+    std::string_view aText) const override
+  {
+    return tarragontray::DecodeParameters(aText);
+  }
+};
+
 } // namespace tarragontray
--- a/src/version/Expansion.cmake
+++ b/src/version/Expansion.cmake
@@ -1,8 +1,9 @@
 # Targets; see cmake/Targets.cmake.
 tt_decision_library(tt_expansion
-  SRCS ChangeValidation.cpp Expansion.cpp FieldRules.cpp ParameterScope.cpp
-  HDRS AccountParameters.h ChangeValidation.h Expansion.h FieldRules.h
-       ParameterScope.h Template.h
+  SRCS ChangeValidation.cpp Expansion.cpp FieldRules.cpp ObjectKeys.cpp
+       ParameterScope.cpp
+  HDRS AccountParameters.h ChangeValidation.h ConfigurationDecoder.h Expansion.h
+       FieldRules.h ObjectKeys.h ParameterScope.h Template.h
   DEPS tt_configuration)
 tt_library(tt_configuration_json
   SRCS JsonObject.cpp ParametersJson.cpp TemplateJson.cpp
--- /dev/null
+++ b/src/version/ObjectKeys.cpp
@@ -0,0 +1,43 @@
+#include "version/ObjectKeys.h"
+
+#include <string>
+
+namespace tarragontray {
+
+ObjectKey
+TemplateKey(const TemplateName& aName, TemplateVersion aVersion)
+{
+  return ObjectKey(std::string(kTemplatePrefix) + aName.Value() + "/" +
+                   std::to_string(aVersion.Value()));
+}
+
+ObjectKey
+ConfigurationKey(const ClientAccountId& aAccount)
+{
+  return ObjectKey(std::string(kConfigurationPrefix) + aAccount.Value());
+}
+
+ObjectKey
+MoveKey(const MoveId& aMove)
+{
+  return ObjectKey(std::string(kMovePrefix) + aMove.m_service.m_owner.Value() +
+                   "/" + aMove.m_service.m_name.Value() + "/" +
+                   std::to_string(aMove.m_plan.Value()));
+}
+
+bool
+IsTemplateKey(const ObjectKey& aKey)
+{
+  return aKey.Value().starts_with(kTemplatePrefix);
+}
+
+std::optional<ClientAccountId>
+AccountOf(const ObjectKey& aKey)
+{
+  if (!aKey.Value().starts_with(kConfigurationPrefix)) {
+    return std::nullopt;
+  }
+  return ClientAccountId(aKey.Value().substr(kConfigurationPrefix.size()));
+}
+
+} // namespace tarragontray
