--- a/src/process/ConfigurationStore.h
+++ b/src/process/ConfigurationStore.h
@@ -37,7 +37,7 @@
 #include <string_view>
 #include <vector>
 
-#include "process/DocumentTable.h"
+#include "process/DocumentRevisions.h"
 #include "version/Configuration.h"
 #include "version/ConfigurationDecoder.h"
 #include "version/Document.h"
@@ -161,8 +161,8 @@
                               const Account& aAccount) const;
 
   const ConfigurationDecoder& m_decoder;
-  DocumentTable m_templates;
-  DocumentTable m_configurations;
+  DocumentRevisions m_templates;
+  DocumentRevisions m_configurations;
   std::map<ClientAccountId, Account> m_accounts;
   std::set<ServiceId> m_knownServices;
   std::uint64_t m_turnedAway = 0;
--- /dev/null
+++ b/src/process/ControlCore.cpp
@@ -0,0 +1,494 @@
+#include "process/ControlCore.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "process/DatagramSize.h"
+#include "process/ViewBuilder.h"
+#include "version/SequentialMovePolicy.h"
+
+namespace tarragontray {
+
+namespace {
+
+LocalObservation
+ObservationOf(const AttemptObservation& aAttempt, bool aIsStarting)
+{
+  LocalObservation observation;
+  observation.m_service = aAttempt.m_service;
+  observation.m_route = aAttempt.m_route;
+  observation.m_version = aAttempt.m_version;
+  observation.m_target = aAttempt.m_target;
+  observation.m_isStarting = aIsStarting;
+  VersionCounters& counters = observation.m_delta;
+  counters.m_calls = 1;
+  counters.m_failures = aAttempt.m_failed ? 1 : 0;
+  counters.m_callerErrors = aAttempt.m_isCallerError ? 1 : 0;
+  counters.m_latency[LatencyBucket(aAttempt.m_latency)] = 1;
+  return observation;
+}
+
+/// Splits a report into datagrams that keep their bound.
+std::vector<Datagram>
+Pack(const VmId& aFrom, const EvidenceReport& aReport)
+{
+  EvidenceReport head = aReport;
+  head.m_entries.clear();
+  std::vector<Datagram> datagrams;
+  for (const EvidenceEntry& entry : aReport.m_entries) {
+    if (!datagrams.empty()) {
+      auto& entries = datagrams.back().m_evidence.front().m_entries;
+      entries.push_back(entry);
+      if (EncodedSize(datagrams.back()) <= kMaxDatagramBytes) {
+        continue;
+      }
+      entries.pop_back();
+    }
+    Datagram& next = datagrams.emplace_back();
+    next.m_kind = DatagramKind::News;
+    next.m_from = aFrom;
+    next.m_evidence.push_back(head);
+    next.m_evidence.front().m_entries.push_back(entry);
+  }
+  return datagrams;
+}
+
+} // namespace
+
+Result<std::unique_ptr<ControlCore>>
+ControlCore::Create(const ControlSettings& aSettings,
+                    const ConfigurationDecoder& aDecoder,
+                    Random& aRandom)
+{
+  const MemberRecord& self = aSettings.m_self;
+  BOOST_OUTCOME_TRY(
+    auto gossip,
+    Gossip::Create(aSettings.m_gossip, self, aSettings.m_seeds, aRandom));
+  MovesSettings moveSettings;
+  moveSettings.m_vm = self.m_vm;
+  moveSettings.m_incarnation = self.m_incarnation;
+  moveSettings.m_dataCentre = self.m_dataCentre;
+  BOOST_OUTCOME_TRY(auto policy, SequentialMovePolicy::Create({}));
+  BOOST_OUTCOME_TRY(auto moves, Moves::Create(moveSettings, std::move(policy)));
+  LedgerSettings ledgerSettings;
+  ledgerSettings.m_vm = self.m_vm;
+  ledgerSettings.m_incarnation = self.m_incarnation;
+  BOOST_OUTCOME_TRY(auto ledger, Ledger::Create(ledgerSettings));
+  return std::unique_ptr<ControlCore>(new ControlCore(aSettings,
+                                                      aDecoder,
+                                                      aRandom,
+                                                      std::move(gossip),
+                                                      std::move(moves),
+                                                      std::move(ledger)));
+}
+
+ControlCore::ControlCore(const ControlSettings& aSettings,
+                         const ConfigurationDecoder& aDecoder,
+                         Random& /*aRandom*/,
+                         Gossip aGossip,
+                         Moves aMoves,
+                         Ledger aLedger)
+  : m_settings(aSettings)
+  , m_gossip(std::move(aGossip))
+  , m_store(aDecoder)
+  , m_moves(std::move(aMoves))
+  , m_ledger(std::move(aLedger))
+{
+}
+
+ControlActions
+ControlCore::OnTick(const Times& aTimes)
+{
+  return Finish(m_gossip.Tick(aTimes.m_now), aTimes);
+}
+
+MonotonicTime
+ControlCore::NextTick() const
+{
+  MonotonicTime next = std::min(m_gossip.NextTick(), m_ledger.NextDue());
+  if (const auto moves = m_moves.NextTick()) {
+    next = std::min(next, *moves);
+  }
+  if (m_viewDue) {
+    next = std::min(next, *m_viewDue);
+  }
+  if (m_announcedAt) {
+    next = std::min(next, *m_announcedAt + m_settings.m_announcementLapse);
+  }
+  return next;
+}
+
+ControlActions
+ControlCore::OnDatagram(const Datagram& aDatagram,
+                        const NetworkAddress& aFrom,
+                        const Times& aTimes)
+{
+  return Finish(m_gossip.Receive(aDatagram, aFrom, aTimes.m_now), aTimes);
+}
+
+PullAnswer
+ControlCore::OnPull(const PullRequest& aRequest, const Times& aTimes)
+{
+  return m_gossip.AnswerPull(aRequest, aTimes.m_now);
+}
+
+ControlActions
+ControlCore::OnPullAnswer(const PullAnswer& aAnswer, const Times& aTimes)
+{
+  return Finish(m_gossip.OfferPull(aAnswer, aTimes.m_now), aTimes);
+}
+
+ControlActions
+ControlCore::OnPullFailed(const Times& aTimes)
+{
+  m_gossip.FailPull(aTimes.m_now);
+  return Finish({}, aTimes);
+}
+
+ControlActions
+ControlCore::OnUpstream(const UpstreamAnnouncement& aUpstream,
+                        const Times& aTimes)
+{
+  m_announcedAt = aTimes.m_now;
+  if (aUpstream == m_upstream) {
+    return {};
+  }
+  m_upstream = aUpstream;
+  m_gossip.Members().SetUpstream(aUpstream, aTimes.m_now);
+  GossipActions changed;
+  changed.m_membersChanged = true;
+  return Finish(std::move(changed), aTimes);
+}
+
+void
+ControlCore::OnObservations(const ObservationBatch& aBatch)
+{
+  const auto& members = m_gossip.Members().Members();
+  for (const AttemptObservation& attempt : aBatch.m_observations) {
+    const auto target = members.find(attempt.m_target);
+    const bool isStarting =
+      target != members.end() &&
+      target->second.m_upstream.m_state == UpstreamState::Starting;
+    if (attempt.m_isFirstAttempt) {
+      m_moves.LearnLocal(ObservationOf(attempt, isStarting));
+    }
+  }
+}
+
+void
+ControlCore::OnUsage(const UsageBatch& aBatch)
+{
+  for (const auto& [key, usage] : aBatch.m_usage) {
+    m_ledger.Add(key, usage);
+  }
+}
+
+bool
+ControlCore::WantsWatch(MonotonicTime aNow)
+{
+  return m_gossip.Documents().WantsWatch(aNow);
+}
+
+bool
+ControlCore::TakePlatformRead(MonotonicTime aNow)
+{
+  return m_gossip.Documents().TakePlatformRead(aNow);
+}
+
+MonotonicTime
+ControlCore::PlatformReadyAt(MonotonicTime aNow)
+{
+  return m_gossip.Documents().PlatformReadyAt(aNow);
+}
+
+Revision
+ControlCore::WatchAfter() const
+{
+  return m_gossip.Documents().WatchAfter();
+}
+
+ControlActions
+ControlCore::OnListing(const std::vector<Document>& aDocuments,
+                       Revision aComplete,
+                       const Times& aTimes)
+{
+  m_gossip.Documents().OfferFromPlatform(aDocuments, aComplete, aTimes.m_now);
+  return Finish(m_gossip.Tick(aTimes.m_now), aTimes);
+}
+
+std::vector<ObjectKey>
+ControlCore::MissingTemplates() const
+{
+  return m_store.MissingTemplates();
+}
+
+void
+ControlCore::OnOutcomeWritten(const MoveId& aMove)
+{
+  m_moves.AcknowledgeOutcome(aMove);
+}
+
+void
+ControlCore::OnUsageNotWritten(const UsageReport& aReport)
+{
+  m_ledger.WriteFailed(aReport.m_vm, aReport.m_incarnation);
+}
+
+ControlActions
+ControlCore::Leave(const Times& aTimes)
+{
+  m_gossip.Members().Leave(aTimes.m_now);
+  return Finish(m_gossip.Tick(aTimes.m_now), aTimes);
+}
+
+bool
+ControlCore::IsReady() const
+{
+  return !InForce().empty();
+}
+
+ControlActions
+ControlCore::Finish(GossipActions aGossip, const Times& aTimes)
+{
+  ControlActions actions;
+  CheckAnnouncement(aTimes, actions);
+  for (const EvidenceReport& report : aGossip.m_evidence) {
+    m_moves.LearnReport(report, aTimes.m_now);
+  }
+  if (aGossip.m_membersChanged) {
+    TakeMembers();
+    MarkViewStale(aTimes.m_now);
+  }
+  TakeDocuments();
+  Apply(std::exchange(m_changes, {}), aTimes);
+  if (aGossip.m_membersChanged) {
+    UpdateRoles();
+  }
+  for (const MoveProgress& progress : m_gossip.Moves().TakeChanged()) {
+    if (m_moves.MergeProgress(progress, aTimes.m_now)) {
+      MarkViewStale(aTimes.m_now);
+    }
+  }
+  TickMoves(aTimes, actions);
+  PublishView(aTimes, actions);
+  actions.m_usage = m_ledger.TakeDue(aTimes.m_now);
+  actions.m_pull = std::move(aGossip.m_pull);
+  std::move(aGossip.m_send.begin(),
+            aGossip.m_send.end(),
+            std::back_inserter(actions.m_send));
+  return actions;
+}
+
+void
+ControlCore::CheckAnnouncement(const Times& aTimes, ControlActions& aActions)
+{
+  if (!m_announcedAt ||
+      aTimes.m_now < *m_announcedAt + m_settings.m_announcementLapse) {
+    return;
+  }
+  m_announcedAt.reset();
+  m_upstream.m_state = UpstreamState::Absent;
+  m_gossip.Members().SetUpstream(m_upstream, aTimes.m_now);
+  aActions.m_upstream = m_upstream;
+  MarkViewStale(aTimes.m_now);
+}
+
+void
+ControlCore::TakeMembers()
+{
+  auto changes =
+    m_store.SetKnownServices(AnnouncedServices(m_gossip.Members().Members()));
+  std::move(changes.begin(), changes.end(), std::back_inserter(m_changes));
+}
+
+void
+ControlCore::TakeDocuments()
+{
+  if (m_gossip.Documents().HasChanged()) {
+    auto changes = m_store.Offer(m_gossip.Documents().TakeChanged());
+    std::move(changes.begin(), changes.end(), std::back_inserter(m_changes));
+  }
+}
+
+void
+ControlCore::Apply(const std::vector<ConfigurationChange>& aChanges,
+                   const Times& aTimes)
+{
+  if (aChanges.empty()) {
+    return;
+  }
+  std::vector<MovePlan> plans;
+  for (const auto& configuration : InForce()) {
+    for (const ServiceSpec& service : configuration->m_services) {
+      if (service.m_move) {
+        plans.push_back(*service.m_move);
+      }
+    }
+  }
+  m_moves.SetPlans(plans, aTimes.m_now);
+  UpdateRoles();
+  MarkViewStale(aTimes.m_now);
+}
+
+void
+ControlCore::UpdateRoles()
+{
+  const auto& members = m_gossip.Members().Members();
+  const MemberRecord& self = m_gossip.Members().Self();
+  std::set<DataCentreId> dataCentres;
+  std::vector<VmId> neighbours;
+  for (const auto& [vm, member] : members) {
+    if (member.m_state == NodeState::Dead) {
+      continue;
+    }
+    dataCentres.insert(member.m_dataCentre);
+    if (member.m_dataCentre == self.m_dataCentre &&
+        member.m_state == NodeState::Alive) {
+      neighbours.push_back(vm);
+    }
+  }
+  m_moves.SetDataCentres(std::move(dataCentres));
+  for (const auto& configuration : InForce()) {
+    for (const ServiceSpec& service : configuration->m_services) {
+      if (service.m_move) {
+        const MovePlan& plan = *service.m_move;
+        const auto steward =
+          PickSteward(plan.m_id, self.m_dataCentre, neighbours);
+        m_moves.SetSteward(plan.m_id, steward == self.m_vm);
+        m_moves.SetWarmSlots(plan.m_id,
+                             WarmSlots(members, service.m_id, plan.m_from),
+                             WarmSlots(members, service.m_id, plan.m_to));
+      }
+    }
+  }
+}
+
+void
+ControlCore::TickMoves(const Times& aTimes, ControlActions& aActions)
+{
+  const auto next = m_moves.NextTick();
+  if (!next || aTimes.m_now < *next) {
+    return;
+  }
+  MoveActions moves = m_moves.Tick(aTimes.m_now, aTimes.m_wall);
+  for (const MoveProgress& progress : moves.m_spread) {
+    m_gossip.Moves().Offer(progress, aTimes.m_now);
+  }
+  for (const EvidenceReport& report : moves.m_reports) {
+    SendReport(report, aActions);
+  }
+  aActions.m_outcomes = std::move(moves.m_outcomes);
+  if (moves.m_splitsChanged) {
+    MarkViewStale(aTimes.m_now);
+  }
+}
+
+void
+ControlCore::SendReport(const EvidenceReport& aReport, ControlActions& aActions)
+{
+  const MemberRecord& self = m_gossip.Members().Self();
+  std::vector<VmId> neighbours;
+  const auto& members = m_gossip.Members().Members();
+  for (const auto& [vm, member] : members) {
+    if (member.m_dataCentre == self.m_dataCentre &&
+        member.m_state == NodeState::Alive) {
+      neighbours.push_back(vm);
+    }
+  }
+  const auto steward =
+    PickSteward(aReport.m_move, self.m_dataCentre, neighbours);
+  if (!steward || *steward == self.m_vm) {
+    return;
+  }
+  const NetworkAddress& address = members.at(*steward).m_peerAddress;
+  for (Datagram& datagram : Pack(self.m_vm, aReport)) {
+    aActions.m_send.push_back({ address, std::move(datagram) });
+  }
+}
+
+void
+ControlCore::MarkViewStale(MonotonicTime aNow)
+{
+  if (!m_viewDue) {
+    m_viewDue = aNow + m_settings.m_viewDelay;
+  }
+}
+
+void
+ControlCore::PublishView(const Times& aTimes, ControlActions& aActions)
+{
+  if (!m_viewDue || aTimes.m_now < *m_viewDue) {
+    return;
+  }
+  m_viewDue.reset();
+  const auto configurations = InForce();
+  aActions.m_view = BuildView(m_gossip.Members().Self(),
+                              ViewInputs{ m_gossip.Members().Members(),
+                                          configurations,
+                                          [this](const ServiceId& aService) {
+                                            return m_moves.SplitOf(aService);
+                                          } });
+  const auto bounds = OwnBounds();
+  if (bounds != m_bounds) {
+    m_bounds = bounds;
+    aActions.m_bounds = bounds;
+  }
+}
+
+std::vector<std::shared_ptr<const Configuration>>
+ControlCore::InForce() const
+{
+  std::vector<std::shared_ptr<const Configuration>> configurations;
+  // A replacement serves nothing until it holds what its forerunner held.
+  if (m_gossip.Documents().IsBelowFloor()) {
+    return configurations;
+  }
+  for (const AccountStatus& account : m_store.Status()) {
+    if (account.m_inForce) {
+      configurations.push_back(m_store.InForce(account.m_account));
+    }
+  }
+  return configurations;
+}
+
+std::optional<AdmissionBounds>
+ControlCore::OwnBounds() const
+{
+  const ServiceId& own = m_upstream.m_service;
+  const auto configuration = m_store.InForce(own.m_owner);
+  if (!configuration) {
+    return std::nullopt;
+  }
+  for (const ServiceSpec& service : configuration->m_services) {
+    if (service.m_id == own) {
+      return AdmissionBounds{ .m_owner = own.m_owner,
+                              .m_limit = service.m_queueLimit,
+                              .m_foreignShare = service.m_foreignShare };
+    }
+  }
+  return std::nullopt;
+}
+
+ControlStatus
+ControlCore::Status(WallTime aWall) const
+{
+  const Membership& members = m_gossip.Members();
+  ControlStatus status;
+  status.m_self = members.Self();
+  status.m_isRelay = members.RelayRank().has_value();
+  status.m_isBelowFloor = m_gossip.Documents().IsBelowFloor();
+  status.m_digest = m_gossip.Documents().Table().Digest();
+  for (const auto& [vm, member] : members.Members()) {
+    status.m_members.push_back(member);
+  }
+  status.m_accounts = m_store.Status();
+  status.m_moves = m_moves.Status(aWall);
+  status.m_ledger = m_ledger.Totals();
+  status.m_membership = members.Counters();
+  status.m_distribution = m_gossip.Documents().Counters();
+  status.m_gossip = m_gossip.Counters();
+  return status;
+}
+
+} // namespace tarragontray
--- a/src/process/DocumentTable.cpp
+++ b/src/process/DocumentRevisions.cpp
@@ -1,4 +1,4 @@
-#include "process/DocumentTable.h"
+#include "process/DocumentRevisions.h"
 
 #include <algorithm>
 
@@ -15,7 +15,7 @@
 } // namespace
 
 PutResult
-DocumentTable::Put(const Document& aDocument)
+DocumentRevisions::Put(const Document& aDocument)
 {
   const auto found = m_entries.find(aDocument.m_key);
   const bool isNew = found == m_entries.end();
@@ -42,7 +42,7 @@
 }
 
 const Document*
-DocumentTable::Newest(const ObjectKey& aKey) const
+DocumentRevisions::Newest(const ObjectKey& aKey) const
 {
   const auto found = m_entries.find(aKey);
   if (found == m_entries.end() || found->second.m_revisions.empty()) {
@@ -52,7 +52,7 @@
 }
 
 std::vector<const Document*>
-DocumentTable::Revisions(const ObjectKey& aKey) const
+DocumentRevisions::Revisions(const ObjectKey& aKey) const
 {
   std::vector<const Document*> result;
   const auto found = m_entries.find(aKey);
@@ -66,7 +66,7 @@
 }
 
 void
-DocumentTable::DropBelow(const ObjectKey& aKey, Revision aRevision)
+DocumentRevisions::DropBelow(const ObjectKey& aKey, Revision aRevision)
 {
   const auto found = m_entries.find(aKey);
   if (found == m_entries.end()) {
@@ -81,7 +81,8 @@
 }
 
 bool
-DocumentTable::DropOldest(const std::function<bool(const ObjectKey&)>& aMayDrop)
+DocumentRevisions::DropOldest(
+  const std::function<bool(const ObjectKey&)>& aMayDrop)
 {
   auto oldest = m_entries.end();
   for (auto place = m_entries.begin(); place != m_entries.end(); ++place) {
@@ -105,7 +106,7 @@
 }
 
 std::vector<Document>
-DocumentTable::All() const
+DocumentRevisions::All() const
 {
   std::vector<Document> result;
   for (const auto& [key, entry] : m_entries) {
@@ -117,7 +118,7 @@
 }
 
 std::vector<ObjectKey>
-DocumentTable::Keys() const
+DocumentRevisions::Keys() const
 {
   std::vector<ObjectKey> result;
   result.reserve(m_entries.size());
@@ -128,8 +129,8 @@
 }
 
 void
-DocumentTable::Remove(Entry& aEntry,
-                      std::map<Revision, Document>::iterator aPlace)
+DocumentRevisions::Remove(Entry& aEntry,
+                          std::map<Revision, Document>::iterator aPlace)
 {
   m_bytes -= SizeOf(aPlace->second);
   aEntry.m_revisions.erase(aPlace);
--- a/src/process/DocumentTable.h
+++ b/src/process/DocumentRevisions.h
@@ -1,7 +1,7 @@
 /// \file
 /// Bounded storage of documents: the newest revisions of each key.
 ///
-///     DocumentTable table({ .m_maxKeys = 512,
+///     DocumentRevisions table({ .m_maxKeys = 512,
 ///                           .m_maxRevisions = 4,
 ///                           .m_maxBytes = ByteCount{ 1 << 24 } });
 ///     if (table.Put(document) == PutResult::Stored) { ... }
@@ -41,11 +41,11 @@
 };
 
 /// Documents by key and revision.
-class DocumentTable
+class DocumentRevisions
 {
 public:
   /// Precondition: aLimits.m_maxRevisions > 0.
-  explicit DocumentTable(DocumentLimits aLimits)
+  explicit DocumentRevisions(DocumentLimits aLimits)
     : m_limits(aLimits)
   {
   }
--- a/src/process/DocumentTableTest.cpp
+++ b/src/process/DocumentRevisionsTest.cpp
@@ -1,4 +1,4 @@
-#include "process/DocumentTable.h"
+#include "process/DocumentRevisions.h"
 
 #include <criterion/criterion.h>
 
@@ -12,18 +12,18 @@
   return { ObjectKey(aKey), Revision(aRevision), std::string(aSize, 'x') };
 }
 
-DocumentTable
+DocumentRevisions
 Table()
 {
-  return DocumentTable(
+  return DocumentRevisions(
     { .m_maxKeys = 2, .m_maxRevisions = 2, .m_maxBytes = ByteCount{ 100 } });
 }
 
 } // namespace
 
-Test(DocumentTable, KeepsTheNewestRevisionsOfAKey)
+Test(DocumentRevisions, KeepsTheNewestRevisionsOfAKey)
 {
-  DocumentTable table = Table();
+  DocumentRevisions table = Table();
   cr_assert(table.Put(Make("a", 5)) == PutResult::Stored);
   cr_assert(table.Put(Make("a", 5)) == PutResult::Stale);
   cr_assert(table.Put(Make("a", 3)) == PutResult::Stored);
@@ -35,9 +35,9 @@
   cr_assert(revisions[1]->m_revision == Revision{ 5 });
 }
 
-Test(DocumentTable, DroppedRevisionsStayStale)
+Test(DocumentRevisions, DroppedRevisionsStayStale)
 {
-  DocumentTable table = Table();
+  DocumentRevisions table = Table();
   table.Put(Make("a", 5));
   table.DropBelow(ObjectKey("a"), Revision{ 6 });
   cr_assert(table.Newest(ObjectKey("a")) == nullptr);
@@ -45,9 +45,9 @@
   cr_assert(table.Put(Make("a", 6)) == PutResult::Stored);
 }
 
-Test(DocumentTable, TurnsAwayWhatIsOverItsBounds)
+Test(DocumentRevisions, TurnsAwayWhatIsOverItsBounds)
 {
-  DocumentTable table = Table();
+  DocumentRevisions table = Table();
   cr_assert(table.Put(Make("a", 1, 200)) == PutResult::TurnedAway);
   cr_assert(table.Newest(ObjectKey("a")) == nullptr);
   table.Put(Make("a", 1));
@@ -56,9 +56,9 @@
   cr_assert(table.Put(Make("b", 3, 90)) == PutResult::TurnedAway);
 }
 
-Test(DocumentTable, DropsTheOldestThatMayGo)
+Test(DocumentRevisions, DropsTheOldestThatMayGo)
 {
-  DocumentTable table = Table();
+  DocumentRevisions table = Table();
   table.Put(Make("a", 1));
   table.Put(Make("b", 2));
   const auto allButA = [](const ObjectKey& aKey) {
--- /dev/null
+++ b/src/process/StatusJson.cpp
@@ -0,0 +1,249 @@
+#include "process/StatusJson.h"
+
+#include <limits>
+#include <string_view>
+
+#include <boost/json.hpp>
+
+#include "base/TimeText.h"
+
+namespace tarragontray {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::int64_t kMaxSlots = 100'000;
+
+double
+Milliseconds(Duration aDuration)
+{
+  return std::chrono::duration<double, std::milli>(aDuration).count();
+}
+
+json::object
+ToJson(const MemberRecord& aMember)
+{
+  return { { "vm", aMember.m_vm.Value() },
+           { "data_centre", aMember.m_dataCentre.Value() },
+           { "region", aMember.m_region.Value() },
+           { "peer_address", aMember.m_peerAddress.ToString() },
+           { "incarnation", aMember.m_incarnation.Value() },
+           { "state", std::string(Name(aMember.m_state)) },
+           { "account", aMember.m_upstream.m_service.m_owner.Value() },
+           { "service", aMember.m_upstream.m_service.m_name.Value() },
+           { "version", aMember.m_upstream.m_version.Value() },
+           { "upstream_state", std::string(Name(aMember.m_upstream.m_state)) },
+           { "slots", aMember.m_upstream.m_slots.Value() } };
+}
+
+json::object
+ToJson(const AccountStatus& aAccount)
+{
+  json::object object{ { "account", aAccount.m_account.Value() },
+                       { "version", nullptr },
+                       { "floor", aAccount.m_floor.Value() } };
+  if (aAccount.m_inForce) {
+    object["version"] = aAccount.m_inForce->Value();
+  }
+  if (aAccount.m_pending) {
+    const PendingVersion& pending = *aAccount.m_pending;
+    object["pending"] = { { "version", pending.m_version.Value() },
+                          { "reason", std::string(Name(pending.m_reason)) },
+                          { "detail", pending.m_detail } };
+  }
+  return object;
+}
+
+json::object
+ToJson(const MoveStatus& aMove)
+{
+  json::object shares;
+  for (const auto& [dataCentre, share] : aMove.m_shares) {
+    shares[dataCentre.Value()] = share.Fraction();
+  }
+  const MovePlan& plan = aMove.m_plan;
+  json::object object{ { "account", plan.m_id.m_service.m_owner.Value() },
+                       { "service", plan.m_id.m_service.m_name.Value() },
+                       { "plan", plan.m_id.m_plan.Value() },
+                       { "from", plan.m_from.Value() },
+                       { "to", plan.m_to.Value() },
+                       { "start", FormatWallTime(plan.m_start) },
+                       { "deadline", FormatWallTime(plan.m_deadline) },
+                       { "state", std::string(Name(aMove.m_state)) },
+                       { "shares", std::move(shares) },
+                       { "reason", aMove.m_reason },
+                       { "route", aMove.m_route.Value() },
+                       { "calls", aMove.m_calls.Value() } };
+  if (aMove.m_time) {
+    object["time"] = FormatWallTime(*aMove.m_time);
+  }
+  return object;
+}
+
+json::object
+ToJson(const UsageEntry& aEntry)
+{
+  return { { "using", aEntry.m_key.m_using.Value() },
+           { "owning", aEntry.m_key.m_owning.Value() },
+           { "calls", aEntry.m_usage.m_calls.Value() },
+           { "slot_ms", Milliseconds(aEntry.m_usage.m_slotTime) } };
+}
+
+template<typename T>
+json::array
+ToJson(const std::vector<T>& aItems)
+{
+  json::array array;
+  array.reserve(aItems.size());
+  for (const T& item : aItems) {
+    array.emplace_back(ToJson(item));
+  }
+  return array;
+}
+
+json::object
+ToJson(const ControlFigures& aFigures)
+{
+  return { { "processor_ms", Milliseconds(aFigures.m_processorTime) },
+           { "sent_bytes", aFigures.m_sent.Value() },
+           { "received_bytes", aFigures.m_received.Value() },
+           { "platform_calls", aFigures.m_platformCalls.Value() },
+           { "bad_datagrams", aFigures.m_badDatagrams.Value() } };
+}
+
+json::object
+ToJson(const GuardFigures& aFigures)
+{
+  return { { "running", aFigures.m_load.m_running },
+           { "queued", aFigures.m_load.m_queued },
+           { "slots", aFigures.m_load.m_slots.Value() },
+           { "refused", aFigures.m_refused.Value() },
+           { "ran", aFigures.m_ran.Value() } };
+}
+
+Error
+BadField(const std::string& aField, const std::string& aDetail)
+{
+  return Error(ErrorCode::InvalidArgument,
+               "upstream.announce",
+               "",
+               "field '" + aField + "' " + aDetail);
+}
+
+Result<std::string>
+TextField(const json::object& aObject, const std::string& aName)
+{
+  constexpr std::size_t kMaxText = 128;
+  const json::value* value = aObject.if_contains(aName);
+  if (value == nullptr || !value->is_string() || value->as_string().empty() ||
+      value->as_string().size() > kMaxText) {
+    return BadField(aName, "must be text of 1 to 128 characters");
+  }
+  return std::string(value->as_string());
+}
+
+Result<UpstreamState>
+StateField(const json::object& aObject)
+{
+  BOOST_OUTCOME_TRY(const std::string text, TextField(aObject, "state"));
+  for (const UpstreamState state : { UpstreamState::Starting,
+                                     UpstreamState::Live,
+                                     UpstreamState::Draining }) {
+    if (text == Name(state)) {
+      return state;
+    }
+  }
+  return BadField("state", "must be starting, live or draining");
+}
+
+} // namespace
+
+std::string
+StatusJson(const ControlStatus& aStatus,
+           const ControlFigures& aControl,
+           const GuardFigures& aGuard,
+           bool aIsDraining)
+{
+  json::object object{
+    { "vm", aStatus.m_self.m_vm.Value() },
+    { "data_centre", aStatus.m_self.m_dataCentre.Value() },
+    { "program_version", TARRAGONTRAY_VERSION },
+    { "draining", aIsDraining },
+    { "relay", aStatus.m_isRelay },
+    { "below_floor", aStatus.m_isBelowFloor },
+    { "highest_revision", aStatus.m_digest.m_highest.Value() },
+    { "members", ToJson(aStatus.m_members) },
+    { "configurations", ToJson(aStatus.m_accounts) },
+    { "moves", ToJson(aStatus.m_moves) },
+    { "ledger", ToJson(aStatus.m_ledger) },
+    { "control", ToJson(aControl) },
+    { "guard", ToJson(aGuard) },
+    { "membership",
+      { { "probes", aStatus.m_membership.m_probes },
+        { "suspected", aStatus.m_membership.m_suspected },
+        { "declared_dead", aStatus.m_membership.m_declaredDead },
+        { "refuted", aStatus.m_membership.m_refuted } } },
+    { "distribution",
+      { { "stale", aStatus.m_distribution.m_stale },
+        { "spread", aStatus.m_distribution.m_spread },
+        { "pulls", aStatus.m_gossip.m_pulls },
+        { "pulls_failed", aStatus.m_gossip.m_pullsFailed } } }
+  };
+  return json::serialize(object);
+}
+
+Result<UpstreamReport>
+ParseUpstreamReport(const std::string& aText)
+{
+  boost::system::error_code error;
+  const json::value value = json::parse(aText, error);
+  if (error || !value.is_object()) {
+    return Error(
+      ErrorCode::Malformed, "upstream.announce", "", "not a JSON object");
+  }
+  const json::object& object = value.as_object();
+  UpstreamReport report;
+  UpstreamAnnouncement& announcement = report.m_announcement;
+  BOOST_OUTCOME_TRY(auto account, TextField(object, "account"));
+  BOOST_OUTCOME_TRY(auto service, TextField(object, "service"));
+  BOOST_OUTCOME_TRY(auto version, TextField(object, "version"));
+  BOOST_OUTCOME_TRY(announcement.m_state, StateField(object));
+  BOOST_OUTCOME_TRY(const auto address, TextField(object, "address"));
+  BOOST_OUTCOME_TRY(report.m_address, NetworkAddress::Parse(address));
+  announcement.m_service = { ClientAccountId(std::move(account)),
+                             ServiceName(std::move(service)) };
+  announcement.m_version = UpstreamVersion(std::move(version));
+  const json::value* slots = object.if_contains("slots");
+  if (slots == nullptr || !slots->is_int64() || slots->as_int64() < 1 ||
+      slots->as_int64() > kMaxSlots) {
+    return BadField("slots", "must be a whole number of 1 to 100000");
+  }
+  announcement.m_slots =
+    SlotCount(static_cast<std::uint32_t>(slots->as_int64()));
+  return report;
+}
+
+std::string
+OutcomeJson(const MoveOutcome& aOutcome)
+{
+  return json::serialize(
+    json::object{ { "account", aOutcome.m_move.m_service.m_owner.Value() },
+                  { "service", aOutcome.m_move.m_service.m_name.Value() },
+                  { "plan", aOutcome.m_move.m_plan.Value() },
+                  { "state", std::string(Name(aOutcome.m_state)) },
+                  { "time", FormatWallTime(aOutcome.m_time) },
+                  { "route", aOutcome.m_route.Value() },
+                  { "reason", aOutcome.m_reason } });
+}
+
+std::string
+UsageJson(const UsageReport& aReport)
+{
+  return json::serialize(
+    json::object{ { "vm", aReport.m_vm.Value() },
+                  { "incarnation", aReport.m_incarnation.Value() },
+                  { "usage", ToJson(aReport.m_entries) } });
+}
+
+} // namespace tarragontray
