Add complete examples of both deployments and the configuration page

An operator needs something to start from, and tools need the layout of the data centres.

Test: they decode and expand, the targets add up, purchases and confirmations are not idempotent, members come before roster lookups.

--- a/src/version/Expansion.cmake
+++ b/src/version/Expansion.cmake
@@ -15,3 +15,4 @@
 tt_test(expansion_test
   SRCS ChangeValidationTest.cpp ConfigurationJsonTest.cpp ExpansionTest.cpp
   DEPS tt_configuration_samples)
+tt_test(examples_test SRCS ExamplesTest.cpp DEPS tt_configuration_json)
