Add scripted move sessions and the experiment over all kinds of moves

Change: MoveScenarios draws 13 kinds of bad and 10 kinds of good moves from a seed; tarragontray-experiment-moves plays them with SequentialMovePolicy and with FixedStepPolicy. The datagram carries the epoch of a data centre's progress; its codec test covers it.

--- a/src/connection/DatagramCodec.cpp
+++ b/src/connection/DatagramCodec.cpp
@@ -149,6 +149,7 @@
     DataCentreId dataCentre;
     aSource.Shared(dataCentre);
     DataCentreProgress& progress = aProgress.m_dataCentres[dataCentre];
+    Get(reader, progress.m_epoch);
     Get(reader, progress.m_share);
     if (GetFlag(reader)) {
       Get(reader, progress.m_wholeSince.emplace());
--- a/src/connection/DatagramCodecTest.cpp
+++ b/src/connection/DatagramCodecTest.cpp
@@ -34,8 +34,10 @@
   MoveProgress progress;
   progress.m_move = { Record(1).m_upstream.m_service, PlanNumber(4) };
   const WallTime time{ std::chrono::seconds(1'796'000'000) };
-  progress.m_dataCentres[DataCentreId("dc1")] = { Share::All(), time };
-  progress.m_dataCentres[DataCentreId("dc2")] = { Share::None(), {} };
+  progress.m_dataCentres[DataCentreId("dc1")] = { ProgressEpoch(3),
+                                                  Share::All(),
+                                                  time };
+  progress.m_dataCentres[DataCentreId("dc2")] = { {}, Share::None(), {} };
   progress.m_veto =
     Veto{ time, DataCentreId("dc2"), RouteName("buy"), "failures new=3/4" };
   return progress;
--- a/src/process/DatagramLayout.h
+++ b/src/process/DatagramLayout.h
@@ -100,6 +100,7 @@
   aSink.Number(aProgress.m_dataCentres.size());
   for (const auto& [dataCentre, progress] : aProgress.m_dataCentres) {
     aSink.Shared(dataCentre.Value());
+    aSink.Number(progress.m_epoch.Value());
     aSink.Number(progress.m_share.Parts());
     aSink.Number(progress.m_wholeSince ? 1 : 0);
     if (progress.m_wholeSince) {
--- /dev/null
+++ b/src/programs/MoveExperiment.cpp
@@ -0,0 +1,233 @@
+/// \file
+/// Compares move policies over seeded moves of all kinds.
+///
+///     tarragontray-experiment-moves --seeds 10 --first-seed 1 --json
+#include <algorithm>
+#include <cstdint>
+#include <cstdio>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include <boost/json.hpp>
+#include <cxxopts.hpp>
+
+#include "version/FixedStepPolicy.h"
+#include "version/SequentialMovePolicy.h"
+#include "version/testing/MoveScenarios.h"
+
+namespace tarragontray {
+namespace {
+
+using testing::PolicyFactory;
+using testing::ScenarioKind;
+using testing::ScenarioOutcome;
+
+/// A policy under comparison.
+struct Contender
+{
+  std::string m_name;
+  PolicyFactory m_make;
+};
+
+/// The figures of one policy over one kind, or over all.
+struct Summary
+{
+  std::string m_policy;
+  std::string m_kind;
+  std::size_t m_moves = 0;
+  std::size_t m_doneInTime = 0;
+  std::size_t m_takenBack = 0;
+  double m_hurtMedian = 0.0;
+  double m_hurtMax = 0.0;
+  double m_reactionMedian = 0.0;
+  double m_reactionMax = 0.0;
+};
+
+std::vector<Contender>
+Contenders()
+{
+  return {
+    { "sequential",
+      [] {
+        return SequentialMovePolicy::Create(SequentialSettings{}).value();
+      } },
+    { "fixed-step",
+      [] { return FixedStepPolicy::Create(FixedStepSettings{}).value(); } }
+  };
+}
+
+double
+Quantile(std::vector<double> aValues, double aPart)
+{
+  if (aValues.empty()) {
+    return 0.0;
+  }
+  std::sort(aValues.begin(), aValues.end());
+  const auto last = static_cast<double>(aValues.size() - 1);
+  return aValues[static_cast<std::size_t>(aPart * last)];
+}
+
+Summary
+Summarise(const std::string& aPolicy,
+          const std::string& aKind,
+          const std::vector<ScenarioOutcome>& aOutcomes)
+{
+  Summary summary;
+  summary.m_policy = aPolicy;
+  summary.m_kind = aKind;
+  summary.m_moves = aOutcomes.size();
+  std::vector<double> hurt;
+  std::vector<double> reactions;
+  for (const ScenarioOutcome& outcome : aOutcomes) {
+    summary.m_doneInTime += outcome.m_isDoneInTime ? 1 : 0;
+    summary.m_takenBack += outcome.m_isTakenBack ? 1 : 0;
+    hurt.push_back(outcome.m_hurtPart);
+    if (outcome.m_reaction) {
+      reactions.push_back(
+        std::chrono::duration<double>(*outcome.m_reaction).count());
+    }
+  }
+  summary.m_hurtMedian = Quantile(hurt, 0.5);
+  summary.m_hurtMax = Quantile(hurt, 1.0);
+  summary.m_reactionMedian = Quantile(reactions, 0.5);
+  summary.m_reactionMax = Quantile(reactions, 1.0);
+  return summary;
+}
+
+void
+PrintWrong(const Contender& aContender, const ScenarioOutcome& aOutcome)
+{
+  std::cerr << "wrong policy=" << aContender.m_name
+            << " kind=" << testing::Name(aOutcome.m_kind)
+            << " seed=" << aOutcome.m_seed
+            << " state=" << Name(aOutcome.m_result.m_state) << " reason=\""
+            << aOutcome.m_result.m_reason << "\"\n";
+}
+
+std::vector<Summary>
+RunContender(const Contender& aContender,
+             std::uint64_t aFirstSeed,
+             std::uint64_t aSeeds,
+             bool aVerbose)
+{
+  std::vector<Summary> summaries;
+  std::vector<ScenarioOutcome> bad;
+  std::vector<ScenarioOutcome> good;
+  for (const ScenarioKind kind : testing::AllScenarioKinds()) {
+    std::vector<ScenarioOutcome> outcomes;
+    for (std::uint64_t i = 0; i < aSeeds; ++i) {
+      outcomes.push_back(
+        testing::PlayScenario(kind, aFirstSeed + i, aContender.m_make));
+      const ScenarioOutcome& outcome = outcomes.back();
+      const bool isRight =
+        testing::IsBad(kind) ? outcome.m_isTakenBack : outcome.m_isDoneInTime;
+      if (aVerbose && !isRight) {
+        PrintWrong(aContender, outcome);
+      }
+    }
+    summaries.push_back(
+      Summarise(aContender.m_name, std::string(testing::Name(kind)), outcomes));
+    auto& group = testing::IsBad(kind) ? bad : good;
+    group.insert(group.end(), outcomes.begin(), outcomes.end());
+  }
+  summaries.push_back(Summarise(aContender.m_name, "all-bad", bad));
+  summaries.push_back(Summarise(aContender.m_name, "all-good", good));
+  return summaries;
+}
+
+void
+PrintTable(const std::vector<Summary>& aSummaries)
+{
+  std::printf("%-11s %-20s %5s %6s %6s %9s %9s %9s %9s\n",
+              "policy",
+              "kind",
+              "moves",
+              "done",
+              "back",
+              "hurt-p50",
+              "hurt-max",
+              "stop-p50",
+              "stop-max");
+  for (const Summary& row : aSummaries) {
+    std::printf("%-11s %-20s %5zu %6zu %6zu %8.3f%% %8.3f%% %8.1fs %8.1fs\n",
+                row.m_policy.c_str(),
+                row.m_kind.c_str(),
+                row.m_moves,
+                row.m_doneInTime,
+                row.m_takenBack,
+                100.0 * row.m_hurtMedian,
+                100.0 * row.m_hurtMax,
+                row.m_reactionMedian,
+                row.m_reactionMax);
+  }
+}
+
+boost::json::array
+ToJson(const std::vector<Summary>& aSummaries)
+{
+  boost::json::array rows;
+  for (const Summary& row : aSummaries) {
+    rows.push_back({ { "policy", row.m_policy },
+                     { "kind", row.m_kind },
+                     { "moves", row.m_moves },
+                     { "done_in_time", row.m_doneInTime },
+                     { "taken_back", row.m_takenBack },
+                     { "hurt_part_p50", row.m_hurtMedian },
+                     { "hurt_part_max", row.m_hurtMax },
+                     { "stop_seconds_p50", row.m_reactionMedian },
+                     { "stop_seconds_max", row.m_reactionMax } });
+  }
+  return rows;
+}
+
+int
+Run(int aCount, const char* const* aArguments)
+{
+  cxxopts::Options options("tarragontray-experiment-moves",
+                           "Compares move policies over seeded moves.");
+  cxxopts::OptionAdder add = options.add_options();
+  add("first-seed",
+      "the first seed of each kind",
+      cxxopts::value<std::uint64_t>()->default_value("1"));
+  add("seeds",
+      "moves of each kind",
+      cxxopts::value<std::uint64_t>()->default_value("10"));
+  add("json", "print JSON instead of a table");
+  add("verbose", "print each wrong move to standard error");
+  add("help", "print this help");
+  const cxxopts::ParseResult flags = options.parse(aCount, aArguments);
+  if (flags.count("help") > 0) {
+    std::cout << options.help();
+    return 0;
+  }
+  std::vector<Summary> all;
+  for (const Contender& contender : Contenders()) {
+    const std::vector<Summary> rows =
+      RunContender(contender,
+                   flags["first-seed"].as<std::uint64_t>(),
+                   flags["seeds"].as<std::uint64_t>(),
+                   flags.count("verbose") > 0);
+    all.insert(all.end(), rows.begin(), rows.end());
+  }
+  if (flags.count("json") > 0) {
+    std::cout << boost::json::serialize(ToJson(all)) << "\n";
+  } else {
+    PrintTable(all);
+  }
+  return 0;
+}
+
+} // namespace
+} // namespace tarragontray
+
+int
+main(int aCount, char** aArguments)
+{
+  try {
+    return tarragontray::Run(aCount, aArguments);
+  } catch (const std::exception& error) {
+    std::cerr << "experiment: " << error.what() << "\n";
+    return 2;
+  }
+}
--- a/src/version/Moves.cmake
+++ b/src/version/Moves.cmake
@@ -12,6 +12,6 @@
 # The model of the systems served and scripted sessions, for tests and
 # experiments.
 tt_library(tt_move_session
-  SRCS testing/MoveSession.cpp testing/UpstreamModel.cpp
+  SRCS testing/MoveScenarios.cpp testing/MoveSession.cpp testing/UpstreamModel.cpp
   DEPS tt_moves)
 tt_test(moves_test SRCS MovesTest.cpp DEPS tt_move_session)
--- a/src/version/Moves.cpp
+++ b/src/version/Moves.cpp
@@ -192,9 +192,12 @@
   MoveActions actions;
   actions.m_splitsChanged = std::exchange(m_plansChanged, false);
   m_lastTick = aNow;
+  // Wall times cross the wire in microseconds.
+  const Times times{ aNow,
+                     std::chrono::floor<std::chrono::microseconds>(aWall) };
   for (auto& [id, record] : m_records) {
     if (record.m_isInForce) {
-      record.m_move->Tick(Times{ aNow, aWall }, actions);
+      record.m_move->Tick(times, actions);
     }
   }
   Expire(aNow);
--- /dev/null
+++ b/src/version/testing/MoveScenarios.cpp
@@ -0,0 +1,290 @@
+#include "version/testing/MoveScenarios.h"
+
+#include <algorithm>
+
+namespace tarragontray::testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::array<std::string_view, kScenarioKinds> kNames{
+  "fails-at-once",       "fails-late",
+  "fails-in-hold",       "slow",
+  "slow-under-load",     "caller-errors",
+  "one-route",           "one-data-centre",
+  "bad-little-traffic",  "bad-in-load-peak",
+  "bad-platform-out",    "bad-steward-paused",
+  "bad-two-stewards",    "healthy",
+  "one-sick-target",     "load-peak",
+  "shared-fault",        "cold-starts",
+  "little-traffic",      "platform-out",
+  "data-centre-cut-off", "steward-paused",
+  "two-stewards",
+};
+
+/// Draws from a range.
+class Draw
+{
+public:
+  explicit Draw(Random& aRandom)
+    : m_random(aRandom)
+  {
+  }
+
+  double Between(double aLow, double aHigh)
+  {
+    return aLow + (aHigh - aLow) * m_random.Fraction();
+  }
+  Duration Between(Duration aLow, Duration aHigh)
+  {
+    return aLow + std::chrono::duration_cast<Duration>((aHigh - aLow) *
+                                                       m_random.Fraction());
+  }
+  std::size_t Below(std::size_t aBound) { return m_random.Below(aBound); }
+
+private:
+  Random& m_random;
+};
+
+ModelFault
+Failing(Draw& aDraw)
+{
+  ModelFault fault;
+  fault.m_side = VersionSide::New;
+  fault.m_failureRate = aDraw.Between(0.1, 1.0);
+  return fault;
+}
+
+ModelFault
+AnyFault(Draw& aDraw)
+{
+  if (aDraw.Below(3) > 0) {
+    return Failing(aDraw);
+  }
+  ModelFault fault;
+  fault.m_side = VersionSide::New;
+  fault.m_slowdown = aDraw.Between(2.0, 5.0);
+  return fault;
+}
+
+/// A time while the move runs, before a version can be done.
+SessionTime
+MidMove(Draw& aDraw)
+{
+  return aDraw.Between(SessionTime(20s), SessionTime(95s));
+}
+
+void
+MakeBad(ScenarioKind aKind, Draw& aDraw, SessionSettings& aSettings)
+{
+  ModelFault fault = Failing(aDraw);
+  switch (aKind) {
+    case ScenarioKind::FailsLate:
+      fault.m_begin = MidMove(aDraw);
+      break;
+    case ScenarioKind::FailsInHold:
+      fault.m_begin = aDraw.Between(SessionTime(98s), SessionTime(112s));
+      break;
+    case ScenarioKind::Slow:
+      fault.m_failureRate = 0.0;
+      fault.m_slowdown = aDraw.Between(2.0, 5.0);
+      break;
+    case ScenarioKind::SlowUnderLoad:
+      fault.m_failureRate = 0.0;
+      fault.m_slowdown = aDraw.Between(2.0, 5.0);
+      fault.m_aboveLoad = aDraw.Between(0.1, 0.4);
+      break;
+    case ScenarioKind::CallerErrors:
+      fault.m_failureRate = 0.0;
+      fault.m_callerErrorRate = aDraw.Between(0.15, 1.0);
+      break;
+    case ScenarioKind::OneRoute:
+      fault = AnyFault(aDraw);
+      fault.m_route = aDraw.Below(2);
+      fault.m_begin = aDraw.Below(2) == 0 ? SessionTime(0) : MidMove(aDraw);
+      break;
+    case ScenarioKind::OneDataCentre:
+      fault = AnyFault(aDraw);
+      fault.m_dataCentre = aDraw.Below(aSettings.m_dataCentres);
+      break;
+    case ScenarioKind::BadWithLittleTraffic:
+      fault.m_failureRate = aDraw.Between(0.3, 1.0);
+      aSettings.m_callsPerSecond = aDraw.Between(0.5, 3.0);
+      break;
+    case ScenarioKind::BadInLoadPeak:
+      fault.m_begin = MidMove(aDraw);
+      aSettings.m_peakFactor = aDraw.Between(1.5, 2.4);
+      aSettings.m_peak = { fault.m_begin - 5s, fault.m_begin + 25s };
+      break;
+    case ScenarioKind::BadWhilePlatformOut:
+      fault = AnyFault(aDraw);
+      fault.m_begin = MidMove(aDraw);
+      aSettings.m_platformOut = { 5s, 180s };
+      break;
+    case ScenarioKind::BadWhileStewardPaused:
+      fault = AnyFault(aDraw);
+      fault.m_begin = MidMove(aDraw);
+      aSettings.m_stewardPause =
+        SessionSpan{ aDraw.Between(SessionTime(5s), fault.m_begin), 180s };
+      break;
+    case ScenarioKind::BadWithTwoStewards:
+      fault = AnyFault(aDraw);
+      fault.m_begin = MidMove(aDraw);
+      aSettings.m_hasTwoStewards = true;
+      break;
+    default:
+      break;
+  }
+  aSettings.m_model.m_faults.push_back(fault);
+}
+
+ModelFault
+SickTarget(Draw& aDraw, const SessionSettings& aSettings)
+{
+  ModelFault fault;
+  fault.m_dataCentre = aDraw.Below(aSettings.m_dataCentres);
+  fault.m_target = aDraw.Below(aSettings.m_model.m_targets);
+  fault.m_begin = MidMove(aDraw);
+  if (aDraw.Below(2) == 0) {
+    fault.m_failureRate = aDraw.Between(0.3, 1.0);
+  } else {
+    fault.m_slowdown = aDraw.Between(3.0, 8.0);
+  }
+  // Sick, whatever version it runs; the old version's own target is well.
+  fault.m_side = VersionSide::New;
+  return fault;
+}
+
+ModelFault
+SharedFault(Draw& aDraw)
+{
+  ModelFault fault;
+  fault.m_begin = MidMove(aDraw);
+  fault.m_end = fault.m_begin + aDraw.Between(Duration(3s), Duration(25s));
+  if (aDraw.Below(2) == 0) {
+    fault.m_failureRate = aDraw.Between(0.2, 1.0);
+  } else {
+    fault.m_slowdown = aDraw.Between(2.0, 5.0);
+  }
+  return fault;
+}
+
+void
+MakeGood(ScenarioKind aKind, Draw& aDraw, SessionSettings& aSettings)
+{
+  switch (aKind) {
+    case ScenarioKind::OneSickTarget:
+      aSettings.m_model.m_faults.push_back(SickTarget(aDraw, aSettings));
+      break;
+    case ScenarioKind::LoadPeak: {
+      const SessionTime begin = MidMove(aDraw);
+      aSettings.m_peakFactor = aDraw.Between(1.5, 2.8);
+      aSettings.m_peak = { begin,
+                           begin + aDraw.Between(Duration(5s), Duration(25s)) };
+      break;
+    }
+    case ScenarioKind::SharedFault:
+      aSettings.m_model.m_faults.push_back(SharedFault(aDraw));
+      break;
+    case ScenarioKind::ColdStarts:
+      aSettings.m_model.m_coldSlowdown = aDraw.Between(2.0, 6.0);
+      aSettings.m_model.m_coldTime = aDraw.Between(Duration(2s), Duration(5s));
+      break;
+    case ScenarioKind::LittleTraffic:
+      aSettings.m_callsPerSecond = aDraw.Between(0.1, 2.0);
+      break;
+    case ScenarioKind::PlatformOut:
+      aSettings.m_platformOut = { 5s, 170s };
+      break;
+    case ScenarioKind::DataCentreCutOff: {
+      const SessionTime begin = aDraw.Between(SessionTime(15s), 80s);
+      const Duration length = aDraw.Between(Duration(20s), Duration(60s));
+      aSettings.m_cut = SessionCut{ aDraw.Below(aSettings.m_dataCentres),
+                                    { begin, begin + length } };
+      break;
+    }
+    case ScenarioKind::StewardPaused: {
+      const SessionTime begin = aDraw.Between(SessionTime(5s), 90s);
+      aSettings.m_stewardPause =
+        SessionSpan{ begin, begin + aDraw.Between(Duration(5s), 100s) };
+      break;
+    }
+    case ScenarioKind::TwoStewards:
+      aSettings.m_hasTwoStewards = true;
+      break;
+    default:
+      break;
+  }
+}
+
+} // namespace
+
+std::array<ScenarioKind, kScenarioKinds>
+AllScenarioKinds()
+{
+  std::array<ScenarioKind, kScenarioKinds> all{};
+  for (std::size_t i = 0; i < kScenarioKinds; ++i) {
+    all[i] = static_cast<ScenarioKind>(i);
+  }
+  return all;
+}
+
+std::string_view
+Name(ScenarioKind aKind)
+{
+  return kNames[static_cast<std::size_t>(aKind)];
+}
+
+bool
+IsBad(ScenarioKind aKind)
+{
+  return aKind < ScenarioKind::Healthy;
+}
+
+SessionSettings
+MakeScenario(ScenarioKind aKind, std::uint64_t aSeed)
+{
+  SeededRandom random(aSeed * kScenarioKinds +
+                      static_cast<std::uint64_t>(aKind));
+  Draw draw(random);
+  SessionSettings settings;
+  settings.m_seed = random.Next();
+  settings.m_dataCentres = 1 + draw.Below(3);
+  settings.m_nodes = 3 + draw.Below(3);
+  settings.m_model.m_targets = 3 + draw.Below(4);
+  const double capacity =
+    static_cast<double>(settings.m_model.m_targets * settings.m_model.m_slots) /
+    0.1;
+  settings.m_callsPerSecond = capacity * draw.Between(0.45, 0.7);
+  if (IsBad(aKind)) {
+    MakeBad(aKind, draw, settings);
+  } else {
+    MakeGood(aKind, draw, settings);
+  }
+  return settings;
+}
+
+ScenarioOutcome
+PlayScenario(ScenarioKind aKind,
+             std::uint64_t aSeed,
+             const PolicyFactory& aPolicy)
+{
+  ScenarioOutcome outcome;
+  outcome.m_kind = aKind;
+  outcome.m_seed = aSeed;
+  outcome.m_result = MoveSession(MakeScenario(aKind, aSeed), aPolicy).Run();
+  const SessionResult& result = outcome.m_result;
+  outcome.m_isTakenBack = result.m_state == MoveState::TakenBack;
+  outcome.m_isDoneInTime =
+    result.m_isWholeInTime && result.m_state == MoveState::Done;
+  outcome.m_hurtPart =
+    static_cast<double>(result.m_hurtCalls) /
+    static_cast<double>(std::max<std::size_t>(1, result.m_calls));
+  if (outcome.m_isTakenBack && result.m_firstBadSign && result.m_lastNewCall) {
+    outcome.m_reaction = *result.m_lastNewCall - *result.m_firstBadSign;
+  }
+  return outcome;
+}
+
+} // namespace tarragontray::testing
