Add membership, distribution and move gossip, first version

One path from end to end: nodes find each other through seeds, probe inside their data centre (SWIM with Lifeguard's local health), pass changes between data centres through relays, and spread documents and moves along trees that every member derives from (root, seed, live members). Digests on probes start pulls over TCP that repair what was lost. Gossip composes the three parts for one socket. Ruled out: raising the incarnation to refute. (incarnation, sequence) orders records; a refutation raises the sequence, so that the incarnation names one run of the process, as evidence and ledger need it.

--- a/src/connection/DatagramCodec.cpp
+++ b/src/connection/DatagramCodec.cpp
@@ -261,6 +261,7 @@
 Get(Source& aSource, PullAnswer& aAnswer)
 {
   aAnswer.m_busy = GetFlag(aSource.Values());
+  Get(aSource.Values(), aAnswer.m_floor);
   Get(aSource, aAnswer.m_members);
   Get(aSource, aAnswer.m_documents);
   Get(aSource, aAnswer.m_moves);
--- a/src/connection/DatagramCodecTest.cpp
+++ b/src/connection/DatagramCodecTest.cpp
@@ -177,15 +177,19 @@
   cr_assert(readRequest.value().m_members == request.m_members);
   cr_assert(readRequest.value().m_documents == request.m_documents);
   cr_assert(readRequest.value().m_moves == request.m_moves);
+  cr_assert_eq(EncodedSize(request), asked.size());
 
   PullAnswer answer;
   answer.m_busy = true;
+  answer.m_floor = Revision(300);
   answer.m_members = { Record(1) };
   answer.m_documents = FullDatagram().m_documents;
   answer.m_moves = { Progress() };
   const std::string bytes = EncodePullAnswer(answer);
+  cr_assert_eq(EncodedSize(answer), bytes.size());
   const Result<PullAnswer> read = DecodePullAnswer(bytes, "p");
   cr_assert(read.has_value() && read.value().m_busy);
+  cr_assert(read.value().m_floor == answer.m_floor);
   cr_assert(read.value().m_members == answer.m_members);
   cr_assert(read.value().m_documents == answer.m_documents);
   cr_assert(read.value().m_moves == answer.m_moves);
--- a/src/process/DatagramLayout.h
+++ b/src/process/DatagramLayout.h
@@ -219,6 +219,7 @@
 Layout(Sink& aSink, const PullAnswer& aAnswer)
 {
   aSink.Number(aAnswer.m_busy ? 1 : 0);
+  aSink.Number(aAnswer.m_floor.Value());
   Layout(aSink, aAnswer.m_members);
   Layout(aSink, aAnswer.m_documents);
   Layout(aSink, aAnswer.m_moves);
--- a/src/process/DatagramSize.cpp
+++ b/src/process/DatagramSize.cpp
@@ -6,6 +6,20 @@
 
 namespace tarragontray {
 
+namespace {
+
+template<typename T>
+std::size_t
+SizeOf(const T& aMessage)
+{
+  CountingSink sink;
+  sink.Number(kDatagramFormat);
+  Layout(sink, aMessage);
+  return sink.Bytes();
+}
+
+} // namespace
+
 void
 CountingSink::Number(std::uint64_t aNumber)
 {
@@ -65,7 +79,19 @@
 std::size_t
 EncodedSize(const Datagram& aDatagram)
 {
-  return DatagramSize(aDatagram).Bytes();
+  return SizeOf(aDatagram);
+}
+
+std::size_t
+EncodedSize(const PullRequest& aRequest)
+{
+  return SizeOf(aRequest);
+}
+
+std::size_t
+EncodedSize(const PullAnswer& aAnswer)
+{
+  return SizeOf(aAnswer);
 }
 
 } // namespace tarragontray
--- a/src/process/DatagramSize.h
+++ b/src/process/DatagramSize.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "process/Datagram.h"
+#include "process/Pull.h"
 
 namespace tarragontray {
 
@@ -61,8 +62,12 @@
   CountingSink m_sink;
 };
 
-/// The encoded size of one message on its own.
+/// The encoded size of one message.
 std::size_t
 EncodedSize(const Datagram& aDatagram);
+std::size_t
+EncodedSize(const PullRequest& aRequest);
+std::size_t
+EncodedSize(const PullAnswer& aAnswer);
 
 } // namespace tarragontray
--- /dev/null
+++ b/src/process/Distribution.cpp
@@ -0,0 +1,242 @@
+#include "process/Distribution.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "process/DatagramSize.h"
+
+namespace tarragontray {
+
+namespace {
+
+/// The wait of a node that is no relay, in ranks.
+constexpr std::size_t kLastRank = 3;
+/// The widest seed, for counting the bytes of a path.
+constexpr std::uint32_t kWidestSeed = 0xFFFFFFFF;
+
+} // namespace
+
+Result<Distribution>
+Distribution::Create(const DistributionSettings& aSettings,
+                     SpreadTopology& aTopology,
+                     Random& aRandom)
+{
+  if (aSettings.m_platformReads <= 0 || aSettings.m_platformBurst < 1) {
+    return Error(ErrorCode::InvalidArgument,
+                 "distribution.create",
+                 "",
+                 "platform reads need a rate above 0 and a burst of 1");
+  }
+  return Distribution(aSettings, aTopology, aRandom);
+}
+
+Distribution::Distribution(const DistributionSettings& aSettings,
+                           SpreadTopology& aTopology,
+                           Random& aRandom)
+  : m_settings(aSettings)
+  , m_topology(&aTopology)
+  , m_random(&aRandom)
+  , m_table(aSettings.m_maxDocuments)
+  , m_platformReads(aSettings.m_platformReads, aSettings.m_platformBurst)
+{
+}
+
+void
+Distribution::Receive(const Datagram& aDatagram)
+{
+  Apply(aDatagram.m_documents);
+  if (!aDatagram.m_path) {
+    return;
+  }
+  // The tree covers the data centre: no need to start another one.
+  for (const Document& document : aDatagram.m_documents) {
+    const Document* held = m_table.Find(document.m_key);
+    if (held != nullptr && held->m_revision == document.m_revision) {
+      m_waiting.erase(document.m_key);
+    }
+  }
+}
+
+DistributionActions
+Distribution::Tick(MonotonicTime aNow)
+{
+  DistributionActions actions;
+  if (!m_coldAt) {
+    const auto wait = static_cast<std::uint64_t>(m_settings.m_coldWait.count());
+    m_coldAt =
+      aNow + m_settings.m_coldWait + Duration(m_random->Below(wait + 1));
+  }
+  std::set<ObjectKey> due;
+  for (const auto& [key, time] : m_waiting) {
+    if (time <= aNow) {
+      due.insert(key);
+    }
+  }
+  for (const ObjectKey& key : due) {
+    m_waiting.erase(key);
+  }
+  if (!due.empty()) {
+    m_counters.m_spread += due.size();
+    Send(due, std::nullopt, actions.m_send);
+  }
+  actions.m_changed = !m_changed.empty();
+  return actions;
+}
+
+MonotonicTime
+Distribution::NextTick() const
+{
+  MonotonicTime next = MonotonicTime::max();
+  for (const auto& [key, time] : m_waiting) {
+    next = std::min(next, time);
+  }
+  return next;
+}
+
+void
+Distribution::OfferFromPlatform(const std::vector<Document>& aDocuments,
+                                Revision aComplete,
+                                MonotonicTime aNow)
+{
+  // A read that is behind does not move the watch back.
+  m_complete = std::max(m_complete, aComplete);
+  SpreadLater(Apply(aDocuments), aNow);
+}
+
+DistributionActions
+Distribution::OfferFromPeer(const std::vector<Document>& aDocuments,
+                            DocumentSource aSource,
+                            const std::optional<SpreadPath>& aPath,
+                            MonotonicTime aNow)
+{
+  DistributionActions actions;
+  const std::set<ObjectKey> changed = Apply(aDocuments);
+  actions.m_changed = !changed.empty();
+  if (changed.empty()) {
+    return actions;
+  }
+  if (aPath) {
+    Send(changed, aPath, actions.m_send);
+  } else if (aSource == DocumentSource::OtherDataCentre) {
+    SpreadLater(changed, aNow);
+  }
+  return actions;
+}
+
+bool
+Distribution::WantsWatch(MonotonicTime aNow)
+{
+  if (m_topology->RelayRank()) {
+    return true;
+  }
+  return m_table.Documents().empty() && m_coldAt && aNow >= *m_coldAt;
+}
+
+bool
+Distribution::TakePlatformRead(MonotonicTime aNow)
+{
+  if (!m_platformReads.Take(1.0, aNow)) {
+    ++m_counters.m_platformReadsDeferred;
+    return false;
+  }
+  ++m_counters.m_platformReads;
+  return true;
+}
+
+std::vector<Document>
+Distribution::TakeChanged()
+{
+  std::vector<Document> documents;
+  documents.reserve(m_changed.size());
+  for (const ObjectKey& key : std::exchange(m_changed, {})) {
+    documents.push_back(*m_table.Find(key));
+  }
+  return documents;
+}
+
+std::set<ObjectKey>
+Distribution::Apply(const std::vector<Document>& aDocuments)
+{
+  std::set<ObjectKey> changed;
+  for (const Document& document : aDocuments) {
+    if (m_table.Apply(document)) {
+      changed.insert(document.m_key);
+      m_changed.insert(document.m_key);
+    } else {
+      ++m_counters.m_stale;
+    }
+  }
+  return changed;
+}
+
+void
+Distribution::SpreadLater(const std::set<ObjectKey>& aKeys, MonotonicTime aNow)
+{
+  if (aKeys.empty()) {
+    return;
+  }
+  const std::optional<std::size_t> rank = m_topology->RelayRank();
+  Duration wait = m_settings.m_rankDelay *
+                  static_cast<std::int64_t>(rank.value_or(kLastRank));
+  if (!rank) {
+    wait += Duration(m_random->Below(
+      static_cast<std::uint64_t>(m_settings.m_rankDelay.count()) + 1));
+  }
+  for (const ObjectKey& key : aKeys) {
+    m_waiting.try_emplace(key, aNow + wait);
+  }
+}
+
+std::vector<Datagram>
+Distribution::Pack(const std::set<ObjectKey>& aKeys,
+                   const std::optional<SpreadPath>& aPath)
+{
+  Datagram empty;
+  empty.m_from = m_topology->SelfVm();
+  empty.m_path =
+    aPath.value_or(SpreadPath{ m_topology->SelfVm(), kWidestSeed });
+  std::vector<Datagram> datagrams{ empty };
+  bool isAnyLarge = false;
+  // Each is filled as if it had to carry the digest.
+  empty.m_digest = StateDigest{ kWidestSeed, m_table.Digest(), kWidestSeed };
+  const DatagramSize emptySize(empty);
+  DatagramSize size = emptySize;
+  for (const ObjectKey& key : aKeys) {
+    const Document& document = *m_table.Find(key);
+    if (emptySize.With(document) > kMaxDatagramBytes) {
+      isAnyLarge = true;
+      continue;
+    }
+    if (size.With(document) > kMaxDatagramBytes) {
+      datagrams.push_back(datagrams.front());
+      datagrams.back().m_documents.clear();
+      size = emptySize;
+    }
+    size.Add(document);
+    datagrams.back().m_documents.push_back(document);
+  }
+  if (isAnyLarge) {
+    datagrams.back().m_digest.emplace().m_documents = m_table.Digest();
+  }
+  if (!aPath) {
+    for (Datagram& datagram : datagrams) {
+      datagram.m_path = m_topology->NewPath();
+    }
+  }
+  return datagrams;
+}
+
+void
+Distribution::Send(const std::set<ObjectKey>& aKeys,
+                   const std::optional<SpreadPath>& aPath,
+                   std::vector<OutgoingDatagram>& aSend)
+{
+  for (Datagram& datagram : Pack(aKeys, aPath)) {
+    for (const NetworkAddress& child :
+         m_topology->ChildrenOf(*datagram.m_path)) {
+      aSend.push_back({ child, datagram });
+    }
+  }
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/process/MemberTable.cpp
@@ -0,0 +1,134 @@
+#include "process/MemberTable.h"
+
+#include <tuple>
+
+namespace tarragontray {
+
+bool
+Supersedes(const MemberRecord& aNew, const MemberRecord& aOld)
+{
+  return std::tie(aNew.m_incarnation, aNew.m_sequence, aNew.m_state) >
+         std::tie(aOld.m_incarnation, aOld.m_sequence, aOld.m_state);
+}
+
+MemberTable::MemberTable(const MemberTableSettings& aSettings)
+  : m_settings(aSettings)
+{
+}
+
+bool
+MemberTable::Apply(const MemberRecord& aRecord, MonotonicTime aNow)
+{
+  const auto found = m_members.find(aRecord.m_vm);
+  if (found == m_members.end()) {
+    if (m_members.size() >= m_settings.m_maxMembers) {
+      ++m_refused;
+      return false;
+    }
+    m_members.emplace(aRecord.m_vm, aRecord);
+  } else if (Supersedes(aRecord, found->second)) {
+    Toggle(found->second);
+    found->second = aRecord;
+  } else {
+    return false;
+  }
+  Toggle(aRecord);
+  m_liveIsStale = true;
+  if (aRecord.m_state == NodeState::Dead) {
+    m_diedAt[aRecord.m_vm] = aNow;
+  } else {
+    m_diedAt.erase(aRecord.m_vm);
+  }
+  return true;
+}
+
+void
+MemberTable::ExpireDead(MonotonicTime aNow)
+{
+  for (auto dead = m_diedAt.begin(); dead != m_diedAt.end();) {
+    if (aNow - dead->second < m_settings.m_deadRetention) {
+      ++dead;
+      continue;
+    }
+    m_members.erase(dead->first);
+    dead = m_diedAt.erase(dead);
+  }
+}
+
+const MemberRecord*
+MemberTable::Find(const VmId& aVm) const
+{
+  const auto found = m_members.find(aVm);
+  return found == m_members.end() ? nullptr : &found->second;
+}
+
+const std::vector<VmId>&
+MemberTable::Live(const DataCentreId& aDataCentre) const
+{
+  static const std::vector<VmId> kNone;
+  const auto& live = LiveByDataCentre();
+  const auto found = live.find(aDataCentre);
+  return found == live.end() ? kNone : found->second;
+}
+
+const std::map<DataCentreId, std::vector<VmId>>&
+MemberTable::LiveByDataCentre() const
+{
+  if (m_liveIsStale) {
+    Rebuild();
+  }
+  return m_live;
+}
+
+std::vector<VmId>
+MemberTable::Dead(const DataCentreId& aDataCentre) const
+{
+  std::vector<VmId> dead;
+  for (const auto& [vm, time] : m_diedAt) {
+    if (m_members.at(vm).m_dataCentre == aDataCentre) {
+      dead.push_back(vm);
+    }
+  }
+  return dead;
+}
+
+std::vector<MemberRecord>
+MemberTable::Differing(const BucketHashes& aTheirs) const
+{
+  std::vector<MemberRecord> records;
+  for (const auto& [vm, record] : m_members) {
+    const std::size_t bucket = BucketOf(vm.Value());
+    if (Buckets()[bucket] != aTheirs[bucket]) {
+      records.push_back(record);
+      if (record.m_state == NodeState::Suspect) {
+        records.back().m_state = NodeState::Alive;
+      }
+    }
+  }
+  return records;
+}
+
+void
+MemberTable::Toggle(const MemberRecord& aRecord)
+{
+  if (aRecord.m_state == NodeState::Dead) {
+    return;
+  }
+  const std::string& key = aRecord.m_vm.Value();
+  m_digest.Toggle(
+    key, ItemHash(key, aRecord.m_incarnation.Value(), aRecord.m_sequence));
+}
+
+void
+MemberTable::Rebuild() const
+{
+  m_live.clear();
+  for (const auto& [vm, record] : m_members) {
+    if (record.m_state != NodeState::Dead) {
+      m_live[record.m_dataCentre].push_back(vm);
+    }
+  }
+  m_liveIsStale = false;
+}
+
+} // namespace tarragontray
--- a/src/process/Membership.cmake
+++ b/src/process/Membership.cmake
@@ -1,3 +1,18 @@
 tt_decision_library(tt_datagram_size
   SRCS DatagramSize.cpp HDRS DatagramSize.h DatagramLayout.h Pull.h
   DEPS tt_member_values)
+tt_decision_library(tt_membership
+  SRCS Membership.cpp MembershipSending.cpp MemberTable.cpp Prober.cpp
+       SpreadTree.cpp Suspicions.cpp
+  HDRS BucketDigest.h HelperProbes.h MemberTable.h Membership.h Prober.h
+       SpreadTree.h Suspicions.h UpdateQueue.h
+  DEPS tt_datagram_size)
+tt_decision_library(tt_gossip
+  SRCS DatagramMerge.cpp Distribution.cpp DocumentTable.cpp Gossip.cpp
+       MoveGossip.cpp PullSchedule.cpp
+  HDRS DatagramMerge.h Distribution.h DocumentTable.h Gossip.h MoveGossip.h
+       PullSchedule.h TokenBucket.h
+  DEPS tt_membership)
+
+tt_library(tt_fake_network SRCS testing/FakeNetwork.cpp DEPS tt_gossip)
+tt_test(gossip_test SRCS GossipTest.cpp DEPS tt_fake_network)
--- /dev/null
+++ b/src/process/Membership.cpp
@@ -0,0 +1,359 @@
+#include "process/Membership.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/Hash.h"
+
+namespace tarragontray {
+
+namespace {
+
+/// News that came along a tree has reached most members already.
+constexpr std::size_t kTreeNewsLimit = 2;
+
+} // namespace
+
+Result<Membership>
+Membership::Create(const MembershipSettings& aSettings,
+                   MemberRecord aSelf,
+                   std::vector<NetworkAddress> aSeeds,
+                   Random& aRandom)
+{
+  if (aSelf.m_vm.IsEmpty() || aSelf.m_dataCentre.IsEmpty() ||
+      !aSelf.m_peerAddress.IsSet()) {
+    return Error(ErrorCode::InvalidArgument,
+                 "membership.create",
+                 "",
+                 "VM, data centre and peer address are required");
+  }
+  aSelf.m_state = NodeState::Alive;
+  std::erase(aSeeds, aSelf.m_peerAddress);
+  return Membership(aSettings, std::move(aSelf), std::move(aSeeds), aRandom);
+}
+
+Membership::Membership(const MembershipSettings& aSettings,
+                       MemberRecord aSelf,
+                       std::vector<NetworkAddress> aSeeds,
+                       Random& aRandom)
+  : m_settings(aSettings)
+  , m_self(std::move(aSelf))
+  , m_seeds(std::move(aSeeds))
+  , m_random(&aRandom)
+  , m_table(aSettings.m_table)
+  , m_prober(aSettings.m_probe, aRandom)
+  , m_suspicions(aSettings.m_suspicion)
+  , m_joined(m_seeds.empty())
+{
+  m_table.Apply(m_self, MonotonicTime{});
+}
+
+void
+Membership::SetUpstream(const UpstreamAnnouncement& aUpstream,
+                        MonotonicTime aNow)
+{
+  if (m_leaving || aUpstream == m_self.m_upstream) {
+    return;
+  }
+  m_self.m_upstream = aUpstream;
+  ChangeSelf(aNow);
+  if (aUpstream.m_state == UpstreamState::Draining) {
+    m_announcementsLeft = m_settings.m_announcements;
+    m_announceAt = aNow;
+  }
+}
+
+void
+Membership::Leave(MonotonicTime aNow)
+{
+  if (m_leaving) {
+    return;
+  }
+  m_leaving = true;
+  m_self.m_state = NodeState::Dead;
+  ChangeSelf(aNow);
+  m_announcementsLeft = m_settings.m_announcements;
+  m_announceAt = aNow;
+}
+
+MembershipActions
+Membership::Receive(const Datagram& aDatagram,
+                    const NetworkAddress& aFrom,
+                    MonotonicTime aNow)
+{
+  MembershipActions actions;
+  m_suspicions.Extend(aDatagram.m_from, aNow);
+  const RecordSource source = SourceOf(aDatagram);
+  for (const MemberRecord& record : aDatagram.m_members) {
+    Apply(record, source, aNow);
+  }
+  switch (aDatagram.m_kind) {
+    case DatagramKind::Ping:
+      Answer(aDatagram, aFrom, actions.m_send);
+      break;
+    case DatagramKind::Ack:
+      OnAck(aDatagram, actions.m_send);
+      break;
+    case DatagramKind::IndirectPing:
+      HelpProbe(aDatagram, aFrom, actions.m_send);
+      break;
+    case DatagramKind::News:
+      break;
+  }
+  actions.m_changed = std::exchange(m_changed, false);
+  return actions;
+}
+
+bool
+Membership::Merge(const std::vector<MemberRecord>& aRecords,
+                  RecordSource aSource,
+                  MonotonicTime aNow)
+{
+  bool changed = false;
+  for (const MemberRecord& record : aRecords) {
+    changed |= Apply(record, aSource, aNow);
+  }
+  return changed;
+}
+
+void
+Membership::MarkJoined(MonotonicTime aNow)
+{
+  if (!m_joined) {
+    m_joined = true;
+    m_joinedAt = aNow;
+    PassOn(m_self, RecordSource::OtherDataCentre, aNow);
+  }
+}
+
+bool
+Membership::Apply(const MemberRecord& aRecord,
+                  RecordSource aSource,
+                  MonotonicTime aNow)
+{
+  if (aRecord.m_vm == m_self.m_vm) {
+    return HearOfSelf(aRecord, aNow);
+  }
+  if (!m_table.Apply(aRecord, aNow)) {
+    return false;
+  }
+  m_changed = true;
+  if (aRecord.m_state != NodeState::Suspect) {
+    m_suspicions.Clear(aRecord.m_vm);
+  } else if (aRecord.m_dataCentre == m_self.m_dataCentre) {
+    m_suspicions.Start(aRecord.m_vm, SuspicionSource::Rumour, aNow);
+  }
+  PassOn(aRecord, aSource, aNow);
+  return true;
+}
+
+void
+Membership::PassOn(const MemberRecord& aRecord,
+                   RecordSource aSource,
+                   MonotonicTime aNow)
+{
+  switch (aSource) {
+    case RecordSource::Join:
+      return;
+    case RecordSource::Tree:
+      m_news.Add(aRecord.m_vm, kTreeNewsLimit);
+      break;
+    case RecordSource::Gossip:
+      m_news.Add(aRecord.m_vm, NewsLimit());
+      break;
+    case RecordSource::OtherDataCentre:
+      m_news.Add(aRecord.m_vm, kTreeNewsLimit);
+      MarkUrgent(aRecord.m_vm, aNow);
+      break;
+  }
+  if (aRecord.m_dataCentre == m_self.m_dataCentre &&
+      aRecord.m_state != NodeState::Suspect) {
+    MarkRelayed(aRecord.m_vm, aNow);
+  }
+}
+
+bool
+Membership::HearOfSelf(const MemberRecord& aRecord, MonotonicTime aNow)
+{
+  if (m_leaving || !Supersedes(aRecord, m_self)) {
+    return false;
+  }
+  if (aRecord.m_incarnation > m_self.m_incarnation) {
+    // A forerunner whose clock was ahead: outrank it.
+    m_self.m_incarnation = aRecord.m_incarnation + Incarnation(1);
+    m_self.m_sequence = 0;
+  } else {
+    ++m_counters.m_refuted;
+    m_prober.Penalize();
+    m_self.m_sequence = aRecord.m_sequence;
+  }
+  ChangeSelf(aNow);
+  return false;
+}
+
+void
+Membership::ChangeSelf(MonotonicTime aNow)
+{
+  ++m_self.m_sequence;
+  m_table.Apply(m_self, aNow);
+  m_changed = true;
+  if (m_joined) {
+    PassOn(m_self, RecordSource::OtherDataCentre, aNow);
+    m_news.Add(m_self.m_vm, NewsLimit());
+  }
+}
+
+void
+Membership::Suspect(const VmId& aVm, MonotonicTime aNow)
+{
+  const MemberRecord* member = m_table.Find(aVm);
+  if (member == nullptr || member->m_state == NodeState::Dead) {
+    return;
+  }
+  if (member->m_state == NodeState::Alive) {
+    ++m_counters.m_suspected;
+    MemberRecord suspect = *member;
+    suspect.m_state = NodeState::Suspect;
+    Apply(suspect, RecordSource::OtherDataCentre, aNow);
+  }
+  m_suspicions.Start(aVm, SuspicionSource::OwnProbe, aNow);
+}
+
+void
+Membership::DeclareDead(const VmId& aVm, MonotonicTime aNow)
+{
+  const MemberRecord* member = m_table.Find(aVm);
+  if (member == nullptr || member->m_state != NodeState::Suspect) {
+    return;
+  }
+  ++m_counters.m_declaredDead;
+  MemberRecord dead = *member;
+  dead.m_state = NodeState::Dead;
+  Apply(dead, RecordSource::OtherDataCentre, aNow);
+}
+
+RecordSource
+Membership::SourceOf(const Datagram& aDatagram) const
+{
+  if (aDatagram.m_path) {
+    return RecordSource::Tree;
+  }
+  const MemberRecord* sender = m_table.Find(aDatagram.m_from);
+  const bool isForeign =
+    sender != nullptr && sender->m_dataCentre != m_self.m_dataCentre;
+  return isForeign ? RecordSource::OtherDataCentre : RecordSource::Gossip;
+}
+
+void
+Membership::MarkUrgent(const VmId& aVm, MonotonicTime aNow)
+{
+  if (m_urgent.empty()) {
+    m_urgentAt = aNow + m_settings.m_urgentDelay;
+  }
+  m_urgent.insert(aVm);
+}
+
+void
+Membership::MarkRelayed(const VmId& aVm, MonotonicTime aNow)
+{
+  if (m_relayed.empty()) {
+    m_relayedAt = aNow + m_settings.m_relayDelay;
+  }
+  m_relayed.insert(aVm);
+}
+
+std::size_t
+Membership::NewsLimit() const
+{
+  return RetransmitLimit(m_settings.m_retransmitFactor,
+                         m_table.Live(m_self.m_dataCentre).size());
+}
+
+std::vector<VmId>
+Membership::Relays() const
+{
+  return TopRanked(
+    "relays", m_table.Live(m_self.m_dataCentre), m_settings.m_relays);
+}
+
+std::optional<VmId>
+Membership::RandomMember()
+{
+  // Mostly of the own data centre, which has what it needs at less cost.
+  const std::vector<VmId> peers = Peers();
+  const std::vector<DataCentreId> others = OtherDataCentres();
+  const bool isLocal =
+    !peers.empty() && (others.empty() || m_random->Below(4) != 0);
+  if (isLocal || others.empty()) {
+    return PickFrom(peers);
+  }
+  return PickFrom(m_table.Live(others[m_random->Below(others.size())]));
+}
+
+SpreadPath
+Membership::NewPath()
+{
+  return { m_self.m_vm, static_cast<std::uint32_t>(m_random->Next()) };
+}
+
+std::vector<NetworkAddress>
+Membership::ChildrenOf(const SpreadPath& aPath) const
+{
+  std::vector<NetworkAddress> addresses;
+  for (const VmId& child : TreeChildren(aPath,
+                                        m_table.Live(m_self.m_dataCentre),
+                                        m_self.m_vm,
+                                        m_settings.m_fanout)) {
+    addresses.push_back(AddressOf(child));
+  }
+  return addresses;
+}
+
+std::optional<std::size_t>
+Membership::RelayRank() const
+{
+  const std::vector<VmId> relays = Relays();
+  const auto found = std::find(relays.begin(), relays.end(), m_self.m_vm);
+  if (!m_settled || found == relays.end()) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(found - relays.begin());
+}
+
+NetworkAddress
+Membership::AddressOf(const VmId& aVm) const
+{
+  const MemberRecord* member = m_table.Find(aVm);
+  return member == nullptr ? NetworkAddress() : member->m_peerAddress;
+}
+
+std::vector<VmId>
+Membership::Peers() const
+{
+  std::vector<VmId> peers = m_table.Live(m_self.m_dataCentre);
+  std::erase(peers, m_self.m_vm);
+  return peers;
+}
+
+std::optional<VmId>
+Membership::PickFrom(const std::vector<VmId>& aVms)
+{
+  if (aVms.empty()) {
+    return std::nullopt;
+  }
+  return aVms[m_random->Below(aVms.size())];
+}
+
+std::vector<DataCentreId>
+Membership::OtherDataCentres() const
+{
+  std::vector<DataCentreId> others;
+  for (const auto& [dataCentre, live] : m_table.LiveByDataCentre()) {
+    if (dataCentre != m_self.m_dataCentre) {
+      others.push_back(dataCentre);
+    }
+  }
+  return others;
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/process/MembershipSending.cpp
@@ -0,0 +1,358 @@
+#include <algorithm>
+#include <utility>
+
+#include "process/DatagramSize.h"
+#include "process/Membership.h"
+
+namespace tarragontray {
+
+namespace {
+
+/// A tick so late means that this node did not run meanwhile.
+constexpr Duration kPauseThreshold = std::chrono::seconds(1);
+/// Seeds that a joining node asks at a time.
+constexpr std::size_t kJoinSeeds = 2;
+/// The widest seed, for counting the bytes of a path.
+constexpr std::uint32_t kWidestSeed = 0xFFFFFFFF;
+
+} // namespace
+
+MembershipActions
+Membership::Tick(MonotonicTime aNow)
+{
+  MembershipActions actions;
+  NoticePause(aNow);
+  m_settled = m_joined && aNow - m_joinedAt >= m_settings.m_settleTime;
+  TickAnnouncement(aNow, actions.m_send);
+  TickUrgent(aNow, actions.m_send);
+  TickRelay(aNow, actions.m_send);
+  if (!m_leaving) {
+    TickJoin(aNow, actions.m_send);
+    TickProbes(aNow, actions.m_send);
+    TickSuspicions(aNow, actions.m_send);
+    TickContact(aNow, actions.m_send);
+  }
+  actions.m_changed = std::exchange(m_changed, false);
+  return actions;
+}
+
+MonotonicTime
+Membership::NextTick() const
+{
+  MonotonicTime next = MonotonicTime::max();
+  if (!m_leaving) {
+    next = std::min({ m_prober.NextTick(),
+                      m_suspicions.NextTick(),
+                      m_contactAt,
+                      m_joined ? next : m_joinAt });
+  }
+  if (!m_urgent.empty()) {
+    next = std::min(next, m_urgentAt);
+  }
+  if (!m_relayed.empty()) {
+    next = std::min(next, m_relayedAt);
+  }
+  return m_announcementsLeft > 0 ? std::min(next, m_announceAt) : next;
+}
+
+void
+Membership::NoticePause(MonotonicTime aNow)
+{
+  if (!m_started) {
+    m_started = true;
+    m_startedAt = aNow;
+    m_joinedAt = aNow;
+    m_contactAt = aNow + m_settings.m_contactInterval;
+    m_reconnectAt = aNow + m_settings.m_reconnectInterval;
+    m_joinAt = aNow;
+    // Nodes that start together probe at different times.
+    m_prober.Restart(aNow + Duration(m_random->Below(static_cast<std::uint64_t>(
+                              m_settings.m_probe.m_interval.count()))));
+    return;
+  }
+  const MonotonicTime expected = NextTick();
+  if (expected < aNow - kPauseThreshold) {
+    ++m_counters.m_pauses;
+    m_prober.Restart(aNow);
+    m_suspicions.Postpone(aNow - expected);
+  }
+}
+
+void
+Membership::TickProbes(MonotonicTime aNow, Sends& aSend)
+{
+  if (aNow < m_prober.NextTick()) {
+    return;
+  }
+  const ProbeStep step = m_prober.Tick(aNow, Peers());
+  if (step.m_failed) {
+    Suspect(*step.m_failed, aNow);
+  }
+  if (step.m_ping) {
+    Ping(*step.m_ping, step.m_number, aSend);
+    if (step.m_askHelpers) {
+      AskHelpers(*step.m_ping, step.m_number, aSend);
+    }
+  }
+}
+
+void
+Membership::TickSuspicions(MonotonicTime aNow, Sends& aSend)
+{
+  for (const VmId& vm : m_suspicions.TakeExpired(aNow)) {
+    DeclareDead(vm, aNow);
+  }
+  for (const VmId& vm : m_suspicions.TakeAsks(aNow)) {
+    Ping(vm, m_prober.NextNumber(), aSend);
+  }
+}
+
+void
+Membership::TickUrgent(MonotonicTime aNow, Sends& aSend)
+{
+  if (m_urgent.empty() || aNow < m_urgentAt) {
+    return;
+  }
+  const std::set<VmId> urgent = std::exchange(m_urgent, {});
+  for (Datagram& datagram :
+       Pack(urgent, SpreadPath{ m_self.m_vm, kWidestSeed })) {
+    datagram.m_path = NewPath();
+    for (const NetworkAddress& child : ChildrenOf(*datagram.m_path)) {
+      aSend.push_back({ child, datagram });
+    }
+  }
+}
+
+void
+Membership::TickRelay(MonotonicTime aNow, Sends& aSend)
+{
+  if (m_relayed.empty() || aNow < m_relayedAt) {
+    return;
+  }
+  const std::set<VmId> relayed = std::exchange(m_relayed, {});
+  const std::optional<std::size_t> rank = RelayRank();
+  if (!rank) {
+    return;
+  }
+  // Each relay serves its own part of the other data centres; what is lost
+  // is repaired by the digests on contacts.
+  const std::vector<DataCentreId> others = OtherDataCentres();
+  const std::size_t relays = Relays().size();
+  const std::vector<Datagram> datagrams = Pack(relayed, std::nullopt);
+  for (std::size_t i = *rank; i < others.size(); i += relays) {
+    const std::optional<VmId> member = PickFrom(m_table.Live(others[i]));
+    for (const Datagram& datagram : datagrams) {
+      aSend.push_back({ AddressOf(*member), datagram });
+    }
+  }
+}
+
+void
+Membership::TickAnnouncement(MonotonicTime aNow, Sends& aSend)
+{
+  if (m_announcementsLeft == 0 || aNow < m_announceAt) {
+    return;
+  }
+  --m_announcementsLeft;
+  m_announceAt = aNow + m_settings.m_announceInterval;
+  std::vector<VmId> receivers = Peers();
+  for (const DataCentreId& other : OtherDataCentres()) {
+    receivers.push_back(*PickFrom(m_table.Live(other)));
+  }
+  const std::vector<Datagram> datagrams = Pack({ m_self.m_vm }, std::nullopt);
+  for (const VmId& vm : receivers) {
+    aSend.push_back({ AddressOf(vm), datagrams.front() });
+  }
+}
+
+void
+Membership::TickContact(MonotonicTime aNow, Sends& aSend)
+{
+  if (aNow < m_contactAt) {
+    return;
+  }
+  m_contactAt = aNow + m_settings.m_contactInterval;
+  if (aNow >= m_reconnectAt) {
+    Reconnect(aNow, aSend);
+  }
+  const std::optional<std::size_t> rank = RelayRank();
+  const std::vector<DataCentreId> others = OtherDataCentres();
+  if (!rank || others.empty()) {
+    return;
+  }
+  const std::size_t turn = m_contactTurn++ * m_settings.m_relays + *rank;
+  const DataCentreId& other = others[turn % others.size()];
+  Ping(*PickFrom(m_table.Live(other)), m_prober.NextNumber(), aSend);
+}
+
+void
+Membership::Reconnect(MonotonicTime aNow, Sends& aSend)
+{
+  // Heals a partition after which each side counts the other as dead.
+  m_reconnectAt = aNow + (Peers().empty() ? m_settings.m_contactInterval
+                                          : m_settings.m_reconnectInterval);
+  m_table.ExpireDead(aNow);
+  if (const auto dead = PickFrom(m_table.Dead(m_self.m_dataCentre))) {
+    Ping(*dead, m_prober.NextNumber(), aSend);
+  }
+  PingSeed(aSend);
+}
+
+void
+Membership::TickJoin(MonotonicTime aNow, Sends& aSend)
+{
+  if (m_joined || aNow < m_joinAt) {
+    return;
+  }
+  if (aNow - m_startedAt >= m_settings.m_joinTimeout) {
+    MarkJoined(aNow);
+    return;
+  }
+  m_joinAt = aNow + m_settings.m_contactInterval;
+  for (std::size_t i = 0; i < std::min(kJoinSeeds, m_seeds.size()); ++i) {
+    PingSeed(aSend);
+  }
+}
+
+void
+Membership::PingSeed(Sends& aSend)
+{
+  if (m_seeds.empty()) {
+    return;
+  }
+  const NetworkAddress seed = m_seeds[m_random->Below(m_seeds.size())];
+  for (const auto& [vm, member] : Members()) {
+    if (member.m_peerAddress == seed && member.m_state == NodeState::Alive &&
+        m_joined) {
+      return;
+    }
+  }
+  Datagram ping = Make(DatagramKind::Ping, m_prober.NextNumber());
+  ping.m_members.push_back(m_self);
+  aSend.push_back({ seed, std::move(ping) });
+}
+
+Datagram
+Membership::Make(DatagramKind aKind, std::uint32_t aProbe) const
+{
+  Datagram datagram;
+  datagram.m_kind = aKind;
+  datagram.m_from = m_self.m_vm;
+  datagram.m_probe = aProbe;
+  if (aKind == DatagramKind::Ping || aKind == DatagramKind::Ack) {
+    datagram.m_digest.emplace().m_members = m_table.Digest();
+  }
+  return datagram;
+}
+
+void
+Membership::Ping(const VmId& aVm, std::uint32_t aNumber, Sends& aSend)
+{
+  const MemberRecord* member = m_table.Find(aVm);
+  if (member == nullptr) {
+    return;
+  }
+  Datagram ping = Make(DatagramKind::Ping, aNumber);
+  if (member->m_state != NodeState::Alive) {
+    // Lets the member refute.
+    ping.m_members.push_back(*member);
+  }
+  AddNews(ping);
+  ++m_counters.m_probes;
+  aSend.push_back({ member->m_peerAddress, std::move(ping) });
+}
+
+void
+Membership::Answer(const Datagram& aDatagram,
+                   const NetworkAddress& aFrom,
+                   Sends& aSend)
+{
+  Datagram ack = Make(DatagramKind::Ack, aDatagram.m_probe);
+  const MemberRecord* sender = m_table.Find(aDatagram.m_from);
+  if (sender != nullptr && sender->m_state != NodeState::Alive) {
+    ack.m_members.push_back(*sender);
+  }
+  AddNews(ack);
+  aSend.push_back({ aFrom, std::move(ack) });
+}
+
+void
+Membership::OnAck(const Datagram& aDatagram, Sends& aSend)
+{
+  if (m_prober.OnAck(aDatagram.m_probe)) {
+    return;
+  }
+  if (const auto request = m_helperProbes.Take(aDatagram.m_probe)) {
+    aSend.push_back(
+      { request->m_requester, Make(DatagramKind::Ack, request->m_number) });
+  }
+}
+
+void
+Membership::HelpProbe(const Datagram& aDatagram,
+                      const NetworkAddress& aFrom,
+                      Sends& aSend)
+{
+  const std::uint32_t number = m_prober.NextNumber();
+  m_helperProbes.Add(number, { aFrom, aDatagram.m_probe });
+  aSend.push_back(
+    { aDatagram.m_targetAddress, Make(DatagramKind::Ping, number) });
+}
+
+void
+Membership::AskHelpers(const VmId& aVm, std::uint32_t aNumber, Sends& aSend)
+{
+  std::vector<VmId> helpers = Peers();
+  std::erase(helpers, aVm);
+  for (std::size_t i = 0; i < m_settings.m_helpers && !helpers.empty(); ++i) {
+    const std::size_t pick = m_random->Below(helpers.size());
+    Datagram request = Make(DatagramKind::IndirectPing, aNumber);
+    request.m_target = aVm;
+    request.m_targetAddress = AddressOf(aVm);
+    aSend.push_back({ AddressOf(helpers[pick]), std::move(request) });
+    helpers.erase(helpers.begin() + static_cast<std::ptrdiff_t>(pick));
+  }
+}
+
+void
+Membership::AddNews(Datagram& aDatagram)
+{
+  DatagramSize size(aDatagram);
+  m_news.Take([&](const VmId& aVm) {
+    const MemberRecord* member = m_table.Find(aVm);
+    if (member == nullptr) {
+      return true;
+    }
+    if (size.With(*member) > m_settings.m_probeBytes) {
+      return false;
+    }
+    size.Add(*member);
+    aDatagram.m_members.push_back(*member);
+    return true;
+  });
+}
+
+std::vector<Datagram>
+Membership::Pack(const std::set<VmId>& aVms,
+                 const std::optional<SpreadPath>& aPath) const
+{
+  Datagram empty = Make(DatagramKind::News, 0);
+  empty.m_path = aPath;
+  std::vector<Datagram> datagrams{ empty };
+  DatagramSize size(empty);
+  for (const VmId& vm : aVms) {
+    const MemberRecord* member = m_table.Find(vm);
+    if (member == nullptr) {
+      continue;
+    }
+    if (size.With(*member) > kMaxDatagramBytes) {
+      datagrams.push_back(empty);
+      size = DatagramSize(empty);
+    }
+    size.Add(*member);
+    datagrams.back().m_members.push_back(*member);
+  }
+  return datagrams;
+}
+
+} // namespace tarragontray
--- a/src/process/Pull.h
+++ b/src/process/Pull.h
@@ -38,6 +38,8 @@
   /// The peer's serving budget is spent: m_members is a sample of other peers
   /// to ask, and the rest is empty.
   bool m_busy = false;
+  /// The highest revision that the asking VM was ever heard to hold.
+  Revision m_floor;
   std::vector<MemberRecord> m_members;
   std::vector<Document> m_documents;
   std::vector<MoveProgress> m_moves;
