Add the platform session and the platform's stand-in

The node and the command line both need the object API. Weighed: one connection for everything (a waiting watch would hold back short calls) and a connection for each call (costs a handshake each time). Taken: one keep-alive connection for short calls and one for each waiting watch.

HttpClient gives up its connection after any error, so a late answer can't reach the next call. Only a GET is sent again after a reused connection turns out closed; a write whose answer was lost is reported as Closed, since it may have taken effect. HttpServer is the small server of stand-ins: answers can be late, cut or missing. Percent-encoding comes from Boost.URL.

standin-platform holds the objects in memory; faults are set at run time over its admin port.

--- /dev/null
+++ b/src/base/Json.cpp
@@ -0,0 +1,2 @@
+// Boost.JSON is built here, once.
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/src/base/Url.cpp
@@ -0,0 +1,2 @@
+// Boost.URL is built here, once.
+#include <boost/url/src.hpp>
--- /dev/null
+++ b/src/connection/HttpClient.h
@@ -0,0 +1,81 @@
+/// \file
+/// An HTTP/1.1 client for one peer over one keep-alive connection.
+///
+/// Calls run one after the other, in the order of Send. A connection is given
+/// up after any error, so the next call starts on a fresh one.
+///
+///     auto client = HttpClient::Create(context, { .m_peer = address });
+///     client->Send({ request, "platform.read", timeout },
+///                  [](Result<HttpAnswerParts> aAnswer) { ... });
+///
+/// Thread safety: one thread, the one that runs the io_context.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/NetworkAddress.h"
+#include "base/Result.h"
+#include "base/Units.h"
+#include "request/Call.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace tarragontray {
+
+/// The peer and the bounds of an HttpClient.
+struct HttpClientSettings
+{
+  NetworkAddress m_peer;
+  /// A longer answer ends with TooLarge.
+  ByteCount m_maxBody{ 1U << 20U };
+  /// Calls that may wait for their turn; more are refused with Unavailable.
+  std::size_t m_maxQueued = 1024;
+};
+
+/// One call of an HttpClient.
+struct HttpCall
+{
+  HttpRequestParts m_request;
+  /// Where errors are said to arise; ".connect", ".send" or ".receive"
+  /// follows.
+  std::string m_step;
+  /// From Send to the whole answer.
+  Duration m_timeout{ 0 };
+};
+
+/// See the file comment.
+class HttpClient
+{
+public:
+  using Callback = std::function<void(Result<HttpAnswerParts>)>;
+
+  /// Precondition: aContext outlives the client.
+  static std::unique_ptr<HttpClient> Create(boost::asio::io_context& aContext,
+                                            HttpClientSettings aSettings);
+  /// Drops the calls that have not ended, without their callbacks.
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /// Starts a call; aDone runs once, from the io_context and never before
+  /// Send returns. Errors: Unreachable, Timeout, Closed (the request may have
+  /// been taken), Malformed, TooLarge, Unavailable.
+  /// A GET on a connection that the peer had closed while idle is sent once
+  /// more on a fresh one; other methods never are.
+  void Send(HttpCall aCall, Callback aDone);
+  /// Whether no call runs or waits.
+  bool IsIdle() const;
+
+private:
+  class Session;
+  explicit HttpClient(std::shared_ptr<Session> aSession);
+
+  std::shared_ptr<Session> m_session;
+};
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/connection/PlatformMessages.h
@@ -0,0 +1,73 @@
+/// \file
+/// The wire format of the platform's object API, for both of its sides.
+///
+///     HttpRequestParts request = ReadRequest(ObjectKey("templates/web/1"));
+///     std::optional<PlatformObject> object = DecodeObject(answer.m_body);
+///
+/// Decoders give nothing when the text is not JSON or not as documented in
+/// docs/PROTOCOLS.md.
+///
+/// Thread safety: pure functions.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "connection/Platform.h"
+#include "request/Call.h"
+
+namespace tarragontray {
+
+HttpRequestParts
+ReadRequest(const ObjectKey& aKey);
+HttpRequestParts
+ListRequest(const std::string& aPrefix);
+HttpRequestParts
+WriteRequest(const PlatformWrite& aWrite);
+HttpRequestParts
+WatchRequest(const std::string& aPrefix, Revision aAfter, Duration aMaxWait);
+
+std::string
+EncodeObject(const PlatformObject& aObject);
+std::string
+EncodeListing(const PlatformListing& aListing);
+std::string
+EncodeRevision(Revision aRevision);
+
+std::optional<PlatformObject>
+DecodeObject(std::string_view aText);
+std::optional<PlatformListing>
+DecodeListing(std::string_view aText);
+std::optional<Revision>
+DecodeRevision(std::string_view aText);
+
+/// What a request of the object API asks for.
+enum class PlatformOperation
+{
+  Read,
+  List,
+  Write,
+  Watch,
+};
+
+/// A request as the platform reads it.
+struct PlatformRequest
+{
+  PlatformOperation m_operation = PlatformOperation::Read;
+  /// For Read.
+  ObjectKey m_key;
+  /// For List and Watch.
+  std::string m_prefix;
+  /// For Write; holds the key too.
+  PlatformWrite m_write;
+  /// For Watch.
+  Revision m_after;
+  Duration m_maxWait{ 0 };
+};
+
+/// Nothing when the request is none of the object API.
+std::optional<PlatformRequest>
+DecodeRequest(const HttpRequestParts& aRequest);
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/connection/PlatformSession.cpp
@@ -0,0 +1,238 @@
+#include "connection/PlatformSession.h"
+
+#include <chrono>
+#include <functional>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include "connection/HttpClient.h"
+#include "connection/PlatformMessages.h"
+
+namespace tarragontray {
+
+namespace {
+
+/// A call's answer together with what errors about it name.
+struct CallContext
+{
+  std::string m_step;
+  std::string m_peer;
+};
+
+/// Turns a status other than 200 into an error.
+Error
+StatusError(const CallContext& aContext, const HttpAnswerParts& aAnswer)
+{
+  ErrorCode code = ErrorCode::Unavailable;
+  switch (aAnswer.m_status) {
+    case 400:
+      code = ErrorCode::InvalidArgument;
+      break;
+    case 404:
+      code = ErrorCode::NotFound;
+      break;
+    case 409:
+      code = ErrorCode::Conflict;
+      break;
+    case 413:
+      code = ErrorCode::TooLarge;
+      break;
+    default:
+      break;
+  }
+  return { code,
+           aContext.m_step,
+           aContext.m_peer,
+           "status " + std::to_string(aAnswer.m_status) };
+}
+
+Error
+MalformedError(const CallContext& aContext)
+{
+  return { ErrorCode::Malformed,
+           aContext.m_step + ".decode",
+           aContext.m_peer,
+           "the answer is not as documented" };
+}
+
+class Session final : public Platform
+{
+public:
+  Session(boost::asio::io_context& aContext, PlatformSettings aSettings)
+    : m_context(aContext)
+    , m_settings(std::move(aSettings))
+    , m_counters(m_settings.m_counters ? m_settings.m_counters
+                                       : std::make_shared<PlatformCounters>())
+    , m_calls(MakeClient())
+  {
+  }
+
+  void Read(ObjectKey aKey, Callback<PlatformObject> aDone) override
+  {
+    ++m_counters->m_reads;
+    Call(*m_calls,
+         ReadRequest(aKey),
+         "platform.read",
+         m_settings.m_timeout,
+         DecodeObject,
+         std::move(aDone));
+  }
+
+  void List(std::string aPrefix, Callback<PlatformListing> aDone) override
+  {
+    ++m_counters->m_lists;
+    Call(*m_calls,
+         ListRequest(aPrefix),
+         "platform.list",
+         m_settings.m_timeout,
+         DecodeListing,
+         std::move(aDone));
+  }
+
+  void Write(PlatformWrite aWrite, Callback<Revision> aDone) override
+  {
+    ++m_counters->m_writes;
+    if (aWrite.m_body.size() > kMaxObjectBody.Value()) {
+      Refuse<Revision>({ ErrorCode::TooLarge,
+                         "platform.write",
+                         m_settings.m_address.ToString(),
+                         "the body is over 1 MB" },
+                       std::move(aDone));
+      return;
+    }
+    Call(*m_calls,
+         WriteRequest(aWrite),
+         "platform.write",
+         m_settings.m_timeout,
+         DecodeRevision,
+         std::move(aDone));
+  }
+
+  void Watch(std::string aPrefix,
+             Revision aAfter,
+             Duration aMaxWait,
+             Callback<PlatformListing> aDone) override
+  {
+    ++m_counters->m_watches;
+    HttpClient* client = IdleWatchClient();
+    if (client == nullptr) {
+      Refuse<PlatformListing>({ ErrorCode::Unavailable,
+                                "platform.watch",
+                                m_settings.m_address.ToString(),
+                                "too many watches wait" },
+                              std::move(aDone));
+      return;
+    }
+    Call(*client,
+         WatchRequest(aPrefix, aAfter, aMaxWait),
+         "platform.watch",
+         aMaxWait + m_settings.m_watchMargin,
+         DecodeListing,
+         std::move(aDone));
+  }
+
+private:
+  template<typename T>
+  using Decoder = std::optional<T> (*)(std::string_view);
+
+  std::unique_ptr<HttpClient> MakeClient()
+  {
+    return HttpClient::Create(
+      m_context, { .m_peer = m_settings.m_address, .m_maxBody = kMaxListing });
+  }
+
+  HttpClient* IdleWatchClient()
+  {
+    for (const auto& client : m_watches) {
+      if (client->IsIdle()) {
+        return client.get();
+      }
+    }
+    if (m_watches.size() >= m_settings.m_maxWatches) {
+      return nullptr;
+    }
+    return m_watches.emplace_back(MakeClient()).get();
+  }
+
+  template<typename T>
+  void Refuse(Error aError, Callback<T> aDone)
+  {
+    ++m_counters->m_failures;
+    boost::asio::post(
+      m_context,
+      [error = std::move(aError), done = std::move(aDone)]() { done(error); });
+  }
+
+  template<typename T>
+  void Call(HttpClient& aClient,
+            HttpRequestParts aRequest,
+            std::string aStep,
+            Duration aTimeout,
+            Decoder<T> aDecode,
+            Callback<T> aDone)
+  {
+    CallContext context{ aStep, m_settings.m_address.ToString() };
+    aClient.Send({ std::move(aRequest), std::move(aStep), aTimeout },
+                 [counters = m_counters,
+                  context = std::move(context),
+                  decode = aDecode,
+                  done = std::move(aDone)](Result<HttpAnswerParts> aAnswer) {
+                   Result<T> result = Interpret<T>(context, aAnswer, decode);
+                   const bool isFailure =
+                     !result && result.error().Code() != ErrorCode::NotFound &&
+                     result.error().Code() != ErrorCode::Conflict;
+                   counters->m_failures += isFailure ? 1 : 0;
+                   done(std::move(result));
+                 });
+  }
+
+  template<typename T>
+  static Result<T> Interpret(const CallContext& aContext,
+                             const Result<HttpAnswerParts>& aAnswer,
+                             Decoder<T> aDecode)
+  {
+    if (!aAnswer) {
+      return aAnswer.error();
+    }
+    if (aAnswer.value().m_status != 200) {
+      return StatusError(aContext, aAnswer.value());
+    }
+    std::optional<T> value = aDecode(aAnswer.value().m_body);
+    if (!value) {
+      return MalformedError(aContext);
+    }
+    return std::move(*value);
+  }
+
+  boost::asio::io_context& m_context;
+  const PlatformSettings m_settings;
+  const std::shared_ptr<PlatformCounters> m_counters;
+  const std::unique_ptr<HttpClient> m_calls;
+  std::vector<std::unique_ptr<HttpClient>> m_watches;
+};
+
+} // namespace
+
+Result<std::unique_ptr<Platform>>
+PlatformSession::Create(boost::asio::io_context& aContext,
+                        PlatformSettings aSettings)
+{
+  const bool isValid = aSettings.m_address.IsSet() &&
+                       aSettings.m_timeout > Duration::zero() &&
+                       aSettings.m_watchMargin > Duration::zero();
+  if (!isValid) {
+    return Error(ErrorCode::InvalidArgument,
+                 "platform.create",
+                 aSettings.m_address.ToString(),
+                 "the address and both timeouts must be set");
+  }
+  std::unique_ptr<Platform> session =
+    std::make_unique<Session>(aContext, std::move(aSettings));
+  return session;
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/programs/StandinPlatform.cpp
@@ -0,0 +1,278 @@
+#include "programs/StandinPlatform.h"
+
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "programs/StandinPlatformAdmin.h"
+
+namespace tarragontray {
+
+namespace {
+
+HttpAnswerParts
+JsonAnswer(std::uint16_t aStatus, std::string aBody)
+{
+  return { aStatus,
+           { { "content-type", "application/json" } },
+           std::move(aBody) };
+}
+
+HttpAnswerParts
+ErrorAnswer(std::uint16_t aStatus, const std::string& aText)
+{
+  return JsonAnswer(aStatus, R"({"error": ")" + aText + R"("})");
+}
+
+} // namespace
+
+/// A watch that waits for a change.
+struct StandinPlatform::Waiting
+{
+  HttpServer::Exchange m_exchange;
+  std::string m_prefix;
+  Revision m_after;
+  boost::asio::steady_timer m_timer;
+};
+
+StandinPlatform::StandinPlatform(boost::asio::io_context& aContext,
+                                 const Clock& aClock)
+  : m_context(aContext)
+  , m_clock(aClock)
+{
+}
+
+Result<std::unique_ptr<StandinPlatform>>
+StandinPlatform::Create(boost::asio::io_context& aContext,
+                        const Clock& aClock,
+                        StandinPlatformSettings aSettings)
+{
+  std::unique_ptr<StandinPlatform> platform(
+    new StandinPlatform(aContext, aClock));
+  BOOST_OUTCOME_TRY(platform->Open(aSettings.m_address));
+  StandinPlatform* self = platform.get();
+  BOOST_OUTCOME_TRY(
+    platform->m_admin,
+    HttpServer::Listen(aContext,
+                       { .m_address = aSettings.m_adminAddress },
+                       [self](const HttpServer::Exchange& aExchange) {
+                         self->OnAdminRequest(aExchange);
+                       }));
+  BOOST_OUTCOME_TRY(platform->SetFaults(aSettings.m_faults));
+  return platform;
+}
+
+Result<void>
+StandinPlatform::Open(NetworkAddress aAddress)
+{
+  BOOST_OUTCOME_TRY(m_server,
+                    HttpServer::Listen(m_context,
+                                       { .m_address = aAddress },
+                                       [this](HttpServer::Exchange aExchange) {
+                                         OnRequest(std::move(aExchange));
+                                       }));
+  m_address = m_server->Address();
+  return Success();
+}
+
+Result<void>
+StandinPlatform::SetFaults(const PlatformFaults& aFaults)
+{
+  m_faults = aFaults;
+  m_readTokens.SetRate(aFaults.m_readsPerSecond, m_clock.Now());
+  m_writeTokens.SetRate(aFaults.m_writesPerSecond, m_clock.Now());
+  if (aFaults.m_areWatchesSilent || aFaults.m_outage == Outage::Refuse) {
+    // They never get an answer; their timers go with them.
+    m_watches.clear();
+  }
+  if (aFaults.m_outage == Outage::Refuse) {
+    m_server.reset();
+  } else if (!m_server) {
+    return Open(m_address);
+  }
+  return Success();
+}
+
+void
+StandinPlatform::OnRequest(HttpServer::Exchange aExchange)
+{
+  const auto request = DecodeRequest(aExchange->Request());
+  if (!request) {
+    ++m_counts.m_malformed;
+    aExchange->Answer(ErrorAnswer(400, "not a request of the object API"));
+    return;
+  }
+  if (m_faults.m_outage == Outage::Error) {
+    aExchange->Answer(ErrorAnswer(503, "down"));
+    return;
+  }
+  if (!TakeToken(request->m_operation)) {
+    ++m_counts.m_limited;
+    aExchange->Answer(ErrorAnswer(429, "too many calls"));
+    return;
+  }
+  if (m_faults.m_slowness == Duration::zero()) {
+    Serve(aExchange, *request);
+    return;
+  }
+  auto timer =
+    std::make_shared<boost::asio::steady_timer>(m_context, m_faults.m_slowness);
+  timer->async_wait([this, timer, exchange = std::move(aExchange), request](
+                      const boost::system::error_code& aError) {
+    if (!aError) {
+      Serve(exchange, *request);
+    }
+  });
+}
+
+bool
+StandinPlatform::TakeToken(PlatformOperation aOperation)
+{
+  TokenBucket& tokens =
+    aOperation == PlatformOperation::Write ? m_writeTokens : m_readTokens;
+  return tokens.Take(m_clock.Now());
+}
+
+MonotonicTime
+StandinPlatform::AsOf() const
+{
+  return m_clock.Now() - m_faults.m_staleness;
+}
+
+void
+StandinPlatform::Serve(const HttpServer::Exchange& aExchange,
+                       const PlatformRequest& aRequest)
+{
+  switch (aRequest.m_operation) {
+    case PlatformOperation::Read:
+      ServeRead(aExchange, aRequest.m_key);
+      return;
+    case PlatformOperation::List:
+      ++m_counts.m_lists;
+      aExchange->Answer(JsonAnswer(
+        200, EncodeListing(m_store.List(aRequest.m_prefix, AsOf()))));
+      return;
+    case PlatformOperation::Write:
+      ServeWrite(aExchange, aRequest.m_write);
+      return;
+    case PlatformOperation::Watch:
+      ServeWatch(aExchange, aRequest);
+      return;
+  }
+}
+
+void
+StandinPlatform::ServeRead(const HttpServer::Exchange& aExchange,
+                           const ObjectKey& aKey)
+{
+  ++m_counts.m_reads;
+  const auto object = m_store.Read(aKey, AsOf());
+  aExchange->Answer(object ? JsonAnswer(200, EncodeObject(*object))
+                           : ErrorAnswer(404, "no such object"));
+}
+
+void
+StandinPlatform::ServeWrite(const HttpServer::Exchange& aExchange,
+                            const PlatformWrite& aWrite)
+{
+  ++m_counts.m_writes;
+  constexpr std::size_t kMaxBody = 1U << 20U;
+  if (aWrite.m_body.size() > kMaxBody) {
+    aExchange->Answer(ErrorAnswer(413, "the body is over 1 MB"));
+    return;
+  }
+  const auto result = m_store.Write(aWrite, m_clock.Now());
+  if (!result.m_isWritten) {
+    ++m_counts.m_conflicts;
+    aExchange->Answer(JsonAnswer(409,
+                                 result.m_current
+                                   ? EncodeObject(*result.m_current)
+                                   : EncodeRevision(result.m_revision)));
+    return;
+  }
+  if (m_faults.m_lostAnswers > 0) {
+    --m_faults.m_lostAnswers;
+    aExchange->Drop();
+  } else {
+    aExchange->Answer(JsonAnswer(200, EncodeRevision(result.m_revision)));
+  }
+  NotifyWatches();
+}
+
+void
+StandinPlatform::ServeWatch(const HttpServer::Exchange& aExchange,
+                            const PlatformRequest& aRequest)
+{
+  ++m_counts.m_watches;
+  if (m_faults.m_areWatchesSilent) {
+    aExchange->OnClosed([]() {});
+    return;
+  }
+  const auto changes = m_store.Changes(aRequest.m_prefix, aRequest.m_after);
+  if (!changes.m_objects.empty()) {
+    aExchange->Answer(JsonAnswer(200, EncodeListing(changes)));
+    return;
+  }
+  const auto waiting = std::make_shared<Waiting>(
+    Waiting{ aExchange,
+             aRequest.m_prefix,
+             aRequest.m_after,
+             boost::asio::steady_timer(m_context, aRequest.m_maxWait) });
+  m_watches.push_back(waiting);
+  const std::weak_ptr<Waiting> weak = waiting;
+  aExchange->OnClosed([this, weak]() { m_watches.remove(weak.lock()); });
+  waiting->m_timer.async_wait(
+    [this, weak](const boost::system::error_code& aError) {
+      const auto self = weak.lock();
+      if (aError || !self) {
+        return;
+      }
+      m_watches.remove(self);
+      PlatformListing empty;
+      empty.m_revision = m_store.LatestRevision();
+      self->m_exchange->Answer(JsonAnswer(200, EncodeListing(empty)));
+    });
+}
+
+void
+StandinPlatform::NotifyWatches()
+{
+  m_watches.remove_if([this](const std::shared_ptr<Waiting>& aWaiting) {
+    const auto changes = m_store.Changes(aWaiting->m_prefix, aWaiting->m_after);
+    if (changes.m_objects.empty()) {
+      return false;
+    }
+    aWaiting->m_exchange->Answer(JsonAnswer(200, EncodeListing(changes)));
+    return true;
+  });
+}
+
+void
+StandinPlatform::OnAdminRequest(const HttpServer::Exchange& aExchange)
+{
+  const HttpRequestParts& request = aExchange->Request();
+  if (request.m_method == "GET" && request.m_target == "/counts") {
+    aExchange->Answer(JsonAnswer(200, EncodeCounts(m_counts)));
+    return;
+  }
+  if (request.m_target != "/faults") {
+    aExchange->Answer(ErrorAnswer(404, "no such page"));
+    return;
+  }
+  if (request.m_method == "POST") {
+    const auto faults = DecodeFaults(request.m_body, m_faults);
+    if (!faults) {
+      aExchange->Answer(ErrorAnswer(400, "not a set of faults"));
+      return;
+    }
+    if (const auto set = SetFaults(*faults); !set) {
+      aExchange->Answer(ErrorAnswer(500, "the address is taken"));
+      return;
+    }
+  }
+  aExchange->Answer(JsonAnswer(200, EncodeFaults(m_faults)));
+}
+
+} // namespace tarragontray
--- a/src/programs/Standins.cmake
+++ b/src/programs/Standins.cmake
@@ -1,1 +1,7 @@
 # Targets; see cmake/Targets.cmake.
+tt_library(tt_program_options SRCS ProgramOptions.cpp DEPS tt_base)
+tt_library(tt_standin_platform
+  SRCS StandinPlatform.cpp StandinPlatformAdmin.cpp StandinPlatformStore.cpp
+  DEPS tt_platform_messages tt_http_server tt_json)
+tt_program(standin-platform SRCS StandinPlatformMain.cpp
+  DEPS tt_standin_platform tt_program_options)
