--- a/src/base/Json.cpp
+++ b/src/base/Json.cpp
@@ -1,2 +1,2 @@
-// Boost.JSON is built here, once.
+// The one source that compiles Boost.JSON; every other one links tt_json.
 #include <boost/json/src.hpp>
--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -16,6 +16,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "connection/HttpFields.h"
+
 namespace tarragontray {
 
 namespace {
@@ -49,13 +51,7 @@
 {
   HttpAnswerParts parts;
   parts.m_status = static_cast<std::uint16_t>(aResponse.result_int());
-  for (const auto& field : aResponse) {
-    std::string name(field.name_string());
-    for (char& character : name) {
-      character = beast::detail::ascii_tolower(character);
-    }
-    parts.m_headers.push_back({ std::move(name), std::string(field.value()) });
-  }
+  parts.m_headers = EndToEndHeaders(aResponse);
   parts.m_body = std::move(aResponse.body());
   return parts;
 }
--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -1,420 +1,284 @@
 #include "connection/HttpServer.h"
 
-#include <optional>
-#include <unordered_set>
+#include <list>
 #include <utility>
 
-#include <boost/asio/io_context.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/socket_base.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
-namespace tarragontray {
+#include "connection/HttpFields.h"
 
-namespace {
+namespace tarragontray {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using asio::ip::tcp;
-using boost::system::error_code;
 
-class Connection;
-/// The connections of one server.
-using ConnectionSet = std::unordered_set<std::shared_ptr<Connection>>;
+namespace {
 
-std::string
-LowerCase(std::string_view aText)
-{
-  std::string lower(aText);
-  for (char& character : lower) {
-    character = beast::detail::ascii_tolower(character);
-  }
-  return lower;
-}
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+using ReusePort =
+  asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+using Parser = http::request_parser<http::string_body>;
 
 HttpRequestParts
-FromBeast(http::request<http::string_body>&& aRequest)
+PartsOf(http::request<http::string_body>&& aRequest)
 {
   HttpRequestParts parts;
   parts.m_method = std::string(aRequest.method_string());
   parts.m_target = std::string(aRequest.target());
-  for (const auto& field : aRequest) {
-    parts.m_headers.push_back(
-      { LowerCase(field.name_string()), std::string(field.value()) });
-  }
+  parts.m_headers = EndToEndHeaders(aRequest);
   parts.m_body = std::move(aRequest.body());
   return parts;
 }
 
 http::response<http::string_body>
-ToBeast(HttpAnswerParts&& aParts, bool aKeepAlive)
+ResponseOf(HttpAnswerParts&& aAnswer, bool aKeepAlive, bool aIsHead)
 {
   http::response<http::string_body> response;
   response.version(11);
-  response.result(aParts.m_status);
+  response.result(aAnswer.m_status);
+  for (const HttpHeader& header : aAnswer.m_headers) {
+    response.insert(header.m_name, header.m_value);
+  }
   response.keep_alive(aKeepAlive);
-  for (const HttpHeader& header : aParts.m_headers) {
-    response.set(header.m_name, header.m_value);
+  response.content_length(aAnswer.m_body.size());
+  if (!aIsHead) {
+    response.body() = std::move(aAnswer.m_body);
   }
-  response.body() = std::move(aParts.m_body);
-  response.prepare_payload();
   return response;
 }
 
-/// One accepted connection; its handlers and its exchange keep it alive.
-class Connection : public std::enable_shared_from_this<Connection>
+/// The status for a request that could not be read; 0: say nothing.
+std::uint16_t
+StatusOf(const boost::system::error_code& aError)
 {
-public:
-  Connection(tcp::socket aSocket,
-             const HttpServerSettings& aSettings,
-             HttpServer::Handler aHandler,
-             std::weak_ptr<ConnectionSet> aOwner)
-    : m_stream(std::move(aSocket))
-    , m_settings(aSettings)
-    , m_handler(std::move(aHandler))
-    , m_owner(std::move(aOwner))
-  {
+  if (aError == http::error::body_limit) {
+    return 413;
   }
-
-  void Read()
-  {
-    m_parser.emplace();
-    m_parser->body_limit(m_settings.m_maxBody.Value());
-    m_stream.expires_after(m_settings.m_idleTimeout);
-    http::async_read(
-      m_stream,
-      m_buffer,
-      *m_parser,
-      [self = shared_from_this()](const error_code& aError, std::size_t) {
-        self->OnRead(aError);
-      });
-  }
-
-  void Write(HttpAnswerParts aAnswer)
-  {
-    m_response = ToBeast(std::move(aAnswer), m_keepAlive);
-    m_stream.expires_after(m_settings.m_idleTimeout);
-    http::async_write(
-      m_stream,
-      m_response,
-      [self = shared_from_this()](const error_code& aError, std::size_t) {
-        self->OnWritten(aError);
-      });
-  }
-
-  void WriteCut(HttpAnswerParts aAnswer, std::size_t aBytes)
-  {
-    m_response = ToBeast(std::move(aAnswer), false);
-    // The head promises the whole body; fewer bytes follow.
-    m_response.body().resize(std::min(aBytes, m_response.body().size()));
-    m_keepAlive = false;
-    m_stream.expires_after(m_settings.m_idleTimeout);
-    http::async_write(m_stream,
-                      m_response,
-                      [self = shared_from_this()](
-                        const error_code&, std::size_t) { self->Close(); });
-  }
-
-  void Close()
-  {
-    if (m_isClosed) {
-      return;
-    }
-    m_isClosed = true;
-    m_stream.close();
-    if (const auto owner = m_owner.lock()) {
-      owner->erase(shared_from_this());
-    }
-  }
-
-  /// Calls aClosed when the peer closes while a request runs.
-  void WatchForClose(std::function<void()> aClosed)
-  {
-    m_onClosed = std::move(aClosed);
-    m_stream.socket().async_wait(
-      tcp::socket::wait_read,
-      [self = shared_from_this(),
-       request = m_requestNumber](const error_code& aError) {
-        if (!self->m_isClosed && self->m_isRunning &&
-            request == self->m_requestNumber) {
-          self->OnReadable(aError);
-        }
-      });
-  }
-
-  const HttpRequestParts& Request() const { return m_request; }
-  std::uint64_t RequestNumber() const { return m_requestNumber; }
-  /// True for the first caller of each request.
-  bool TakeEnd(std::uint64_t aRequestNumber)
-  {
-    const bool isOpen =
-      m_isRunning && !m_isClosed && aRequestNumber == m_requestNumber;
-    if (isOpen) {
-      m_isRunning = false;
-      m_onClosed = nullptr;
-    }
-    return isOpen;
-  }
-
-private:
-  class RequestExchange;
-
-  void OnRead(const error_code& aError);
-
-  void OnWritten(const error_code& aError)
-  {
-    if (aError || !m_keepAlive) {
-      Close();
-      return;
-    }
-    Read();
-  }
-
-  void OnReadable(const error_code& aError)
-  {
-    char byte = 0;
-    error_code peekError = aError;
-    if (!aError) {
-      m_stream.socket().non_blocking(true, peekError);
-      m_stream.socket().receive(
-        asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
-    }
-    if (!peekError) {
-      return; // The next request has come early; it waits.
-    }
-    m_isRunning = false;
-    const auto closed = std::move(m_onClosed);
-    Close();
-    if (closed) {
-      closed();
-    }
+  if (aError == http::error::header_limit) {
+    return 431;
   }
+  const bool isGarbled =
+    aError.category() == make_error_code(http::error::bad_version).category();
+  return isGarbled && aError != http::error::end_of_stream &&
+             aError != http::error::partial_message
+           ? 400
+           : 0;
+}
 
-  beast::tcp_stream m_stream;
-  const HttpServerSettings m_settings;
-  const HttpServer::Handler m_handler;
-  const std::weak_ptr<ConnectionSet> m_owner;
-  beast::flat_buffer m_buffer;
-  std::optional<http::request_parser<http::string_body>> m_parser;
-  http::response<http::string_body> m_response;
-  HttpRequestParts m_request;
-  std::function<void()> m_onClosed;
-  std::uint64_t m_requestNumber = 0;
-  bool m_keepAlive = false;
-  bool m_isRunning = false;
-  bool m_isClosed = false;
-};
+class BeastServer;
 
-/// The exchange that the handler holds.
-class Connection::RequestExchange final : public HttpExchange
+/// One caller's connection.
+struct Session
 {
-public:
-  explicit RequestExchange(std::shared_ptr<Connection> aConnection)
-    : m_connection(std::move(aConnection))
-    , m_requestNumber(m_connection->RequestNumber())
-    , m_request(m_connection->Request())
-  {
-  }
-
-  const HttpRequestParts& Request() const override { return m_request; }
-  void Answer(HttpAnswerParts aAnswer) override
-  {
-    if (m_connection->TakeEnd(m_requestNumber)) {
-      m_connection->Write(std::move(aAnswer));
-    }
-  }
-  void AnswerCut(HttpAnswerParts aAnswer, std::size_t aBytes) override
-  {
-    if (m_connection->TakeEnd(m_requestNumber)) {
-      m_connection->WriteCut(std::move(aAnswer), aBytes);
-    }
-  }
-  void Drop() override
-  {
-    if (m_connection->TakeEnd(m_requestNumber)) {
-      m_connection->Close();
-    }
-  }
-  void OnClosed(std::function<void()> aClosed) override
+  explicit Session(tcp::socket aSocket)
+    : m_stream(std::move(aSocket))
   {
-    m_connection->WatchForClose(std::move(aClosed));
   }
 
-private:
-  const std::shared_ptr<Connection> m_connection;
-  const std::uint64_t m_requestNumber;
-  const HttpRequestParts m_request;
+  beast::tcp_stream m_stream;
+  bool m_isBusy = false;
 };
 
-void
-Connection::OnRead(const error_code& aError)
-{
-  if (m_isClosed) {
-    return;
-  }
-  const bool isClosed =
-    aError &&
-    (aError == http::error::end_of_stream || aError == beast::error::timeout ||
-     aError.category() == boost::system::system_category());
-  if (isClosed) {
-    Close();
-    return;
-  }
-  if (aError) {
-    const bool isLarge =
-      aError == http::error::body_limit || aError == http::error::header_limit;
-    m_keepAlive = false;
-    Write({ .m_status = static_cast<std::uint16_t>(isLarge ? 413 : 400),
-            .m_headers = {},
-            .m_body = R"({"error": "bad request"})" });
-    return;
-  }
-  m_stream.expires_never();
-  m_keepAlive = m_parser->keep_alive();
-  m_request = FromBeast(m_parser->release());
-  ++m_requestNumber;
-  m_isRunning = true;
-  m_handler(std::make_shared<RequestExchange>(shared_from_this()));
-}
-
-} // namespace
-
-/// The listening socket and the open connections.
-class HttpServer::State : public std::enable_shared_from_this<State>
+class BeastServer final
+  : public HttpServer
+  , public std::enable_shared_from_this<BeastServer>
 {
 public:
-  State(asio::io_context& aContext,
-        HttpServerSettings aSettings,
-        Handler aHandler)
-    : m_acceptor(aContext)
+  BeastServer(asio::io_context& aContext,
+              const HttpServerSettings& aSettings,
+              HttpHandler aHandler)
+    : m_context(aContext)
     , m_settings(aSettings)
     , m_handler(std::move(aHandler))
+    , m_acceptor(aContext)
   {
   }
 
-  error_code Open()
+  Result<void> Listen()
   {
     const tcp::endpoint endpoint(
       asio::ip::address_v4(m_settings.m_address.Ip()),
       m_settings.m_address.Port());
-    error_code error;
+    boost::system::error_code error;
     m_acceptor.open(endpoint.protocol(), error);
-    if (!error) {
-      m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    if (m_settings.m_sharesPort) {
+      m_acceptor.set_option(ReusePort(true), error);
     }
+    m_acceptor.bind(endpoint, error);
     if (!error) {
-      m_acceptor.bind(endpoint, error);
+      m_acceptor.listen(asio::socket_base::max_listen_connections, error);
     }
-    if (!error) {
-      m_acceptor.listen(tcp::acceptor::max_listen_connections, error);
+    if (error) {
+      return Error(ErrorCode::Unavailable,
+                   "http.listen",
+                   m_settings.m_address.ToString(),
+                   error.message());
     }
-    return error;
+    return Success();
   }
 
-  NetworkAddress Address() const
+  void Start()
   {
-    error_code error;
-    const auto endpoint = m_acceptor.local_endpoint(error);
-    return { m_settings.m_address.Ip(),
-             error ? m_settings.m_address.Port() : endpoint.port() };
+    asio::co_spawn(
+      m_context,
+      [self = shared_from_this()] { return self->AcceptLoop(); },
+      asio::detached);
   }
 
-  void Accept()
+  NetworkAddress Address() const override
   {
-    m_acceptor.async_accept([self = shared_from_this()](
-                              const error_code& aError, tcp::socket aSocket) {
-      if (!aError) {
-        self->Start(std::move(aSocket));
-      }
-      if (self->m_acceptor.is_open() &&
-          aError != asio::error::operation_aborted) {
-        self->Accept();
-      }
-    });
+    boost::system::error_code ignored;
+    const tcp::endpoint endpoint = m_acceptor.local_endpoint(ignored);
+    return NetworkAddress(m_settings.m_address.Ip(), endpoint.port());
   }
 
-  void StopListening()
+  void Drain() override
   {
-    error_code ignored;
+    m_isDraining = true;
+    boost::system::error_code ignored;
     m_acceptor.close(ignored);
-  }
-
-  void CloseConnections()
-  {
-    const ConnectionSet connections = *m_connections;
-    for (const auto& connection : connections) {
-      connection->Close();
+    for (const auto& session : m_sessions) {
+      if (!session->m_isBusy) {
+        session->m_stream.close();
+      }
     }
   }
 
-  std::size_t ConnectionCount() const { return m_connections->size(); }
+  std::size_t ActiveRequests() const override { return m_active; }
+  const HttpServerCounters& Counters() const override { return m_counters; }
 
 private:
-  void Start(tcp::socket aSocket)
+  using SessionList = std::list<std::shared_ptr<Session>>;
+
+  asio::awaitable<void> AcceptLoop()
   {
-    if (m_connections->size() >= m_settings.m_maxConnections) {
-      return; // The socket closes as it goes.
+    const auto self = shared_from_this();
+    while (m_acceptor.is_open()) {
+      auto [error, socket] = co_await m_acceptor.async_accept(kAwait);
+      if (error) {
+        continue;
+      }
+      if (m_sessions.size() >= m_settings.m_maxSessions) {
+        ++m_counters.m_refusedSessions;
+        continue;
+      }
+      boost::system::error_code ignored;
+      socket.set_option(tcp::no_delay(true), ignored);
+      m_sessions.push_back(std::make_shared<Session>(std::move(socket)));
+      asio::co_spawn(
+        m_context,
+        [self, place = std::prev(m_sessions.end())] {
+          return self->Serve(place);
+        },
+        asio::detached);
     }
-    error_code ignored;
-    aSocket.set_option(tcp::no_delay(true), ignored);
-    const auto connection = std::make_shared<Connection>(
-      std::move(aSocket), m_settings, m_handler, m_connections);
-    m_connections->insert(connection);
-    connection->Read();
   }
 
-  tcp::acceptor m_acceptor;
-  const HttpServerSettings m_settings;
-  const Handler m_handler;
-  const std::shared_ptr<ConnectionSet> m_connections =
-    std::make_shared<ConnectionSet>();
-};
+  asio::awaitable<void> Serve(SessionList::iterator aPlace)
+  {
+    const auto self = shared_from_this();
+    const std::shared_ptr<Session> session = *aPlace;
+    beast::flat_buffer buffer;
+    bool goesOn = true;
+    while (goesOn && !m_isDraining) {
+      goesOn = co_await ServeOne(*session, buffer);
+    }
+    session->m_stream.close();
+    m_sessions.erase(aPlace);
+  }
 
-HttpServer::HttpServer(std::shared_ptr<State> aState)
-  : m_state(std::move(aState))
-{
-}
+  /// Serves one request; false when the session is over.
+  asio::awaitable<bool> ServeOne(Session& aSession, beast::flat_buffer& aBuffer)
+  {
+    Parser parser;
+    parser.header_limit(m_settings.m_maxHeaderBytes);
+    parser.body_limit(m_settings.m_maxBodyBytes);
+    aSession.m_stream.expires_after(m_settings.m_idleLimit);
+    const auto [error, size] =
+      co_await http::async_read(aSession.m_stream, aBuffer, parser, kAwait);
+    if (error) {
+      co_await RefuseGarbled(aSession, error);
+      co_return false;
+    }
+    ++m_counters.m_requests;
+    ++m_active;
+    aSession.m_isBusy = true;
+    aSession.m_stream.expires_never();
+    const bool keepAlive = parser.get().keep_alive();
+    const bool isHead = parser.get().method() == http::verb::head;
+    HttpAnswerParts answer = co_await m_handler(PartsOf(parser.release()));
+    const bool goesOn = keepAlive && !m_isDraining;
+    const bool written =
+      co_await Write(aSession, ResponseOf(std::move(answer), goesOn, isHead));
+    aSession.m_isBusy = false;
+    --m_active;
+    co_return goesOn&& written;
+  }
 
-HttpServer::~HttpServer()
-{
-  m_state->StopListening();
-  m_state->CloseConnections();
-}
+  asio::awaitable<void> RefuseGarbled(Session& aSession,
+                                      boost::system::error_code aError)
+  {
+    const std::uint16_t status = StatusOf(aError);
+    if (status != 0) {
+      ++m_counters.m_badRequests;
+      co_await Write(
+        aSession,
+        ResponseOf(TextAnswer(status, aError.message() + "\n"), false, false));
+    }
+  }
 
-Result<std::unique_ptr<HttpServer>>
-HttpServer::Listen(boost::asio::io_context& aContext,
-                   HttpServerSettings aSettings,
-                   Handler aHandler)
-{
-  const std::string address = aSettings.m_address.ToString();
-  auto state =
-    std::make_shared<State>(aContext, aSettings, std::move(aHandler));
-  if (const error_code error = state->Open()) {
-    return Error(
-      ErrorCode::Unreachable, "http.listen", address, error.message());
+  asio::awaitable<bool> Write(Session& aSession,
+                              http::response<http::string_body> aResponse)
+  {
+    aSession.m_stream.expires_after(m_settings.m_idleLimit);
+    const auto [error, size] =
+      co_await http::async_write(aSession.m_stream, aResponse, kAwait);
+    co_return !error;
   }
-  state->Accept();
-  return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
-}
 
-NetworkAddress
-HttpServer::Address() const
-{
-  return m_state->Address();
-}
+  asio::io_context& m_context;
+  HttpServerSettings m_settings;
+  HttpHandler m_handler;
+  tcp::acceptor m_acceptor;
+  SessionList m_sessions;
+  std::size_t m_active = 0;
+  bool m_isDraining = false;
+  HttpServerCounters m_counters;
+};
+
+} // namespace
 
-void
-HttpServer::StopListening()
+Result<std::shared_ptr<HttpServer>>
+HttpServer::Create(asio::io_context& aContext,
+                   const HttpServerSettings& aSettings,
+                   HttpHandler aHandler)
 {
-  m_state->StopListening();
+  auto server =
+    std::make_shared<BeastServer>(aContext, aSettings, std::move(aHandler));
+  BOOST_OUTCOME_TRY(server->Listen());
+  server->Start();
+  return std::shared_ptr<HttpServer>(std::move(server));
 }
 
-std::size_t
-HttpServer::ConnectionCount() const
+HttpAnswerParts
+TextAnswer(std::uint16_t aStatus, std::string aBody, std::string aContentType)
 {
-  return m_state->ConnectionCount();
+  HttpAnswerParts answer;
+  answer.m_status = aStatus;
+  answer.m_headers.push_back({ "content-type", std::move(aContentType) });
+  answer.m_body = std::move(aBody);
+  return answer;
 }
 
 } // namespace tarragontray
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -1,93 +1,87 @@
 /// \file
-/// A small HTTP/1.1 server: one handler, answers given now or later.
+/// HTTP/1.1 sessions of callers and operators.
 ///
-///     Result<std::unique_ptr<HttpServer>> server = HttpServer::Listen(
-///       context, { .m_address = address }, [](HttpServer::Exchange aExchange)
-///       {
-///         aExchange->Answer({ .m_status = 204 });
-///       });
+///     auto server = HttpServer::Create(context, settings, handler);
+///     if (!server) { return server.error(); }
+///     ...
+///     server.value()->Drain();   // closes idle sessions, accepts no more
+///     bool done = server.value()->ActiveRequests() == 0;
 ///
-/// A connection carries one request at a time; a request that breaks HTTP or
-/// a bound gets 400 or 413 and its connection is closed.
+/// A request is read whole before the handler sees it; its answer leaves in
+/// one write. Garbled or oversized requests are answered with 400, 413 or 431
+/// and the session is closed.
 ///
-/// Thread safety: one thread, the one that runs the io_context.
+/// Thread safety: one thread, that of the io_context.
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
 
 #include "base/NetworkAddress.h"
 #include "base/Result.h"
 #include "base/Units.h"
 #include "request/Call.h"
 
-namespace boost::asio {
-class io_context;
-}
-
 namespace tarragontray {
 
-/// Where an HttpServer listens, and its bounds.
+/// Bounds of a server.
 struct HttpServerSettings
 {
-  /// Port 0 picks a free one.
   NetworkAddress m_address;
-  ByteCount m_maxBody{ 2U << 20U };
-  /// A connection without a request for so long is closed.
-  Duration m_idleTimeout{ std::chrono::seconds(120) };
-  /// Connections over this bound are closed at once.
-  std::size_t m_maxConnections = 4096;
+  std::size_t m_maxSessions = 4096;
+  std::uint32_t m_maxHeaderBytes = 16U << 10U;
+  std::uint64_t m_maxBodyBytes = 1U << 20U;
+  /// A session that sends no request for this long is closed.
+  Duration m_idleLimit{ std::chrono::seconds(60) };
+  /// Several servers of one process may share the address.
+  bool m_sharesPort = false;
 };
 
-/// One request and the way to answer it. Exactly one of Answer, AnswerCut and
-/// Drop ends it; one that is neither answered nor dropped leaves the
-/// connection silent until the server closes it.
-class HttpExchange
+/// Counts since the start.
+struct HttpServerCounters
 {
-public:
-  virtual ~HttpExchange() = default;
-
-  virtual const HttpRequestParts& Request() const = 0;
-  /// Sends the whole answer.
-  virtual void Answer(HttpAnswerParts aAnswer) = 0;
-  /// Sends an answer of which only the first aBytes of the body arrive.
-  virtual void AnswerCut(HttpAnswerParts aAnswer, std::size_t aBytes) = 0;
-  /// Closes the connection without an answer.
-  virtual void Drop() = 0;
-  /// Calls aClosed when the peer closes its connection before the end.
-  virtual void OnClosed(std::function<void()> aClosed) = 0;
+  std::uint64_t m_requests = 0;
+  std::uint64_t m_badRequests = 0;
+  /// Sessions that were turned away at m_maxSessions.
+  std::uint64_t m_refusedSessions = 0;
 };
 
+/// Answers one request. Header names come in lower case.
+using HttpHandler =
+  std::function<boost::asio::awaitable<HttpAnswerParts>(HttpRequestParts)>;
+
 /// See the file comment.
 class HttpServer
 {
 public:
-  using Exchange = std::shared_ptr<HttpExchange>;
-  using Handler = std::function<void(Exchange)>;
+  virtual ~HttpServer() = default;
 
-  /// Listens at once. Errors: Unreachable when the address can't be had.
-  /// Precondition: aContext outlives the server.
-  static Result<std::unique_ptr<HttpServer>> Listen(
+  /// Listens at once. Errors: Unavailable with step "http.listen".
+  /// \param aContext must outlive all sessions.
+  static Result<std::shared_ptr<HttpServer>> Create(
     boost::asio::io_context& aContext,
-    HttpServerSettings aSettings,
-    Handler aHandler);
-  /// Closes the listening socket and every connection.
-  ~HttpServer();
-  HttpServer(const HttpServer&) = delete;
-  HttpServer& operator=(const HttpServer&) = delete;
-
-  /// The address with the port that was picked.
-  NetworkAddress Address() const;
-  /// Takes no new connections; those that are open go on.
-  void StopListening();
-  std::size_t ConnectionCount() const;
+    const HttpServerSettings& aSettings,
+    HttpHandler aHandler);
 
-private:
-  class State;
-  explicit HttpServer(std::shared_ptr<State> aState);
-
-  std::shared_ptr<State> m_state;
+  /// The address in use; the port is known even where 0 was asked for.
+  virtual NetworkAddress Address() const = 0;
+  /// Accepts no more sessions; the others end after their request.
+  virtual void Drain() = 0;
+  /// Requests that are being served.
+  virtual std::size_t ActiveRequests() const = 0;
+  virtual const HttpServerCounters& Counters() const = 0;
 };
 
+/// An answer of text with a content type.
+HttpAnswerParts
+TextAnswer(std::uint16_t aStatus,
+           std::string aBody,
+           std::string aContentType = "text/plain; charset=utf-8");
+
 } // namespace tarragontray
--- a/src/connection/PlatformSessionTest.cpp
+++ b/src/connection/PlatformSessionTest.cpp
@@ -7,7 +7,7 @@
 #include <criterion/criterion.h>
 
 #include "base/Clock.h"
-#include "connection/HttpServer.h"
+#include "programs/FaultyHttpServer.h"
 #include "programs/StandinPlatform.h"
 
 namespace tarragontray {
@@ -305,12 +305,12 @@
   };
   Fixture fixture;
   std::string body;
-  const auto server =
-    HttpServer::Listen(fixture.m_context,
-                       { .m_address = kAnyPort },
-                       [&body](const HttpServer::Exchange& aExchange) {
-                         aExchange->Answer({ 200, {}, body });
-                       });
+  const auto server = FaultyHttpServer::Listen(
+    fixture.m_context,
+    { .m_address = kAnyPort },
+    [&body](const FaultyHttpServer::Exchange& aExchange) {
+      aExchange->Answer({ 200, {}, body });
+    });
   PlatformSettings settings;
   settings.m_address = server.value()->Address();
   fixture.m_platform =
@@ -327,11 +327,11 @@
 {
   Fixture fixture;
   const auto server =
-    HttpServer::Listen(fixture.m_context,
-                       { .m_address = kAnyPort },
-                       [](const HttpServer::Exchange& aExchange) {
-                         aExchange->AnswerCut({ 200, {}, "{}" }, 1);
-                       });
+    FaultyHttpServer::Listen(fixture.m_context,
+                             { .m_address = kAnyPort },
+                             [](const FaultyHttpServer::Exchange& aExchange) {
+                               aExchange->AnswerCut({ 200, {}, "{}" }, 1);
+                             });
   PlatformSettings settings;
   settings.m_address = server.value()->Address();
   fixture.m_platform =
--- a/src/programs/StandinPlatform.cpp
+++ b/src/programs/StandinPlatform.cpp
@@ -31,7 +31,7 @@
 /// A watch that waits for a change.
 struct StandinPlatform::Waiting
 {
-  HttpServer::Exchange m_exchange;
+  FaultyHttpServer::Exchange m_exchange;
   std::string m_prefix;
   Revision m_after;
   boost::asio::steady_timer m_timer;
@@ -53,13 +53,13 @@
     new StandinPlatform(aContext, aClock));
   BOOST_OUTCOME_TRY(platform->Open(aSettings.m_address));
   StandinPlatform* self = platform.get();
-  BOOST_OUTCOME_TRY(
-    platform->m_admin,
-    HttpServer::Listen(aContext,
-                       { .m_address = aSettings.m_adminAddress },
-                       [self](const HttpServer::Exchange& aExchange) {
-                         self->OnAdminRequest(aExchange);
-                       }));
+  BOOST_OUTCOME_TRY(platform->m_admin,
+                    FaultyHttpServer::Listen(
+                      aContext,
+                      { .m_address = aSettings.m_adminAddress },
+                      [self](const FaultyHttpServer::Exchange& aExchange) {
+                        self->OnAdminRequest(aExchange);
+                      }));
   BOOST_OUTCOME_TRY(platform->SetFaults(aSettings.m_faults));
   return platform;
 }
@@ -67,12 +67,13 @@
 Result<void>
 StandinPlatform::Open(NetworkAddress aAddress)
 {
-  BOOST_OUTCOME_TRY(m_server,
-                    HttpServer::Listen(m_context,
-                                       { .m_address = aAddress },
-                                       [this](HttpServer::Exchange aExchange) {
-                                         OnRequest(std::move(aExchange));
-                                       }));
+  BOOST_OUTCOME_TRY(
+    m_server,
+    FaultyHttpServer::Listen(m_context,
+                             { .m_address = aAddress },
+                             [this](FaultyHttpServer::Exchange aExchange) {
+                               OnRequest(std::move(aExchange));
+                             }));
   m_address = m_server->Address();
   return Success();
 }
@@ -96,7 +97,7 @@
 }
 
 void
-StandinPlatform::OnRequest(HttpServer::Exchange aExchange)
+StandinPlatform::OnRequest(FaultyHttpServer::Exchange aExchange)
 {
   const auto request = DecodeRequest(aExchange->Request());
   if (!request) {
@@ -142,7 +143,7 @@
 }
 
 void
-StandinPlatform::Serve(const HttpServer::Exchange& aExchange,
+StandinPlatform::Serve(const FaultyHttpServer::Exchange& aExchange,
                        const PlatformRequest& aRequest)
 {
   switch (aRequest.m_operation) {
@@ -164,7 +165,7 @@
 }
 
 void
-StandinPlatform::ServeRead(const HttpServer::Exchange& aExchange,
+StandinPlatform::ServeRead(const FaultyHttpServer::Exchange& aExchange,
                            const ObjectKey& aKey)
 {
   ++m_counts.m_reads;
@@ -174,7 +175,7 @@
 }
 
 void
-StandinPlatform::ServeWrite(const HttpServer::Exchange& aExchange,
+StandinPlatform::ServeWrite(const FaultyHttpServer::Exchange& aExchange,
                             const PlatformWrite& aWrite)
 {
   ++m_counts.m_writes;
@@ -202,7 +203,7 @@
 }
 
 void
-StandinPlatform::ServeWatch(const HttpServer::Exchange& aExchange,
+StandinPlatform::ServeWatch(const FaultyHttpServer::Exchange& aExchange,
                             const PlatformRequest& aRequest)
 {
   ++m_counts.m_watches;
@@ -250,7 +251,7 @@
 }
 
 void
-StandinPlatform::OnAdminRequest(const HttpServer::Exchange& aExchange)
+StandinPlatform::OnAdminRequest(const FaultyHttpServer::Exchange& aExchange)
 {
   const HttpRequestParts& request = aExchange->Request();
   if (request.m_method == "GET" && request.m_target == "/counts") {
--- a/src/programs/StandinPlatform.h
+++ b/src/programs/StandinPlatform.h
@@ -29,8 +29,8 @@
 #include "base/Clock.h"
 #include "base/NetworkAddress.h"
 #include "base/Result.h"
-#include "connection/HttpServer.h"
 #include "connection/PlatformMessages.h"
+#include "programs/FaultyHttpServer.h"
 #include "programs/StandinPlatformStore.h"
 #include "programs/TokenBucket.h"
 
@@ -108,14 +108,15 @@
   StandinPlatform(boost::asio::io_context& aContext, const Clock& aClock);
 
   Result<void> Open(NetworkAddress aAddress);
-  void OnRequest(HttpServer::Exchange aExchange);
-  void OnAdminRequest(const HttpServer::Exchange& aExchange);
-  void Serve(const HttpServer::Exchange& aExchange,
+  void OnRequest(FaultyHttpServer::Exchange aExchange);
+  void OnAdminRequest(const FaultyHttpServer::Exchange& aExchange);
+  void Serve(const FaultyHttpServer::Exchange& aExchange,
              const PlatformRequest& aRequest);
-  void ServeRead(const HttpServer::Exchange& aExchange, const ObjectKey& aKey);
-  void ServeWrite(const HttpServer::Exchange& aExchange,
+  void ServeRead(const FaultyHttpServer::Exchange& aExchange,
+                 const ObjectKey& aKey);
+  void ServeWrite(const FaultyHttpServer::Exchange& aExchange,
                   const PlatformWrite& aWrite);
-  void ServeWatch(const HttpServer::Exchange& aExchange,
+  void ServeWatch(const FaultyHttpServer::Exchange& aExchange,
                   const PlatformRequest& aRequest);
   bool TakeToken(PlatformOperation aOperation);
   void NotifyWatches();
@@ -130,8 +131,8 @@
   TokenBucket m_readTokens;
   TokenBucket m_writeTokens;
   std::list<std::shared_ptr<Waiting>> m_watches;
-  std::unique_ptr<HttpServer> m_server;
-  std::unique_ptr<HttpServer> m_admin;
+  std::unique_ptr<FaultyHttpServer> m_server;
+  std::unique_ptr<FaultyHttpServer> m_admin;
 };
 
 } // namespace tarragontray
--- a/src/programs/StandinPlatformMain.cpp
+++ b/src/programs/StandinPlatformMain.cpp
@@ -6,57 +6,64 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
-#include "programs/ProgramOptions.h"
+#include "process/Settings.h"
 #include "programs/StandinPlatform.h"
 
 namespace tarragontray {
 
 namespace {
 
-void
-AddOptions(ProgramOptions& aOptions)
+SettingsParser
+MakeParser()
 {
   constexpr std::int64_t kMaxRate = 1'000'000;
   constexpr std::int64_t kMaxMs = 600'000;
-  aOptions.AddAddress("listen", "object API", "127.0.0.1:7000");
-  aOptions.AddAddress("admin", "admin port: faults, counts", "127.0.0.1:7001");
-  aOptions.AddNumber("reads-per-second",
-                     "limit of reads, lists and watches; 0: none",
-                     { "calls/s", 0, kMaxRate, 0 });
-  aOptions.AddNumber("writes-per-second",
-                     "limit of writes; 0: none",
-                     { "calls/s", 0, kMaxRate, 0 });
-  aOptions.AddNumber(
-    "slow-ms", "added to each short call", { "ms", 0, kMaxMs, 0 });
+  SettingsParser parser("standin-platform",
+                        "A stand-in for the platform's object API.");
+  parser.Add(AddressSetting{ "listen", "Listens for the object API." });
+  parser.Add(AddressSetting{ "admin", "Listens for /faults and /counts." });
+  parser.Add(IntegerSetting{ "reads-per-second",
+                             "calls/s",
+                             "Limit of reads, lists and watches; 0: none.",
+                             0,
+                             kMaxRate,
+                             0 });
+  parser.Add(IntegerSetting{ "writes-per-second",
+                             "calls/s",
+                             "Limit of writes; 0: none.",
+                             0,
+                             kMaxRate,
+                             0 });
+  parser.Add(IntegerSetting{
+    "slow-ms", "ms", "Added to each short call.", 0, kMaxMs, 0 });
+  return parser;
 }
 
 StandinPlatformSettings
-ReadSettings(const ProgramOptions& aOptions)
+ReadSettings(const Settings& aSettings)
 {
   StandinPlatformSettings settings;
-  settings.m_address = aOptions.Address("listen");
-  settings.m_adminAddress = aOptions.Address("admin");
-  settings.m_faults.m_slowness = aOptions.Milliseconds("slow-ms");
+  settings.m_address = aSettings.Address("listen");
+  settings.m_adminAddress = aSettings.Address("admin");
+  settings.m_faults.m_slowness = aSettings.Milliseconds("slow-ms");
   settings.m_faults.m_readsPerSecond =
-    static_cast<std::uint32_t>(aOptions.Number("reads-per-second"));
+    static_cast<std::uint32_t>(aSettings.Integer("reads-per-second"));
   settings.m_faults.m_writesPerSecond =
-    static_cast<std::uint32_t>(aOptions.Number("writes-per-second"));
+    static_cast<std::uint32_t>(aSettings.Integer("writes-per-second"));
   return settings;
 }
 
 int
 Run(int aCount, char** aArguments)
 {
-  ProgramOptions options("standin-platform",
-                         "A stand-in for the platform's object API.");
-  AddOptions(options);
-  if (const auto status = options.Parse(aCount, aArguments)) {
-    return *status;
+  const ParsedCommand parsed = MakeParser().Parse(aCount, aArguments);
+  if (parsed.m_exitStatus) {
+    return *parsed.m_exitStatus;
   }
   boost::asio::io_context context;
   const SystemClock clock;
   const auto platform =
-    StandinPlatform::Create(context, clock, ReadSettings(options));
+    StandinPlatform::Create(context, clock, ReadSettings(parsed.m_settings));
   if (!platform) {
     std::cerr << "standin-platform: " << platform.error().Message() << "\n";
     return EXIT_FAILURE;
--- a/src/programs/Standins.cmake
+++ b/src/programs/Standins.cmake
@@ -1,7 +1,8 @@
 # Targets; see cmake/Targets.cmake.
-tt_library(tt_program_options SRCS ProgramOptions.cpp DEPS tt_base)
+tt_library(tt_faulty_http_server SRCS FaultyHttpServer.cpp
+  DEPS tt_base tt_call Threads::Threads)
 tt_library(tt_standin_platform
   SRCS StandinPlatform.cpp StandinPlatformAdmin.cpp StandinPlatformStore.cpp
-  DEPS tt_platform_messages tt_http_server tt_json)
+  DEPS tt_platform_messages tt_faulty_http_server tt_json)
 tt_program(standin-platform SRCS StandinPlatformMain.cpp
-  DEPS tt_standin_platform tt_program_options)
+  DEPS tt_standin_platform tt_settings)
