Add the conditional writer that is sure of its outcome

An answer of the platform can be lost after the write took effect, and operators race each other.

Weighed: repeating the write blindly, reading back once, or reading back and repeating while the object has the expected revision. The last was taken: of writes that expect one revision one at the most takes effect, so a repetition is safe even when the first one is only late. Only an error that proves that no connection was made counts as "not written"; every other one is read back, and what can't be read back is reported as unknown.

--- a/src/process/ConfigurationStore.cmake
+++ b/src/process/ConfigurationStore.cmake
@@ -7,3 +7,9 @@
   SRCS ConfigurationStoreTest.cpp ConfigurationOrderTest.cpp
        DocumentRevisionsTest.cpp
   DEPS tt_configuration_store tt_configuration_samples rapidcheck)
+
+tt_decision_library(tt_conditional_writer
+  SRCS ConditionalWriter.cpp HDRS ConditionalWriter.h
+  DEPS tt_platform_interface)
+tt_test(conditional_writer_test SRCS ConditionalWriterTest.cpp
+  DEPS tt_conditional_writer rapidcheck)
