--- /dev/null
+++ b/src/process/ControlThread.cpp
@@ -0,0 +1,378 @@
+#include "process/ControlThread.h"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/Random.h"
+#include "connection/DatagramCodec.h"
+#include "connection/HttpServer.h"
+#include "connection/PeerLink.h"
+#include "process/Log.h"
+#include "process/PlatformLoop.h"
+#include "process/StatusJson.h"
+#include "process/StatusPage.h"
+#include "process/ThreadLoop.h"
+#include "version/ConfigurationJson.h"
+
+namespace tarragontray {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr Duration kPullTimeout = std::chrono::seconds(3);
+/// IP and UDP headers of one datagram.
+constexpr std::uint64_t kDatagramOverhead = 28;
+constexpr char kPart[] = "control";
+
+class ControlLoop final : public ControlThread
+{
+public:
+  ControlLoop(const ControlThreadSettings& aSettings,
+              const Clock& aClock,
+              Metrics& aMetrics,
+              TrafficPorts aTraffic)
+    : m_settings(aSettings)
+    , m_clock(aClock)
+    , m_metrics(aMetrics)
+    , m_traffic(std::move(aTraffic))
+    , m_random(aSettings.m_seed)
+    , m_loop("control")
+    , m_socket(m_loop.Context())
+    , m_timer(m_loop.Context())
+    , m_links(m_loop.Context(), aClock, LinkSettings{})
+  {
+  }
+
+  ~ControlLoop() override { Stop(); }
+
+  Result<void> Start()
+  {
+    BOOST_OUTCOME_TRY(
+      m_core, ControlCore::Create(m_settings.m_core, m_decoder, m_random));
+    BOOST_OUTCOME_TRY(Bind());
+    HttpServerSettings admin;
+    admin.m_address = m_settings.m_adminAddress;
+    BOOST_OUTCOME_TRY(
+      m_admin,
+      HttpServer::Create(
+        m_loop.Context(), admin, [this](HttpRequestParts aRequest) {
+          return ServeAdmin(std::move(aRequest));
+        }));
+    BOOST_OUTCOME_TRY(m_platform,
+                      PlatformLoop::Create(m_loop.Context(),
+                                           m_settings.m_platform,
+                                           m_clock,
+                                           *m_core,
+                                           [this](ControlActions aActions) {
+                                             Handle(std::move(aActions));
+                                           }));
+    asio::co_spawn(m_loop.Context(), ReceiveLoop(), asio::detached);
+    m_loop.Post([this] { Handle(m_core->OnTick(Now())); });
+    m_loop.Start();
+    return Success();
+  }
+
+  void Observe(ObservationBatch aBatch) override
+  {
+    m_loop.Post(
+      [this, batch = std::move(aBatch)] { m_core->OnObservations(batch); });
+  }
+
+  void Account(UsageBatch aBatch) override
+  {
+    m_loop.Post([this, batch = std::move(aBatch)] { m_core->OnUsage(batch); });
+  }
+
+  void AnswerState(std::string aRequest,
+                   std::function<void(std::string)> aReply) override
+  {
+    m_loop.Post([this, bytes = std::move(aRequest), reply = std::move(aReply)] {
+      const auto request = DecodePullRequest(bytes, "peer");
+      if (!request) {
+        Log(LogLevel::Warning, kPart, "Pull refused.", request.error());
+        return;
+      }
+      std::string answer =
+        EncodePullAnswer(m_core->OnPull(request.value(), Now()));
+      m_received += bytes.size();
+      m_sent += answer.size();
+      reply(std::move(answer));
+    });
+  }
+
+  void Drain() override
+  {
+    m_loop.Post([this] {
+      m_isDraining = true;
+      Handle(m_core->Leave(Now()));
+    });
+  }
+
+  void Stop() override { m_loop.Stop(); }
+
+private:
+  Times Now() const { return { m_clock.Now(), m_clock.WallNow() }; }
+
+  Result<void> Bind()
+  {
+    const udp::endpoint endpoint(
+      asio::ip::address_v4(m_settings.m_peerAddress.Ip()),
+      m_settings.m_peerAddress.Port());
+    boost::system::error_code error;
+    m_socket.open(endpoint.protocol(), error);
+    if (!error) {
+      m_socket.bind(endpoint, error);
+    }
+    if (error) {
+      return Error(ErrorCode::Unavailable,
+                   "control.bind",
+                   m_settings.m_peerAddress.ToString(),
+                   error.message());
+    }
+    return Success();
+  }
+
+  asio::awaitable<void> ReceiveLoop()
+  {
+    std::array<char, 65536> buffer{};
+    udp::endpoint from;
+    while (true) {
+      const auto [error, size] = co_await m_socket.async_receive_from(
+        asio::buffer(buffer), from, kAwait);
+      if (error) {
+        continue;
+      }
+      m_received += size + kDatagramOverhead;
+      const NetworkAddress peer(from.address().to_v4().to_uint(), from.port());
+      Take(std::string_view(buffer.data(), size), peer);
+    }
+  }
+
+  void Take(std::string_view aBytes, const NetworkAddress& aFrom)
+  {
+    const auto datagram = DecodeDatagram(aBytes, aFrom.ToString());
+    if (!datagram) {
+      ++m_badDatagrams;
+      Log(LogLevel::Debug, kPart, "Datagram dropped.", datagram.error());
+      return;
+    }
+    Handle(m_core->OnDatagram(datagram.value(), aFrom, Now()));
+  }
+
+  void Handle(ControlActions aActions)
+  {
+    for (const OutgoingDatagram& outgoing : aActions.m_send) {
+      Send(outgoing);
+    }
+    if (aActions.m_pull) {
+      asio::co_spawn(
+        m_loop.Context(), Pull(std::move(*aActions.m_pull)), asio::detached);
+    }
+    if (aActions.m_view) {
+      m_traffic.m_publish(std::move(aActions.m_view));
+    }
+    if (aActions.m_bounds) {
+      m_traffic.m_setBounds(*aActions.m_bounds);
+    }
+    if (aActions.m_upstream) {
+      Log(LogLevel::Warning, kPart, "Upstream lapsed.");
+      m_traffic.m_setUpstream(*aActions.m_upstream, m_upstreamAddress);
+    }
+    m_platform->Write(aActions.m_outcomes, aActions.m_usage);
+    m_platform->Check();
+    Schedule();
+  }
+
+  void Send(const OutgoingDatagram& aOutgoing)
+  {
+    const std::string bytes = EncodeDatagram(aOutgoing.m_datagram);
+    const udp::endpoint to(asio::ip::address_v4(aOutgoing.m_to.Ip()),
+                           aOutgoing.m_to.Port());
+    boost::system::error_code ignored;
+    m_socket.send_to(asio::buffer(bytes), to, 0, ignored);
+    m_sent += bytes.size() + kDatagramOverhead;
+  }
+
+  asio::awaitable<void> Pull(OutgoingPull aPull)
+  {
+    std::string request = EncodePullRequest(aPull.m_request);
+    m_sent += request.size();
+    const auto link = m_links.Get(aPull.m_peer);
+    const Exchange<StateReply> exchange =
+      co_await link->Fetch(std::move(request), kPullTimeout);
+    // Pulls are rare; their connections are not kept.
+    link->Close();
+    const auto* reply = std::get_if<StateReply>(&exchange);
+    if (reply == nullptr) {
+      Handle(m_core->OnPullFailed(Now()));
+      co_return;
+    }
+    m_received += reply->m_bytes.size();
+    const auto answer =
+      DecodePullAnswer(reply->m_bytes, aPull.m_peer.ToString());
+    if (!answer) {
+      Log(LogLevel::Warning, kPart, "Pull answer dropped.", answer.error());
+      Handle(m_core->OnPullFailed(Now()));
+      co_return;
+    }
+    Handle(m_core->OnPullAnswer(answer.value(), Now()));
+  }
+
+  void Schedule()
+  {
+    const MonotonicTime next = m_core->NextTick();
+    if (m_scheduled && *m_scheduled <= next) {
+      return;
+    }
+    m_scheduled = next;
+    m_timer.expires_after(std::max(next - m_clock.Now(), Duration(0)));
+    m_timer.async_wait([this](const auto& aError) {
+      if (!aError) {
+        m_scheduled.reset();
+        Handle(m_core->OnTick(Now()));
+      }
+    });
+  }
+
+  asio::awaitable<HttpAnswerParts> ServeAdmin(HttpRequestParts aRequest)
+  {
+    co_return Answer(aRequest);
+  }
+
+  HttpAnswerParts Answer(const HttpRequestParts& aRequest)
+  {
+    if (aRequest.m_method == "POST" && aRequest.m_target == "/v1/upstream") {
+      return TakeUpstream(aRequest.m_body);
+    }
+    if (aRequest.m_method != "GET") {
+      return TextAnswer(405, "method not allowed\n");
+    }
+    if (aRequest.m_target == "/status") {
+      return TextAnswer(200,
+                        StatusJson(m_core->Status(m_clock.WallNow()),
+                                   Figures(),
+                                   m_traffic.m_guardFigures(),
+                                   m_isDraining) +
+                          "\n",
+                        "application/json");
+    }
+    if (aRequest.m_target == "/metrics") {
+      m_metrics.Set(Figures());
+      m_metrics.Set(m_traffic.m_guardFigures());
+      return TextAnswer(200, m_metrics.Text(), "text/plain; version=0.0.4");
+    }
+    if (aRequest.m_target == "/health") {
+      return TextAnswer(200, "ok\n");
+    }
+    if (aRequest.m_target == "/ready") {
+      const bool isReady = m_core->IsReady() && !m_isDraining;
+      return TextAnswer(isReady ? 200 : 503,
+                        isReady ? "ready\n" : "not ready\n");
+    }
+    if (aRequest.m_target == "/") {
+      return TextAnswer(
+        200, std::string(StatusPage()), "text/html; charset=utf-8");
+    }
+    return TextAnswer(404, "not found\n");
+  }
+
+  HttpAnswerParts TakeUpstream(const std::string& aBody)
+  {
+    const auto report = ParseUpstreamReport(aBody);
+    if (!report) {
+      Log(LogLevel::Warning, kPart, "Announcement refused.", report.error());
+      return TextAnswer(400, report.error().Message() + "\n");
+    }
+    const UpstreamAnnouncement& announcement = report.value().m_announcement;
+    if (announcement != m_announced ||
+        report.value().m_address != m_upstreamAddress) {
+      m_announced = announcement;
+      m_upstreamAddress = report.value().m_address;
+      Log(LogLevel::Info,
+          kPart,
+          "Upstream announced.",
+          { { "service", announcement.m_service.m_name.Value() },
+            { "version", announcement.m_version.Value() },
+            { "state", std::string(Name(announcement.m_state)) } });
+    }
+    m_traffic.m_setUpstream(announcement, m_upstreamAddress);
+    Handle(m_core->OnUpstream(announcement, Now()));
+    HttpAnswerParts answer;
+    answer.m_status = 204;
+    return answer;
+  }
+
+  ControlFigures Figures() const
+  {
+    const ControlStatus status = m_core->Status(m_clock.WallNow());
+    ControlFigures figures;
+    figures.m_processorTime = m_loop.ProcessorTime();
+    const PlatformTraffic platform = m_platform->Traffic();
+    figures.m_sent = ByteCount(m_sent);
+    figures.m_received = ByteCount(m_received);
+    figures.m_platformCalls = platform.m_calls;
+    figures.m_badDatagrams = CallCount(m_badDatagrams);
+    for (const MemberRecord& member : status.m_members) {
+      figures.m_membersAlive += member.m_state == NodeState::Alive ? 1 : 0;
+    }
+    for (const AccountStatus& account : status.m_accounts) {
+      figures.m_configurations += account.m_inForce ? 1 : 0;
+      figures.m_rejected += account.m_pending && account.m_pending->m_reason ==
+                                                   PendingReason::Rejected
+                              ? 1
+                              : 0;
+    }
+    return figures;
+  }
+
+  ControlThreadSettings m_settings;
+  const Clock& m_clock;
+  Metrics& m_metrics;
+  TrafficPorts m_traffic;
+  SeededRandom m_random;
+  JsonConfigurationDecoder m_decoder;
+  ThreadLoop m_loop;
+
+  // Used on the loop's thread only, once it has started.
+  std::unique_ptr<ControlCore> m_core;
+  std::unique_ptr<PlatformLoop> m_platform;
+  std::shared_ptr<HttpServer> m_admin;
+  udp::socket m_socket;
+  asio::steady_timer m_timer;
+  std::optional<MonotonicTime> m_scheduled;
+  PeerLinks m_links;
+  UpstreamAnnouncement m_announced;
+  NetworkAddress m_upstreamAddress;
+  bool m_isDraining = false;
+  std::uint64_t m_sent = 0;
+  std::uint64_t m_received = 0;
+  std::uint64_t m_badDatagrams = 0;
+};
+
+} // namespace
+
+Result<std::unique_ptr<ControlThread>>
+ControlThread::Create(const ControlThreadSettings& aSettings,
+                      const Clock& aClock,
+                      Metrics& aMetrics,
+                      TrafficPorts aTraffic)
+{
+  auto control = std::make_unique<ControlLoop>(
+    aSettings, aClock, aMetrics, std::move(aTraffic));
+  BOOST_OUTCOME_TRY(control->Start());
+  return std::unique_ptr<ControlThread>(std::move(control));
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/process/Node.cpp
@@ -0,0 +1,200 @@
+#include "process/Node.h"
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "base/Hash.h"
+#include "process/ControlThread.h"
+#include "process/FrontThread.h"
+#include "process/GuardThread.h"
+#include "process/Log.h"
+
+namespace tarragontray {
+
+namespace {
+
+/// Callers and peers get this long to hear that the node leaves, while it
+/// still answers.
+constexpr Duration kLeaveNotice = std::chrono::milliseconds(1500);
+constexpr Duration kDrainCheck = std::chrono::milliseconds(20);
+
+class ThreadedNode final : public Node
+{
+public:
+  ThreadedNode(const NodeSettings& aSettings, const Clock& aClock)
+    : m_settings(aSettings)
+    , m_clock(aClock)
+    , m_metrics(aSettings.m_vm, aSettings.m_dataCentre)
+  {
+    const auto sinceEpoch = aClock.WallNow().time_since_epoch();
+    m_incarnation = Incarnation(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch)
+        .count()));
+  }
+
+  ~ThreadedNode() override
+  {
+    // Traffic first: its batches go to the control thread.
+    for (const auto& front : m_fronts) {
+      front->Stop();
+    }
+    if (m_guard) {
+      m_guard->Stop();
+    }
+    if (m_control) {
+      m_control->Stop();
+    }
+  }
+
+  Result<void> Start()
+  {
+    BOOST_OUTCOME_TRY(StartGuard());
+    BOOST_OUTCOME_TRY(StartFronts());
+    BOOST_OUTCOME_TRY(StartControl());
+    Log(LogLevel::Info,
+        "node",
+        "Node started.",
+        { { "vm", m_settings.m_vm.Value() },
+          { "data_centre", m_settings.m_dataCentre.Value() },
+          { "front", m_settings.m_frontAddress.ToString() },
+          { "peer", m_settings.m_peerAddress.ToString() },
+          { "admin", m_settings.m_adminAddress.ToString() } });
+    return Success();
+  }
+
+  bool Drain() override
+  {
+    Log(LogLevel::Info, "node", "Node drains.");
+    const MonotonicTime start = m_clock.Now();
+    m_control->Drain();
+    m_guard->Drain();
+    std::this_thread::sleep_for(kLeaveNotice);
+    for (const auto& front : m_fronts) {
+      front->Drain();
+    }
+    const MonotonicTime limit = start + m_settings.m_drainLimit;
+    while (!IsIdle() && m_clock.Now() < limit) {
+      std::this_thread::sleep_for(kDrainCheck);
+    }
+    return IsIdle();
+  }
+
+private:
+  bool IsIdle() const
+  {
+    return m_guard->IsIdle() &&
+           std::all_of(m_fronts.begin(), m_fronts.end(), [](const auto& aOne) {
+             return aOne->ActiveCalls() == 0;
+           });
+  }
+
+  Result<void> StartGuard()
+  {
+    GuardThreadSettings settings;
+    settings.m_address = m_settings.m_peerAddress;
+    settings.m_incarnation = m_incarnation;
+    GuardEvents events;
+    events.m_onUsage = [this](UsageBatch aBatch) {
+      m_control->Account(std::move(aBatch));
+    };
+    events.m_onStateRequest = [this](std::string aRequest,
+                                     std::function<void(std::string)> aReply) {
+      if (m_isRunning) {
+        m_control->AnswerState(std::move(aRequest), std::move(aReply));
+      }
+    };
+    BOOST_OUTCOME_TRY(
+      m_guard, GuardThread::Create(settings, m_clock, std::move(events)));
+    return Success();
+  }
+
+  Result<void> StartFronts()
+  {
+    for (std::uint32_t i = 0; i < m_settings.m_frontThreads; ++i) {
+      FrontSettings settings;
+      settings.m_vm = m_settings.m_vm;
+      settings.m_dataCentre = m_settings.m_dataCentre;
+      settings.m_region = m_settings.m_region;
+      settings.m_incarnation = m_incarnation;
+      settings.m_address = m_settings.m_frontAddress;
+      settings.m_index = i;
+      settings.m_seed = Seed() + i + 1;
+      BOOST_OUTCOME_TRY(
+        auto front,
+        FrontThread::Create(
+          settings, m_clock, m_metrics, [this](ObservationBatch aBatch) {
+            m_control->Observe(std::move(aBatch));
+          }));
+      m_fronts.push_back(std::move(front));
+    }
+    return Success();
+  }
+
+  Result<void> StartControl()
+  {
+    ControlThreadSettings settings;
+    MemberRecord& self = settings.m_core.m_self;
+    self.m_vm = m_settings.m_vm;
+    self.m_dataCentre = m_settings.m_dataCentre;
+    self.m_region = m_settings.m_region;
+    self.m_peerAddress = m_settings.m_peerAddress;
+    self.m_incarnation = m_incarnation;
+    settings.m_core.m_seeds = m_settings.m_seeds;
+    settings.m_peerAddress = m_settings.m_peerAddress;
+    settings.m_adminAddress = m_settings.m_adminAddress;
+    settings.m_platform = m_settings.m_platform;
+    settings.m_seed = Seed();
+    BOOST_OUTCOME_TRY(
+      m_control, ControlThread::Create(settings, m_clock, m_metrics, Ports()));
+    m_isRunning = true;
+    return Success();
+  }
+
+  TrafficPorts Ports()
+  {
+    TrafficPorts ports;
+    ports.m_publish = [this](const std::shared_ptr<const View>& aView) {
+      for (const auto& front : m_fronts) {
+        front->Publish(aView);
+      }
+    };
+    ports.m_setUpstream = [this](const UpstreamAnnouncement& aUpstream,
+                                 const NetworkAddress& aAddress) {
+      m_guard->SetUpstream(aUpstream, aAddress);
+    };
+    ports.m_setBounds = [this](const AdmissionBounds& aBounds) {
+      m_guard->SetBounds(aBounds);
+    };
+    ports.m_guardFigures = [this] { return m_guard->Figures(); };
+    return ports;
+  }
+
+  std::uint64_t Seed() const
+  {
+    return StableHash(m_settings.m_vm.Value(), m_incarnation.Value());
+  }
+
+  NodeSettings m_settings;
+  const Clock& m_clock;
+  Metrics m_metrics;
+  Incarnation m_incarnation;
+  std::unique_ptr<GuardThread> m_guard;
+  std::vector<std::unique_ptr<FrontThread>> m_fronts;
+  std::unique_ptr<ControlThread> m_control;
+  std::atomic<bool> m_isRunning = false;
+};
+
+} // namespace
+
+Result<std::unique_ptr<Node>>
+Node::Create(const NodeSettings& aSettings, const Clock& aClock)
+{
+  auto node = std::make_unique<ThreadedNode>(aSettings, aClock);
+  BOOST_OUTCOME_TRY(node->Start());
+  return std::unique_ptr<Node>(std::move(node));
+}
+
+} // namespace tarragontray
--- a/src/process/Runtime.cmake
+++ b/src/process/Runtime.cmake
@@ -19,3 +19,15 @@
 tt_decision_library(tt_view_builder
   SRCS ViewBuilder.cpp HDRS ViewBuilder.h DEPS tt_balancing)
 tt_library(tt_node_settings SRCS NodeSettings.cpp DEPS tt_settings)
+
+tt_decision_library(tt_control_core
+  SRCS ControlCore.cpp HDRS ControlCore.h TrafficReport.h
+  DEPS tt_call_plan tt_configuration_store tt_gossip tt_ledger tt_moves
+       tt_view_builder)
+tt_library(tt_status SRCS StatusJson.cpp StatusPage.cpp
+  DEPS tt_control_core tt_json tt_metrics)
+tt_library(tt_control_thread SRCS ControlThread.cpp PlatformLoop.cpp
+  DEPS tt_configuration_json tt_control_core tt_datagrams tt_http_server
+       tt_log tt_peer_link tt_platform_session tt_status tt_thread_loop)
+tt_library(tt_node SRCS Node.cpp
+  DEPS tt_control_thread tt_front_thread tt_guard_thread tt_node_settings)
--- a/src/programs/Node.cmake
+++ b/src/programs/Node.cmake
@@ -1,1 +1,2 @@
 # Targets; see cmake/Targets.cmake.
+tt_program(tarragontray-node SRCS Node.cpp DEPS tt_node)
