Add the history of an account's versions and field differences

A lost race shows what the winner changed, and a former version can be read back. Weighed: former versions inside the account's object, one object for each version, or one bounded object for each account. The first costs control bytes on every node with each change, the second can't be bounded because the platform deletes nothing; the third was taken.

Tests: the bounds on entries and bytes, encoding, differences by path.

--- a/src/version/Expansion.cmake
+++ b/src/version/Expansion.cmake
@@ -6,13 +6,15 @@
        FieldRules.h ObjectKeys.h ParameterScope.h Template.h
   DEPS tt_configuration)
 tt_library(tt_configuration_json
-  SRCS JsonObject.cpp ParametersJson.cpp TemplateJson.cpp
+  SRCS ConfigurationHistory.cpp JsonDifference.cpp JsonObject.cpp
+       ParametersJson.cpp TemplateJson.cpp
   DEPS tt_expansion tt_json)
 # For tests only.
 tt_library(tt_configuration_samples
   SRCS ConfigurationSamples.cpp JsonMutations.cpp
   DEPS tt_configuration_json)
 tt_test(expansion_test
-  SRCS ChangeValidationTest.cpp ConfigurationJsonTest.cpp ExpansionTest.cpp
+  SRCS ChangeValidationTest.cpp ConfigurationHistoryTest.cpp
+       ConfigurationJsonTest.cpp ExpansionTest.cpp
   DEPS tt_configuration_samples)
 tt_test(examples_test SRCS ExamplesTest.cpp DEPS tt_configuration_json)
