Send nothing to the new version after a pause until progress is fresh

Change: after a gap of more than 5 s between ticks a node's own share is none for 6 s and until it hears of the move, 15 s at most. The session leaves nodes that are frozen at the deadline out.

--- a/src/programs/MoveExperiment.cpp
+++ b/src/programs/MoveExperiment.cpp
@@ -193,6 +193,9 @@
   add("seeds",
       "moves of each kind",
       cxxopts::value<std::uint64_t>()->default_value("10"));
+  add("policy",
+      "play only the policy of this name",
+      cxxopts::value<std::string>()->default_value(""));
   add("json", "print JSON instead of a table");
   add("verbose", "print each wrong move to standard error");
   add("help", "print this help");
@@ -202,7 +205,11 @@
     return 0;
   }
   std::vector<Summary> all;
+  const std::string only = flags["policy"].as<std::string>();
   for (const Contender& contender : Contenders()) {
+    if (!only.empty() && contender.m_name != only) {
+      continue;
+    }
     const std::vector<Summary> rows =
       RunContender(contender,
                    flags["first-seed"].as<std::uint64_t>(),
--- a/src/version/Move.cpp
+++ b/src/version/Move.cpp
@@ -10,6 +10,14 @@
 
 /// Part of the old version's warm slots that its load needs.
 constexpr double kNeededSlots = 0.8;
+/// A gap between ticks after which what the node knew is out of date.
+constexpr Duration kPause = std::chrono::seconds(5);
+/// After a pause the node sends nothing to the new version for at least the
+/// first of these times, and until it has heard of the move or the second has
+/// passed. The first is longer than a steward's refresh interval, since what
+/// is heard first may have waited in a buffer.
+constexpr Duration kShortestStale = std::chrono::seconds(6);
+constexpr Duration kLongestStale = std::chrono::seconds(15);
 
 bool
 IsDue(const std::optional<MonotonicTime>& aLast,
@@ -99,6 +107,7 @@
 bool
 Move::MergeProgress(const MoveProgress& aProgress)
 {
+  m_heardSinceWaking = true;
   const bool changed = Merge(m_progress, aProgress);
   m_mustSpread |= changed;
   return changed;
@@ -181,9 +190,31 @@
   aActions.m_outcomes.push_back(std::move(outcome));
 }
 
+void
+Move::CheckPause(MonotonicTime aNow)
+{
+  if (m_lastTick && aNow - *m_lastTick > kPause) {
+    m_wokeAt = aNow;
+    m_heardSinceWaking = false;
+  }
+  m_lastTick = aNow;
+}
+
+bool
+Move::IsStale() const
+{
+  if (!m_wokeAt) {
+    return false;
+  }
+  const Duration awake = m_lastTick.value_or(*m_wokeAt) - *m_wokeAt;
+  return awake < kShortestStale ||
+         (!m_heardSinceWaking && awake < kLongestStale);
+}
+
 void
 Move::Tick(const Times& aTimes, MoveActions& aActions)
 {
+  CheckPause(aTimes.m_now);
   if (IsWatched() &&
       IsDue(m_lastWindow, aTimes.m_now, m_settings->m_windowInterval)) {
     m_lastWindow = aTimes.m_now;
@@ -214,6 +245,20 @@
     (kNeededSlots * static_cast<double>(m_slots.m_old.Value())));
 }
 
+Share
+Move::OwnShare() const
+{
+  if (m_doneAt && !m_progress.m_veto) {
+    return Share::All();
+  }
+  if (IsStale()) {
+    return Share::None();
+  }
+  return std::min({ EffectiveShare(m_progress, m_settings->m_dataCentre),
+                    m_tripwire.Ceiling(),
+                    SlotCeiling() });
+}
+
 VersionSplit
 Move::Split() const
 {
@@ -221,12 +266,7 @@
   split.m_move = m_plan.m_id;
   split.m_from = m_plan.m_from;
   split.m_to = m_plan.m_to;
-  split.m_toShare =
-    m_doneAt && !m_progress.m_veto
-      ? Share::All()
-      : std::min({ EffectiveShare(m_progress, m_settings->m_dataCentre),
-                   m_tripwire.Ceiling(),
-                   SlotCeiling() });
+  split.m_toShare = OwnShare();
   return split;
 }
 
--- a/src/version/Move.h
+++ b/src/version/Move.h
@@ -93,6 +93,10 @@
   bool IsWatched() const;
   bool IsWholeEverywhere(Duration aHold, WallTime aWall) const;
   Share SlotCeiling() const;
+  /// Notices a pause of this process, after which its progress may be stale.
+  void CheckPause(MonotonicTime aNow);
+  bool IsStale() const;
+  Share OwnShare() const;
   void Judge(const Times& aTimes);
   void EmitProgress(MonotonicTime aNow, MoveActions& aActions);
   void EmitOutcome(const Times& aTimes, MoveActions& aActions);
@@ -113,6 +117,10 @@
   bool m_isOutcomeWritten = false;
   std::uint64_t m_newCalls = 0;
   std::optional<VersionSplit> m_lastSplit;
+  /// Set from the end of a pause until the progress counts as fresh.
+  std::optional<MonotonicTime> m_wokeAt;
+  bool m_heardSinceWaking = false;
+  std::optional<MonotonicTime> m_lastTick;
   std::optional<MonotonicTime> m_lastWindow;
   std::optional<MonotonicTime> m_lastSpread;
   std::optional<MonotonicTime> m_lastOutcome;
--- a/src/version/testing/MoveSession.cpp
+++ b/src/version/testing/MoveSession.cpp
@@ -365,7 +365,11 @@
     if (!isDeadlineSeen && m_time >= m_settings.m_deadline) {
       isDeadlineSeen = true;
       m_result.m_isWholeInTime = true;
-      for (const Node& node : m_nodes) {
+      for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        if (IsFrozen(i)) {
+          continue;
+        }
+        const Node& node = m_nodes[i];
         const std::optional<VersionSplit> split =
           node.m_moves->SplitOf(m_plan.m_id.m_service);
         const Share share = split ? split->m_toShare : Share::None();
