Count a target's failures from its third call on

Change: failures count from the third call of a target; latency counts from the sixth call and 5 s on, as cold starts show in latency.

--- a/src/version/EvidenceTable.cpp
+++ b/src/version/EvidenceTable.cpp
@@ -7,8 +7,9 @@
 namespace {
 
 /// Calls of a target before it counts as evidence.
-constexpr std::uint64_t kFirstCalls = 10;
-/// Time since a target's first call before its latency counts.
+constexpr std::uint64_t kFirstCalls = 2;
+/// Calls of a target, and time since its first one, before its latency counts.
+constexpr std::uint64_t kWarmUpCalls = 5;
 constexpr Duration kWarmUp = std::chrono::seconds(5);
 
 VersionCounters
@@ -137,7 +138,8 @@
   entry.m_target = target;
   entry.m_counters = aDelta;
   entry.m_isFresh = history.m_calls < kFirstCalls;
-  entry.m_isWarming = aNow - history.m_firstSeen < kWarmUp;
+  entry.m_isWarming =
+    history.m_calls < kWarmUpCalls || aNow - history.m_firstSeen < kWarmUp;
   return entry;
 }
 
