--- a/src/programs/MoveExperiment.cpp
+++ b/src/programs/MoveExperiment.cpp
@@ -181,6 +181,25 @@
   return rows;
 }
 
+/// Prints the course of one move under the first contender.
+int
+Trace(const std::string& aKind, std::uint64_t aSeed)
+{
+  for (const ScenarioKind kind : testing::AllScenarioKinds()) {
+    if (testing::Name(kind) != aKind) {
+      continue;
+    }
+    const ScenarioOutcome outcome =
+      testing::PlayScenario(kind, aSeed, Contenders().front().m_make);
+    for (const std::string& line : outcome.m_result.m_log) {
+      std::cout << line << "\n";
+    }
+    return 0;
+  }
+  std::cerr << "experiment: no kind \"" << aKind << "\"\n";
+  return 2;
+}
+
 int
 Run(int aCount, const char* const* aArguments)
 {
@@ -196,6 +215,9 @@
   add("policy",
       "play only the policy of this name",
       cxxopts::value<std::string>()->default_value(""));
+  add("trace",
+      "print the course of one move of this kind with the first seed",
+      cxxopts::value<std::string>()->default_value(""));
   add("json", "print JSON instead of a table");
   add("verbose", "print each wrong move to standard error");
   add("help", "print this help");
@@ -204,6 +226,11 @@
     std::cout << options.help();
     return 0;
   }
+  const auto firstSeed = flags["first-seed"].as<std::uint64_t>();
+  const std::string traced = flags["trace"].as<std::string>();
+  if (!traced.empty()) {
+    return Trace(traced, firstSeed);
+  }
   std::vector<Summary> all;
   const std::string only = flags["policy"].as<std::string>();
   for (const Contender& contender : Contenders()) {
@@ -212,7 +239,7 @@
     }
     const std::vector<Summary> rows =
       RunContender(contender,
-                   flags["first-seed"].as<std::uint64_t>(),
+                   firstSeed,
                    flags["seeds"].as<std::uint64_t>(),
                    flags.count("verbose") > 0);
     all.insert(all.end(), rows.begin(), rows.end());
