--- a/src/programs/FaultyHttpServer.cpp
+++ b/src/programs/FaultyHttpServer.cpp
@@ -135,11 +135,14 @@
 
   const HttpRequestParts& Request() const { return m_request; }
   std::uint64_t RequestNumber() const { return m_requestNumber; }
+  bool IsOpen(std::uint64_t aRequestNumber) const
+  {
+    return m_isRunning && !m_isClosed && aRequestNumber == m_requestNumber;
+  }
   /// True for the first caller of each request.
   bool TakeEnd(std::uint64_t aRequestNumber)
   {
-    const bool isOpen =
-      m_isRunning && !m_isClosed && aRequestNumber == m_requestNumber;
+    const bool isOpen = IsOpen(aRequestNumber);
     if (isOpen) {
       m_isRunning = false;
       m_onClosed = nullptr;
@@ -230,6 +233,7 @@
   {
     m_connection->WatchForClose(std::move(aClosed));
   }
+  bool IsOpen() const override { return m_connection->IsOpen(m_requestNumber); }
 
 private:
   const std::shared_ptr<Connection> m_connection;
--- a/src/programs/FaultyHttpServer.h
+++ b/src/programs/FaultyHttpServer.h
@@ -60,6 +60,8 @@
   virtual void Drop() = 0;
   /// Calls aClosed when the peer closes its connection before the end.
   virtual void OnClosed(std::function<void()> aClosed) = 0;
+  /// Whether it can still be answered.
+  virtual bool IsOpen() const = 0;
 };
 
 /// See the file comment.
--- /dev/null
+++ b/src/programs/UpstreamReport.h
@@ -0,0 +1,51 @@
+/// \file
+/// JSON of standin-upstream: its announcement, its counts and its lies.
+///
+///     std::string text = EncodeReport(report);
+///
+/// Thread safety: pure functions.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "base/Ids.h"
+#include "base/NetworkAddress.h"
+#include "base/Units.h"
+#include "programs/StandinUpstream.h"
+
+namespace tarragontray {
+
+/// The announcement of docs/PROTOCOLS.md.
+struct UpstreamReport
+{
+  ServiceId m_service;
+  UpstreamVersion m_version;
+  std::string m_state;
+  SlotCount m_slots{ 0 };
+  NetworkAddress m_address;
+  std::uint32_t m_running = 0;
+};
+
+/// What `GET /executions/count` gives.
+struct UpstreamCounts
+{
+  std::uint64_t m_executions = 0;
+  std::uint64_t m_repeated = 0;
+  std::uint32_t m_running = 0;
+  std::uint64_t m_shed = 0;
+};
+
+std::string
+EncodeReport(const UpstreamReport& aReport);
+
+std::string
+EncodeCounts(const UpstreamCounts& aCounts);
+
+/// Nothing when a field is unknown or of the wrong type.
+std::optional<ReportFaults>
+DecodeReportFaults(std::string_view aText);
+
+} // namespace tarragontray
