--- a/src/connection/DatagramCodec.cpp
+++ b/src/connection/DatagramCodec.cpp
@@ -149,6 +149,7 @@
     DataCentreId dataCentre;
     aSource.Shared(dataCentre);
     DataCentreProgress& progress = aProgress.m_dataCentres[dataCentre];
+    Get(reader, progress.m_epoch);
     Get(reader, progress.m_share);
     if (GetFlag(reader)) {
       Get(reader, progress.m_wholeSince.emplace());
@@ -261,6 +262,7 @@
 Get(Source& aSource, PullAnswer& aAnswer)
 {
   aAnswer.m_busy = GetFlag(aSource.Values());
+  Get(aSource.Values(), aAnswer.m_floor);
   Get(aSource, aAnswer.m_members);
   Get(aSource, aAnswer.m_documents);
   Get(aSource, aAnswer.m_moves);
