Wait for in-flight work without polling; flush answers before a stop

Cause: Drain looked at the counters every 20 ms, and a front call counted as ended before its answer was written; the guard's last answers could still be queued when the loop stopped. IdleSignal counts from the first byte read to the last one written, on both sides, and wakes the stopping thread once.

--- a/src/connection/FrameStream.cpp
+++ b/src/connection/FrameStream.cpp
@@ -45,6 +45,10 @@
     return;
   }
   if (!m_isWriting) {
+    m_isWriting = true;
+    if (m_onWriting) {
+      m_onWriting(true);
+    }
     StartWrite();
   }
 }
@@ -52,25 +56,35 @@
 void
 FrameStream::StartWrite()
 {
-  m_isWriting = true;
   m_writing.clear();
   std::swap(m_writing, m_queued);
   asio::async_write(m_socket,
                     asio::buffer(m_writing),
                     [self = shared_from_this()](
                       const boost::system::error_code& aError, std::size_t) {
-                      self->m_isWriting = false;
                       if (aError) {
                         self->Close();
+                        self->EndWrite();
                         return;
                       }
                       self->m_bytesSent += self->m_writing.size();
-                      if (!self->m_queued.empty()) {
+                      if (self->m_queued.empty()) {
+                        self->EndWrite();
+                      } else {
                         self->StartWrite();
                       }
                     });
 }
 
+void
+FrameStream::EndWrite()
+{
+  m_isWriting = false;
+  if (m_onWriting) {
+    m_onWriting(false);
+  }
+}
+
 asio::awaitable<Result<std::size_t>>
 FrameStream::ReceiveLength()
 {
--- a/src/connection/FrameStream.h
+++ b/src/connection/FrameStream.h
@@ -13,8 +13,10 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -38,6 +40,13 @@
   /// queue is over kMaxQueuedBytes. Does nothing on a closed stream.
   void Send(const PeerMessage& aMessage);
 
+  /// Tells when a write starts (true) and when nothing is left to write
+  /// (false). \param aListener must not destroy the stream.
+  void OnWriting(std::function<void(bool)> aListener)
+  {
+    m_onWriting = std::move(aListener);
+  }
+
   /// The next message. Errors: Closed, Malformed, TooLarge; the stream is
   /// closed after any. Precondition: no other Receive runs.
   boost::asio::awaitable<Result<PeerMessage>> Receive();
@@ -56,6 +65,7 @@
   FrameStream(boost::asio::ip::tcp::socket aSocket, std::string aPeer);
 
   void StartWrite();
+  void EndWrite();
   Error Fail(Error aError);
   boost::asio::awaitable<Result<std::size_t>> ReceiveLength();
 
@@ -65,6 +75,7 @@
   std::string m_writing;
   std::string m_payload;
   bool m_isWriting = false;
+  std::function<void(bool)> m_onWriting;
   std::uint64_t m_bytesSent = 0;
   std::uint64_t m_bytesReceived = 0;
 };
--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -143,8 +143,11 @@
     return NetworkAddress(m_settings.m_address.Ip(), endpoint.port());
   }
 
+  void Leave() override { m_isLeaving = true; }
+
   void Drain() override
   {
+    m_isLeaving = true;
     m_isDraining = true;
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
@@ -155,7 +158,6 @@
     }
   }
 
-  std::size_t ActiveRequests() const override { return m_active; }
   const HttpServerCounters& Counters() const override { return m_counters; }
 
 private:
@@ -212,20 +214,27 @@
       co_return false;
     }
     ++m_counters.m_requests;
-    ++m_active;
+    Notify(m_settings.m_onBegin);
     aSession.m_isBusy = true;
     aSession.m_stream.expires_never();
     const bool keepAlive = parser.get().keep_alive();
     const bool isHead = parser.get().method() == http::verb::head;
     HttpAnswerParts answer = co_await m_handler(PartsOf(parser.release()));
-    const bool goesOn = keepAlive && !m_isDraining;
+    const bool goesOn = keepAlive && !m_isLeaving;
     const bool written =
       co_await Write(aSession, ResponseOf(std::move(answer), goesOn, isHead));
     aSession.m_isBusy = false;
-    --m_active;
+    Notify(m_settings.m_onEnd);
     co_return goesOn&& written;
   }
 
+  static void Notify(const std::function<void()>& aListener)
+  {
+    if (aListener) {
+      aListener();
+    }
+  }
+
   asio::awaitable<void> RefuseGarbled(Session& aSession,
                                       boost::system::error_code aError)
   {
@@ -252,7 +261,7 @@
   HttpHandler m_handler;
   tcp::acceptor m_acceptor;
   SessionList m_sessions;
-  std::size_t m_active = 0;
+  bool m_isLeaving = false;
   bool m_isDraining = false;
   HttpServerCounters m_counters;
 };
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -4,8 +4,8 @@
 ///     auto server = HttpServer::Create(context, settings, handler);
 ///     if (!server) { return server.error(); }
 ///     ...
+///     server.value()->Leave();   // answers say "connection: close"
 ///     server.value()->Drain();   // closes idle sessions, accepts no more
-///     bool done = server.value()->ActiveRequests() == 0;
 ///
 /// A request is read whole before the handler sees it; its answer leaves in
 /// one write. Garbled or oversized requests are answered with 400, 413 or 431
@@ -41,6 +41,10 @@
   Duration m_idleLimit{ std::chrono::seconds(60) };
   /// Several servers of one process may share the address.
   bool m_sharesPort = false;
+  /// Called around each request, from its last byte read to its answer's last
+  /// byte written or lost; optional.
+  std::function<void()> m_onBegin = nullptr;
+  std::function<void()> m_onEnd = nullptr;
 };
 
 /// Counts since the start.
@@ -71,10 +75,11 @@
 
   /// The address in use; the port is known even where 0 was asked for.
   virtual NetworkAddress Address() const = 0;
-  /// Accepts no more sessions; the others end after their request.
+  /// From now on each answer ends its session; idle sessions stay.
+  virtual void Leave() = 0;
+  /// Accepts no more sessions, closes idle ones; the others end after their
+  /// request.
   virtual void Drain() = 0;
-  /// Requests that are being served.
-  virtual std::size_t ActiveRequests() const = 0;
   virtual const HttpServerCounters& Counters() const = 0;
 };
 
--- a/src/process/FrontThread.cpp
+++ b/src/process/FrontThread.cpp
@@ -110,10 +110,12 @@
   Front(const FrontSettings& aSettings,
         const Clock& aClock,
         Metrics& aMetrics,
+        IdleSignal& aInFlight,
         OnBatch aOnBatch)
     : m_settings(aSettings)
     , m_clock(aClock)
     , m_metrics(aMetrics)
+    , m_inFlight(aInFlight)
     , m_onBatch(std::move(aOnBatch))
     , m_loop("front-" + std::to_string(aSettings.m_index))
     , m_random(aSettings.m_seed)
@@ -132,6 +134,8 @@
     HttpServerSettings settings;
     settings.m_address = m_settings.m_address;
     settings.m_sharesPort = true;
+    settings.m_onBegin = [this] { m_inFlight.Begin(); };
+    settings.m_onEnd = [this] { m_inFlight.End(); };
     BOOST_OUTCOME_TRY(m_server,
                       HttpServer::Create(m_loop.Context(),
                                          settings,
@@ -148,19 +152,21 @@
       [this, view = std::move(aView)]() mutable { m_view = std::move(view); });
   }
 
+  void Leave() override
+  {
+    m_loop.Post([this] { m_server->Leave(); });
+  }
+
   void Drain() override
   {
     m_loop.Post([this] { m_server->Drain(); });
   }
 
-  std::uint32_t ActiveCalls() const override { return m_active; }
-
   void Stop() override { m_loop.Stop(); }
 
 private:
   asio::awaitable<HttpAnswerParts> Serve(HttpRequestParts aRequest)
   {
-    ++m_active;
     const MonotonicTime start = m_clock.Now();
     const std::shared_ptr<const View> view = m_view;
     const std::string* account =
@@ -180,7 +186,6 @@
       http = co_await ServeRoute(
         std::move(aRequest), *view, *configuration, *route, start);
     }
-    --m_active;
     co_return http;
   }
 
@@ -286,8 +291,8 @@
   FrontSettings m_settings;
   const Clock& m_clock;
   Metrics& m_metrics;
+  IdleSignal& m_inFlight;
   OnBatch m_onBatch;
-  std::atomic<std::uint32_t> m_active = 0;
   ThreadLoop m_loop;
   std::shared_ptr<HttpServer> m_server;
 
@@ -310,10 +315,11 @@
 FrontThread::Create(const FrontSettings& aSettings,
                     const Clock& aClock,
                     Metrics& aMetrics,
+                    IdleSignal& aInFlight,
                     OnBatch aOnBatch)
 {
-  auto front =
-    std::make_unique<Front>(aSettings, aClock, aMetrics, std::move(aOnBatch));
+  auto front = std::make_unique<Front>(
+    aSettings, aClock, aMetrics, aInFlight, std::move(aOnBatch));
   BOOST_OUTCOME_TRY(front->Listen());
   return std::unique_ptr<FrontThread>(std::move(front));
 }
--- a/src/process/FrontThread.h
+++ b/src/process/FrontThread.h
@@ -12,7 +12,6 @@
 /// otherwise.
 #pragma once
 
-#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -22,6 +21,7 @@
 #include "base/NetworkAddress.h"
 #include "base/Result.h"
 #include "connection/PeerLink.h"
+#include "process/IdleSignal.h"
 #include "process/Metrics.h"
 #include "process/TrafficReport.h"
 #include "process/View.h"
@@ -52,19 +52,21 @@
   virtual ~FrontThread() = default;
 
   /// Listens and starts the thread. Errors: Unavailable.
-  /// \param aClock, aMetrics must outlive the thread.
+  /// \param aClock, aMetrics, aInFlight must outlive the thread. aInFlight
+  /// counts calls from the first byte that was read to the last one written.
   static Result<std::unique_ptr<FrontThread>> Create(
     const FrontSettings& aSettings,
     const Clock& aClock,
     Metrics& aMetrics,
+    IdleSignal& aInFlight,
     OnBatch aOnBatch);
 
   /// Calls that begin from now on are served by this view.
   virtual void Publish(std::shared_ptr<const View> aView) = 0;
+  /// Callers are told with each answer to go elsewhere.
+  virtual void Leave() = 0;
   /// Accepts no new callers; calls that run go on.
   virtual void Drain() = 0;
-  /// Calls that are being served.
-  virtual std::uint32_t ActiveCalls() const = 0;
   /// Ends the thread; calls that still run are cut.
   virtual void Stop() = 0;
 };
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -1,7 +1,6 @@
 #include "process/GuardThread.h"
 
 #include <algorithm>
-#include <atomic>
 #include <mutex>
 #include <unordered_map>
 #include <utility>
@@ -36,10 +35,12 @@
 public:
   GuardLoop(const GuardThreadSettings& aSettings,
             const Clock& aClock,
+            IdleSignal& aInFlight,
             GuardEvents aEvents,
             Guard aGuard)
     : m_settings(aSettings)
     , m_clock(aClock)
+    , m_inFlight(aInFlight)
     , m_events(std::move(aEvents))
     , m_guard(std::move(aGuard))
     , m_loop("guard")
@@ -80,6 +81,7 @@
   {
     m_loop.Post([this, aUpstream, aAddress] {
       m_pool->SetAddress(aAddress);
+      m_version = aUpstream.m_version;
       Execute(m_guard.SetUpstream(aUpstream, m_clock.Now()));
     });
   }
@@ -94,8 +96,6 @@
     m_loop.Post([this] { Execute(m_guard.Drain(m_clock.Now())); });
   }
 
-  bool IsIdle() const override { return m_isIdle; }
-
   GuardFigures Figures() const override
   {
     const std::lock_guard lock(m_figuresMutex);
@@ -120,6 +120,10 @@
         std::move(socket),
         NetworkAddress(peer.address().to_v4().to_uint(), peer.port())
           .ToString());
+      stream->OnWriting([this](bool aIsWriting) {
+        m_writes += aIsWriting ? 1 : -1;
+        UpdateBusy();
+      });
       m_links.emplace(link, stream);
       asio::co_spawn(
         m_loop.Context(), ReceiveLoop(link, std::move(stream)), asio::detached);
@@ -207,6 +211,8 @@
   {
     if (aReply.m_answer.m_outcome == CallOutcome::NotRun) {
       ++m_refused;
+    } else if (aReply.m_answer.m_outcome == CallOutcome::Done) {
+      AddOrigin(aReply.m_answer.m_http);
     }
     const auto link = m_links.find(aReply.m_link);
     if (link != m_links.end()) {
@@ -214,6 +220,12 @@
     }
   }
 
+  void AddOrigin(HttpAnswerParts& aHttp) const
+  {
+    aHttp.m_headers.push_back({ "x-vm", m_settings.m_vm.Value() });
+    aHttp.m_headers.push_back({ "x-version", m_version.Value() });
+  }
+
   void Start(Run aRun)
   {
     const Ticket ticket = aRun.m_ticket;
@@ -248,11 +260,21 @@
 
   void UpdateFigures()
   {
-    m_isIdle = m_guard.IsIdle();
+    UpdateBusy();
     const std::lock_guard lock(m_figuresMutex);
     m_figures = { m_guard.Load(), CallCount(m_refused), CallCount(m_ran) };
   }
 
+  /// Answers that are not written yet keep the guard busy.
+  void UpdateBusy()
+  {
+    const bool isBusy = !m_guard.IsIdle() || m_writes > 0;
+    if (isBusy != m_isBusy) {
+      m_isBusy = isBusy;
+      isBusy ? m_inFlight.Begin() : m_inFlight.End();
+    }
+  }
+
   void ScheduleTick()
   {
     const auto next = m_guard.NextTick();
@@ -271,8 +293,8 @@
 
   GuardThreadSettings m_settings;
   const Clock& m_clock;
+  IdleSignal& m_inFlight;
   GuardEvents m_events;
-  std::atomic<bool> m_isIdle = true;
   mutable std::mutex m_figuresMutex;
   GuardFigures m_figures;
 
@@ -284,9 +306,13 @@
   std::optional<MonotonicTime> m_scheduled;
   asio::steady_timer m_usageTimer;
   UsageBatch m_usage;
+  UpstreamVersion m_version;
   std::unique_ptr<UpstreamPool> m_pool;
   std::unordered_map<CallerLink, std::shared_ptr<FrameStream>> m_links;
   std::unordered_map<Ticket, std::shared_ptr<UpstreamRun>> m_runs;
+  bool m_isBusy = false;
+  /// Links that are writing.
+  int m_writes = 0;
   std::uint64_t m_lastLink = 0;
   std::uint64_t m_refused = 0;
   std::uint64_t m_ran = 0;
@@ -297,6 +323,7 @@
 Result<std::unique_ptr<GuardThread>>
 GuardThread::Create(const GuardThreadSettings& aSettings,
                     const Clock& aClock,
+                    IdleSignal& aInFlight,
                     GuardEvents aEvents)
 {
   GuardSettings settings;
@@ -304,7 +331,7 @@
   BOOST_OUTCOME_TRY(auto policy, FairAdmission::Create({}));
   BOOST_OUTCOME_TRY(auto guard, Guard::Create(settings, std::move(policy)));
   auto loop = std::make_unique<GuardLoop>(
-    aSettings, aClock, std::move(aEvents), std::move(guard));
+    aSettings, aClock, aInFlight, std::move(aEvents), std::move(guard));
   BOOST_OUTCOME_TRY(loop->Listen());
   return std::unique_ptr<GuardThread>(std::move(loop));
 }
--- a/src/process/GuardThread.h
+++ b/src/process/GuardThread.h
@@ -16,6 +16,7 @@
 #include "base/Clock.h"
 #include "base/NetworkAddress.h"
 #include "base/Result.h"
+#include "process/IdleSignal.h"
 #include "process/MemberRecord.h"
 #include "process/Metrics.h"
 #include "process/TrafficReport.h"
@@ -28,6 +29,7 @@
 {
   /// TCP, for peer links.
   NetworkAddress m_address;
+  VmId m_vm;
   Incarnation m_incarnation;
   /// Peer links that may be open at once.
   std::size_t m_maxLinks = 4096;
@@ -49,10 +51,12 @@
   virtual ~GuardThread() = default;
 
   /// Listens and starts the thread. Errors: Unavailable, InvalidArgument.
-  /// \param aClock must outlive the thread.
+  /// \param aClock, aInFlight must outlive the thread. aInFlight counts the
+  /// calls that wait or run.
   static Result<std::unique_ptr<GuardThread>> Create(
     const GuardThreadSettings& aSettings,
     const Clock& aClock,
+    IdleSignal& aInFlight,
     GuardEvents aEvents);
 
   /// What the upstream announced of itself, and where it listens.
@@ -62,8 +66,6 @@
   virtual void SetBounds(const AdmissionBounds& aBounds) = 0;
   /// Refuses waiting and new calls with NotRun; running ones go on.
   virtual void Drain() = 0;
-  /// True when nothing waits or runs.
-  virtual bool IsIdle() const = 0;
   virtual GuardFigures Figures() const = 0;
   /// Ends the thread.
   virtual void Stop() = 0;
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -20,11 +20,11 @@
 const prometheus::Histogram::BucketBoundaries&
 LatencyBoundaries()
 {
-  static const prometheus::Histogram::BucketBoundaries boundaries{
+  static const prometheus::Histogram::BucketBoundaries kBoundaries{
     0.0005, 0.001, 0.002, 0.004, 0.008, 0.016, 0.032,
     0.064,  0.128, 0.256, 0.512, 1.024, 2.048, 4.096
   };
-  return boundaries;
+  return kBoundaries;
 }
 
 double
--- a/src/process/Node.cpp
+++ b/src/process/Node.cpp
@@ -19,7 +19,6 @@
 /// Callers and peers get this long to hear that the node leaves, while it
 /// still answers.
 constexpr Duration kLeaveNotice = std::chrono::milliseconds(1500);
-constexpr Duration kDrainCheck = std::chrono::milliseconds(20);
 
 class ThreadedNode final : public Node
 {
@@ -71,30 +70,25 @@
     const MonotonicTime start = m_clock.Now();
     m_control->Drain();
     m_guard->Drain();
+    for (const auto& front : m_fronts) {
+      front->Leave();
+    }
     std::this_thread::sleep_for(kLeaveNotice);
     for (const auto& front : m_fronts) {
       front->Drain();
     }
-    const MonotonicTime limit = start + m_settings.m_drainLimit;
-    while (!IsIdle() && m_clock.Now() < limit) {
-      std::this_thread::sleep_for(kDrainCheck);
-    }
-    return IsIdle();
+    const Duration limit = m_settings.m_drainLimit;
+    const bool isFrontIdle = m_frontCalls.WaitFor(limit);
+    const Duration left = start + limit - m_clock.Now();
+    return m_guardCalls.WaitFor(std::max(left, Duration(0))) && isFrontIdle;
   }
 
 private:
-  bool IsIdle() const
-  {
-    return m_guard->IsIdle() &&
-           std::all_of(m_fronts.begin(), m_fronts.end(), [](const auto& aOne) {
-             return aOne->ActiveCalls() == 0;
-           });
-  }
-
   Result<void> StartGuard()
   {
     GuardThreadSettings settings;
     settings.m_address = m_settings.m_peerAddress;
+    settings.m_vm = m_settings.m_vm;
     settings.m_incarnation = m_incarnation;
     GuardEvents events;
     events.m_onUsage = [this](UsageBatch aBatch) {
@@ -107,7 +101,8 @@
       }
     };
     BOOST_OUTCOME_TRY(
-      m_guard, GuardThread::Create(settings, m_clock, std::move(events)));
+      m_guard,
+      GuardThread::Create(settings, m_clock, m_guardCalls, std::move(events)));
     return Success();
   }
 
@@ -122,12 +117,15 @@
       settings.m_address = m_settings.m_frontAddress;
       settings.m_index = i;
       settings.m_seed = Seed() + i + 1;
-      BOOST_OUTCOME_TRY(
-        auto front,
-        FrontThread::Create(
-          settings, m_clock, m_metrics, [this](ObservationBatch aBatch) {
-            m_control->Observe(std::move(aBatch));
-          }));
+      BOOST_OUTCOME_TRY(auto front,
+                        FrontThread::Create(settings,
+                                            m_clock,
+                                            m_metrics,
+                                            m_frontCalls,
+                                            [this](ObservationBatch aBatch) {
+                                              m_control->Observe(
+                                                std::move(aBatch));
+                                            }));
       m_fronts.push_back(std::move(front));
     }
     return Success();
@@ -181,6 +179,8 @@
   const Clock& m_clock;
   Metrics m_metrics;
   Incarnation m_incarnation;
+  IdleSignal m_guardCalls;
+  IdleSignal m_frontCalls;
   std::unique_ptr<GuardThread> m_guard;
   std::vector<std::unique_ptr<FrontThread>> m_fronts;
   std::unique_ptr<ControlThread> m_control;
--- a/src/process/PlatformLoop.cpp
+++ b/src/process/PlatformLoop.cpp
@@ -196,19 +196,21 @@
   write.m_body = OutcomeJson(aOutcome);
   write.m_expected = Revision(0);
   write.m_operation = OperationId("outcome-" + std::to_string(++m_operations));
-  Current().Write(std::move(write), [this, move](Result<Revision> aRevision) {
-    // A conflict means that another steward's outcome is there already.
-    if (aRevision || aRevision.error().Code() == ErrorCode::Conflict) {
-      m_core.OnOutcomeWritten(move);
-      Log(LogLevel::Info,
-          "move",
-          "Outcome written.",
-          { { "service", move.m_service.m_name.Value() },
-            { "plan", std::to_string(move.m_plan.Value()) } });
-    } else {
-      Log(LogLevel::Warning, "move", "Outcome not written.", aRevision.error());
-    }
-  });
+  Current().Write(
+    std::move(write), [this, move](const Result<Revision>& aRevision) {
+      // A conflict means that another steward's outcome is there already.
+      if (aRevision || aRevision.error().Code() == ErrorCode::Conflict) {
+        m_core.OnOutcomeWritten(move);
+        Log(LogLevel::Info,
+            "move",
+            "Outcome written.",
+            { { "service", move.m_service.m_name.Value() },
+              { "plan", std::to_string(move.m_plan.Value()) } });
+      } else {
+        Log(
+          LogLevel::Warning, "move", "Outcome not written.", aRevision.error());
+      }
+    });
 }
 
 void
@@ -220,7 +222,7 @@
   write.m_body = UsageJson(aReport);
   write.m_operation = OperationId("ledger-" + std::to_string(++m_operations));
   Current().Write(std::move(write),
-                  [this, aReport](Result<Revision> aRevision) {
+                  [this, aReport](const Result<Revision>& aRevision) {
                     if (!aRevision) {
                       m_core.OnUsageNotWritten(aReport);
                     }
