Judge only when the share was comparable and queues have drained

Change: whether loads compare follows from the highest share of the window and the slots, with a settle time after a fall: 1 s at loads that the old version carried, 6 s beyond, 10 s for a node alone. A comparison ends well only after 12 calls of the new version. The session leaves out nodes that woke less than 10 s before the deadline.

--- a/src/version/EvidenceWindow.h
+++ b/src/version/EvidenceWindow.h
@@ -41,6 +41,8 @@
 struct EvidenceWindow
 {
   Duration m_length{ 0 };
+  /// The share that was in force.
+  Share m_share = Share::None();
   /// Warm slots of each version, zero when not known.
   SlotCount m_oldSlots{ 0 };
   SlotCount m_newSlots{ 0 };
--- a/src/version/LoadComparison.cpp
+++ b/src/version/LoadComparison.cpp
@@ -10,7 +10,9 @@
 /// Load of the new version's slots over the old one's that still compares.
 constexpr double kComparableRatio = 2.0;
 /// Calls in a window from which it speaks for itself.
-constexpr double kWindowCalls = 20.0;
+constexpr double kWindowCalls = 50.0;
+/// Windows count as at least this long.
+constexpr double kShortestSeconds = 0.1;
 /// Time constant of the smoothing.
 constexpr double kSmoothingSeconds = 3.0;
 /// Load over what the old version carried that still counts as carried.
@@ -22,6 +24,14 @@
   return std::max(1.0, static_cast<double>(aSlots.Value()));
 }
 
+bool
+IsShareComparable(const EvidenceWindow& aWindow, Share aShare)
+{
+  const double share = aShare.Fraction();
+  return share * Slots(aWindow.m_oldSlots) <=
+         kComparableRatio * (1.0 - share) * Slots(aWindow.m_newSlots);
+}
+
 } // namespace
 
 Share
@@ -35,32 +45,51 @@
 }
 
 void
-LoadComparison::Add(const EvidenceWindow& aWindow, bool aIsOldHealthy)
+LoadComparison::AddLoad(const EvidenceWindow& aWindow,
+                        Share aShare,
+                        bool aIsOldHealthy)
 {
-  Load calls;
+  double all = 0.0;
+  double old = 0.0;
   for (const WindowEntry& entry : aWindow.m_entries) {
-    double& side = entry.m_side == VersionSide::New ? calls.m_new : calls.m_old;
-    side += static_cast<double>(entry.m_counters.m_calls);
+    const auto calls = static_cast<double>(entry.m_counters.m_calls);
+    all += calls;
+    old += entry.m_side == VersionSide::Old ? calls : 0.0;
   }
-  const double seconds =
-    std::max(0.1, std::chrono::duration<double>(aWindow.m_length).count());
+  const double seconds = std::max(
+    kShortestSeconds, std::chrono::duration<double>(aWindow.m_length).count());
   const double weight = 1.0 - std::exp(-seconds / kSmoothingSeconds);
-  const Load load{ calls.m_new / Slots(aWindow.m_newSlots) / seconds,
-                   calls.m_old / Slots(aWindow.m_oldSlots) / seconds };
-  m_smoothed.m_new += weight * (load.m_new - m_smoothed.m_new);
-  m_smoothed.m_old += weight * (load.m_old - m_smoothed.m_old);
+  m_calls += weight * (all / seconds - m_calls);
+  const double oldLoad = old / seconds / Slots(aWindow.m_oldSlots);
+  m_oldLoad += weight * (oldLoad - m_oldLoad);
   if (aIsOldHealthy) {
-    m_proven = std::max(m_proven, m_smoothed.m_old);
+    m_proven = std::max(m_proven, m_oldLoad);
+  }
+  // By the share rather than by count, since the share may have risen within
+  // the window.
+  const double calls =
+    all >= kWindowCalls ? std::max(all / seconds, m_calls) : m_calls;
+  m_newLoad = calls * aShare.Fraction() / Slots(aWindow.m_newSlots);
+}
+
+void
+LoadComparison::Add(const EvidenceWindow& aWindow, bool aIsOldHealthy)
+{
+  const Share share = std::max(aWindow.m_share, m_lastShare);
+  m_lastShare = aWindow.m_share;
+  AddLoad(aWindow, share, aIsOldHealthy);
+  m_isShareComparable = IsShareComparable(aWindow, share);
+  if (m_isShareComparable) {
+    m_settling -= std::min(m_settling, aWindow.m_length);
+  } else {
+    m_settling = IsProven() ? m_times.m_settle : m_times.m_drain;
   }
-  const bool isLarge = calls.m_new + calls.m_old >= kWindowCalls;
-  const Load& judged = isLarge ? load : m_smoothed;
-  m_isComparable = judged.m_new <= kComparableRatio * judged.m_old;
 }
 
 bool
 LoadComparison::IsProven() const
 {
-  return m_smoothed.m_new <= kProvenRatio * m_proven;
+  return m_newLoad <= kProvenRatio * m_proven;
 }
 
 } // namespace tarragontray
--- a/src/version/LoadComparison.h
+++ b/src/version/LoadComparison.h
@@ -1,7 +1,8 @@
 /// \file
 /// Whether both versions of a move carry comparable load.
 ///
-///     loads.Add(window);
+///     LoadComparison loads(times);
+///     loads.Add(window, isOldHealthy);
 ///     if (!loads.IsComparable()) { ... }
 ///
 /// Latency and failures depend on load. A version that carries nearly all
@@ -23,30 +24,53 @@
 Share
 EqualLoadShare(SlotCount aOldSlots, SlotCount aNewSlots);
 
+/// How long after a fall of the share the versions count as comparable.
+struct SettleTimes
+{
+  /// Until evidence of it is in.
+  Duration m_settle{ 0 };
+  /// The same when the load was beyond what the old version had carried:
+  /// until queues have drained.
+  Duration m_drain{ 0 };
+};
+
 /// Smoothed load of each version's slots.
 class LoadComparison
 {
 public:
+  explicit LoadComparison(const SettleTimes& aTimes)
+    : m_times(aTimes)
+  {
+  }
+
   /// Takes one window in.
   /// \param aIsOldHealthy the old version carried the window's load well.
   void Add(const EvidenceWindow& aWindow, bool aIsOldHealthy);
 
-  /// The new version's slots carry at most about twice the old one's load.
-  bool IsComparable() const { return m_isComparable; }
+  /// By the share, the new version's slots carry at most about twice the old
+  /// one's load, and queues have had the time to drain.
+  bool IsComparable() const
+  {
+    return m_isShareComparable && m_settling <= Duration::zero();
+  }
 
   /// The old version carried as much as the new one does now, and was healthy.
   bool IsProven() const;
 
 private:
-  struct Load
-  {
-    double m_new = 0.0;
-    double m_old = 0.0;
-  };
+  void AddLoad(const EvidenceWindow& aWindow, Share aShare, bool aIsOldHealthy);
 
-  Load m_smoothed;
+  SettleTimes m_times;
+  Share m_lastShare = Share::None();
+  /// Calls a second of both versions, smoothed.
+  double m_calls = 0.0;
+  /// Calls a second of each slot.
+  double m_oldLoad = 0.0;
+  double m_newLoad = 0.0;
+  /// The highest load of the old version's slots while it was healthy.
   double m_proven = 0.0;
-  bool m_isComparable = false;
+  bool m_isShareComparable = true;
+  Duration m_settling{ 0 };
 };
 
 } // namespace tarragontray
--- a/src/version/Move.cpp
+++ b/src/version/Move.cpp
@@ -138,7 +138,10 @@
 Move::Judge(const Times& aTimes)
 {
   const Verdict own =
-    m_tripwire.Observe(m_evidence.Whole(), m_slots, aTimes.m_now);
+    m_tripwire.Observe(m_evidence.Whole(),
+                       m_slots,
+                       EffectiveShare(m_progress, m_settings->m_dataCentre),
+                       aTimes.m_now);
   if (own.m_kind == VerdictKind::Bad && !m_progress.m_veto) {
     m_progress.m_veto = Veto{
       aTimes.m_wall, m_settings->m_dataCentre, own.m_route, own.m_reason
--- a/src/version/SequentialJudge.cpp
+++ b/src/version/SequentialJudge.cpp
@@ -10,9 +10,10 @@
 /// Bad calls below which a score is chance.
 constexpr std::uint64_t kSuspectCalls = 2;
 constexpr std::uint64_t kVerdictCalls = 3;
-/// A comparison ends well after this many calls of the new version, or this
-/// time, with nothing against it.
+/// A comparison ends well after this many calls of the new version, or fewer
+/// and this time, with nothing against it.
 constexpr std::uint64_t kComparisonCalls = 40;
+constexpr std::uint64_t kFewComparisonCalls = 12;
 constexpr Duration kComparisonTime = std::chrono::seconds(20);
 constexpr Duration kShortestComparison = std::chrono::seconds(3);
 /// Comparisons after which a version counts as bad under load.
@@ -127,25 +128,37 @@
   return verdict;
 }
 
+Verdict
+SequentialJudge::AbandonComparison()
+{
+  m_comparison.reset();
+  ResetTests();
+  return Verdict();
+}
+
 Verdict
 SequentialJudge::Compare(const EvidenceWindow& aWindow,
                          const WorstRoute& aWorst)
 {
+  m_comparison->m_length += aWindow.m_length;
   if (!m_loads.IsComparable()) {
-    return m_comparison->m_cause;
+    return m_comparison->m_length < kComparisonTime ? m_comparison->m_cause
+                                                    : AbandonComparison();
   }
   const auto route = m_routes.find(m_comparison->m_cause.m_route);
   m_comparison->m_wasOldHealthy &=
     route == m_routes.end() ||
     route->second.IsOldHealthy(m_comparison->m_signal);
-  m_comparison->m_length += aWindow.m_length;
+  m_comparison->m_comparableLength += aWindow.m_length;
   m_comparison->m_calls += NewCalls(aWindow);
   if (aWorst.m_score.m_score >= m_limits.m_suspectScore) {
     return MakeVerdict(VerdictKind::Suspect, aWorst.m_route, aWorst.m_score);
   }
   const bool isEnough = m_comparison->m_calls >= kComparisonCalls &&
-                        m_comparison->m_length >= kShortestComparison;
-  if (isEnough || m_comparison->m_length >= kComparisonTime) {
+                        m_comparison->m_comparableLength >= kShortestComparison;
+  const bool isLongEnough = m_comparison->m_calls >= kFewComparisonCalls &&
+                            m_comparison->m_comparableLength >= kComparisonTime;
+  if (isEnough || isLongEnough) {
     return EndComparison();
   }
   return m_comparison->m_cause;
--- a/src/version/SequentialJudge.h
+++ b/src/version/SequentialJudge.h
@@ -1,7 +1,7 @@
 /// \file
 /// Judges one move by sequential tests on each route.
 ///
-///     SequentialJudge judge({ 3.5, 9.0, true });
+///     SequentialJudge judge(limits);
 ///     Verdict verdict = judge.Judge(window);
 ///
 /// Thread safety: one thread.
@@ -23,6 +23,7 @@
   double m_verdictScore = 0.0;
   /// Whether repeated comparisons condemn a version as bad under load.
   bool m_judgesLoad = false;
+  SettleTimes m_times;
 };
 
 /// See the file comment.
@@ -31,6 +32,7 @@
 public:
   explicit SequentialJudge(const JudgeLimits& aLimits)
     : m_limits(aLimits)
+    , m_loads(aLimits.m_times)
   {
   }
 
@@ -45,7 +47,9 @@
     /// The old version had carried the load at which it began.
     bool m_isProven = false;
     bool m_wasOldHealthy = true;
+    /// All of it, and the part at comparable load.
     Duration m_length{ 0 };
+    Duration m_comparableLength{ 0 };
     std::uint64_t m_calls = 0;
   };
   struct WorstRoute
@@ -60,6 +64,7 @@
   Verdict BeginComparison(const WorstRoute& aWorst);
   Verdict Compare(const EvidenceWindow& aWindow, const WorstRoute& aWorst);
   Verdict EndComparison();
+  Verdict AbandonComparison();
   void ResetTests();
 
   JudgeLimits m_limits;
--- a/src/version/SequentialMovePolicy.cpp
+++ b/src/version/SequentialMovePolicy.cpp
@@ -21,6 +21,13 @@
 constexpr Duration kShortestStep = std::chrono::seconds(1);
 constexpr Duration kLongestStep = std::chrono::seconds(30);
 
+/// From a fall of the share until evidence of it is in, and until queues have
+/// drained. A node that lowers its own share alone changes little of its
+/// targets' load, and waits longer.
+constexpr Duration kSettleTime = std::chrono::seconds(1);
+constexpr Duration kDrainTime = std::chrono::seconds(6);
+constexpr Duration kNodeSettleTime = std::chrono::seconds(10);
+
 Share
 StageShare(std::size_t aStage)
 {
@@ -88,10 +95,14 @@
 SequentialMovePolicy::MakeJudge(EvidenceScope aScope) const
 {
   const bool isNode = aScope == EvidenceScope::Node;
-  return std::make_unique<SequentialJudge>(JudgeLimits{
-    m_settings.m_suspectScore,
-    isNode ? m_settings.m_nodeVerdictScore : m_settings.m_verdictScore,
-    !isNode });
+  JudgeLimits limits;
+  limits.m_suspectScore = m_settings.m_suspectScore;
+  limits.m_verdictScore =
+    isNode ? m_settings.m_nodeVerdictScore : m_settings.m_verdictScore;
+  limits.m_judgesLoad = !isNode;
+  limits.m_times = isNode ? SettleTimes{ kNodeSettleTime, kNodeSettleTime }
+                          : SettleTimes{ kSettleTime, kDrainTime };
+  return std::make_unique<SequentialJudge>(limits);
 }
 
 } // namespace tarragontray
--- a/src/version/Steward.cpp
+++ b/src/version/Steward.cpp
@@ -100,6 +100,7 @@
   EvidenceWindow window = m_table.TakeWindow(aTimes.m_now);
   window.m_oldSlots = aSlots.m_old;
   window.m_newSlots = aSlots.m_new;
+  window.m_share = EffectiveShare(aProgress, m_dataCentre);
   m_verdict = m_judge->Judge(window);
   if (aProgress.m_veto) {
     return false;
--- a/src/version/Tripwire.cpp
+++ b/src/version/Tripwire.cpp
@@ -1,5 +1,7 @@
 #include "version/Tripwire.h"
 
+#include <algorithm>
+
 #include "version/LoadComparison.h"
 
 namespace tarragontray {
@@ -7,12 +9,14 @@
 Verdict
 Tripwire::Observe(const EvidenceReport& aWhole,
                   const WarmSlots& aSlots,
+                  Share aShare,
                   MonotonicTime aNow)
 {
   m_table.Learn(aWhole);
   EvidenceWindow window = m_table.TakeWindow(aNow);
   window.m_oldSlots = aSlots.m_old;
   window.m_newSlots = aSlots.m_new;
+  window.m_share = std::min(aShare, m_ceiling);
   Verdict verdict = m_judge->Judge(window);
   switch (verdict.m_kind) {
     case VerdictKind::Bad:
--- a/src/version/Tripwire.h
+++ b/src/version/Tripwire.h
@@ -1,7 +1,7 @@
 /// \file
 /// A node's own guard: it acts on what the node itself saw, at once.
 ///
-///     Verdict verdict = tripwire.Observe(evidence.Whole(), slots, now);
+///     Verdict verdict = tripwire.Observe(whole, slots, share, now);
 ///     Share share = std::min(dataCentreShare, tripwire.Ceiling());
 ///
 /// It needs neither steward nor network. Its verdict on this node's evidence
@@ -37,8 +37,10 @@
 
   /// Judges what the node saw since the last call. Bad means that the move
   /// must be vetoed.
+  /// \param aShare the data centre's share.
   Verdict Observe(const EvidenceReport& aWhole,
                   const WarmSlots& aSlots,
+                  Share aShare,
                   MonotonicTime aNow);
 
   /// This node's own upper limit of the share.
--- a/src/version/testing/MoveSession.cpp
+++ b/src/version/testing/MoveSession.cpp
@@ -13,6 +13,8 @@
 constexpr Duration kMessageJitter = std::chrono::milliseconds(200);
 /// Time until the others notice that a node froze or came back.
 constexpr Duration kDetection = std::chrono::seconds(4);
+/// Time after a freeze in which a node need not be whole.
+constexpr Duration kWaking = std::chrono::seconds(10);
 
 double
 Seconds(Duration aDuration)
@@ -101,6 +103,15 @@
          m_settings.m_stewardPause->Contains(m_time);
 }
 
+bool
+MoveSession::HasJustWoken(std::size_t aNode) const
+{
+  return aNode == m_frozen && m_settings.m_stewardPause &&
+         SessionSpan{ m_settings.m_stewardPause->m_end,
+                      m_settings.m_stewardPause->m_end + kWaking }
+           .Contains(m_time);
+}
+
 bool
 MoveSession::IsCut(std::size_t aFrom, std::size_t aTo) const
 {
@@ -366,7 +377,7 @@
       isDeadlineSeen = true;
       m_result.m_isWholeInTime = true;
       for (std::size_t i = 0; i < m_nodes.size(); ++i) {
-        if (IsFrozen(i)) {
+        if (HasJustWoken(i) || IsFrozen(i)) {
           continue;
         }
         const Node& node = m_nodes[i];
--- a/src/version/testing/MoveSession.h
+++ b/src/version/testing/MoveSession.h
@@ -143,6 +143,7 @@
   void MakeNodes(const PolicyFactory& aPolicy);
   MonotonicTime Now() const { return m_clock.Now(); }
   bool IsFrozen(std::size_t aNode) const;
+  bool HasJustWoken(std::size_t aNode) const;
   bool IsCut(std::size_t aFrom, std::size_t aTo) const;
   void AssignStewards();
   void SetSteward(Node& aNode, bool aOn);
