--- /dev/null
+++ b/src/request/BalancingTest.cpp
@@ -0,0 +1,242 @@
+#include <map>
+#include <set>
+
+#include <criterion/criterion.h>
+
+#include "request/RetryBudget.h"
+#include "request/Subset.h"
+#include "request/TwoChoicesBalancing.h"
+#include "request/VersionSplitter.h"
+
+namespace tarragontray {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const DataCentreId kOwn("dc1");
+constexpr MonotonicTime kNow{ std::chrono::hours(1) };
+
+std::vector<Target>
+MakeTargets(std::size_t aCount, std::size_t aInOwnDataCentre)
+{
+  std::vector<Target> targets;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    Target target;
+    target.m_vm = VmId("vm-" + std::to_string(i));
+    target.m_dataCentre = i < aInOwnDataCentre ? kOwn : DataCentreId("dc2");
+    target.m_region = RegionId("r1");
+    target.m_version = UpstreamVersion("v1");
+    target.m_slots = SlotCount(10);
+    targets.push_back(target);
+  }
+  return targets;
+}
+
+std::vector<const Target*>
+Pointers(const std::vector<Target>& aTargets)
+{
+  std::vector<const Target*> pointers;
+  for (const Target& target : aTargets) {
+    pointers.push_back(&target);
+  }
+  return pointers;
+}
+
+TwoChoicesBalancing
+MakePolicy()
+{
+  TwoChoicesSettings settings;
+  settings.m_region = RegionId("r1");
+  return TwoChoicesBalancing(settings);
+}
+
+/// Sends calls that never end and counts them by target.
+std::vector<int>
+Spread(TwoChoicesBalancing& aPolicy,
+       const std::vector<Target>& aTargets,
+       int aCalls)
+{
+  SeededRandom random(1);
+  std::vector<int> counts(aTargets.size());
+  const std::vector<const Target*> candidates = Pointers(aTargets);
+  for (int i = 0; i < aCalls; ++i) {
+    const std::size_t index =
+      aPolicy.Choose(candidates, kOwn, kNow, random).value();
+    aPolicy.Started(aTargets[index].m_vm, kNow);
+    ++counts[index];
+  }
+  return counts;
+}
+
+} // namespace
+
+Test(TwoChoices, OwnDataCentreFirstAndSpillsWhenItIsFull)
+{
+  const std::vector<Target> targets = MakeTargets(4, 2);
+  TwoChoicesBalancing policy = MakePolicy();
+  const std::vector<int> first = Spread(policy, targets, 20);
+  cr_assert(first[0] + first[1] == 20);
+  cr_assert(first[0] == 10 && first[1] == 10);
+  const std::vector<int> more = Spread(policy, targets, 20);
+  cr_assert(more[2] + more[3] >= 18);
+}
+
+Test(TwoChoices, StartingTargetGetsLittle)
+{
+  std::vector<Target> targets = MakeTargets(4, 4);
+  targets[0].m_state = UpstreamState::Starting;
+  TwoChoicesBalancing policy = MakePolicy();
+  const std::vector<int> counts = Spread(policy, targets, 36);
+  cr_assert(counts[0] >= 1 && counts[0] <= 3, "started with %d", counts[0]);
+}
+
+Test(TwoChoices, EjectsAFailingTargetForABoundedTimeAndNeverMoreThanHalf)
+{
+  const std::vector<Target> targets = MakeTargets(4, 4);
+  TwoChoicesBalancing policy = MakePolicy();
+  const auto fail = [&](std::size_t aIndex) {
+    for (int i = 0; i < 5; ++i) {
+      policy.Started(targets[aIndex].m_vm, kNow);
+      policy.Finished(targets[aIndex].m_vm, { .m_failed = true }, kNow);
+    }
+  };
+  fail(0);
+  cr_assert(policy.IsEjected(targets[0].m_vm, kNow));
+  cr_assert(Spread(policy, targets, 20)[0] == 0);
+  cr_assert(!policy.IsEjected(targets[0].m_vm, kNow + std::chrono::minutes(1)));
+  fail(1);
+  fail(2);
+  TwoChoicesBalancing fresh = MakePolicy();
+  const std::vector<int> counts = Spread(policy, targets, 40);
+  cr_assert(counts[0] > 0 && counts[1] > 0 && counts[2] > 0);
+}
+
+/// A target that refuses quickly and claims to be idle.
+Test(TwoChoices, QuickRefusalsDoNotAttractCalls)
+{
+  const std::vector<Target> targets = MakeTargets(2, 2);
+  TwoChoicesBalancing policy = MakePolicy();
+  for (int i = 0; i < 50; ++i) {
+    policy.Started(targets[0].m_vm, kNow);
+    policy.Finished(targets[0].m_vm,
+                    { .m_isRefused = true,
+                      .m_latency = std::chrono::microseconds(50),
+                      .m_load = LoadReport{ 0, 0, SlotCount(10) } },
+                    kNow);
+    policy.Started(targets[1].m_vm, kNow);
+    policy.Finished(targets[1].m_vm,
+                    { .m_latency = milliseconds(20),
+                      .m_load = LoadReport{ 1, 0, SlotCount(10) } },
+                    kNow);
+  }
+  const std::vector<int> counts = Spread(policy, targets, 8);
+  cr_assert(counts[0] <= 1, "the refusing target got %d", counts[0]);
+}
+
+Test(Subset, OwnDataCentreFirstBoundedAndStable)
+{
+  std::vector<Target> targets = MakeTargets(100, 8);
+  const SubsetSettings settings{ VmId("node"), kOwn, RegionId("r1"), 20 };
+  const std::vector<Target> before = SelectSubset(settings, targets);
+  cr_assert(before.size() == 20);
+  for (std::size_t i = 0; i < 8; ++i) {
+    cr_assert(before[i].m_dataCentre == kOwn);
+  }
+  std::set<VmId> kept;
+  for (const Target& target : before) {
+    kept.insert(target.m_vm);
+  }
+  std::erase_if(targets, [&](const Target& aTarget) {
+    return aTarget.m_vm == before[10].m_vm;
+  });
+  int added = 0;
+  for (const Target& target : SelectSubset(settings, targets)) {
+    added += kept.contains(target.m_vm) ? 0 : 1;
+  }
+  cr_assert(added == 1);
+}
+
+Test(Subset, NodesUseTargetsEvenly)
+{
+  const std::vector<Target> targets = MakeTargets(100, 0);
+  std::map<VmId, int> uses;
+  for (int node = 0; node < 100; ++node) {
+    const SubsetSettings settings{
+      VmId("node-" + std::to_string(node)), kOwn, RegionId("r1"), 20
+    };
+    for (const Target& target : SelectSubset(settings, targets)) {
+      ++uses[target.m_vm];
+    }
+  }
+  for (const auto& [vm, count] : uses) {
+    cr_assert(count >= 5 && count <= 40, "%s: %d", vm.Value().c_str(), count);
+  }
+  cr_assert(uses.size() == 100);
+}
+
+Test(KeyPlacement, NextHomeIsTheHomeOnceTheHomeIsGone)
+{
+  const std::vector<Target> targets = MakeTargets(10, 10);
+  const auto placement = KeyPlacement::Create(targets).value();
+  const UpstreamVersion version("v1");
+  std::set<VmId> homes;
+  for (int i = 0; i < 200; ++i) {
+    const OperationId operation("op-" + std::to_string(i));
+    const Target& home = *placement->Home(operation, version);
+    const Target& next = *placement->NextHome(operation, version);
+    std::vector<Target> rest = targets;
+    std::erase_if(
+      rest, [&](const Target& aTarget) { return aTarget.m_vm == home.m_vm; });
+    const auto later = KeyPlacement::Create(rest).value();
+    cr_assert(later->Home(operation, version)->m_vm == next.m_vm);
+    homes.insert(home.m_vm);
+  }
+  cr_assert(homes.size() == 10);
+  cr_assert(placement->Home(OperationId("x"), UpstreamVersion("v9")) ==
+            nullptr);
+}
+
+Test(VersionSplitter, SmallShareIsEvenAndNeitherNothingNorABurst)
+{
+  VersionSplit split;
+  split.m_move = MoveId{};
+  split.m_from = UpstreamVersion("v1");
+  split.m_to = UpstreamVersion("v2");
+  split.m_toShare = Share::FromFraction(0.01);
+  int first = 0;
+  for (std::uint64_t thread = 0; thread < 1000; ++thread) {
+    SeededRandom random(thread);
+    VersionSplitter splitter(random);
+    int hits = 0;
+    int lastHit = -1;
+    for (int call = 0; call < 1000; ++call) {
+      if (splitter.Choose(split) == split.m_to) {
+        cr_assert(lastHit < 0 || call - lastHit == 100);
+        lastHit = call;
+        first += call == 0 ? 1 : 0;
+        ++hits;
+      }
+    }
+    cr_assert(hits == 10);
+  }
+  // A thousand threads with one call each send about ten of them.
+  cr_assert(first >= 3 && first <= 20, "first calls: %d", first);
+}
+
+Test(RetryBudget, BoundsRetriesByTheRatioOfFirstAttempts)
+{
+  RetryBudget budget(RetryBudgetSettings{ 0.1, 10, 0, 1 });
+  const ServiceId service;
+  int retries = 0;
+  for (int call = 0; call < 10'000; ++call) {
+    budget.OnFirstAttempt(service, kNow);
+    retries += budget.TryRetry(service, 1, kNow) ? 1 : 0;
+  }
+  cr_assert(retries >= 1000 && retries <= 1011, "retries: %d", retries);
+  cr_assert(budget.Refused() == 10'000U - static_cast<unsigned>(retries));
+  const ServiceId beyond{ ClientAccountId("other"), ServiceName("x") };
+  cr_assert(!budget.TryRetry(beyond, 1, kNow));
+}
+
+} // namespace tarragontray
--- a/src/request/Call.h
+++ b/src/request/Call.h
@@ -92,6 +92,9 @@
   SlotCount m_slots{ 0 };
 };
 
+/// In a question: whatever attempt of an operation, by whatever entry node.
+inline constexpr std::uint8_t kAllAttempts = 255;
+
 /// One attempt of a call, as node A sends it to node B.
 struct Call
 {
--- a/src/request/CallPlan.cpp
+++ b/src/request/CallPlan.cpp
@@ -11,8 +11,6 @@
 constexpr Duration kMaxAskInterval = std::chrono::milliseconds(200);
 /// Asks that may fail before the outcome counts as unknown.
 constexpr std::uint8_t kMaxAskFailures = 3;
-/// Withdraws whatever attempt of an operation may still arrive.
-constexpr std::uint8_t kAllAttempts = 255;
 /// A call that waited for less than 1 / kPatientPart of its route's timeout
 /// says nothing about the version when it ends.
 constexpr int kPatientPart = 2;
@@ -41,13 +39,18 @@
   return answer;
 }
 
-/// True for refusals that a node gives for its own state, not for load.
-bool
-IsTargetGone(RefusalReason aReason)
+RetryReason
+ReasonOf(RefusalReason aRefusal)
 {
-  return aReason == RefusalReason::Draining ||
-         aReason == RefusalReason::UpstreamGone ||
-         aReason == RefusalReason::NoConfiguration;
+  switch (aRefusal) {
+    case RefusalReason::Draining:
+      return RetryReason::Draining;
+    case RefusalReason::UpstreamGone:
+    case RefusalReason::NoConfiguration:
+      return RetryReason::TargetGone;
+    default:
+      return RetryReason::Overload;
+  }
 }
 
 } // namespace
@@ -103,10 +106,11 @@
     // Another call with this key withdrew it and may run it elsewhere.
     return EndUnknown();
   }
-  return RetryOr(aAnswer,
-                 IsTargetGone(aAnswer.m_refusal) ? RetryReason::TargetGone
-                                                 : RetryReason::Overload,
-                 aNow);
+  const RetryReason reason = ReasonOf(aAnswer.m_refusal);
+  // Former calls with the key may have run at the next home.
+  const bool isFinal =
+    reason != RetryReason::Draining || !m_targets.HasNextHome();
+  return RetryOr(isFinal ? aAnswer : Answer{}, reason, aNow);
 }
 
 Step
@@ -157,8 +161,10 @@
     return SendFirst(aNow);
   }
   EndAttemptUnobserved({ .m_failed = true }, aNow);
-  return RetryOr(
-    NotRun(RefusalReason::NoTarget), RetryReason::NotReceived, aNow);
+  // A home that drains doesn't know what the next home ran.
+  const Answer answer =
+    m_targets.HasNextHome() ? Answer{} : NotRun(RefusalReason::NoTarget);
+  return RetryOr(answer, RetryReason::NotReceived, aNow);
 }
 
 Step
--- /dev/null
+++ b/src/request/ExchangeTest.cpp
@@ -0,0 +1,246 @@
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+#include <criterion/criterion.h>
+
+#include "request/FakeExchange.h"
+
+namespace tarragontray {
+
+namespace {
+
+/// One fault at the first attempt and one at each question.
+class FixedFaults final : public FaultPlan
+{
+public:
+  FixedFaults(AttemptFault aAttempt, AskFault aAsk)
+    : m_attempt(aAttempt)
+    , m_ask(aAsk)
+  {
+  }
+  AttemptFault OnAttempt(std::uint8_t aAttempt) override
+  {
+    return aAttempt == 1 ? m_attempt : AttemptFault::None;
+  }
+  AskFault OnAsk() override { return m_ask; }
+
+private:
+  AttemptFault m_attempt;
+  AskFault m_ask;
+};
+
+/// Faults drawn for each message.
+class DrawnFaults final : public FaultPlan
+{
+public:
+  explicit DrawnFaults(std::uint64_t aSeed)
+    : m_random(aSeed)
+  {
+  }
+  AttemptFault OnAttempt(std::uint8_t /*aAttempt*/) override
+  {
+    return m_random.Below(3) == 0
+             ? AttemptFault::None
+             : AttemptFault(m_random.Below(kAttemptFaults));
+  }
+  AskFault OnAsk() override
+  {
+    return m_random.Below(2) == 0 ? AskFault::None
+                                  : AskFault(m_random.Below(kAskFaults));
+  }
+
+private:
+  SeededRandom m_random;
+};
+
+/// Sessions of each kind.
+constexpr std::uint64_t kSeeds = 300;
+constexpr Duration kAllOver = std::chrono::seconds(30);
+
+OperationId
+Operation(std::uint64_t aNumber)
+{
+  return OperationId("op-" + std::to_string(aNumber));
+}
+
+void
+AssertWhole(const FakeExchange& aExchange, std::uint64_t aSeed)
+{
+  for (const std::string& line : aExchange.Broken()) {
+    cr_assert(
+      false, "seed %lu: %s\n%s", aSeed, line.c_str(), aExchange.Log().c_str());
+  }
+  for (const std::optional<Answer>& told : aExchange.Told()) {
+    cr_assert(told.has_value(), "seed %lu: a call has no answer", aSeed);
+  }
+}
+
+/// Calls with repeated keys, pauses and drains over drawn faults.
+void
+RunDrawnSession(std::uint64_t aSeed, bool aHasMove, bool aHasRestarts)
+{
+  DrawnFaults faults(aSeed);
+  SeededRandom random(aSeed + 1000);
+  FakeExchangeSettings settings;
+  settings.m_seed = aSeed;
+  settings.m_targets = 2 + random.Below(4);
+  if (aHasMove) {
+    settings.m_split.m_move = MoveId{};
+    settings.m_split.m_to = UpstreamVersion("v2");
+  }
+  FakeExchange exchange(settings, faults);
+  for (int i = 0; i < 60; ++i) {
+    FakeCallSpec spec;
+    spec.m_isIdempotent = random.Below(4) == 0;
+    // Without a place that remembers, a repeated key promises nothing.
+    spec.m_isCallerKey = !aHasRestarts && random.Below(2) == 0;
+    spec.m_operation =
+      Operation(spec.m_isCallerKey ? random.Below(10) : 100 + i);
+    spec.m_isIdempotent = spec.m_isIdempotent && !spec.m_isCallerKey;
+    exchange.Start(spec);
+    exchange.RunFor(std::chrono::milliseconds(random.Below(60)));
+    const std::size_t target = random.Below(settings.m_targets);
+    switch (random.Below(12)) {
+      case 0:
+        exchange.Pause(target, std::chrono::milliseconds(random.Below(4000)));
+        break;
+      case 1:
+        if (aHasRestarts) {
+          exchange.Restart(target);
+        }
+        break;
+      case 2:
+        if (aHasMove) {
+          exchange.SetShare(Share::FromFraction(random.Fraction()));
+        }
+        break;
+      case 3:
+        if (!aHasRestarts && random.Below(4) == 0) {
+          exchange.Drain(target);
+        }
+        break;
+      default:
+        break;
+    }
+  }
+  exchange.RunFor(kAllOver);
+  AssertWhole(exchange, aSeed);
+}
+
+} // namespace
+
+Test(Exchange, EveryFaultAtTheFirstAttemptAndAtTheQuestion)
+{
+  for (std::uint8_t attempt = 0; attempt < kAttemptFaults; ++attempt) {
+    for (std::uint8_t ask = 0; ask < kAskFaults; ++ask) {
+      for (const bool isKey : { false, true }) {
+        FixedFaults faults{ AttemptFault(attempt), AskFault(ask) };
+        FakeExchange exchange(FakeExchangeSettings{}, faults);
+        exchange.Start({ Operation(1), isKey });
+        exchange.RunFor(kAllOver);
+        AssertWhole(exchange, attempt * kAskFaults + ask);
+        const bool canFindOut = AskFault(ask) == AskFault::None || attempt < 2;
+        const Answer& told = *exchange.Told().front();
+        cr_assert((told.m_outcome == CallOutcome::Done) == canFindOut,
+                  "attempt fault %d, ask fault %d, key %d: told %s",
+                  attempt,
+                  ask,
+                  isKey,
+                  std::string(Name(told.m_outcome)).c_str());
+      }
+    }
+  }
+}
+
+Test(Exchange, DrawnFaultsRunNoOperationTwice)
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    RunDrawnSession(seed, false, false);
+  }
+}
+
+Test(Exchange, DrawnFaultsWhileTheShareOfAMoveChanges)
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    RunDrawnSession(seed, true, false);
+  }
+}
+
+Test(Exchange, DrawnFaultsWhileNodesRestart)
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    RunDrawnSession(seed, false, true);
+  }
+}
+
+Test(Exchange, RepeatedKeyThroughAnotherNodeGetsTheKeptAnswer)
+{
+  FixedFaults faults{ AttemptFault::AnswerDropped, AskFault::Unreachable };
+  FakeExchange exchange(FakeExchangeSettings{}, faults);
+  exchange.Start({ Operation(1), true });
+  exchange.RunFor(kAllOver);
+  cr_assert(exchange.Told()[0]->m_outcome == CallOutcome::Unknown);
+  exchange.Start({ Operation(1), true });
+  exchange.RunFor(kAllOver);
+  cr_assert(exchange.Executions(Operation(1)) == 1);
+  AssertWhole(exchange, 0);
+}
+
+Test(Exchange, FrozenNodeResumesAfterTheCallWasAskedAbout)
+{
+  FixedFaults faults{ AttemptFault::CutInMiddle, AskFault::None };
+  FakeExchangeSettings settings;
+  settings.m_targets = 1;
+  FakeExchange exchange(settings, faults);
+  exchange.Pause(0, std::chrono::seconds(5));
+  exchange.Start({ Operation(1) });
+  exchange.RunFor(kAllOver);
+  cr_assert(exchange.Told()[0]->m_outcome == CallOutcome::Unknown);
+  cr_assert(exchange.Executions(Operation(1)) <= 1);
+  AssertWhole(exchange, 0);
+}
+
+Test(Exchange, DrainingNodeRefusesAtOnceAndAnotherRunsTheCall)
+{
+  FixedFaults faults{ AttemptFault::None, AskFault::None };
+  FakeExchange exchange(FakeExchangeSettings{}, faults);
+  exchange.Drain(0);
+  exchange.Drain(1);
+  for (int i = 0; i < 10; ++i) {
+    exchange.Start({ Operation(i) });
+    exchange.RunFor(std::chrono::seconds(1));
+    cr_assert(exchange.Told()[i]->m_outcome == CallOutcome::Done);
+  }
+  for (const char* drained : { "at vm-0", "at vm-1" }) {
+    cr_assert(exchange.Log().find(drained) == std::string::npos);
+  }
+  AssertWhole(exchange, 0);
+}
+
+Test(Exchange, RecordedSessionStaysTheSame)
+{
+  DrawnFaults faults(20261204);
+  FakeExchangeSettings settings;
+  settings.m_split.m_move = MoveId{};
+  settings.m_split.m_to = UpstreamVersion("v2");
+  settings.m_split.m_toShare = Share::FromFraction(0.3);
+  FakeExchange exchange(settings, faults);
+  for (std::uint64_t i = 0; i < 12; ++i) {
+    exchange.Start({ Operation(i % 8), i % 2 == 0, i % 3 == 1 && i % 2 == 1 });
+    exchange.RunFor(std::chrono::milliseconds(7));
+  }
+  exchange.RunFor(kAllOver);
+  const std::string path =
+    std::string(std::getenv("TT_GOLDEN_DIR")) + "/exchange.txt";
+  if (std::getenv("TT_GOLDEN_WRITE") != nullptr) {
+    std::ofstream(path) << exchange.Log();
+  }
+  std::stringstream golden;
+  golden << std::ifstream(path).rdbuf();
+  cr_assert(exchange.Log() == golden.str(),
+            "the session changed:\n%s",
+            exchange.Log().c_str());
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/request/FakeExchange.h
@@ -0,0 +1,181 @@
+/// \file
+/// Test support: calls between entry nodes and guards over an in-memory
+/// network in virtual time, with a fault for each message and an upstream that
+/// counts executions.
+///
+///     FakeExchange exchange(settings, faults);
+///     exchange.Start(spec);
+///     exchange.RunFor(std::chrono::seconds(20));
+///     std::vector<std::string> broken = exchange.BrokenInvariants();
+///
+/// Thread safety: one thread.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/Random.h"
+#include "request/CallPlan.h"
+#include "request/Guard.h"
+#include "request/RetryBudget.h"
+#include "request/Subset.h"
+#include "request/TwoChoicesBalancing.h"
+
+namespace tarragontray {
+
+/// What happens to one attempt on its way.
+enum class AttemptFault : std::uint8_t
+{
+  None,
+  /// The link fails before the hand-over.
+  NotSent,
+  /// The call is lost; the entry node sees the link fail.
+  Dropped,
+  /// As Dropped, but the call arrives long after.
+  Late,
+  /// The link fails while the call waits or runs.
+  CutInMiddle,
+  /// The call runs; its answer is lost.
+  AnswerDropped,
+};
+inline constexpr std::uint8_t kAttemptFaults = 6;
+
+/// What happens to one question.
+enum class AskFault : std::uint8_t
+{
+  None,
+  Unreachable,
+  AnswerDropped,
+};
+inline constexpr std::uint8_t kAskFaults = 3;
+
+/// Draws the faults. Thread safety: one thread.
+class FaultPlan
+{
+public:
+  virtual ~FaultPlan() = default;
+  virtual AttemptFault OnAttempt(std::uint8_t aAttempt) = 0;
+  virtual AskFault OnAsk() = 0;
+};
+
+struct FakeCallSpec
+{
+  OperationId m_operation;
+  bool m_isCallerKey = false;
+  bool m_isIdempotent = false;
+  Duration m_timeout = std::chrono::seconds(2);
+};
+
+struct FakeExchangeSettings
+{
+  std::uint64_t m_seed = 1;
+  std::size_t m_targets = 3;
+  std::uint32_t m_slots = 2;
+  Duration m_serviceTime = std::chrono::milliseconds(20);
+  VersionSplit m_split{ std::nullopt, UpstreamVersion("v1"), {}, {} };
+};
+
+class FakeExchange
+{
+public:
+  /// \param aFaults must outlive this object.
+  FakeExchange(const FakeExchangeSettings& aSettings, FaultPlan& aFaults);
+
+  /// A caller sends a call to its entry node now.
+  void Start(const FakeCallSpec& aSpec);
+  /// Changes the share of the move for calls that start later.
+  void SetShare(Share aShare);
+  /// Stops a target's node for a while; what arrives waits.
+  void Pause(std::size_t aTarget, Duration aSpan);
+  /// Replaces a target's node by a new incarnation without memory.
+  void Restart(std::size_t aTarget);
+  void Drain(std::size_t aTarget);
+  void RunFor(Duration aSpan);
+
+  std::size_t Executions(const OperationId& aOperation) const;
+  /// What the calls were told, in order of starting; unset while open.
+  const std::vector<std::optional<Answer>>& Told() const { return m_told; }
+  /// One line for each broken promise.
+  const std::vector<std::string>& Broken() const { return m_broken; }
+  /// Each step and message, one line each, for golden files.
+  const std::string& Log() const { return m_log; }
+
+private:
+  using Event = std::function<void()>;
+
+  struct Node
+  {
+    std::unique_ptr<Guard> m_guard;
+    Incarnation m_incarnation{ 1 };
+    MonotonicTime m_pausedUntil{};
+  };
+  struct OpenCall
+  {
+    FakeCallSpec m_spec;
+    std::unique_ptr<RouteSpec> m_route;
+    std::unique_ptr<CallPlan> m_plan;
+    /// Number of the attempt or question that is out; older ones are dropped.
+    std::uint64_t m_exchange = 0;
+    std::size_t m_target = 0;
+  };
+  struct Link
+  {
+    std::size_t m_call = 0;
+    std::uint64_t m_exchange = 0;
+    std::size_t m_node = 0;
+    /// The life of the node that the link leads to.
+    Incarnation m_life;
+    bool m_dropsAnswer = false;
+    /// The entry node still listens.
+    bool m_isOpen = true;
+  };
+
+  void At(Duration aDelay, Event aEvent);
+  /// Runs aEvent at the node once it is not paused.
+  void AtNode(std::size_t aNode, Duration aDelay, Event aEvent);
+  void PublishView();
+  std::unique_ptr<Guard> MakeGuard(Incarnation aIncarnation) const;
+  void Perform(std::size_t aCall, const Step& aStep);
+  void Send(std::size_t aCall, const SendAttempt& aStep);
+  void Lose(std::size_t aCall, std::uint64_t aLink, LostStage aStage);
+  void Deliver(std::uint64_t aLink, const Call& aCall);
+  void Ask(std::size_t aCall, const AskOperation& aStep);
+  void Finish(std::size_t aCall, const Answer& aAnswer);
+  void Apply(std::size_t aNode, const GuardActions& aActions);
+  void RunUpstream(std::size_t aNode, const struct Run& aRun);
+  /// Feeds an event to the plan unless it belongs to a former exchange.
+  void Feed(std::size_t aCall,
+            std::uint64_t aExchange,
+            const std::function<Step(CallPlan&)>& aEvent);
+  std::size_t IndexOf(const Target& aTarget) const;
+  void Note(const std::string& aLine);
+  MonotonicTime Now() const { return m_now; }
+
+  FakeExchangeSettings m_settings;
+  FaultPlan& m_faults;
+  SeededRandom m_random;
+  TwoChoicesBalancing m_balancing{ TwoChoicesSettings{} };
+  VersionSplitter m_splitter{ m_random };
+  RetryBudget m_retries{ RetryBudgetSettings{} };
+  TrafficPolicies m_policies{ m_balancing, m_splitter, m_retries, m_random };
+  MonotonicTime m_now{ std::chrono::hours(1) };
+  std::multimap<MonotonicTime, Event> m_events;
+  std::vector<Node> m_nodes;
+  /// Never shrinks: open calls point into former views.
+  std::deque<ServiceView> m_views;
+  std::deque<OpenCall> m_calls;
+  std::vector<Link> m_links;
+  std::vector<std::optional<Answer>> m_told;
+  /// When each operation began to run at an upstream.
+  std::map<OperationId, std::vector<MonotonicTime>> m_executions;
+  std::vector<std::string> m_broken;
+  std::string m_log;
+};
+
+} // namespace tarragontray
--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -128,7 +128,7 @@
 RefusalReason
 Guard::CheckUpstream(const Call& aCall) const
 {
-  if (m_isDraining || m_upstream.m_state == UpstreamState::Draining) {
+  if (IsDraining()) {
     return RefusalReason::Draining;
   }
   const bool isThere = m_upstream.m_state != UpstreamState::Absent &&
@@ -153,7 +153,7 @@
   entry.m_deadline = waiting.m_deadline;
   entry.m_call = std::move(aCall);
   for (const Refused& refused : m_policy->Offer(waiting, Room(), aNow)) {
-    Refuse(refused.m_ticket, refused.m_reason, aActions);
+    Refuse(refused.m_ticket, refused.m_reason, aNow, aActions);
   }
 }
 
@@ -161,7 +161,7 @@
 Guard::RunNext(MonotonicTime aNow, GuardActions& aActions)
 {
   for (const Refused& refused : m_policy->TakeExpired(Room(), aNow)) {
-    Refuse(refused.m_ticket, refused.m_reason, aActions);
+    Refuse(refused.m_ticket, refused.m_reason, aNow, aActions);
   }
   while (const std::optional<Ticket> next = m_policy->Next(Room(), aNow)) {
     Entry& entry = m_entries.at(*next);
@@ -193,7 +193,7 @@
   }
   if (HasKey(entry.m_call)) {
     if (aAnswer.m_outcome == CallOutcome::NotRun) {
-      m_operations.Erase(KeyOf(entry.m_call));
+      m_operations.Release(KeyOf(entry.m_call), aNow);
     } else {
       m_operations.Finish(KeyOf(entry.m_call), aAnswer, aNow);
     }
@@ -216,7 +216,7 @@
   }
   const Ticket ticket = link->second.at(aCall);
   const bool wasRunning = m_entries.at(ticket).m_isRunning;
-  Leave(ticket, { aFrom, aCall }, actions);
+  Leave(ticket, { aFrom, aCall }, aNow, actions);
   if (!wasRunning && !m_entries.contains(ticket)) {
     ReplyNotRun({ aFrom, aCall }, RefusalReason::Cancelled, actions);
   }
@@ -234,14 +234,17 @@
   }
   const auto calls = link->second;
   for (const auto& [call, ticket] : calls) {
-    Leave(ticket, { aFrom, call }, actions);
+    Leave(ticket, { aFrom, call }, aNow, actions);
   }
   RunNext(aNow, actions);
   return actions;
 }
 
 void
-Guard::Leave(Ticket aTicket, const Waiter& aWaiter, GuardActions& aActions)
+Guard::Leave(Ticket aTicket,
+             const Waiter& aWaiter,
+             MonotonicTime aNow,
+             GuardActions& aActions)
 {
   ForgetWaiter(aWaiter);
   Entry& entry = m_entries.at(aTicket);
@@ -253,7 +256,7 @@
   }
   if (!entry.m_isRunning) {
     m_policy->Remove(aTicket);
-    Refuse(aTicket, RefusalReason::Cancelled, aActions);
+    Refuse(aTicket, RefusalReason::Cancelled, aNow, aActions);
   } else if (entry.m_call.m_idempotent) {
     aActions.m_aborts.push_back({ aTicket });
   }
@@ -272,8 +275,9 @@
              known->m_answer };
   }
   const bool isOwnLife = aQuestion.m_sentTo >= m_settings.m_incarnation;
+  const bool canTell = aQuestion.m_attempt != kAllAttempts || !IsDraining();
   const bool isWithdrawn =
-    isOwnLife &&
+    isOwnLife && canTell &&
     m_operations.Withdraw(aQuestion.m_key, aQuestion.m_attempt, aNow);
   return { isWithdrawn ? OperationStatus::NotReceived
                        : OperationStatus::Forgotten,
@@ -303,8 +307,10 @@
   m_upstream = aUpstream;
   const bool isGone = aUpstream.m_state == UpstreamState::Absent || isOther;
   if (isGone || aUpstream.m_state == UpstreamState::Draining) {
-    RefuseWaiting(
-      isGone ? RefusalReason::UpstreamGone : RefusalReason::Draining, actions);
+    RefuseWaiting(isGone ? RefusalReason::UpstreamGone
+                         : RefusalReason::Draining,
+                  aNow,
+                  actions);
     return actions;
   }
   RunNext(aNow, actions);
@@ -312,16 +318,18 @@
 }
 
 GuardActions
-Guard::Drain(MonotonicTime /*aNow*/)
+Guard::Drain(MonotonicTime aNow)
 {
   GuardActions actions;
   m_isDraining = true;
-  RefuseWaiting(RefusalReason::Draining, actions);
+  RefuseWaiting(RefusalReason::Draining, aNow, actions);
   return actions;
 }
 
 void
-Guard::RefuseWaiting(RefusalReason aReason, GuardActions& aActions)
+Guard::RefuseWaiting(RefusalReason aReason,
+                     MonotonicTime aNow,
+                     GuardActions& aActions)
 {
   std::vector<Ticket> waiting;
   for (const auto& [ticket, entry] : m_entries) {
@@ -332,18 +340,21 @@
   std::sort(waiting.begin(), waiting.end());
   for (const Ticket ticket : waiting) {
     m_policy->Remove(ticket);
-    Refuse(ticket, aReason, aActions);
+    Refuse(ticket, aReason, aNow, aActions);
   }
 }
 
 void
-Guard::Refuse(Ticket aTicket, RefusalReason aReason, GuardActions& aActions)
+Guard::Refuse(Ticket aTicket,
+              RefusalReason aReason,
+              MonotonicTime aNow,
+              GuardActions& aActions)
 {
   const auto found = m_entries.find(aTicket);
   const Entry entry = std::move(found->second);
   m_entries.erase(found);
   if (HasKey(entry.m_call)) {
-    m_operations.Erase(KeyOf(entry.m_call));
+    m_operations.Release(KeyOf(entry.m_call), aNow);
   }
   for (const Waiter& waiter : entry.m_waiters) {
     ReplyNotRun(waiter, aReason, aActions);
--- a/src/request/Guard.h
+++ b/src/request/Guard.h
@@ -87,7 +87,9 @@
 struct Question
 {
   OperationKey m_key;
-  /// The attempt that was lost.
+  /// The attempt that was lost; kAllAttempts asks whether this place ever ran
+  /// the operation, which a draining one can't rule out: repeats went to the
+  /// next home of the key.
   std::uint8_t m_attempt = 1;
   /// Target::m_incarnation of the view that the attempt was sent by.
   Incarnation m_sentTo;
@@ -168,10 +170,18 @@
   void Admit(Call aCall, CallerLink aFrom, MonotonicTime aNow, GuardActions&);
   void RunNext(MonotonicTime aNow, GuardActions& aActions);
   /// Removes a waiting entry and tells its waiters that it was not run.
-  void Refuse(Ticket aTicket, RefusalReason aReason, GuardActions& aActions);
-  void RefuseWaiting(RefusalReason aReason, GuardActions& aActions);
+  void Refuse(Ticket aTicket,
+              RefusalReason aReason,
+              MonotonicTime aNow,
+              GuardActions& aActions);
+  void RefuseWaiting(RefusalReason aReason,
+                     MonotonicTime aNow,
+                     GuardActions& aActions);
   /// One waiter gave up.
-  void Leave(Ticket aTicket, const Waiter& aWaiter, GuardActions& aActions);
+  void Leave(Ticket aTicket,
+             const Waiter& aWaiter,
+             MonotonicTime aNow,
+             GuardActions& aActions);
   void ReplyTo(const Waiter& aWaiter, Answer aAnswer, GuardActions& aActions);
   void ReplyNotRun(const Waiter& aWaiter,
                    RefusalReason aReason,
@@ -179,6 +189,10 @@
   void ForgetWaiter(const Waiter& aWaiter);
   void LearnServiceTime(Duration aTime);
   AdmissionRoom Room() const;
+  bool IsDraining() const
+  {
+    return m_isDraining || m_upstream.m_state == UpstreamState::Draining;
+  }
 
   GuardSettings m_settings;
   std::unique_ptr<AdmissionPolicy> m_policy;
--- /dev/null
+++ b/src/request/GuardTest.cpp
@@ -0,0 +1,305 @@
+#include "request/Guard.h"
+
+#include <map>
+#include <string>
+
+#include <criterion/criterion.h>
+
+#include "request/FairAdmission.h"
+
+namespace tarragontray {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const ServiceId kService{ ClientAccountId("mesqel-gate"),
+                          ServiceName("box-office") };
+const UpstreamVersion kVersion("v1");
+constexpr MonotonicTime kStart{ std::chrono::hours(1) };
+
+Guard
+MakeGuard(std::uint32_t aSlots,
+          std::size_t aLimit = 8,
+          Share aForeign = Share::All(),
+          const GuardSettings& aSettings = {})
+{
+  auto policy =
+    FairAdmission::Create({ kService.m_owner, aLimit, aForeign }).value();
+  Guard guard = Guard::Create(aSettings, std::move(policy)).value();
+  guard.SetUpstream(
+    { kService, kVersion, UpstreamState::Live, SlotCount(aSlots) }, kStart);
+  return guard;
+}
+
+Call
+MakeCall(std::uint64_t aId,
+         const std::string& aCaller = "mesqel-gate",
+         const std::string& aOperation = "")
+{
+  Call call;
+  call.m_id = CallId(aId);
+  call.m_operation =
+    OperationId(aOperation.empty() ? "op-" + std::to_string(aId) : aOperation);
+  call.m_caller = ClientAccountId(aCaller);
+  call.m_service = kService;
+  call.m_version = kVersion;
+  call.m_timeRemaining = std::chrono::seconds(10);
+  return call;
+}
+
+Answer
+Done(const std::string& aBody)
+{
+  Answer answer;
+  answer.m_outcome = CallOutcome::Done;
+  answer.m_http.m_body = aBody;
+  return answer;
+}
+
+constexpr CallerLink kLink{ 1 };
+
+Question
+Ask(const std::string& aCaller, const std::string& aOperation)
+{
+  return { { ClientAccountId(aCaller), OperationId(aOperation) },
+           1,
+           Incarnation(1) };
+}
+
+} // namespace
+
+Test(Guard, RepeatWhileRunningJoinsAndBothGetTheAnswer)
+{
+  Guard guard = MakeGuard(1);
+  const GuardActions first = guard.Submit(MakeCall(1, "a", "k"), kLink, kStart);
+  const GuardActions second =
+    guard.Submit(MakeCall(2, "a", "k"), CallerLink(2), kStart);
+  cr_assert(first.m_runs.size() == 1 && second.m_runs.empty());
+  const GuardActions end =
+    guard.Finished(first.m_runs[0].m_ticket, Done("x"), kStart);
+  cr_assert(end.m_replies.size() == 2);
+  cr_assert(end.m_replies[1].m_answer.m_id == CallId(2));
+  const GuardActions third = guard.Submit(MakeCall(3, "a", "k"), kLink, kStart);
+  cr_assert(third.m_runs.empty());
+  cr_assert(third.m_replies.at(0).m_answer.m_http.m_body == "x");
+}
+
+Test(Guard, SameKeyOfAnotherAccountIsAnotherOperation)
+{
+  Guard guard = MakeGuard(2);
+  guard.Submit(MakeCall(1, "a", "k"), kLink, kStart);
+  const GuardActions other = guard.Submit(MakeCall(2, "b", "k"), kLink, kStart);
+  cr_assert(other.m_runs.size() == 1);
+}
+
+Test(Guard, KeyReusedForAnotherRequestIsRefused)
+{
+  Guard guard = MakeGuard(2);
+  guard.Submit(MakeCall(1, "a", "k"), kLink, kStart);
+  Call other = MakeCall(2, "a", "k");
+  other.m_http.m_body = "another seat";
+  const GuardActions actions = guard.Submit(other, kLink, kStart);
+  cr_assert(actions.m_replies.at(0).m_answer.m_refusal ==
+            RefusalReason::OperationMismatch);
+}
+
+Test(Guard, CancelRacesWithTheEndOfTheRun)
+{
+  Guard guard = MakeGuard(1);
+  const Ticket running =
+    guard.Submit(MakeCall(1), kLink, kStart).m_runs.at(0).m_ticket;
+  guard.Submit(MakeCall(2), kLink, kStart);
+  // Waiting: certainly not run. Running and not idempotent: goes on.
+  const GuardActions waiting = guard.Cancel(kLink, CallId(2), kStart);
+  cr_assert(waiting.m_replies.at(0).m_answer.m_outcome == CallOutcome::NotRun);
+  const GuardActions cancelled = guard.Cancel(kLink, CallId(1), kStart);
+  cr_assert(cancelled.m_aborts.empty() && cancelled.m_replies.empty());
+  guard.Finished(running, Done("x"), kStart);
+  const AskResult asked = guard.Ask(Ask("mesqel-gate", "op-1"), kStart);
+  cr_assert(asked.m_status == OperationStatus::Done);
+  cr_assert(guard.Cancel(kLink, CallId(1), kStart).m_replies.empty());
+  cr_assert(guard.IsIdle());
+}
+
+Test(Guard, ClosedLinkAbortsOnlyIdempotentRuns)
+{
+  Guard guard = MakeGuard(2);
+  Call idempotent = MakeCall(1);
+  idempotent.m_idempotent = true;
+  const Ticket first =
+    guard.Submit(idempotent, kLink, kStart).m_runs.at(0).m_ticket;
+  guard.Submit(MakeCall(2), kLink, kStart);
+  guard.Submit(MakeCall(3), kLink, kStart);
+  const GuardActions closed = guard.LinkClosed(kLink, kStart);
+  cr_assert(closed.m_aborts.size() == 1);
+  cr_assert(closed.m_aborts[0].m_ticket == first);
+  cr_assert(guard.Load().m_queued == 0);
+}
+
+Test(Guard, DrainRefusesWaitingAndNewCallsAndLetsRunsEnd)
+{
+  Guard guard = MakeGuard(1);
+  const Ticket running =
+    guard.Submit(MakeCall(1), kLink, kStart).m_runs.at(0).m_ticket;
+  guard.Submit(MakeCall(2), kLink, kStart);
+  const GuardActions drained = guard.Drain(kStart);
+  cr_assert(drained.m_replies.at(0).m_answer.m_refusal ==
+            RefusalReason::Draining);
+  const GuardActions late = guard.Submit(MakeCall(3), kLink, kStart);
+  cr_assert(late.m_runs.empty());
+  cr_assert(late.m_replies.at(0).m_answer.m_outcome == CallOutcome::NotRun);
+  cr_assert(!guard.IsIdle());
+  const GuardActions end = guard.Finished(running, Done("x"), kStart);
+  cr_assert(end.m_replies.at(0).m_answer.m_http.m_body == "x");
+  cr_assert(guard.IsIdle());
+}
+
+Test(Guard, RefusesWhatCannotBeAnsweredInTime)
+{
+  Guard guard = MakeGuard(1);
+  const Ticket first =
+    guard.Submit(MakeCall(1), kLink, kStart).m_runs.at(0).m_ticket;
+  guard.Finished(first, Done("x"), kStart + milliseconds(100));
+  guard.Submit(MakeCall(2), kLink, kStart + milliseconds(100));
+  Call hasty = MakeCall(3);
+  hasty.m_timeRemaining = milliseconds(90);
+  const GuardActions refused =
+    guard.Submit(hasty, kLink, kStart + milliseconds(100));
+  cr_assert(refused.m_replies.at(0).m_answer.m_refusal ==
+            RefusalReason::DeadlineTooShort);
+  Call patient = MakeCall(4);
+  patient.m_timeRemaining = milliseconds(200);
+  guard.Submit(patient, kLink, kStart + milliseconds(100));
+  cr_assert(guard.Load().m_queued == 1);
+  // The first run takes longer than foreseen.
+  const GuardActions late = guard.Tick(kStart + milliseconds(290));
+  cr_assert(late.m_replies.at(0).m_answer.m_outcome == CallOutcome::NotRun);
+}
+
+Test(Guard, FullTableRefusesInsteadOfForgetting)
+{
+  GuardSettings settings;
+  settings.m_operations.m_maxEntries = 1;
+  Guard guard = MakeGuard(4, 8, Share::All(), settings);
+  const Ticket first =
+    guard.Submit(MakeCall(1), kLink, kStart).m_runs.at(0).m_ticket;
+  guard.Finished(first, Done("x"), kStart);
+  const MonotonicTime soon = kStart + kLeastRetention - milliseconds(1);
+  cr_assert(guard.Submit(MakeCall(2), kLink, soon).m_runs.empty());
+  cr_assert(guard.OperationCounters().m_refused == 1);
+  // What can't be withdrawn for want of room isn't called not received.
+  const Question question = Ask("a", "other");
+  cr_assert(guard.Ask(question, soon).m_status == OperationStatus::Forgotten);
+  const MonotonicTime later = kStart + kLeastRetention;
+  cr_assert(guard.Submit(MakeCall(3), kLink, later).m_runs.size() == 1);
+}
+
+Test(Guard, KeptAnswersAreBoundedAndTheRunIsStillKnown)
+{
+  GuardSettings settings;
+  settings.m_operations.m_maxAnswerBytes = ByteCount(4096);
+  Guard guard = MakeGuard(4, 8, Share::All(), settings);
+  for (std::uint64_t i = 1; i <= 2; ++i) {
+    const Ticket ticket =
+      guard.Submit(MakeCall(i), kLink, kStart).m_runs.at(0).m_ticket;
+    guard.Finished(ticket, Done(std::string(3000, 'x')), kStart);
+  }
+  cr_assert(guard.Ask(Ask("mesqel-gate", "op-1"), kStart).m_status ==
+            OperationStatus::Forgotten);
+  cr_assert(guard.Ask(Ask("mesqel-gate", "op-2"), kStart).m_status ==
+            OperationStatus::Done);
+  const GuardActions repeat = guard.Submit(MakeCall(1), kLink, kStart);
+  cr_assert(repeat.m_runs.empty());
+  cr_assert(repeat.m_replies.at(0).m_answer.m_outcome == CallOutcome::Unknown);
+}
+
+/// Offers each account's calls at its rate for ten seconds of 10 ms calls on
+/// four slots, and counts the runs of each.
+std::map<std::string, int>
+RunLoad(Guard& aGuard, const std::map<std::string, int>& aCallsPerTick)
+{
+  std::map<std::string, int> runs;
+  std::vector<Ticket> running;
+  std::uint64_t id = 0;
+  MonotonicTime now = kStart;
+  const auto start = [&](const GuardActions& aActions) {
+    for (const struct Run& run : aActions.m_runs) {
+      ++runs[run.m_call.m_caller.Value()];
+      running.push_back(run.m_ticket);
+    }
+  };
+  for (int tick = 0; tick < 1000; ++tick) {
+    now += milliseconds(10);
+    for (const Ticket ticket : std::exchange(running, {})) {
+      start(aGuard.Finished(ticket, Done(""), now));
+    }
+    for (const auto& [account, calls] : aCallsPerTick) {
+      for (int i = 0; i < calls; ++i) {
+        start(aGuard.Submit(MakeCall(++id, account), kLink, now));
+      }
+    }
+  }
+  return runs;
+}
+
+Test(FairAdmission, AccountThatFloodsDelaysItselfOnly)
+{
+  Guard guard = MakeGuard(4, 16);
+  std::map<std::string, int> runs =
+    RunLoad(guard, { { "flood", 40 }, { "quiet", 1 }, { "steady", 1 } });
+  cr_assert(runs["quiet"] >= 990, "quiet ran %d of 1000", runs["quiet"]);
+  cr_assert(runs["steady"] >= 990, "steady ran %d of 1000", runs["steady"]);
+  // What the others leave goes to the flood.
+  cr_assert(runs["flood"] >= 1980, "flood ran %d", runs["flood"]);
+}
+
+Test(FairAdmission, AccountsTakeTurnsWhateverTheOrderOfArrival)
+{
+  Guard guard = MakeGuard(1);
+  Ticket running =
+    guard.Submit(MakeCall(1, "first"), kLink, kStart).m_runs.at(0).m_ticket;
+  for (std::uint64_t id = 2; id <= 5; ++id) {
+    guard.Submit(MakeCall(id, "flood"), kLink, kStart);
+  }
+  guard.Submit(MakeCall(6, "quiet"), kLink, kStart);
+  guard.Submit(MakeCall(7, "quiet"), kLink, kStart);
+  std::string order;
+  while (!guard.IsIdle()) {
+    const GuardActions next = guard.Finished(running, Done(""), kStart);
+    if (!next.m_runs.empty()) {
+      running = next.m_runs[0].m_ticket;
+      order += next.m_runs[0].m_call.m_caller.Value().front();
+    }
+  }
+  cr_assert(order == "fqfqff", "order: %s", order.c_str());
+}
+
+Test(FairAdmission, ForeignAccountsKeepToTheirShareOfSlots)
+{
+  Guard guard = MakeGuard(4, 16, Share::FromFraction(0.25));
+  std::map<std::string, int> runs =
+    RunLoad(guard, { { "mesqel-gate", 10 }, { "foreign", 10 } });
+  cr_assert(runs["foreign"] >= 900 && runs["foreign"] <= 1000,
+            "foreign ran %d of 4000",
+            runs["foreign"]);
+  cr_assert(runs["mesqel-gate"] >= 2990);
+}
+
+Test(FairAdmission, UrgentClassRunsFirstAndDisplacesOthersWhenFull)
+{
+  Guard guard = MakeGuard(1, 1);
+  guard.Submit(MakeCall(1), kLink, kStart);
+  Call lookup = MakeCall(2);
+  lookup.m_priority = 5;
+  guard.Submit(lookup, kLink, kStart);
+  const GuardActions displaced = guard.Submit(MakeCall(3), kLink, kStart);
+  cr_assert(displaced.m_replies.at(0).m_answer.m_id == CallId(2));
+  cr_assert(displaced.m_replies[0].m_answer.m_outcome == CallOutcome::NotRun);
+  Call another = MakeCall(4);
+  another.m_priority = 5;
+  const GuardActions refused = guard.Submit(another, kLink, kStart);
+  cr_assert(refused.m_replies.at(0).m_answer.m_id == CallId(4));
+}
+
+} // namespace tarragontray
--- a/src/request/OperationTable.cpp
+++ b/src/request/OperationTable.cpp
@@ -35,10 +35,12 @@
   if (!m_entries.contains(aKey) && !MakeRoom(aNow)) {
     return false;
   }
-  OperationEntry entry;
+  // m_withdrawnAttempt stays: a withdrawn attempt may still arrive.
+  OperationEntry& entry = m_entries[aKey];
+  entry.m_state = OperationEntry::State::Accepted;
   entry.m_ticket = aTicket;
   entry.m_fingerprint = aFingerprint;
-  m_entries[aKey] = std::move(entry);
+  entry.m_ending = 0;
   return true;
 }
 
@@ -57,9 +59,19 @@
 }
 
 void
-OperationTable::Erase(const OperationKey& aKey)
+OperationTable::Release(const OperationKey& aKey, MonotonicTime aNow)
 {
-  m_entries.erase(aKey);
+  const auto found = m_entries.find(aKey);
+  if (found == m_entries.end()) {
+    return;
+  }
+  OperationEntry& entry = found->second;
+  if (entry.m_withdrawnAttempt == 0) {
+    m_entries.erase(found);
+    return;
+  }
+  entry.m_state = OperationEntry::State::Withdrawn;
+  RecordEnding(aKey, entry, aNow);
 }
 
 bool
--- a/src/request/OperationTable.h
+++ b/src/request/OperationTable.h
@@ -4,7 +4,7 @@
 ///
 ///     table.Begin(key, ticket, now);         // before the call may run
 ///     table.Finish(key, answer, now);        // it ran
-///     table.Erase(key);                      // it was certainly not run
+///     table.Release(key, now);               // it was certainly not run
 ///     table.Withdraw(key, attempt, now);     // it must not run any more
 ///
 /// Bounds: entries, bytes of kept answers, time. An entry is never dropped
@@ -103,8 +103,8 @@
              MonotonicTime aNow);
   /// The operation ended and may have run. Precondition: Begin came before.
   void Finish(const OperationKey& aKey, Answer aAnswer, MonotonicTime aNow);
-  /// The operation was certainly not run.
-  void Erase(const OperationKey& aKey);
+  /// The operation was certainly not run; earlier attempts stay withdrawn.
+  void Release(const OperationKey& aKey, MonotonicTime aNow);
   /// Refuses attempts up to aAttempt from now on. False when the table is
   /// full. Precondition: the operation is unknown or withdrawn.
   bool Withdraw(const OperationKey& aKey,
--- a/src/request/TargetSequence.cpp
+++ b/src/request/TargetSequence.cpp
@@ -61,19 +61,31 @@
     case RetryReason::NotSent:
     case RetryReason::NotReceived:
       return m_tried.back();
+    case RetryReason::Draining: {
+      const Target* next = NextHome();
+      if (next != nullptr) {
+        m_tried.push_back(next);
+      }
+      return next;
+    }
     case RetryReason::TargetGone:
-      break;
+      // The upstream may come back, and a repeat would then run again there.
     case RetryReason::Overload:
     case RetryReason::Failed:
-      return nullptr;
+      break;
   }
-  const Target* next = m_setup.m_service.m_keys->NextHome(
-    m_setup.m_operation, m_tried.front()->m_version);
-  if (next == nullptr || WasTried(next->m_vm)) {
+  return nullptr;
+}
+
+const Target*
+TargetSequence::NextHome() const
+{
+  if (!m_isPlaced || m_tried.empty()) {
     return nullptr;
   }
-  m_tried.push_back(next);
-  return next;
+  const Target* next = m_setup.m_service.m_keys->NextHome(
+    m_setup.m_operation, m_tried.front()->m_version);
+  return next == nullptr || WasTried(next->m_vm) ? nullptr : next;
 }
 
 const Target*
--- a/src/request/TargetSequence.h
+++ b/src/request/TargetSequence.h
@@ -54,7 +54,9 @@
 {
   /// The target refused for load.
   Overload,
-  /// The target refused because it leaves or has no upstream.
+  /// The target refused because it drains, and will never take work again.
+  Draining,
+  /// The target refused because it has no upstream of the version now.
   TargetGone,
   /// Nothing was handed to the socket.
   NotSent,
@@ -79,11 +81,15 @@
 
   /// The call runs only at the home of its key.
   bool IsPlaced() const { return m_isPlaced; }
+  /// The home drains and the next one has not been tried.
+  bool HasNextHome() const { return NextHome() != nullptr; }
   /// Where a call with this key may have run before the share of the move
   /// changed; null when there is no such place.
   const Target* FormerHome() const;
 
 private:
+  /// Null unless the call is placed and the next home is untried.
+  const Target* NextHome() const;
   const Target* NextPlaced(RetryReason aReason);
   const Target* ChooseAmong(const UpstreamVersion& aVersion,
                             MonotonicTime aNow);
--- a/src/request/TwoChoicesBalancing.cpp
+++ b/src/request/TwoChoicesBalancing.cpp
@@ -9,8 +9,6 @@
 
 /// Weight of a new latency in the smoothed one.
 constexpr double kLatencyWeight = 0.2;
-/// A target that has not answered yet counts as this fast, in seconds.
-constexpr double kUnknownLatency = 0.001;
 constexpr int kTiers = 3;
 
 double
@@ -19,6 +17,12 @@
   return std::chrono::duration<double>(aDuration).count();
 }
 
+void
+Smooth(double& aMean, double aValue)
+{
+  aMean = aMean > 0 ? aMean + kLatencyWeight * (aValue - aMean) : aValue;
+}
+
 } // namespace
 
 std::optional<std::size_t>
@@ -72,18 +76,19 @@
 {
   for (int limit = 0; limit < kTiers; ++limit) {
     m_tier.clear();
-    bool hasRoom = false;
     for (const std::size_t index : m_healthy) {
       const Target& target = *aCandidates[index];
-      if (Tier(target, aOwnDataCentre) <= limit) {
+      if (Tier(target, aOwnDataCentre) <= limit &&
+          Load(target, aNow) < m_settings.m_saturation) {
         m_tier.push_back(index);
-        hasRoom = hasRoom || Load(target, aNow) < m_settings.m_saturation;
       }
     }
-    if (hasRoom) {
+    if (!m_tier.empty()) {
       return;
     }
   }
+  // All are saturated: any may get the call.
+  m_tier = m_healthy;
 }
 
 int
@@ -116,9 +121,8 @@
 TwoChoicesBalancing::Cost(const Target& aTarget, MonotonicTime aNow) const
 {
   const Stats* stats = Find(aTarget.m_vm);
-  const double latency = stats != nullptr && stats->m_latency > 0
-                           ? stats->m_latency
-                           : kUnknownLatency;
+  const bool isKnown = stats != nullptr && stats->m_latency > 0;
+  const double latency = isKnown ? stats->m_latency : m_usualLatency;
   const double slots = std::max<double>(1, aTarget.m_slots.Value());
   const bool isStarting = aTarget.m_state == UpstreamState::Starting;
   const double own = (isStarting ? m_settings.m_startingPenalty : 1) / slots;
@@ -146,14 +150,15 @@
     stats.m_reportTime = aNow;
   }
   if (aResult.m_isRefused) {
-    // A refusal is quick and says nothing of the target's speed or health.
+    // Quick, but no sign of speed: whatever it reports, it has no room.
+    const SlotCount slots = aResult.m_load.value_or(LoadReport{}).m_slots;
+    stats.m_reported = std::max<double>(stats.m_reported, slots.Value());
+    stats.m_reportTime = aNow;
     return;
   }
   const double latency = Seconds(aResult.m_latency);
-  stats.m_latency =
-    stats.m_latency > 0
-      ? stats.m_latency + kLatencyWeight * (latency - stats.m_latency)
-      : latency;
+  Smooth(stats.m_latency, latency);
+  Smooth(m_usualLatency, latency);
   if (!aResult.m_failed) {
     stats.m_failuresInRow = 0;
     stats.m_ejections = 0;
--- a/src/request/TwoChoicesBalancing.h
+++ b/src/request/TwoChoicesBalancing.h
@@ -92,7 +92,8 @@
   double Cost(const Target& aTarget, MonotonicTime aNow) const;
   void KeepHealthy(const std::vector<const Target*>& aCandidates,
                    MonotonicTime aNow);
-  /// Fills m_tier with the healthy targets of the nearest tier with room.
+  /// Fills m_tier with the healthy targets that have room, from no further
+  /// away than needed.
   void SelectTier(const std::vector<const Target*>& aCandidates,
                   const DataCentreId& aOwnDataCentre,
                   MonotonicTime aNow);
@@ -102,6 +103,8 @@
 
   TwoChoicesSettings m_settings;
   std::unordered_map<VmId, Stats> m_stats;
+  /// Smoothed over all targets, for those that have not answered yet; seconds.
+  double m_usualLatency = 0;
   /// Kept between calls, so that a choice allocates nothing.
   Indices m_healthy;
   Indices m_tier;
