--- a/src/process/DatagramLayout.h
+++ b/src/process/DatagramLayout.h
@@ -100,6 +100,7 @@
   aSink.Number(aProgress.m_dataCentres.size());
   for (const auto& [dataCentre, progress] : aProgress.m_dataCentres) {
     aSink.Shared(dataCentre.Value());
+    aSink.Number(progress.m_epoch.Value());
     aSink.Number(progress.m_share.Parts());
     aSink.Number(progress.m_wholeSince ? 1 : 0);
     if (progress.m_wholeSince) {
@@ -219,6 +220,7 @@
 Layout(Sink& aSink, const PullAnswer& aAnswer)
 {
   aSink.Number(aAnswer.m_busy ? 1 : 0);
+  aSink.Number(aAnswer.m_floor.Value());
   Layout(aSink, aAnswer.m_members);
   Layout(aSink, aAnswer.m_documents);
   Layout(aSink, aAnswer.m_moves);
