Add tarragontray-load

Open loop: calls start at times drawn from a seed (Poisson), and latency counts from the intended time. Every answer is checked for identity and completeness; at the end the upstreams' execution logs are compared with what the callers were told: doubled runs, false "not run", runs that no log shows.

The load tool's client must put each attempt on the wire once only: with the resend of a GET after a closed connection, a first run could hide behind a "not run" answer to the second one. HttpClient has a switch for it.

--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -145,7 +145,8 @@
   {
     const bool isReused = m_stream.has_value();
     Result<HttpAnswerParts> answer = co_await TryOnce(aPending);
-    const bool mayResend = isReused && !answer && !m_isStopped &&
+    const bool mayResend = m_settings.m_resendsGet && isReused && !answer &&
+                           !m_isStopped &&
                            answer.error().Code() == ErrorCode::Closed &&
                            aPending.m_call.m_request.m_method == "GET";
     if (mayResend) {
--- a/src/connection/HttpClient.h
+++ b/src/connection/HttpClient.h
@@ -35,6 +35,9 @@
   ByteCount m_maxBody{ 1U << 20U };
   /// Calls that may wait for their turn; more are refused with Unavailable.
   std::size_t m_maxQueued = 1024;
+  /// Whether a GET is sent once more when a connection from an earlier call
+  /// turns out closed. Off: each Send puts at most one request on the wire.
+  bool m_resendsGet = true;
 };
 
 /// One call of an HttpClient.
@@ -65,8 +68,7 @@
   /// Starts a call; aDone runs once, from the io_context and never before
   /// Send returns. Errors: Unreachable, Timeout, Closed (the request may have
   /// been taken), Malformed, TooLarge, Unavailable.
-  /// A GET on a connection that the peer had closed while idle is sent once
-  /// more on a fresh one; other methods never are.
+  /// Methods other than GET are never sent again.
   void Send(HttpCall aCall, Callback aDone);
   /// Whether no call runs or waits.
   bool IsIdle() const;
--- /dev/null
+++ b/src/programs/LoadMain.cpp
@@ -0,0 +1,116 @@
+// tarragontray-load: open-loop load with checks of every answer.
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <boost/asio/io_context.hpp>
+
+#include "process/Settings.h"
+#include "programs/LoadRunner.h"
+
+namespace tarragontray {
+
+namespace {
+
+/// The exit status when a promise was broken.
+constexpr int kBrokenPromise = 1;
+constexpr std::int64_t kMaxRate = 1'000'000;
+constexpr std::int64_t kMaxMs = 86'400'000;
+constexpr std::int64_t kMaxCalls = 10'000'000;
+
+SettingsParser
+MakeParser()
+{
+  SettingsParser parser("tarragontray-load",
+                        "Open-loop load, with checks of every answer.");
+  parser.Add(AddressSetting{
+    "nodes", "Front addresses of nodes, or upstreams with --direct.", true });
+  parser.Add(
+    AddressSetting{ "logs",
+                    "Admin addresses of standin-upstream, for the audit.",
+                    true,
+                    false });
+  parser.Add(TextSetting{
+    "mix", "File with the kinds of calls, as JSON.", {}, std::nullopt });
+  parser.Add(SwitchSetting{ "direct", "Call upstreams without nodes." });
+  parser.Add(IntegerSetting{
+    "rate", "calls/s", "Mean rate of arrivals.", 1, kMaxRate, 100 });
+  parser.Add(IntegerSetting{
+    "duration-ms", "ms", "Time of arrivals.", 1, kMaxMs, 10'000 });
+  parser.Add(IntegerSetting{
+    "max-calls", "calls", "Most calls.", 1, kMaxCalls, kMaxCalls });
+  parser.Add(IntegerSetting{
+    "max-connections", "", "Connections to one address.", 1, 10'000, 256 });
+  parser.Add(IntegerSetting{
+    "repeats", "", "Repeats after a lost or unknown answer.", 0, 10, 0 });
+  parser.Add(IntegerSetting{
+    "seed", "", "Seed of arrivals and choices.", 0, INT64_MAX, 1 });
+  parser.Add(TextSetting{ "run", "First part of operation ids.", {}, "load" });
+  parser.Add(
+    TextSetting{ "output", "Form of the report.", { "text", "json" }, "text" });
+  return parser;
+}
+
+std::optional<std::vector<CallKind>>
+ReadMix(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  std::stringstream text;
+  text << file.rdbuf();
+  return file ? DecodeMix(text.str()) : std::nullopt;
+}
+
+LoadSettings
+ReadSettings(const Settings& aSettings, std::vector<CallKind> aMix)
+{
+  LoadSettings settings;
+  settings.m_mix = std::move(aMix);
+  settings.m_nodes = aSettings.Addresses("nodes");
+  settings.m_logs = aSettings.Addresses("logs");
+  settings.m_isDirect = aSettings.IsOn("direct");
+  settings.m_callsPerSecond = static_cast<double>(aSettings.Integer("rate"));
+  settings.m_duration = aSettings.Milliseconds("duration-ms");
+  settings.m_maxCalls =
+    static_cast<std::uint64_t>(aSettings.Integer("max-calls"));
+  settings.m_maxConnections =
+    static_cast<std::size_t>(aSettings.Integer("max-connections"));
+  settings.m_maxRepeats =
+    static_cast<std::uint32_t>(aSettings.Integer("repeats"));
+  settings.m_seed = static_cast<std::uint64_t>(aSettings.Integer("seed"));
+  settings.m_run = aSettings.Text("run");
+  return settings;
+}
+
+int
+Run(int aCount, char** aArguments)
+{
+  const ParsedCommand parsed = MakeParser().Parse(aCount, aArguments);
+  if (parsed.m_exitStatus) {
+    return *parsed.m_exitStatus;
+  }
+  auto mix = ReadMix(parsed.m_settings.Text("mix"));
+  if (!mix) {
+    std::cerr << "tarragontray-load: --mix is '"
+              << parsed.m_settings.Text("mix")
+              << "'; allowed: a file with a JSON list of kinds of calls\n";
+    return kExitRefused;
+  }
+  boost::asio::io_context context;
+  LoadRunner runner(context, ReadSettings(parsed.m_settings, std::move(*mix)));
+  runner.Start([&context]() { context.stop(); });
+  context.run();
+  const bool isJson = parsed.m_settings.Text("output") == "json";
+  std::cout << (isJson ? runner.Report().Json() : runner.Report().Text());
+  return runner.Report().IsClean() ? EXIT_SUCCESS : kBrokenPromise;
+}
+
+} // namespace
+
+} // namespace tarragontray
+
+int
+main(int aCount, char** aArguments)
+{
+  return tarragontray::Run(aCount, aArguments);
+}
--- /dev/null
+++ b/src/programs/LoadRunner.h
@@ -0,0 +1,100 @@
+/// \file
+/// Sends calls in an open loop and audits the upstreams' logs at the end.
+///
+/// Calls start at their intended times, whether or not earlier ones have
+/// ended. After a lost or unknown answer a caller may repeat its operation,
+/// with the same idempotency key, at another node.
+///
+///     LoadRunner runner(context, settings);
+///     runner.Start([&context]() { context.stop(); });
+///     context.run();
+///     std::cout << runner.Report().Text();
+///
+/// Thread safety: one thread, the one that runs the io_context.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/NetworkAddress.h"
+#include "connection/HttpClient.h"
+#include "programs/ExecutionAudit.h"
+#include "programs/LoadMix.h"
+#include "programs/RunReport.h"
+
+namespace tarragontray {
+
+struct LoadSettings
+{
+  std::vector<CallKind> m_mix;
+  /// Front addresses of nodes; with m_isDirect, addresses of upstreams.
+  std::vector<NetworkAddress> m_nodes;
+  bool m_isDirect = false;
+  /// Admin addresses of upstreams, for the audit.
+  std::vector<NetworkAddress> m_logs;
+  double m_callsPerSecond = 100;
+  Duration m_duration{ std::chrono::seconds(10) };
+  std::uint64_t m_maxCalls = 10'000'000;
+  std::uint64_t m_seed = 1;
+  /// First part of every operation's id.
+  std::string m_run = "load";
+  /// How often a caller repeats an operation after a lost or unknown answer.
+  std::uint32_t m_maxRepeats = 0;
+  /// Connections to one address; calls over it wait.
+  std::size_t m_maxConnections = 256;
+};
+
+/// See the file comment.
+class LoadRunner
+{
+public:
+  /// Preconditions: aContext outlives the runner; the mix and the nodes are
+  /// not empty.
+  LoadRunner(boost::asio::io_context& aContext, LoadSettings aSettings);
+  ~LoadRunner();
+
+  /// Runs everything; aDone is called once, after the audit.
+  void Start(std::function<void()> aDone);
+  RunReport& Report() { return m_report; }
+
+private:
+  /// One operation of a caller.
+  struct Operation;
+  /// The connections to one address.
+  class Connections;
+  struct Timer;
+
+  void ScheduleNext();
+  void SendDue();
+  void Begin(const Arrival& aArrival);
+  void Send(const std::shared_ptr<Operation>& aOperation);
+  HttpRequestParts MakeRequest(const Operation& aOperation) const;
+  void OnAnswer(const std::shared_ptr<Operation>& aOperation,
+                const Result<HttpAnswerParts>& aAnswer);
+  void EndWhenIdle();
+  void ReadLogs();
+  void Finish();
+
+  boost::asio::io_context& m_context;
+  const LoadSettings m_settings;
+  ArrivalSequence m_arrivals;
+  SeededRandom m_random;
+  RunReport m_report;
+  ExecutionAudit m_audit;
+  RunStatistics m_run;
+  std::vector<std::unique_ptr<Connections>> m_connections;
+  std::vector<std::unique_ptr<HttpClient>> m_logClients;
+  std::size_t m_logsWaiting = 0;
+  std::unique_ptr<Timer> m_timer;
+  MonotonicTime m_start{};
+  std::optional<Arrival> m_next;
+  std::uint64_t m_inFlight = 0;
+  std::function<void()> m_done;
+};
+
+} // namespace tarragontray
