--- a/src/programs/StandinPlatform.cpp
+++ b/src/programs/StandinPlatform.cpp
@@ -26,6 +26,15 @@
   return JsonAnswer(aStatus, R"({"error": ")" + aText + R"("})");
 }
 
+/// A limit with one second's worth of burst; nothing for no limit.
+std::optional<TokenBucket>
+MakeTokens(std::uint32_t aPerSecond)
+{
+  const double rate = aPerSecond;
+  return aPerSecond == 0 ? std::nullopt
+                         : std::optional(TokenBucket(rate, rate));
+}
+
 } // namespace
 
 /// A watch that waits for a change.
@@ -81,9 +90,13 @@
 Result<void>
 StandinPlatform::SetFaults(const PlatformFaults& aFaults)
 {
+  if (aFaults.m_readsPerSecond != m_faults.m_readsPerSecond) {
+    m_readTokens = MakeTokens(aFaults.m_readsPerSecond);
+  }
+  if (aFaults.m_writesPerSecond != m_faults.m_writesPerSecond) {
+    m_writeTokens = MakeTokens(aFaults.m_writesPerSecond);
+  }
   m_faults = aFaults;
-  m_readTokens.SetRate(aFaults.m_readsPerSecond, m_clock.Now());
-  m_writeTokens.SetRate(aFaults.m_writesPerSecond, m_clock.Now());
   if (aFaults.m_areWatchesSilent || aFaults.m_outage == Outage::Refuse) {
     // They never get an answer; their timers go with them.
     m_watches.clear();
@@ -131,9 +144,9 @@
 bool
 StandinPlatform::TakeToken(PlatformOperation aOperation)
 {
-  TokenBucket& tokens =
+  auto& tokens =
     aOperation == PlatformOperation::Write ? m_writeTokens : m_readTokens;
-  return tokens.Take(m_clock.Now());
+  return !tokens || tokens->Take(1, m_clock.Now());
 }
 
 MonotonicTime
--- a/src/programs/StandinPlatform.h
+++ b/src/programs/StandinPlatform.h
@@ -24,15 +24,16 @@
 #include <cstdint>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/Clock.h"
 #include "base/NetworkAddress.h"
 #include "base/Result.h"
 #include "connection/PlatformMessages.h"
+#include "process/TokenBucket.h"
 #include "programs/FaultyHttpServer.h"
 #include "programs/StandinPlatformStore.h"
-#include "programs/TokenBucket.h"
 
 namespace tarragontray {
 
@@ -128,8 +129,9 @@
   PlatformFaults m_faults;
   PlatformCounts m_counts;
   StandinPlatformStore m_store;
-  TokenBucket m_readTokens;
-  TokenBucket m_writeTokens;
+  /// Not set: no limit.
+  std::optional<TokenBucket> m_readTokens;
+  std::optional<TokenBucket> m_writeTokens;
   std::list<std::shared_ptr<Waiting>> m_watches;
   std::unique_ptr<FaultyHttpServer> m_server;
   std::unique_ptr<FaultyHttpServer> m_admin;
--- a/src/programs/UpstreamReport.cpp
+++ b/src/programs/StandinReport.cpp
@@ -1,4 +1,4 @@
-#include "programs/UpstreamReport.h"
+#include "programs/StandinReport.h"
 
 #include <chrono>
 #include <limits>
@@ -43,7 +43,7 @@
 } // namespace
 
 std::string
-EncodeReport(const UpstreamReport& aReport)
+EncodeReport(const StandinReport& aReport)
 {
   return json::serialize(
     json::object{ { "account", aReport.m_service.m_owner.Value() },
--- a/src/programs/UpstreamReport.h
+++ b/src/programs/StandinReport.h
@@ -19,7 +19,7 @@
 namespace tarragontray {
 
 /// The announcement of docs/PROTOCOLS.md.
-struct UpstreamReport
+struct StandinReport
 {
   ServiceId m_service;
   UpstreamVersion m_version;
@@ -39,7 +39,7 @@
 };
 
 std::string
-EncodeReport(const UpstreamReport& aReport);
+EncodeReport(const StandinReport& aReport);
 
 std::string
 EncodeCounts(const UpstreamCounts& aCounts);
--- a/src/programs/StandinUpstream.cpp
+++ b/src/programs/StandinUpstream.cpp
@@ -12,7 +12,7 @@
 
 #include "base/Hash.h"
 #include "programs/AnswerBody.h"
-#include "programs/UpstreamReport.h"
+#include "programs/StandinReport.h"
 
 namespace tarragontray {
 
--- a/src/programs/Standins.cmake
+++ b/src/programs/Standins.cmake
@@ -12,7 +12,7 @@
   SRCS ExecutionLog.cpp UpstreamBehaviour.cpp UpstreamFaults.cpp
   DEPS tt_base tt_json)
 tt_library(tt_standin_upstream
-  SRCS StandinUpstream.cpp UpstreamReport.cpp
+  SRCS StandinUpstream.cpp StandinReport.cpp
   DEPS tt_answer_body tt_execution_log tt_faulty_http_server tt_http_client
        tt_json tt_url)
 tt_program(standin-upstream SRCS StandinUpstreamMain.cpp
