--- /dev/null
+++ b/src/programs/ProcessTest.cpp
@@ -0,0 +1,225 @@
+// Real processes on loopback: kills, freezes, planned stops, platform outages.
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <string>
+
+#include <boost/json.hpp>
+#include <criterion/criterion.h>
+
+#include "programs/testing/LocalDeployment.h"
+
+namespace tarragontray {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr Duration kConvergence = std::chrono::seconds(4);
+constexpr Duration kLimit = std::chrono::seconds(30);
+constexpr char kMix[] = R"([
+ {"name":"seats","account":"mesqel-gate","class":"fans","method":"GET",
+  "target":"/seat-maps/7","weight":6,"idempotent":true,"body_bytes":0,
+  "answer_bytes":512,"timeout_ms":600},
+ {"name":"buy","account":"mesqel-gate","class":"fans","method":"POST",
+  "target":"/purchases","weight":4,"idempotent":false,"body_bytes":200,
+  "answer_bytes":512,"timeout_ms":1000}])";
+
+/// A mix file that goes away with the object.
+class MixFile
+{
+public:
+  explicit MixFile(int aBlock)
+    : m_path("/tmp/tarragontray-mix-" + std::to_string(aBlock) + ".json")
+  {
+    std::ofstream(m_path) << kMix;
+  }
+  ~MixFile() { std::remove(m_path.c_str()); }
+  MixFile(const MixFile&) = delete;
+  MixFile& operator=(const MixFile&) = delete;
+  const std::string& Path() const { return m_path; }
+
+private:
+  std::string m_path;
+};
+
+/// Three box-office VMs and one catalogue VM in four data centres.
+void
+StartMesqelGate(LocalDeployment& aDeployment)
+{
+  aDeployment.StartPlatform();
+  aDeployment.AddVm({ .m_dataCentre = "addis-1", .m_service = "catalogue" });
+  aDeployment.AddVm({ .m_dataCentre = "addis-2" });
+  aDeployment.AddVm({ .m_dataCentre = "addis-3" });
+  aDeployment.AddVm({ .m_dataCentre = "addis-4" });
+  aDeployment.PutExample("mesqel-gate", "ticketing");
+  cr_assert(aDeployment.WaitForLive(4, kLimit));
+  cr_assert(aDeployment.WaitForVersion("mesqel-gate", 2, kLimit));
+}
+
+json::object
+Report(ChildProcess& aLoad)
+{
+  const auto text = aLoad.ReadAll(kLimit);
+  cr_assert(text.has_value(), "the load tool did not end");
+  return json::parse(text.value()).as_object();
+}
+
+std::int64_t
+Figure(const json::object& aReport, const char* aName)
+{
+  const json::value* value = aReport.if_contains(aName);
+  cr_assert(value != nullptr, "no figure %s", aName);
+  return value->to_number<std::int64_t>();
+}
+
+/// What no failure may break.
+void
+CheckInvariants(const json::object& aReport)
+{
+  cr_assert_eq(Figure(aReport, "wrong_answers"), 0);
+  cr_assert_eq(Figure(aReport, "doubled_runs"), 0);
+  cr_assert_eq(Figure(aReport, "false_not_run"), 0);
+  cr_assert_gt(Figure(aReport, "calls"), 100);
+}
+
+/// Waits until the guard of a VM has run so many calls.
+void
+WaitForRuns(LocalDeployment& aDeployment, std::size_t aVm, std::int64_t aCount)
+{
+  const auto check = [&](const std::string& aStatus) {
+    return json::parse(aStatus).at("guard").at("ran").to_number<int>() >=
+           aCount;
+  };
+  cr_assert(aDeployment.WaitForStatus(aVm, check, kLimit));
+}
+
+std::string
+HeaderOf(const HttpAnswerParts& aAnswer, const std::string& aName)
+{
+  for (const HttpHeader& header : aAnswer.m_headers) {
+    if (header.m_name == aName) {
+      return header.m_value;
+    }
+  }
+  return "";
+}
+
+} // namespace
+
+Test(Process, ServesACallThroughTwoNodes)
+{
+  LocalDeployment deployment(101);
+  StartMesqelGate(deployment);
+  const auto answer = deployment.Call(0, "GET", "/seat-maps/7");
+  cr_assert(answer.has_value());
+  cr_assert_eq(answer.value().m_status, 200);
+  cr_assert(HeaderOf(answer.value(), "x-outcome") == "done");
+  cr_assert(HeaderOf(answer.value(), "x-version") == "v1");
+  const auto missing = deployment.Call(0, "GET", "/nowhere");
+  cr_assert_eq(missing.value().m_status, 404);
+  cr_assert(HeaderOf(missing.value(), "x-outcome") == "not-run");
+}
+
+Test(Process, KilledNodesDoubleNothingAndAnswerNothingWrong, .timeout = 90)
+{
+  LocalDeployment deployment(102);
+  StartMesqelGate(deployment);
+  const MixFile mix(102);
+  ChildProcess load =
+    deployment.StartLoad({ 0 }, mix.Path(), 200, std::chrono::seconds(6), 1);
+  WaitForRuns(deployment, 1, 20);
+  deployment.Node(1).Signal(SIGKILL);
+  deployment.RestartNode(1);
+  WaitForRuns(deployment, 2, 100);
+  deployment.Node(2).Signal(SIGKILL);
+  deployment.RestartNode(2);
+  const json::object report = Report(load);
+  CheckInvariants(report);
+}
+
+Test(Process, AFrozenNodeDoublesNothingWhenItResumes, .timeout = 90)
+{
+  LocalDeployment deployment(103);
+  StartMesqelGate(deployment);
+  const MixFile mix(103);
+  ChildProcess load =
+    deployment.StartLoad({ 0 }, mix.Path(), 200, std::chrono::seconds(6), 2);
+  WaitForRuns(deployment, 1, 20);
+  deployment.Node(1).Signal(SIGSTOP);
+  WaitForRuns(deployment, 2, 200);
+  deployment.Node(1).Signal(SIGCONT);
+  const json::object report = Report(load);
+  CheckInvariants(report);
+}
+
+Test(Process, PlannedStopsCutNothing, .timeout = 90)
+{
+  LocalDeployment deployment(104);
+  StartMesqelGate(deployment);
+  const MixFile mix(104);
+  ChildProcess load =
+    deployment.StartLoad({ 0 }, mix.Path(), 200, std::chrono::seconds(9), 3);
+  WaitForRuns(deployment, 1, 20);
+  for (std::size_t vm = 1; vm <= 3; ++vm) {
+    deployment.Node(vm).Signal(SIGTERM);
+    const auto status = deployment.Node(vm).WaitForExit(kLimit);
+    cr_assert(status == 0, "node %zu ended with %d", vm, status.value_or(-1));
+    deployment.RestartNode(vm);
+    cr_assert(deployment.WaitForLive(4, kLimit));
+  }
+  const json::object report = Report(load);
+  CheckInvariants(report);
+  for (const json::value& kind : report.at("kinds").as_array()) {
+    for (const char* name : { "failed", "not_run", "unknown", "lost" }) {
+      cr_assert_eq(Figure(kind.as_object(), name),
+                   0,
+                   "%s of %s",
+                   name,
+                   kind.at("name").as_string().c_str());
+    }
+  }
+}
+
+Test(Process,
+     AReplacementLearnsItsVersionFromPeersWhileThePlatformIsOut,
+     .timeout = 90)
+{
+  LocalDeployment deployment(105);
+  StartMesqelGate(deployment);
+  const std::uint64_t version = deployment.Put(
+    "configurations/mesqel-gate", ReadExample("mesqel-gate.parameters.json"));
+  cr_assert(deployment.WaitForVersion("mesqel-gate", version, kConvergence));
+  deployment.SetPlatformFaults(R"({"down": "refuse"})");
+  deployment.Node(2).Signal(SIGKILL);
+  deployment.RestartNode(2);
+  cr_assert(deployment.WaitForVersion("mesqel-gate", version, kConvergence));
+  const auto answer = deployment.Call(2, "GET", "/seat-maps/1");
+  cr_assert(answer.has_value());
+  cr_assert_eq(answer.value().m_status, 200);
+}
+
+Test(Process, AllNodesReturnWhileThePlatformIsOut, .timeout = 90)
+{
+  LocalDeployment deployment(106);
+  StartMesqelGate(deployment);
+  deployment.SetPlatformFaults(R"({"down": "refuse"})");
+  // One node stays: the others have only it to learn from.
+  for (std::size_t vm = 1; vm <= 3; ++vm) {
+    deployment.Node(vm).Signal(SIGKILL);
+  }
+  for (std::size_t vm = 1; vm <= 3; ++vm) {
+    deployment.RestartNode(vm);
+  }
+  cr_assert(deployment.WaitForVersion("mesqel-gate", 2, kLimit));
+  cr_assert(deployment.WaitForLive(4, kLimit));
+}
+
+Test(Process, ABadSettingEndsWithStatusTwo)
+{
+  auto child =
+    ChildProcess::Start("tarragontray-node", { "--front-threads=0" });
+  cr_assert(child.value().WaitForExit(kLimit) == 2);
+}
+
+} // namespace tarragontray
