Draw deployments widely and play two failures at once in the experiment

Change: data centres, targets (2 to 6), spread of service times, base rates of failures (to 1 %) and caller errors (to 10 %), load and message loss (to 20 %) are drawn; three kinds are new: bad while cut off, bad and disturbed, two disturbances.

--- a/src/version/testing/MoveScenarios.cpp
+++ b/src/version/testing/MoveScenarios.cpp
@@ -15,12 +15,13 @@
   "one-route",           "one-data-centre",
   "bad-little-traffic",  "bad-in-load-peak",
   "bad-platform-out",    "bad-steward-paused",
-  "bad-two-stewards",    "healthy",
+  "bad-two-stewards",    "bad-while-cut-off",
+  "bad-and-disturbed",   "healthy",
   "one-sick-target",     "load-peak",
   "shared-fault",        "cold-starts",
   "little-traffic",      "platform-out",
   "data-centre-cut-off", "steward-paused",
-  "two-stewards",
+  "two-stewards",        "two-disturbances",
 };
 
 /// Draws from a range.
@@ -52,7 +53,7 @@
 {
   ModelFault fault;
   fault.m_side = VersionSide::New;
-  fault.m_failureRate = aDraw.Between(0.1, 1.0);
+  fault.m_failureRate = aDraw.Between(0.05, 1.0);
   return fault;
 }
 
@@ -128,6 +129,14 @@
       aSettings.m_stewardPause =
         SessionSpan{ aDraw.Between(SessionTime(5s), fault.m_begin), 180s };
       break;
+    case ScenarioKind::BadWhileCutOff: {
+      const SessionTime begin = aDraw.Between(SessionTime(15s), 80s);
+      aSettings.m_cut = SessionCut{ aDraw.Below(aSettings.m_dataCentres),
+                                    { begin, begin + 60s } };
+      fault = AnyFault(aDraw);
+      fault.m_begin = MidMove(aDraw);
+      break;
+    }
     case ScenarioKind::BadWithTwoStewards:
       fault = AnyFault(aDraw);
       fault.m_begin = MidMove(aDraw);
@@ -218,6 +227,31 @@
   }
 }
 
+/// Disturbances that may come on top of another one.
+constexpr std::array<ScenarioKind, 6> kDisturbances{
+  ScenarioKind::LoadPeak,      ScenarioKind::SharedFault,
+  ScenarioKind::ColdStarts,    ScenarioKind::DataCentreCutOff,
+  ScenarioKind::StewardPaused, ScenarioKind::TwoStewards,
+};
+
+/// Adds what differs between deployments and not between kinds.
+void
+DrawDeployment(Draw& aDraw, SessionSettings& aSettings)
+{
+  ModelSettings& model = aSettings.m_model;
+  aSettings.m_dataCentres = 1 + aDraw.Below(4);
+  aSettings.m_nodes = 3 + aDraw.Below(3);
+  aSettings.m_messageLoss = aDraw.Between(0.0, 0.2);
+  model.m_targets = 2 + aDraw.Below(5);
+  model.m_spread = aDraw.Between(0.2, 0.8);
+  model.m_baseFailureRate = aDraw.Between(0.0, 0.01);
+  model.m_baseCallerErrorRate = aDraw.Between(0.0, 0.1);
+  const double capacity =
+    static_cast<double>(model.m_targets * model.m_slots) /
+    std::chrono::duration<double>(model.m_serviceTime).count();
+  aSettings.m_callsPerSecond = capacity * aDraw.Between(0.3, 0.7);
+}
+
 } // namespace
 
 std::array<ScenarioKind, kScenarioKinds>
@@ -250,17 +284,29 @@
   Draw draw(random);
   SessionSettings settings;
   settings.m_seed = random.Next();
-  settings.m_dataCentres = 1 + draw.Below(3);
-  settings.m_nodes = 3 + draw.Below(3);
-  settings.m_model.m_targets = 3 + draw.Below(4);
-  const double capacity =
-    static_cast<double>(settings.m_model.m_targets * settings.m_model.m_slots) /
-    0.1;
-  settings.m_callsPerSecond = capacity * draw.Between(0.45, 0.7);
-  if (IsBad(aKind)) {
-    MakeBad(aKind, draw, settings);
-  } else {
-    MakeGood(aKind, draw, settings);
+  DrawDeployment(draw, settings);
+  switch (aKind) {
+    case ScenarioKind::BadAndDisturbed:
+      MakeBad(draw.Below(2) == 0 ? ScenarioKind::FailsLate : ScenarioKind::Slow,
+              draw,
+              settings);
+      MakeGood(kDisturbances[draw.Below(kDisturbances.size())], draw, settings);
+      break;
+    case ScenarioKind::TwoDisturbances: {
+      const std::size_t first = draw.Below(kDisturbances.size());
+      const std::size_t step = 1 + draw.Below(kDisturbances.size() - 1);
+      MakeGood(kDisturbances[first], draw, settings);
+      MakeGood(
+        kDisturbances[(first + step) % kDisturbances.size()], draw, settings);
+      break;
+    }
+    default:
+      if (IsBad(aKind)) {
+        MakeBad(aKind, draw, settings);
+      } else {
+        MakeGood(aKind, draw, settings);
+      }
+      break;
   }
   return settings;
 }
--- a/src/version/testing/MoveScenarios.h
+++ b/src/version/testing/MoveScenarios.h
@@ -32,6 +32,9 @@
   BadWhilePlatformOut,
   BadWhileStewardPaused,
   BadWithTwoStewards,
+  BadWhileCutOff,
+  /// A bad version and a disturbance of another kind.
+  BadAndDisturbed,
   Healthy,
   OneSickTarget,
   LoadPeak,
@@ -42,9 +45,11 @@
   DataCentreCutOff,
   StewardPaused,
   TwoStewards,
+  /// Two disturbances of a good version.
+  TwoDisturbances,
 };
 
-inline constexpr std::size_t kScenarioKinds = 23;
+inline constexpr std::size_t kScenarioKinds = 26;
 
 /// All kinds in order. Thread safety: pure function.
 std::array<ScenarioKind, kScenarioKinds>
