--- a/src/process/testing/FakeNetwork.cpp
+++ b/src/process/testing/FakeNetwork.cpp
@@ -364,6 +364,7 @@
       std::printf("revision of %s fell\n", document.m_key.Value().c_str());
     }
     applied = document.m_revision;
+    aNode.m_appliedAt.emplace(document.m_revision, Now());
   }
   if (!m_isCheckingRecords) {
     return;
--- a/src/process/testing/FakeNetwork.h
+++ b/src/process/testing/FakeNetwork.h
@@ -60,6 +60,7 @@
   bool m_isWatching = false;
   MonotonicTime m_callNotBefore{};
   std::map<ObjectKey, Revision> m_applied;
+  std::map<Revision, MonotonicTime> m_appliedAt;
   std::map<VmId, MemberRecord> m_records;
   std::uint64_t m_bytesSent = 0;
   std::uint64_t m_bytesReceived = 0;
--- /dev/null
+++ b/src/programs/DistributionExperiment.cpp
@@ -0,0 +1,189 @@
+/// \file
+/// tarragontray-experiment-distribution: measures how fast documents and
+/// failures become known, and at what cost, in virtual time.
+///
+///     tarragontray-experiment-distribution --sizes 10,40,160 --json
+#include <chrono>
+#include <cstdio>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include <cxxopts.hpp>
+
+#include "programs/DistributionScenarios.h"
+
+namespace tarragontray {
+
+namespace {
+
+double
+Milliseconds(Duration aDuration)
+{
+  return std::chrono::duration<double, std::milli>(aDuration).count();
+}
+
+/// Writes a table, or one JSON object a line.
+class Report
+{
+public:
+  explicit Report(bool aJson)
+    : m_json(aJson)
+  {
+  }
+
+  void Spread(const char* aScenario,
+              const char* aWay,
+              const ScenarioSettings& aSettings,
+              const SpreadFigures& aFigures)
+  {
+    const char* const kTable =
+      "%-8s %-8s %5zu %4.0f%% %9.1f %9.1f %9.1f %7zu %8.0f %8.0f %8.2f\n";
+    const char* const kJson =
+      R"({"scenario": "%s", "way": "%s", "nodes": %zu, "loss_percent": %.0f, )"
+      R"("p50_ms": %.1f, "p99_ms": %.1f, "max_ms": %.1f, "missing": %zu, )"
+      R"("mean_bytes_s": %.0f, "max_bytes_s": %.0f, "platform_calls_s": %.2f})"
+      "\n";
+    std::printf(m_json ? kJson : kTable,
+                aScenario,
+                aWay,
+                aSettings.m_nodes,
+                aSettings.m_loss * 100,
+                Milliseconds(aFigures.m_p50),
+                Milliseconds(aFigures.m_p99),
+                Milliseconds(aFigures.m_max),
+                aFigures.m_missing,
+                aFigures.m_meanBytes,
+                aFigures.m_maxBytes,
+                aFigures.m_platformCalls);
+    std::fflush(stdout);
+  }
+  void Detection(const ScenarioSettings& aSettings,
+                 double aPaused,
+                 const DetectionFigures& aFigures)
+  {
+    const char* const kTable =
+      "detect   loss=%2.0f%% paused=%2.0f%% %5zu nodes: "
+      "suspected %.1f (max %.1f) s, dead %.1f (max "
+      "%.1f) s, false deaths %.3f, false suspicions "
+      "%.2f per node-hour, %.0f B/s\n";
+    const char* const kJson =
+      R"({"scenario": "detection", "loss_percent": %.0f, )"
+      R"("paused_percent": %.0f, "nodes": %zu, "suspected_mean_s": %.1f, )"
+      R"("suspected_max_s": %.1f, "dead_mean_s": %.1f, "dead_max_s": %.1f, )"
+      R"("false_deaths_node_hour": %.3f, )"
+      R"("false_suspicions_node_hour": %.2f, "mean_bytes_s": %.0f})"
+      "\n";
+    std::printf(m_json ? kJson : kTable,
+                aSettings.m_loss * 100,
+                aPaused * 100,
+                aSettings.m_nodes,
+                Milliseconds(aFigures.m_meanSuspected) / 1000,
+                Milliseconds(aFigures.m_maxSuspected) / 1000,
+                Milliseconds(aFigures.m_meanDead) / 1000,
+                Milliseconds(aFigures.m_maxDead) / 1000,
+                aFigures.m_falseDeaths,
+                aFigures.m_falseSuspicions,
+                aFigures.m_meanBytes);
+    std::fflush(stdout);
+  }
+  void Header() const
+  {
+    if (!m_json) {
+      std::printf("scenario way      nodes  loss    p50 ms    p99 ms    max ms "
+                  "missing  B/s avg  B/s max  calls/s\n");
+    }
+  }
+
+private:
+  bool m_json;
+};
+
+void
+RunSpreads(Report& aReport, const ScenarioSettings& aSettings)
+{
+  aReport.Spread("rest", "gossip", aSettings, MeasureRest(aSettings));
+  aReport.Spread("change", "gossip", aSettings, MeasureChange(aSettings));
+  aReport.Spread("burst", "gossip", aSettings, MeasureBurst(aSettings));
+  aReport.Spread("return", "gossip", aSettings, MeasureReturn(aSettings));
+}
+
+void
+RunBaselines(Report& aReport, const ScenarioSettings& aSettings)
+{
+  aReport.Spread(
+    "change", "watch", aSettings, MeasureBaselineChange(aSettings));
+  aReport.Spread("burst", "watch", aSettings, MeasureBaselineBurst(aSettings));
+  aReport.Spread(
+    "return", "watch", aSettings, MeasureBaselineReturn(aSettings));
+}
+
+void
+RunDetections(Report& aReport, ScenarioSettings aSettings)
+{
+  for (const double loss : { 0.0, 0.05, 0.2 }) {
+    aSettings.m_loss = loss;
+    for (const double paused : { 0.0, 0.1 }) {
+      aReport.Detection(aSettings, paused, MeasureDetection(aSettings, paused));
+    }
+  }
+}
+
+int
+Run(int aCount, char** aArguments)
+{
+  cxxopts::Options options("tarragontray-experiment-distribution",
+                           "Measures distribution and membership.");
+  options.add_options()(
+    "sizes",
+    "numbers of nodes",
+    cxxopts::value<std::vector<std::size_t>>()->default_value(
+      "10,20,40,80,160"))("data-centres",
+                          "data centres",
+                          cxxopts::value<std::size_t>()->default_value("4"))(
+    "seed", "seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
+    "loss",
+    "share of datagrams lost in the spread sessions",
+    cxxopts::value<double>()->default_value("0"))(
+    "detection-nodes",
+    "nodes in the detection sessions; 0: none",
+    cxxopts::value<std::size_t>()->default_value("80"))(
+    "json", "one JSON object a line")("help", "prints this text");
+  const cxxopts::ParseResult parsed = options.parse(aCount, aArguments);
+  if (parsed.count("help") > 0) {
+    std::cout << options.help();
+    return 0;
+  }
+  Report report(parsed.count("json") > 0);
+  ScenarioSettings settings;
+  settings.m_dataCentres = parsed["data-centres"].as<std::size_t>();
+  settings.m_seed = parsed["seed"].as<std::uint64_t>();
+  settings.m_loss = parsed["loss"].as<double>();
+  report.Header();
+  for (const std::size_t size :
+       parsed["sizes"].as<std::vector<std::size_t>>()) {
+    settings.m_nodes = size;
+    RunSpreads(report, settings);
+    RunBaselines(report, settings);
+  }
+  settings.m_nodes = parsed["detection-nodes"].as<std::size_t>();
+  if (settings.m_nodes > 0) {
+    RunDetections(report, settings);
+  }
+  return 0;
+}
+
+} // namespace
+
+} // namespace tarragontray
+
+int
+main(int aCount, char** aArguments)
+{
+  try {
+    return tarragontray::Run(aCount, aArguments);
+  } catch (const std::exception& error) {
+    std::cerr << "experiment: " << error.what() << "\n";
+    return 2;
+  }
+}
--- /dev/null
+++ b/src/programs/DistributionScenarios.cpp
@@ -0,0 +1,368 @@
+#include "programs/DistributionScenarios.h"
+
+#include <algorithm>
+#include <functional>
+
+#include "process/testing/FakeNetwork.h"
+#include "programs/WatchBaseline.h"
+
+namespace tarragontray {
+
+namespace {
+
+using testing::FakeNetwork;
+using testing::FakeNode;
+
+/// The state at the start: documents of 35 services' accounts and templates.
+constexpr std::size_t kDocuments = 40;
+constexpr std::size_t kBodyBytes = 300;
+constexpr Duration kSettle = std::chrono::seconds(30);
+constexpr std::size_t kChanges = 10;
+constexpr Duration kChangeGap = std::chrono::seconds(2);
+constexpr std::size_t kBurst = 100;
+constexpr Duration kBurstGap = std::chrono::milliseconds(10);
+constexpr Duration kWindow = std::chrono::seconds(20);
+
+std::string
+Key(std::size_t aNumber)
+{
+  return "configurations/account-" + std::to_string(aNumber);
+}
+
+void
+Build(FakeNetwork& aNetwork, const ScenarioSettings& aSettings)
+{
+  aNetwork.m_isCheckingRecords = false;
+  for (std::size_t i = 0; i < kDocuments; ++i) {
+    aNetwork.Write(Key(i), std::string(kBodyBytes, 'x'));
+  }
+  for (std::size_t i = 0; i < aSettings.m_nodes; ++i) {
+    const std::string dataCentre =
+      "dc" + std::to_string(i % aSettings.m_dataCentres + 1);
+    const std::string number = std::to_string(i / aSettings.m_dataCentres + 1);
+    aNetwork.Start(dataCentre + "-box-office-" + number, dataCentre);
+  }
+}
+
+SpreadFigures
+FromDelays(std::vector<Duration> aDelays)
+{
+  SpreadFigures figures;
+  if (aDelays.empty()) {
+    return figures;
+  }
+  std::sort(aDelays.begin(), aDelays.end());
+  figures.m_p50 = aDelays[aDelays.size() / 2];
+  figures.m_p99 = aDelays[aDelays.size() * 99 / 100];
+  figures.m_max = aDelays.back();
+  return figures;
+}
+
+/// Counts what a session costs from its construction on.
+class Meter
+{
+public:
+  explicit Meter(FakeNetwork& aNetwork)
+    : m_network(aNetwork)
+    , m_start(aNetwork.Now())
+    , m_calls(aNetwork.ThePlatform().m_calls)
+  {
+    for (const auto& [vm, node] : aNetwork.Nodes()) {
+      m_bytes[vm] = node->m_bytesSent + node->m_bytesReceived;
+    }
+  }
+
+  /// \param aWritten revisions with the times of their writes.
+  SpreadFigures Read(const std::map<Revision, MonotonicTime>& aWritten) const
+  {
+    std::vector<Duration> delays;
+    std::size_t missing = 0;
+    for (const auto& [vm, node] : m_network.Nodes()) {
+      for (const auto& [revision, time] : aWritten) {
+        const auto applied = node->m_appliedAt.find(revision);
+        if (applied == node->m_appliedAt.end()) {
+          ++missing;
+        } else {
+          delays.push_back(applied->second - time);
+        }
+      }
+    }
+    SpreadFigures figures = FromDelays(std::move(delays));
+    figures.m_missing = missing;
+    const double seconds = Seconds();
+    for (const auto& [vm, node] : m_network.Nodes()) {
+      const std::uint64_t total = node->m_bytesSent + node->m_bytesReceived;
+      const double rate = static_cast<double>(total - m_bytes.at(vm)) / seconds;
+      figures.m_meanBytes +=
+        rate / static_cast<double>(m_network.Nodes().size());
+      figures.m_maxBytes = std::max(figures.m_maxBytes, rate);
+    }
+    figures.m_platformCalls =
+      static_cast<double>(m_network.ThePlatform().m_calls - m_calls) / seconds;
+    return figures;
+  }
+  double Seconds() const
+  {
+    return std::chrono::duration<double>(m_network.Now() - m_start).count();
+  }
+
+private:
+  FakeNetwork& m_network;
+  MonotonicTime m_start;
+  std::uint64_t m_calls;
+  std::map<VmId, std::uint64_t> m_bytes;
+};
+
+SpreadFigures
+FromBaseline(WatchBaseline& aBaseline, std::size_t aNodes, Duration aWindow)
+{
+  aBaseline.Finish();
+  SpreadFigures figures = FromDelays(aBaseline.Delays());
+  const double seconds = std::chrono::duration<double>(aWindow).count();
+  figures.m_meanBytes = static_cast<double>(aBaseline.Bytes()) / seconds /
+                        static_cast<double>(aNodes);
+  figures.m_maxBytes = figures.m_meanBytes;
+  figures.m_platformCalls = static_cast<double>(aBaseline.Calls()) / seconds;
+  return figures;
+}
+
+/// Pauses random nodes and lets them run again, by a fixed schedule.
+class Pauser
+{
+public:
+  Pauser(FakeNetwork& aNetwork, double aShare, std::uint64_t aSeed)
+    : m_network(aNetwork)
+    , m_random(aSeed)
+  {
+    for (const auto& [vm, node] : aNetwork.Nodes()) {
+      m_vms.push_back(vm.Value());
+    }
+    m_count =
+      static_cast<std::size_t>(aShare * static_cast<double>(m_vms.size()));
+  }
+
+  void Step()
+  {
+    for (auto paused = m_until.begin(); paused != m_until.end();) {
+      if (paused->second > m_network.Now()) {
+        ++paused;
+        continue;
+      }
+      m_network.Resume(paused->first);
+      paused = m_until.erase(paused);
+    }
+    while (m_until.size() < m_count) {
+      const std::string& vm = m_vms[m_random.Below(m_vms.size())];
+      if (!m_network.Node(vm).m_isAlive || m_until.contains(vm)) {
+        continue;
+      }
+      constexpr std::uint64_t kSpread = 8'000;
+      m_until[vm] = m_network.Now() +
+                    std::chrono::milliseconds(2'000 + m_random.Below(kSpread));
+      m_network.Pause(vm);
+    }
+  }
+
+private:
+  FakeNetwork& m_network;
+  SeededRandom m_random;
+  std::vector<std::string> m_vms;
+  std::size_t m_count = 0;
+  std::map<std::string, MonotonicTime> m_until;
+};
+
+NodeState
+StateAt(const FakeNode& aNode, const VmId& aVm)
+{
+  const MemberRecord* record = aNode.m_gossip->Members().Table().Find(aVm);
+  return record == nullptr ? NodeState::Dead : record->m_state;
+}
+
+bool
+AllCountAs(FakeNetwork& aNetwork,
+           const VmId& aVm,
+           NodeState aAtLeast,
+           bool aOwnDataCentreOnly)
+{
+  const DataCentreId& home = aNetwork.Nodes().at(aVm)->m_dataCentre;
+  return std::all_of(
+    aNetwork.Nodes().begin(), aNetwork.Nodes().end(), [&](const auto& aEntry) {
+      const FakeNode& node = *aEntry.second;
+      const bool isAsked = node.m_isAlive && !node.m_isPaused &&
+                           (!aOwnDataCentreOnly || node.m_dataCentre == home);
+      return !isAsked || StateAt(node, aVm) >= aAtLeast;
+    });
+}
+
+std::uint64_t
+Total(FakeNetwork& aNetwork, std::uint64_t MembershipCounters::*aCounter)
+{
+  std::uint64_t total = 0;
+  for (const auto& [vm, node] : aNetwork.Nodes()) {
+    total += node->m_gossip->Members().Counters().*aCounter;
+  }
+  return total;
+}
+
+} // namespace
+
+SpreadFigures
+MeasureRest(const ScenarioSettings& aSettings)
+{
+  FakeNetwork network(aSettings.m_seed, { .m_loss = aSettings.m_loss });
+  Build(network, aSettings);
+  network.Run(kSettle);
+  const Meter meter(network);
+  network.Run(kWindow);
+  return meter.Read({});
+}
+
+SpreadFigures
+MeasureChange(const ScenarioSettings& aSettings)
+{
+  FakeNetwork network(aSettings.m_seed, { .m_loss = aSettings.m_loss });
+  Build(network, aSettings);
+  network.Run(kSettle);
+  const Meter meter(network);
+  std::map<Revision, MonotonicTime> written;
+  for (std::size_t i = 0; i < kChanges; ++i) {
+    written[Revision(kDocuments + i + 1)] = network.Now();
+    network.Write(Key(i), std::string(kBodyBytes, 'y'));
+    network.Run(kChangeGap);
+  }
+  SpreadFigures figures = meter.Read(written);
+  network.Run(kWindow);
+  const SpreadFigures late = meter.Read(written);
+  figures.m_p50 = late.m_p50;
+  figures.m_p99 = late.m_p99;
+  figures.m_max = late.m_max;
+  figures.m_missing = late.m_missing;
+  return figures;
+}
+
+SpreadFigures
+MeasureBurst(const ScenarioSettings& aSettings)
+{
+  FakeNetwork network(aSettings.m_seed, { .m_loss = aSettings.m_loss });
+  Build(network, aSettings);
+  network.Run(kSettle);
+  const Meter meter(network);
+  std::map<Revision, MonotonicTime> written;
+  for (std::size_t i = 0; i < kBurst; ++i) {
+    written[Revision(kDocuments + i + 1)] = network.Now();
+    network.Write(Key(kDocuments + i), std::string(kBodyBytes, 'y'));
+    network.Run(kBurstGap);
+  }
+  network.Run(kWindow - kBurst * kBurstGap);
+  return meter.Read(written);
+}
+
+SpreadFigures
+MeasureReturn(const ScenarioSettings& aSettings)
+{
+  FakeNetwork network(aSettings.m_seed, { .m_loss = aSettings.m_loss });
+  Build(network, aSettings);
+  const Meter meter(network);
+  std::map<Revision, MonotonicTime> written;
+  for (std::size_t i = 0; i < kDocuments; ++i) {
+    written[Revision(i + 1)] = network.Now();
+  }
+  network.Run(kWindow);
+  return meter.Read(written);
+}
+
+SpreadFigures
+MeasureBaselineChange(const ScenarioSettings& aSettings)
+{
+  WatchBaseline baseline(aSettings.m_nodes);
+  for (std::size_t i = 0; i < kChanges; ++i) {
+    baseline.Write(kChangeGap * static_cast<std::int64_t>(i + 1),
+                   ByteCount(kBodyBytes));
+  }
+  return FromBaseline(baseline,
+                      aSettings.m_nodes,
+                      kChangeGap * static_cast<std::int64_t>(kChanges));
+}
+
+SpreadFigures
+MeasureBaselineBurst(const ScenarioSettings& aSettings)
+{
+  WatchBaseline baseline(aSettings.m_nodes);
+  for (std::size_t i = 0; i < kBurst; ++i) {
+    baseline.Write(kWindow + kBurstGap * static_cast<std::int64_t>(i),
+                   ByteCount(kBodyBytes));
+  }
+  return FromBaseline(baseline, aSettings.m_nodes, kWindow);
+}
+
+SpreadFigures
+MeasureBaselineReturn(const ScenarioSettings& aSettings)
+{
+  WatchBaseline baseline(aSettings.m_nodes);
+  baseline.ReturnAll(kWindow, kDocuments, ByteCount(kBodyBytes));
+  return FromBaseline(baseline, aSettings.m_nodes, kWindow);
+}
+
+DetectionFigures
+MeasureDetection(const ScenarioSettings& aSettings, double aPausedShare)
+{
+  constexpr std::size_t kKills = 5;
+  constexpr Duration kGap = std::chrono::seconds(30);
+  constexpr Duration kStep = std::chrono::milliseconds(100);
+  FakeNetwork network(aSettings.m_seed, { .m_loss = aSettings.m_loss });
+  Build(network, aSettings);
+  network.Run(kSettle);
+  Pauser pauser(network, aPausedShare, aSettings.m_seed + 1);
+  const Meter meter(network);
+  const std::uint64_t suspectedBefore =
+    Total(network, &MembershipCounters::m_suspected);
+  DetectionFigures figures;
+  std::uint64_t trueDeaths = 0;
+  std::uint64_t deathsBefore =
+    Total(network, &MembershipCounters::m_declaredDead);
+  std::uint64_t falseDeaths = 0;
+  for (std::size_t kill = 0; kill < kKills; ++kill) {
+    // Without a kill first: every death that is declared is false.
+    for (Duration ran{ 0 }; ran < kGap; ran += kStep) {
+      pauser.Step();
+      network.Run(kStep);
+    }
+    falseDeaths +=
+      Total(network, &MembershipCounters::m_declaredDead) - deathsBefore;
+    const VmId vm("dc1-box-office-" + std::to_string(kill + 2));
+    network.Kill(vm.Value());
+    const MonotonicTime killed = network.Now();
+    Duration suspected{ 0 };
+    Duration dead{ 0 };
+    while (dead == Duration(0) && network.Now() - killed < 2 * kGap) {
+      pauser.Step();
+      network.Run(kStep);
+      if (suspected == Duration(0) &&
+          AllCountAs(network, vm, NodeState::Suspect, true)) {
+        suspected = network.Now() - killed;
+      }
+      if (AllCountAs(network, vm, NodeState::Dead, false)) {
+        dead = network.Now() - killed;
+      }
+    }
+    ++trueDeaths;
+    figures.m_meanSuspected += suspected / kKills;
+    figures.m_maxSuspected = std::max(figures.m_maxSuspected, suspected);
+    figures.m_meanDead += dead / kKills;
+    figures.m_maxDead = std::max(figures.m_maxDead, dead);
+    deathsBefore = Total(network, &MembershipCounters::m_declaredDead);
+  }
+  const double nodeHours = static_cast<double>(aSettings.m_nodes) *
+                           std::chrono::duration<double>(kGap).count() *
+                           static_cast<double>(kKills) / 3600.0;
+  figures.m_falseDeaths = static_cast<double>(falseDeaths) / nodeHours;
+  const std::uint64_t suspicions =
+    Total(network, &MembershipCounters::m_suspected) - suspectedBefore;
+  figures.m_falseSuspicions =
+    static_cast<double>(suspicions - std::min(suspicions, trueDeaths)) /
+    (static_cast<double>(aSettings.m_nodes) * meter.Seconds() / 3600.0);
+  figures.m_meanBytes = meter.Read({}).m_meanBytes;
+  return figures;
+}
+
+} // namespace tarragontray
