Send the attempt that the plan asks about

Cause: the question to a key's former home must withdraw every attempt, but the runner sent the number of the call's own attempt. Change: CallRunner takes the number from AskOperation. Conclusion: the decision tests cover the plan and the guard; the runner itself has no test of this yet.

--- a/src/request/CallRunner.cpp
+++ b/src/request/CallRunner.cpp
@@ -69,7 +69,7 @@
     OperationQuery query;
     query.m_caller = m_call.m_caller;
     query.m_operation = m_call.m_operation;
-    query.m_attempt = m_call.m_attempt;
+    query.m_attempt = aAsk.m_attempt;
     query.m_sentTo = aAsk.m_target->m_incarnation;
     const Duration left = m_plan.Deadline() - m_clock.Now();
     const auto link = m_links.GetFresh(aAsk.m_target->m_peerAddress);
