--- a/src/process/Settings.cpp
+++ b/src/process/Settings.cpp
@@ -83,11 +83,13 @@
 Error
 Refusal(const Setting& aSetting, const std::string& aValue)
 {
+  const std::string found =
+    aValue.empty() ? " is not set" : " is '" + aValue + "'";
   return Error(ErrorCode::InvalidArgument,
                "settings.check",
                "",
-               "--" + NameOf(aSetting) + " is '" + aValue +
-                 "', allowed: " + AllowedText(aSetting));
+               "--" + NameOf(aSetting) + found +
+                 ", allowed: " + AllowedText(aSetting));
 }
 
 Result<std::int64_t>
--- a/src/programs/DistributionScenarios.cpp
+++ b/src/programs/DistributionScenarios.cpp
@@ -40,7 +40,9 @@
     const std::string dataCentre =
       "dc" + std::to_string(i % aSettings.m_dataCentres + 1);
     const std::string number = std::to_string(i / aSettings.m_dataCentres + 1);
-    aNetwork.Start(dataCentre + "-box-office-" + number, dataCentre);
+    std::string vm = dataCentre;
+    vm += "-box-office-" + number;
+    aNetwork.Start(vm, dataCentre);
   }
 }
 
--- a/src/programs/testing/ChildProcess.cpp
+++ b/src/programs/testing/ChildProcess.cpp
@@ -10,8 +10,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace tarragontray {
 
 namespace {
