Add tarragontrayctl

Operators change templates and parameters and read back what became of moves, while others do the same and the platform loses answers.

A plan's deadline that is too short is refused with the earliest that can be met by the expansion too. A list flag may be repeated now.

--- a/src/process/Settings.cpp
+++ b/src/process/Settings.cpp
@@ -121,14 +121,37 @@
   return addresses;
 }
 
+/// Whether a flag may be given more than once.
+bool
+IsList(const Setting& aSetting)
+{
+  const auto* address = std::get_if<AddressSetting>(&aSetting);
+  return address != nullptr && address->m_isList;
+}
+
+/// Every value of a flag, with commas between them.
+std::string
+AllValues(const cxxopts::ParseResult& aParsed, const std::string& aName)
+{
+  std::string text;
+  for (const cxxopts::KeyValue& argument : aParsed.arguments()) {
+    if (argument.key() == aName) {
+      text += (text.empty() ? "" : ",") + argument.value();
+    }
+  }
+  return text;
+}
+
 /// The text of a setting from the command line, the environment or neither.
 std::optional<std::string>
-Given(const cxxopts::ParseResult& aParsed, const std::string& aName)
+Given(const cxxopts::ParseResult& aParsed, const Setting& aSetting)
 {
-  if (aParsed.count(aName) > 0) {
-    return aParsed[aName].as<std::string>();
+  const std::string& name = NameOf(aSetting);
+  if (aParsed.count(name) > 0) {
+    return IsList(aSetting) ? AllValues(aParsed, name)
+                            : aParsed[name].as<std::string>();
   }
-  const char* value = std::getenv(EnvironmentName(aName).c_str());
+  const char* value = std::getenv(EnvironmentName(name).c_str());
   return value != nullptr ? std::optional<std::string>(value) : std::nullopt;
 }
 
@@ -309,7 +332,7 @@
       settings.m_words = parsed["words"].as<std::vector<std::string>>();
     }
     for (const Setting& setting : m_settings) {
-      const auto text = Given(parsed, NameOf(setting));
+      const auto text = Given(parsed, setting);
       BOOST_OUTCOME_TRY(
         auto value,
         std::visit([&](const auto& aOne) { return Read(aOne, text); },
--- a/src/process/SettingsTest.cpp
+++ b/src/process/SettingsTest.cpp
@@ -53,6 +53,13 @@
   cr_assert(settings.value().IsOn("quiet"));
 }
 
+Test(Settings, AListFlagMayBeRepeated)
+{
+  const auto settings =
+    Check({ "--seeds=127.0.0.1:1", "--seeds", "127.0.0.2:2,127.0.0.3:3" });
+  cr_assert_eq(settings.value().Addresses("seeds").size(), 3);
+}
+
 Test(Settings, ARefusalNamesFlagValueAndWhatIsAllowed)
 {
   const auto settings = Check({ "--count=11" });
--- /dev/null
+++ b/src/programs/CtlMovesTest.cpp
@@ -0,0 +1,88 @@
+#include <criterion/criterion.h>
+
+#include "programs/CtlTestFixture.h"
+#include "version/ObjectKeys.h"
+
+namespace tarragontray {
+
+Test(Ctl, AMoveIsPlannedShownAndCancelled)
+{
+  Surroundings surroundings;
+  const Operator op(surroundings);
+  Prepare(op);
+  const auto soon =
+    op.Run({ "move", "start", "mesqel-gate", "box-office", "v2" },
+           { "--deadline=+14s" });
+  cr_assert(
+    soon.error().Detail().starts_with("parameters.services[0].move.deadline"));
+  cr_assert(Contains(soon.error().Detail(), "the earliest is 20"));
+  op.Done({ "move", "start", "mesqel-gate", "box-office", "v2" },
+          { "--deadline=+60s" });
+  surroundings.SetStatuses(
+    { R"({"vm": "addis-1-1", "moves": [{"account": "mesqel-gate",)"
+      R"( "service": "box-office", "plan": 5, "state": "moving",)"
+      R"( "shares": {"addis-1": 0.25}, "reason": "evidence is awaited"}]})" });
+  const CtlOutput shown = op.Done(
+    { "move", "status", "mesqel-gate", "box-office" }, { op.NodeFlag() });
+  cr_assert(Contains(shown.m_text, "plan 5 v1 -> v2: moving addis-1=25.0%"));
+  const CtlOutput explained =
+    op.Done({ "explain", "mesqel-gate", "purchase" }, { op.NodeFlag() });
+  cr_assert(Contains(explained.m_text, "POST /purchases*"));
+  cr_assert(Contains(explained.m_text, "addis-1=25.0%"));
+  op.Done({ "move", "cancel", "mesqel-gate", "box-office" });
+  const CtlOutput after =
+    op.Done({ "move", "status", "mesqel-gate", "box-office" });
+  cr_assert(Contains(after.m_text, "cancelled"));
+}
+
+Test(Ctl, TheOutcomeOfAMoveIsReadFromThePlatform)
+{
+  const Surroundings surroundings;
+  const Operator op(surroundings);
+  Prepare(op);
+  op.Done({ "move", "start", "mesqel-gate", "box-office", "v2" },
+          { "--deadline=+60s" });
+  const auto session =
+    CtlSession::Create({ .m_platform = surroundings.Platform() });
+  const MoveId move{ { ClientAccountId{ "mesqel-gate" },
+                       ServiceName{ "box-office" } },
+                     PlanNumber{ 5 } };
+  session.value()->Write(
+    { MoveKey(move),
+      R"({"account": "mesqel-gate", "service": "box-office", "plan": 5,)"
+      R"( "state": "taken-back", "time": "2026-12-04T18:00:00Z",)"
+      R"( "route": "purchase", "reason": "failures new=12/40 old=1/400"})",
+      Revision{ 0 },
+      OperationId{ "outcome" } });
+  const auto ended = op.Run({ "move", "watch", "mesqel-gate", "box-office" });
+  cr_assert(ended.value().m_exitStatus == kExitFailed);
+  cr_assert(Contains(ended.value().m_text,
+                     "taken-back at 2026-12-04T18:00:00Z route=purchase "
+                     "reason=\"failures new=12/40 old=1/400\""));
+  // The traffic is on v1 again, so the next move starts there.
+  op.Done({ "move", "start", "mesqel-gate", "box-office", "v3" },
+          { "--deadline=+60s" });
+  const CtlOutput next =
+    op.Done({ "move", "status", "mesqel-gate", "box-office" });
+  cr_assert(Contains(next.m_text, "plan 6 v1 -> v3"));
+}
+
+Test(Ctl, TheLedgerSumsUpAllReports)
+{
+  const Surroundings surroundings;
+  const Operator op(surroundings);
+  const auto session =
+    CtlSession::Create({ .m_platform = surroundings.Platform() });
+  for (const char* vm : { "a", "b" }) {
+    session.value()->Write(
+      { ObjectKey(std::string("ledger/") + vm + "/1"),
+        R"({"vm": "a", "incarnation": 1, "usage": [{"using": "vanua-voice",)"
+        R"( "owning": "mesqel-gate", "calls": 21, "slot_ms": 1500.0}]})",
+        Revision{ 0 },
+        OperationId(vm) });
+  }
+  const CtlOutput ledger = op.Done({ "ledger" });
+  cr_assert(Contains(ledger.m_text, "vanua-voice  mesqel-gate  42     3.0"));
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/programs/CtlNodes.cpp
@@ -0,0 +1,234 @@
+#include <map>
+#include <utility>
+
+#include <boost/json.hpp>
+
+#include "programs/CtlCommand.h"
+#include "programs/CtlFormat.h"
+#include "programs/CtlNodeStatus.h"
+
+namespace tarragontray {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view kLedgerPrefix = "ledger/";
+
+/// "mesqel-gate:57 vanua-voice:none".
+std::string
+VersionsOf(const NodeStatus& aStatus)
+{
+  std::string text;
+  for (const NodeAccount& account : aStatus.m_accounts) {
+    text += text.empty() ? "" : " ";
+    text +=
+      account.m_account.Value() + ":" +
+      (account.m_inForce ? std::to_string(account.m_inForce->Value()) : "none");
+    text += account.m_pending.empty() ? "" : " (" + account.m_pending + ")";
+  }
+  return text;
+}
+
+json::object
+VersionsJson(const NodeStatus& aStatus)
+{
+  json::object versions;
+  for (const NodeAccount& account : aStatus.m_accounts) {
+    versions[account.m_account.Value()] =
+      account.m_inForce ? json::value(account.m_inForce->Value())
+                        : json::value(nullptr);
+  }
+  return versions;
+}
+
+class Nodes final : public CtlCommand
+{
+public:
+  std::string_view Name() const override { return "nodes"; }
+  std::string_view Arguments() const override { return ""; }
+  std::string_view Summary() const override
+  {
+    return "Shows each node given with the versions in force on it.";
+  }
+
+  Result<CtlOutput> Run(const CtlContext& aContext) const override
+  {
+    TextTable table({ "NODE", "VM", "DATA CENTRE", "STATE", "VERSIONS" });
+    json::array list;
+    CtlOutput output;
+    for (const AskedNode& node : AskNodes(aContext.m_session)) {
+      const std::string address = node.m_address.ToString();
+      if (!node.m_status) {
+        const std::string code(
+          tarragontray::Name(node.m_status.error().Code()));
+        table.Add({ address, "-", "-", code, "" });
+        list.push_back(json::object{ { "node", address }, { "state", code } });
+        output.m_exitStatus = kExitUnreachable;
+        continue;
+      }
+      const NodeStatus& status = node.m_status.value();
+      const std::string state = status.m_isDraining ? "draining"
+                                : status.m_isRelay  ? "relay"
+                                                    : "serving";
+      table.Add({ address,
+                  status.m_vm.Value(),
+                  status.m_dataCentre.Value(),
+                  state,
+                  VersionsOf(status) });
+      list.push_back(
+        json::object{ { "node", address },
+                      { "vm", status.m_vm.Value() },
+                      { "data_centre", status.m_dataCentre.Value() },
+                      { "state", state },
+                      { "versions", VersionsJson(status) } });
+    }
+    output.m_text = table.ToString();
+    output.m_json = json::serialize(list);
+    return output;
+  }
+};
+
+class Upstreams final : public CtlCommand
+{
+public:
+  std::string_view Name() const override { return "upstreams"; }
+  std::string_view Arguments() const override { return ""; }
+  std::string_view Summary() const override
+  {
+    return "Lists the upstreams that the first node reached knows.";
+  }
+
+  Result<CtlOutput> Run(const CtlContext& aContext) const override
+  {
+    BOOST_OUTCOME_TRY(const NodeStatus status, FirstStatus(aContext.m_session));
+    TextTable table({ "VM",
+                      "DATA CENTRE",
+                      "NODE",
+                      "ACCOUNT",
+                      "SERVICE",
+                      "VERSION",
+                      "UPSTREAM",
+                      "SLOTS" });
+    json::array list;
+    for (const NodeMember& member : status.m_members) {
+      table.Add({ member.m_vm.Value(),
+                  member.m_dataCentre.Value(),
+                  member.m_state,
+                  member.m_service.m_owner.Value(),
+                  member.m_service.m_name.Value(),
+                  member.m_version.Value(),
+                  member.m_upstreamState,
+                  std::to_string(member.m_slots.Value()) });
+      list.push_back(
+        json::object{ { "vm", member.m_vm.Value() },
+                      { "data_centre", member.m_dataCentre.Value() },
+                      { "node_state", member.m_state },
+                      { "account", member.m_service.m_owner.Value() },
+                      { "service", member.m_service.m_name.Value() },
+                      { "version", member.m_version.Value() },
+                      { "upstream_state", member.m_upstreamState },
+                      { "slots", member.m_slots.Value() } });
+    }
+    return CtlOutput{ table.ToString(), json::serialize(list) };
+  }
+};
+
+/// What one account used of another's capacity.
+struct LedgerLine
+{
+  std::uint64_t m_calls = 0;
+  double m_slotMs = 0;
+};
+
+using LedgerKey = std::pair<std::string, std::string>;
+
+/// Adds one report; false when it does not decode.
+bool
+AddReport(const std::string& aBody, std::map<LedgerKey, LedgerLine>& aLines)
+{
+  json::error_code code;
+  const json::value root = json::parse(aBody, code);
+  const json::object* report = code ? nullptr : root.if_object();
+  const json::value* usage = report ? report->if_contains("usage") : nullptr;
+  const json::array* entries = usage ? usage->if_array() : nullptr;
+  if (!entries) {
+    return false;
+  }
+  for (const json::value& element : *entries) {
+    const json::object* entry = element.if_object();
+    if (!entry || !entry->contains("using") || !entry->contains("owning") ||
+        !entry->at("using").is_string() || !entry->at("owning").is_string()) {
+      return false;
+    }
+    LedgerLine& line =
+      aLines[{ std::string(entry->at("using").get_string()),
+               std::string(entry->at("owning").get_string()) }];
+    const json::value* calls = entry->if_contains("calls");
+    const json::value* slots = entry->if_contains("slot_ms");
+    if (calls && calls->is_number()) {
+      line.m_calls += calls->to_number<std::uint64_t>(code);
+    }
+    if (slots && slots->is_number()) {
+      line.m_slotMs += slots->to_number<double>(code);
+    }
+  }
+  return true;
+}
+
+class LedgerShow final : public CtlCommand
+{
+public:
+  std::string_view Name() const override { return "ledger"; }
+  std::string_view Arguments() const override { return ""; }
+  std::string_view Summary() const override
+  {
+    return "Sums up what each account used of each other's capacity.";
+  }
+
+  Result<CtlOutput> Run(const CtlContext& aContext) const override
+  {
+    BOOST_OUTCOME_TRY(const PlatformListing listing,
+                      aContext.m_session.List(std::string(kLedgerPrefix)));
+    std::map<LedgerKey, LedgerLine> lines;
+    std::size_t unreadable = 0;
+    for (const PlatformObject& object : listing.m_objects) {
+      unreadable += AddReport(object.m_document.m_body, lines) ? 0 : 1;
+    }
+    TextTable table({ "USING", "OWNING", "CALLS", "SLOT SECONDS" });
+    json::array list;
+    for (const auto& [key, line] : lines) {
+      table.Add({ key.first,
+                  key.second,
+                  std::to_string(line.m_calls),
+                  std::to_string(line.m_slotMs / 1'000) });
+      list.push_back(json::object{ { "using", key.first },
+                                   { "owning", key.second },
+                                   { "calls", line.m_calls },
+                                   { "slot_ms", line.m_slotMs } });
+    }
+    CtlOutput output{ table.ToString(),
+                      json::serialize(
+                        json::object{ { "usage", std::move(list) },
+                                      { "reports", listing.m_objects.size() },
+                                      { "unreadable_reports", unreadable } }) };
+    if (unreadable > 0) {
+      output.m_text +=
+        std::to_string(unreadable) + " reports could not be read\n";
+      output.m_exitStatus = kExitFailed;
+    }
+    return output;
+  }
+};
+
+} // namespace
+
+void
+AddNodeCommands(CtlCommands& aCommands)
+{
+  aCommands.push_back(std::make_unique<Nodes>());
+  aCommands.push_back(std::make_unique<Upstreams>());
+  aCommands.push_back(std::make_unique<LedgerShow>());
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/programs/CtlWait.cpp
@@ -0,0 +1,198 @@
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include <boost/json.hpp>
+
+#include "programs/CtlChange.h"
+#include "programs/CtlFormat.h"
+#include "programs/CtlNodeStatus.h"
+#include "version/ObjectKeys.h"
+
+namespace tarragontray {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr Duration kPollInterval = std::chrono::milliseconds(250);
+
+/// Where a version stands on the nodes that were asked.
+struct Spread
+{
+  std::size_t m_inForce = 0;
+  /// Nodes asked that do not have it, with what they say.
+  std::vector<std::string> m_missing;
+  /// Live VMs that no --node covers.
+  std::vector<std::string> m_notAsked;
+};
+
+std::string
+IpOf(const std::string& aAddress)
+{
+  return aAddress.substr(0, aAddress.find(':'));
+}
+
+/// Members that any node asked believes alive, and the IP numbers of the rest.
+struct Membership
+{
+  std::set<VmId> m_alive;
+  std::set<std::string> m_deadIps;
+};
+
+Membership
+MembershipOf(const std::vector<AskedNode>& aAsked)
+{
+  Membership membership;
+  for (const AskedNode& node : aAsked) {
+    if (!node.m_status) {
+      continue;
+    }
+    for (const NodeMember& member : node.m_status.value().m_members) {
+      if (member.m_state == "alive") {
+        membership.m_alive.insert(member.m_vm);
+      } else {
+        membership.m_deadIps.insert(IpOf(member.m_peerAddress));
+      }
+    }
+  }
+  return membership;
+}
+
+std::string
+StateOn(const NodeStatus& aStatus, const ClientAccountId& aAccount)
+{
+  for (const NodeAccount& account : aStatus.m_accounts) {
+    if (account.m_account == aAccount) {
+      const std::string version =
+        account.m_inForce ? std::to_string(account.m_inForce->Value()) : "none";
+      return " has version " + version +
+             (account.m_pending.empty() ? "" : "; " + account.m_pending);
+    }
+  }
+  return " has no configuration of the account";
+}
+
+bool
+IsInForce(const NodeStatus& aStatus,
+          const ClientAccountId& aAccount,
+          Revision aVersion)
+{
+  return std::any_of(aStatus.m_accounts.begin(),
+                     aStatus.m_accounts.end(),
+                     [&](const NodeAccount& aEntry) {
+                       return aEntry.m_account == aAccount &&
+                              aEntry.m_inForce && *aEntry.m_inForce >= aVersion;
+                     });
+}
+
+Spread
+SpreadOf(CtlSession& aSession,
+         const ClientAccountId& aAccount,
+         Revision aVersion)
+{
+  const std::vector<AskedNode> asked = AskNodes(aSession);
+  Membership membership = MembershipOf(asked);
+  Spread spread;
+  for (const AskedNode& node : asked) {
+    if (!node.m_status) {
+      if (!membership.m_deadIps.contains(node.m_address.IpString())) {
+        spread.m_missing.push_back(node.m_address.ToString() + " " +
+                                   node.m_status.error().Message());
+      }
+      continue;
+    }
+    const NodeStatus& status = node.m_status.value();
+    membership.m_alive.erase(status.m_vm);
+    if (IsInForce(status, aAccount, aVersion)) {
+      ++spread.m_inForce;
+    } else {
+      spread.m_missing.push_back(status.m_vm.Value() +
+                                 StateOn(status, aAccount));
+    }
+  }
+  for (const VmId& vm : membership.m_alive) {
+    spread.m_notAsked.push_back(vm.Value());
+  }
+  return spread;
+}
+
+json::array
+ToJson(const std::vector<std::string>& aLines)
+{
+  json::array list;
+  for (const std::string& line : aLines) {
+    list.emplace_back(line);
+  }
+  return list;
+}
+
+CtlOutput
+WithSpread(CtlOutput aApplied, const Spread& aSpread, Duration aTime)
+{
+  const auto milliseconds =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+  aApplied.m_text += "in force on " + std::to_string(aSpread.m_inForce) +
+                     " nodes after " + std::to_string(milliseconds) + " ms\n";
+  for (const std::string& node : aSpread.m_missing) {
+    aApplied.m_text += "not in force: " + node + "\n";
+  }
+  for (const std::string& vm : aSpread.m_notAsked) {
+    aApplied.m_text += "live, but no --node given: " + vm + "\n";
+  }
+  json::value root = json::parse(aApplied.m_json);
+  root.as_object()["in_force"] = {
+    { "nodes", aSpread.m_inForce },
+    { "after_ms", milliseconds },
+    { "missing", ToJson(aSpread.m_missing) },
+    { "not_asked", ToJson(aSpread.m_notAsked) },
+  };
+  aApplied.m_json = json::serialize(root);
+  if (!aSpread.m_missing.empty()) {
+    aApplied.m_exitStatus = kExitFailed;
+  }
+  return aApplied;
+}
+
+} // namespace
+
+Result<void>
+CheckWait(const CtlContext& aContext)
+{
+  if (aContext.m_settings.IsOn("wait") && aContext.m_session.Nodes().empty()) {
+    return Error(ErrorCode::InvalidArgument,
+                 "ctl.settings",
+                 "",
+                 "--node: is needed with --wait");
+  }
+  return Success();
+}
+
+Result<CtlOutput>
+FinishChange(const CtlContext& aContext,
+             const ClientAccountId& aAccount,
+             CtlOutput aApplied)
+{
+  if (!aContext.m_settings.IsOn("wait") || aApplied.m_exitStatus != kExitDone) {
+    return aApplied;
+  }
+  CtlSession& session = aContext.m_session;
+  BOOST_OUTCOME_TRY(const PlatformObject object,
+                    session.Read(ConfigurationKey(aAccount)));
+  const Revision version = object.m_document.m_revision;
+  const WallTime start = session.Now();
+  const Duration limit = aContext.m_settings.Milliseconds("wait-ms");
+  Spread spread = SpreadOf(session, aAccount, version);
+  while (!spread.m_missing.empty() && session.Now() - start < limit) {
+    DrawProgress("version " + std::to_string(version.Value()) +
+                 ": in force on " + std::to_string(spread.m_inForce) +
+                 " nodes, not yet on " +
+                 std::to_string(spread.m_missing.size()));
+    session.Wait(kPollInterval);
+    spread = SpreadOf(session, aAccount, version);
+  }
+  DrawProgress("");
+  return WithSpread(std::move(aApplied), spread, session.Now() - start);
+}
+
+} // namespace tarragontray
--- a/src/version/ChangeValidation.h
+++ b/src/version/ChangeValidation.h
@@ -27,14 +27,15 @@
 namespace tarragontray {
 
 /// The slots of a service's live upstreams of one version.
-using WarmSlots = std::map<std::pair<ServiceId, UpstreamVersion>, SlotCount>;
+using SlotsByVersion =
+  std::map<std::pair<ServiceId, UpstreamVersion>, SlotCount>;
 
 /// What the rules need to know beside the two versions.
 struct ChangeContext
 {
   WallTime m_now{};
   /// Empty when the caller does not know them: then nothing is warned of.
-  WarmSlots m_warmSlots;
+  SlotsByVersion m_warmSlots;
   /// Moves whose outcome is done; all others count as unfinished.
   std::set<MoveId> m_doneMoves;
 };
--- a/src/version/Expansion.cmake
+++ b/src/version/Expansion.cmake
@@ -1,9 +1,9 @@
 # Targets; see cmake/Targets.cmake.
 tt_decision_library(tt_expansion
-  SRCS ChangeValidation.cpp Expansion.cpp FieldRules.cpp ObjectKeys.cpp
-       ParameterScope.cpp
+  SRCS ChangeValidation.cpp Expansion.cpp FieldRules.cpp MovePlanRules.cpp
+       ObjectKeys.cpp ParameterScope.cpp
   HDRS AccountParameters.h ChangeValidation.h ConfigurationDecoder.h Expansion.h
-       FieldRules.h ObjectKeys.h ParameterScope.h Template.h
+       FieldRules.h MovePlanRules.h ObjectKeys.h ParameterScope.h Template.h
   DEPS tt_configuration)
 tt_library(tt_configuration_json
   SRCS ConfigurationHistory.cpp JsonDifference.cpp JsonObject.cpp
--- a/src/version/Expansion.cpp
+++ b/src/version/Expansion.cpp
@@ -7,6 +7,7 @@
 #include <tuple>
 
 #include "version/FieldRules.h"
+#include "version/MovePlanRules.h"
 #include "version/ParameterScope.h"
 
 namespace tarragontray {
@@ -58,9 +59,6 @@
   void CheckRouteTargets(const TemplateRoute& aRoute, const std::string& aPath);
   void ExpandMoveLimits();
   void CheckMoves();
-  void CheckMove(const MovePlan& aPlan,
-                 const ServiceSpec& aService,
-                 const std::string& aPath);
 
   bool IsExposed(const ServiceId& aService) const;
 
@@ -331,54 +329,14 @@
     // Services expand in the order of the parameters.
     const auto index =
       static_cast<std::size_t>(&service - m_result.m_services.data());
-    CheckMove(*service.m_move,
-              service,
-              ElementPath("parameters.services", index) + ".move");
+    CheckMovePlan(*service.m_move,
+                  service,
+                  m_result.m_moveLimits,
+                  ElementPath("parameters.services", index) + ".move",
+                  m_errors);
   }
 }
 
-void
-Expander::CheckMove(const MovePlan& aPlan,
-                    const ServiceSpec& aService,
-                    const std::string& aPath)
-{
-  const auto& live = aService.m_liveVersions;
-  const auto isLive = [&](const UpstreamVersion& aVersion) {
-    return std::find(live.begin(), live.end(), aVersion) != live.end();
-  };
-  const MoveLimits& limits = m_result.m_moveLimits;
-  m_errors.Check(
-    aPlan.m_id.m_plan.Value() > 0, aPath + ".plan", "plans start at 1");
-  m_errors.Check(aPlan.m_id.m_plan == aService.m_lastPlan,
-                 aPath + ".plan",
-                 "is below last_plan: plan numbers rise");
-  m_errors.Check(
-    isLive(aPlan.m_from), aPath + ".from", "is not a live version");
-  m_errors.Check(isLive(aPlan.m_to), aPath + ".to", "is not a live version");
-  m_errors.Check(
-    aPlan.m_from != aPlan.m_to, aPath + ".to", "is the same as from");
-  m_errors.Check(aPlan.m_hold >= limits.m_minHold,
-                 aPath + ".hold_ms",
-                 "is below the template's min_hold_ms");
-  m_errors.Check(aPlan.m_hold <= limits.m_maxDuration,
-                 aPath + ".hold_ms",
-                 "is above the template's max_duration_ms");
-  m_errors.Check(
-    aPlan.m_start > WallTime{}, aPath + ".start", "is not after 1970");
-  m_errors.Check(
-    aPlan.m_deadline > aPlan.m_start, aPath + ".deadline", "is before start");
-  if (m_errors.First()) {
-    return; // The sums below need times and durations within their bounds.
-  }
-  const Duration length = aPlan.m_deadline - aPlan.m_start;
-  m_errors.Check(length >= limits.m_minRamp + aPlan.m_hold,
-                 aPath + ".deadline",
-                 "leaves less than min_ramp_ms and hold_ms after start");
-  m_errors.Check(length <= limits.m_maxDuration,
-                 aPath + ".deadline",
-                 "is later than max_duration_ms after start");
-}
-
 } // namespace
 
 Result<Configuration>
