Add the request experiment: policies against their baselines in virtual time

Cause: balancing, admission and retries were chosen on paper only.

Change: request/testing/RequestModel drives CallPlan, Guard and the policies over 8 targets (one slow, one that misleads) in virtual time; tarragontray-experiment-requests compares them with round robin, FIFO and three tries on the same seed. FakeExchange moved to request/testing.

--- /dev/null
+++ b/src/programs/RequestExperiment.cpp
@@ -0,0 +1,329 @@
+/// \file
+/// Compares balancing, admission and retries with their plain baselines.
+///
+///     tarragontray-experiment-requests --seed 1 --json
+#include <algorithm>
+#include <cstdint>
+#include <cstdio>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include <boost/json.hpp>
+#include <cxxopts.hpp>
+
+#include "request/testing/RequestModel.h"
+
+namespace tarragontray {
+namespace {
+
+using std::chrono::seconds;
+using testing::AccountFigures;
+using testing::AdmissionKind;
+using testing::BalancingKind;
+using testing::ModelResult;
+using testing::ModelSettings;
+using testing::Percentile;
+using testing::RetryKind;
+using testing::SecondFigures;
+
+/// A set of policies under comparison.
+struct Contender
+{
+  const char* m_name;
+  BalancingKind m_balancing;
+  AdmissionKind m_admission;
+  RetryKind m_retries;
+};
+
+constexpr Contender kOurs{ "two-choices+fair+budget",
+                           BalancingKind::TwoChoices,
+                           AdmissionKind::Fair,
+                           RetryKind::Budget };
+constexpr Contender kThreeTries{ "two-choices+fair+three",
+                                 BalancingKind::TwoChoices,
+                                 AdmissionKind::Fair,
+                                 RetryKind::ThreeTries };
+constexpr Contender kPlain{ "round-robin+fifo+three",
+                            BalancingKind::RoundRobin,
+                            AdmissionKind::Fifo,
+                            RetryKind::ThreeTries };
+constexpr Contender kPlainBudget{ "round-robin+fifo+budget",
+                                  BalancingKind::RoundRobin,
+                                  AdmissionKind::Fifo,
+                                  RetryKind::Budget };
+constexpr double kLoads[] = { 0.5, 0.9, 1.5 };
+
+ModelSettings
+SettingsOf(const Contender& aContender, std::uint64_t aSeed)
+{
+  ModelSettings settings;
+  settings.m_seed = aSeed;
+  settings.m_balancing = aContender.m_balancing;
+  settings.m_admission = aContender.m_admission;
+  settings.m_retries = aContender.m_retries;
+  return settings;
+}
+
+double
+Part(std::uint64_t aPart, std::uint64_t aWhole)
+{
+  return aWhole == 0 ? 0
+                     : static_cast<double>(aPart) / static_cast<double>(aWhole);
+}
+
+/// One row of the comparison at a constant load.
+struct LoadRow
+{
+  std::string m_name;
+  double m_load = 0;
+  double m_median = 0;
+  double m_high = 0;
+  double m_done = 0;
+  double m_refused = 0;
+  double m_unknown = 0;
+  /// For each account: calls done of those offered, and of all done.
+  std::vector<double> m_accountDone;
+  std::vector<double> m_accountShare;
+};
+
+LoadRow
+RunLoad(const Contender& aContender, double aLoad, std::uint64_t aSeed)
+{
+  ModelSettings settings = SettingsOf(aContender, aSeed);
+  settings.m_phases = { { seconds(12), aLoad } };
+  const ModelResult result = testing::RunModel(settings);
+  const AccountFigures total = result.Total();
+  LoadRow row{ aContender.m_name,
+               aLoad,
+               Percentile(total.m_latencies, 0.5),
+               Percentile(total.m_latencies, 0.99),
+               Part(total.m_done, total.m_offered),
+               Part(total.m_notRun, total.m_offered),
+               Part(total.m_unknown, total.m_offered),
+               {},
+               {} };
+  for (const AccountFigures& account : result.m_accounts) {
+    row.m_accountDone.push_back(Part(account.m_done, account.m_offered));
+    row.m_accountShare.push_back(Part(account.m_done, total.m_done));
+  }
+  return row;
+}
+
+/// One row of the comparison over an outage of half the targets.
+struct OutageRow
+{
+  std::string m_name;
+  /// Runs for each offered call, before and during the outage.
+  double m_runsBefore = 0;
+  double m_runsDuring = 0;
+  double m_doneDuring = 0;
+  /// Seconds after the outage until the service is as before; negative: never.
+  double m_recovery = -1;
+  double m_doneAtEnd = 0;
+};
+
+constexpr std::size_t kOutageStart = 10;
+constexpr std::size_t kOutageEnd = 20;
+constexpr std::size_t kEnd = 40;
+constexpr double kHealthyDone = 0.99;
+/// The 99th percentile counts as recovered below this multiple of the former.
+constexpr double kHealthyLatency = 2;
+
+SecondFigures
+Sum(const ModelResult& aResult, std::size_t aFrom, std::size_t aTo)
+{
+  SecondFigures sum;
+  for (std::size_t i = aFrom; i < aTo; ++i) {
+    const SecondFigures& second = aResult.m_seconds[i];
+    sum.m_offered += second.m_offered;
+    sum.m_done += second.m_done;
+    sum.m_runs += second.m_runs;
+    sum.m_latencies.insert(sum.m_latencies.end(),
+                           second.m_latencies.begin(),
+                           second.m_latencies.end());
+  }
+  std::sort(sum.m_latencies.begin(), sum.m_latencies.end());
+  return sum;
+}
+
+double
+RecoveryTime(const ModelResult& aResult, double aFormerLatency)
+{
+  std::size_t lastBad = kOutageEnd - 1;
+  for (std::size_t i = kOutageEnd; i < kEnd; ++i) {
+    const SecondFigures& second = aResult.m_seconds[i];
+    const bool isHealthy =
+      Part(second.m_done, second.m_offered) >= kHealthyDone &&
+      Percentile(second.m_latencies, 0.99) <= kHealthyLatency * aFormerLatency;
+    lastBad = isHealthy ? lastBad : i;
+  }
+  return lastBad + 1 == kEnd ? -1
+                             : static_cast<double>(lastBad + 1 - kOutageEnd);
+}
+
+OutageRow
+RunOutage(const Contender& aContender, std::uint64_t aSeed)
+{
+  ModelSettings settings = SettingsOf(aContender, aSeed);
+  settings.m_hasOddTargets = false;
+  settings.m_idempotentShare = 1;
+  settings.m_phases = { { seconds(kOutageEnd), 0.9 }, { seconds(kEnd), 0.8 } };
+  settings.m_outage =
+    testing::Outage{ seconds(kOutageStart), seconds(kOutageEnd) };
+  const ModelResult result = testing::RunModel(settings);
+  const SecondFigures before = Sum(result, 5, kOutageStart);
+  const SecondFigures during = Sum(result, kOutageStart, kOutageEnd);
+  const SecondFigures end = Sum(result, kEnd - 5, kEnd);
+  return { aContender.m_name,
+           Part(before.m_runs, before.m_offered),
+           Part(during.m_runs, during.m_offered),
+           Part(during.m_done, during.m_offered),
+           RecoveryTime(result, Percentile(before.m_latencies, 0.99)),
+           Part(end.m_done, end.m_offered) };
+}
+
+std::string
+Percents(const std::vector<double>& aParts)
+{
+  std::string text;
+  for (const double part : aParts) {
+    char buffer[16];
+    std::snprintf(buffer, sizeof buffer, "%6.1f", 100 * part);
+    text += buffer;
+  }
+  return text;
+}
+
+void
+PrintLoads(const std::vector<LoadRow>& aRows)
+{
+  std::printf("%-24s %4s %8s %8s %6s %6s %6s | %-18s | %s\n",
+              "policies",
+              "load",
+              "p50 ms",
+              "p99 ms",
+              "done%",
+              "refus%",
+              "unkn%",
+              "done% by account",
+              "share of all done by account (steady, steady, flood)");
+  for (const LoadRow& row : aRows) {
+    std::printf("%-24s %4.1f %8.2f %8.2f %6.1f %6.1f %6.1f |%s |%s\n",
+                row.m_name.c_str(),
+                row.m_load,
+                row.m_median,
+                row.m_high,
+                100 * row.m_done,
+                100 * row.m_refused,
+                100 * row.m_unknown,
+                Percents(row.m_accountDone).c_str(),
+                Percents(row.m_accountShare).c_str());
+  }
+}
+
+void
+PrintOutages(const std::vector<OutageRow>& aRows)
+{
+  std::printf("\n%-24s %11s %11s %12s %10s %9s\n",
+              "policies",
+              "runs before",
+              "runs during",
+              "done% during",
+              "recovery s",
+              "done% end");
+  for (const OutageRow& row : aRows) {
+    std::printf("%-24s %11.3f %11.3f %12.1f %10.0f %9.1f\n",
+                row.m_name.c_str(),
+                row.m_runsBefore,
+                row.m_runsDuring,
+                100 * row.m_doneDuring,
+                row.m_recovery,
+                100 * row.m_doneAtEnd);
+  }
+}
+
+boost::json::array
+ToJson(const std::vector<double>& aValues)
+{
+  return boost::json::array(aValues.begin(), aValues.end());
+}
+
+boost::json::object
+ToJson(const std::vector<LoadRow>& aLoads,
+       const std::vector<OutageRow>& aOutages,
+       std::uint64_t aSeed)
+{
+  boost::json::array loads;
+  for (const LoadRow& row : aLoads) {
+    loads.push_back({ { "policies", row.m_name },
+                      { "load", row.m_load },
+                      { "p50_ms", row.m_median },
+                      { "p99_ms", row.m_high },
+                      { "done", row.m_done },
+                      { "refused", row.m_refused },
+                      { "unknown", row.m_unknown },
+                      { "account_done", ToJson(row.m_accountDone) },
+                      { "account_share", ToJson(row.m_accountShare) } });
+  }
+  boost::json::array outages;
+  for (const OutageRow& row : aOutages) {
+    outages.push_back({ { "policies", row.m_name },
+                        { "runs_before", row.m_runsBefore },
+                        { "runs_during", row.m_runsDuring },
+                        { "done_during", row.m_doneDuring },
+                        { "recovery_seconds", row.m_recovery },
+                        { "done_at_end", row.m_doneAtEnd } });
+  }
+  return { { "seed", aSeed }, { "loads", loads }, { "outages", outages } };
+}
+
+int
+Run(int aCount, const char* const* aArguments)
+{
+  cxxopts::Options options("tarragontray-experiment-requests",
+                           "Compares request policies with their baselines.");
+  cxxopts::OptionAdder add = options.add_options();
+  add("seed",
+      "the seed of every run",
+      cxxopts::value<std::uint64_t>()->default_value("1"));
+  add("json", "print JSON instead of a table");
+  add("help", "print this help");
+  const cxxopts::ParseResult flags = options.parse(aCount, aArguments);
+  if (flags.count("help") > 0) {
+    std::cout << options.help();
+    return 0;
+  }
+  const auto seed = flags["seed"].as<std::uint64_t>();
+  std::vector<LoadRow> loads;
+  for (const double load : kLoads) {
+    for (const Contender& contender : { kOurs, kPlainBudget }) {
+      loads.push_back(RunLoad(contender, load, seed));
+    }
+  }
+  std::vector<OutageRow> outages;
+  for (const Contender& contender : { kOurs, kThreeTries, kPlain }) {
+    outages.push_back(RunOutage(contender, seed));
+  }
+  if (flags.count("json") > 0) {
+    std::cout << ToJson(loads, outages, seed) << "\n";
+  } else {
+    PrintLoads(loads);
+    PrintOutages(outages);
+  }
+  return 0;
+}
+
+} // namespace
+} // namespace tarragontray
+
+int
+main(int aCount, char** aArguments)
+{
+  try {
+    return tarragontray::Run(aCount, aArguments);
+  } catch (const std::exception& error) {
+    std::cerr << "experiment: " << error.what() << "\n";
+    return 2;
+  }
+}
--- a/src/request/CallPlan.h
+++ b/src/request/CallPlan.h
@@ -130,6 +130,7 @@
     return m_observations;
   }
   MonotonicTime Deadline() const { return m_setup.m_deadline; }
+  bool IsIdempotent() const { return m_setup.m_route.m_idempotent; }
   bool IsFinished() const { return m_state == State::Finished; }
 
 private:
--- a/src/request/ExchangeTest.cpp
+++ b/src/request/ExchangeTest.cpp
@@ -4,12 +4,21 @@
 
 #include <criterion/criterion.h>
 
-#include "request/FakeExchange.h"
+#include "request/testing/FakeExchange.h"
 
 namespace tarragontray {
 
 namespace {
 
+using testing::AskFault;
+using testing::AttemptFault;
+using testing::FakeCallSpec;
+using testing::FakeExchange;
+using testing::FakeExchangeSettings;
+using testing::FaultPlan;
+using testing::kAskFaults;
+using testing::kAttemptFaults;
+
 /// One fault at the first attempt and one at each question.
 class FixedFaults final : public FaultPlan
 {
--- a/src/request/FakeExchange.cpp
+++ b/src/request/testing/FakeExchange.cpp
@@ -1,11 +1,11 @@
-#include "request/FakeExchange.h"
+#include "request/testing/FakeExchange.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "request/FairAdmission.h"
 
-namespace tarragontray {
+namespace tarragontray::testing {
 
 namespace {
 
@@ -411,4 +411,4 @@
   m_log += std::to_string(time.count()) + " ms " + aLine + "\n";
 }
 
-} // namespace tarragontray
+} // namespace tarragontray::testing
--- a/src/request/FakeExchange.h
+++ b/src/request/testing/FakeExchange.h
@@ -27,7 +27,7 @@
 #include "request/Subset.h"
 #include "request/TwoChoicesBalancing.h"
 
-namespace tarragontray {
+namespace tarragontray::testing {
 
 /// What happens to one attempt on its way.
 enum class AttemptFault : std::uint8_t
@@ -178,4 +178,4 @@
   std::string m_log;
 };
 
-} // namespace tarragontray
+} // namespace tarragontray::testing
