Keep ejections short and put ejected targets on trial

During the outage retries reached ejected targets, because the rule "never more than half" counted only the targets not yet tried.

Ruled out: an ejection without end until a probe succeeds; it needs probes of its own, and a short ejection followed by a trial costs a few calls only.

Change: ejections of 0.5 to 2 s; after one a target gets an eighth of its slots until a call succeeds; what a call has tried counts as healthy.

--- a/src/request/BalancingPolicy.h
+++ b/src/request/BalancingPolicy.h
@@ -1,8 +1,8 @@
 /// \file
 /// Choice of a target for one attempt.
 ///
-///     std::optional<std::size_t> index = policy->Choose(candidates, random);
-///     policy->Started(candidates[*index].m_vm, now);
+///     std::optional<std::size_t> index = policy->Choose(candidates, 0,
+///     dataCentre, now, random); policy->Started(candidates[*index].m_vm, now);
 ///     ...
 ///     policy->Finished(candidates[*index].m_vm, result, now);
 ///
@@ -38,8 +38,10 @@
 
   /// Picks one of the candidates, or nothing when none should get work now.
   /// \param aCandidates targets of the service and version, not tried yet.
+  /// \param aTried targets that this call has tried already.
   virtual std::optional<std::size_t> Choose(
     const std::vector<const Target*>& aCandidates,
+    std::size_t aTried,
     const DataCentreId& aOwnDataCentre,
     MonotonicTime aNow,
     Random& aRandom) = 0;
--- a/src/request/RoundRobinBalancing.h
+++ b/src/request/RoundRobinBalancing.h
@@ -3,7 +3,7 @@
 ///
 ///     RoundRobinBalancing policy;
 ///     std::optional<std::size_t> index =
-///       policy.Choose(candidates, dataCentre, now, random);
+///       policy.Choose(candidates, 0, dataCentre, now, random);
 ///
 /// Thread safety: one thread.
 #pragma once
@@ -21,6 +21,7 @@
 public:
   std::optional<std::size_t> Choose(
     const std::vector<const Target*>& aCandidates,
+    std::size_t /*aTried*/,
     const DataCentreId& /*aOwnDataCentre*/,
     MonotonicTime /*aNow*/,
     Random& /*aRandom*/) override
--- a/src/request/TargetSequence.cpp
+++ b/src/request/TargetSequence.cpp
@@ -112,8 +112,11 @@
     }
   }
   const std::optional<std::size_t> index =
-    m_setup.m_policies.m_balancing.Choose(
-      candidates, m_setup.m_dataCentre, aNow, m_setup.m_policies.m_random);
+    m_setup.m_policies.m_balancing.Choose(candidates,
+                                          m_tried.size(),
+                                          m_setup.m_dataCentre,
+                                          aNow,
+                                          m_setup.m_policies.m_random);
   return index ? candidates[*index] : nullptr;
 }
 
--- a/src/request/TwoChoicesBalancing.cpp
+++ b/src/request/TwoChoicesBalancing.cpp
@@ -27,6 +27,7 @@
 
 std::optional<std::size_t>
 TwoChoicesBalancing::Choose(const std::vector<const Target*>& aCandidates,
+                            std::size_t aTried,
                             const DataCentreId& aOwnDataCentre,
                             MonotonicTime aNow,
                             Random& aRandom)
@@ -34,7 +35,7 @@
   if (aCandidates.empty()) {
     return std::nullopt;
   }
-  KeepHealthy(aCandidates, aNow);
+  KeepHealthy(aCandidates, aTried, aNow);
   SelectTier(aCandidates, aOwnDataCentre, aNow);
   const std::size_t count = m_tier.size();
   if (count == 1) {
@@ -51,6 +52,7 @@
 
 void
 TwoChoicesBalancing::KeepHealthy(const std::vector<const Target*>& aCandidates,
+                                 std::size_t aTried,
                                  MonotonicTime aNow)
 {
   m_healthy.clear();
@@ -59,7 +61,10 @@
       m_healthy.push_back(i);
     }
   }
-  if (m_healthy.size() * 2 >= aCandidates.size()) {
+  // What this call has tried counts as healthy: a retry must not reach the
+  // ejected targets just because it can't use the others again.
+  const std::size_t ejected = aCandidates.size() - m_healthy.size();
+  if (ejected <= m_healthy.size() + aTried && !m_healthy.empty()) {
     return;
   }
   // Ejecting most of the candidates would only move the overload.
@@ -101,6 +106,17 @@
   return aTarget.m_region == m_settings.m_region ? 1 : 2;
 }
 
+double
+TwoChoicesBalancing::UsableSlots(const Target& aTarget,
+                                 const Stats* aStats) const
+{
+  const bool isOnTrial = aStats != nullptr && aStats->m_ejections > 0;
+  const bool isLimited =
+    isOnTrial || aTarget.m_state == UpstreamState::Starting;
+  const double slots = std::max<double>(1, aTarget.m_slots.Value());
+  return isLimited ? slots / m_settings.m_startingPenalty : slots;
+}
+
 double
 TwoChoicesBalancing::Load(const Target& aTarget, MonotonicTime aNow) const
 {
@@ -112,9 +128,7 @@
   const double faded =
     stats->m_reported * std::exp2(-age / Seconds(m_settings.m_reportHalfLife));
   const double load = std::max<double>(stats->m_inFlight, faded);
-  const double slots = std::max<double>(1, aTarget.m_slots.Value());
-  const bool isStarting = aTarget.m_state == UpstreamState::Starting;
-  return load * (isStarting ? m_settings.m_startingPenalty : 1) / slots;
+  return load / UsableSlots(aTarget, stats);
 }
 
 double
@@ -123,9 +137,7 @@
   const Stats* stats = Find(aTarget.m_vm);
   const bool isKnown = stats != nullptr && stats->m_latency > 0;
   const double latency = isKnown ? stats->m_latency : m_usualLatency;
-  const double slots = std::max<double>(1, aTarget.m_slots.Value());
-  const bool isStarting = aTarget.m_state == UpstreamState::Starting;
-  const double own = (isStarting ? m_settings.m_startingPenalty : 1) / slots;
+  const double own = 1 / UsableSlots(aTarget, stats);
   return (Load(aTarget, aNow) + own) * latency;
 }
 
--- a/src/request/TwoChoicesBalancing.h
+++ b/src/request/TwoChoicesBalancing.h
@@ -3,7 +3,7 @@
 ///
 ///     TwoChoicesBalancing policy(TwoChoicesSettings{});
 ///     std::optional<std::size_t> index =
-///       policy.Choose(candidates, dataCentre, now, random);
+///       policy.Choose(candidates, 0, dataCentre, now, random);
 ///     policy.Started(candidates[*index]->m_vm, now);
 ///     policy.Finished(candidates[*index]->m_vm, result, now);
 ///
@@ -38,9 +38,11 @@
   Duration m_reportHalfLife = std::chrono::milliseconds(500);
   /// Failures in a row that eject a target.
   std::uint32_t m_ejectAfter = 5;
-  Duration m_firstEjection = std::chrono::seconds(2);
-  Duration m_maxEjection = std::chrono::seconds(30);
-  /// The load of a starting target counts this many times.
+  Duration m_firstEjection = std::chrono::milliseconds(500);
+  /// Bounds the time for which the service lacks targets that are well again.
+  Duration m_maxEjection = std::chrono::seconds(2);
+  /// The load of a starting target, and of one that has not succeeded since
+  /// its ejection, counts this many times.
   double m_startingPenalty = 8;
   /// Targets tracked; on more, idle ones are forgotten.
   std::size_t m_maxTargets = 8192;
@@ -58,6 +60,7 @@
   /// much, and only they know it.
   std::optional<std::size_t> Choose(
     const std::vector<const Target*>& aCandidates,
+    std::size_t aTried,
     const DataCentreId& aOwnDataCentre,
     MonotonicTime aNow,
     Random& aRandom) override;
@@ -86,11 +89,14 @@
   using Indices = std::vector<std::size_t>;
 
   const Stats* Find(const VmId& aVm) const;
-  /// Load over slots.
+  /// Slots, or the few of a target that is starting or on trial, at least 1.
+  double UsableSlots(const Target& aTarget, const Stats* aStats) const;
+  /// Load over usable slots.
   double Load(const Target& aTarget, MonotonicTime aNow) const;
   /// What two choices compare: load weighted by latency.
   double Cost(const Target& aTarget, MonotonicTime aNow) const;
   void KeepHealthy(const std::vector<const Target*>& aCandidates,
+                   std::size_t aTried,
                    MonotonicTime aNow);
   /// Fills m_tier with the healthy targets that have room, from no further
   /// away than needed.
