Wait for enough calls of the old version before a window is judged

With three calls of the old version in a window, one bad, the reference stayed far below a fault that hurt both versions.

Change: windows of a route are joined until the old version has 12 calls, or for 10 s, while the loads compare; a shared fault raises the reference by 1.5 standard deviations.

--- a/src/version/RouteComparison.cpp
+++ b/src/version/RouteComparison.cpp
@@ -17,6 +17,11 @@
 constexpr double kPastDecay = 0.98;
 /// Bad calls of the old version in one window that count as a shared fault.
 constexpr std::uint64_t kSharedFaultCalls = 2;
+/// How far above the old version's rate a shared fault may show in the new one.
+constexpr double kSharedFaultDeviations = 1.5;
+/// Windows are joined until the old version has so many calls, or so long.
+constexpr std::uint64_t kEnoughOldCalls = 12;
+constexpr Duration kLongestWait = std::chrono::seconds(10);
 /// Calls that a latency limit needs.
 constexpr double kLatencyCalls = 30.0;
 constexpr double kLatencyQuantile = 0.9;
@@ -61,7 +66,9 @@
   if (aOld.m_bad < kSharedFaultCalls) {
     return pooled;
   }
-  return std::max(pooled, (bad + 1.0) / (calls + 1.0));
+  const double rate = bad / calls;
+  const double deviation = std::sqrt(rate * (1.0 - rate) / calls);
+  return std::max(pooled, rate + kSharedFaultDeviations * deviation);
 }
 
 } // namespace
@@ -106,23 +113,21 @@
 }
 
 void
-RouteComparison::AddSignal(const std::vector<const WindowEntry*>& aEntries,
-                           Signal aSignal,
-                           bool aTest)
+RouteComparison::AddSignal(Signal aSignal, bool aTest)
 {
   BadCount old;
   std::vector<TargetSample> samples;
-  for (const WindowEntry* entry : aEntries) {
-    const std::optional<std::uint64_t> bad = BadCalls(*entry, aSignal);
+  for (const WindowEntry& entry : m_pending) {
+    const std::optional<std::uint64_t> bad = BadCalls(entry, aSignal);
     if (!bad) {
       continue;
     }
-    const std::uint64_t calls = entry->m_counters.m_calls;
+    const std::uint64_t calls = entry.m_counters.m_calls;
     const std::uint64_t bounded = std::min(*bad, calls);
-    if (entry->m_side == VersionSide::Old) {
+    if (entry.m_side == VersionSide::Old) {
       old += BadCount{ calls, bounded };
     } else {
-      samples.push_back({ entry->m_target, calls, bounded });
+      samples.push_back({ entry.m_target, calls, bounded });
     }
   }
   SignalState& state = m_signals[Index(aSignal)];
@@ -148,18 +153,18 @@
 }
 
 void
-RouteComparison::AddLatencyPast(const std::vector<const WindowEntry*>& aEntries)
+RouteComparison::AddLatencyPast()
 {
   bool sawOld = false;
   std::array<double, kLatencyBuckets> window{};
-  for (const WindowEntry* entry : aEntries) {
-    if (entry->m_side == VersionSide::New || entry->m_isFresh ||
-        entry->m_isWarming) {
+  for (const WindowEntry& entry : m_pending) {
+    if (entry.m_side == VersionSide::New || entry.m_isFresh ||
+        entry.m_isWarming) {
       continue;
     }
     sawOld = true;
     for (std::size_t i = 0; i < kLatencyBuckets; ++i) {
-      window[i] += static_cast<double>(entry->m_counters.m_latency[i]);
+      window[i] += static_cast<double>(entry.m_counters.m_latency[i]);
     }
   }
   if (!sawOld) {
@@ -191,14 +196,34 @@
   m_slowLimit = std::min(bucket + kSlowBuckets, kLatencyBuckets - 2);
 }
 
+bool
+RouteComparison::MustWait(const WindowUse& aUse) const
+{
+  if (!aUse.m_test || !aUse.m_waitForOld || m_pendingLength >= kLongestWait) {
+    return false;
+  }
+  std::uint64_t oldCalls = 0;
+  for (const WindowEntry& entry : m_pending) {
+    oldCalls += entry.m_side == VersionSide::Old ? entry.m_counters.m_calls : 0;
+  }
+  return oldCalls < kEnoughOldCalls;
+}
+
 void
-RouteComparison::Add(const std::vector<const WindowEntry*>& aEntries,
-                     bool aTest)
+RouteComparison::Add(const std::vector<WindowEntry>& aEntries,
+                     const WindowUse& aUse)
 {
-  AddSignal(aEntries, Signal::Failures, aTest);
-  AddSignal(aEntries, Signal::CallerErrors, aTest);
-  AddSignal(aEntries, Signal::SlowCalls, aTest);
-  AddLatencyPast(aEntries);
+  m_pending.insert(m_pending.end(), aEntries.begin(), aEntries.end());
+  m_pendingLength += aUse.m_length;
+  if (MustWait(aUse)) {
+    return;
+  }
+  AddSignal(Signal::Failures, aUse.m_test);
+  AddSignal(Signal::CallerErrors, aUse.m_test);
+  AddSignal(Signal::SlowCalls, aUse.m_test);
+  AddLatencyPast();
+  m_pending.clear();
+  m_pendingLength = Duration::zero();
 }
 
 SignalScore
--- a/src/version/RouteComparison.h
+++ b/src/version/RouteComparison.h
@@ -2,7 +2,7 @@
 /// The new version against the old one on one route.
 ///
 ///     RouteComparison route;
-///     route.Add(entriesOfTheRoute, true);
+///     route.Add(entriesOfTheRoute, use);
 ///     if (route.Worst().m_score >= kVerdictScore) { ... }
 ///
 /// Three signals: failures, errors that blame the caller (4xx), and calls that
@@ -55,13 +55,23 @@
 std::string
 Describe(const SignalScore& aScore);
 
+/// What a window is used for.
+struct WindowUse
+{
+  Duration m_length{ 0 };
+  /// False: only the old version's past is updated.
+  bool m_test = true;
+  /// Join windows until the old version has enough calls to show a fault of
+  /// both versions.
+  bool m_waitForOld = false;
+};
+
 /// All evidence of one route.
 class RouteComparison
 {
 public:
   /// Takes one window's entries of this route in.
-  /// \param aTest false: only the old version's past is updated.
-  void Add(const std::vector<const WindowEntry*>& aEntries, bool aTest);
+  void Add(const std::vector<WindowEntry>& aEntries, const WindowUse& aUse);
 
   /// The signal that speaks most against the new version.
   SignalScore Worst() const;
@@ -88,13 +98,15 @@
 
   std::optional<std::uint64_t> BadCalls(const WindowEntry& aEntry,
                                         Signal aSignal) const;
-  void AddSignal(const std::vector<const WindowEntry*>& aEntries,
-                 Signal aSignal,
-                 bool aTest);
-  void AddLatencyPast(const std::vector<const WindowEntry*>& aEntries);
+  bool MustWait(const WindowUse& aUse) const;
+  void AddSignal(Signal aSignal, bool aTest);
+  void AddLatencyPast();
   void SetSlowLimit();
 
   std::array<SignalState, kSignals> m_signals;
+  /// Entries of the windows that are not judged yet.
+  std::vector<WindowEntry> m_pending;
+  Duration m_pendingLength{ 0 };
   std::array<double, kLatencyBuckets> m_pastLatency{};
   /// Calls in a bucket above this one are slow.
   std::optional<std::size_t> m_slowLimit;
--- a/src/version/SequentialJudge.cpp
+++ b/src/version/SequentialJudge.cpp
@@ -46,15 +46,19 @@
 void
 SequentialJudge::Learn(const EvidenceWindow& aWindow)
 {
-  std::map<RouteName, std::vector<const WindowEntry*>> byRoute;
+  std::map<RouteName, std::vector<WindowEntry>> byRoute;
   for (const WindowEntry& entry : aWindow.m_entries) {
-    byRoute[entry.m_route].push_back(&entry);
+    byRoute[entry.m_route].push_back(entry);
+    m_routes.try_emplace(entry.m_route);
   }
   // Load first: during a comparison only windows at comparable load count.
   m_loads.Add(aWindow, IsOldHealthy());
-  const bool test = !m_comparison || m_loads.IsComparable();
-  for (const auto& [route, entries] : byRoute) {
-    m_routes[route].Add(entries, test);
+  const bool isComparable = m_loads.IsComparable();
+  const WindowUse use{ aWindow.m_length,
+                       !m_comparison || isComparable,
+                       isComparable };
+  for (auto& [name, route] : m_routes) {
+    route.Add(byRoute[name], use);
   }
 }
 
