Keep the verdict's evidence through comparisons

A passing fault of both versions stayed in the old one's past.

Change: two tests for each signal: one over all windows calls for a comparison and is reset by it; one over windows of comparable load condemns and is never reset. A score is zero while only one of several targets was seen on the route. Windows in which the old version was unhealthy weigh a tenth in its past. A comparison needs three bad calls.

--- a/src/version/RouteComparison.cpp
+++ b/src/version/RouteComparison.cpp
@@ -15,6 +15,9 @@
 constexpr double kPriorCalls = 5.0;
 /// What one window's past is worth at the next one.
 constexpr double kPastDecay = 0.98;
+/// The same for a window in which the old version was unhealthy, so that a
+/// passing fault does not hide a later one.
+constexpr double kUnhealthyWeight = 0.1;
 /// Bad calls of the old version in one window that count as a shared fault.
 constexpr std::uint64_t kSharedFaultCalls = 2;
 /// How far above the old version's rate a shared fault may show in the new one.
@@ -113,7 +116,19 @@
 }
 
 void
-RouteComparison::AddSignal(Signal aSignal, bool aTest)
+RouteComparison::TestState::Add(const TestRates& aRates,
+                                const std::vector<TargetSample>& aSamples,
+                                const BadCount& aOld)
+{
+  m_test.Add(aRates, aSamples);
+  m_oldEpisode += aOld;
+  if (m_test.Episode().m_calls == 0) {
+    m_oldEpisode = BadCount();
+  }
+}
+
+void
+RouteComparison::AddSignal(Signal aSignal, const WindowUse& aUse)
 {
   BadCount old;
   std::vector<TargetSample> samples;
@@ -137,18 +152,19 @@
   state.m_reference = Reference(old, pastRate) + rule.m_tolerance;
   state.m_isOldHealthy = old.m_bad < kSharedFaultCalls ||
                          Rate(old) <= pastRate + 4 * rule.m_tolerance;
-  if (aTest && !samples.empty()) {
-    state.m_test.Add({ state.m_reference, rule.m_excess }, samples);
-    state.m_oldEpisode += old;
-    if (state.m_test.Episode().m_calls == 0) {
-      state.m_oldEpisode = BadCount();
-    }
+  const TestRates rates{ state.m_reference, rule.m_excess };
+  if (aUse.m_test && !samples.empty()) {
+    state.m_suspicion.Add(rates, samples, old);
+  }
+  if (aUse.m_isComparable && !samples.empty()) {
+    state.m_verdict.Add(rates, samples, old);
   }
   if (old.m_calls > 0) {
-    state.m_pastCalls =
-      state.m_pastCalls * kPastDecay + static_cast<double>(old.m_calls);
+    const double weight = state.m_isOldHealthy ? 1.0 : kUnhealthyWeight;
+    state.m_pastCalls = state.m_pastCalls * kPastDecay +
+                        weight * static_cast<double>(old.m_calls);
     state.m_pastBad =
-      state.m_pastBad * kPastDecay + static_cast<double>(old.m_bad);
+      state.m_pastBad * kPastDecay + weight * static_cast<double>(old.m_bad);
   }
 }
 
@@ -170,8 +186,10 @@
   if (!sawOld) {
     return;
   }
+  const double weight =
+    IsOldHealthy(Signal::SlowCalls) ? 1.0 : kUnhealthyWeight;
   for (std::size_t i = 0; i < kLatencyBuckets; ++i) {
-    m_pastLatency[i] = m_pastLatency[i] * kPastDecay + window[i];
+    m_pastLatency[i] = m_pastLatency[i] * kPastDecay + weight * window[i];
   }
   SetSlowLimit();
 }
@@ -199,7 +217,7 @@
 bool
 RouteComparison::MustWait(const WindowUse& aUse) const
 {
-  if (!aUse.m_test || !aUse.m_waitForOld || m_pendingLength >= kLongestWait) {
+  if (!aUse.m_test || !aUse.m_isComparable || m_pendingLength >= kLongestWait) {
     return false;
   }
   std::uint64_t oldCalls = 0;
@@ -218,26 +236,28 @@
   if (MustWait(aUse)) {
     return;
   }
-  AddSignal(Signal::Failures, aUse.m_test);
-  AddSignal(Signal::CallerErrors, aUse.m_test);
-  AddSignal(Signal::SlowCalls, aUse.m_test);
+  AddSignal(Signal::Failures, aUse);
+  AddSignal(Signal::CallerErrors, aUse);
+  AddSignal(Signal::SlowCalls, aUse);
   AddLatencyPast();
   m_pending.clear();
   m_pendingLength = Duration::zero();
 }
 
 SignalScore
-RouteComparison::Worst() const
+RouteComparison::Worst(TestKind aKind, std::size_t aTargets) const
 {
   SignalScore worst;
   for (std::size_t i = 0; i < kSignals; ++i) {
     const SignalState& state = m_signals[i];
-    const double score = state.m_test.Score();
+    const TestState& test =
+      aKind == TestKind::Verdict ? state.m_verdict : state.m_suspicion;
+    const double score = test.m_test.Score(aTargets);
     if (i == 0 || score > worst.m_score) {
       worst = SignalScore{ static_cast<Signal>(i),
                            score,
-                           state.m_test.Episode(),
-                           state.m_oldEpisode,
+                           test.m_test.Episode(),
+                           test.m_oldEpisode,
                            state.m_reference };
     }
   }
@@ -251,11 +271,10 @@
 }
 
 void
-RouteComparison::ResetTests()
+RouteComparison::ResetSuspicion()
 {
   for (SignalState& state : m_signals) {
-    state.m_test.Reset();
-    state.m_oldEpisode = BadCount();
+    state.m_suspicion = TestState();
   }
 }
 
--- a/src/version/RouteComparison.h
+++ b/src/version/RouteComparison.h
@@ -3,7 +3,8 @@
 ///
 ///     RouteComparison route;
 ///     route.Add(entriesOfTheRoute, use);
-///     if (route.Worst().m_score >= kVerdictScore) { ... }
+///     if (route.Worst(TestKind::Verdict, targets).m_score >= kVerdictScore) {
+///     ... }
 ///
 /// Three signals: failures, errors that blame the caller (4xx), and calls that
 /// are slower than a limit set by the old version's latency. Each signal's
@@ -61,9 +62,18 @@
   Duration m_length{ 0 };
   /// False: only the old version's past is updated.
   bool m_test = true;
-  /// Join windows until the old version has enough calls to show a fault of
-  /// both versions.
-  bool m_waitForOld = false;
+  /// Both versions carry comparable load. Windows are joined until the old
+  /// version has enough calls to show a fault of both versions.
+  bool m_isComparable = false;
+};
+
+/// The two tests of each signal.
+enum class TestKind : std::uint8_t
+{
+  /// Over all windows; it calls for a comparison.
+  Suspicion,
+  /// Over windows of comparable load; it condemns.
+  Verdict,
 };
 
 /// All evidence of one route.
@@ -74,21 +84,31 @@
   void Add(const std::vector<WindowEntry>& aEntries, const WindowUse& aUse);
 
   /// The signal that speaks most against the new version.
-  SignalScore Worst() const;
+  /// \param aTargets targets of the new version.
+  SignalScore Worst(TestKind aKind, std::size_t aTargets) const;
 
   /// The old version's bad calls of a signal in the last window stayed within
   /// what its past allows.
   bool IsOldHealthy(Signal aSignal) const;
 
-  /// Forgets what spoke against the new version, not the old one's past.
-  void ResetTests();
+  /// Forgets the suspicion, not the verdict's test and the old one's past.
+  void ResetSuspicion();
 
 private:
-  struct SignalState
+  struct TestState
   {
     SequentialTest m_test;
     /// The old version's calls over the test's episode.
     BadCount m_oldEpisode;
+
+    void Add(const TestRates& aRates,
+             const std::vector<TargetSample>& aSamples,
+             const BadCount& aOld);
+  };
+  struct SignalState
+  {
+    TestState m_suspicion;
+    TestState m_verdict;
     /// The old version's decayed past.
     double m_pastCalls = 0.0;
     double m_pastBad = 0.0;
@@ -99,7 +119,7 @@
   std::optional<std::uint64_t> BadCalls(const WindowEntry& aEntry,
                                         Signal aSignal) const;
   bool MustWait(const WindowUse& aUse) const;
-  void AddSignal(Signal aSignal, bool aTest);
+  void AddSignal(Signal aSignal, const WindowUse& aUse);
   void AddLatencyPast();
   void SetSlowLimit();
 
--- a/src/version/SequentialJudge.cpp
+++ b/src/version/SequentialJudge.cpp
@@ -9,11 +9,14 @@
 
 /// Bad calls below which a score is chance.
 constexpr std::uint64_t kSuspectCalls = 2;
+constexpr std::uint64_t kComparisonBadCalls = 3;
 constexpr std::uint64_t kVerdictCalls = 3;
 /// A comparison ends well after this many calls of the new version, or fewer
 /// and this time, with nothing against it.
 constexpr std::uint64_t kComparisonCalls = 40;
 constexpr std::uint64_t kFewComparisonCalls = 12;
+/// At this score few calls are enough.
+constexpr double kClearScore = 1.0;
 constexpr Duration kComparisonTime = std::chrono::seconds(20);
 constexpr Duration kShortestComparison = std::chrono::seconds(3);
 /// Comparisons after which a version counts as bad under load.
@@ -50,6 +53,9 @@
   for (const WindowEntry& entry : aWindow.m_entries) {
     byRoute[entry.m_route].push_back(entry);
     m_routes.try_emplace(entry.m_route);
+    if (entry.m_side == VersionSide::New) {
+      m_targets.insert(entry.m_target);
+    }
   }
   // Load first: during a comparison only windows at comparable load count.
   m_loads.Add(aWindow, IsOldHealthy());
@@ -72,11 +78,11 @@
 }
 
 SequentialJudge::WorstRoute
-SequentialJudge::FindWorst() const
+SequentialJudge::FindWorst(TestKind aKind) const
 {
   WorstRoute worst;
   for (const auto& [name, route] : m_routes) {
-    const SignalScore score = route.Worst();
+    const SignalScore score = route.Worst(aKind, m_targets.size());
     if (worst.m_route.IsEmpty() || score.m_score > worst.m_score.m_score) {
       worst = WorstRoute{ name, score };
     }
@@ -85,10 +91,10 @@
 }
 
 void
-SequentialJudge::ResetTests()
+SequentialJudge::ResetSuspicion()
 {
   for (auto& [name, route] : m_routes) {
-    route.ResetTests();
+    route.ResetSuspicion();
   }
 }
 
@@ -107,7 +113,7 @@
   comparison.m_signal = aWorst.m_score.m_signal;
   comparison.m_isProven = isProven;
   m_comparison = std::move(comparison);
-  ResetTests();
+  ResetSuspicion();
   Verdict verdict = suspect;
   verdict.m_kind = VerdictKind::NeedsComparison;
   return verdict;
@@ -118,7 +124,7 @@
 {
   const Comparison ended = *m_comparison;
   m_comparison.reset();
-  ResetTests();
+  ResetSuspicion();
   if (!m_limits.m_judgesLoad || !ended.m_isProven || !ended.m_wasOldHealthy) {
     return Verdict();
   }
@@ -136,7 +142,7 @@
 SequentialJudge::AbandonComparison()
 {
   m_comparison.reset();
-  ResetTests();
+  ResetSuspicion();
   return Verdict();
 }
 
@@ -160,9 +166,9 @@
   }
   const bool isEnough = m_comparison->m_calls >= kComparisonCalls &&
                         m_comparison->m_comparableLength >= kShortestComparison;
-  const bool isLongEnough = m_comparison->m_calls >= kFewComparisonCalls &&
-                            m_comparison->m_comparableLength >= kComparisonTime;
-  if (isEnough || isLongEnough) {
+  const bool isClear = aWorst.m_score.m_score <= kClearScore ||
+                       m_comparison->m_comparableLength >= kComparisonTime;
+  if (isEnough || (isClear && m_comparison->m_calls >= kFewComparisonCalls)) {
     return EndComparison();
   }
   return m_comparison->m_cause;
@@ -172,23 +178,25 @@
 SequentialJudge::Judge(const EvidenceWindow& aWindow)
 {
   Learn(aWindow);
-  const WorstRoute worst = FindWorst();
-  const SignalScore& score = worst.m_score;
-  if (m_loads.IsComparable() && score.m_score >= m_limits.m_verdictScore &&
-      score.m_new.m_bad >= kVerdictCalls) {
-    return MakeVerdict(VerdictKind::Bad, worst.m_route, score);
+  const WorstRoute compared = FindWorst(TestKind::Verdict);
+  if (compared.m_score.m_score >= m_limits.m_verdictScore &&
+      compared.m_score.m_new.m_bad >= kVerdictCalls) {
+    return MakeVerdict(VerdictKind::Bad, compared.m_route, compared.m_score);
   }
   if (m_comparison) {
-    return Compare(aWindow, worst);
+    return Compare(aWindow, compared);
   }
-  if (score.m_score < m_limits.m_suspectScore ||
-      score.m_new.m_bad < kSuspectCalls) {
+  const WorstRoute worst = FindWorst(TestKind::Suspicion);
+  if (worst.m_score.m_score < m_limits.m_suspectScore ||
+      worst.m_score.m_new.m_bad < kSuspectCalls) {
     return Verdict();
   }
   if (m_loads.IsComparable()) {
-    return MakeVerdict(VerdictKind::Suspect, worst.m_route, score);
+    return MakeVerdict(VerdictKind::Suspect, worst.m_route, worst.m_score);
   }
-  return BeginComparison(worst);
+  return worst.m_score.m_new.m_bad < kComparisonBadCalls
+           ? Verdict()
+           : BeginComparison(worst);
 }
 
 } // namespace tarragontray
--- a/src/version/SequentialJudge.h
+++ b/src/version/SequentialJudge.h
@@ -9,6 +9,8 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 
 #include "version/LoadComparison.h"
 #include "version/MovePolicy.h"
@@ -60,16 +62,18 @@
 
   void Learn(const EvidenceWindow& aWindow);
   bool IsOldHealthy() const;
-  WorstRoute FindWorst() const;
+  WorstRoute FindWorst(TestKind aKind) const;
   Verdict BeginComparison(const WorstRoute& aWorst);
   Verdict Compare(const EvidenceWindow& aWindow, const WorstRoute& aWorst);
   Verdict EndComparison();
   Verdict AbandonComparison();
-  void ResetTests();
+  void ResetSuspicion();
 
   JudgeLimits m_limits;
   LoadComparison m_loads;
   std::map<RouteName, RouteComparison> m_routes;
+  /// Targets of the new version.
+  std::set<VmId> m_targets;
   std::optional<Comparison> m_comparison;
   /// Comparisons that ended well after a load that the old version carries.
   int m_failuresUnderLoad = 0;
--- a/src/version/SequentialTest.cpp
+++ b/src/version/SequentialTest.cpp
@@ -70,8 +70,11 @@
 }
 
 double
-SequentialTest::Score() const
+SequentialTest::Score(std::size_t aTargets) const
 {
+  if (aTargets > 1 && m_sums.front().m_without.size() <= 1) {
+    return 0.0;
+  }
   double score = 0.0;
   for (const Sums& sums : m_sums) {
     double least = sums.m_all;
--- a/src/version/SequentialTest.h
+++ b/src/version/SequentialTest.h
@@ -3,7 +3,7 @@
 ///
 ///     SequentialTest test;
 ///     test.Add(reference, { { target, calls, bad }, ... });
-///     if (test.Score() >= kVerdictScore) { ... }
+///     if (test.Score(targets) >= kVerdictScore) { ... }
 ///
 /// Cumulative sums of log likelihood ratios (E. S. Page, "Continuous
 /// inspection schemes", 1954; the ratio is that of A. Wald's sequential test,
@@ -65,7 +65,9 @@
 
   /// The strongest alternative's sum without its worst target; the natural
   /// logarithm of a likelihood ratio.
-  double Score() const;
+  /// \param aTargets targets of the version. While only one of several has
+  /// been seen here the score is zero.
+  double Score(std::size_t aTargets) const;
 
   /// All calls since the sums last were at zero.
   BadCount Episode() const { return m_episode; }
