Serve by a configuration in the event that makes it be in force

Cause: the view for traffic was delayed by 20 ms to collect membership changes, while /status showed the version at once: a caller was refused with no-configuration after the status said in force. Ruled out: the floor (the replacement had caught up). Change: a change of configuration publishes at once, only membership changes are collected; below its floor a node shows nothing in force.

Test networks are drawn from the process id, and children end with their test: two runs at the same time had met on one address.

--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -328,7 +328,8 @@
   }
   m_moves.SetPlans(plans, aTimes.m_now);
   UpdateRoles();
-  MarkViewStale(aTimes.m_now);
+  // At once: what the status calls in force is what traffic is served by.
+  m_viewDue = aTimes.m_now;
 }
 
 void
@@ -483,6 +484,11 @@
     status.m_members.push_back(member);
   }
   status.m_accounts = m_store.Status();
+  if (status.m_isBelowFloor) {
+    for (AccountStatus& account : status.m_accounts) {
+      account.m_inForce.reset();
+    }
+  }
   status.m_moves = m_moves.Status(aWall);
   status.m_ledger = m_ledger.Totals();
   status.m_membership = members.Counters();
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -51,7 +51,7 @@
   GossipSettings m_gossip;
   /// An upstream that is silent for so long counts as absent.
   Duration m_announcementLapse = std::chrono::seconds(3);
-  /// Changes that come within this time go into one view.
+  /// Changes of members that come within this time go into one view.
   Duration m_viewDelay = std::chrono::milliseconds(20);
 };
 
--- a/src/programs/ProcessTest.cpp
+++ b/src/programs/ProcessTest.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/json.hpp>
 #include <criterion/criterion.h>
+#include <unistd.h>
 
 #include "programs/testing/LocalDeployment.h"
 
@@ -29,8 +30,8 @@
 class MixFile
 {
 public:
-  explicit MixFile(int aBlock)
-    : m_path("/tmp/tarragontray-mix-" + std::to_string(aBlock) + ".json")
+  MixFile()
+    : m_path("/tmp/tarragontray-mix-" + std::to_string(getpid()) + ".json")
   {
     std::ofstream(m_path) << kMix;
   }
@@ -109,7 +110,7 @@
 
 Test(Process, ServesACallThroughTwoNodes)
 {
-  LocalDeployment deployment(101);
+  LocalDeployment deployment;
   StartMesqelGate(deployment);
   const auto answer = deployment.Call(0, "GET", "/seat-maps/7");
   cr_assert(answer.has_value());
@@ -123,9 +124,9 @@
 
 Test(Process, KilledNodesDoubleNothingAndAnswerNothingWrong, .timeout = 90)
 {
-  LocalDeployment deployment(102);
+  LocalDeployment deployment;
   StartMesqelGate(deployment);
-  const MixFile mix(102);
+  const MixFile mix;
   ChildProcess load =
     deployment.StartLoad({ 0 }, mix.Path(), 200, std::chrono::seconds(6), 1);
   WaitForRuns(deployment, 1, 20);
@@ -140,9 +141,9 @@
 
 Test(Process, AFrozenNodeDoublesNothingWhenItResumes, .timeout = 90)
 {
-  LocalDeployment deployment(103);
+  LocalDeployment deployment;
   StartMesqelGate(deployment);
-  const MixFile mix(103);
+  const MixFile mix;
   ChildProcess load =
     deployment.StartLoad({ 0 }, mix.Path(), 200, std::chrono::seconds(6), 2);
   WaitForRuns(deployment, 1, 20);
@@ -155,9 +156,9 @@
 
 Test(Process, PlannedStopsCutNothing, .timeout = 90)
 {
-  LocalDeployment deployment(104);
+  LocalDeployment deployment;
   StartMesqelGate(deployment);
-  const MixFile mix(104);
+  const MixFile mix;
   ChildProcess load =
     deployment.StartLoad({ 0 }, mix.Path(), 200, std::chrono::seconds(9), 3);
   WaitForRuns(deployment, 1, 20);
@@ -185,7 +186,7 @@
      AReplacementLearnsItsVersionFromPeersWhileThePlatformIsOut,
      .timeout = 90)
 {
-  LocalDeployment deployment(105);
+  LocalDeployment deployment;
   StartMesqelGate(deployment);
   const std::uint64_t version = deployment.Put(
     "configurations/mesqel-gate", ReadExample("mesqel-gate.parameters.json"));
@@ -196,12 +197,15 @@
   cr_assert(deployment.WaitForVersion("mesqel-gate", version, kConvergence));
   const auto answer = deployment.Call(2, "GET", "/seat-maps/1");
   cr_assert(answer.has_value());
-  cr_assert_eq(answer.value().m_status, 200);
+  cr_assert_eq(answer.value().m_status,
+               200,
+               "refused: %s",
+               HeaderOf(answer.value(), "x-reason").c_str());
 }
 
 Test(Process, AllNodesReturnWhileThePlatformIsOut, .timeout = 90)
 {
-  LocalDeployment deployment(106);
+  LocalDeployment deployment;
   StartMesqelGate(deployment);
   deployment.SetPlatformFaults(R"({"down": "refuse"})");
   // One node stays: the others have only it to learn from.
--- a/src/programs/testing/ChildProcess.cpp
+++ b/src/programs/testing/ChildProcess.cpp
@@ -6,7 +6,7 @@
 
 #include <fcntl.h>
 #include <poll.h>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -31,23 +31,33 @@
   return left.count() > 0 ? static_cast<int>(left.count()) : 0;
 }
 
-Result<pid_t>
-Spawn(const std::string& aPath, std::vector<std::string>& aArguments, int aOut)
+/// Becomes the program; does not return.
+[[noreturn]] void
+Execute(const std::string& aPath,
+        std::vector<std::string>& aArguments,
+        int aOut)
 {
   std::vector<char*> arguments;
   for (std::string& argument : aArguments) {
     arguments.push_back(argument.data());
   }
   arguments.push_back(nullptr);
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_adddup2(&actions, aOut, STDOUT_FILENO);
-  pid_t pid = -1;
-  const int error = posix_spawn(
-    &pid, aPath.c_str(), &actions, nullptr, arguments.data(), environ);
-  posix_spawn_file_actions_destroy(&actions);
-  if (error != 0) {
-    return Error(ErrorCode::Unavailable, "child.start", aPath, "spawn failed");
+  // A test that crashes leaves no process behind.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  dup2(aOut, STDOUT_FILENO);
+  execv(aPath.c_str(), arguments.data());
+  _exit(127);
+}
+
+Result<pid_t>
+Spawn(const std::string& aPath, std::vector<std::string>& aArguments, int aOut)
+{
+  const pid_t pid = fork();
+  if (pid < 0) {
+    return Error(ErrorCode::Unavailable, "child.start", aPath, "fork failed");
+  }
+  if (pid == 0) {
+    Execute(aPath, aArguments, aOut);
   }
   return pid;
 }
--- a/src/programs/testing/LocalDeployment.cpp
+++ b/src/programs/testing/LocalDeployment.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
+#include <unistd.h>
 
 #include "connection/HttpClient.h"
 
@@ -52,16 +53,19 @@
 
 } // namespace
 
-LocalDeployment::LocalDeployment(std::uint8_t aBlock)
-  : m_block(aBlock)
+LocalDeployment::LocalDeployment()
 {
+  constexpr int kLowest = 64;
+  constexpr int kNetworks = 128;
+  const int pid = getpid();
+  m_network = "127." + std::to_string(kLowest + pid % kNetworks) + "." +
+              std::to_string(pid / kNetworks % kNetworks) + ".";
 }
 
 std::string
 LocalDeployment::Ip(std::size_t aVm) const
 {
-  return "127." + std::to_string(m_block) + "." + std::to_string(aVm + 1) +
-         ".1";
+  return m_network + std::to_string(aVm + 2);
 }
 
 std::string
@@ -73,7 +77,7 @@
 std::string
 LocalDeployment::PlatformAddress(std::uint16_t aPort) const
 {
-  return "127." + std::to_string(m_block) + ".0.1:" + std::to_string(aPort);
+  return m_network + "1:" + std::to_string(aPort);
 }
 
 std::string
--- a/src/programs/testing/LocalDeployment.h
+++ b/src/programs/testing/LocalDeployment.h
@@ -2,15 +2,17 @@
 /// A small deployment of real processes on loopback, for tests: the platform's
 /// stand-in, and a node with an upstream's stand-in for each VM.
 ///
-///     LocalDeployment deployment(1);          // addresses 127.1.x.y
+///     LocalDeployment deployment;
 ///     deployment.StartPlatform();
 ///     deployment.AddVm({ .m_dataCentre = "addis-1", .m_service = "box-office"
 ///     }); deployment.PutExample("mesqel-gate");
 ///     cr_assert(deployment.WaitForTargets(2));
 ///     HttpAnswerParts answer = deployment.Get(0, "/seat-maps/7");
 ///
-/// VM n listens at 127.(block).n.1: 8000 front, 8001 peers, 8002 admin, 9000
-/// upstream, 9001 the upstream's admin.
+/// Each object has a loopback network of its own, 127.a.b.0 drawn from the
+/// test's process id, so that tests may run at the same time. VM n is host
+/// n + 2: 8000 front, 8001 peers, 8002 admin, 9000 upstream, 9001 the
+/// upstream's admin; the platform is host 1.
 ///
 /// Thread safety: one thread.
 #pragma once
@@ -45,9 +47,7 @@
 class LocalDeployment
 {
 public:
-  /// \param aBlock 1 to 254; tests that run at the same time use different
-  /// ones.
-  explicit LocalDeployment(std::uint8_t aBlock);
+  LocalDeployment();
 
   void StartPlatform();
   /// Starts a node and its upstream; gives the VM's index.
@@ -107,7 +107,7 @@
   std::unique_ptr<ChildProcess> StartNode(std::size_t aVm);
   std::unique_ptr<ChildProcess> StartUpstream(std::size_t aVm);
 
-  std::uint8_t m_block;
+  std::string m_network;
   std::unique_ptr<ChildProcess> m_platform;
   std::vector<Vm> m_vms;
 };
