--- a/src/connection/PlatformSession.cmake
+++ b/src/connection/PlatformSession.cmake
@@ -7,3 +7,5 @@
   DEPS tt_platform_interface tt_platform_messages tt_http_client)
 tt_test(platform_session_test SRCS PlatformSessionTest.cpp
   DEPS tt_platform_session tt_standin_platform tt_faulty_http_server)
+tt_test(platform_messages_test SRCS PlatformMessagesTest.cpp
+  DEPS tt_platform_messages tt_configuration_samples)
--- a/src/connection/PlatformSession.cpp
+++ b/src/connection/PlatformSession.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <functional>
 #include <string_view>
+#include <type_traits>
 #include <utility>
 #include <vector>
 
@@ -59,6 +60,31 @@
            "the answer is not as documented" };
 }
 
+/// Nothing when the text holds another object.
+std::optional<PlatformObject>
+DecodeObjectOf(const ObjectKey& aKey, std::string_view aText)
+{
+  auto object = DecodeObject(aText);
+  return object && object->m_document.m_key == aKey ? std::move(object)
+                                                    : std::nullopt;
+}
+
+/// Nothing when the text holds an object that was not asked for.
+std::optional<PlatformListing>
+DecodeListingOf(const std::string& aPrefix, std::string_view aText)
+{
+  auto listing = DecodeListing(aText);
+  if (!listing) {
+    return std::nullopt;
+  }
+  for (const PlatformObject& object : listing->m_objects) {
+    if (!object.m_document.m_key.Value().starts_with(aPrefix)) {
+      return std::nullopt;
+    }
+  }
+  return listing;
+}
+
 class Session final : public Platform
 {
 public:
@@ -74,23 +100,29 @@
   void Read(ObjectKey aKey, Callback<PlatformObject> aDone) override
   {
     ++m_counters->m_reads;
-    Call(*m_calls,
-         ReadRequest(aKey),
-         "platform.read",
-         m_settings.m_timeout,
-         DecodeObject,
-         std::move(aDone));
+    Call(
+      *m_calls,
+      ReadRequest(aKey),
+      "platform.read",
+      m_settings.m_timeout,
+      [key = aKey](std::string_view aText) {
+        return DecodeObjectOf(key, aText);
+      },
+      std::move(aDone));
   }
 
   void List(std::string aPrefix, Callback<PlatformListing> aDone) override
   {
     ++m_counters->m_lists;
-    Call(*m_calls,
-         ListRequest(aPrefix),
-         "platform.list",
-         m_settings.m_timeout,
-         DecodeListing,
-         std::move(aDone));
+    Call(
+      *m_calls,
+      ListRequest(aPrefix),
+      "platform.list",
+      m_settings.m_timeout,
+      [prefix = aPrefix](std::string_view aText) {
+        return DecodeListingOf(prefix, aText);
+      },
+      std::move(aDone));
   }
 
   void Write(PlatformWrite aWrite, Callback<Revision> aDone) override
@@ -127,17 +159,20 @@
                               std::move(aDone));
       return;
     }
-    Call(*client,
-         WatchRequest(aPrefix, aAfter, aMaxWait),
-         "platform.watch",
-         aMaxWait + m_settings.m_watchMargin,
-         DecodeListing,
-         std::move(aDone));
+    Call(
+      *client,
+      WatchRequest(aPrefix, aAfter, aMaxWait),
+      "platform.watch",
+      aMaxWait + m_settings.m_watchMargin,
+      [prefix = aPrefix](std::string_view aText) {
+        return DecodeListingOf(prefix, aText);
+      },
+      std::move(aDone));
   }
 
 private:
   template<typename T>
-  using Decoder = std::optional<T> (*)(std::string_view);
+  using Decoder = std::function<std::optional<T>(std::string_view)>;
 
   std::unique_ptr<HttpClient> MakeClient()
   {
@@ -172,14 +207,14 @@
             HttpRequestParts aRequest,
             std::string aStep,
             Duration aTimeout,
-            Decoder<T> aDecode,
+            std::type_identity_t<Decoder<T>> aDecode,
             Callback<T> aDone)
   {
     CallContext context{ aStep, m_settings.m_address.ToString() };
     aClient.Send({ std::move(aRequest), std::move(aStep), aTimeout },
                  [counters = m_counters,
                   context = std::move(context),
-                  decode = aDecode,
+                  decode = std::move(aDecode),
                   done = std::move(aDone)](Result<HttpAnswerParts> aAnswer) {
                    Result<T> result = Interpret<T>(context, aAnswer, decode);
                    const bool isFailure =
@@ -193,7 +228,7 @@
   template<typename T>
   static Result<T> Interpret(const CallContext& aContext,
                              const Result<HttpAnswerParts>& aAnswer,
-                             Decoder<T> aDecode)
+                             const Decoder<T>& aDecode)
   {
     if (!aAnswer) {
       return aAnswer.error();
--- a/src/connection/PlatformSessionTest.cpp
+++ b/src/connection/PlatformSessionTest.cpp
@@ -299,9 +299,12 @@
     "{",
     "[]",
     R"({"key": 1, "revision": 1, "operation": "", "body": ""})",
-    R"({"key": "a", "revision": -1, "operation": "", "body": ""})",
-    R"({"key": "a", "revision": 1.5, "operation": "", "body": ""})",
-    R"({"key": "a", "revision": 1, "operation": ""})",
+    R"({"key": "configurations/a", "revision": -1, "operation": "", "body": ""})",
+    R"({"key": "configurations/a", "revision": 1.5, "operation": "", "body": ""})",
+    R"({"key": "configurations/a", "revision": 1, "operation": ""})",
+    // Whole, but of another object.
+    R"({"key": "configurations/b", "revision": 1, "operation": "",
+        "body": ""})",
   };
   Fixture fixture;
   std::string body;
--- a/src/programs/LoadTest.cpp
+++ b/src/programs/LoadTest.cpp
@@ -51,6 +51,16 @@
   return CheckAnswer({ OperationId("op"), 7 }, aAnswer, false).m_kind;
 }
 
+void
+RunUntil(boost::asio::io_context& aContext, const bool& aIsDone)
+{
+  const auto limit = std::chrono::steady_clock::now() + kTestLimit;
+  while (!aIsDone) {
+    cr_assert(std::chrono::steady_clock::now() < limit, "no progress");
+    aContext.run_one_until(limit);
+  }
+}
+
 ExecutionReport
 RunsOf(const std::string& aOperation, std::size_t aCount)
 {
@@ -153,6 +163,40 @@
   cr_assert_eq(Percentile({}, 0.5), 0);
 }
 
+Test(LoadRunner, LatencyCountsFromTheIntendedTime)
+{
+  boost::asio::io_context context;
+  const SystemClock clock;
+  StandinUpstreamSettings upstreamSettings;
+  upstreamSettings.m_version = UpstreamVersion("v1");
+  upstreamSettings.m_vm = VmId("vm-1");
+  upstreamSettings.m_address = kAnyPort;
+  upstreamSettings.m_adminAddress = kAnyPort;
+  upstreamSettings.m_behaviour.m_serviceTime = std::chrono::milliseconds(20);
+  const auto upstream =
+    StandinUpstream::Create(context, clock, upstreamSettings);
+  LoadSettings settings;
+  settings.m_mix = TestMix();
+  settings.m_mix.resize(1);
+  settings.m_mix[0].m_timeout = kTestLimit;
+  settings.m_nodes = { upstream.value()->Address() };
+  settings.m_isDirect = true;
+  settings.m_callsPerSecond = 10'000;
+  settings.m_maxCalls = 20;
+  settings.m_maxConnections = 1;
+  LoadRunner runner(context, settings);
+  bool isDone = false;
+  runner.Start([&isDone]() { isDone = true; });
+  RunUntil(context, isDone);
+  // Twenty calls wait for one another; each takes 10 ms at the least. The
+  // time on the wire alone would be far below what the last one waited.
+  const std::string text = runner.Report().Text();
+  const std::size_t place = text.find("max_us=");
+  cr_assert_neq(place, std::string::npos);
+  cr_assert_geq(std::stoul(text.substr(place + 7)), 180'000);
+  cr_assert_eq(runner.Report().Count(AnswerKind::Done), 20);
+}
+
 Test(LoadRunner, EveryCallOfADirectRunIsCheckedAndAudited)
 {
   boost::asio::io_context context;
@@ -179,11 +223,7 @@
   LoadRunner runner(context, settings);
   bool isDone = false;
   runner.Start([&isDone]() { isDone = true; });
-  const auto limit = std::chrono::steady_clock::now() + kTestLimit;
-  while (!isDone) {
-    cr_assert(std::chrono::steady_clock::now() < limit, "no progress");
-    context.run_one_until(limit);
-  }
+  RunUntil(context, isDone);
   const RunReport& report = runner.Report();
   cr_assert(report.IsClean());
   cr_assert_eq(report.Run().m_calls, 300);
--- a/src/programs/StandinUpstreamTest.cpp
+++ b/src/programs/StandinUpstreamTest.cpp
@@ -188,6 +188,30 @@
   cr_assert_eq(running->value().m_status, 200);
 }
 
+Test(StandinUpstream, AnnouncesItselfAndItsDrain)
+{
+  Fixture fixture;
+  std::vector<std::string> bodies;
+  const auto node = FaultyHttpServer::Listen(
+    fixture.m_context,
+    { .m_address = kAnyPort },
+    [&bodies](const FaultyHttpServer::Exchange& aExchange) {
+      cr_assert_eq(aExchange->Request().m_target, "/v1/upstream");
+      bodies.push_back(aExchange->Request().m_body);
+      aExchange->Answer({ 204, {}, "" });
+    });
+  auto settings = TestSettings();
+  settings.m_nodeAddress = node.value()->Address();
+  const auto upstream =
+    StandinUpstream::Create(fixture.m_context, fixture.m_clock, settings);
+  fixture.RunUntil([&]() { return upstream.value()->Announcements() == 1; });
+  cr_assert(bodies.at(0).find(R"("state":"live")") != std::string::npos);
+  cr_assert(bodies.at(0).find(R"("slots":1)") != std::string::npos);
+  upstream.value()->Drain([]() {});
+  fixture.RunUntil([&]() { return upstream.value()->Announcements() == 2; });
+  cr_assert(bodies.at(1).find(R"("state":"draining")") != std::string::npos);
+}
+
 Test(StandinUpstream, FaultsHoldOnTheirRouteOnly)
 {
   Fixture fixture;
--- a/src/programs/Standins.cmake
+++ b/src/programs/Standins.cmake
@@ -4,6 +4,8 @@
 tt_library(tt_standin_platform
   SRCS StandinPlatform.cpp StandinPlatformAdmin.cpp StandinPlatformStore.cpp
   DEPS tt_platform_messages tt_faulty_http_server tt_json)
+tt_test(standin_platform_test SRCS StandinPlatformTest.cpp
+  DEPS tt_standin_platform tt_http_client)
 tt_program(standin-platform SRCS StandinPlatformMain.cpp
   DEPS tt_standin_platform tt_settings)
 
