--- a/src/version/RouteComparison.cpp
+++ b/src/version/RouteComparison.cpp
@@ -27,9 +27,10 @@
 constexpr Duration kLongestWait = std::chrono::seconds(10);
 /// Calls that a latency limit needs.
 constexpr double kLatencyCalls = 30.0;
-constexpr double kLatencyQuantile = 0.9;
-/// Buckets above the quantile's; each is a factor of sqrt(2).
-constexpr std::size_t kSlowBuckets = 1;
+constexpr double kSlowQuantile = 0.9;
+constexpr double kMedianQuantile = 0.5;
+/// Buckets from a quantile's to the limit; each is a factor of sqrt(2).
+constexpr std::size_t kLimitBuckets = 1;
 
 /// How far above the old version the new one may be, and what counts as bad.
 struct SignalRule
@@ -43,6 +44,7 @@
   { "failures", 0.005, { 0.03, 0.15, 0.5 } },
   { "caller-errors", 0.02, { 0.05, 0.2, 0.5 } },
   { "slow-calls", 0.05, { 0.1, 0.25, 0.5 } },
+  { "above-median", 0.15, { 0.1, 0.2, 0.4 } },
 } };
 
 std::size_t
@@ -74,6 +76,22 @@
   return std::max(pooled, rate + kSharedFaultDeviations * deviation);
 }
 
+/// The limit that lies above a number of calls.
+std::size_t
+LimitAbove(const std::array<double, kLatencyBuckets>& aLatency, double aCalls)
+{
+  double below = 0.0;
+  std::size_t bucket = 0;
+  while (bucket + 1 < kLatencyBuckets) {
+    below += aLatency[bucket];
+    if (below >= aCalls) {
+      break;
+    }
+    ++bucket;
+  }
+  return std::min(bucket + kLimitBuckets, kLatencyBuckets - 2);
+}
+
 } // namespace
 
 std::string_view
@@ -105,13 +123,16 @@
     case Signal::CallerErrors:
       return counters.m_callerErrors;
     case Signal::SlowCalls:
+    case Signal::AboveMedian:
       break;
   }
-  if (aEntry.m_isWarming || !m_slowLimit) {
+  if (aEntry.m_isWarming || !m_limits) {
     return std::nullopt;
   }
+  const std::size_t limit =
+    aSignal == Signal::SlowCalls ? m_limits->m_slow : m_limits->m_median;
   const auto first =
-    counters.m_latency.begin() + static_cast<std::ptrdiff_t>(*m_slowLimit) + 1;
+    counters.m_latency.begin() + static_cast<std::ptrdiff_t>(limit) + 1;
   return std::accumulate(first, counters.m_latency.end(), std::uint64_t{ 0 });
 }
 
@@ -191,27 +212,21 @@
   for (std::size_t i = 0; i < kLatencyBuckets; ++i) {
     m_pastLatency[i] = m_pastLatency[i] * kPastDecay + weight * window[i];
   }
-  SetSlowLimit();
+  SetLatencyLimits();
 }
 
 void
-RouteComparison::SetSlowLimit()
+RouteComparison::SetLatencyLimits()
 {
   const double total =
     std::accumulate(m_pastLatency.begin(), m_pastLatency.end(), 0.0);
   if (total < kLatencyCalls) {
     return;
   }
-  double below = 0.0;
-  std::size_t bucket = 0;
-  while (bucket + 1 < kLatencyBuckets) {
-    below += m_pastLatency[bucket];
-    if (below >= kLatencyQuantile * total) {
-      break;
-    }
-    ++bucket;
-  }
-  m_slowLimit = std::min(bucket + kSlowBuckets, kLatencyBuckets - 2);
+  m_limits = LatencyLimits{
+    LimitAbove(m_pastLatency, kSlowQuantile * total),
+    LimitAbove(m_pastLatency, kMedianQuantile * total),
+  };
 }
 
 bool
@@ -239,6 +254,7 @@
   AddSignal(Signal::Failures, aUse);
   AddSignal(Signal::CallerErrors, aUse);
   AddSignal(Signal::SlowCalls, aUse);
+  AddSignal(Signal::AboveMedian, aUse);
   AddLatencyPast();
   m_pending.clear();
   m_pendingLength = Duration::zero();
--- a/src/version/RouteComparison.h
+++ b/src/version/RouteComparison.h
@@ -6,10 +6,11 @@
 ///     if (route.Worst(TestKind::Verdict, targets).m_score >= kVerdictScore) {
 ///     ... }
 ///
-/// Three signals: failures, errors that blame the caller (4xx), and calls that
-/// are slower than a limit set by the old version's latency. Each signal's
-/// reference is what the old version shows in the same window, steadied by its
-/// recent past; whatever hurts both versions raises the reference with it.
+/// Four signals: failures, errors that blame the caller (4xx), and calls that
+/// are slower than either of two limits set by the old version's latency. Each
+/// signal's reference is what the old version shows in the same window,
+/// steadied by its recent past; whatever hurts both versions raises the
+/// reference with it.
 ///
 /// Thread safety: one thread.
 #pragma once
@@ -32,10 +33,14 @@
 {
   Failures,
   CallerErrors,
+  /// Far above the old version's slowest tenth.
   SlowCalls,
+  /// Well above the old version's median: shows a slowdown of all calls where
+  /// latency is spread widely.
+  AboveMedian,
 };
 
-inline constexpr std::size_t kSignals = 3;
+inline constexpr std::size_t kSignals = 4;
 
 std::string_view
 Name(Signal aSignal);
@@ -121,15 +126,20 @@
   bool MustWait(const WindowUse& aUse) const;
   void AddSignal(Signal aSignal, const WindowUse& aUse);
   void AddLatencyPast();
-  void SetSlowLimit();
+  void SetLatencyLimits();
 
   std::array<SignalState, kSignals> m_signals;
   /// Entries of the windows that are not judged yet.
   std::vector<WindowEntry> m_pending;
   Duration m_pendingLength{ 0 };
   std::array<double, kLatencyBuckets> m_pastLatency{};
-  /// Calls in a bucket above this one are slow.
-  std::optional<std::size_t> m_slowLimit;
+  /// Calls in a bucket above these are slow, or above the median.
+  struct LatencyLimits
+  {
+    std::size_t m_slow = 0;
+    std::size_t m_median = 0;
+  };
+  std::optional<LatencyLimits> m_limits;
 };
 
 } // namespace tarragontray
--- a/src/version/testing/MoveScenarios.cpp
+++ b/src/version/testing/MoveScenarios.cpp
@@ -76,6 +76,16 @@
   return aDraw.Between(SessionTime(20s), SessionTime(95s));
 }
 
+/// The part of one version's slots that all calls use.
+double
+Load(const SessionSettings& aSettings)
+{
+  const ModelSettings& model = aSettings.m_model;
+  return aSettings.m_callsPerSecond *
+         std::chrono::duration<double>(model.m_serviceTime).count() /
+         static_cast<double>(model.m_targets * model.m_slots);
+}
+
 void
 MakeBad(ScenarioKind aKind, Draw& aDraw, SessionSettings& aSettings)
 {
@@ -94,7 +104,7 @@
     case ScenarioKind::SlowUnderLoad:
       fault.m_failureRate = 0.0;
       fault.m_slowdown = aDraw.Between(2.0, 5.0);
-      fault.m_aboveLoad = aDraw.Between(0.1, 0.4);
+      fault.m_aboveLoad = Load(aSettings) * aDraw.Between(0.2, 0.85);
       break;
     case ScenarioKind::CallerErrors:
       fault.m_failureRate = 0.0;
