--- a/src/version/SequentialJudge.cpp
+++ b/src/version/SequentialJudge.cpp
@@ -9,7 +9,7 @@
 
 /// Bad calls below which a score is chance.
 constexpr std::uint64_t kSuspectCalls = 2;
-constexpr std::uint64_t kComparisonBadCalls = 4;
+constexpr std::uint64_t kComparisonBadCalls = 3;
 constexpr std::uint64_t kVerdictCalls = 3;
 /// A comparison ends well after this many calls of the new version, or fewer
 /// and this time, with nothing against it.
