Measure the retry budget where ejection cannot help

Cause: with ejection, an outage of half the targets shows no difference between the budget and three tries; both leave the failing half alone. Change: a second outage in the experiment, in which every target fails half of its calls, and the 99th percentile during each outage.

--- a/src/programs/RequestExperiment.cpp
+++ b/src/programs/RequestExperiment.cpp
@@ -113,14 +113,28 @@
   return row;
 }
 
-/// One row of the comparison over an outage of half the targets.
+/// What fails during an outage.
+struct OutageKind
+{
+  const char* m_name;
+  double m_targets;
+  double m_calls;
+};
+
+constexpr OutageKind kOutageKinds[] = { { "half of the targets", 0.5, 1 },
+                                        { "half of all calls", 1, 0.5 } };
+
+/// One row of the comparison over an outage.
 struct OutageRow
 {
+  std::string m_kind;
   std::string m_name;
   /// Runs for each offered call, before and during the outage.
   double m_runsBefore = 0;
   double m_runsDuring = 0;
   double m_doneDuring = 0;
+  /// 99th percentile of the calls done during the outage, in milliseconds.
+  double m_highDuring = 0;
   /// Seconds after the outage until the service is as before; negative: never.
   double m_recovery = -1;
   double m_doneAtEnd = 0;
@@ -166,22 +180,27 @@
 }
 
 OutageRow
-RunOutage(const Contender& aContender, std::uint64_t aSeed)
+RunOutage(const OutageKind& aKind,
+          const Contender& aContender,
+          std::uint64_t aSeed)
 {
   ModelSettings settings = SettingsOf(aContender, aSeed);
   settings.m_hasOddTargets = false;
   settings.m_idempotentShare = 1;
   settings.m_phases = { { seconds(kOutageEnd), 0.9 }, { seconds(kEnd), 0.8 } };
-  settings.m_outage =
-    testing::Outage{ seconds(kOutageStart), seconds(kOutageEnd) };
+  settings.m_outage = testing::Outage{
+    aKind.m_targets, aKind.m_calls, seconds(kOutageStart), seconds(kOutageEnd)
+  };
   const ModelResult result = testing::RunModel(settings);
   const SecondFigures before = Sum(result, 5, kOutageStart);
   const SecondFigures during = Sum(result, kOutageStart, kOutageEnd);
   const SecondFigures end = Sum(result, kEnd - 5, kEnd);
-  return { aContender.m_name,
+  return { aKind.m_name,
+           aContender.m_name,
            Part(before.m_runs, before.m_offered),
            Part(during.m_runs, during.m_offered),
            Part(during.m_done, during.m_offered),
+           Percentile(during.m_latencies, 0.99),
            RecoveryTime(result, Percentile(before.m_latencies, 0.99)),
            Part(end.m_done, end.m_offered) };
 }
@@ -230,19 +249,23 @@
 void
 PrintOutages(const std::vector<OutageRow>& aRows)
 {
-  std::printf("\n%-24s %11s %11s %12s %10s %9s\n",
+  std::printf("\n%-20s %-24s %11s %11s %12s %10s %10s %9s\n",
+              "outage",
               "policies",
               "runs before",
               "runs during",
               "done% during",
+              "p99 during",
               "recovery s",
               "done% end");
   for (const OutageRow& row : aRows) {
-    std::printf("%-24s %11.3f %11.3f %12.1f %10.0f %9.1f\n",
+    std::printf("%-20s %-24s %11.3f %11.3f %12.1f %10.1f %10.0f %9.1f\n",
+                row.m_kind.c_str(),
                 row.m_name.c_str(),
                 row.m_runsBefore,
                 row.m_runsDuring,
                 100 * row.m_doneDuring,
+                row.m_highDuring,
                 row.m_recovery,
                 100 * row.m_doneAtEnd);
   }
@@ -274,10 +297,12 @@
   }
   boost::json::array outages;
   for (const OutageRow& row : aOutages) {
-    outages.push_back({ { "policies", row.m_name },
+    outages.push_back({ { "outage", row.m_kind },
+                        { "policies", row.m_name },
                         { "runs_before", row.m_runsBefore },
                         { "runs_during", row.m_runsDuring },
                         { "done_during", row.m_doneDuring },
+                        { "p99_during_ms", row.m_highDuring },
                         { "recovery_seconds", row.m_recovery },
                         { "done_at_end", row.m_doneAtEnd } });
   }
@@ -308,8 +333,10 @@
     }
   }
   std::vector<OutageRow> outages;
-  for (const Contender& contender : { kOurs, kThreeTries, kPlain }) {
-    outages.push_back(RunOutage(contender, seed));
+  for (const OutageKind& kind : kOutageKinds) {
+    for (const Contender& contender : { kOurs, kThreeTries, kPlain }) {
+      outages.push_back(RunOutage(kind, contender, seed));
+    }
   }
   if (flags.count("json") > 0) {
     std::cout << ToJson(loads, outages, seed) << "\n";
--- a/src/request/testing/RequestModel.cpp
+++ b/src/request/testing/RequestModel.cpp
@@ -50,7 +50,8 @@
   std::uint32_t m_trueSlots = 0;
   double m_speed = 1;
   bool m_misleads = false;
-  bool m_fails = false;
+  /// Part of the calls that fails.
+  double m_failures = 0;
   std::uint32_t m_running = 0;
 };
 
@@ -246,13 +247,16 @@
     ScheduleArrival(i);
   }
   if (m_settings.m_outage) {
-    const auto setHalf = [this](bool aFails) {
-      for (std::size_t i = 0; i < m_upstreams.size() / 2; ++i) {
-        m_upstreams[i].m_fails = aFails;
+    const Outage outage = *m_settings.m_outage;
+    const auto setFailures = [this, outage](double aPart) {
+      const double hit =
+        outage.m_targets * static_cast<double>(m_upstreams.size());
+      for (std::size_t i = 0; i < static_cast<std::size_t>(hit); ++i) {
+        m_upstreams[i].m_failures = aPart;
       }
     };
-    At(m_settings.m_outage->m_start, [setHalf] { setHalf(true); });
-    At(m_settings.m_outage->m_end, [setHalf] { setHalf(false); });
+    At(outage.m_start, [=] { setFailures(outage.m_calls); });
+    At(outage.m_end, [=] { setFailures(0); });
   }
   while (!m_events.empty()) {
     const Event event = m_events.top();
@@ -415,7 +419,8 @@
     Seconds(m_settings.m_serviceTime) * crowding / upstream.m_speed;
   Answer answer;
   answer.m_outcome = CallOutcome::Done;
-  answer.m_http.m_status = upstream.m_fails ? kServerError : kOk;
+  const bool fails = m_random.Fraction() < upstream.m_failures;
+  answer.m_http.m_status = fails ? kServerError : kOk;
   At(FromSeconds(Exponential(mean)),
      [this, aTarget, ticket = aRun.m_ticket, answer] {
        Upstream& ended = m_upstreams[aTarget];
--- a/src/request/testing/RequestModel.h
+++ b/src/request/testing/RequestModel.h
@@ -48,9 +48,12 @@
   double m_load = 0;
 };
 
-/// Half of the targets fail every call while it lasts.
+/// Some targets fail some of their calls while it lasts.
 struct Outage
 {
+  /// Part of the targets that is hit, and part of its calls that fails.
+  double m_targets = 0.5;
+  double m_calls = 1;
   Duration m_start{ 0 };
   Duration m_end{ 0 };
 };
