--- a/src/request/CallPlan.cpp
+++ b/src/request/CallPlan.cpp
@@ -58,7 +58,7 @@
 Step
 CallPlan::Begin(MonotonicTime aNow)
 {
-  if (aNow >= m_setup.m_deadline) {
+  if (aNow >= Setup().m_deadline) {
     return m_targets.IsPlaced() ? EndUnknown()
                                 : End(NotRun(RefusalReason::DeadlineTooShort));
   }
@@ -73,7 +73,7 @@
   if (target == nullptr) {
     return End(NotRun(RefusalReason::NoTarget));
   }
-  m_setup.m_policies.m_retries.OnFirstAttempt(m_setup.m_service.m_id, aNow);
+  Setup().m_policies.m_retries.OnFirstAttempt(Setup().m_service.m_id, aNow);
   return Send(*target, aNow);
 }
 
@@ -84,13 +84,13 @@
     return OnRefused(aAnswer, aNow);
   }
   const bool failed = aAnswer.m_outcome == CallOutcome::Unknown ||
-                      IsServerError(aAnswer) || aNow > m_setup.m_deadline;
+                      IsServerError(aAnswer) || aNow > Setup().m_deadline;
   EndAttempt(&aAnswer, failed, aNow);
   m_mayHaveRun = true;
   if (aAnswer.m_outcome == CallOutcome::Done) {
     m_lastDone = aAnswer;
   }
-  if (failed && m_setup.m_route.m_idempotent) {
+  if (failed && Setup().m_route.m_idempotent) {
     return RetryOr(aAnswer, RetryReason::Failed, aNow);
   }
   return End(aAnswer);
@@ -123,7 +123,7 @@
       m_targets.IsPlaced() ? Answer{} : NotRun(RefusalReason::NoTarget);
     return RetryOr(answer, RetryReason::NotSent, aNow);
   }
-  if (m_setup.m_route.m_idempotent) {
+  if (Setup().m_route.m_idempotent) {
     EndAttempt(nullptr, true, aNow);
     m_mayHaveRun = true;
     return RetryOr(Answer{}, RetryReason::Failed, aNow);
@@ -181,12 +181,12 @@
 Step
 CallPlan::OnTimer(MonotonicTime aNow)
 {
-  if (aNow < m_setup.m_deadline) {
+  if (aNow < Setup().m_deadline) {
     return m_state == State::WaitingToAsk ? AskAgain()
-                                          : WaitUntil{ m_setup.m_deadline };
+                                          : WaitUntil{ Setup().m_deadline };
   }
   const bool isPatient =
-    aNow - m_attemptStart >= m_setup.m_route.m_timeout / kPatientPart;
+    aNow - m_attemptStart >= Setup().m_route.m_timeout / kPatientPart;
   if (isPatient) {
     EndAttempt(nullptr, true, aNow);
   } else {
@@ -203,16 +203,16 @@
   m_isAttemptOut = true;
   m_attemptStart = aNow;
   ++m_attempts;
-  m_setup.m_policies.m_balancing.Started(aTarget.m_vm, aNow);
+  Setup().m_policies.m_balancing.Started(aTarget.m_vm, aNow);
   return SendAttempt{
-    &aTarget, m_attempts, aTarget.m_version, m_setup.m_deadline - aNow
+    &aTarget, m_attempts, aTarget.m_version, Setup().m_deadline - aNow
   };
 }
 
 Step
 CallPlan::RetryOr(Answer aAnswer, RetryReason aReason, MonotonicTime aNow)
 {
-  if (aNow < m_setup.m_deadline && m_attempts < m_setup.m_route.m_maxAttempts) {
+  if (aNow < Setup().m_deadline && m_attempts < Setup().m_route.m_maxAttempts) {
     const Target* target = m_targets.Next(aReason, aNow);
     if (target != nullptr && MayRetry(aReason, aNow)) {
       return Send(*target, aNow);
@@ -233,8 +233,8 @@
   // a target that leaves takes none.
   const bool addsLoad =
     aReason == RetryReason::Failed || aReason == RetryReason::Overload;
-  return !addsLoad || m_setup.m_policies.m_retries.TryRetry(
-                        m_setup.m_service.m_id, m_attempts, aNow);
+  return !addsLoad || Setup().m_policies.m_retries.TryRetry(
+                        Setup().m_service.m_id, m_attempts, aNow);
 }
 
 Step
@@ -257,7 +257,7 @@
 CallPlan::AskLater(MonotonicTime aNow)
 {
   m_state = State::WaitingToAsk;
-  const MonotonicTime next = std::min(aNow + m_askInterval, m_setup.m_deadline);
+  const MonotonicTime next = std::min(aNow + m_askInterval, Setup().m_deadline);
   m_askInterval = std::min(m_askInterval * 2, kMaxAskInterval);
   return WaitUntil{ next };
 }
@@ -301,15 +301,15 @@
   m_isAttemptOut = false;
   AttemptResult result = aResult;
   result.m_latency = aNow - m_attemptStart;
-  m_setup.m_policies.m_balancing.Finished(m_target->m_vm, result, aNow);
+  Setup().m_policies.m_balancing.Finished(m_target->m_vm, result, aNow);
 }
 
 void
 CallPlan::Observe(const Answer* aAnswer, bool aFailed, MonotonicTime aNow)
 {
   const bool isCallerError = aAnswer != nullptr && IsCallerError(*aAnswer);
-  m_observations.push_back({ m_setup.m_service.m_id,
-                             m_setup.m_route.m_name,
+  m_observations.push_back({ Setup().m_service.m_id,
+                             Setup().m_route.m_name,
                              m_target->m_version,
                              m_target->m_vm,
                              m_attempts == 1,
--- a/src/request/CallPlan.h
+++ b/src/request/CallPlan.h
@@ -129,8 +129,8 @@
   {
     return m_observations;
   }
-  MonotonicTime Deadline() const { return m_setup.m_deadline; }
-  bool IsIdempotent() const { return m_setup.m_route.m_idempotent; }
+  MonotonicTime Deadline() const { return Setup().m_deadline; }
+  bool IsIdempotent() const { return Setup().m_route.m_idempotent; }
   bool IsFinished() const { return m_state == State::Finished; }
 
 private:
@@ -145,11 +145,11 @@
   };
 
   explicit CallPlan(const CallSetup& aSetup)
-    : m_setup(aSetup)
-    , m_targets(aSetup)
+    : m_targets(aSetup)
   {
   }
 
+  const CallSetup& Setup() const { return m_targets.Setup(); }
   Step SendFirst(MonotonicTime aNow);
   Step Send(const Target& aTarget, MonotonicTime aNow);
   /// Sends another attempt, or finishes with aAnswer when none may be sent.
@@ -169,7 +169,6 @@
   void Observe(const Answer* aAnswer, bool aFailed, MonotonicTime aNow);
   bool IsAskingFormerHome() const { return m_attempts == 0; }
 
-  CallSetup m_setup;
   TargetSequence m_targets;
   State m_state = State::New;
   /// The target of the attempt or the question that is out.
--- a/src/request/TargetSequence.h
+++ b/src/request/TargetSequence.h
@@ -79,6 +79,7 @@
   /// Precondition: First gave a target.
   const Target* Next(RetryReason aReason, MonotonicTime aNow);
 
+  const CallSetup& Setup() const { return m_setup; }
   /// The call runs only at the home of its key.
   bool IsPlaced() const { return m_isPlaced; }
   /// The home drains and the next one has not been tried.
