--- a/src/request/TwoChoicesBalancing.cpp
+++ b/src/request/TwoChoicesBalancing.cpp
@@ -9,6 +9,7 @@
 
 /// Weight of a new latency in the smoothed one.
 constexpr double kLatencyWeight = 0.2;
+/// Own data centre, own region, all.
 constexpr int kTiers = 3;
 
 double
@@ -35,8 +36,12 @@
   if (aCandidates.empty()) {
     return std::nullopt;
   }
-  KeepHealthy(aCandidates, aTried, aNow);
-  SelectTier(aCandidates, aOwnDataCentre, aNow);
+  m_considered.clear();
+  for (const Target* target : aCandidates) {
+    m_considered.push_back(Consider(*target, aOwnDataCentre, aNow));
+  }
+  LimitEjections(aTried);
+  SelectTier();
   const std::size_t count = m_tier.size();
   if (count == 1) {
     return m_tier.front();
@@ -45,62 +50,67 @@
   const std::size_t second = (first + 1 + aRandom.Below(count - 1)) % count;
   const std::size_t left = m_tier[first];
   const std::size_t right = m_tier[second];
-  return Cost(*aCandidates[left], aNow) <= Cost(*aCandidates[right], aNow)
-           ? left
-           : right;
+  return m_considered[left].m_cost <= m_considered[right].m_cost ? left : right;
+}
+
+TwoChoicesBalancing::Considered
+TwoChoicesBalancing::Consider(const Target& aTarget,
+                              const DataCentreId& aOwnDataCentre,
+                              MonotonicTime aNow) const
+{
+  static const Stats kNew;
+  const auto found = m_stats.find(aTarget.m_vm);
+  const Stats& stats = found == m_stats.end() ? kNew : found->second;
+  const double slots = UsableSlots(aTarget, stats);
+  const double load = Running(stats, aNow) / slots;
+  const double latency = stats.m_latency > 0 ? stats.m_latency : m_usualLatency;
+  Considered considered;
+  considered.m_isEjected = aNow < stats.m_ejectedUntil;
+  considered.m_hasRoom =
+    aNow >= stats.m_fullUntil && load < m_settings.m_saturation;
+  considered.m_tier = Tier(aTarget, aOwnDataCentre);
+  considered.m_cost = (load + 1 / slots) * latency;
+  return considered;
 }
 
 void
-TwoChoicesBalancing::KeepHealthy(const std::vector<const Target*>& aCandidates,
-                                 std::size_t aTried,
-                                 MonotonicTime aNow)
+TwoChoicesBalancing::LimitEjections(std::size_t aTried)
 {
-  m_healthy.clear();
-  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
-    if (!IsEjected(aCandidates[i]->m_vm, aNow)) {
-      m_healthy.push_back(i);
-    }
-  }
+  const auto ejected = static_cast<std::size_t>(std::count_if(
+    m_considered.begin(), m_considered.end(), [](const Considered& aOne) {
+      return aOne.m_isEjected;
+    }));
+  const std::size_t healthy = m_considered.size() - ejected;
   // What this call has tried counts as healthy: a retry must not reach the
   // ejected targets just because it can't use the others again.
-  const std::size_t ejected = aCandidates.size() - m_healthy.size();
-  if (ejected <= m_healthy.size() + aTried && !m_healthy.empty()) {
+  if (healthy > 0 && ejected <= healthy + aTried) {
     return;
   }
   // Ejecting most of the candidates would only move the overload.
-  m_healthy.clear();
-  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
-    m_healthy.push_back(i);
+  for (Considered& considered : m_considered) {
+    considered.m_isEjected = false;
   }
 }
 
 void
-TwoChoicesBalancing::SelectTier(const std::vector<const Target*>& aCandidates,
-                                const DataCentreId& aOwnDataCentre,
-                                MonotonicTime aNow)
+TwoChoicesBalancing::SelectTier()
 {
-  for (int limit = 0; limit < kTiers; ++limit) {
-    m_tier.clear();
-    for (const std::size_t index : m_healthy) {
-      const Target& target = *aCandidates[index];
-      if (Tier(target, aOwnDataCentre) <= limit && HasRoom(target, aNow)) {
-        m_tier.push_back(index);
-      }
+  int nearest = kTiers;
+  for (const Considered& one : m_considered) {
+    if (!one.m_isEjected && one.m_hasRoom) {
+      nearest = std::min(nearest, one.m_tier);
     }
-    if (!m_tier.empty()) {
-      return;
+  }
+  // When all are saturated any may get the call.
+  const bool isSaturated = nearest == kTiers;
+  m_tier.clear();
+  for (std::size_t i = 0; i < m_considered.size(); ++i) {
+    const Considered& one = m_considered[i];
+    const bool fits = isSaturated || (one.m_hasRoom && one.m_tier <= nearest);
+    if (!one.m_isEjected && fits) {
+      m_tier.push_back(i);
     }
   }
-  // All are saturated: any may get the call.
-  m_tier = m_healthy;
-}
-
-bool
-TwoChoicesBalancing::HasRoom(const Target& aTarget, MonotonicTime aNow) const
-{
-  const Stats* stats = Find(aTarget.m_vm);
-  const bool refusedLately = stats != nullptr && aNow < stats->m_fullUntil;
-  return !refusedLately && Load(aTarget, aNow) < m_settings.m_saturation;
 }
 
 int
@@ -115,9 +125,9 @@
 
 double
 TwoChoicesBalancing::UsableSlots(const Target& aTarget,
-                                 const Stats* aStats) const
+                                 const Stats& aStats) const
 {
-  const bool isOnTrial = aStats != nullptr && aStats->m_ejections > 0;
+  const bool isOnTrial = aStats.m_ejections > 0;
   const bool isLimited =
     isOnTrial || aTarget.m_state == UpstreamState::Starting;
   const double slots = std::max<double>(1, aTarget.m_slots.Value());
@@ -125,27 +135,15 @@
 }
 
 double
-TwoChoicesBalancing::Load(const Target& aTarget, MonotonicTime aNow) const
+TwoChoicesBalancing::Running(const Stats& aStats, MonotonicTime aNow) const
 {
-  const Stats* stats = Find(aTarget.m_vm);
-  if (stats == nullptr) {
-    return 0;
+  if (aStats.m_reported == 0) {
+    return aStats.m_inFlight;
   }
-  const double age = Seconds(aNow - stats->m_reportTime);
+  const double age = Seconds(aNow - aStats.m_reportTime);
   const double faded =
-    stats->m_reported * std::exp2(-age / Seconds(m_settings.m_reportHalfLife));
-  const double load = std::max<double>(stats->m_inFlight, faded);
-  return load / UsableSlots(aTarget, stats);
-}
-
-double
-TwoChoicesBalancing::Cost(const Target& aTarget, MonotonicTime aNow) const
-{
-  const Stats* stats = Find(aTarget.m_vm);
-  const bool isKnown = stats != nullptr && stats->m_latency > 0;
-  const double latency = isKnown ? stats->m_latency : m_usualLatency;
-  const double own = 1 / UsableSlots(aTarget, stats);
-  return (Load(aTarget, aNow) + own) * latency;
+    aStats.m_reported * std::exp2(-age / Seconds(m_settings.m_reportHalfLife));
+  return std::max<double>(aStats.m_inFlight, faded);
 }
 
 void
@@ -201,16 +199,9 @@
 
 bool
 TwoChoicesBalancing::IsEjected(const VmId& aVm, MonotonicTime aNow) const
-{
-  const Stats* stats = Find(aVm);
-  return stats != nullptr && aNow < stats->m_ejectedUntil;
-}
-
-const TwoChoicesBalancing::Stats*
-TwoChoicesBalancing::Find(const VmId& aVm) const
 {
   const auto found = m_stats.find(aVm);
-  return found == m_stats.end() ? nullptr : &found->second;
+  return found != m_stats.end() && aNow < found->second.m_ejectedUntil;
 }
 
 void
--- a/src/request/TwoChoicesBalancing.h
+++ b/src/request/TwoChoicesBalancing.h
@@ -90,25 +90,29 @@
     MonotonicTime m_fullUntil{};
   };
 
-  using Indices = std::vector<std::size_t>;
+  /// What one choice knows of one candidate.
+  struct Considered
+  {
+    bool m_isEjected = false;
+    /// Neither saturated nor refusing.
+    bool m_hasRoom = true;
+    int m_tier = 0;
+    /// What two choices compare: load over usable slots, weighted by latency.
+    double m_cost = 0;
+  };
 
-  const Stats* Find(const VmId& aVm) const;
-  /// Slots, or the few of a target that is starting or on trial, at least 1.
-  double UsableSlots(const Target& aTarget, const Stats* aStats) const;
-  /// Load over usable slots.
-  double Load(const Target& aTarget, MonotonicTime aNow) const;
-  /// What two choices compare: load weighted by latency.
-  double Cost(const Target& aTarget, MonotonicTime aNow) const;
-  void KeepHealthy(const std::vector<const Target*>& aCandidates,
-                   std::size_t aTried,
-                   MonotonicTime aNow);
-  /// False when the target is saturated or refused lately.
-  bool HasRoom(const Target& aTarget, MonotonicTime aNow) const;
-  /// Fills m_tier with the healthy targets that have room, from no further
-  /// away than needed.
-  void SelectTier(const std::vector<const Target*>& aCandidates,
-                  const DataCentreId& aOwnDataCentre,
-                  MonotonicTime aNow);
+  Considered Consider(const Target& aTarget,
+                      const DataCentreId& aOwnDataCentre,
+                      MonotonicTime aNow) const;
+  /// Ignores all ejections when they take more than half of the targets.
+  void LimitEjections(std::size_t aTried);
+  /// Fills m_tier with the targets that have room, from no further away than
+  /// needed.
+  void SelectTier();
+  /// Slots, or the few of a target that is starting or on trial.
+  double UsableSlots(const Target& aTarget, const Stats& aStats) const;
+  /// Calls at the target: own ones in flight, or the faded report if higher.
+  double Running(const Stats& aStats, MonotonicTime aNow) const;
   int Tier(const Target& aTarget, const DataCentreId& aOwnDataCentre) const;
   void Eject(Stats& aStats, MonotonicTime aNow) const;
   void ForgetIdle();
@@ -118,8 +122,8 @@
   /// Smoothed over all targets, for those that have not answered yet; seconds.
   double m_usualLatency = 0;
   /// Kept between calls, so that a choice allocates nothing.
-  Indices m_healthy;
-  Indices m_tier;
+  std::vector<Considered> m_considered;
+  std::vector<std::size_t> m_tier;
 };
 
 } // namespace tarragontray
