--- a/src/version/SequentialJudge.h
+++ b/src/version/SequentialJudge.h
@@ -1,7 +1,7 @@
 /// \file
 /// Judges one move by sequential tests on each route.
 ///
-///     SequentialJudge judge({ 3.5, 9.0, true });
+///     SequentialJudge judge(limits);
 ///     Verdict verdict = judge.Judge(window);
 ///
 /// Thread safety: one thread.
@@ -9,6 +9,8 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 
 #include "version/LoadComparison.h"
 #include "version/MovePolicy.h"
@@ -23,6 +25,7 @@
   double m_verdictScore = 0.0;
   /// Whether repeated comparisons condemn a version as bad under load.
   bool m_judgesLoad = false;
+  SettleTimes m_times;
 };
 
 /// See the file comment.
@@ -31,6 +34,7 @@
 public:
   explicit SequentialJudge(const JudgeLimits& aLimits)
     : m_limits(aLimits)
+    , m_loads(aLimits.m_times)
   {
   }
 
@@ -45,7 +49,9 @@
     /// The old version had carried the load at which it began.
     bool m_isProven = false;
     bool m_wasOldHealthy = true;
+    /// All of it, and the part at comparable load.
     Duration m_length{ 0 };
+    Duration m_comparableLength{ 0 };
     std::uint64_t m_calls = 0;
   };
   struct WorstRoute
@@ -56,15 +62,18 @@
 
   void Learn(const EvidenceWindow& aWindow);
   bool IsOldHealthy() const;
-  WorstRoute FindWorst() const;
+  WorstRoute FindWorst(TestKind aKind) const;
   Verdict BeginComparison(const WorstRoute& aWorst);
   Verdict Compare(const EvidenceWindow& aWindow, const WorstRoute& aWorst);
   Verdict EndComparison();
-  void ResetTests();
+  Verdict AbandonComparison();
+  void ResetSuspicion();
 
   JudgeLimits m_limits;
   LoadComparison m_loads;
   std::map<RouteName, RouteComparison> m_routes;
+  /// Targets of the new version.
+  std::set<VmId> m_targets;
   std::optional<Comparison> m_comparison;
   /// Comparisons that ended well after a load that the old version carries.
   int m_failuresUnderLoad = 0;
