Carry every refusal reason over a link; write each message's fields once

Cause: the decoder's bound for reasons was a name that stopped being the last one when three reasons were added, so that an answer with reason cancelled, operation-mismatch or operation-table-full was malformed and closed the link with all its calls. The bound now stands with the enumeration. Test: EveryRefusalReasonCrosses failed at reason 11 before.

FrameCodec had each message's fields twice, to write and to read; now one list serves both.

--- a/src/connection/FrameCodec.cpp
+++ b/src/connection/FrameCodec.cpp
@@ -1,6 +1,10 @@
 #include "connection/FrameCodec.h"
 
+#include <concepts>
+#include <optional>
+#include <type_traits>
 #include <utility>
+#include <vector>
 
 #include "connection/CerealTypes.h"
 
@@ -8,202 +12,175 @@
 
 namespace {
 
-void
-Put(Writer& aWriter, const HttpHeader& aHeader)
-{
-  aWriter.PutText(aHeader.m_name);
-  aWriter.PutText(aHeader.m_value);
-}
-void
-Get(Reader& aReader, HttpHeader& aHeader)
-{
-  aReader.GetText(aHeader.m_name);
-  aReader.GetText(aHeader.m_value);
-}
+template<typename T, typename Message>
+concept Is = std::same_as<std::remove_const_t<T>, Message>;
 
-void
-PutHeaders(Writer& aWriter, const std::vector<HttpHeader>& aHeaders)
-{
-  aWriter.PutNumber(aHeaders.size());
-  for (const HttpHeader& header : aHeaders) {
-    Put(aWriter, header);
-  }
-}
-void
-GetHeaders(Reader& aReader, std::vector<HttpHeader>& aHeaders)
+/// Writes the fields that Fields() names.
+class Encoder
 {
-  const std::size_t count = aReader.GetCount();
-  for (std::size_t i = 0; i < count && !aReader.IsFailed(); ++i) {
-    Get(aReader, aHeaders.emplace_back());
+public:
+  explicit Encoder(Writer& aWriter)
+    : m_writer(aWriter)
+  {
   }
-}
 
-void
-Put(Writer& aWriter, const Call& aCall)
-{
-  Put(aWriter, aCall.m_id);
-  Put(aWriter, aCall.m_operation);
-  Put(aWriter, aCall.m_caller);
-  Put(aWriter, aCall.m_service);
-  Put(aWriter, aCall.m_route);
-  Put(aWriter, aCall.m_class);
-  Put(aWriter, aCall.m_version);
-  Put(aWriter, aCall.m_priority);
-  Put(aWriter, static_cast<std::uint8_t>(aCall.m_idempotent ? 1 : 0));
-  Put(aWriter, aCall.m_attempt);
-  Put(aWriter, aCall.m_timeRemaining);
-  aWriter.PutText(aCall.m_http.m_method);
-  aWriter.PutText(aCall.m_http.m_target);
-  PutHeaders(aWriter, aCall.m_http.m_headers);
-  aWriter.PutText(aCall.m_http.m_body);
-}
-void
-Get(Reader& aReader, Call& aCall)
-{
-  std::uint8_t idempotent = 0;
-  Get(aReader, aCall.m_id);
-  Get(aReader, aCall.m_operation);
-  Get(aReader, aCall.m_caller);
-  Get(aReader, aCall.m_service);
-  Get(aReader, aCall.m_route);
-  Get(aReader, aCall.m_class);
-  Get(aReader, aCall.m_version);
-  Get(aReader, aCall.m_priority);
-  Get(aReader, idempotent);
-  Get(aReader, aCall.m_attempt);
-  Get(aReader, aCall.m_timeRemaining);
-  aReader.GetText(aCall.m_http.m_method);
-  aReader.GetText(aCall.m_http.m_target);
-  GetHeaders(aReader, aCall.m_http.m_headers);
-  aReader.GetText(aCall.m_http.m_body);
-  aCall.m_idempotent = idempotent != 0;
-}
-
-void
-Put(Writer& aWriter, const Answer& aAnswer)
-{
-  Put(aWriter, aAnswer.m_id);
-  PutEnum(aWriter, aAnswer.m_outcome);
-  PutEnum(aWriter, aAnswer.m_refusal);
-  Put(aWriter, aAnswer.m_load.m_running);
-  Put(aWriter, aAnswer.m_load.m_queued);
-  Put(aWriter, aAnswer.m_load.m_slots);
-  Put(aWriter, aAnswer.m_serviceTime);
-  Put(aWriter, aAnswer.m_http.m_status);
-  PutHeaders(aWriter, aAnswer.m_http.m_headers);
-  aWriter.PutText(aAnswer.m_http.m_body);
-}
-void
-Get(Reader& aReader, Answer& aAnswer)
-{
-  Get(aReader, aAnswer.m_id);
-  GetEnum(aReader, aAnswer.m_outcome, CallOutcome::Unknown);
-  GetEnum(aReader, aAnswer.m_refusal, RefusalReason::WithdrawnOperation);
-  Get(aReader, aAnswer.m_load.m_running);
-  Get(aReader, aAnswer.m_load.m_queued);
-  Get(aReader, aAnswer.m_load.m_slots);
-  Get(aReader, aAnswer.m_serviceTime);
-  Get(aReader, aAnswer.m_http.m_status);
-  GetHeaders(aReader, aAnswer.m_http.m_headers);
-  aReader.GetText(aAnswer.m_http.m_body);
-}
+  template<typename... T>
+  void operator()(const T&... aFields)
+  {
+    (Put(m_writer, aFields), ...);
+  }
+  template<typename T>
+  void Enum(T aValue, T /*aLast*/)
+  {
+    PutEnum(m_writer, aValue);
+  }
+  template<typename T>
+  void List(const std::vector<T>& aItems)
+  {
+    m_writer.PutNumber(aItems.size());
+    for (const T& item : aItems) {
+      Fields(*this, item);
+    }
+  }
+  template<typename T>
+  void Optional(const std::optional<T>& aValue)
+  {
+    m_writer.PutNumber(aValue ? 1 : 0);
+    if (aValue) {
+      Fields(*this, *aValue);
+    }
+  }
 
-void
-Put(Writer& aWriter, const CancelCall& aCancel)
-{
-  Put(aWriter, aCancel.m_id);
-}
-void
-Get(Reader& aReader, CancelCall& aCancel)
-{
-  Get(aReader, aCancel.m_id);
-}
+private:
+  Writer& m_writer;
+};
 
-void
-Put(Writer& aWriter, const OperationQuery& aQuery)
+/// Reads the fields that Fields() names.
+class Decoder
 {
-  Put(aWriter, aQuery.m_id);
-  Put(aWriter, aQuery.m_caller);
-  Put(aWriter, aQuery.m_operation);
-  Put(aWriter, aQuery.m_attempt);
-  Put(aWriter, aQuery.m_sentTo);
-}
-void
-Get(Reader& aReader, OperationQuery& aQuery)
-{
-  Get(aReader, aQuery.m_id);
-  Get(aReader, aQuery.m_caller);
-  Get(aReader, aQuery.m_operation);
-  Get(aReader, aQuery.m_attempt);
-  Get(aReader, aQuery.m_sentTo);
-}
+public:
+  explicit Decoder(Reader& aReader)
+    : m_reader(aReader)
+  {
+  }
 
-void
-Put(Writer& aWriter, const OperationReply& aReply)
-{
-  Put(aWriter, aReply.m_id);
-  PutEnum(aWriter, aReply.m_status);
-  aWriter.PutNumber(aReply.m_answer ? 1 : 0);
-  if (aReply.m_answer) {
-    Put(aWriter, *aReply.m_answer);
+  template<typename... T>
+  void operator()(T&... aFields)
+  {
+    (Get(m_reader, aFields), ...);
   }
-}
-void
-Get(Reader& aReader, OperationReply& aReply)
-{
-  Get(aReader, aReply.m_id);
-  GetEnum(aReader, aReply.m_status, OperationStatus::Forgotten);
-  if (aReader.GetNumber() != 0) {
-    Get(aReader, aReply.m_answer.emplace());
+  template<typename T>
+  void Enum(T& aValue, T aLast)
+  {
+    GetEnum(m_reader, aValue, aLast);
   }
-}
+  template<typename T>
+  void List(std::vector<T>& aItems)
+  {
+    const std::size_t count = m_reader.GetCount();
+    for (std::size_t i = 0; i < count && !m_reader.IsFailed(); ++i) {
+      Fields(*this, aItems.emplace_back());
+    }
+  }
+  template<typename T>
+  void Optional(std::optional<T>& aValue)
+  {
+    if (m_reader.GetNumber() != 0) {
+      Fields(*this, aValue.emplace());
+    }
+  }
+
+private:
+  Reader& m_reader;
+};
+
+// The order of fields, written once for both directions.
 
+template<typename Coder, Is<HttpHeader> T>
 void
-Put(Writer& aWriter, const LinkPing& aPing)
+Fields(Coder& aCoder, T& aHeader)
 {
-  Put(aWriter, aPing.m_number);
+  aCoder(aHeader.m_name, aHeader.m_value);
 }
+
+template<typename Coder, Is<Call> T>
 void
-Get(Reader& aReader, LinkPing& aPing)
+Fields(Coder& aCoder, T& aCall)
 {
-  Get(aReader, aPing.m_number);
+  aCoder(aCall.m_id,
+         aCall.m_operation,
+         aCall.m_caller,
+         aCall.m_service,
+         aCall.m_route,
+         aCall.m_class,
+         aCall.m_version,
+         aCall.m_priority,
+         aCall.m_idempotent,
+         aCall.m_attempt,
+         aCall.m_timeRemaining,
+         aCall.m_http.m_method,
+         aCall.m_http.m_target);
+  aCoder.List(aCall.m_http.m_headers);
+  aCoder(aCall.m_http.m_body);
 }
 
+template<typename Coder, Is<Answer> T>
 void
-Put(Writer& aWriter, const LinkPong& aPong)
+Fields(Coder& aCoder, T& aAnswer)
 {
-  Put(aWriter, aPong.m_number);
+  aCoder(aAnswer.m_id);
+  aCoder.Enum(aAnswer.m_outcome, CallOutcome::Unknown);
+  aCoder.Enum(aAnswer.m_refusal, kLastRefusalReason);
+  aCoder(aAnswer.m_load.m_running,
+         aAnswer.m_load.m_queued,
+         aAnswer.m_load.m_slots,
+         aAnswer.m_serviceTime,
+         aAnswer.m_http.m_status);
+  aCoder.List(aAnswer.m_http.m_headers);
+  aCoder(aAnswer.m_http.m_body);
 }
+
+template<typename Coder, Is<CancelCall> T>
 void
-Get(Reader& aReader, LinkPong& aPong)
+Fields(Coder& aCoder, T& aCancel)
 {
-  Get(aReader, aPong.m_number);
+  aCoder(aCancel.m_id);
 }
 
+template<typename Coder, Is<OperationQuery> T>
 void
-Put(Writer& aWriter, const StateRequest& aRequest)
+Fields(Coder& aCoder, T& aQuery)
 {
-  Put(aWriter, aRequest.m_id);
-  aWriter.PutText(aRequest.m_bytes);
+  aCoder(aQuery.m_id,
+         aQuery.m_caller,
+         aQuery.m_operation,
+         aQuery.m_attempt,
+         aQuery.m_sentTo);
 }
+
+template<typename Coder, Is<OperationReply> T>
 void
-Get(Reader& aReader, StateRequest& aRequest)
+Fields(Coder& aCoder, T& aReply)
 {
-  Get(aReader, aRequest.m_id);
-  aReader.GetText(aRequest.m_bytes);
+  aCoder(aReply.m_id);
+  aCoder.Enum(aReply.m_status, OperationStatus::Forgotten);
+  aCoder.Optional(aReply.m_answer);
 }
 
+template<typename Coder, typename T>
+requires Is<T, LinkPing> || Is<T, LinkPong>
 void
-Put(Writer& aWriter, const StateReply& aReply)
+Fields(Coder& aCoder, T& aSign)
 {
-  Put(aWriter, aReply.m_id);
-  aWriter.PutText(aReply.m_bytes);
+  aCoder(aSign.m_number);
 }
+
+template<typename Coder, typename T>
+requires Is<T, StateRequest> || Is<T, StateReply>
 void
-Get(Reader& aReader, StateReply& aReply)
+Fields(Coder& aCoder, T& aState)
 {
-  Get(aReader, aReply.m_id);
-  aReader.GetText(aReply.m_bytes);
+  aCoder(aState.m_id, aState.m_bytes);
 }
 
 /// Reads the alternative whose number is aIndex; false when there is none.
@@ -213,7 +190,8 @@
 {
   if constexpr (I < std::variant_size_v<PeerMessage>) {
     if (aIndex == I) {
-      Get(aReader, aMessage.emplace<I>());
+      Decoder decoder(aReader);
+      Fields(decoder, aMessage.emplace<I>());
       return true;
     }
     return GetAlternative<I + 1>(aReader, aIndex, aMessage);
@@ -232,7 +210,8 @@
   {
     Writer writer(aBytes);
     writer.PutNumber(aMessage.index());
-    std::visit([&](const auto& aBody) { Put(writer, aBody); }, aMessage);
+    Encoder encoder(writer);
+    std::visit([&](const auto& aBody) { Fields(encoder, aBody); }, aMessage);
   }
   const std::size_t length = aBytes.size() - start - kFrameHeaderBytes;
   for (std::size_t i = 0; i < kFrameHeaderBytes; ++i) {
--- a/src/connection/FrameCodecTest.cpp
+++ b/src/connection/FrameCodecTest.cpp
@@ -61,6 +61,19 @@
     std::get<OperationReply>(message.value()).m_answer->m_http.m_status == 201);
 }
 
+Test(FrameCodec, EveryRefusalReasonCrosses)
+{
+  for (int i = 0; i <= static_cast<int>(kLastRefusalReason); ++i) {
+    Answer answer;
+    answer.m_refusal = static_cast<RefusalReason>(i);
+    const std::string frame = FrameOf(answer);
+    const auto message =
+      DecodeMessage(std::string_view(frame).substr(kFrameHeaderBytes), "p");
+    cr_assert(message.has_value(), "reason %d was refused", i);
+    cr_assert(std::get<Answer>(message.value()).m_refusal == answer.m_refusal);
+  }
+}
+
 Test(FrameCodec, EveryTruncationIsRefused)
 {
   const std::string frame = FrameOf(SampleCall());
--- a/src/request/Call.h
+++ b/src/request/Call.h
@@ -53,6 +53,8 @@
   /// No more operations can be remembered now.
   OperationTableFull,
 };
+inline constexpr RefusalReason kLastRefusalReason =
+  RefusalReason::OperationTableFull;
 
 /// The stable name of a reason, for logs, metrics and the answer's header.
 std::string_view
