--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -7,13 +7,13 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/socket_base.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
 #include "connection/HttpFields.h"
+#include "connection/Sockets.h"
 
 namespace tarragontray {
 
@@ -25,8 +25,6 @@
 namespace {
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
-using ReusePort =
-  asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 using Parser = http::request_parser<http::string_body>;
 
 HttpRequestParts
@@ -106,26 +104,10 @@
 
   Result<void> Listen()
   {
-    const tcp::endpoint endpoint(
-      asio::ip::address_v4(m_settings.m_address.Ip()),
-      m_settings.m_address.Port());
-    boost::system::error_code error;
-    m_acceptor.open(endpoint.protocol(), error);
-    m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    if (m_settings.m_sharesPort) {
-      m_acceptor.set_option(ReusePort(true), error);
-    }
-    m_acceptor.bind(endpoint, error);
-    if (!error) {
-      m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-      return Error(ErrorCode::Unavailable,
-                   "http.listen",
-                   m_settings.m_address.ToString(),
-                   error.message());
-    }
-    return Success();
+    return tarragontray::Listen(m_acceptor,
+                                { .m_address = m_settings.m_address,
+                                  .m_step = "http.listen",
+                                  .m_sharesPort = m_settings.m_sharesPort });
   }
 
   void Start()
--- a/src/connection/PeerLink.cpp
+++ b/src/connection/PeerLink.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "connection/Sockets.h"
+
 namespace tarragontray {
 
 namespace asio = boost::asio;
@@ -146,8 +148,7 @@
       socket.close(ignored);
     }
   });
-  const tcp::endpoint endpoint(asio::ip::address_v4(m_peer.Ip()),
-                               m_peer.Port());
+  const auto endpoint = EndpointOf<tcp>(m_peer);
   const auto [error] = co_await socket.async_connect(endpoint, kAwait);
   timeout.cancel();
   if (error || !socket.is_open() || m_state == State::Closed) {
--- /dev/null
+++ b/src/connection/Sockets.cpp
@@ -0,0 +1,39 @@
+#include "connection/Sockets.h"
+
+#include <boost/asio/socket_base.hpp>
+
+namespace tarragontray {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using ReusePort =
+  asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+} // namespace
+
+Result<void>
+Listen(asio::ip::tcp::acceptor& aAcceptor, const ListenOptions& aOptions)
+{
+  const auto endpoint = EndpointOf<asio::ip::tcp>(aOptions.m_address);
+  boost::system::error_code error;
+  aAcceptor.open(endpoint.protocol(), error);
+  aAcceptor.set_option(asio::socket_base::reuse_address(true), error);
+  if (aOptions.m_sharesPort) {
+    aAcceptor.set_option(ReusePort(true), error);
+  }
+  aAcceptor.bind(endpoint, error);
+  if (!error) {
+    aAcceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Error(ErrorCode::Unavailable,
+                 aOptions.m_step,
+                 aOptions.m_address.ToString(),
+                 error.message());
+  }
+  return Success();
+}
+
+} // namespace tarragontray
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -16,6 +16,7 @@
 #include <boost/beast/http.hpp>
 
 #include "connection/HttpFields.h"
+#include "connection/Sockets.h"
 
 namespace tarragontray {
 
@@ -155,9 +156,7 @@
     if (m_isAborted) {
       co_return false;
     }
-    const tcp::endpoint endpoint(
-      asio::ip::address_v4(m_connections->m_address.Ip()),
-      m_connections->m_address.Port());
+    const auto endpoint = EndpointOf<tcp>(m_connections->m_address);
     const auto [error] = co_await m_socket.async_connect(endpoint, kAwait);
     if (error || m_isAborted) {
       co_return false;
--- a/src/process/ControlThread.cpp
+++ b/src/process/ControlThread.cpp
@@ -16,6 +16,7 @@
 #include "connection/DatagramCodec.h"
 #include "connection/HttpServer.h"
 #include "connection/PeerLink.h"
+#include "connection/Sockets.h"
 #include "process/Log.h"
 #include "process/PlatformLoop.h"
 #include "process/StatusJson.h"
@@ -127,9 +128,7 @@
 
   Result<void> Bind()
   {
-    const udp::endpoint endpoint(
-      asio::ip::address_v4(m_settings.m_peerAddress.Ip()),
-      m_settings.m_peerAddress.Port());
+    const auto endpoint = EndpointOf<udp>(m_settings.m_peerAddress);
     boost::system::error_code error;
     m_socket.open(endpoint.protocol(), error);
     if (!error) {
@@ -155,8 +154,7 @@
         continue;
       }
       m_received += size + kDatagramOverhead;
-      const NetworkAddress peer(from.address().to_v4().to_uint(), from.port());
-      Take(std::string_view(buffer.data(), size), peer);
+      Take(std::string_view(buffer.data(), size), AddressOf(from));
     }
   }
 
@@ -198,8 +196,7 @@
   void Send(const OutgoingDatagram& aOutgoing)
   {
     const std::string bytes = EncodeDatagram(aOutgoing.m_datagram);
-    const udp::endpoint to(asio::ip::address_v4(aOutgoing.m_to.Ip()),
-                           aOutgoing.m_to.Port());
+    const auto to = EndpointOf<udp>(aOutgoing.m_to);
     boost::system::error_code ignored;
     m_socket.send_to(asio::buffer(bytes), to, 0, ignored);
     m_sent += bytes.size() + kDatagramOverhead;
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "connection/FrameStream.h"
+#include "connection/Sockets.h"
 #include "connection/UpstreamPool.h"
 #include "process/Log.h"
 #include "process/ThreadLoop.h"
@@ -55,22 +56,9 @@
 
   Result<void> Listen()
   {
-    const tcp::endpoint endpoint(
-      asio::ip::address_v4(m_settings.m_address.Ip()),
-      m_settings.m_address.Port());
-    boost::system::error_code error;
-    m_acceptor.open(endpoint.protocol(), error);
-    m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    m_acceptor.bind(endpoint, error);
-    if (!error) {
-      m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-      return Error(ErrorCode::Unavailable,
-                   "guard.listen",
-                   m_settings.m_address.ToString(),
-                   error.message());
-    }
+    BOOST_OUTCOME_TRY(tarragontray::Listen(
+      m_acceptor,
+      { .m_address = m_settings.m_address, .m_step = "guard.listen" }));
     asio::co_spawn(m_loop.Context(), AcceptLoop(), asio::detached);
     m_loop.Start();
     return Success();
@@ -116,10 +104,8 @@
       socket.set_option(asio::socket_base::keep_alive(true), ignored);
       const tcp::endpoint peer = socket.remote_endpoint(ignored);
       const CallerLink link(++m_lastLink);
-      auto stream = FrameStream::Create(
-        std::move(socket),
-        NetworkAddress(peer.address().to_v4().to_uint(), peer.port())
-          .ToString());
+      auto stream =
+        FrameStream::Create(std::move(socket), AddressOf(peer).ToString());
       stream->OnWriting([this](bool aIsWriting) {
         m_writes += aIsWriting ? 1 : -1;
         UpdateBusy();
