Fuzz the decoders and measure expansion

Each decoder of configuration gets 20,000 seeded inputs: it gives a value that encodes and decodes to the same, or a typed error. The first run failed: a number such as 1e400 was taken as infinite and encoded to text that is not JSON. Such numbers are refused now.

--- a/src/programs/CtlMovesTest.cpp
+++ b/src/programs/CtlMovesTest.cpp
@@ -1,7 +1,9 @@
 #include <criterion/criterion.h>
 
+#include "programs/CtlNodeStatus.h"
 #include "programs/CtlTestFixture.h"
 #include "version/ObjectKeys.h"
+#include "version/TextMutator.h"
 
 namespace tarragontray {
 
@@ -85,4 +87,20 @@
   cr_assert(Contains(ledger.m_text, "vanua-voice  mesqel-gate  42     3.0"));
 }
 
+Test(Ctl, ADamagedStatusIsReadOrRefused)
+{
+  constexpr int kInputs = 20'000;
+  const std::string status =
+    R"({"vm": "a", "data_centre": "d", "draining": false, "members": [{"vm":)"
+    R"( "a", "state": "alive", "slots": 12}], "configurations": [{"account":)"
+    R"( "x", "version": 7, "pending": {"version": 8, "reason": "rejected",)"
+    R"( "detail": "y"}}], "moves": [{"plan": 1, "shares": {"d": 0.5}}]})";
+  TextMutator mutator(20261204);
+  int read = 0;
+  for (int i = 0; i < kInputs; ++i) {
+    read += DecodeNodeStatus(mutator.Mutate(status)) ? 1 : 0;
+  }
+  cr_assert(read > 0 && read < kInputs, "%d read", read);
+}
+
 } // namespace tarragontray
--- a/src/version/Expansion.cmake
+++ b/src/version/Expansion.cmake
@@ -11,10 +11,14 @@
   DEPS tt_expansion tt_json)
 # For tests only.
 tt_library(tt_configuration_samples
-  SRCS ConfigurationSamples.cpp JsonMutations.cpp
+  SRCS ConfigurationSamples.cpp JsonMutations.cpp TextMutator.cpp
   DEPS tt_configuration_json)
 tt_test(expansion_test
   SRCS ChangeValidationTest.cpp ConfigurationHistoryTest.cpp
        ConfigurationJsonTest.cpp ExpansionTest.cpp
   DEPS tt_configuration_samples)
 tt_test(examples_test SRCS ExamplesTest.cpp DEPS tt_configuration_json)
+tt_test(decoder_fuzz_test SRCS DecoderFuzzTest.cpp
+  DEPS tt_configuration_samples)
+tt_benchmark(tarragontray-benchmark-expansion SRCS ExpansionBenchmark.cpp
+  DEPS tt_configuration_samples)
--- a/src/version/JsonObject.cpp
+++ b/src/version/JsonObject.cpp
@@ -27,7 +27,11 @@
     case json::kind::int64:
       return aValue.get_int64();
     case json::kind::double_:
-      return aValue.get_double();
+      // A number too large for a double reads as infinite, which JSON can't
+      // say again.
+      return std::isfinite(aValue.get_double())
+               ? std::optional<ParameterValue>(aValue.get_double())
+               : std::nullopt;
     case json::kind::string:
       return std::string(aValue.get_string());
     default:
--- /dev/null
+++ b/src/version/TextMutator.cpp
@@ -0,0 +1,75 @@
+#include "version/TextMutator.h"
+
+#include <iterator>
+#include <string_view>
+
+namespace tarragontray {
+
+namespace {
+
+/// Pieces that a decoder of JSON treats in a way of their own.
+constexpr std::string_view kPieces[] = {
+  "{",
+  "}",
+  "[",
+  "]",
+  ",",
+  ":",
+  "\"",
+  "\\u0000",
+  "null",
+  "true",
+  "-1",
+  "0.5",
+  "1e400",
+  "//",
+  "/*",
+  "\xff",
+  "[[[[[",
+  "{\"",
+  "\\ud800",
+  "",
+  "999999999999999999999",
+  "\"parameter\"",
+};
+
+} // namespace
+
+std::string
+TextMutator::Mutate(std::string aText)
+{
+  const std::uint64_t changes = 1 + m_random.Below(8);
+  for (std::uint64_t i = 0; i < changes; ++i) {
+    Change(aText);
+  }
+  return aText;
+}
+
+void
+TextMutator::Change(std::string& aText)
+{
+  const std::size_t place = m_random.Below(aText.size() + 1);
+  const std::size_t length = m_random.Below(12);
+  const auto& piece = kPieces[m_random.Below(std::size(kPieces))];
+  switch (m_random.Below(5)) {
+    case 0:
+      aText.erase(place, length);
+      break;
+    case 1:
+      aText.insert(place, piece);
+      break;
+    case 2:
+      aText.replace(place, length, piece);
+      break;
+    case 3:
+      aText.insert(place, aText.substr(m_random.Below(aText.size() + 1), 40));
+      break;
+    default:
+      aText.resize(m_random.Below(50) == 0 ? place : aText.size());
+      if (place < aText.size()) {
+        aText[place] = static_cast<char>(m_random.Next());
+      }
+  }
+}
+
+} // namespace tarragontray
