--- a/src/process/ConfigurationStore.cmake
+++ b/src/process/ConfigurationStore.cmake
@@ -5,6 +5,7 @@
   DEPS tt_expansion)
 tt_test(configuration_store_test
   SRCS ConfigurationStoreTest.cpp ConfigurationOrderTest.cpp
+       ConfigurationSessionTest.cpp
        DocumentRevisionsTest.cpp
   DEPS tt_configuration_store tt_configuration_samples rapidcheck)
 
--- a/src/programs/Ctl.cmake
+++ b/src/programs/Ctl.cmake
@@ -7,6 +7,6 @@
   DEPS tt_conditional_writer tt_configuration_json tt_expansion tt_http_client
        tt_json tt_platform_session tt_settings)
 tt_program(tarragontrayctl SRCS CtlMain.cpp DEPS tt_ctl)
-tt_test(ctl_test SRCS CtlMovesTest.cpp CtlTest.cpp CtlTestFixture.cpp
+tt_test(ctl_test SRCS CtlMovesTest.cpp CtlRaceTest.cpp CtlTest.cpp CtlTestFixture.cpp
   DEPS tt_ctl tt_standin_platform tt_faulty_http_server
        tt_configuration_samples)
--- /dev/null
+++ b/src/programs/CtlRaceTest.cpp
@@ -0,0 +1,172 @@
+#include <functional>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <boost/json.hpp>
+#include <criterion/criterion.h>
+
+#include "programs/CtlChange.h"
+#include "programs/CtlTestFixture.h"
+#include "version/ConfigurationJson.h"
+
+namespace tarragontray {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::size_t kOperators = 4;
+constexpr std::size_t kChanges = 5;
+
+/// The versions that operators were told are theirs, by operation.
+class AppliedVersions
+{
+public:
+  void Add(const CtlOutput& aOutput)
+  {
+    const json::value applied = json::parse(aOutput.m_json);
+    const std::lock_guard lock(m_mutex);
+    m_versions[std::string(applied.at("operation").as_string())] =
+      applied.at("version").to_number<std::uint64_t>();
+  }
+
+  const std::map<std::string, std::uint64_t>& Versions() const
+  {
+    return m_versions;
+  }
+
+private:
+  std::mutex m_mutex;
+  std::map<std::string, std::uint64_t> m_versions;
+};
+
+/// Makes changes, each from the version that is current then, until so many
+/// of them were applied.
+void
+ApplyChanges(const Surroundings& aSurroundings,
+             std::size_t aOperator,
+             AppliedVersions& aApplied)
+{
+  const auto session =
+    CtlSession::Create({ .m_platform = aSurroundings.Platform() });
+  for (std::size_t done = 0; done < kChanges;) {
+    const std::string text =
+      Parameters(static_cast<std::int64_t>(200 + 10 * aOperator + done));
+    const auto review =
+      ReviewChange(*session.value(), DecodeParameters(text).value());
+    cr_assert(review.has_value(), "%s", review.error().Message().c_str());
+    const auto output =
+      ApplyChange(*session.value(), review.value(), std::nullopt);
+    cr_assert(output.has_value(), "%s", output.error().Message().c_str());
+    if (output.value().m_exitStatus == kExitDone) {
+      aApplied.Add(output.value());
+      ++done;
+    }
+  }
+}
+
+/// A session that lets another operator act before its first write.
+class OvertakenSession final : public CtlSession
+{
+public:
+  OvertakenSession(CtlSession& aInner, std::function<void()> aOvertake)
+    : m_inner(aInner)
+    , m_overtake(std::move(aOvertake))
+  {
+  }
+
+  Result<PlatformObject> Read(const ObjectKey& aKey) override
+  {
+    return m_inner.Read(aKey);
+  }
+  Result<std::optional<PlatformObject>> Find(const ObjectKey& aKey) override
+  {
+    return m_inner.Find(aKey);
+  }
+  Result<PlatformListing> List(const std::string& aPrefix) override
+  {
+    return m_inner.List(aPrefix);
+  }
+  WriteReport Write(PlatformWrite aWrite) override
+  {
+    if (m_overtake) {
+      std::exchange(m_overtake, nullptr)();
+    }
+    return m_inner.Write(std::move(aWrite));
+  }
+  Result<std::string> NodeStatus(const NetworkAddress& aNode) override
+  {
+    return m_inner.NodeStatus(aNode);
+  }
+  const std::vector<NetworkAddress>& Nodes() const override
+  {
+    return m_inner.Nodes();
+  }
+  OperationId NewOperation() override { return m_inner.NewOperation(); }
+  WallTime Now() const override { return m_inner.Now(); }
+  void Wait(Duration aTime) override { m_inner.Wait(aTime); }
+
+private:
+  CtlSession& m_inner;
+  std::function<void()> m_overtake;
+};
+
+} // namespace
+
+Test(CtlRace, AnOvertakenOperatorKeepsTheHistoryOfTheOthers)
+{
+  const Surroundings surroundings;
+  const Operator op(surroundings);
+  Prepare(op);
+  const auto inner =
+    CtlSession::Create({ .m_platform = surroundings.Platform() });
+  OvertakenSession session(*inner.value(), [&] {
+    op.Done({ "config", "apply", TemporaryFile(Parameters(102)).Path() });
+    op.Done({ "config", "apply", TemporaryFile(Parameters(103)).Path() });
+  });
+  const auto review =
+    ReviewChange(session, DecodeParameters(Parameters(104)).value());
+  const auto lost = ApplyChange(session, review.value(), std::nullopt);
+  cr_assert(lost.value().m_exitStatus == kExitLostRace);
+  for (const char* version : { "2", "4" }) {
+    op.Done({ "config", "get", "mesqel-gate" },
+            { std::string("--revision=") + version });
+  }
+}
+
+Test(CtlRace, NoChangeOfRacingOperatorsIsLostOrAppliedTwice, .timeout = 60)
+{
+  Surroundings surroundings;
+  const Operator op(surroundings);
+  Prepare(op);
+  PlatformFaults faults;
+  faults.m_lostAnswers = 10;
+  surroundings.SetFaults(faults);
+  AppliedVersions applied;
+  std::vector<std::thread> threads;
+  for (std::size_t i = 0; i < kOperators; ++i) {
+    threads.emplace_back([&, i] { ApplyChanges(surroundings, i, applied); });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  std::map<std::string, std::uint64_t> kept;
+  const CtlOutput history = op.Done({ "config", "history", "mesqel-gate" });
+  const json::value entries = json::parse(history.m_json);
+  for (const json::value& entry : entries.as_array()) {
+    const std::string operation(entry.at("operation").as_string());
+    cr_assert(!kept.contains(operation), "%s twice", operation.c_str());
+    kept[operation] = entry.at("version").to_number<std::uint64_t>();
+  }
+  cr_assert(kept.size() >= kOperators * kChanges);
+  for (const auto& [operation, version] : applied.Versions()) {
+    cr_assert(kept.contains(operation) && kept.at(operation) == version,
+              "%s is lost",
+              operation.c_str());
+  }
+}
+
+} // namespace tarragontray
