Give a new steward the past that its node saw

Change: what the node itself saw before it had the role is the judge's past; after a pause a new steward is made. The past rate is taken one standard deviation up.

--- a/src/version/FixedStepPolicy.cpp
+++ b/src/version/FixedStepPolicy.cpp
@@ -19,6 +19,8 @@
   {
   }
 
+  void LearnPast(const EvidenceWindow& /*aWindow*/) override {}
+
   Verdict Judge(const EvidenceWindow& aWindow) override
   {
     for (const WindowEntry& entry : aWindow.m_entries) {
@@ -50,6 +52,8 @@
 class NoJudge final : public VersionJudge
 {
 public:
+  void LearnPast(const EvidenceWindow& /*aWindow*/) override {}
+
   Verdict Judge(const EvidenceWindow& /*aWindow*/) override
   {
     return Verdict();
--- a/src/version/Move.cpp
+++ b/src/version/Move.cpp
@@ -199,6 +199,9 @@
   if (m_lastTick && aNow - *m_lastTick > kPause) {
     m_wokeAt = aNow;
     m_heardSinceWaking = false;
+    if (m_steward) {
+      m_steward.emplace(m_plan, m_settings->m_dataCentre, *m_policy);
+    }
   }
   m_lastTick = aNow;
 }
--- a/src/version/MovePolicy.h
+++ b/src/version/MovePolicy.h
@@ -59,6 +59,9 @@
 {
 public:
   virtual ~VersionJudge() = default;
+  /// Takes in what was seen of the old version before the judge was made.
+  /// Thread safety: one thread.
+  virtual void LearnPast(const EvidenceWindow& aWindow) = 0;
   /// Takes the next window in. Thread safety: one thread.
   virtual Verdict Judge(const EvidenceWindow& aWindow) = 0;
 };
--- a/src/version/RouteComparison.cpp
+++ b/src/version/RouteComparison.cpp
@@ -61,6 +61,16 @@
                                  static_cast<double>(aCount.m_calls);
 }
 
+/// One standard deviation above the past rate, so that a thin past does not
+/// count for more than it knows.
+double
+PastRate(double aCalls, double aBad)
+{
+  const double calls = aCalls + kPriorCalls;
+  const double rate = (aBad + kPriorRate * kPriorCalls) / calls;
+  return rate + std::sqrt(rate * (1.0 - rate) / calls);
+}
+
 /// The old version's rate in a window, steadied by its past.
 double
 Reference(const BadCount& aOld, double aPastRate)
@@ -168,8 +178,7 @@
   }
   SignalState& state = m_signals[Index(aSignal)];
   const SignalRule& rule = kRules[Index(aSignal)];
-  const double pastRate = (state.m_pastBad + kPriorRate * kPriorCalls) /
-                          (state.m_pastCalls + kPriorCalls);
+  const double pastRate = PastRate(state.m_pastCalls, state.m_pastBad);
   state.m_reference = Reference(old, pastRate) + rule.m_tolerance;
   state.m_isOldHealthy = old.m_bad < kSharedFaultCalls ||
                          Rate(old) <= pastRate + 4 * rule.m_tolerance;
@@ -242,6 +251,23 @@
   return oldCalls < kEnoughOldCalls;
 }
 
+void
+RouteComparison::LearnPast(std::vector<WindowEntry> aEntries)
+{
+  for (WindowEntry& entry : aEntries) {
+    entry.m_isFresh = false;
+    entry.m_isWarming = false;
+  }
+  m_pending = std::move(aEntries);
+  // First, since the limits decide which calls were slow.
+  AddLatencyPast();
+  const WindowUse pastOnly{ Duration::zero(), false, false };
+  for (std::size_t i = 0; i < kSignals; ++i) {
+    AddSignal(static_cast<Signal>(i), pastOnly);
+  }
+  m_pending.clear();
+}
+
 void
 RouteComparison::Add(const std::vector<WindowEntry>& aEntries,
                      const WindowUse& aUse)
@@ -251,10 +277,9 @@
   if (MustWait(aUse)) {
     return;
   }
-  AddSignal(Signal::Failures, aUse);
-  AddSignal(Signal::CallerErrors, aUse);
-  AddSignal(Signal::SlowCalls, aUse);
-  AddSignal(Signal::AboveMedian, aUse);
+  for (std::size_t i = 0; i < kSignals; ++i) {
+    AddSignal(static_cast<Signal>(i), aUse);
+  }
   AddLatencyPast();
   m_pending.clear();
   m_pendingLength = Duration::zero();
--- a/src/version/RouteComparison.h
+++ b/src/version/RouteComparison.h
@@ -85,6 +85,9 @@
 class RouteComparison
 {
 public:
+  /// Takes in what was seen of the old version before.
+  void LearnPast(std::vector<WindowEntry> aEntries);
+
   /// Takes one window's entries of this route in.
   void Add(const std::vector<WindowEntry>& aEntries, const WindowUse& aUse);
 
--- a/src/version/SequentialJudge.cpp
+++ b/src/version/SequentialJudge.cpp
@@ -46,6 +46,20 @@
 
 } // namespace
 
+void
+SequentialJudge::LearnPast(const EvidenceWindow& aWindow)
+{
+  std::map<RouteName, std::vector<WindowEntry>> byRoute;
+  for (const WindowEntry& entry : aWindow.m_entries) {
+    if (entry.m_side == VersionSide::Old) {
+      byRoute[entry.m_route].push_back(entry);
+    }
+  }
+  for (auto& [route, entries] : byRoute) {
+    m_routes[route].LearnPast(std::move(entries));
+  }
+}
+
 void
 SequentialJudge::Learn(const EvidenceWindow& aWindow)
 {
--- a/src/version/SequentialJudge.h
+++ b/src/version/SequentialJudge.h
@@ -38,6 +38,7 @@
   {
   }
 
+  void LearnPast(const EvidenceWindow& aWindow) override;
   Verdict Judge(const EvidenceWindow& aWindow) override;
 
 private:
--- a/src/version/Steward.cpp
+++ b/src/version/Steward.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// A gap after which what the steward knew is out of date.
-constexpr Duration kPause = std::chrono::seconds(5);
 /// Time over which a new steward only listens.
 constexpr Duration kListen = std::chrono::seconds(3);
 
@@ -51,12 +49,11 @@
 void
 Steward::Begin(MonotonicTime aNow)
 {
-  m_judge = m_policy->MakeJudge(EvidenceScope::DataCentre);
-  m_verdict = Verdict();
   m_begin = aNow;
   m_changed = aNow;
   m_table.TakeFirstReportsAsBaseline(true);
-  m_table.TakeWindow(aNow);
+  // What this node saw itself before it had the role.
+  m_judge->LearnPast(m_table.TakeWindow(aNow));
 }
 
 bool
@@ -93,10 +90,10 @@
                  const Times& aTimes,
                  MoveProgress& aProgress)
 {
-  if (!m_lastAdvance || aTimes.m_now - *m_lastAdvance > kPause) {
+  if (!m_hasBegun) {
+    m_hasBegun = true;
     Begin(aTimes.m_now);
   }
-  m_lastAdvance = aTimes.m_now;
   EvidenceWindow window = m_table.TakeWindow(aTimes.m_now);
   window.m_oldSlots = aSlots.m_old;
   window.m_newSlots = aSlots.m_new;
--- a/src/version/Steward.h
+++ b/src/version/Steward.h
@@ -49,7 +49,8 @@
   void Learn(const EvidenceReport& aReport) { m_table.Learn(aReport); }
 
   /// Judges the window since the last call and changes this data centre's
-  /// progress. After a pause the evidence starts anew and the share waits.
+  /// progress. At first it only listens; reports learned before the first call
+  /// are the past. After a pause a new steward is to be made.
   /// \return true when the progress changed.
   bool Advance(const WarmSlots& aSlots,
                const Times& aTimes,
@@ -70,7 +71,7 @@
   EvidenceTable m_table;
   std::unique_ptr<VersionJudge> m_judge;
   Verdict m_verdict;
-  std::optional<MonotonicTime> m_lastAdvance;
+  bool m_hasBegun = false;
   MonotonicTime m_begin{};
   /// The share as last seen, and since when it is so.
   DataCentreProgress m_lastProgress;
