Test every failure case and counter-case of moves, with golden files

Change: one scripted session for each case, the parts' own tests, two whole recorded moves as golden files, and a regression check of 52 seeded moves (two of each kind) with bounds from the aim: every bad version taken back, every good one done in time. The two session tests of moves_test moved to move_session_test, where they are stricter.

--- /dev/null
+++ b/src/version/MoveRegressionTest.cpp
@@ -0,0 +1,66 @@
+/// A fixed set of seeded moves of every kind, with bounds from the aim.
+#include <algorithm>
+#include <string>
+
+#include <criterion/criterion.h>
+
+#include "version/SequentialMovePolicy.h"
+#include "version/testing/MoveScenarios.h"
+
+namespace tarragontray::testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t kSeeds = 2;
+/// Part of all calls that a bad version may hurt.
+constexpr double kMaxHurtPart = 0.05;
+/// The same when there is hardly any traffic to find it by.
+constexpr double kMaxHurtPartOfLittle = 0.5;
+
+ScenarioOutcome
+Play(ScenarioKind aKind, std::uint64_t aSeed)
+{
+  return PlayScenario(aKind, aSeed, [] {
+    return SequentialMovePolicy::Create(SequentialSettings{}).value();
+  });
+}
+
+} // namespace
+
+Test(MoveRegression, EveryBadVersionIsTakenBack)
+{
+  for (const ScenarioKind kind : AllScenarioKinds()) {
+    const double bound = kind == ScenarioKind::BadWithLittleTraffic
+                           ? kMaxHurtPartOfLittle
+                           : kMaxHurtPart;
+    for (std::uint64_t seed = 1; IsBad(kind) && seed <= kSeeds; ++seed) {
+      const ScenarioOutcome outcome = Play(kind, seed);
+      const std::string name(Name(kind));
+      cr_expect(outcome.m_isTakenBack, "%s %lu", name.c_str(), seed);
+      cr_expect(outcome.m_hurtPart < bound,
+                "%s %lu hurt %f",
+                name.c_str(),
+                seed,
+                outcome.m_hurtPart);
+    }
+  }
+}
+
+Test(MoveRegression, EveryGoodVersionIsDoneInTime)
+{
+  for (const ScenarioKind kind : AllScenarioKinds()) {
+    for (std::uint64_t seed = 1; !IsBad(kind) && seed <= kSeeds; ++seed) {
+      const ScenarioOutcome outcome = Play(kind, seed);
+      const std::string name(Name(kind));
+      cr_expect(outcome.m_isDoneInTime,
+                "%s %lu: %s",
+                name.c_str(),
+                seed,
+                outcome.m_result.m_reason.c_str());
+    }
+  }
+}
+
+} // namespace tarragontray::testing
--- a/src/version/MovesTest.cpp
+++ b/src/version/MovesTest.cpp
@@ -3,9 +3,8 @@
 #include <criterion/criterion.h>
 
 #include "version/SequentialMovePolicy.h"
-#include "version/testing/MoveSession.h"
 
-namespace tarragontray::testing {
+namespace tarragontray {
 
 namespace {
 
@@ -141,25 +140,4 @@
   cr_assert(moves.SplitOf(plan.m_id.m_service)->m_toShare == Share::None());
 }
 
-Test(MoveSession, AGoodVersionIsWholeInTimeAndDone)
-{
-  const SessionResult result =
-    MoveSession(SessionSettings{}, MakeSequential).Run();
-  cr_assert(result.m_isWholeInTime);
-  cr_assert(result.m_state == MoveState::Done);
-  cr_assert(result.m_written.size() == 1);
-}
-
-Test(MoveSession, AVersionThatFailsAtOnceIsTakenBack)
-{
-  SessionSettings settings;
-  ModelFault fault;
-  fault.m_side = VersionSide::New;
-  fault.m_failureRate = 0.5;
-  settings.m_model.m_faults.push_back(fault);
-  const SessionResult result = MoveSession(settings, MakeSequential).Run();
-  cr_assert(result.m_state == MoveState::TakenBack);
-  cr_assert(result.m_written.front().m_state == MoveState::TakenBack);
-}
-
-} // namespace tarragontray::testing
+} // namespace tarragontray
--- a/src/version/testing/MoveSession.cpp
+++ b/src/version/testing/MoveSession.cpp
@@ -328,6 +328,9 @@
       " " + DataCentreOf(dc).Value() + "=" + std::to_string(share.Parts());
   }
   line += " state=" + std::string(Name(status.m_state));
+  if (!status.m_route.IsEmpty()) {
+    line += " route=" + status.m_route.Value();
+  }
   if (!status.m_reason.empty()) {
     line += " reason=\"" + status.m_reason + "\"";
   }
