--- a/src/request/TwoChoicesBalancing.h
+++ b/src/request/TwoChoicesBalancing.h
@@ -3,7 +3,7 @@
 ///
 ///     TwoChoicesBalancing policy(TwoChoicesSettings{});
 ///     std::optional<std::size_t> index =
-///       policy.Choose(candidates, dataCentre, now, random);
+///       policy.Choose(candidates, 0, dataCentre, now, random);
 ///     policy.Started(candidates[*index]->m_vm, now);
 ///     policy.Finished(candidates[*index]->m_vm, result, now);
 ///
@@ -38,10 +38,14 @@
   Duration m_reportHalfLife = std::chrono::milliseconds(500);
   /// Failures in a row that eject a target.
   std::uint32_t m_ejectAfter = 5;
-  Duration m_firstEjection = std::chrono::seconds(2);
-  Duration m_maxEjection = std::chrono::seconds(30);
-  /// The load of a starting target counts this many times.
+  Duration m_firstEjection = std::chrono::milliseconds(500);
+  /// Bounds the time for which the service lacks targets that are well again.
+  Duration m_maxEjection = std::chrono::seconds(2);
+  /// The load of a starting target, and of one that has not succeeded since
+  /// its ejection, counts this many times.
   double m_startingPenalty = 8;
+  /// Time for which a target that refused gets no call while others have room.
+  Duration m_refusalPause = std::chrono::milliseconds(50);
   /// Targets tracked; on more, idle ones are forgotten.
   std::size_t m_maxTargets = 8192;
 };
@@ -58,6 +62,7 @@
   /// much, and only they know it.
   std::optional<std::size_t> Choose(
     const std::vector<const Target*>& aCandidates,
+    std::size_t aTried,
     const DataCentreId& aOwnDataCentre,
     MonotonicTime aNow,
     Random& aRandom) override;
@@ -81,22 +86,33 @@
     std::uint32_t m_failuresInRow = 0;
     std::uint32_t m_ejections = 0;
     MonotonicTime m_ejectedUntil{};
+    /// It refused for load lately, whatever its reports say.
+    MonotonicTime m_fullUntil{};
   };
 
-  using Indices = std::vector<std::size_t>;
+  /// What one choice knows of one candidate.
+  struct Considered
+  {
+    bool m_isEjected = false;
+    /// Neither saturated nor refusing.
+    bool m_hasRoom = true;
+    int m_tier = 0;
+    /// What two choices compare: load over usable slots, weighted by latency.
+    double m_cost = 0;
+  };
 
-  const Stats* Find(const VmId& aVm) const;
-  /// Load over slots.
-  double Load(const Target& aTarget, MonotonicTime aNow) const;
-  /// What two choices compare: load weighted by latency.
-  double Cost(const Target& aTarget, MonotonicTime aNow) const;
-  void KeepHealthy(const std::vector<const Target*>& aCandidates,
-                   MonotonicTime aNow);
-  /// Fills m_tier with the healthy targets that have room, from no further
-  /// away than needed.
-  void SelectTier(const std::vector<const Target*>& aCandidates,
-                  const DataCentreId& aOwnDataCentre,
-                  MonotonicTime aNow);
+  Considered Consider(const Target& aTarget,
+                      const DataCentreId& aOwnDataCentre,
+                      MonotonicTime aNow) const;
+  /// Ignores all ejections when they take more than half of the targets.
+  void LimitEjections(std::size_t aTried);
+  /// Fills m_tier with the targets that have room, from no further away than
+  /// needed.
+  void SelectTier();
+  /// Slots, or the few of a target that is starting or on trial.
+  double UsableSlots(const Target& aTarget, const Stats& aStats) const;
+  /// Calls at the target: own ones in flight, or the faded report if higher.
+  double Running(const Stats& aStats, MonotonicTime aNow) const;
   int Tier(const Target& aTarget, const DataCentreId& aOwnDataCentre) const;
   void Eject(Stats& aStats, MonotonicTime aNow) const;
   void ForgetIdle();
@@ -106,8 +122,8 @@
   /// Smoothed over all targets, for those that have not answered yet; seconds.
   double m_usualLatency = 0;
   /// Kept between calls, so that a choice allocates nothing.
-  Indices m_healthy;
-  Indices m_tier;
+  std::vector<Considered> m_considered;
+  std::vector<std::size_t> m_tier;
 };
 
 } // namespace tarragontray
