--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -122,7 +122,7 @@
     return;
   }
   entry.m_waiters.push_back(waiter);
-  m_links[aFrom][aCall.m_id] = aKnown.m_ticket;
+  m_links.Add(waiter, aKnown.m_ticket);
 }
 
 RefusalReason
@@ -147,7 +147,7 @@
   const WaitingCall waiting{
     ticket, aCall.m_caller, aCall.m_priority, aNow + aCall.m_timeRemaining
   };
-  m_links[aFrom][aCall.m_id] = ticket;
+  m_links.Add({ aFrom, aCall.m_id }, ticket);
   Entry& entry = m_entries[ticket];
   entry.m_waiters.push_back({ aFrom, aCall.m_id });
   entry.m_deadline = waiting.m_deadline;
@@ -200,7 +200,7 @@
   }
   for (const Waiter& waiter : entry.m_waiters) {
     ReplyTo(waiter, aAnswer, actions);
-    ForgetWaiter(waiter);
+    m_links.Remove(waiter);
   }
   RunNext(aNow, actions);
   return actions;
@@ -210,15 +210,15 @@
 Guard::Cancel(CallerLink aFrom, CallId aCall, MonotonicTime aNow)
 {
   GuardActions actions;
-  const auto link = m_links.find(aFrom);
-  if (link == m_links.end() || !link->second.contains(aCall)) {
+  const Waiter waiter{ aFrom, aCall };
+  const std::optional<Ticket> ticket = m_links.Find(waiter);
+  if (!ticket) {
     return actions;
   }
-  const Ticket ticket = link->second.at(aCall);
-  const bool wasRunning = m_entries.at(ticket).m_isRunning;
-  Leave(ticket, { aFrom, aCall }, aNow, actions);
-  if (!wasRunning && !m_entries.contains(ticket)) {
-    ReplyNotRun({ aFrom, aCall }, RefusalReason::Cancelled, actions);
+  const bool wasRunning = m_entries.at(*ticket).m_isRunning;
+  Leave(*ticket, waiter, aNow, actions);
+  if (!wasRunning && !m_entries.contains(*ticket)) {
+    ReplyNotRun(waiter, RefusalReason::Cancelled, actions);
   }
   RunNext(aNow, actions);
   return actions;
@@ -228,13 +228,8 @@
 Guard::LinkClosed(CallerLink aFrom, MonotonicTime aNow)
 {
   GuardActions actions;
-  const auto link = m_links.find(aFrom);
-  if (link == m_links.end()) {
-    return actions;
-  }
-  const auto calls = link->second;
-  for (const auto& [call, ticket] : calls) {
-    Leave(ticket, { aFrom, call }, aNow, actions);
+  for (const auto& [waiter, ticket] : m_links.Of(aFrom)) {
+    Leave(ticket, waiter, aNow, actions);
   }
   RunNext(aNow, actions);
   return actions;
@@ -246,11 +241,9 @@
              MonotonicTime aNow,
              GuardActions& aActions)
 {
-  ForgetWaiter(aWaiter);
+  m_links.Remove(aWaiter);
   Entry& entry = m_entries.at(aTicket);
-  std::erase_if(entry.m_waiters, [&](const Waiter& aOther) {
-    return aOther.m_link == aWaiter.m_link && aOther.m_call == aWaiter.m_call;
-  });
+  std::erase(entry.m_waiters, aWaiter);
   if (!entry.m_waiters.empty()) {
     return;
   }
@@ -358,7 +351,7 @@
   }
   for (const Waiter& waiter : entry.m_waiters) {
     ReplyNotRun(waiter, aReason, aActions);
-    ForgetWaiter(waiter);
+    m_links.Remove(waiter);
   }
 }
 
@@ -381,19 +374,6 @@
   ReplyTo(aWaiter, std::move(answer), aActions);
 }
 
-void
-Guard::ForgetWaiter(const Waiter& aWaiter)
-{
-  const auto link = m_links.find(aWaiter.m_link);
-  if (link == m_links.end()) {
-    return;
-  }
-  link->second.erase(aWaiter.m_call);
-  if (link->second.empty()) {
-    m_links.erase(link);
-  }
-}
-
 void
 Guard::LearnServiceTime(Duration aTime)
 {
--- a/src/request/Guard.h
+++ b/src/request/Guard.h
@@ -30,13 +30,11 @@
 #include "process/MemberRecord.h"
 #include "request/AdmissionPolicy.h"
 #include "request/Call.h"
+#include "request/CallerLinks.h"
 #include "request/OperationTable.h"
 
 namespace tarragontray {
 
-/// The link a call came on; the driver gives the numbers, none twice.
-using CallerLink = Amount<struct CallerLinkTag>;
-
 struct GuardSettings
 {
   /// The node's incarnation at its start. Questions about calls that were sent
@@ -141,12 +139,6 @@
   }
 
 private:
-  /// A call of a link that waits for an entry's answer.
-  struct Waiter
-  {
-    CallerLink m_link;
-    CallId m_call;
-  };
   /// An admitted call.
   struct Entry
   {
@@ -191,7 +183,6 @@
   void ReplyNotRun(const Waiter& aWaiter,
                    RefusalReason aReason,
                    GuardActions& aActions);
-  void ForgetWaiter(const Waiter& aWaiter);
   void LearnServiceTime(Duration aTime);
   AdmissionRoom Room() const;
   bool IsDraining() const
@@ -205,7 +196,7 @@
   UpstreamAnnouncement m_upstream;
   bool m_isDraining = false;
   Entries m_entries;
-  std::unordered_map<CallerLink, std::unordered_map<CallId, Ticket>> m_links;
+  CallerLinks m_links;
   std::uint32_t m_running = 0;
   Ticket m_lastTicket;
   Duration m_serviceTime{ 0 };
--- a/src/request/testing/RequestModel.cpp
+++ b/src/request/testing/RequestModel.cpp
@@ -11,26 +11,17 @@
 
 #include "base/Random.h"
 #include "request/CallPlan.h"
-#include "request/FairAdmission.h"
-#include "request/FifoAdmission.h"
-#include "request/Guard.h"
-#include "request/RetryBudget.h"
-#include "request/RoundRobinBalancing.h"
-#include "request/TwoChoicesBalancing.h"
+#include "request/testing/ModelParts.h"
 
 namespace tarragontray::testing {
 
 namespace {
 
 constexpr Duration kOneWay = std::chrono::microseconds(500);
-constexpr double kSlowFactor = 3;
 constexpr MonotonicTime kStart{ std::chrono::hours(1) };
 constexpr std::uint16_t kOk = 200;
 constexpr std::uint16_t kServerError = 500;
 
-const ServiceId kService{ ClientAccountId("steady-0"), ServiceName("service") };
-const UpstreamVersion kVersion("v1");
-
 double
 Seconds(Duration aDuration)
 {
@@ -44,45 +35,6 @@
     std::chrono::duration<double>(aSeconds));
 }
 
-struct Upstream
-{
-  std::unique_ptr<Guard> m_guard;
-  std::uint32_t m_trueSlots = 0;
-  double m_speed = 1;
-  bool m_misleads = false;
-  /// Part of the calls that fails.
-  double m_failures = 0;
-  std::uint32_t m_running = 0;
-};
-
-/// The policies of one entry node.
-struct Entry
-{
-  Entry(const ModelSettings& aSettings, std::uint64_t aSeed)
-    : m_random(aSeed)
-    , m_splitter(m_random)
-  {
-    if (aSettings.m_balancing == BalancingKind::TwoChoices) {
-      m_balancing = std::make_unique<TwoChoicesBalancing>(TwoChoicesSettings{});
-    } else {
-      m_balancing = std::make_unique<RoundRobinBalancing>();
-    }
-    if (aSettings.m_retries == RetryKind::Budget) {
-      m_retries = std::make_unique<RetryBudget>(RetryBudgetSettings{});
-    } else {
-      m_retries = std::make_unique<ThreeTries>();
-    }
-    m_policies = std::make_unique<TrafficPolicies>(
-      TrafficPolicies{ *m_balancing, m_splitter, *m_retries, m_random });
-  }
-
-  SeededRandom m_random;
-  VersionSplitter m_splitter;
-  std::unique_ptr<BalancingPolicy> m_balancing;
-  std::unique_ptr<RetryPolicy> m_retries;
-  std::unique_ptr<TrafficPolicies> m_policies;
-};
-
 struct OpenCall
 {
   std::size_t m_account = 0;
@@ -114,7 +66,6 @@
     }
   };
 
-  void MakeUpstream(std::size_t aIndex);
   double Capacity() const;
   double LoadAt(MonotonicTime aTime) const;
   double Rate(std::size_t aAccount, MonotonicTime aTime) const;
@@ -138,11 +89,11 @@
   MonotonicTime m_end;
   std::priority_queue<Event> m_events;
   std::uint64_t m_lastEvent = 0;
-  std::vector<Upstream> m_upstreams;
+  std::vector<ModelUpstream> m_upstreams;
   ServiceView m_view;
   RouteSpec m_idempotent;
   RouteSpec m_plain;
-  std::vector<std::unique_ptr<Entry>> m_entries;
+  std::vector<std::unique_ptr<ModelEntry>> m_entries;
   std::deque<OpenCall> m_calls;
   std::vector<std::uint64_t> m_callOfLink;
   ModelResult m_result;
@@ -155,12 +106,13 @@
 {
   m_view.m_id = kService;
   m_view.m_split.m_from = kVersion;
-  m_upstreams.resize(aSettings.m_targets);
   for (std::size_t i = 0; i < aSettings.m_targets; ++i) {
-    MakeUpstream(i);
+    m_upstreams.push_back(MakeUpstream(aSettings, i, m_now));
+    m_view.m_targets.push_back(MakeTarget(aSettings, i));
   }
   for (std::size_t i = 0; i < aSettings.m_entryNodes; ++i) {
-    m_entries.push_back(std::make_unique<Entry>(aSettings, m_random.Next()));
+    m_entries.push_back(
+      std::make_unique<ModelEntry>(aSettings, m_random.Next()));
   }
   m_plain.m_timeout = aSettings.m_timeout;
   m_idempotent = m_plain;
@@ -173,42 +125,11 @@
   }
 }
 
-void
-Model::MakeUpstream(std::size_t aIndex)
-{
-  Upstream& upstream = m_upstreams[aIndex];
-  const std::size_t count = m_settings.m_targets;
-  const bool isSlow = m_settings.m_hasOddTargets && aIndex + 1 == count;
-  upstream.m_misleads = m_settings.m_hasOddTargets && aIndex + 2 == count;
-  upstream.m_trueSlots = m_settings.m_slots;
-  upstream.m_speed = isSlow ? 1 / kSlowFactor : 1;
-  const SlotCount announced(m_settings.m_slots * (upstream.m_misleads ? 2 : 1));
-
-  std::unique_ptr<AdmissionPolicy> policy;
-  if (m_settings.m_admission == AdmissionKind::Fair) {
-    policy = FairAdmission::Create(
-               { kService.m_owner, m_settings.m_queueLimit, Share::All() })
-               .value();
-  } else {
-    policy = std::make_unique<FifoAdmission>(m_settings.m_queueLimit);
-  }
-  upstream.m_guard = std::make_unique<Guard>(
-    Guard::Create(GuardSettings{}, std::move(policy)).value());
-  upstream.m_guard->SetUpstream(
-    { kService, kVersion, UpstreamState::Live, announced }, m_now);
-
-  Target target;
-  target.m_vm = VmId("vm-" + std::to_string(aIndex));
-  target.m_version = kVersion;
-  target.m_slots = announced;
-  m_view.m_targets.push_back(target);
-}
-
 double
 Model::Capacity() const
 {
   double callsPerSecond = 0;
-  for (const Upstream& upstream : m_upstreams) {
+  for (const ModelUpstream& upstream : m_upstreams) {
     callsPerSecond += upstream.m_trueSlots * upstream.m_speed /
                       Seconds(m_settings.m_serviceTime);
   }
@@ -296,7 +217,7 @@
   m_result.m_accounts[aAccount].m_offered += call.m_isCounted ? 1 : 0;
   ++SecondOf(m_now).m_offered;
   const bool isIdempotent = m_random.Fraction() < m_settings.m_idempotentShare;
-  Entry& entry = *m_entries[m_random.Below(m_entries.size())];
+  ModelEntry& entry = *m_entries[m_random.Below(m_entries.size())];
   call.m_plan.emplace(
     CallPlan::Start({ isIdempotent ? m_idempotent : m_plain,
                       m_view,
@@ -410,7 +331,7 @@
 void
 Model::StartRun(std::size_t aTarget, const struct Run& aRun)
 {
-  Upstream& upstream = m_upstreams[aTarget];
+  ModelUpstream& upstream = m_upstreams[aTarget];
   ++upstream.m_running;
   ++SecondOf(m_now).m_runs;
   const double crowding = std::max(
@@ -423,7 +344,7 @@
   answer.m_http.m_status = fails ? kServerError : kOk;
   At(FromSeconds(Exponential(mean)),
      [this, aTarget, ticket = aRun.m_ticket, answer] {
-       Upstream& ended = m_upstreams[aTarget];
+       ModelUpstream& ended = m_upstreams[aTarget];
        --ended.m_running;
        Apply(aTarget, ended.m_guard->Finished(ticket, answer, m_now));
      });
