Estimate service times by route; count refusals by reason

Cause: one mean over all routes refused quick lookups with short deadlines when bookings were slow, and waiting calls were refused at their deadline, too late for the answer to arrive in time. Change: ServiceTimes by route (bounded); calls that wait are refused when too little time for their route is left; Guard::RefusedFor. Seen failing first: SlowRoutesDoNotRefuseQuickOnes, with the time not passed on. Conclusion: guard, balancing, exchange and model tests pass.

--- a/src/request/AdmissionPolicy.h
+++ b/src/request/AdmissionPolicy.h
@@ -33,6 +33,8 @@
   std::uint8_t m_priority = 0;
   /// After this time its answer is of no use.
   MonotonicTime m_deadline{};
+  /// Smoothed time that calls of its route take in the upstream; 0: unknown.
+  Duration m_serviceTime{ 0 };
 };
 
 /// What the guard knows of its upstream.
@@ -84,8 +86,7 @@
   virtual std::optional<Ticket> Next(const AdmissionRoom& aRoom,
                                      MonotonicTime aNow) = 0;
   /// Takes the calls that can't be answered in time any more.
-  virtual std::vector<Refused> TakeExpired(const AdmissionRoom& aRoom,
-                                           MonotonicTime aNow) = 0;
+  virtual std::vector<Refused> TakeExpired(MonotonicTime aNow) = 0;
   /// When TakeExpired may have something; not set when never.
   virtual std::optional<MonotonicTime> NextExpiry() const = 0;
   /// Removes a waiting call; false when it isn't here.
--- a/src/request/Call.h
+++ b/src/request/Call.h
@@ -8,6 +8,7 @@
 /// Thread safety: values.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -53,6 +54,7 @@
   /// No more operations can be remembered now.
   OperationTableFull,
 };
+inline constexpr std::size_t kRefusalReasons = 14;
 
 /// The stable name of a reason, for logs, metrics and the answer's header.
 std::string_view
--- a/src/request/FairAdmission.cpp
+++ b/src/request/FairAdmission.cpp
@@ -12,11 +12,12 @@
 /// than one, because some calls are faster than the usual one.
 constexpr double kLeastServiceLeft = 0.5;
 
-Duration
-LeastService(const AdmissionRoom& aRoom)
+/// When it is too late to start the call.
+MonotonicTime
+LatestStart(const WaitingCall& aCall)
 {
-  return std::chrono::duration_cast<Duration>(aRoom.m_serviceTime *
-                                              kLeastServiceLeft);
+  return aCall.m_deadline - std::chrono::duration_cast<Duration>(
+                              aCall.m_serviceTime * kLeastServiceLeft);
 }
 
 } // namespace
@@ -74,9 +75,8 @@
   const bool mustWait = aRoom.m_running >= slots;
   const std::size_t ahead = mustWait ? CountAhead(aCall) + 1 : 0;
   const Duration wait = aRoom.m_serviceTime * ahead / slots;
-  return aNow + wait + LeastService(aRoom) > aCall.m_deadline
-           ? RefusalReason::DeadlineTooShort
-           : RefusalReason::None;
+  return aNow + wait > LatestStart(aCall) ? RefusalReason::DeadlineTooShort
+                                          : RefusalReason::None;
 }
 
 std::size_t
@@ -207,12 +207,11 @@
 }
 
 std::vector<Refused>
-FairAdmission::TakeExpired(const AdmissionRoom& aRoom, MonotonicTime aNow)
+FairAdmission::TakeExpired(MonotonicTime aNow)
 {
   std::vector<Refused> expired;
-  const MonotonicTime latest = aNow + LeastService(aRoom);
   const auto takeLate = [&](const Flow::Item& aItem) {
-    const bool isLate = aItem.m_call.m_deadline < latest;
+    const bool isLate = LatestStart(aItem.m_call) < aNow;
     if (isLate) {
       expired.push_back(
         { aItem.m_call.m_ticket, RefusalReason::DeadlineTooShort });
--- a/src/request/FairAdmission.h
+++ b/src/request/FairAdmission.h
@@ -41,8 +41,7 @@
                              MonotonicTime aNow) override;
   std::optional<Ticket> Next(const AdmissionRoom& aRoom,
                              MonotonicTime aNow) override;
-  std::vector<Refused> TakeExpired(const AdmissionRoom& aRoom,
-                                   MonotonicTime aNow) override;
+  std::vector<Refused> TakeExpired(MonotonicTime aNow) override;
   std::optional<MonotonicTime> NextExpiry() const override;
   bool Remove(Ticket aTicket) override;
   void Released(const ClientAccountId& aCaller) override;
--- a/src/request/FifoAdmission.h
+++ b/src/request/FifoAdmission.h
@@ -51,8 +51,7 @@
     m_queue.pop_front();
     return next;
   }
-  std::vector<Refused> TakeExpired(const AdmissionRoom& /*aRoom*/,
-                                   MonotonicTime /*aNow*/) override
+  std::vector<Refused> TakeExpired(MonotonicTime /*aNow*/) override
   {
     return {};
   }
--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/// Part of a new service time in the smoothed one: 1 / kSmoothing.
-constexpr int kSmoothing = 8;
-
 OperationKey
 KeyOf(const Call& aCall)
 {
@@ -144,9 +141,11 @@
              GuardActions& aActions)
 {
   const Ticket ticket = m_lastTicket += Ticket(1);
-  const WaitingCall waiting{
-    ticket, aCall.m_caller, aCall.m_priority, aNow + aCall.m_timeRemaining
-  };
+  const WaitingCall waiting{ ticket,
+                             aCall.m_caller,
+                             aCall.m_priority,
+                             aNow + aCall.m_timeRemaining,
+                             m_serviceTimes.Of(aCall.m_route) };
   m_links.Add({ aFrom, aCall.m_id }, ticket);
   Entry& entry = m_entries[ticket];
   entry.m_waiters.push_back({ aFrom, aCall.m_id });
@@ -160,7 +159,7 @@
 void
 Guard::RunNext(MonotonicTime aNow, GuardActions& aActions)
 {
-  for (const Refused& refused : m_policy->TakeExpired(Room(), aNow)) {
+  for (const Refused& refused : m_policy->TakeExpired(aNow)) {
     Refuse(refused.m_ticket, refused.m_reason, aNow, aActions);
   }
   while (const std::optional<Ticket> next = m_policy->Next(Room(), aNow)) {
@@ -189,7 +188,7 @@
   m_policy->Released(entry.m_call.m_caller);
   aAnswer.m_serviceTime = aNow - entry.m_started;
   if (aAnswer.m_outcome == CallOutcome::Done) {
-    LearnServiceTime(aAnswer.m_serviceTime);
+    m_serviceTimes.Learn(entry.m_call.m_route, aAnswer.m_serviceTime);
   }
   if (HasKey(entry.m_call)) {
     if (aAnswer.m_outcome == CallOutcome::NotRun) {
@@ -368,24 +367,17 @@
                    RefusalReason aReason,
                    GuardActions& aActions)
 {
+  ++m_refused[static_cast<std::size_t>(aReason)];
   Answer answer;
   answer.m_outcome = CallOutcome::NotRun;
   answer.m_refusal = aReason;
   ReplyTo(aWaiter, std::move(answer), aActions);
 }
 
-void
-Guard::LearnServiceTime(Duration aTime)
-{
-  m_serviceTime = m_serviceTime == Duration::zero()
-                    ? aTime
-                    : m_serviceTime + (aTime - m_serviceTime) / kSmoothing;
-}
-
 AdmissionRoom
 Guard::Room() const
 {
-  return { m_upstream.m_slots, m_running, m_serviceTime };
+  return { m_upstream.m_slots, m_running, m_serviceTimes.Usual() };
 }
 
 LoadReport
--- a/src/request/Guard.h
+++ b/src/request/Guard.h
@@ -17,6 +17,7 @@
 /// Thread safety: one thread for each guard.
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -32,6 +33,7 @@
 #include "request/Call.h"
 #include "request/CallerLinks.h"
 #include "request/OperationTable.h"
+#include "request/ServiceTimes.h"
 
 namespace tarragontray {
 
@@ -133,6 +135,11 @@
   bool IsIdle() const { return m_entries.empty(); }
 
   LoadReport Load() const;
+  /// Calls refused for this reason so far.
+  std::uint64_t RefusedFor(RefusalReason aReason) const
+  {
+    return m_refused[static_cast<std::size_t>(aReason)];
+  }
   const OperationTableCounters& OperationCounters() const
   {
     return m_operations.Counters();
@@ -183,7 +190,6 @@
   void ReplyNotRun(const Waiter& aWaiter,
                    RefusalReason aReason,
                    GuardActions& aActions);
-  void LearnServiceTime(Duration aTime);
   AdmissionRoom Room() const;
   bool IsDraining() const
   {
@@ -199,7 +205,8 @@
   CallerLinks m_links;
   std::uint32_t m_running = 0;
   Ticket m_lastTicket;
-  Duration m_serviceTime{ 0 };
+  ServiceTimes m_serviceTimes;
+  std::array<std::uint64_t, kRefusalReasons> m_refused{};
 };
 
 } // namespace tarragontray
--- a/src/request/GuardTest.cpp
+++ b/src/request/GuardTest.cpp
@@ -177,6 +177,30 @@
   cr_assert(late.m_replies.at(0).m_answer.m_outcome == CallOutcome::NotRun);
 }
 
+Test(Guard, SlowRoutesDoNotRefuseQuickOnes)
+{
+  Guard guard = MakeGuard(2);
+  MonotonicTime now = kStart;
+  for (std::uint64_t id = 1; id <= 20; ++id) {
+    Call call = MakeCall(id);
+    const bool isLookup = id == 1;
+    call.m_route = RouteName(isLookup ? "lookup" : "booking");
+    const Ticket ticket = guard.Submit(call, kLink, now).m_runs.at(0).m_ticket;
+    now += milliseconds(isLookup ? 1 : 500);
+    guard.Finished(ticket, Done(""), now);
+  }
+  Call booking = MakeCall(100);
+  booking.m_route = RouteName("booking");
+  booking.m_timeRemaining = milliseconds(20);
+  cr_assert(guard.Submit(booking, kLink, now).m_runs.empty());
+  cr_assert(guard.RefusedFor(RefusalReason::DeadlineTooShort) == 1);
+  Call lookup = booking;
+  lookup.m_id = CallId(101);
+  lookup.m_operation = OperationId("lookup");
+  lookup.m_route = RouteName("lookup");
+  cr_assert(guard.Submit(lookup, kLink, now).m_runs.size() == 1);
+}
+
 Test(Guard, FullTableRefusesInsteadOfForgetting)
 {
   GuardSettings settings;
