Keep three ranks of a key's homes, and ask before using a fresh successor

Cause: a draining home's successor that joined lately was not used, so that keyed calls got "unknown" throughout a rolling replacement.

Change: KeyPlacement keeps three ranks; before a call goes to a successor that joined lately, the next rank is asked. A draining home never certifies "not run" for a call with its caller's key.

--- a/src/request/BalancingTest.cpp
+++ b/src/request/BalancingTest.cpp
@@ -184,12 +184,14 @@
   for (int i = 0; i < 200; ++i) {
     const OperationId operation("op-" + std::to_string(i));
     const Target& home = *placement->Home(operation, version);
-    const Target& next = *placement->NextHome(operation, version);
+    const Target& next = *placement->Home(operation, version, 1);
     std::vector<Target> rest = targets;
     std::erase_if(
       rest, [&](const Target& aTarget) { return aTarget.m_vm == home.m_vm; });
     const auto later = KeyPlacement::Create(rest).value();
     cr_assert(later->Home(operation, version)->m_vm == next.m_vm);
+    cr_assert(later->Home(operation, version, 1)->m_vm ==
+              placement->Home(operation, version, 2)->m_vm);
     homes.insert(home.m_vm);
   }
   cr_assert(homes.size() == 10);
--- a/src/request/CallPlan.cpp
+++ b/src/request/CallPlan.cpp
@@ -113,9 +113,9 @@
     return EndUnknown();
   }
   const RetryReason reason = ReasonOf(aAnswer.m_refusal);
-  // Former calls with the key may have run at the next home.
-  const bool isFinal =
-    reason != RetryReason::Draining || !m_targets.HasNextHome();
+  // Calls with the key may have run at a next home, also at one that this
+  // view lacks.
+  const bool isFinal = reason != RetryReason::Draining || !m_targets.IsPlaced();
   return RetryOr(isFinal ? aAnswer : Answer{}, reason, aNow);
 }
 
@@ -163,13 +163,16 @@
 Step
 CallPlan::OnNotReceived(MonotonicTime aNow)
 {
+  if (m_next != nullptr) {
+    return Send(*std::exchange(m_next, nullptr), aNow);
+  }
   if (IsAskingFormerHome()) {
     return AskFormerHomeOrSend(aNow);
   }
   EndAttemptUnobserved({ .m_failed = true }, aNow);
   // A home that drains doesn't know what the next home ran.
   const Answer answer =
-    m_targets.HasNextHome() ? Answer{} : NotRun(RefusalReason::NoTarget);
+    m_targets.IsPlaced() ? Answer{} : NotRun(RefusalReason::NoTarget);
   return RetryOr(answer, RetryReason::NotReceived, aNow);
 }
 
@@ -221,7 +224,13 @@
   if (aNow < Setup().m_deadline && m_attempts < Setup().m_route.m_maxAttempts) {
     const Target* target = m_targets.Next(aReason, aNow);
     if (target != nullptr && MayRetry(aReason, aNow)) {
-      return Send(*target, aNow);
+      const Target* former = m_targets.FormerHomeOfNext(aNow);
+      if (former == nullptr || aReason != RetryReason::Draining) {
+        return Send(*target, aNow);
+      }
+      m_next = target;
+      m_target = former;
+      return Ask();
     }
   }
   if (aAnswer.m_outcome != CallOutcome::Done && m_lastDone) {
--- a/src/request/CallPlan.h
+++ b/src/request/CallPlan.h
@@ -169,12 +169,18 @@
   void EndAttempt(const Answer* aAnswer, bool aFailed, MonotonicTime aNow);
   void EndAttemptUnobserved(const AttemptResult& aResult, MonotonicTime aNow);
   void Observe(const Answer* aAnswer, bool aFailed, MonotonicTime aNow);
-  bool IsAskingFormerHome() const { return m_attempts == 0; }
+  /// The question is about the key as a whole, not about the last attempt.
+  bool IsAskingFormerHome() const
+  {
+    return m_attempts == 0 || m_next != nullptr;
+  }
 
   TargetSequence m_targets;
   State m_state = State::New;
   /// The target of the attempt or the question that is out.
   const Target* m_target = nullptr;
+  /// Where to send the call once a former home has been asked.
+  const Target* m_next = nullptr;
   bool m_isAttemptOut = false;
   MonotonicTime m_attemptStart{};
   std::uint8_t m_attempts = 0;
--- a/src/request/ExchangeTest.cpp
+++ b/src/request/ExchangeTest.cpp
@@ -181,6 +181,8 @@
   }
   // Failed once: "not received" of what another call had withdrawn.
   RunDrawnSession(1366, true, false);
+  // Failed once: a draining home spoke for a successor that its view lacks.
+  RunDrawnSession(1137, true, false);
 }
 
 Test(Exchange, DrawnFaultsWhileNodesRestart)
--- a/src/request/Subset.cpp
+++ b/src/request/Subset.cpp
@@ -1,7 +1,6 @@
 #include "request/Subset.h"
 
 #include <algorithm>
-#include <limits>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -76,7 +75,7 @@
 Result<std::shared_ptr<const KeyPlacement>>
 KeyPlacement::Create(std::vector<Target> aTargets)
 {
-  if (aTargets.size() > std::numeric_limits<std::uint16_t>::max()) {
+  if (aTargets.size() >= kNone) {
     return Error(ErrorCode::TooLarge,
                  "request.placement",
                  "",
@@ -108,50 +107,34 @@
     }
   }
   for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
-    std::uint64_t best = 0;
-    std::uint64_t second = 0;
-    Homes homes{ members.front().second, members.front().second };
-    for (const auto& [hash, index] : members) {
-      const std::uint64_t rank = SeededRandom(hash ^ bucket).Next();
-      if (rank >= best) {
-        second = std::exchange(best, rank);
-        homes = { index, homes.m_first };
-      } else if (rank >= second) {
-        second = rank;
-        homes.m_second = index;
+    std::array<std::uint64_t, kRanks> ranks{};
+    Homes& homes = aTable[bucket];
+    homes.fill(kNone);
+    for (auto [hash, index] : members) {
+      std::uint64_t rank = SeededRandom(hash ^ bucket).Next();
+      for (std::size_t i = 0; i < kRanks; ++i) {
+        if (homes[i] == kNone || rank > ranks[i]) {
+          std::swap(rank, ranks[i]);
+          std::swap(index, homes[i]);
+        }
       }
     }
-    aTable[bucket] = homes;
   }
 }
 
-const KeyPlacement::Homes*
-KeyPlacement::Find(const OperationId& aOperation,
-                   const UpstreamVersion& aVersion) const
+const Target*
+KeyPlacement::Home(const OperationId& aOperation,
+                   const UpstreamVersion& aVersion,
+                   std::size_t aRank) const
 {
   const auto found = m_tables.find(aVersion);
   if (found == m_tables.end()) {
     return nullptr;
   }
-  return &found->second[StableHash(aOperation.Value(), kKeySeed) % kBuckets];
-}
-
-const Target*
-KeyPlacement::Home(const OperationId& aOperation,
-                   const UpstreamVersion& aVersion) const
-{
-  const Homes* homes = Find(aOperation, aVersion);
-  return homes == nullptr ? nullptr : &m_targets[homes->m_first];
-}
-
-const Target*
-KeyPlacement::NextHome(const OperationId& aOperation,
-                       const UpstreamVersion& aVersion) const
-{
-  const Homes* homes = Find(aOperation, aVersion);
-  return homes == nullptr || homes->m_first == homes->m_second
-           ? nullptr
-           : &m_targets[homes->m_second];
+  const std::uint64_t bucket =
+    StableHash(aOperation.Value(), kKeySeed) % kBuckets;
+  const std::uint16_t index = found->second[bucket][aRank];
+  return index == kNone ? nullptr : &m_targets[index];
 }
 
 } // namespace tarragontray
--- a/src/request/Subset.h
+++ b/src/request/Subset.h
@@ -51,34 +51,32 @@
 {
 public:
   /// \param aTargets all targets of the service, of all versions.
-  /// Errors: TooLarge when there are more than 65,535.
+  /// Errors: TooLarge when there are 65,535 or more.
   static Result<std::shared_ptr<const KeyPlacement>> Create(
     std::vector<Target> aTargets);
 
-  /// The home of an operation among the targets of a version; null when the
-  /// version has none. Valid as long as this object. Constant time.
+  /// Ranks that are kept of each key.
+  static constexpr std::size_t kRanks = 3;
+
+  /// The target of a rank for an operation, among those of a version: rank 0
+  /// is the home, rank 1 becomes it when the home leaves, and so on. Null when
+  /// there is none. Valid as long as this object. Constant time.
+  /// Precondition: aRank < kRanks.
   const Target* Home(const OperationId& aOperation,
-                     const UpstreamVersion& aVersion) const;
-  /// The target that becomes the home when the home leaves; null when the
-  /// version has no second target. Valid as long as this object.
-  const Target* NextHome(const OperationId& aOperation,
-                         const UpstreamVersion& aVersion) const;
+                     const UpstreamVersion& aVersion,
+                     std::size_t aRank = 0) const;
 
 private:
   /// Many more than targets of one service, so that homes are spread evenly.
   static constexpr std::size_t kBuckets = 1024;
-  /// Indices of the highest and second highest ranked target.
-  struct Homes
-  {
-    std::uint16_t m_first = 0;
-    std::uint16_t m_second = 0;
-  };
+  /// In place of an index, when there are fewer targets than ranks.
+  static constexpr std::uint16_t kNone = 65'535;
+  /// Indices into m_targets by rank.
+  using Homes = std::array<std::uint16_t, kRanks>;
   using Table = std::array<Homes, kBuckets>;
 
   explicit KeyPlacement(std::vector<Target> aTargets);
   void Fill(const UpstreamVersion& aVersion, Table& aTable) const;
-  const Homes* Find(const OperationId& aOperation,
-                    const UpstreamVersion& aVersion) const;
 
   std::vector<Target> m_targets;
   std::map<UpstreamVersion, Table> m_tables;
--- a/src/request/TargetSequence.cpp
+++ b/src/request/TargetSequence.cpp
@@ -54,7 +54,7 @@
 TargetSequence::Next(RetryReason aReason, MonotonicTime aNow)
 {
   if (m_isPlaced) {
-    return NextPlaced(aReason, aNow);
+    return NextPlaced(aReason);
   }
   // Retries go to the version that the move comes from: it is the known one,
   // and the new one keeps to its share.
@@ -70,7 +70,7 @@
 }
 
 const Target*
-TargetSequence::NextPlaced(RetryReason aReason, MonotonicTime aNow)
+TargetSequence::NextPlaced(RetryReason aReason)
 {
   switch (aReason) {
     case RetryReason::NotSent:
@@ -78,11 +78,9 @@
       return m_tried.back();
     case RetryReason::Draining: {
       const Target* next = NextHome();
-      // The one that it took the key from may remember the operation.
-      if (next == nullptr || JoinedLately(next, aNow)) {
-        return nullptr;
+      if (next != nullptr) {
+        m_tried.push_back(next);
       }
-      m_tried.push_back(next);
       return next;
     }
     case RetryReason::TargetGone:
@@ -97,12 +95,12 @@
 const Target*
 TargetSequence::NextHome() const
 {
-  if (!m_isPlaced || m_tried.empty()) {
+  const std::size_t rank = m_tried.size();
+  if (!m_isPlaced || rank == 0 || rank >= KeyPlacement::kRanks) {
     return nullptr;
   }
-  const Target* next = m_setup.m_service.m_keys->NextHome(
-    m_setup.m_operation, m_tried.front()->m_version);
-  return next == nullptr || WasTried(next->m_vm) ? nullptr : next;
+  return m_setup.m_service.m_keys->Home(
+    m_setup.m_operation, m_tried.front()->m_version, rank);
 }
 
 const Target*
@@ -130,16 +128,34 @@
     case 0:
       return split.m_move ? keys.Home(key, other) : nullptr;
     case 1:
-      return JoinedLately(keys.Home(key, version), aNow)
-               ? keys.NextHome(key, version)
-               : nullptr;
+      return FormerOf(version, 0, aNow);
     default:
-      return split.m_move && JoinedLately(keys.Home(key, other), aNow)
-               ? keys.NextHome(key, other)
-               : nullptr;
+      return split.m_move ? FormerOf(other, 0, aNow) : nullptr;
   }
 }
 
+const Target*
+TargetSequence::FormerHomeOfNext(MonotonicTime aNow) const
+{
+  // The first home's is asked by NextFormerHome.
+  return !m_isPlaced || m_tried.size() < 2
+           ? nullptr
+           : FormerOf(m_tried.front()->m_version, m_tried.size() - 1, aNow);
+}
+
+const Target*
+TargetSequence::FormerOf(const UpstreamVersion& aVersion,
+                         std::size_t aRank,
+                         MonotonicTime aNow) const
+{
+  const KeyPlacement& keys = *m_setup.m_service.m_keys;
+  const OperationId& key = m_setup.m_operation;
+  const bool joinedLately = JoinedLately(keys.Home(key, aVersion, aRank), aNow);
+  return joinedLately && aRank + 1 < KeyPlacement::kRanks
+           ? keys.Home(key, aVersion, aRank + 1)
+           : nullptr;
+}
+
 const Target*
 TargetSequence::ChooseAmong(const UpstreamVersion& aVersion, MonotonicTime aNow)
 {
--- a/src/request/TargetSequence.h
+++ b/src/request/TargetSequence.h
@@ -83,18 +83,23 @@
   const CallSetup& Setup() const { return m_setup; }
   /// The call runs only at the home of its key.
   bool IsPlaced() const { return m_isPlaced; }
-  /// The home drains and the next one has not been tried.
-  bool HasNextHome() const { return NextHome() != nullptr; }
   /// The next place to ask, before the first attempt, whether it ran an
   /// operation with this key: the home under the other version of a move, and
   /// for a home that joined lately the one that it took the key from. Null
   /// when there is none left.
   const Target* NextFormerHome(MonotonicTime aNow);
+  /// The place to ask before an attempt at what Next gave: set when that is a
+  /// home that joined lately and may lack what another one remembers.
+  const Target* FormerHomeOfNext(MonotonicTime aNow) const;
 
 private:
   /// Null unless the call is placed and the next home is untried.
   const Target* NextHome() const;
-  const Target* NextPlaced(RetryReason aReason, MonotonicTime aNow);
+  const Target* NextPlaced(RetryReason aReason);
+  /// The home after aRank when the one of aRank joined lately, else null.
+  const Target* FormerOf(const UpstreamVersion& aVersion,
+                         std::size_t aRank,
+                         MonotonicTime aNow) const;
   /// The aIndex-th place that may have held the key, or null.
   const Target* FormerHome(std::size_t aIndex, MonotonicTime aNow) const;
   const Target* ChooseAmong(const UpstreamVersion& aVersion,
