--- a/src/request/Call.h
+++ b/src/request/Call.h
@@ -54,7 +54,10 @@
   /// No more operations can be remembered now.
   OperationTableFull,
 };
-inline constexpr std::size_t kRefusalReasons = 14;
+inline constexpr RefusalReason kLastRefusalReason =
+  RefusalReason::OperationTableFull;
+inline constexpr std::size_t kRefusalReasons =
+  static_cast<std::size_t>(kLastRefusalReason) + 1;
 
 /// The stable name of a reason, for logs, metrics and the answer's header.
 std::string_view
