--- a/src/request/TargetSequence.cpp
+++ b/src/request/TargetSequence.cpp
@@ -7,6 +7,21 @@
 
 namespace tarragontray {
 
+namespace {
+
+/// Places that FormerHome knows of.
+constexpr std::size_t kFormerHomes = 3;
+
+/// Guards may remember operations from before the target joined.
+bool
+JoinedLately(const Target* aTarget, MonotonicTime aNow)
+{
+  return aTarget != nullptr && aTarget->m_knownSince != MonotonicTime{} &&
+         aNow < aTarget->m_knownSince + kOperationRetention;
+}
+
+} // namespace
+
 TargetSequence::TargetSequence(const CallSetup& aSetup)
   : m_setup(aSetup)
   , m_isPlaced(aSetup.m_isCallerKey && !aSetup.m_route.m_idempotent &&
@@ -80,25 +95,65 @@
 const Target*
 TargetSequence::NextHome() const
 {
-  if (!m_isPlaced || m_tried.empty()) {
+  const std::size_t rank = m_tried.size();
+  if (!m_isPlaced || rank == 0 || rank >= KeyPlacement::kRanks) {
     return nullptr;
   }
-  const Target* next = m_setup.m_service.m_keys->NextHome(
-    m_setup.m_operation, m_tried.front()->m_version);
-  return next == nullptr || WasTried(next->m_vm) ? nullptr : next;
+  return m_setup.m_service.m_keys->Home(
+    m_setup.m_operation, m_tried.front()->m_version, rank);
 }
 
 const Target*
-TargetSequence::FormerHome() const
+TargetSequence::NextFormerHome(MonotonicTime aNow)
+{
+  while (m_isPlaced && m_formerHomes < kFormerHomes) {
+    const Target* former = FormerHome(m_formerHomes++, aNow);
+    if (former != nullptr) {
+      return former;
+    }
+  }
+  return nullptr;
+}
+
+const Target*
+TargetSequence::FormerHome(std::size_t aIndex, MonotonicTime aNow) const
 {
   const VersionSplit& split = m_setup.m_service.m_split;
-  if (!m_isPlaced || !split.m_move) {
-    return nullptr;
+  const KeyPlacement& keys = *m_setup.m_service.m_keys;
+  const OperationId& key = m_setup.m_operation;
+  const UpstreamVersion& version = VersionSplitter::ChooseForKey(split, key);
+  const UpstreamVersion& other =
+    version == split.m_to ? split.m_from : split.m_to;
+  switch (aIndex) {
+    case 0:
+      return split.m_move ? keys.Home(key, other) : nullptr;
+    case 1:
+      return FormerOf(version, 0, aNow);
+    default:
+      return split.m_move ? FormerOf(other, 0, aNow) : nullptr;
   }
-  const UpstreamVersion& version =
-    VersionSplitter::ChooseForKey(split, m_setup.m_operation);
-  return m_setup.m_service.m_keys->Home(
-    m_setup.m_operation, version == split.m_to ? split.m_from : split.m_to);
+}
+
+const Target*
+TargetSequence::FormerHomeOfNext(MonotonicTime aNow) const
+{
+  // The first home's is asked by NextFormerHome.
+  return !m_isPlaced || m_tried.size() < 2
+           ? nullptr
+           : FormerOf(m_tried.front()->m_version, m_tried.size() - 1, aNow);
+}
+
+const Target*
+TargetSequence::FormerOf(const UpstreamVersion& aVersion,
+                         std::size_t aRank,
+                         MonotonicTime aNow) const
+{
+  const KeyPlacement& keys = *m_setup.m_service.m_keys;
+  const OperationId& key = m_setup.m_operation;
+  const bool joinedLately = JoinedLately(keys.Home(key, aVersion, aRank), aNow);
+  return joinedLately && aRank + 1 < KeyPlacement::kRanks
+           ? keys.Home(key, aVersion, aRank + 1)
+           : nullptr;
 }
 
 const Target*
