--- /dev/null
+++ b/tools/benchlib/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of tools/bench: each module measures one thing and gives figures."""
