--- a/src/connection/Links.cmake
+++ b/src/connection/Links.cmake
@@ -8,3 +8,4 @@
 
 tt_library(tt_peer_link SRCS FrameStream.cpp PeerLink.cpp
   DEPS tt_frame_codec tt_call_plan Threads::Threads)
+tt_benchmark(frame_benchmark SRCS FrameBenchmark.cpp DEPS tt_frame_codec)
--- a/src/version/Expansion.cmake
+++ b/src/version/Expansion.cmake
@@ -18,3 +18,5 @@
        ConfigurationJsonTest.cpp ExpansionTest.cpp
   DEPS tt_configuration_samples)
 tt_test(examples_test SRCS ExamplesTest.cpp DEPS tt_configuration_json)
+tt_benchmark(expansion_benchmark SRCS ExpansionBenchmark.cpp
+  DEPS tt_configuration_samples)
--- a/tools/benchlib/micro.py
+++ b/tools/benchlib/micro.py
@@ -11,7 +11,7 @@
 # Work of the request path: the larger fleet may cost it no more. A ratio
 # above this is growth; caches make some difference.
 MAX_REQUEST_PATH_GROWTH = 2.0
-REQUEST_PATH = ("FrameDecode", "RouteMatch", "TargetChoice")
+REQUEST_PATH = ("KeyHome", "TargetChoice")
 
 
 def _times(options, program):
