--- a/src/process/View.h
+++ b/src/process/View.h
@@ -41,6 +41,8 @@
   /// Since when this node knows this life of the target (request/TargetAges.h);
   /// unset means for long.
   MonotonicTime m_knownSince{};
+
+  bool operator==(const Target&) const = default;
 };
 
 /// A service with the targets that may get work.
--- a/src/request/Subset.h
+++ b/src/request/Subset.h
@@ -55,6 +55,12 @@
   static Result<std::shared_ptr<const KeyPlacement>> Create(
     std::vector<Target> aTargets);
 
+  /// Whether Create gave this object for these very targets.
+  bool IsFor(const std::vector<Target>& aTargets) const
+  {
+    return m_targets == aTargets;
+  }
+
   /// Ranks that are kept of each key.
   static constexpr std::size_t kRanks = 3;
 
--- a/src/version/Expansion.cmake
+++ b/src/version/Expansion.cmake
@@ -20,5 +20,5 @@
 tt_test(examples_test SRCS ExamplesTest.cpp DEPS tt_configuration_json)
 tt_test(decoder_fuzz_test SRCS DecoderFuzzTest.cpp
   DEPS tt_configuration_samples)
-tt_benchmark(tarragontray-benchmark-expansion SRCS ExpansionBenchmark.cpp
+tt_benchmark(expansion_benchmark SRCS ExpansionBenchmark.cpp
   DEPS tt_configuration_samples)
