Test membership and distribution under failure, and mend what that showed

Sessions over a fake network (virtual time, loss, delay, duplication, cuts by seed) that checks after every event: no process's document revision falls, no replacement serves below what its forerunner had in force, no record gives way to an older one.

--- a/src/connection/DatagramCodec.cpp
+++ b/src/connection/DatagramCodec.cpp
@@ -240,6 +240,12 @@
   Get(aSource, aDatagram.m_evidence);
 }
 
+void
+Get(Source& aSource, std::uint32_t& aNumber)
+{
+  Get(aSource.Values(), aNumber);
+}
+
 void
 Get(Source& aSource, BucketHashes& aHashes)
 {
@@ -252,9 +258,9 @@
 Get(Source& aSource, PullRequest& aRequest)
 {
   Get(aSource.Values(), aRequest.m_from);
-  Get(aSource, aRequest.m_members);
-  Get(aSource, aRequest.m_documents);
-  Get(aSource.Values(), aRequest.m_moves);
+  GetOptional(aSource, aRequest.m_members);
+  GetOptional(aSource, aRequest.m_documents);
+  GetOptional(aSource, aRequest.m_moves);
 }
 
 void
--- a/src/connection/DatagramCodecTest.cpp
+++ b/src/connection/DatagramCodecTest.cpp
@@ -168,8 +168,8 @@
 {
   PullRequest request;
   request.m_from = VmId("a");
-  request.m_members[5] = 0xFFFFFFFF;
-  request.m_documents[kDigestBuckets - 1] = 1;
+  request.m_members.emplace()[5] = 0xFFFFFFFF;
+  request.m_documents.emplace()[kDigestBuckets - 1] = 1;
   request.m_moves = 8;
   const std::string asked = EncodePullRequest(request);
   const Result<PullRequest> readRequest = DecodePullRequest(asked, "p");
--- a/src/process/DatagramLayout.h
+++ b/src/process/DatagramLayout.h
@@ -166,6 +166,22 @@
   aSink.Number(aDigest.m_moves);
 }
 
+template<typename Sink>
+void
+Layout(Sink& aSink, std::uint32_t aNumber)
+{
+  aSink.Number(aNumber);
+}
+
+template<typename Sink>
+void
+Layout(Sink& aSink, const BucketHashes& aHashes)
+{
+  for (const std::uint32_t hash : aHashes) {
+    aSink.Number(hash);
+  }
+}
+
 template<typename Sink, typename T>
 void
 LayoutOptional(Sink& aSink, const std::optional<T>& aValue)
@@ -195,23 +211,14 @@
   Layout(aSink, aDatagram.m_evidence);
 }
 
-template<typename Sink>
-void
-Layout(Sink& aSink, const BucketHashes& aHashes)
-{
-  for (const std::uint32_t hash : aHashes) {
-    aSink.Number(hash);
-  }
-}
-
 template<typename Sink>
 void
 Layout(Sink& aSink, const PullRequest& aRequest)
 {
   aSink.Text(aRequest.m_from.Value());
-  Layout(aSink, aRequest.m_members);
-  Layout(aSink, aRequest.m_documents);
-  aSink.Number(aRequest.m_moves);
+  LayoutOptional(aSink, aRequest.m_members);
+  LayoutOptional(aSink, aRequest.m_documents);
+  LayoutOptional(aSink, aRequest.m_moves);
 }
 
 template<typename Sink>
--- a/src/process/Distribution.cpp
+++ b/src/process/Distribution.cpp
@@ -79,7 +79,6 @@
     m_counters.m_spread += due.size();
     Send(due, std::nullopt, actions.m_send);
   }
-  actions.m_changed = !m_changed.empty();
   return actions;
 }
 
@@ -111,7 +110,6 @@
 {
   DistributionActions actions;
   const std::set<ObjectKey> changed = Apply(aDocuments);
-  actions.m_changed = !changed.empty();
   if (changed.empty()) {
     return actions;
   }
@@ -147,13 +145,26 @@
 Distribution::TakeChanged()
 {
   std::vector<Document> documents;
-  documents.reserve(m_changed.size());
-  for (const ObjectKey& key : std::exchange(m_changed, {})) {
-    documents.push_back(*m_table.Find(key));
+  for (auto key = m_changed.begin(); key != m_changed.end();) {
+    if (m_waiting.contains(*key)) {
+      ++key;
+      continue;
+    }
+    documents.push_back(*m_table.Find(*key));
+    key = m_changed.erase(key);
   }
   return documents;
 }
 
+bool
+Distribution::HasChanged() const
+{
+  return std::any_of(
+    m_changed.begin(), m_changed.end(), [this](const ObjectKey& aKey) {
+      return !m_waiting.contains(aKey);
+    });
+}
+
 std::set<ObjectKey>
 Distribution::Apply(const std::vector<Document>& aDocuments)
 {
--- a/src/process/Distribution.h
+++ b/src/process/Distribution.h
@@ -65,8 +65,6 @@
 struct DistributionActions
 {
   std::vector<OutgoingDatagram> m_send;
-  /// TakeChanged() has something.
-  bool m_changed = false;
 };
 
 struct DistributionCounters
@@ -127,7 +125,6 @@
   /// The revision that the next watch starts after; 0 asks for a List first.
   Revision WatchAfter() const { return m_complete; }
 
-  bool HasChanged() const { return !m_changed.empty(); }
   /// A peer says that a process on this VM has held this revision.
   void RaiseFloor(Revision aFloor) { m_floor = std::max(m_floor, aFloor); }
   /// True while this node holds less than its forerunner on the same VM did:
@@ -135,7 +132,11 @@
   bool IsBelowFloor() const { return m_table.Digest().m_highest < m_floor; }
 
   /// Documents that changed since the last call, for the configuration store.
+  /// One that is still to be spread is held back: what a node has in force is
+  /// known to others, so that its replacement finds it when the platform is
+  /// out.
   std::vector<Document> TakeChanged();
+  bool HasChanged() const;
   /// What answers a pull.
   std::vector<Document> DocumentsFor(const BucketHashes& aTheirs) const
   {
--- a/src/process/Gossip.cpp
+++ b/src/process/Gossip.cpp
@@ -120,9 +120,15 @@
   if (heard != m_heard.end()) {
     answer.m_floor = heard->second;
   }
-  answer.m_members = m_members->Table().Differing(aRequest.m_members);
-  answer.m_documents = m_documents.DocumentsFor(aRequest.m_documents);
-  answer.m_moves = m_moves.MovesFor(aRequest.m_moves);
+  if (aRequest.m_members) {
+    answer.m_members = m_members->Table().Differing(*aRequest.m_members);
+  }
+  if (aRequest.m_documents) {
+    answer.m_documents = m_documents.DocumentsFor(*aRequest.m_documents);
+  }
+  if (aRequest.m_moves) {
+    answer.m_moves = m_moves.MovesFor(*aRequest.m_moves);
+  }
   m_served.Charge(static_cast<double>(EncodedSize(answer)));
   return answer;
 }
@@ -132,7 +138,7 @@
 {
   GossipActions actions;
   const bool isForeign = IsForeign(m_pulling.m_peer);
-  const bool isJoining = !m_members->IsJoined();
+  const bool isJoining = m_isCatchingUp;
   RecordSource source =
     isForeign ? RecordSource::OtherDataCentre : RecordSource::Gossip;
   if (isJoining || aAnswer.m_busy) {
@@ -146,6 +152,9 @@
   m_pulls.Done();
   m_documents.RaiseFloor(aAnswer.m_floor);
   m_members->MarkJoined(aNow);
+  // Peers that start themselves know only a part: go on until one adds nothing.
+  m_isCatchingUp =
+    m_isCatchingUp && actions.m_membersChanged && !m_members->IsSettled();
   const bool isSpread = isForeign && !isJoining;
   DistributionActions documents = m_documents.OfferFromPeer(
     aAnswer.m_documents,
@@ -196,10 +205,13 @@
     Revision& heard = m_heard[aDatagram.m_from];
     heard = std::max(heard, aDatagram.m_digest->m_documents.m_highest);
   }
-  m_pulls.Offer(
-    { aDatagram.m_from, aFrom, *aDatagram.m_digest, aDatagram.m_path },
-    Digest(),
-    aNow);
+  m_pulls.Offer({ aDatagram.m_from,
+                  aFrom,
+                  *aDatagram.m_digest,
+                  aDatagram.m_path,
+                  !m_members->IsSettled() },
+                Digest(),
+                aNow);
 }
 
 void
@@ -232,17 +244,43 @@
 void
 Gossip::PullWhileJoining(MonotonicTime aNow)
 {
-  if (m_members->IsJoined() || m_members->IsLeaving()) {
+  m_isCatchingUp = m_isCatchingUp && !m_members->IsSettled();
+  if (!m_isCatchingUp || m_members->IsLeaving()) {
     return;
   }
   if (const std::optional<VmId> member = m_members->RandomMember()) {
-    // A digest that no state has, and a revision beyond all others.
+    // A digest that no state has, so that all is asked for.
     StateDigest unknown = Digest();
-    unknown.m_documents.m_highest += Revision(1);
+    ++unknown.m_members;
+    ++unknown.m_documents.m_hash;
+    ++unknown.m_moves;
     const NetworkAddress address =
       m_members->Table().Find(*member)->m_peerAddress;
-    m_pulls.Offer({ *member, address, unknown, std::nullopt }, Digest(), aNow);
+    m_pulls.Offer(
+      { *member, address, unknown, std::nullopt, true }, Digest(), aNow);
+  }
+}
+
+PullRequest
+Gossip::MakeRequest(const PullCandidate& aCandidate) const
+{
+  const StateDigest mine = Digest();
+  const StateDigest& theirs = aCandidate.m_theirs;
+  PullRequest request;
+  request.m_from = m_members->SelfVm();
+  // Members that differ while documents are on their way are mostly news that
+  // is on its way, too.
+  const bool asksMembers = aCandidate.m_isJoining || !IsBehind(mine, theirs);
+  if (asksMembers && theirs.m_members != mine.m_members) {
+    request.m_members = m_members->Table().Buckets();
+  }
+  if (theirs.m_documents != mine.m_documents) {
+    request.m_documents = m_documents.Table().Buckets();
+  }
+  if (theirs.m_moves != mine.m_moves) {
+    request.m_moves = mine.m_moves;
   }
+  return request;
 }
 
 void
@@ -251,11 +289,8 @@
   if (const auto candidate = m_pulls.Take(Digest(), aNow)) {
     ++m_counters.m_pulls;
     m_pulling = *candidate;
-    aActions.m_pull = OutgoingPull{ candidate->m_address,
-                                    { m_members->SelfVm(),
-                                      m_members->Table().Buckets(),
-                                      m_documents.Table().Buckets(),
-                                      m_moves.Digest() } };
+    aActions.m_pull =
+      OutgoingPull{ candidate->m_address, MakeRequest(*candidate) };
   }
   Complete(aActions.m_send);
   aActions.m_documentsChanged = m_documents.HasChanged();
--- a/src/process/Gossip.h
+++ b/src/process/Gossip.h
@@ -102,6 +102,14 @@
   GossipActions OfferPull(const PullAnswer& aAnswer, MonotonicTime aNow);
   void FailPull(MonotonicTime aNow);
 
+  /// False while this node may hold less than its forerunner on the VM had in
+  /// force: it has not heard enough peers yet, or one of them says so. It is
+  /// not ready, and refuses with "not run".
+  bool MayServe() const
+  {
+    return m_members->IsSettled() && !m_documents.IsBelowFloor();
+  }
+
   Membership& Members() { return *m_members; }
   const Membership& Members() const { return *m_members; }
   Distribution& Documents() { return m_documents; }
@@ -125,6 +133,7 @@
   void Forward(const Datagram& aDatagram, std::vector<OutgoingDatagram>& aSend);
   /// A node that starts pulls from any member without waiting for a digest.
   void PullWhileJoining(MonotonicTime aNow);
+  PullRequest MakeRequest(const PullCandidate& aCandidate) const;
   void Finish(GossipActions& aActions, MonotonicTime aNow);
   void Complete(std::vector<OutgoingDatagram>& aSend);
   PullAnswer BusyAnswer();
@@ -138,6 +147,8 @@
   SeenPaths m_seenPaths;
   TokenBucket m_served;
   GossipCounters m_counters;
+  /// Since the start, until a pull brings no further member.
+  bool m_isCatchingUp = true;
   /// Whom the running pull asks, and along which tree the digest came.
   PullCandidate m_pulling;
   /// The highest revision that each VM said it holds, for its replacement.
--- a/src/process/Membership.cmake
+++ b/src/process/Membership.cmake
@@ -16,3 +16,8 @@
 
 tt_library(tt_fake_network SRCS testing/FakeNetwork.cpp DEPS tt_gossip)
 tt_test(gossip_test SRCS GossipTest.cpp DEPS tt_fake_network)
+tt_test(distribution_test SRCS DistributionTest.cpp DEPS tt_fake_network)
+tt_test(membership_test SRCS MembershipTest.cpp DEPS tt_fake_network)
+tt_test(move_gossip_test SRCS MoveGossipTest.cpp DEPS tt_fake_network)
+tt_test(gossip_session_test SRCS GossipSessionTest.cpp DEPS tt_fake_network)
+tt_test(spread_tree_test SRCS SpreadTreeTest.cpp DEPS tt_membership)
--- a/src/process/Membership.cpp
+++ b/src/process/Membership.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// News that came along a tree has reached most members already.
-constexpr std::size_t kTreeNewsLimit = 2;
+constexpr std::size_t kTreeNewsLimit = 1;
 
 } // namespace
 
@@ -122,7 +122,7 @@
   if (!m_joined) {
     m_joined = true;
     m_joinedAt = aNow;
-    PassOn(m_self, RecordSource::OtherDataCentre, aNow);
+    Announce(aNow);
   }
 }
 
@@ -163,7 +163,11 @@
       break;
     case RecordSource::OtherDataCentre:
       m_news.Add(aRecord.m_vm, kTreeNewsLimit);
-      MarkUrgent(aRecord.m_vm, aNow);
+      MarkUrgent(aRecord.m_vm, m_settings.m_urgentDelay, aNow);
+      break;
+    case RecordSource::Report:
+      m_news.Add(aRecord.m_vm, kTreeNewsLimit);
+      MarkUrgent(aRecord.m_vm, m_settings.m_reportDelay, aNow);
       break;
   }
   if (aRecord.m_dataCentre == m_self.m_dataCentre &&
@@ -186,6 +190,7 @@
     ++m_counters.m_refuted;
     m_prober.Penalize();
     m_self.m_sequence = aRecord.m_sequence;
+    MarkUrgent(m_self.m_vm, m_settings.m_urgentDelay, aNow);
   }
   ChangeSelf(aNow);
   return false;
@@ -198,8 +203,18 @@
   m_table.Apply(m_self, aNow);
   m_changed = true;
   if (m_joined) {
-    PassOn(m_self, RecordSource::OtherDataCentre, aNow);
-    m_news.Add(m_self.m_vm, NewsLimit());
+    Announce(aNow);
+  }
+}
+
+void
+Membership::Announce(MonotonicTime aNow)
+{
+  PassOn(m_self, RecordSource::Gossip, aNow);
+  if (m_leaving || m_self.m_upstream.m_state == UpstreamState::Draining) {
+    MarkUrgent(m_self.m_vm, m_settings.m_urgentDelay, aNow);
+  } else {
+    m_reportAt = aNow;
   }
 }
 
@@ -241,15 +256,19 @@
   const MemberRecord* sender = m_table.Find(aDatagram.m_from);
   const bool isForeign =
     sender != nullptr && sender->m_dataCentre != m_self.m_dataCentre;
-  return isForeign ? RecordSource::OtherDataCentre : RecordSource::Gossip;
+  if (isForeign) {
+    return RecordSource::OtherDataCentre;
+  }
+  const bool isReport =
+    aDatagram.m_kind == DatagramKind::News && RelayRank() == 0;
+  return isReport ? RecordSource::Report : RecordSource::Gossip;
 }
 
 void
-Membership::MarkUrgent(const VmId& aVm, MonotonicTime aNow)
+Membership::MarkUrgent(const VmId& aVm, Duration aDelay, MonotonicTime aNow)
 {
-  if (m_urgent.empty()) {
-    m_urgentAt = aNow + m_settings.m_urgentDelay;
-  }
+  const MonotonicTime due = aNow + aDelay;
+  m_urgentAt = m_urgent.empty() ? due : std::min(m_urgentAt, due);
   m_urgent.insert(aVm);
 }
 
@@ -299,11 +318,15 @@
 std::vector<NetworkAddress>
 Membership::ChildrenOf(const SpreadPath& aPath) const
 {
+  std::vector<VmId> members;
+  std::vector<VmId> suspects;
+  for (const VmId& vm : m_table.Live(m_self.m_dataCentre)) {
+    const bool isSuspect = m_table.Find(vm)->m_state == NodeState::Suspect;
+    (isSuspect ? suspects : members).push_back(vm);
+  }
   std::vector<NetworkAddress> addresses;
-  for (const VmId& child : TreeChildren(aPath,
-                                        m_table.Live(m_self.m_dataCentre),
-                                        m_self.m_vm,
-                                        m_settings.m_fanout)) {
+  for (const VmId& child : TreeChildren(
+         aPath, members, suspects, m_self.m_vm, m_settings.m_fanout)) {
     addresses.push_back(AddressOf(child));
   }
   return addresses;
@@ -314,7 +337,7 @@
 {
   const std::vector<VmId> relays = Relays();
   const auto found = std::find(relays.begin(), relays.end(), m_self.m_vm);
-  if (!m_settled || found == relays.end()) {
+  if (!m_mayRelay || found == relays.end()) {
     return std::nullopt;
   }
   return static_cast<std::size_t>(found - relays.begin());
--- a/src/process/Membership.h
+++ b/src/process/Membership.h
@@ -64,6 +64,9 @@
   std::size_t m_probeBytes = 500;
   /// Collects urgent changes into one datagram.
   Duration m_urgentDelay = std::chrono::milliseconds(20);
+  /// Collects what members report to the relay of rank 0, in the same way: a
+  /// herd that starts costs one tree for many records.
+  Duration m_reportDelay = std::chrono::milliseconds(400);
   /// Collects changes for other data centres.
   Duration m_relayDelay = std::chrono::milliseconds(100);
   /// Between a relay's contacts with other data centres.
@@ -74,6 +77,8 @@
   Duration m_joinTimeout = std::chrono::seconds(5);
   /// After joining, until this node may count itself as a relay: by then it
   /// knows the others.
+  Duration m_relaySettleTime = std::chrono::milliseconds(1000);
+  /// The same until it may serve: by then it has heard several peers' digests.
   Duration m_settleTime = std::chrono::seconds(2);
   /// How often a drain or a leave is sent to all peers, and how far apart.
   std::size_t m_announcements = 3;
@@ -104,6 +109,8 @@
 {
   /// Along a tree: the tree covers the data centre.
   Tree,
+  /// From the member itself, for the relay to send along a tree with others.
+  Report,
   /// On a probe, or by a pull, within the data centre.
   Gossip,
   /// From another data centre.
@@ -150,6 +157,8 @@
   const MemberTable& Table() const { return m_table; }
   const MemberRecord& Self() const { return m_self; }
   bool IsJoined() const { return m_joined; }
+  /// Joined for long enough to have heard several peers.
+  bool IsSettled() const { return m_settled; }
   bool IsLeaving() const { return m_leaving; }
   /// The relays of this data centre, highest rank first.
   std::vector<VmId> Relays() const;
@@ -183,7 +192,8 @@
   void Suspect(const VmId& aVm, MonotonicTime aNow);
   void DeclareDead(const VmId& aVm, MonotonicTime aNow);
   RecordSource SourceOf(const Datagram& aDatagram) const;
-  void MarkUrgent(const VmId& aVm, MonotonicTime aNow);
+  void MarkUrgent(const VmId& aVm, Duration aDelay, MonotonicTime aNow);
+  void Announce(MonotonicTime aNow);
   void MarkRelayed(const VmId& aVm, MonotonicTime aNow);
   std::size_t NewsLimit() const;
   /// \}
@@ -214,6 +224,9 @@
   void TickProbes(MonotonicTime aNow, Sends& aSend);
   void TickSuspicions(MonotonicTime aNow, Sends& aSend);
   void TickUrgent(MonotonicTime aNow, Sends& aSend);
+  /// Sends the record of a member that leaves along a second tree.
+  void RepeatOnce(const VmId& aVm, MonotonicTime aNow);
+  void TickReport(MonotonicTime aNow, Sends& aSend);
   void TickRelay(MonotonicTime aNow, Sends& aSend);
   void TickAnnouncement(MonotonicTime aNow, Sends& aSend);
   void TickContact(MonotonicTime aNow, Sends& aSend);
@@ -241,6 +254,9 @@
   bool m_started = false;
   bool m_joined = false;
   bool m_settled = false;
+  bool m_mayRelay = false;
+  /// Set when the own record is to be reported to the relay.
+  std::optional<MonotonicTime> m_reportAt;
   bool m_leaving = false;
   bool m_changed = false;
   MonotonicTime m_startedAt{};
@@ -248,6 +264,8 @@
   /// Changed records for the tree, and when they go out.
   std::set<VmId> m_urgent;
   MonotonicTime m_urgentAt{};
+  /// Those that go along a second tree next.
+  std::set<VmId> m_repeated;
   /// Changed records for other data centres, and when they go out.
   std::set<VmId> m_relayed;
   MonotonicTime m_relayedAt{};
--- a/src/process/MembershipSending.cpp
+++ b/src/process/MembershipSending.cpp
@@ -23,7 +23,9 @@
   MembershipActions actions;
   NoticePause(aNow);
   m_settled = m_joined && aNow - m_joinedAt >= m_settings.m_settleTime;
+  m_mayRelay = m_joined && aNow - m_joinedAt >= m_settings.m_relaySettleTime;
   TickAnnouncement(aNow, actions.m_send);
+  TickReport(aNow, actions.m_send);
   TickUrgent(aNow, actions.m_send);
   TickRelay(aNow, actions.m_send);
   if (!m_leaving) {
@@ -52,6 +54,7 @@
   if (!m_relayed.empty()) {
     next = std::min(next, m_relayedAt);
   }
+  next = std::min(next, m_reportAt.value_or(next));
   return m_announcementsLeft > 0 ? std::min(next, m_announceAt) : next;
 }
 
@@ -121,6 +124,40 @@
       aSend.push_back({ child, datagram });
     }
   }
+  for (const VmId& vm : urgent) {
+    RepeatOnce(vm, aNow);
+  }
+}
+
+void
+Membership::RepeatOnce(const VmId& aVm, MonotonicTime aNow)
+{
+  const MemberRecord* member = m_table.Find(aVm);
+  const bool isLeaving =
+    member != nullptr &&
+    (member->m_state == NodeState::Dead ||
+     member->m_upstream.m_state == UpstreamState::Draining);
+  if (isLeaving && m_repeated.insert(aVm).second) {
+    MarkUrgent(aVm, m_settings.m_announceInterval, aNow);
+  } else {
+    m_repeated.erase(aVm);
+  }
+}
+
+void
+Membership::TickReport(MonotonicTime aNow, Sends& aSend)
+{
+  if (!std::exchange(m_reportAt, std::nullopt)) {
+    return;
+  }
+  const std::vector<VmId> relays = Relays();
+  if (relays.empty() || relays.front() == m_self.m_vm) {
+    MarkUrgent(m_self.m_vm, m_settings.m_reportDelay, aNow);
+    return;
+  }
+  for (const Datagram& datagram : Pack({ m_self.m_vm }, std::nullopt)) {
+    aSend.push_back({ AddressOf(relays.front()), datagram });
+  }
 }
 
 void
--- a/src/process/Pull.h
+++ b/src/process/Pull.h
@@ -11,6 +11,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "process/Datagram.h"
@@ -23,13 +24,13 @@
 /// One hash for each bucket.
 using BucketHashes = std::array<std::uint32_t, kDigestBuckets>;
 
-/// Asks for the entries that differ.
+/// Asks for the entries that differ. What is not set is not asked for.
 struct PullRequest
 {
   VmId m_from;
-  BucketHashes m_members{};
-  BucketHashes m_documents{};
-  std::uint32_t m_moves = 0;
+  std::optional<BucketHashes> m_members;
+  std::optional<BucketHashes> m_documents;
+  std::optional<std::uint32_t> m_moves;
 };
 
 /// What the peer holds in the buckets that differ.
--- a/src/process/PullSchedule.cpp
+++ b/src/process/PullSchedule.cpp
@@ -8,14 +8,22 @@
 
 constexpr std::size_t kMaxFailures = 16;
 
+/// News has not come meanwhile, and the peer still holds something else.
+template<typename T>
 bool
-IsBehind(const StateDigest& aMine, const StateDigest& aTheirs)
+IsUnchangedAndDifferent(const T& aThen, const T& aNow, const T& aTheirs)
 {
-  return aTheirs.m_documents.m_highest > aMine.m_documents.m_highest;
+  return aThen == aNow && aNow != aTheirs;
 }
 
 } // namespace
 
+bool
+IsBehind(const StateDigest& aMine, const StateDigest& aTheirs)
+{
+  return aTheirs.m_documents.m_highest > aMine.m_documents.m_highest;
+}
+
 PullSchedule::PullSchedule(const PullSettings& aSettings, Random& aRandom)
   : m_settings(aSettings)
   , m_random(&aRandom)
@@ -94,8 +102,14 @@
                       MonotonicTime aNow)
 {
   Duration wait{ 0 };
-  if (!IsBehind(aMine, aCandidate.m_theirs)) {
-    wait = m_settings.m_differWait + RandomUpTo(m_settings.m_differWait / 2);
+  if (aCandidate.m_isJoining) {
+    wait = m_settings.m_joinWait + RandomUpTo(m_settings.m_joinWait);
+  } else if (!IsBehind(aMine, aCandidate.m_theirs)) {
+    const bool isInDocuments =
+      aCandidate.m_theirs.m_documents != aMine.m_documents;
+    const Duration least =
+      isInDocuments ? m_settings.m_differWait / 2 : m_settings.m_differWait;
+    wait = least + RandomUpTo(least / 2);
   } else if (!aCandidate.m_path) {
     wait = m_settings.m_behindWait + RandomUpTo(m_settings.m_behindWait);
   }
@@ -118,7 +132,15 @@
   }
   const bool isOld =
     m_differsSince && aNow - *m_differsSince >= m_settings.m_maxDiffer;
-  return isOld || IsBehind(aMine, theirs) || aMine == m_pending->m_mine;
+  const StateDigest& then = m_pending->m_mine;
+  const bool isStuck =
+    IsUnchangedAndDifferent(
+      then.m_documents, aMine.m_documents, theirs.m_documents) ||
+    IsUnchangedAndDifferent(
+      then.m_members, aMine.m_members, theirs.m_members) ||
+    IsUnchangedAndDifferent(then.m_moves, aMine.m_moves, theirs.m_moves);
+  return isOld || isStuck || m_pending->m_candidate.m_isJoining ||
+         IsBehind(aMine, theirs);
 }
 
 } // namespace tarragontray
--- a/src/process/PullSchedule.h
+++ b/src/process/PullSchedule.h
@@ -27,10 +27,14 @@
 
 struct PullSettings
 {
+  /// Until the first pull after a start, plus as much again at random: of a
+  /// herd that starts, the peers know most by then.
+  Duration m_joinWait = std::chrono::milliseconds(300);
   /// Until a pull from a peer that is ahead in revisions; plus as much again
   /// at random.
   Duration m_behindWait = std::chrono::milliseconds(100);
-  /// Until a pull from a peer that merely differs; plus half at random.
+  /// Until a pull from a peer that merely differs, half of it when documents
+  /// do; plus half at random.
   Duration m_differWait = std::chrono::milliseconds(800);
   /// A difference that lasts so long is pulled in any case.
   Duration m_maxDiffer = std::chrono::seconds(3);
@@ -50,8 +54,14 @@
   StateDigest m_theirs;
   /// Set when the digest came along a tree: pull at once.
   std::optional<SpreadPath> m_path;
+  /// This node starts and needs all that the peer has.
+  bool m_isJoining = false;
 };
 
+/// True when the peer holds a higher revision.
+bool
+IsBehind(const StateDigest& aMine, const StateDigest& aTheirs);
+
 /// One pull at a time.
 class PullSchedule
 {
--- a/src/process/SpreadTree.cpp
+++ b/src/process/SpreadTree.cpp
@@ -8,21 +8,38 @@
 
 namespace tarragontray {
 
+namespace {
+
+using Order = std::vector<std::pair<std::uint64_t, const VmId*>>;
+
+void
+AppendByHash(const SpreadPath& aPath,
+             const std::vector<VmId>& aMembers,
+             Order& aOrder)
+{
+  const auto first = static_cast<std::ptrdiff_t>(aOrder.size());
+  for (const VmId& member : aMembers) {
+    if (member != aPath.m_root) {
+      aOrder.emplace_back(StableHash(member.Value(), aPath.m_seed), &member);
+    }
+  }
+  std::sort(aOrder.begin() + first, aOrder.end());
+}
+
+} // namespace
+
 std::vector<VmId>
 TreeChildren(const SpreadPath& aPath,
              const std::vector<VmId>& aMembers,
+             const std::vector<VmId>& aSuspects,
              const VmId& aSelf,
              std::size_t aFanout)
 {
-  std::vector<std::pair<std::uint64_t, const VmId*>> order;
-  order.reserve(aMembers.size() + 1);
+  Order order;
+  order.reserve(aMembers.size() + aSuspects.size() + 1);
   order.emplace_back(0, &aPath.m_root);
-  for (const VmId& member : aMembers) {
-    if (member != aPath.m_root) {
-      order.emplace_back(StableHash(member.Value(), aPath.m_seed), &member);
-    }
-  }
-  std::sort(order.begin() + 1, order.end());
+  AppendByHash(aPath, aMembers, order);
+  AppendByHash(aPath, aSuspects, order);
   const auto self =
     std::find_if(order.begin(), order.end(), [&](const auto& aEntry) {
       return *aEntry.second == aSelf;
--- a/src/process/SpreadTree.h
+++ b/src/process/SpreadTree.h
@@ -7,7 +7,8 @@
 /// inner nodes evenly. Where members disagree or a datagram is lost, digests
 /// repair the rest.
 ///
-///     for (const VmId& child : TreeChildren(path, members, self, 4)) { ... }
+///     for (const VmId& child : TreeChildren(path, members, {}, self, 4)) { ...
+///     }
 ///
 /// Thread safety: pure functions; SpreadTopology: one thread.
 #pragma once
@@ -26,10 +27,12 @@
 namespace tarragontray {
 
 /// The members that aSelf forwards to; empty when aSelf is not a member.
+/// \param aSuspects are leaves: what passed through them might be lost.
 /// \param aFanout children of each inner node, at least 1.
 std::vector<VmId>
 TreeChildren(const SpreadPath& aPath,
              const std::vector<VmId>& aMembers,
+             const std::vector<VmId>& aSuspects,
              const VmId& aSelf,
              std::size_t aFanout);
 
--- a/src/process/testing/FakeNetwork.cpp
+++ b/src/process/testing/FakeNetwork.cpp
@@ -48,6 +48,17 @@
   }
 }
 
+FakeNode&
+FakeNetwork::StartElsewhere(const std::string& aVm,
+                            const std::string& aDataCentre)
+{
+  const auto number = static_cast<std::uint32_t>(m_starts + 1);
+  Kill(aVm);
+  m_byAddress.erase(Node(aVm).m_address);
+  Node(aVm).m_address = NetworkAddress(0x0A000000 + number, 7000);
+  return Start(aVm, aDataCentre);
+}
+
 FakeNode&
 FakeNetwork::Start(const std::string& aVm, const std::string& aDataCentre)
 {
@@ -64,10 +75,9 @@
   self.m_dataCentre = node->m_dataCentre;
   self.m_region = RegionId("r");
   self.m_peerAddress = node->m_address;
+  const Duration wall = m_clock.WallNow().time_since_epoch() + m_clockSkew;
   self.m_incarnation = Incarnation(
-    static_cast<std::uint64_t>(m_clock.WallNow().time_since_epoch() /
-                               std::chrono::microseconds(1)) +
-    number);
+    static_cast<std::uint64_t>(wall / std::chrono::microseconds(1)) + number);
   std::vector<NetworkAddress> seeds;
   for (const auto& [vm, other] : m_nodes) {
     if (other && (vm.Value().ends_with("-1") || vm.Value().ends_with("-2"))) {
@@ -149,7 +159,7 @@
 }
 
 bool
-FakeNetwork::AllAgree() const
+FakeNetwork::AllCount(NodeState aAtMost) const
 {
   for (const auto& [vm, node] : m_nodes) {
     if (!node->m_isAlive) {
@@ -158,8 +168,7 @@
     const MemberTable& table = node->m_gossip->Members().Table();
     for (const auto& [otherVm, other] : m_nodes) {
       const MemberRecord* record = table.Find(otherVm);
-      const bool isLive = record != nullptr &&
-                          record->m_state == NodeState::Alive &&
+      const bool isLive = record != nullptr && record->m_state <= aAtMost &&
                           record->m_incarnation ==
                             other->m_gossip->Members().Self().m_incarnation;
       if (isLive != other->m_isAlive) {
@@ -357,7 +366,8 @@
 void
 FakeNetwork::Check(FakeNode& aNode)
 {
-  for (const Document& document : aNode.m_gossip->Documents().TakeChanged()) {
+  Distribution& documents = aNode.m_gossip->Documents();
+  for (const Document& document : documents.TakeChanged()) {
     Revision& applied = aNode.m_applied[document.m_key];
     if (document.m_revision <= applied) {
       ++m_violations;
@@ -366,9 +376,35 @@
     applied = document.m_revision;
     aNode.m_appliedAt.emplace(document.m_revision, Now());
   }
-  if (!m_isCheckingRecords) {
+  CheckFloors(aNode);
+  if (m_isCheckingRecords) {
+    CheckRecords(aNode);
+  }
+}
+
+void
+FakeNetwork::CheckFloors(FakeNode& aNode)
+{
+  if (!aNode.m_gossip->MayServe()) {
     return;
   }
+  const VmId& vm = aNode.m_gossip->Members().SelfVm();
+  auto& floors = m_floors[vm];
+  for (const auto& [key, revision] : aNode.m_applied) {
+    Revision& floor = floors[key];
+    if (revision < floor) {
+      ++m_violations;
+      std::printf("%s serves below the floor of %s\n",
+                  vm.Value().c_str(),
+                  key.Value().c_str());
+    }
+    floor = revision;
+  }
+}
+
+void
+FakeNetwork::CheckRecords(FakeNode& aNode)
+{
   for (const auto& [vm, record] : aNode.m_gossip->Members().Members()) {
     const auto [known, isNew] = aNode.m_records.try_emplace(vm, record);
     if (isNew || known->second == record) {
--- a/src/process/testing/FakeNetwork.h
+++ b/src/process/testing/FakeNetwork.h
@@ -3,7 +3,8 @@
 ///
 /// Datagrams are lost, delayed (and so reordered) and duplicated by seed; links
 /// can be cut. It checks in every session that no process's document revision
-/// falls, and that a record never gives way to an older one.
+/// falls, that no replacement serves less than its forerunner on the VM had in
+/// force, and that a record never gives way to an older one.
 ///
 ///     FakeNetwork network(7, { .m_loss = 0.05 });
 ///     network.AddNodes("dc1", 10);
@@ -79,9 +80,14 @@
   void AddNodes(const std::string& aDataCentre, std::size_t aCount);
   /// Starts a process on a VM, in place of the one before, if any.
   FakeNode& Start(const std::string& aVm, const std::string& aDataCentre);
+  /// The same at an address that no process had before.
+  FakeNode& StartElsewhere(const std::string& aVm,
+                           const std::string& aDataCentre);
   void Kill(const std::string& aVm) { Node(aVm).m_isAlive = false; }
   void Pause(const std::string& aVm) { Node(aVm).m_isPaused = true; }
   void Resume(const std::string& aVm);
+  /// Lets a node act on what a test told it directly, as its timer would.
+  void Kick(const std::string& aVm) { Wake(Node(aVm)); }
   void Run(Duration aTime);
   /// Runs until the condition holds; the time that it took, or aLimit.
   Duration RunUntil(const std::function<bool()>& aCondition, Duration aLimit);
@@ -94,8 +100,10 @@
   MonotonicTime Now() const { return m_clock.Now(); }
   /// True when every running process has this revision of the key.
   bool AllHave(const std::string& aKey, Revision aRevision) const;
-  /// True when every running process counts exactly the running ones as live.
-  bool AllAgree() const;
+  /// True when every running process counts exactly the running ones as alive.
+  bool AllAgree() const { return AllCount(NodeState::Alive); }
+  /// The same, but some may be suspected, as happens under loss.
+  bool AllKnow() const { return AllCount(NodeState::Suspect); }
   /// Breaches of the invariants; each is printed.
   std::size_t Violations() const { return m_violations; }
 
@@ -105,6 +113,8 @@
   /// Nodes that cannot reach the platform.
   std::function<bool(const FakeNode&)> m_isCutFromPlatform;
   GossipSettings m_settings;
+  /// Of the wall clocks of processes that start from now on.
+  Duration m_clockSkew{ 0 };
   /// Off for large sessions: copies of all records for comparison.
   bool m_isCheckingRecords = true;
 
@@ -121,6 +131,7 @@
     }
   };
 
+  bool AllCount(NodeState aAtMost) const;
   void After(Duration aDelay, std::function<void()> aRun);
   Duration Delay();
   void Handle(FakeNode& aNode, GossipActions aActions);
@@ -132,6 +143,8 @@
   void CallPlatform(FakeNode& aNode);
   void AnswerPlatform(FakeNode& aNode);
   void Check(FakeNode& aNode);
+  void CheckFloors(FakeNode& aNode);
+  void CheckRecords(FakeNode& aNode);
   bool IsBlocked(const FakeNode& aFrom, const FakeNode& aTo) const;
   FakeNode* Find(const NetworkAddress& aAddress);
 
@@ -140,6 +153,8 @@
   FakePlatform m_platform;
   std::map<VmId, std::unique_ptr<FakeNode>> m_nodes;
   std::unordered_map<NetworkAddress, FakeNode*> m_byAddress;
+  /// The highest revisions that any process of a VM had in force.
+  std::map<VmId, std::map<ObjectKey, Revision>> m_floors;
   /// Ended processes: events may still point to them.
   std::vector<std::unique_ptr<FakeNode>> m_ended;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
--- a/src/programs/DistributionExperiment.cpp
+++ b/src/programs/DistributionExperiment.cpp
@@ -3,6 +3,7 @@
 /// failures become known, and at what cost, in virtual time.
 ///
 ///     tarragontray-experiment-distribution --sizes 10,40,160 --json
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <iostream>
@@ -99,23 +100,38 @@
   bool m_json;
 };
 
-void
-RunSpreads(Report& aReport, const ScenarioSettings& aSettings)
+/// One kind of session, in both ways.
+struct Scenario
 {
-  aReport.Spread("rest", "gossip", aSettings, MeasureRest(aSettings));
-  aReport.Spread("change", "gossip", aSettings, MeasureChange(aSettings));
-  aReport.Spread("burst", "gossip", aSettings, MeasureBurst(aSettings));
-  aReport.Spread("return", "gossip", aSettings, MeasureReturn(aSettings));
-}
+  std::string m_name;
+  SpreadFigures (*m_gossip)(const ScenarioSettings&);
+  /// Null when the baseline has nothing to measure.
+  SpreadFigures (*m_watch)(const ScenarioSettings&);
+};
+
+const std::vector<Scenario> kScenarios = {
+  { "rest", MeasureRest, nullptr },
+  { "change", MeasureChange, MeasureBaselineChange },
+  { "burst", MeasureBurst, MeasureBaselineBurst },
+  { "return", MeasureReturn, MeasureBaselineReturn },
+};
 
 void
-RunBaselines(Report& aReport, const ScenarioSettings& aSettings)
+RunSpreads(Report& aReport,
+           const std::vector<std::string>& aNames,
+           const ScenarioSettings& aSettings)
 {
-  aReport.Spread(
-    "change", "watch", aSettings, MeasureBaselineChange(aSettings));
-  aReport.Spread("burst", "watch", aSettings, MeasureBaselineBurst(aSettings));
-  aReport.Spread(
-    "return", "watch", aSettings, MeasureBaselineReturn(aSettings));
+  for (const Scenario& scenario : kScenarios) {
+    const char* name = scenario.m_name.c_str();
+    if (std::find(aNames.begin(), aNames.end(), scenario.m_name) ==
+        aNames.end()) {
+      continue;
+    }
+    aReport.Spread(name, "gossip", aSettings, scenario.m_gossip(aSettings));
+    if (scenario.m_watch != nullptr) {
+      aReport.Spread(name, "watch", aSettings, scenario.m_watch(aSettings));
+    }
+  }
 }
 
 void
@@ -134,13 +150,15 @@
 {
   cxxopts::Options options("tarragontray-experiment-distribution",
                            "Measures distribution and membership.");
+  const auto sizes = cxxopts::value<std::vector<std::size_t>>();
+  const auto scenarioNames = cxxopts::value<std::vector<std::string>>();
+  const auto count = cxxopts::value<std::size_t>();
   options.add_options()(
-    "sizes",
-    "numbers of nodes",
-    cxxopts::value<std::vector<std::size_t>>()->default_value(
-      "10,20,40,80,160"))("data-centres",
-                          "data centres",
-                          cxxopts::value<std::size_t>()->default_value("4"))(
+    "sizes", "numbers of nodes", sizes->default_value("10,20,40,80,160"))(
+    "scenarios",
+    "spread sessions to run",
+    scenarioNames->default_value("rest,change,burst,return"))(
+    "data-centres", "data centres", count->default_value("4"))(
     "seed", "seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
     "loss",
     "share of datagrams lost in the spread sessions",
@@ -159,12 +177,12 @@
   settings.m_dataCentres = parsed["data-centres"].as<std::size_t>();
   settings.m_seed = parsed["seed"].as<std::uint64_t>();
   settings.m_loss = parsed["loss"].as<double>();
+  const auto scenarios = parsed["scenarios"].as<std::vector<std::string>>();
   report.Header();
   for (const std::size_t size :
        parsed["sizes"].as<std::vector<std::size_t>>()) {
     settings.m_nodes = size;
-    RunSpreads(report, settings);
-    RunBaselines(report, settings);
+    RunSpreads(report, scenarios, settings);
   }
   settings.m_nodes = parsed["detection-nodes"].as<std::size_t>();
   if (settings.m_nodes > 0) {
--- a/src/programs/DistributionScenarios.cpp
+++ b/src/programs/DistributionScenarios.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
+#include <set>
 
 #include "process/testing/FakeNetwork.h"
 #include "programs/WatchBaseline.h"
@@ -17,6 +19,8 @@
 constexpr std::size_t kDocuments = 40;
 constexpr std::size_t kBodyBytes = 300;
 constexpr Duration kSettle = std::chrono::seconds(30);
+/// By then the news of the start has been passed on.
+constexpr Duration kSettleForRest = std::chrono::seconds(120);
 constexpr std::size_t kChanges = 10;
 constexpr Duration kChangeGap = std::chrono::seconds(2);
 constexpr std::size_t kBurst = 100;
@@ -37,10 +41,12 @@
     aNetwork.Write(Key(i), std::string(kBodyBytes, 'x'));
   }
   for (std::size_t i = 0; i < aSettings.m_nodes; ++i) {
-    const std::string dataCentre =
-      "dc" + std::to_string(i % aSettings.m_dataCentres + 1);
-    const std::string number = std::to_string(i / aSettings.m_dataCentres + 1);
-    aNetwork.Start(dataCentre + "-box-office-" + number, dataCentre);
+    std::string dataCentre = "dc";
+    dataCentre += std::to_string(i % aSettings.m_dataCentres + 1);
+    std::string vm = dataCentre;
+    vm += "-box-office-";
+    vm += std::to_string(i / aSettings.m_dataCentres + 1);
+    aNetwork.Start(vm, dataCentre);
   }
 }
 
@@ -149,6 +155,7 @@
         continue;
       }
       m_network.Resume(paused->first);
+      m_resumedAt[paused->first] = m_network.Now();
       paused = m_until.erase(paused);
     }
     while (m_until.size() < m_count) {
@@ -163,12 +170,22 @@
     }
   }
 
+  /// Alive, and not paused during the last aBack.
+  bool IsRunning(const std::string& aVm, Duration aBack) const
+  {
+    const auto resumed = m_resumedAt.find(aVm);
+    return m_network.Node(aVm).m_isAlive && !m_until.contains(aVm) &&
+           (resumed == m_resumedAt.end() ||
+            m_network.Now() - resumed->second > aBack);
+  }
+
 private:
   FakeNetwork& m_network;
   SeededRandom m_random;
   std::vector<std::string> m_vms;
   std::size_t m_count = 0;
   std::map<std::string, MonotonicTime> m_until;
+  std::map<std::string, MonotonicTime> m_resumedAt;
 };
 
 NodeState
@@ -194,15 +211,56 @@
     });
 }
 
-std::uint64_t
-Total(FakeNetwork& aNetwork, std::uint64_t MembershipCounters::*aCounter)
+/// Counts running members that someone newly holds for suspect or dead.
+class FalseAlarms
 {
-  std::uint64_t total = 0;
-  for (const auto& [vm, node] : aNetwork.Nodes()) {
-    total += node->m_gossip->Members().Counters().*aCounter;
+public:
+  void Look(FakeNetwork& aNetwork, const Pauser& aPauser)
+  {
+    // What a node believes just after its own pause is no alarm.
+    constexpr Duration kCatchUp = std::chrono::seconds(5);
+    constexpr Duration kRefute = std::chrono::seconds(1);
+    const auto isRunning = [&](const VmId& aVm) {
+      return aPauser.IsRunning(aVm.Value(), kRefute);
+    };
+    std::set<VmId> suspected;
+    std::set<VmId> dead;
+    for (const auto& [vm, node] : aNetwork.Nodes()) {
+      if (!aPauser.IsRunning(vm.Value(), kCatchUp)) {
+        continue;
+      }
+      for (const auto& [other, record] : node->m_gossip->Members().Members()) {
+        if (record.m_state == NodeState::Suspect) {
+          suspected.insert(other);
+        } else if (record.m_state == NodeState::Dead) {
+          dead.insert(other);
+        }
+      }
+    }
+    m_suspicions += CountNew(suspected, m_suspected, isRunning);
+    m_deaths += CountNew(dead, m_dead, isRunning);
+  }
+
+  std::size_t m_suspicions = 0;
+  std::size_t m_deaths = 0;
+
+private:
+  static std::size_t CountNew(
+    std::set<VmId>& aNow,
+    std::set<VmId>& aBefore,
+    const std::function<bool(const VmId&)>& aIsRunning)
+  {
+    const auto count =
+      std::count_if(aNow.begin(), aNow.end(), [&](const VmId& aVm) {
+        return !aBefore.contains(aVm) && aIsRunning(aVm);
+      });
+    aBefore = std::move(aNow);
+    return static_cast<std::size_t>(count);
   }
-  return total;
-}
+
+  std::set<VmId> m_suspected;
+  std::set<VmId> m_dead;
+};
 
 } // namespace
 
@@ -211,7 +269,7 @@
 {
   FakeNetwork network(aSettings.m_seed, { .m_loss = aSettings.m_loss });
   Build(network, aSettings);
-  network.Run(kSettle);
+  network.Run(kSettleForRest);
   const Meter meter(network);
   network.Run(kWindow);
   return meter.Read({});
@@ -314,29 +372,24 @@
   network.Run(kSettle);
   Pauser pauser(network, aPausedShare, aSettings.m_seed + 1);
   const Meter meter(network);
-  const std::uint64_t suspectedBefore =
-    Total(network, &MembershipCounters::m_suspected);
+  FalseAlarms alarms;
+  const auto step = [&] {
+    pauser.Step();
+    network.Run(kStep);
+    alarms.Look(network, pauser);
+  };
   DetectionFigures figures;
-  std::uint64_t trueDeaths = 0;
-  std::uint64_t deathsBefore =
-    Total(network, &MembershipCounters::m_declaredDead);
-  std::uint64_t falseDeaths = 0;
   for (std::size_t kill = 0; kill < kKills; ++kill) {
-    // Without a kill first: every death that is declared is false.
     for (Duration ran{ 0 }; ran < kGap; ran += kStep) {
-      pauser.Step();
-      network.Run(kStep);
+      step();
     }
-    falseDeaths +=
-      Total(network, &MembershipCounters::m_declaredDead) - deathsBefore;
     const VmId vm("dc1-box-office-" + std::to_string(kill + 2));
     network.Kill(vm.Value());
     const MonotonicTime killed = network.Now();
     Duration suspected{ 0 };
     Duration dead{ 0 };
     while (dead == Duration(0) && network.Now() - killed < 2 * kGap) {
-      pauser.Step();
-      network.Run(kStep);
+      step();
       if (suspected == Duration(0) &&
           AllCountAs(network, vm, NodeState::Suspect, true)) {
         suspected = network.Now() - killed;
@@ -345,22 +398,16 @@
         dead = network.Now() - killed;
       }
     }
-    ++trueDeaths;
     figures.m_meanSuspected += suspected / kKills;
     figures.m_maxSuspected = std::max(figures.m_maxSuspected, suspected);
     figures.m_meanDead += dead / kKills;
     figures.m_maxDead = std::max(figures.m_maxDead, dead);
-    deathsBefore = Total(network, &MembershipCounters::m_declaredDead);
   }
-  const double nodeHours = static_cast<double>(aSettings.m_nodes) *
-                           std::chrono::duration<double>(kGap).count() *
-                           static_cast<double>(kKills) / 3600.0;
-  figures.m_falseDeaths = static_cast<double>(falseDeaths) / nodeHours;
-  const std::uint64_t suspicions =
-    Total(network, &MembershipCounters::m_suspected) - suspectedBefore;
+  const double nodeHours =
+    static_cast<double>(aSettings.m_nodes) * meter.Seconds() / 3600.0;
+  figures.m_falseDeaths = static_cast<double>(alarms.m_deaths) / nodeHours;
   figures.m_falseSuspicions =
-    static_cast<double>(suspicions - std::min(suspicions, trueDeaths)) /
-    (static_cast<double>(aSettings.m_nodes) * meter.Seconds() / 3600.0);
+    static_cast<double>(alarms.m_suspicions) / nodeHours;
   figures.m_meanBytes = meter.Read({}).m_meanBytes;
   return figures;
 }
--- a/src/programs/DistributionScenarios.h
+++ b/src/programs/DistributionScenarios.h
@@ -50,7 +50,8 @@
   /// The same until all nodes of all data centres count it as dead.
   Duration m_meanDead{ 0 };
   Duration m_maxDead{ 0 };
-  /// Running nodes declared dead, and suspected, for each node and hour.
+  /// Members that have been running for a second and are newly held for dead,
+  /// or suspected, by anyone; for each node and hour.
   double m_falseDeaths = 0;
   double m_falseSuspicions = 0;
   double m_meanBytes = 0;
