--- /dev/null
+++ b/src/connection/FrameCodec.cpp
@@ -0,0 +1,259 @@
+#include "connection/FrameCodec.h"
+
+#include <concepts>
+#include <optional>
+#include <type_traits>
+#include <utility>
+#include <vector>
+
+#include "connection/CerealTypes.h"
+
+namespace tarragontray {
+
+namespace {
+
+template<typename T, typename Message>
+concept Is = std::same_as<std::remove_const_t<T>, Message>;
+
+/// Writes the fields that Fields() names.
+class Encoder
+{
+public:
+  explicit Encoder(Writer& aWriter)
+    : m_writer(aWriter)
+  {
+  }
+
+  template<typename... T>
+  void operator()(const T&... aFields)
+  {
+    (Put(m_writer, aFields), ...);
+  }
+  template<typename T>
+  void Enum(T aValue, T /*aLast*/)
+  {
+    PutEnum(m_writer, aValue);
+  }
+  template<typename T>
+  void List(const std::vector<T>& aItems)
+  {
+    m_writer.PutNumber(aItems.size());
+    for (const T& item : aItems) {
+      Fields(*this, item);
+    }
+  }
+  template<typename T>
+  void Optional(const std::optional<T>& aValue)
+  {
+    m_writer.PutNumber(aValue ? 1 : 0);
+    if (aValue) {
+      Fields(*this, *aValue);
+    }
+  }
+
+private:
+  Writer& m_writer;
+};
+
+/// Reads the fields that Fields() names.
+class Decoder
+{
+public:
+  explicit Decoder(Reader& aReader)
+    : m_reader(aReader)
+  {
+  }
+
+  template<typename... T>
+  void operator()(T&... aFields)
+  {
+    (Get(m_reader, aFields), ...);
+  }
+  template<typename T>
+  void Enum(T& aValue, T aLast)
+  {
+    GetEnum(m_reader, aValue, aLast);
+  }
+  template<typename T>
+  void List(std::vector<T>& aItems)
+  {
+    const std::size_t count = m_reader.GetCount();
+    for (std::size_t i = 0; i < count && !m_reader.IsFailed(); ++i) {
+      Fields(*this, aItems.emplace_back());
+    }
+  }
+  template<typename T>
+  void Optional(std::optional<T>& aValue)
+  {
+    if (m_reader.GetNumber() != 0) {
+      Fields(*this, aValue.emplace());
+    }
+  }
+
+private:
+  Reader& m_reader;
+};
+
+// The order of fields, written once for both directions.
+
+template<typename Coder, Is<HttpHeader> T>
+void
+Fields(Coder& aCoder, T& aHeader)
+{
+  aCoder(aHeader.m_name, aHeader.m_value);
+}
+
+template<typename Coder, Is<Call> T>
+void
+Fields(Coder& aCoder, T& aCall)
+{
+  aCoder(aCall.m_id,
+         aCall.m_operation,
+         aCall.m_caller,
+         aCall.m_service,
+         aCall.m_route,
+         aCall.m_class,
+         aCall.m_version,
+         aCall.m_priority,
+         aCall.m_idempotent,
+         aCall.m_attempt,
+         aCall.m_timeRemaining,
+         aCall.m_http.m_method,
+         aCall.m_http.m_target);
+  aCoder.List(aCall.m_http.m_headers);
+  aCoder(aCall.m_http.m_body);
+}
+
+template<typename Coder, Is<Answer> T>
+void
+Fields(Coder& aCoder, T& aAnswer)
+{
+  aCoder(aAnswer.m_id);
+  aCoder.Enum(aAnswer.m_outcome, CallOutcome::Unknown);
+  aCoder.Enum(aAnswer.m_refusal, kLastRefusalReason);
+  aCoder(aAnswer.m_load.m_running,
+         aAnswer.m_load.m_queued,
+         aAnswer.m_load.m_slots,
+         aAnswer.m_serviceTime,
+         aAnswer.m_http.m_status);
+  aCoder.List(aAnswer.m_http.m_headers);
+  aCoder(aAnswer.m_http.m_body);
+}
+
+template<typename Coder, Is<CancelCall> T>
+void
+Fields(Coder& aCoder, T& aCancel)
+{
+  aCoder(aCancel.m_id);
+}
+
+template<typename Coder, Is<OperationQuery> T>
+void
+Fields(Coder& aCoder, T& aQuery)
+{
+  aCoder(aQuery.m_id,
+         aQuery.m_caller,
+         aQuery.m_operation,
+         aQuery.m_attempt,
+         aQuery.m_sentTo);
+}
+
+template<typename Coder, Is<OperationReply> T>
+void
+Fields(Coder& aCoder, T& aReply)
+{
+  aCoder(aReply.m_id);
+  aCoder.Enum(aReply.m_status, OperationStatus::Forgotten);
+  aCoder.Optional(aReply.m_answer);
+}
+
+template<typename Coder, typename T>
+requires Is<T, LinkPing> || Is<T, LinkPong>
+void
+Fields(Coder& aCoder, T& aSign)
+{
+  aCoder(aSign.m_number);
+}
+
+template<typename Coder, typename T>
+requires Is<T, StateRequest> || Is<T, StateReply>
+void
+Fields(Coder& aCoder, T& aState)
+{
+  aCoder(aState.m_id, aState.m_bytes);
+}
+
+/// Reads the alternative whose number is aIndex; false when there is none.
+template<std::size_t I = 0>
+bool
+GetAlternative(Reader& aReader, std::uint64_t aIndex, PeerMessage& aMessage)
+{
+  if constexpr (I < std::variant_size_v<PeerMessage>) {
+    if (aIndex == I) {
+      Decoder decoder(aReader);
+      Fields(decoder, aMessage.emplace<I>());
+      return true;
+    }
+    return GetAlternative<I + 1>(aReader, aIndex, aMessage);
+  } else {
+    return false;
+  }
+}
+
+} // namespace
+
+void
+AppendFrame(std::string& aBytes, const PeerMessage& aMessage)
+{
+  const std::size_t start = aBytes.size();
+  aBytes.append(kFrameHeaderBytes, '\0');
+  {
+    Writer writer(aBytes);
+    writer.PutNumber(aMessage.index());
+    Encoder encoder(writer);
+    std::visit([&](const auto& aBody) { Fields(encoder, aBody); }, aMessage);
+  }
+  const std::size_t length = aBytes.size() - start - kFrameHeaderBytes;
+  for (std::size_t i = 0; i < kFrameHeaderBytes; ++i) {
+    const std::size_t shift = 8 * (kFrameHeaderBytes - 1 - i);
+    aBytes[start + i] = static_cast<char>(length >> shift & 0xFFU);
+  }
+}
+
+Result<std::size_t>
+FrameLength(const std::array<unsigned char, kFrameHeaderBytes>& aHeader,
+            const std::string& aPeer)
+{
+  std::size_t length = 0;
+  for (const unsigned char byte : aHeader) {
+    length = length << 8U | byte;
+  }
+  if (length == 0) {
+    return Error(ErrorCode::Malformed, "frame.length", aPeer, "empty frame");
+  }
+  if (length > kMaxFrameBytes) {
+    return Error(ErrorCode::TooLarge,
+                 "frame.length",
+                 aPeer,
+                 std::to_string(length) + " bytes");
+  }
+  return length;
+}
+
+Result<PeerMessage>
+DecodeMessage(std::string_view aPayload, const std::string& aPeer)
+{
+  Reader reader(aPayload);
+  PeerMessage message;
+  const std::uint64_t index = reader.GetNumber();
+  if (!GetAlternative(reader, index, message) || !reader.IsWhole()) {
+    return Error(ErrorCode::Malformed,
+                 "frame.decode",
+                 aPeer,
+                 "message kind " + std::to_string(index) + ", " +
+                   std::to_string(aPayload.size()) + " bytes");
+  }
+  return message;
+}
+
+} // namespace tarragontray
--- a/src/process/View.h
+++ b/src/process/View.h
@@ -9,7 +9,6 @@
 #pragma once
 
 #include <memory>
-#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -18,9 +17,12 @@
 #include "base/Units.h"
 #include "process/MemberRecord.h"
 #include "version/Configuration.h"
+#include "version/VersionSplit.h"
 
 namespace tarragontray {
 
+class KeyPlacement;
+
 /// A VM whose upstream may get work.
 struct Target
 {
@@ -32,17 +34,10 @@
   /// Starting or Live.
   UpstreamState m_state = UpstreamState::Live;
   SlotCount m_slots{ 0 };
-};
-
-/// How the calls of a service are split between its versions.
-struct VersionSplit
-{
-  /// Set while a move runs.
-  std::optional<MoveId> m_move;
-  UpstreamVersion m_from;
-  UpstreamVersion m_to;
-  /// The share that goes to m_to; the rest goes to m_from.
-  Share m_toShare = Share::None();
+  /// The node's incarnation as this view knows it; goes with a question about
+  /// a lost operation, so that a restarted node doesn't vouch for its former
+  /// life.
+  Incarnation m_incarnation;
 };
 
 /// A service with the targets that may get work.
@@ -50,7 +45,11 @@
 {
   ServiceId m_id;
   VersionSplit m_split;
+  /// This node's subset of the targets, from SelectSubset (request/Subset.h).
   std::vector<Target> m_targets;
+  /// Where callers' idempotency keys live, over all targets of the service;
+  /// the same on every node of the same view. Null: no calls are placed.
+  std::shared_ptr<const KeyPlacement> m_keys;
 };
 
 /// Everything a traffic thread needs to serve a call.
--- a/src/request/Call.h
+++ b/src/request/Call.h
@@ -47,7 +47,14 @@
   UpstreamGone,
   RetryBudget,
   WithdrawnOperation,
+  Cancelled,
+  /// The operation id was used before for another request.
+  OperationMismatch,
+  /// No more operations can be remembered now.
+  OperationTableFull,
 };
+inline constexpr RefusalReason kLastRefusalReason =
+  RefusalReason::OperationTableFull;
 
 /// The stable name of a reason, for logs, metrics and the answer's header.
 std::string_view
@@ -87,6 +94,9 @@
   SlotCount m_slots{ 0 };
 };
 
+/// In a question: whatever attempt of an operation, by whatever entry node.
+inline constexpr std::uint8_t kAllAttempts = 255;
+
 /// One attempt of a call, as node A sends it to node B.
 struct Call
 {
--- /dev/null
+++ b/src/request/TwoChoicesBalancing.cpp
@@ -0,0 +1,214 @@
+#include "request/TwoChoicesBalancing.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tarragontray {
+
+namespace {
+
+/// Weight of a new latency in the smoothed one.
+constexpr double kLatencyWeight = 0.2;
+/// Own data centre, own region, all.
+constexpr int kTiers = 3;
+
+double
+Seconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+void
+Smooth(double& aMean, double aValue)
+{
+  aMean = aMean > 0 ? aMean + kLatencyWeight * (aValue - aMean) : aValue;
+}
+
+} // namespace
+
+std::optional<std::size_t>
+TwoChoicesBalancing::Choose(const std::vector<const Target*>& aCandidates,
+                            std::size_t aTried,
+                            const DataCentreId& aOwnDataCentre,
+                            MonotonicTime aNow,
+                            Random& aRandom)
+{
+  if (aCandidates.empty()) {
+    return std::nullopt;
+  }
+  m_considered.clear();
+  for (const Target* target : aCandidates) {
+    m_considered.push_back(Consider(*target, aOwnDataCentre, aNow));
+  }
+  LimitEjections(aTried);
+  SelectTier();
+  const std::size_t count = m_tier.size();
+  if (count == 1) {
+    return m_tier.front();
+  }
+  const std::size_t first = aRandom.Below(count);
+  const std::size_t second = (first + 1 + aRandom.Below(count - 1)) % count;
+  const std::size_t left = m_tier[first];
+  const std::size_t right = m_tier[second];
+  return m_considered[left].m_cost <= m_considered[right].m_cost ? left : right;
+}
+
+TwoChoicesBalancing::Considered
+TwoChoicesBalancing::Consider(const Target& aTarget,
+                              const DataCentreId& aOwnDataCentre,
+                              MonotonicTime aNow) const
+{
+  static const Stats kNew;
+  const auto found = m_stats.find(aTarget.m_vm);
+  const Stats& stats = found == m_stats.end() ? kNew : found->second;
+  const double slots = UsableSlots(aTarget, stats);
+  const double load = Running(stats, aNow) / slots;
+  const double latency = stats.m_latency > 0 ? stats.m_latency : m_usualLatency;
+  Considered considered;
+  considered.m_isEjected = aNow < stats.m_ejectedUntil;
+  considered.m_hasRoom =
+    aNow >= stats.m_fullUntil && load < m_settings.m_saturation;
+  considered.m_tier = Tier(aTarget, aOwnDataCentre);
+  considered.m_cost = (load + 1 / slots) * latency;
+  return considered;
+}
+
+void
+TwoChoicesBalancing::LimitEjections(std::size_t aTried)
+{
+  const auto ejected = static_cast<std::size_t>(std::count_if(
+    m_considered.begin(), m_considered.end(), [](const Considered& aOne) {
+      return aOne.m_isEjected;
+    }));
+  const std::size_t healthy = m_considered.size() - ejected;
+  // What this call has tried counts as healthy: a retry must not reach the
+  // ejected targets just because it can't use the others again.
+  if (healthy > 0 && ejected <= healthy + aTried) {
+    return;
+  }
+  // Ejecting most of the candidates would only move the overload.
+  for (Considered& considered : m_considered) {
+    considered.m_isEjected = false;
+  }
+}
+
+void
+TwoChoicesBalancing::SelectTier()
+{
+  int nearest = kTiers;
+  for (const Considered& one : m_considered) {
+    if (!one.m_isEjected && one.m_hasRoom) {
+      nearest = std::min(nearest, one.m_tier);
+    }
+  }
+  // When all are saturated any may get the call.
+  const bool isSaturated = nearest == kTiers;
+  m_tier.clear();
+  for (std::size_t i = 0; i < m_considered.size(); ++i) {
+    const Considered& one = m_considered[i];
+    const bool fits = isSaturated || (one.m_hasRoom && one.m_tier <= nearest);
+    if (!one.m_isEjected && fits) {
+      m_tier.push_back(i);
+    }
+  }
+}
+
+int
+TwoChoicesBalancing::Tier(const Target& aTarget,
+                          const DataCentreId& aOwnDataCentre) const
+{
+  if (aTarget.m_dataCentre == aOwnDataCentre) {
+    return 0;
+  }
+  return aTarget.m_region == m_settings.m_region ? 1 : 2;
+}
+
+double
+TwoChoicesBalancing::UsableSlots(const Target& aTarget,
+                                 const Stats& aStats) const
+{
+  const bool isOnTrial = aStats.m_ejections > 0;
+  const bool isLimited =
+    isOnTrial || aTarget.m_state == UpstreamState::Starting;
+  const double slots = std::max<double>(1, aTarget.m_slots.Value());
+  return isLimited ? slots / m_settings.m_startingPenalty : slots;
+}
+
+double
+TwoChoicesBalancing::Running(const Stats& aStats, MonotonicTime aNow) const
+{
+  if (aStats.m_reported == 0) {
+    return aStats.m_inFlight;
+  }
+  const double age = Seconds(aNow - aStats.m_reportTime);
+  const double faded =
+    aStats.m_reported * std::exp2(-age / Seconds(m_settings.m_reportHalfLife));
+  return std::max<double>(aStats.m_inFlight, faded);
+}
+
+void
+TwoChoicesBalancing::Started(const VmId& aVm, MonotonicTime /*aNow*/)
+{
+  if (m_stats.size() >= m_settings.m_maxTargets) {
+    ForgetIdle();
+  }
+  ++m_stats[aVm].m_inFlight;
+}
+
+void
+TwoChoicesBalancing::Finished(const VmId& aVm,
+                              const AttemptResult& aResult,
+                              MonotonicTime aNow)
+{
+  Stats& stats = m_stats[aVm];
+  stats.m_inFlight -= stats.m_inFlight > 0 ? 1 : 0;
+  if (aResult.m_load) {
+    stats.m_reported = aResult.m_load->m_running + aResult.m_load->m_queued;
+    stats.m_reportTime = aNow;
+  }
+  if (aResult.m_isRefused) {
+    // Quick, but no sign of speed: whatever it reports, it has no room.
+    stats.m_fullUntil = aNow + m_settings.m_refusalPause;
+    return;
+  }
+  const double latency = Seconds(aResult.m_latency);
+  Smooth(stats.m_latency, latency);
+  Smooth(m_usualLatency, latency);
+  if (!aResult.m_failed) {
+    stats.m_failuresInRow = 0;
+    stats.m_ejections = 0;
+    return;
+  }
+  ++stats.m_failuresInRow;
+  if (stats.m_failuresInRow >= m_settings.m_ejectAfter) {
+    Eject(stats, aNow);
+  }
+}
+
+void
+TwoChoicesBalancing::Eject(Stats& aStats, MonotonicTime aNow) const
+{
+  constexpr std::uint32_t kMaxDoublings = 10;
+  const std::uint32_t doublings = std::min(aStats.m_ejections, kMaxDoublings);
+  const Duration span = m_settings.m_firstEjection * (1U << doublings);
+  aStats.m_ejectedUntil = aNow + std::min(span, m_settings.m_maxEjection);
+  ++aStats.m_ejections;
+  // After the ejection one more failure ejects again.
+  aStats.m_failuresInRow = m_settings.m_ejectAfter - 1;
+}
+
+bool
+TwoChoicesBalancing::IsEjected(const VmId& aVm, MonotonicTime aNow) const
+{
+  const auto found = m_stats.find(aVm);
+  return found != m_stats.end() && aNow < found->second.m_ejectedUntil;
+}
+
+void
+TwoChoicesBalancing::ForgetIdle()
+{
+  std::erase_if(
+    m_stats, [](const auto& aEntry) { return aEntry.second.m_inFlight == 0; });
+}
+
+} // namespace tarragontray
