--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/// Part of a new service time in the smoothed one: 1 / kSmoothing.
-constexpr int kSmoothing = 8;
-
 OperationKey
 KeyOf(const Call& aCall)
 {
@@ -122,7 +119,7 @@
     return;
   }
   entry.m_waiters.push_back(waiter);
-  m_links[aFrom][aCall.m_id] = aKnown.m_ticket;
+  m_links.Add(waiter, aKnown.m_ticket);
 }
 
 RefusalReason
@@ -144,10 +141,12 @@
              GuardActions& aActions)
 {
   const Ticket ticket = m_lastTicket += Ticket(1);
-  const WaitingCall waiting{
-    ticket, aCall.m_caller, aCall.m_priority, aNow + aCall.m_timeRemaining
-  };
-  m_links[aFrom][aCall.m_id] = ticket;
+  const WaitingCall waiting{ ticket,
+                             aCall.m_caller,
+                             aCall.m_priority,
+                             aNow + aCall.m_timeRemaining,
+                             m_serviceTimes.Of(aCall.m_route) };
+  m_links.Add({ aFrom, aCall.m_id }, ticket);
   Entry& entry = m_entries[ticket];
   entry.m_waiters.push_back({ aFrom, aCall.m_id });
   entry.m_deadline = waiting.m_deadline;
@@ -160,7 +159,7 @@
 void
 Guard::RunNext(MonotonicTime aNow, GuardActions& aActions)
 {
-  for (const Refused& refused : m_policy->TakeExpired(Room(), aNow)) {
+  for (const Refused& refused : m_policy->TakeExpired(aNow)) {
     Refuse(refused.m_ticket, refused.m_reason, aNow, aActions);
   }
   while (const std::optional<Ticket> next = m_policy->Next(Room(), aNow)) {
@@ -189,7 +188,7 @@
   m_policy->Released(entry.m_call.m_caller);
   aAnswer.m_serviceTime = aNow - entry.m_started;
   if (aAnswer.m_outcome == CallOutcome::Done) {
-    LearnServiceTime(aAnswer.m_serviceTime);
+    m_serviceTimes.Learn(entry.m_call.m_route, aAnswer.m_serviceTime);
   }
   if (HasKey(entry.m_call)) {
     if (aAnswer.m_outcome == CallOutcome::NotRun) {
@@ -200,7 +199,7 @@
   }
   for (const Waiter& waiter : entry.m_waiters) {
     ReplyTo(waiter, aAnswer, actions);
-    ForgetWaiter(waiter);
+    m_links.Remove(waiter);
   }
   RunNext(aNow, actions);
   return actions;
@@ -210,15 +209,15 @@
 Guard::Cancel(CallerLink aFrom, CallId aCall, MonotonicTime aNow)
 {
   GuardActions actions;
-  const auto link = m_links.find(aFrom);
-  if (link == m_links.end() || !link->second.contains(aCall)) {
+  const Waiter waiter{ aFrom, aCall };
+  const std::optional<Ticket> ticket = m_links.Find(waiter);
+  if (!ticket) {
     return actions;
   }
-  const Ticket ticket = link->second.at(aCall);
-  const bool wasRunning = m_entries.at(ticket).m_isRunning;
-  Leave(ticket, { aFrom, aCall }, aNow, actions);
-  if (!wasRunning && !m_entries.contains(ticket)) {
-    ReplyNotRun({ aFrom, aCall }, RefusalReason::Cancelled, actions);
+  const bool wasRunning = m_entries.at(*ticket).m_isRunning;
+  Leave(*ticket, waiter, aNow, actions);
+  if (!wasRunning && !m_entries.contains(*ticket)) {
+    ReplyNotRun(waiter, RefusalReason::Cancelled, actions);
   }
   RunNext(aNow, actions);
   return actions;
@@ -228,13 +227,8 @@
 Guard::LinkClosed(CallerLink aFrom, MonotonicTime aNow)
 {
   GuardActions actions;
-  const auto link = m_links.find(aFrom);
-  if (link == m_links.end()) {
-    return actions;
-  }
-  const auto calls = link->second;
-  for (const auto& [call, ticket] : calls) {
-    Leave(ticket, { aFrom, call }, aNow, actions);
+  for (const auto& [waiter, ticket] : m_links.Of(aFrom)) {
+    Leave(ticket, waiter, aNow, actions);
   }
   RunNext(aNow, actions);
   return actions;
@@ -246,11 +240,9 @@
              MonotonicTime aNow,
              GuardActions& aActions)
 {
-  ForgetWaiter(aWaiter);
+  m_links.Remove(aWaiter);
   Entry& entry = m_entries.at(aTicket);
-  std::erase_if(entry.m_waiters, [&](const Waiter& aOther) {
-    return aOther.m_link == aWaiter.m_link && aOther.m_call == aWaiter.m_call;
-  });
+  std::erase(entry.m_waiters, aWaiter);
   if (!entry.m_waiters.empty()) {
     return;
   }
@@ -274,6 +266,11 @@
                              : OperationStatus::Forgotten,
              known->m_answer };
   }
+  if (known != nullptr && known->m_withdrawnAttempt == kAllAttempts &&
+      aQuestion.m_attempt != kAllAttempts) {
+    // Another entry node withdrew it here to run it elsewhere.
+    return { OperationStatus::Forgotten, std::nullopt };
+  }
   const bool isOwnLife = aQuestion.m_sentTo >= m_settings.m_incarnation;
   const bool canTell = aQuestion.m_attempt != kAllAttempts || !IsDraining();
   const bool isWithdrawn =
@@ -358,7 +355,7 @@
   }
   for (const Waiter& waiter : entry.m_waiters) {
     ReplyNotRun(waiter, aReason, aActions);
-    ForgetWaiter(waiter);
+    m_links.Remove(waiter);
   }
 }
 
@@ -375,37 +372,17 @@
                    RefusalReason aReason,
                    GuardActions& aActions)
 {
+  ++m_refused[static_cast<std::size_t>(aReason)];
   Answer answer;
   answer.m_outcome = CallOutcome::NotRun;
   answer.m_refusal = aReason;
   ReplyTo(aWaiter, std::move(answer), aActions);
 }
 
-void
-Guard::ForgetWaiter(const Waiter& aWaiter)
-{
-  const auto link = m_links.find(aWaiter.m_link);
-  if (link == m_links.end()) {
-    return;
-  }
-  link->second.erase(aWaiter.m_call);
-  if (link->second.empty()) {
-    m_links.erase(link);
-  }
-}
-
-void
-Guard::LearnServiceTime(Duration aTime)
-{
-  m_serviceTime = m_serviceTime == Duration::zero()
-                    ? aTime
-                    : m_serviceTime + (aTime - m_serviceTime) / kSmoothing;
-}
-
 AdmissionRoom
 Guard::Room() const
 {
-  return { m_upstream.m_slots, m_running, m_serviceTime };
+  return { m_upstream.m_slots, m_running, m_serviceTimes.Usual() };
 }
 
 LoadReport
