--- a/src/process/Runtime.cmake
+++ b/src/process/Runtime.cmake
@@ -26,6 +26,7 @@
        tt_view_builder)
 tt_library(tt_status SRCS StatusJson.cpp StatusPage.cpp
   DEPS tt_control_core tt_json tt_metrics)
+tt_test(status_test SRCS StatusTest.cpp DEPS tt_status)
 tt_library(tt_control_thread SRCS ControlThread.cpp PlatformLoop.cpp
   DEPS tt_configuration_json tt_control_core tt_datagrams tt_http_server
        tt_log tt_peer_link tt_platform_session tt_status tt_thread_loop)
