Say over the link that a node stops; leave ages of targets out of views

Cause: PlannedStopsCutNothing failed with 'unknown of buy' since views carried since when targets are known: a call with a key asked the key's former home first, which withdrew the id there; when the home then refused as draining, the next home was that withdrawn one (trace: refused draining, then attempt 2 ended unknown), or the former home was itself stopping and could not tell. Ruled out: lost datagrams and the machine's load (same at load 5 and 75). Besides, a stopping guard now tells each link (LinkLeaving): node A refuses calls to it as draining without sending them, and closes the link once it waits for nothing; the stop waits for that.

--- a/src/connection/FrameCodec.cpp
+++ b/src/connection/FrameCodec.cpp
@@ -183,6 +183,12 @@
   aCoder(aState.m_id, aState.m_bytes);
 }
 
+template<typename Coder, Is<LinkLeaving> T>
+void
+Fields(Coder& /*aCoder*/, T& /*aLeaving*/)
+{
+}
+
 /// Reads the alternative whose number is aIndex; false when there is none.
 template<std::size_t I = 0>
 bool
--- a/src/connection/PeerLink.cpp
+++ b/src/connection/PeerLink.cpp
@@ -1,6 +1,7 @@
 #include "connection/PeerLink.h"
 
 #include <algorithm>
+#include <type_traits>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -20,6 +21,16 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
+/// What the peer would say, had the call been sent.
+Answer
+RefusalOfLeavingPeer()
+{
+  Answer answer;
+  answer.m_outcome = CallOutcome::NotRun;
+  answer.m_refusal = RefusalReason::Draining;
+  return answer;
+}
+
 CallId
 IdOf(const PeerMessage& aMessage)
 {
@@ -85,10 +96,20 @@
 {
   const auto self = shared_from_this();
   const MonotonicTime deadline = m_clock.Now() + aTimeout;
+  if constexpr (std::is_same_v<Reply, Answer>) {
+    if (m_isLeaving) {
+      co_return RefusalOfLeavingPeer();
+    }
+  }
   const Result<void> open = co_await EnsureOpen();
   if (!open) {
     co_return LinkFailure{ LostStage::NotSent, open.error() };
   }
+  if constexpr (std::is_same_v<Reply, Answer>) {
+    if (m_isLeaving) {
+      co_return RefusalOfLeavingPeer();
+    }
+  }
   aRequest.m_id = CallId(m_nextId++);
   const auto pending = std::make_shared<Pending>(m_context);
   m_pending.emplace(aRequest.m_id, pending);
@@ -99,6 +120,7 @@
     std::max(deadline - m_clock.Now(), Duration(0)));
   co_await pending->m_timer.async_wait(kAwait);
   m_pending.erase(id);
+  CloseWhenLeft();
   if (pending->m_reply) {
     if (Reply* reply = std::get_if<Reply>(&*pending->m_reply)) {
       co_return std::move(*reply);
@@ -192,10 +214,24 @@
     m_stream->Send(LinkPong{ ping->m_number });
     return;
   }
+  if (std::holds_alternative<LinkLeaving>(aMessage)) {
+    m_isLeaving = true;
+    m_leavingSince = m_clock.Now();
+    CloseWhenLeft();
+    return;
+  }
   const CallId id = IdOf(aMessage);
   Complete(id, std::move(aMessage));
 }
 
+void
+PeerLink::CloseWhenLeft()
+{
+  if (m_isLeaving && m_pending.empty()) {
+    Close();
+  }
+}
+
 void
 PeerLink::Complete(CallId aId, PeerMessage aMessage)
 {
@@ -284,7 +320,9 @@
 PeerLinks::Get(const NetworkAddress& aPeer)
 {
   std::shared_ptr<PeerLink>& link = m_links[aPeer];
-  if (!link || link->IsClosed()) {
+  const bool isLeaving = link && link->IsLeaving() &&
+                         m_clock.Now() < link->LeavingSince() + kLeavingTime;
+  if (!link || (link->IsClosed() && !isLeaving)) {
     link = PeerLink::Create(m_context, m_clock, aPeer, m_settings);
   }
   return link;
--- a/src/connection/PeerLink.h
+++ b/src/connection/PeerLink.h
@@ -74,6 +74,11 @@
   boost::asio::awaitable<Exchange<StateReply>> Fetch(std::string aRequest,
                                                      Duration aTimeout);
 
+  /// True once the peer said that it stops: new calls are refused as Draining
+  /// without being sent.
+  bool IsLeaving() const { return m_isLeaving; }
+  /// Precondition: IsLeaving().
+  MonotonicTime LeavingSince() const { return m_leavingSince; }
   /// Closes the connection; waiting exchanges fail.
   void Close();
   /// True once the link will not carry anything again.
@@ -117,6 +122,7 @@
   void Dispatch(PeerMessage aMessage);
   void Complete(CallId aId, PeerMessage aMessage);
   void WakeSilenceWatch();
+  void CloseWhenLeft();
 
   boost::asio::io_context& m_context;
   const Clock& m_clock;
@@ -131,7 +137,9 @@
   std::unordered_map<CallId, std::shared_ptr<Pending>> m_pending;
   std::uint64_t m_nextId = 1;
   std::uint32_t m_pingNumber = 0;
+  bool m_isLeaving = false;
   MonotonicTime m_lastHeard{};
+  MonotonicTime m_leavingSince{};
 };
 
 /// The links of one traffic thread, by peer address.
@@ -145,7 +153,8 @@
   PeerLinks(const PeerLinks&) = delete;
   PeerLinks& operator=(const PeerLinks&) = delete;
 
-  /// The open or fresh link to a peer.
+  /// The open or fresh link to a peer. A peer that said it stops gets no new
+  /// connection for kLeavingTime.
   std::shared_ptr<PeerLink> Get(const NetworkAddress& aPeer);
   /// A link with a new connection, in place of the one that was there. The
   /// former one keeps its waiting calls.
@@ -153,6 +162,9 @@
   /// Closes all links.
   void CloseAll();
 
+  /// Longer than a stopping node goes on after it said so.
+  static constexpr Duration kLeavingTime = std::chrono::seconds(3);
+
 private:
   boost::asio::io_context& m_context;
   const Clock& m_clock;
--- a/src/connection/PeerMessages.h
+++ b/src/connection/PeerMessages.h
@@ -61,6 +61,11 @@
   std::uint32_t m_number = 0;
 };
 
+/// The sender stops: no new call may be sent to it. The receiver closes the
+/// link once it waits for nothing.
+struct LinkLeaving
+{};
+
 /// Asks for the sender's state, as bytes that the control part encodes.
 struct StateRequest
 {
@@ -84,6 +89,7 @@
                                  LinkPing,
                                  LinkPong,
                                  StateRequest,
-                                 StateReply>;
+                                 StateReply,
+                                 LinkLeaving>;
 
 } // namespace tarragontray
--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -430,10 +430,7 @@
                                           [this](const ServiceId& aService) {
                                             return m_moves.SplitOf(aService);
                                           },
-                                          m_view.get(),
-                                          &m_ages,
-                                          aTimes.m_now });
-  m_ages.ForgetUnseen(aTimes.m_now);
+                                          m_view.get() });
   m_view = aActions.m_view;
   const auto bounds = OwnBounds();
   if (bounds != m_bounds) {
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -38,7 +38,6 @@
 #include "process/TrafficReport.h"
 #include "process/View.h"
 #include "request/AdmissionPolicy.h"
-#include "request/TargetAges.h"
 #include "version/ConfigurationDecoder.h"
 #include "version/Moves.h"
 #include "version/Steward.h"
@@ -169,7 +168,6 @@
   Moves m_moves;
   Ledger m_ledger;
   std::optional<MonotonicTime> m_viewDue;
-  TargetAges m_ages;
   /// The last one that was made.
   std::shared_ptr<const View> m_view;
   std::optional<MonotonicTime> m_announcedAt;
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -81,7 +81,18 @@
 
   void Drain() override
   {
-    m_loop.Post([this] { Execute(m_guard.Drain(m_clock.Now())); });
+    m_loop.Post([this] {
+      m_isLeaving = true;
+      for (const auto& [link, stream] : m_links) {
+        stream->Send(LinkLeaving{});
+      }
+      Execute(m_guard.Drain(m_clock.Now()));
+    });
+  }
+
+  bool WaitForLinks(Duration aLimit) override
+  {
+    return m_openLinks.WaitFor(aLimit);
   }
 
   GuardFigures Figures() const override
@@ -111,6 +122,10 @@
         UpdateBusy();
       });
       m_links.emplace(link, stream);
+      m_openLinks.Begin();
+      if (m_isLeaving) {
+        stream->Send(LinkLeaving{});
+      }
       asio::co_spawn(
         m_loop.Context(), ReceiveLoop(link, std::move(stream)), asio::detached);
     }
@@ -131,6 +146,7 @@
                  message.value());
     }
     m_links.erase(aLink);
+    m_openLinks.End();
     Execute(m_guard.LinkClosed(aLink, m_clock.Now()));
   }
 
@@ -281,6 +297,7 @@
   const Clock& m_clock;
   IdleSignal& m_inFlight;
   GuardEvents m_events;
+  IdleSignal m_openLinks;
   mutable std::mutex m_figuresMutex;
   GuardFigures m_figures;
 
@@ -296,6 +313,7 @@
   std::unique_ptr<UpstreamPool> m_pool;
   std::unordered_map<CallerLink, std::shared_ptr<FrameStream>> m_links;
   std::unordered_map<Ticket, std::shared_ptr<UpstreamRun>> m_runs;
+  bool m_isLeaving = false;
   bool m_isBusy = false;
   /// Links that are writing.
   int m_writes = 0;
--- a/src/process/GuardThread.h
+++ b/src/process/GuardThread.h
@@ -64,8 +64,12 @@
                            const NetworkAddress& aAddress) = 0;
   /// Bounds of admission, from the configuration of the service's owner.
   virtual void SetBounds(const AdmissionBounds& aBounds) = 0;
-  /// Refuses waiting and new calls with NotRun; running ones go on.
+  /// Refuses waiting and new calls with NotRun; running ones go on. Tells all
+  /// peers to send nothing more and to close their links.
   virtual void Drain() = 0;
+  /// After Drain: sleeps until the peers have closed their links, at most
+  /// aLimit.
+  virtual bool WaitForLinks(Duration aLimit) = 0;
   virtual GuardFigures Figures() const = 0;
   /// Ends the thread.
   virtual void Stop() = 0;
--- a/src/process/Node.cpp
+++ b/src/process/Node.cpp
@@ -19,6 +19,8 @@
 /// Callers and peers get this long to hear that the node leaves, while it
 /// still answers.
 constexpr Duration kLeaveNotice = std::chrono::milliseconds(1500);
+/// A peer that does not close its link for so long does not hold the stop up.
+constexpr Duration kLinkCloseLimit = std::chrono::seconds(2);
 
 class ThreadedNode final : public Node
 {
@@ -80,7 +82,9 @@
     const Duration limit = m_settings.m_drainLimit;
     const bool isFrontIdle = m_frontCalls.WaitFor(limit);
     const Duration left = start + limit - m_clock.Now();
-    return m_guardCalls.WaitFor(std::max(left, Duration(0))) && isFrontIdle;
+    const bool isGuardIdle = m_guardCalls.WaitFor(std::max(left, Duration(0)));
+    m_guard->WaitForLinks(kLinkCloseLimit);
+    return isGuardIdle && isFrontIdle;
   }
 
 private:
--- a/src/process/ViewBuilder.cpp
+++ b/src/process/ViewBuilder.cpp
@@ -58,11 +58,7 @@
     if (!MayGetWork(member)) {
       continue;
     }
-    Target target = TargetOf(member);
-    if (aInputs.m_ages != nullptr) {
-      target.m_knownSince = aInputs.m_ages->KnownSince(target, aInputs.m_now);
-    }
-    groups[member.m_upstream.m_service].push_back(std::move(target));
+    groups[member.m_upstream.m_service].push_back(TargetOf(member));
   }
   return groups;
 }
--- a/src/process/ViewBuilder.h
+++ b/src/process/ViewBuilder.h
@@ -22,7 +22,6 @@
 #include "base/Ids.h"
 #include "process/MemberRecord.h"
 #include "process/View.h"
-#include "request/TargetAges.h"
 #include "version/Configuration.h"
 
 namespace tarragontray {
@@ -37,9 +36,6 @@
   /// The view before this one, or null. Key placements of services whose
   /// targets are the same are taken over from it.
   const View* m_former = nullptr;
-  /// Since when targets are known; null: for long.
-  TargetAges* m_ages = nullptr;
-  MonotonicTime m_now{};
 };
 
 /// The view of the node that aSelf describes.
