Wait two seconds after a fall of the share, and judge nothing by ruins

Change: the settle time is 2 s in place of 1 s; an alternative that the reference leaves no room for is not tested.

--- a/src/version/SequentialMovePolicy.cpp
+++ b/src/version/SequentialMovePolicy.cpp
@@ -24,7 +24,7 @@
 /// From a fall of the share until evidence of it is in, and until queues have
 /// drained. A node that lowers its own share alone changes little of its
 /// targets' load, and waits longer.
-constexpr Duration kSettleTime = std::chrono::seconds(1);
+constexpr Duration kSettleTime = std::chrono::seconds(2);
 constexpr Duration kDrainTime = std::chrono::seconds(6);
 constexpr Duration kNodeSettleTime = std::chrono::seconds(10);
 
--- a/src/version/SequentialTest.cpp
+++ b/src/version/SequentialTest.cpp
@@ -9,6 +9,7 @@
 
 constexpr double kHighestRate = 0.99;
 constexpr double kLowestRate = 1e-4;
+constexpr double kLeastExcess = 0.02;
 
 double
 LogLikelihoodRatio(const TargetSample& aSample,
@@ -32,6 +33,10 @@
     std::clamp(aRates.m_reference, kLowestRate, kHighestRate - 0.01);
   const double alternative =
     std::min(reference + aRates.m_excess[aAlternative], kHighestRate);
+  if (alternative - reference < kLeastExcess) {
+    // Nearly all calls of the old version are bad: nothing can be told.
+    return;
+  }
   Sums& sums = m_sums[aAlternative];
   std::map<VmId, double> ratios;
   double total = 0.0;
