--- a/src/process/ViewBuilder.h
+++ b/src/process/ViewBuilder.h
@@ -22,6 +22,7 @@
 #include "base/Ids.h"
 #include "process/MemberRecord.h"
 #include "process/View.h"
+#include "request/TargetAges.h"
 #include "version/Configuration.h"
 
 namespace tarragontray {
@@ -33,6 +34,12 @@
   const std::vector<std::shared_ptr<const Configuration>>& m_configurations;
   /// The split of a service with a move in force.
   std::function<std::optional<VersionSplit>(const ServiceId&)> m_splitOf;
+  /// The view before this one, or null. Key placements of services whose
+  /// targets are the same are taken over from it.
+  const View* m_former = nullptr;
+  /// Since when targets are known; null: for long.
+  TargetAges* m_ages = nullptr;
+  MonotonicTime m_now{};
 };
 
 /// The view of the node that aSelf describes.
--- a/src/request/Call.h
+++ b/src/request/Call.h
@@ -8,6 +8,7 @@
 /// Thread safety: values.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -55,6 +56,8 @@
 };
 inline constexpr RefusalReason kLastRefusalReason =
   RefusalReason::OperationTableFull;
+inline constexpr std::size_t kRefusalReasons =
+  static_cast<std::size_t>(kLastRefusalReason) + 1;
 
 /// The stable name of a reason, for logs, metrics and the answer's header.
 std::string_view
@@ -94,6 +97,9 @@
   SlotCount m_slots{ 0 };
 };
 
+/// Time for which guards remember the operations that ended.
+inline constexpr Duration kOperationRetention = std::chrono::minutes(10);
+
 /// In a question: whatever attempt of an operation, by whatever entry node.
 inline constexpr std::uint8_t kAllAttempts = 255;
 
