--- a/src/process/MoveGossipTest.cpp
+++ b/src/process/MoveGossipTest.cpp
@@ -68,6 +68,21 @@
   }
 }
 
+Test(MoveGossip, VetoIsKnownInItsDataCentreAtOnce)
+{
+  FakeNetwork network(5, {});
+  Settle(network);
+  network.At("dc1-5").Moves().Offer(Vetoed(1), network.Now());
+  network.Kick("dc1-5");
+  network.Run(milliseconds(100));
+  for (int i = 1; i <= 10; ++i) {
+    const MoveProgress* progress = network.At("dc1-" + std::to_string(i))
+                                     .Moves()
+                                     .Find({ kService, PlanNumber(1) });
+    cr_assert(progress != nullptr && progress->m_veto.has_value());
+  }
+}
+
 Test(MoveGossip, VetoOutlivesTheNodeThatSawItAndAPartition)
 {
   FakeNetwork network(2, {});
