--- a/src/process/ViewBuilder.cpp
+++ b/src/process/ViewBuilder.cpp
@@ -51,22 +51,45 @@
 using TargetsByService = std::map<ServiceId, std::vector<Target>>;
 
 TargetsByService
-GroupTargets(const std::map<VmId, MemberRecord>& aMembers)
+GroupTargets(const ViewInputs& aInputs)
 {
   TargetsByService groups;
-  for (const auto& [vm, member] : aMembers) {
-    if (MayGetWork(member)) {
-      groups[member.m_upstream.m_service].push_back(TargetOf(member));
+  for (const auto& [vm, member] : aInputs.m_members) {
+    if (!MayGetWork(member)) {
+      continue;
+    }
+    Target target = TargetOf(member);
+    if (aInputs.m_ages != nullptr) {
+      target.m_knownSince = aInputs.m_ages->KnownSince(target, aInputs.m_now);
     }
+    groups[member.m_upstream.m_service].push_back(std::move(target));
   }
   return groups;
 }
 
+std::shared_ptr<const KeyPlacement>
+PlaceKeys(const View* aFormer,
+          const ServiceId& aService,
+          std::vector<Target> aTargets)
+{
+  if (aFormer != nullptr) {
+    const auto former = aFormer->m_services.find(aService);
+    if (former != aFormer->m_services.end() &&
+        former->second.m_keys != nullptr &&
+        former->second.m_keys->IsFor(aTargets)) {
+      return former->second.m_keys;
+    }
+  }
+  const auto keys = KeyPlacement::Create(std::move(aTargets));
+  return keys ? keys.value() : nullptr;
+}
+
 ServiceView
 BuildService(const SubsetSettings& aSubset,
              const ServiceSpec& aSpec,
              VersionSplit aSplit,
-             const std::vector<Target>& aTargets)
+             const std::vector<Target>& aTargets,
+             const View* aFormer)
 {
   ServiceView service;
   service.m_id = aSpec.m_id;
@@ -79,10 +102,7 @@
                  return IsServed(service.m_split, aTarget.m_version);
                });
   service.m_targets = SelectSubset(aSubset, served);
-  const auto keys = KeyPlacement::Create(std::move(served));
-  if (keys) {
-    service.m_keys = keys.value();
-  }
+  service.m_keys = PlaceKeys(aFormer, aSpec.m_id, std::move(served));
   return service;
 }
 
@@ -94,7 +114,7 @@
   const SubsetSettings subset{ .m_node = aSelf.m_vm,
                                .m_dataCentre = aSelf.m_dataCentre,
                                .m_region = aSelf.m_region };
-  const TargetsByService targets = GroupTargets(aInputs.m_members);
+  const TargetsByService targets = GroupTargets(aInputs);
   auto view = std::make_shared<View>();
   for (const auto& configuration : aInputs.m_configurations) {
     view->m_configurations.emplace(configuration->m_account, configuration);
@@ -107,7 +127,8 @@
                      spec,
                      split ? std::move(*split) : SteadySplit(spec),
                      found == targets.end() ? std::vector<Target>()
-                                            : found->second));
+                                            : found->second,
+                     aInputs.m_former));
     }
   }
   return view;
