--- a/src/process/Membership.cmake
+++ b/src/process/Membership.cmake
@@ -14,7 +14,7 @@
        PullSchedule.h TokenBucket.h
   DEPS tt_membership)
 
-tt_library(tt_fake_network SRCS testing/FakeNetwork.cpp DEPS tt_gossip)
+tt_library(tt_fake_network SRCS testing/FakeNetwork.cpp testing/FakeNetworkChecks.cpp DEPS tt_gossip)
 tt_test(gossip_test SRCS GossipTest.cpp DEPS tt_fake_network)
 tt_test(distribution_test SRCS DistributionTest.cpp DEPS tt_fake_network)
 tt_test(membership_test SRCS MembershipTest.cpp DEPS tt_fake_network)
