--- a/tools/demo_session/main.py
+++ b/tools/demo_session/main.py
@@ -27,7 +27,8 @@
 def main():
     options = parse()
     # A stop from outside ends the session's processes too.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(1))
     log_dir = options.keep or pathlib.Path(tempfile.mkdtemp(prefix="tarragontray-demo-"))
     log_dir.mkdir(parents=True, exist_ok=True)
     broken = session.run(options, log_dir)
--- a/tools/demo_session/session.py
+++ b/tools/demo_session/session.py
@@ -96,6 +96,7 @@
             time.sleep(self._timing.after)
             self._end_load()
             self._measure()
+            self._stop_all()
         except checks.Broken as broken:
             self._result.fail(str(broken))
         finally:
@@ -292,6 +293,20 @@
                 self._measure_bad_share(load.output())
             self.say(checks.load_line(account, load.output()))
 
+    def _stop_all(self):
+        """Every process but the platform's stand-in must end with status 0."""
+        running = [p for vm in self._fleet.vms for p in (vm.upstream, vm.node)
+                   if p.is_running()]
+        for process in running:
+            process.stop()
+        limit = time.monotonic() + DRAIN_LIMIT_S
+        failed = [p.name for p in running
+                  if p.wait(max(0.1, limit - time.monotonic())) != 0]
+        if failed:
+            self._result.fail("did not end with status 0: " + " ".join(failed))
+        self.say(f"stopped {len(running) - len(failed)} of {len(running)} "
+                 "nodes and upstreams with status 0")
+
     def _measure(self):
         self._observer.stop()
         self._result.went_back(self._observer.went_back)
