--- a/src/process/StatusPage.cpp
+++ b/src/process/StatusPage.cpp
@@ -30,6 +30,9 @@
 function cell(value) {
   const box = document.createElement("td");
   box.append(value instanceof Node ? value : String(value ?? ""));
+  if (typeof value === "string" && value.length < 30) {
+    box.style.whiteSpace = "nowrap";
+  }
   if (typeof value === "number") box.className = "number";
   if (good.includes(value)) box.className = "good";
   if (bad.includes(value)) box.className = "bad";
@@ -61,6 +64,7 @@
     bar.className = "bar";
     bar.append(inner);
     const line = document.createElement("div");
+    line.style.whiteSpace = "nowrap";
     line.append(bar, name + " " + (100 * share).toFixed(1) + " %");
     box.append(line);
   }
