--- a/src/process/StatusTest.cpp
+++ b/src/process/StatusTest.cpp
@@ -71,7 +71,7 @@
   for (std::sregex_iterator field(aPath.begin(), aPath.end(), kField), end;
        field != end && object != nullptr;
        ++field) {
-    const std::string name = (*field)[1];
+    std::string name = (*field)[1];
     const json::value* value = object->if_contains(name);
     if (value == nullptr) {
       return name;
