Rest after socket errors, keep reserved headers, refuse bad keys, wait to settle

Causes found by reading the code: accept and receive loops went round without a pause after an error, so that a process out of file descriptors would spin; an upstream's own x-outcome, x-vm and x-version passed beside the node's; an idempotency key over 128 bytes ran the call as if it had none; PlatformLoop's wait had no jitter although its header promised it; a replacement served before it had heard several peers, because ControlCore asked for the floor only and not Gossip::MayServe.

--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -149,8 +149,8 @@
   {
     const auto self = shared_from_this();
     while (m_acceptor.is_open()) {
-      auto [error, socket] = co_await m_acceptor.async_accept(kAwait);
-      if (error) {
+      tcp::socket socket = co_await Accept(m_acceptor);
+      if (!socket.is_open()) {
         continue;
       }
       if (m_sessions.size() >= m_settings.m_maxSessions) {
--- a/src/connection/Sockets.cpp
+++ b/src/connection/Sockets.cpp
@@ -1,6 +1,11 @@
 #include "connection/Sockets.h"
 
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/socket_base.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace tarragontray {
 
@@ -13,6 +18,18 @@
 
 } // namespace
 
+asio::awaitable<asio::ip::tcp::socket>
+Accept(asio::ip::tcp::acceptor& aAcceptor)
+{
+  constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+  auto [error, socket] = co_await aAcceptor.async_accept(kAwait);
+  if (error && aAcceptor.is_open()) {
+    asio::steady_timer rest(aAcceptor.get_executor(), kAcceptRest);
+    co_await rest.async_wait(kAwait);
+  }
+  co_return std::move(socket);
+}
+
 Result<void>
 Listen(asio::ip::tcp::acceptor& aAcceptor, const ListenOptions& aOptions)
 {
--- a/src/connection/Sockets.h
+++ b/src/connection/Sockets.h
@@ -10,11 +10,13 @@
 
 #include <string>
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 
 #include "base/NetworkAddress.h"
 #include "base/Result.h"
+#include "base/Units.h"
 
 namespace tarragontray {
 
@@ -43,6 +45,15 @@
   bool m_sharesPort = false;
 };
 
+/// How long an accept loop rests after an error, for example when the process
+/// is out of file descriptors.
+inline constexpr Duration kAcceptRest = std::chrono::milliseconds(100);
+
+/// The next connection; on an error rests for kAcceptRest and gives a socket
+/// that is not open.
+boost::asio::awaitable<boost::asio::ip::tcp::socket>
+Accept(boost::asio::ip::tcp::acceptor& aAcceptor);
+
 /// Binds and listens. Errors: Unavailable.
 /// Precondition: the acceptor is not open.
 Result<void>
--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -315,9 +315,11 @@
 ControlCore::Apply(const std::vector<ConfigurationChange>& aChanges,
                    const Times& aTimes)
 {
-  if (aChanges.empty()) {
+  const bool mayServe = m_gossip.MayServe();
+  if (aChanges.empty() && mayServe == m_mayServe) {
     return;
   }
+  m_mayServe = mayServe;
   std::vector<MovePlan> plans;
   for (const auto& configuration : InForce()) {
     for (const ServiceSpec& service : configuration->m_services) {
@@ -444,7 +446,7 @@
 {
   std::vector<std::shared_ptr<const Configuration>> configurations;
   // A replacement serves nothing until it holds what its forerunner held.
-  if (m_gossip.Documents().IsBelowFloor()) {
+  if (!m_gossip.MayServe()) {
     return configurations;
   }
   for (const AccountStatus& account : m_store.Status()) {
@@ -480,7 +482,7 @@
   ControlStatus status;
   status.m_self = members.Self();
   status.m_isRelay = members.RelayRank().has_value();
-  status.m_isBelowFloor = m_gossip.Documents().IsBelowFloor();
+  status.m_isBelowFloor = !m_gossip.MayServe();
   status.m_digest = m_gossip.Documents().Table().Digest();
   for (const auto& [vm, member] : members.Members()) {
     status.m_members.push_back(member);
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -167,6 +167,8 @@
   ConfigurationStore m_store;
   Moves m_moves;
   Ledger m_ledger;
+  /// Whether the last view had this node's configurations.
+  bool m_mayServe = false;
   std::optional<MonotonicTime> m_viewDue;
   /// The last one that was made.
   std::shared_ptr<const View> m_view;
--- a/src/process/ControlThread.cpp
+++ b/src/process/ControlThread.cpp
@@ -35,6 +35,8 @@
 constexpr Duration kPullTimeout = std::chrono::seconds(3);
 /// IP and UDP headers of one datagram.
 constexpr std::uint64_t kDatagramOverhead = 28;
+/// After an error of the socket, so that the thread does not spin.
+constexpr Duration kReceiveRest = std::chrono::milliseconds(10);
 constexpr char kPart[] = "control";
 
 class ControlLoop final : public ControlThread
@@ -76,6 +78,7 @@
                                            m_settings.m_platform,
                                            m_clock,
                                            *m_core,
+                                           m_random,
                                            [this](ControlActions aActions) {
                                              Handle(std::move(aActions));
                                            }));
@@ -150,7 +153,11 @@
     while (true) {
       const auto [error, size] = co_await m_socket.async_receive_from(
         asio::buffer(buffer), from, kAwait);
+      if (error == asio::error::operation_aborted) {
+        co_return;
+      }
       if (error) {
+        co_await Rest();
         continue;
       }
       m_received += size + kDatagramOverhead;
@@ -158,6 +165,12 @@
     }
   }
 
+  asio::awaitable<void> Rest()
+  {
+    asio::steady_timer rest(m_loop.Context(), kReceiveRest);
+    co_await rest.async_wait(kAwait);
+  }
+
   void Take(std::string_view aBytes, const NetworkAddress& aFrom)
   {
     const auto datagram = DecodeDatagram(aBytes, aFrom.ToString());
--- a/src/process/FrontThread.cpp
+++ b/src/process/FrontThread.cpp
@@ -77,6 +77,17 @@
   return http;
 }
 
+/// A key that can't be kept must not run the call as if it had none.
+HttpAnswerParts
+BadKeyAnswer()
+{
+  HttpAnswerParts answer =
+    TextAnswer(400, "idempotency-key must have 1 to 128 bytes\n");
+  answer.m_headers.push_back({ "x-outcome", "not-run" });
+  answer.m_headers.push_back({ "x-reason", "bad-idempotency-key" });
+  return answer;
+}
+
 /// The time that the caller waits: its header, at most the route's timeout.
 Duration
 Timeout(const HttpRequestParts& aRequest, const RouteSpec& aRoute)
@@ -203,8 +214,12 @@
       co_return ToHttp(Refusal(RefusalReason::NoTarget));
     }
     const std::string* key = FindHeader(aRequest.m_headers, "idempotency-key");
-    const bool hasKey =
-      key != nullptr && !key->empty() && key->size() <= kMaxOperationIdBytes;
+    if (key != nullptr &&
+        (key->empty() || key->size() > kMaxOperationIdBytes)) {
+      metrics.Observe(CallOutcome::NotRun, m_clock.Now() - aStart);
+      co_return BadKeyAnswer();
+    }
+    const bool hasKey = key != nullptr;
     TrafficPolicies policies{ m_balancing, m_splitter, m_retries, m_random };
     CallSetup setup{ .m_route = aRoute,
                      .m_service = service->second,
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -107,8 +107,8 @@
   asio::awaitable<void> AcceptLoop()
   {
     while (m_acceptor.is_open()) {
-      auto [error, socket] = co_await m_acceptor.async_accept(kAwait);
-      if (error || m_links.size() >= m_settings.m_maxLinks) {
+      tcp::socket socket = co_await Accept(m_acceptor);
+      if (!socket.is_open() || m_links.size() >= m_settings.m_maxLinks) {
         continue;
       }
       boost::system::error_code ignored;
@@ -222,8 +222,13 @@
     }
   }
 
+  /// Names who answered, in place of what the upstream may say of that.
   void AddOrigin(HttpAnswerParts& aHttp) const
   {
+    std::erase_if(aHttp.m_headers, [](const HttpHeader& aHeader) {
+      return aHeader.m_name == "x-vm" || aHeader.m_name == "x-version" ||
+             aHeader.m_name == "x-outcome" || aHeader.m_name == "x-reason";
+    });
     aHttp.m_headers.push_back({ "x-vm", m_settings.m_vm.Value() });
     aHttp.m_headers.push_back({ "x-version", m_version.Value() });
   }
--- a/src/process/PlatformLoop.cpp
+++ b/src/process/PlatformLoop.cpp
@@ -36,10 +36,11 @@
                      const std::vector<NetworkAddress>& aAddresses,
                      const Clock& aClock,
                      ControlCore& aCore,
+                     Random& aRandom,
                      Handle aHandle)
 {
   std::unique_ptr<PlatformLoop> loop(
-    new PlatformLoop(aContext, aClock, aCore, std::move(aHandle)));
+    new PlatformLoop(aContext, aClock, aCore, aRandom, std::move(aHandle)));
   for (const NetworkAddress& address : aAddresses) {
     PlatformSettings settings;
     settings.m_address = address;
@@ -58,9 +59,11 @@
 PlatformLoop::PlatformLoop(boost::asio::io_context& aContext,
                            const Clock& aClock,
                            ControlCore& aCore,
+                           Random& aRandom,
                            Handle aHandle)
   : m_clock(aClock)
   , m_core(aCore)
+  , m_random(aRandom)
   , m_handle(std::move(aHandle))
   , m_retry(aContext)
   , m_counters(std::make_shared<PlatformCounters>())
@@ -166,8 +169,10 @@
       "Platform call failed.",
       aError);
   m_current = (m_current + 1) % m_platforms.size();
-  const Duration wait =
+  const Duration longest =
     kFirstRetry * (1U << std::min(m_failures, kMaxDoublings));
+  const Duration wait =
+    std::chrono::duration_cast<Duration>(longest * m_random.Fraction());
   ++m_failures;
   m_notBefore = m_clock.Now() + wait;
   CheckAt(m_notBefore);
--- a/src/process/PlatformLoop.h
+++ b/src/process/PlatformLoop.h
@@ -5,7 +5,7 @@
 ///     auto loop = PlatformLoop::Create(context, addresses, clock, core,
 ///     handle); loop.value()->Check();   // after each event of the core
 ///
-/// On an error the next address is tried, after a wait with jitter.
+/// On an error the next address is tried, after a wait with full jitter.
 ///
 /// Thread safety: one thread (control).
 #pragma once
@@ -47,6 +47,7 @@
     const std::vector<NetworkAddress>& aAddresses,
     const Clock& aClock,
     ControlCore& aCore,
+    Random& aRandom,
     Handle aHandle);
 
   /// Starts what the core wants now and what does not run yet.
@@ -59,6 +60,7 @@
   PlatformLoop(boost::asio::io_context& aContext,
                const Clock& aClock,
                ControlCore& aCore,
+               Random& aRandom,
                Handle aHandle);
 
   Times Now() const { return { m_clock.Now(), m_clock.WallNow() }; }
@@ -73,6 +75,7 @@
 
   const Clock& m_clock;
   ControlCore& m_core;
+  Random& m_random;
   Handle m_handle;
   boost::asio::steady_timer m_retry;
   std::shared_ptr<PlatformCounters> m_counters;
