--- a/src/programs/MoveExperiment.cpp
+++ b/src/programs/MoveExperiment.cpp
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include <boost/json.hpp>
-#include <cxxopts.hpp>
 
+#include "process/Settings.h"
 #include "version/FixedStepPolicy.h"
 #include "version/SequentialMovePolicy.h"
 #include "version/testing/MoveScenarios.h"
@@ -19,6 +19,8 @@
 namespace tarragontray {
 namespace {
 
+constexpr std::int64_t kMaxSeed = 1'000'000'000;
+
 using testing::PolicyFactory;
 using testing::ScenarioKind;
 using testing::ScenarioOutcome;
@@ -200,39 +202,39 @@
   return 2;
 }
 
+SettingsParser
+MoveParser()
+{
+  SettingsParser parser("tarragontray-experiment-moves",
+                        "Compares move policies over seeded moves.");
+  parser.Add(IntegerSetting{
+    "first-seed", "", "The first seed of each kind.", 0, kMaxSeed, 1 });
+  parser.Add(
+    IntegerSetting{ "seeds", "moves", "Moves of each kind.", 1, 10'000, 10 });
+  parser.Add(
+    TextSetting{ "policy", "Plays only the policy of this name.", {}, "" });
+  parser.Add(TextSetting{
+    "trace",
+    "Prints the course of one move of this kind with the first seed.",
+    {},
+    "" });
+  parser.Add(SwitchSetting{ "json", "Prints JSON instead of a table." });
+  parser.Add(
+    SwitchSetting{ "verbose", "Prints each wrong move to standard error." });
+  return parser;
+}
+
 int
-Run(int aCount, const char* const* aArguments)
+Run(const Settings& aSettings)
 {
-  cxxopts::Options options("tarragontray-experiment-moves",
-                           "Compares move policies over seeded moves.");
-  cxxopts::OptionAdder add = options.add_options();
-  add("first-seed",
-      "the first seed of each kind",
-      cxxopts::value<std::uint64_t>()->default_value("1"));
-  add("seeds",
-      "moves of each kind",
-      cxxopts::value<std::uint64_t>()->default_value("10"));
-  add("policy",
-      "play only the policy of this name",
-      cxxopts::value<std::string>()->default_value(""));
-  add("trace",
-      "print the course of one move of this kind with the first seed",
-      cxxopts::value<std::string>()->default_value(""));
-  add("json", "print JSON instead of a table");
-  add("verbose", "print each wrong move to standard error");
-  add("help", "print this help");
-  const cxxopts::ParseResult flags = options.parse(aCount, aArguments);
-  if (flags.count("help") > 0) {
-    std::cout << options.help();
-    return 0;
-  }
-  const auto firstSeed = flags["first-seed"].as<std::uint64_t>();
-  const std::string traced = flags["trace"].as<std::string>();
+  const auto firstSeed =
+    static_cast<std::uint64_t>(aSettings.Integer("first-seed"));
+  const std::string& traced = aSettings.Text("trace");
   if (!traced.empty()) {
     return Trace(traced, firstSeed);
   }
   std::vector<Summary> all;
-  const std::string only = flags["policy"].as<std::string>();
+  const std::string& only = aSettings.Text("policy");
   for (const Contender& contender : Contenders()) {
     if (!only.empty() && contender.m_name != only) {
       continue;
@@ -240,11 +242,11 @@
     const std::vector<Summary> rows =
       RunContender(contender,
                    firstSeed,
-                   flags["seeds"].as<std::uint64_t>(),
-                   flags.count("verbose") > 0);
+                   static_cast<std::uint64_t>(aSettings.Integer("seeds")),
+                   aSettings.IsOn("verbose"));
     all.insert(all.end(), rows.begin(), rows.end());
   }
-  if (flags.count("json") > 0) {
+  if (aSettings.IsOn("json")) {
     std::cout << boost::json::serialize(ToJson(all)) << "\n";
   } else {
     PrintTable(all);
@@ -258,10 +260,7 @@
 int
 main(int aCount, char** aArguments)
 {
-  try {
-    return tarragontray::Run(aCount, aArguments);
-  } catch (const std::exception& error) {
-    std::cerr << "experiment: " << error.what() << "\n";
-    return 2;
-  }
+  using namespace tarragontray;
+  const ParsedCommand command = MoveParser().Parse(aCount, aArguments);
+  return command.m_exitStatus ? *command.m_exitStatus : Run(command.m_settings);
 }
--- a/src/programs/Moves.cmake
+++ b/src/programs/Moves.cmake
@@ -1,2 +1,2 @@
 tt_program(tarragontray-experiment-moves
-  SRCS MoveExperiment.cpp DEPS tt_move_session tt_json)
+  SRCS MoveExperiment.cpp DEPS tt_move_session tt_json tt_settings)
--- a/src/programs/RequestExperiment.cpp
+++ b/src/programs/RequestExperiment.cpp
@@ -10,13 +10,15 @@
 #include <vector>
 
 #include <boost/json.hpp>
-#include <cxxopts.hpp>
 
+#include "process/Settings.h"
 #include "request/testing/RequestModel.h"
 
 namespace tarragontray {
 namespace {
 
+constexpr std::int64_t kMaxSeed = 1'000'000'000;
+
 using std::chrono::seconds;
 using testing::AccountFigures;
 using testing::AdmissionKind;
@@ -309,23 +311,21 @@
   return { { "seed", aSeed }, { "loads", loads }, { "outages", outages } };
 }
 
+SettingsParser
+RequestParser()
+{
+  SettingsParser parser("tarragontray-experiment-requests",
+                        "Compares request policies with their baselines.");
+  parser.Add(
+    IntegerSetting{ "seed", "", "The seed of every run.", 0, kMaxSeed, 1 });
+  parser.Add(SwitchSetting{ "json", "Prints JSON instead of a table." });
+  return parser;
+}
+
 int
-Run(int aCount, const char* const* aArguments)
+Run(const Settings& aSettings)
 {
-  cxxopts::Options options("tarragontray-experiment-requests",
-                           "Compares request policies with their baselines.");
-  cxxopts::OptionAdder add = options.add_options();
-  add("seed",
-      "the seed of every run",
-      cxxopts::value<std::uint64_t>()->default_value("1"));
-  add("json", "print JSON instead of a table");
-  add("help", "print this help");
-  const cxxopts::ParseResult flags = options.parse(aCount, aArguments);
-  if (flags.count("help") > 0) {
-    std::cout << options.help();
-    return 0;
-  }
-  const auto seed = flags["seed"].as<std::uint64_t>();
+  const auto seed = static_cast<std::uint64_t>(aSettings.Integer("seed"));
   std::vector<LoadRow> loads;
   for (const double load : kLoads) {
     for (const Contender& contender : { kOurs, kPlainBudget }) {
@@ -338,7 +338,7 @@
       outages.push_back(RunOutage(kind, contender, seed));
     }
   }
-  if (flags.count("json") > 0) {
+  if (aSettings.IsOn("json")) {
     std::cout << ToJson(loads, outages, seed) << "\n";
   } else {
     PrintLoads(loads);
@@ -353,10 +353,7 @@
 int
 main(int aCount, char** aArguments)
 {
-  try {
-    return tarragontray::Run(aCount, aArguments);
-  } catch (const std::exception& error) {
-    std::cerr << "experiment: " << error.what() << "\n";
-    return 2;
-  }
+  using namespace tarragontray;
+  const ParsedCommand command = RequestParser().Parse(aCount, aArguments);
+  return command.m_exitStatus ? *command.m_exitStatus : Run(command.m_settings);
 }
