Let a request that is being read end before a stop

Cause: Drain closed every session whose request had not arrived whole, so that a slow upload was cut at a planned stop. Test: DrainLetsARequestThatIsBeingRead End failed before, passes now. The metrics' help no longer says that control bytes hold the platform's calls.

--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -73,8 +73,6 @@
            : 0;
 }
 
-class BeastServer;
-
 /// One caller's connection.
 struct Session
 {
@@ -84,7 +82,10 @@
   }
 
   beast::tcp_stream m_stream;
-  bool m_isBusy = false;
+  /// The request that is being read; null while one is served.
+  const Parser* m_reading = nullptr;
+  /// Between m_onBegin and m_onEnd.
+  bool m_isCounted = false;
 };
 
 class BeastServer final
@@ -134,7 +135,13 @@
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
     for (const auto& session : m_sessions) {
-      if (!session->m_isBusy) {
+      const Parser* reading = session->m_reading;
+      if (reading == nullptr) {
+        continue;
+      }
+      if (reading->got_some()) {
+        Begin(*session);
+      } else {
         session->m_stream.close();
       }
     }
@@ -189,15 +196,17 @@
     parser.header_limit(m_settings.m_maxHeaderBytes);
     parser.body_limit(m_settings.m_maxBodyBytes);
     aSession.m_stream.expires_after(m_settings.m_idleLimit);
+    aSession.m_reading = &parser;
     const auto [error, size] =
       co_await http::async_read(aSession.m_stream, aBuffer, parser, kAwait);
+    aSession.m_reading = nullptr;
     if (error) {
       co_await RefuseGarbled(aSession, error);
+      End(aSession);
       co_return false;
     }
     ++m_counters.m_requests;
-    Notify(m_settings.m_onBegin);
-    aSession.m_isBusy = true;
+    Begin(aSession);
     aSession.m_stream.expires_never();
     const bool keepAlive = parser.get().keep_alive();
     const bool isHead = parser.get().method() == http::verb::head;
@@ -205,16 +214,24 @@
     const bool goesOn = keepAlive && !m_isLeaving;
     const bool written =
       co_await Write(aSession, ResponseOf(std::move(answer), goesOn, isHead));
-    aSession.m_isBusy = false;
-    Notify(m_settings.m_onEnd);
+    End(aSession);
     co_return goesOn&& written;
   }
 
-  static void Notify(const std::function<void()>& aListener)
+  void Begin(Session& aSession) const
+  {
+    if (!aSession.m_isCounted && m_settings.m_onBegin) {
+      m_settings.m_onBegin();
+    }
+    aSession.m_isCounted = true;
+  }
+
+  void End(Session& aSession) const
   {
-    if (aListener) {
-      aListener();
+    if (aSession.m_isCounted && m_settings.m_onEnd) {
+      m_settings.m_onEnd();
     }
+    aSession.m_isCounted = false;
   }
 
   asio::awaitable<void> RefuseGarbled(Session& aSession,
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -41,8 +41,8 @@
   Duration m_idleLimit{ std::chrono::seconds(60) };
   /// Several servers of one process may share the address.
   bool m_sharesPort = false;
-  /// Called around each request, from its last byte read to its answer's last
-  /// byte written or lost; optional.
+  /// Called around each request, from its last byte read (from Drain on: its
+  /// first) to its answer's last byte written or lost; optional.
   std::function<void()> m_onBegin = nullptr;
   std::function<void()> m_onEnd = nullptr;
 };
@@ -77,8 +77,8 @@
   virtual NetworkAddress Address() const = 0;
   /// From now on each answer ends its session; idle sessions stay.
   virtual void Leave() = 0;
-  /// Accepts no more sessions, closes idle ones; the others end after their
-  /// request.
+  /// Accepts no more sessions, closes idle ones; the others end after the
+  /// request that is being read or served.
   virtual void Drain() = 0;
   virtual const HttpServerCounters& Counters() const = 0;
 };
--- a/src/connection/HttpServerTest.cpp
+++ b/src/connection/HttpServerTest.cpp
@@ -1,10 +1,13 @@
 #include "connection/HttpServer.h"
 
+#include <future>
 #include <thread>
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 
@@ -54,6 +57,31 @@
     return answer;
   }
 
+  /// Sends a request in two parts and drains between them.
+  std::string ExchangeAcrossDrain(const std::string& aFirst,
+                                  const std::string& aSecond)
+  {
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect(
+      tcp::endpoint(asio::ip::address_v4(m_address.Ip()), m_address.Port()));
+    // The answer to the first request shows that the server reads the second.
+    asio::write(socket, asio::buffer("GET / HTTP/1.1\r\n\r\n" + aFirst));
+    std::string answer;
+    asio::read_until(socket, asio::dynamic_buffer(answer), "GET ");
+    std::promise<void> drained;
+    asio::post(m_context, [&] {
+      m_server->Drain();
+      drained.set_value();
+    });
+    drained.get_future().wait();
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(aSecond), error);
+    answer.clear();
+    asio::read(socket, asio::dynamic_buffer(answer), error);
+    return answer;
+  }
+
 private:
   asio::io_context m_context{ 1 };
   std::shared_ptr<HttpServer> m_server;
@@ -91,6 +119,15 @@
   cr_assert(answer.starts_with("HTTP/1.1 400"), "%s", answer.c_str());
 }
 
+Test(HttpServer, DrainLetsARequestThatIsBeingReadEnd)
+{
+  RunningServer server;
+  const std::string answer = server.ExchangeAcrossDrain(
+    "POST / HTTP/1.1\r\ncontent-length: 4\r\n\r\nab", "cd");
+  cr_assert(
+    answer.find("POST abcd") != std::string::npos, "%s", answer.c_str());
+}
+
 Test(HttpServer, SaysWhichAddressIsTaken)
 {
   asio::io_context context;
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -110,9 +110,9 @@
   prometheus::Gauge& m_processor =
     Gauge("control_processor_seconds", "Processor time of the control thread.");
   prometheus::Gauge& m_sent =
-    Gauge("control_sent_bytes", "Control bytes sent to nodes and platform.");
+    Gauge("control_sent_bytes", "Control bytes sent to other nodes.");
   prometheus::Gauge& m_received =
-    Gauge("control_received_bytes", "Control bytes received.");
+    Gauge("control_received_bytes", "Control bytes received from other nodes.");
   prometheus::Gauge& m_members =
     Gauge("members_alive", "Nodes that the membership holds alive.");
   prometheus::Gauge& m_configurations =
