Measure both deployments, the capacity of an entry node and the target's size

The first form of the 'added' part loaded upstreams with service times of 10 ms on average, whose chance at the 99th percentile (29 ms straight) covered what the nodes add. It now uses short service times and ample slots, and takes capacity from a ladder of rates.

--- a/tools/benchlib/added.py
+++ b/tools/benchlib/added.py
@@ -3,6 +3,11 @@
 Each round sends the same load once straight to the upstreams and once through
 two nodes; rounds of both alternate in one run. The callers enter at the node
 of a catalogue VM, so that every call crosses two nodes.
+
+Capacity is that of the one entry node with one traffic thread: the highest
+rate of a ladder at which all calls are done and half of them within KNEE_MS.
+Slots are ample and service times short, so that neither queueing for slots
+nor chance in service times covers what the nodes add.
 """
 import dataclasses
 import json
@@ -18,11 +23,13 @@
 MAX_ADDED_P99_MS = 0.96
 START_LIMIT_S = 30
 PERCENTILES = ("p50_us", "p99_us", "p999_us")
-SLOTS = 12
-SERVICE_US = 10_000
+SLOTS = 400
+SERVICE_US = 500
 BACKENDS = 4
-# Calls a second that the slots of all upstreams carry.
-CAPACITY = BACKENDS * SLOTS * 1_000_000 // SERVICE_US
+KNEE_MS = 5
+# Calls a second.
+LADDER = (500, 1000, 1500, 2000, 3000, 4000, 6000, 8000, 11000, 15000, 20000)
+LADDER_S = 1
 
 
 @dataclasses.dataclass
@@ -57,14 +64,14 @@
     return total / ticks
 
 
-def _load(processes, addresses, mix, rate, plan, seed, direct):
+def _load(processes, addresses, mix, rate, seconds, seed, direct):
     flags = ["--direct"] if direct else []
     child = processes.start(
         "tarragontray-load", f"--nodes={','.join(addresses)}",
         f"--mix={mix}", f"--rate={rate}",
-        f"--duration-ms={plan.seconds * 1000}", f"--seed={seed}",
+        f"--duration-ms={seconds * 1000}", f"--seed={seed}",
         f"--run=added-{seed}", "--output=json", *flags)
-    return json.loads(child.communicate(timeout=plan.seconds + 60)[0])
+    return json.loads(child.communicate(timeout=seconds + 60)[0])
 
 
 @dataclasses.dataclass
@@ -80,10 +87,12 @@
 
 def _round(fleet, processes, mix, rate, plan, seed):
     backends = [fleet.backend(vm) for vm in fleet.backends]
-    direct = _load(processes, backends, mix, rate, plan, seed, True)
+    direct = _load(processes, backends, mix, rate, plan.seconds, seed,
+                   True)
     pids = [node.pid for node in fleet.nodes]
     before = processor_s(pids)
-    through = _load(processes, [fleet.front(0)], mix, rate, plan, seed, False)
+    through = _load(processes, [fleet.front(0)], mix, rate, plan.seconds,
+                    seed, False)
     spent = processor_s(pids) - before
     kind = through["kinds"][0]
     return Round(direct["kinds"][0]["latency"], kind["latency"],
@@ -91,6 +100,20 @@
                  kind["refusals"], spent)
 
 
+def _capacity(fleet, processes, mix, seed):
+    """The highest rate of the ladder that the path carries."""
+    best = LADDER[0]
+    for rate in LADDER:
+        report = _load(processes, [fleet.front(0)], mix, rate, LADDER_S,
+                       seed, False)
+        kind = report["kinds"][0]
+        late = kind["latency"]["p50_us"] > 1000 * KNEE_MS
+        if late or kind["done"] < report["calls"]:
+            break
+        best = rate
+    return best
+
+
 def _median(values):
     ordered = sorted(values)
     return ordered[len(ordered) // 2]
@@ -144,24 +167,31 @@
         time.sleep(3)
         try:
             for body in plan.bodies:
-                for load in plan.loads:
-                    rounds = _run_cell(options, plan, fleet, processes,
-                                       load, body)
-                    figures += _cell(rounds, load, body)
-                    detail.append({
-                        "load": load, "body": body,
-                        "rounds": [dataclasses.asdict(r) for r in rounds]})
+                more, cells = _run_body(options, plan, fleet, processes, body)
+                figures += more
+                detail += cells
         finally:
             fleet.stop()
-    return figures, {"capacity": CAPACITY, "cells": detail}
+    return figures, {"cells": detail}
 
 
-def _run_cell(options, plan, fleet, processes, load, body):
-    options.say(f"{load} % of {CAPACITY} calls/s, {body} B")
+def _run_body(options, plan, fleet, processes, body):
+    """All loads with one size of answers."""
     with tempfile.NamedTemporaryFile("w", suffix=".json") as mix:
         json.dump(_mix(body), mix)
         mix.flush()
-        rate = CAPACITY * load // 100
-        return [_round(fleet, processes, mix.name, rate, plan,
-                       options.seed + number)
-                for number in range(plan.rounds)]
+        capacity = _capacity(fleet, processes, mix.name, options.seed)
+        figures = [Figure("added", f"{body // 1024} KB, capacity of one "
+                          "entry node with one traffic thread", capacity,
+                          "calls/s", note=f"half within {KNEE_MS} ms")]
+        cells = []
+        for load in plan.loads:
+            rate = capacity * load // 100
+            options.say(f"{rate} calls/s, {body} B")
+            rounds = [_round(fleet, processes, mix.name, rate, plan,
+                             options.seed + number)
+                      for number in range(plan.rounds)]
+            figures += _cell(rounds, load, body)
+            cells.append({"load": load, "body": body, "capacity": capacity,
+                          "rounds": [dataclasses.asdict(r) for r in rounds]})
+    return figures, cells
--- a/tools/benchlib/control.py
+++ b/tools/benchlib/control.py
@@ -91,17 +91,19 @@
     return samples
 
 
-def _measure(fleet, window, work):
+def measure(fleet, window, work):
+    """Samples of all nodes over the time that work takes."""
     before = _look(fleet)
     work()
     return _samples(fleet, window, before, _look(fleet))
 
 
-def _changes(fleet, seconds):
+def change(fleet, seconds, account="mesqel-gate"):
+    """Writes a change every CHANGE_INTERVAL_S."""
     end = time.monotonic() + seconds
     for number in range(seconds // CHANGE_INTERVAL_S):
-        fleet.put("configurations/mesqel-gate",
-                  documents.box_office_parameters(700 + number))
+        fleet.put(f"configurations/{account}",
+                  documents.changed_parameters(account, 700 + number))
         time.sleep(CHANGE_INTERVAL_S)
     time.sleep(max(0.0, end - time.monotonic()))
 
@@ -127,26 +129,27 @@
     missing: int
 
 
-def _converge(fleet, count, first_timeout):
+def _converge(fleet, account, count, first_value):
     """Writes count changes; the time is from the first accepted write."""
     begin = None
     for number in range(count):
         revision = fleet.put(
-            "configurations/mesqel-gate",
-            documents.box_office_parameters(first_timeout + number))
+            f"configurations/{account}",
+            documents.changed_parameters(account, first_value + number))
         begin = begin or time.monotonic()
-    wait = fleet.await_version("mesqel-gate", revision, CONVERGENCE_LIMIT_S)
+    wait = fleet.await_version(account, revision, CONVERGENCE_LIMIT_S)
     return time.monotonic() - begin, wait
 
 
-def _convergence(fleet, singles):
+def measure_convergence(fleet, singles, account="mesqel-gate"):
+    """Times of single changes and of a burst."""
     times, waits = [], []
     for number in range(singles):
-        seconds, wait = _converge(fleet, 1, 800 + number)
+        seconds, wait = _converge(fleet, account, 1, 800 + number)
         times.append(seconds)
         waits.append(wait)
         time.sleep(1)
-    burst, wait = _converge(fleet, BURST, 900)
+    burst, wait = _converge(fleet, account, BURST, 900)
     waits.append(wait)
     return Convergence(fleet.size, times, burst,
                        max(one.resolution_s for one in waits),
@@ -178,14 +181,14 @@
         try:
             time.sleep(plan.settle_s)
             if "convergence" in parts:
-                convergence = _convergence(fleet, plan.single_changes)
+                convergence = measure_convergence(fleet, plan.single_changes)
             if "control" in parts:
-                samples += _measure(fleet, "rest",
-                                    lambda: time.sleep(plan.rest_s))
-                samples += _measure(fleet, "change",
-                                    lambda: _changes(fleet, plan.change_s))
+                samples += measure(fleet, "rest",
+                                   lambda: time.sleep(plan.rest_s))
+                samples += measure(fleet, "change",
+                                   lambda: change(fleet, plan.change_s))
                 loads = []
-                samples += _measure(
+                samples += measure(
                     fleet, "move", lambda: loads.append(_move(
                         fleet, processes, plan.move_s, options.seed,
                         mix.name)))
@@ -235,7 +238,8 @@
           "platform_per_s": ("calls/s", None)}
 
 
-def _value(sample, field):
+def value_of(sample, field):
+    """A field of FIELDS of a sample."""
     if field == "bytes_per_s":
         return sample.sent_per_s + sample.received_per_s
     return getattr(sample, field)
@@ -245,7 +249,7 @@
     """(nodes, mean over the nodes of the role) for each size."""
     points = []
     for size in sorted({s.nodes for s in samples}):
-        values = [_value(s, field) for s in samples
+        values = [value_of(s, field) for s in samples
                   if (s.nodes, s.window) == (size, window)
                   and s.is_relay == (role == "relay")]
         if values:
@@ -281,7 +285,7 @@
     largest = max(s.nodes for s in samples)
     for window in ("rest", "change", "move"):
         for field, (unit, most) in FIELDS.items():
-            values = [_value(s, field) for s in samples
+            values = [value_of(s, field) for s in samples
                       if (s.nodes, s.window) == (largest, window)]
             figures.append(Figure(
                 "control", f"{window}, {largest} nodes, mean {field}",
--- a/tools/benchlib/documents.py
+++ b/tools/benchlib/documents.py
@@ -44,9 +44,7 @@
 
 def box_office_parameters(timeout_ms):
     """Mesqel Gate's parameters, with one value to tell changes apart."""
-    parameters = example("mesqel-gate.parameters.json")
-    parameters["values"]["seat-map-timeout"] = timeout_ms
-    return parameters
+    return changed_parameters("mesqel-gate", timeout_ms)
 
 
 def box_office_move(plan):
@@ -67,10 +65,23 @@
     return parameters
 
 
-def put_examples(fleet):
-    """Writes both examples; gives the revision by account."""
+# A value of each example that the bench changes.
+CHANGED_VALUES = {"mesqel-gate": "seat-map-timeout",
+                  "vanua-voice": "slots-timeout"}
+
+
+def changed_parameters(account, value):
+    """An example's parameters with one value that tells changes apart."""
+    parameters = example(f"{account}.parameters.json")
+    parameters["values"][CHANGED_VALUES[account]] = value
+    return parameters
+
+
+def put_examples(fleet, accounts=tuple(EXAMPLE_TEMPLATES)):
+    """Writes examples; gives the revision by account."""
     revisions = {}
-    for account, template in EXAMPLE_TEMPLATES.items():
+    for account in accounts:
+        template = EXAMPLE_TEMPLATES[account]
         fleet.put(f"templates/{template}/1",
                   example(f"{account}.template.json"))
         revisions[account] = fleet.put(
--- a/tools/benchlib/experiments.py
+++ b/tools/benchlib/experiments.py
@@ -9,7 +9,7 @@
 
 from benchlib.figures import Figure
 
-LIMIT_S = 600
+LIMIT_S = 3600
 MAX_CONVERGENCE_MS = 4000
 MAX_BYTES_PER_S = 3000
 TARGET_NODES = 1000
@@ -61,7 +61,8 @@
 
 def _spread_figures(name, row):
     figures = [Figure("distribution", f"{name}, control bytes, mean",
-                      row["mean_bytes_s"], "B/s", MAX_BYTES_PER_S,
+                      row["mean_bytes_s"], "B/s",
+                      MAX_BYTES_PER_S,
                       note=f"most of a node {row['max_bytes_s']:.0f}; "
                            f"platform {row['platform_calls_s']:.2f} calls/s")]
     if row["scenario"] != "rest":
@@ -75,14 +76,8 @@
 
 
 def distribution(options):
-    """Spread in both deployments and at the target's size."""
-    sizes = "40,160" if options.quick else f"40,160,{TARGET_NODES}"
-    rows = _spreads(options, sizes, DATA_CENTRES)
-    figures = []
-    for row in rows:
-        if row["way"] == "gossip":
-            name = f"{row['nodes']} nodes, {row['scenario']}"
-            figures += _spread_figures(name, row)
+    """Spread in fleets of growing size and in both deployments."""
+    figures, rows = _spread(options, "40,160")
     for account, (nodes, centres) in DEPLOYMENTS.items():
         more = _spreads(options, str(nodes), centres)
         rows += more
@@ -93,6 +88,21 @@
     return figures, rows
 
 
+def target_size(options):
+    """Spread at the size of the target; takes many minutes."""
+    return _spread(options, str(TARGET_NODES))
+
+
+def _spread(options, sizes):
+    rows = _spreads(options, sizes, DATA_CENTRES)
+    figures = []
+    for row in rows:
+        if row["way"] == "gossip":
+            name = f"{row['nodes']} nodes, {row['scenario']}"
+            figures += _spread_figures(name, row)
+    return figures, rows
+
+
 def requests(options):
     """Policies of requests against their baselines."""
     result = json.loads(_output(options, "tarragontray-experiment-requests",
--- a/tools/benchlib/fleet.py
+++ b/tools/benchlib/fleet.py
@@ -32,6 +32,9 @@
     service: str
     version: str = "v1"
     is_real: bool = False
+    # Empty: by the VM's number.
+    data_centre: str = ""
+    region: str = ""
 
 
 def example_upstreams(count):
@@ -227,11 +230,13 @@
 
     def _start_node(self, vm):
         centre = vm % DATA_CENTRES
+        upstream = self.upstreams[vm]
+        data_centre = upstream.data_centre or f"dc{centre + 1}"
+        region = upstream.region or f"region{centre % REGIONS + 1}"
         seeds = f"{self.ip(0)}:8001,{self.ip(1)}:8001"
         return self._processes.start(
             "tarragontray-node", f"--vm=vm{vm}",
-            f"--data-centre=dc{centre + 1}",
-            f"--region=region{centre % REGIONS + 1}",
+            f"--data-centre={data_centre}", f"--region={region}",
             f"--front-address={self.front(vm)}",
             f"--peer-address={self.ip(vm)}:8001",
             f"--admin-address={self.ip(vm)}:8002",
