--- a/tools/benchlib/fleet.py
+++ b/tools/benchlib/fleet.py
@@ -243,6 +243,23 @@
             f"--platform={self.ip(-1)}:7000", f"--seeds={seeds}",
             "--log-level=warning")
 
+    def kill_nodes(self, vms):
+        """Ends nodes without a drain, as a failure does."""
+        for vm in vms:
+            self.nodes[vm].kill()
+            self.nodes[vm].wait()
+
+    def restart_nodes(self, vms):
+        """Starts nodes again, all at once, on the same addresses."""
+        for vm in vms:
+            self.nodes[vm] = self._start_node(vm)
+        for vm in vms:
+            await_ready(self.nodes[vm])
+
+    def set_platform_faults(self, faults):
+        """Sets what the platform does wrong from now on."""
+        Peer(self.ip(-1), 7001).send("POST", "/faults", json.dumps(faults))
+
     def _start_upstream(self, vm, upstream):
         if not upstream.is_real:
             self._announcer.add(Peer(self.ip(vm), 8002), {
@@ -281,8 +298,8 @@
         """GET /status of all nodes, in order."""
         return [self.status(vm) for vm in range(self.size)]
 
-    def await_version(self, account, revision, limit_s):
-        """Polls until every node serves the revision; see Wait."""
+    def await_version(self, account, revision, limit_s, vms=None):
+        """Polls until all nodes, or those of vms, serve the revision."""
         pattern = re.compile(
             rb'"account":"%s","version":(\d+)' % account.encode())
 
@@ -290,19 +307,19 @@
             found = pattern.search(self.status_text(vm))
             return bool(found) and int(found.group(1)) >= revision
 
-        return self._await_all(serves, limit_s)
+        return self._await_all(serves, limit_s, vms)
 
-    def await_live(self, limit_s):
-        """Polls until every node knows every upstream as live."""
+    def await_live(self, limit_s, vms=None):
+        """Polls until all nodes, or those of vms, know all upstreams live."""
         def knows(vm):
             text = self.status_text(vm)
             return text.count(b'"upstream_state":"live"') == self.size
 
-        return self._await_all(knows, limit_s)
+        return self._await_all(knows, limit_s, vms)
 
-    def _await_all(self, check, limit_s):
+    def _await_all(self, check, limit_s, vms):
         end = time.monotonic() + limit_s
-        left = list(range(self.size))
+        left = list(range(self.size) if vms is None else vms)
         longest = 0.0
         while left and time.monotonic() < end:
             begin = time.monotonic()
