--- a/src/request/CallPlan.h
+++ b/src/request/CallPlan.h
@@ -16,9 +16,10 @@
 /// that node has withdrawn the id) lets another target run it.
 ///
 /// A call with its caller's own key runs only at the key's home, where repeats
-/// find it; while a move runs, the home under the other version is asked
-/// first. NotRun of such a call speaks for all calls with its key, so it is
-/// said on the home's word only. See docs/design/requests.md.
+/// find it; while a move runs, or when the home joined lately, the places that
+/// may have held the key before are asked first. NotRun of such a call speaks
+/// for all calls with its key, so it is said on the home's word only. See
+/// docs/design/requests.md.
 ///
 /// Each SendAttempt, AskOperation and WaitUntil ends with exactly one event,
 /// or with OnTimer at m_deadline. When a step gives Finish while an attempt
@@ -150,6 +151,7 @@
   }
 
   const CallSetup& Setup() const { return m_targets.Setup(); }
+  Step AskFormerHomeOrSend(MonotonicTime aNow);
   Step SendFirst(MonotonicTime aNow);
   Step Send(const Target& aTarget, MonotonicTime aNow);
   /// Sends another attempt, or finishes with aAnswer when none may be sent.
@@ -167,12 +169,18 @@
   void EndAttempt(const Answer* aAnswer, bool aFailed, MonotonicTime aNow);
   void EndAttemptUnobserved(const AttemptResult& aResult, MonotonicTime aNow);
   void Observe(const Answer* aAnswer, bool aFailed, MonotonicTime aNow);
-  bool IsAskingFormerHome() const { return m_attempts == 0; }
+  /// The question is about the key as a whole, not about the last attempt.
+  bool IsAskingFormerHome() const
+  {
+    return m_attempts == 0 || m_next != nullptr;
+  }
 
   TargetSequence m_targets;
   State m_state = State::New;
   /// The target of the attempt or the question that is out.
   const Target* m_target = nullptr;
+  /// Where to send the call once a former home has been asked.
+  const Target* m_next = nullptr;
   bool m_isAttemptOut = false;
   MonotonicTime m_attemptStart{};
   std::uint8_t m_attempts = 0;
--- a/src/request/Guard.h
+++ b/src/request/Guard.h
@@ -17,6 +17,7 @@
 /// Thread safety: one thread for each guard.
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -30,13 +31,12 @@
 #include "process/MemberRecord.h"
 #include "request/AdmissionPolicy.h"
 #include "request/Call.h"
+#include "request/CallerLinks.h"
 #include "request/OperationTable.h"
+#include "request/ServiceTimes.h"
 
 namespace tarragontray {
 
-/// The link a call came on; the driver gives the numbers, none twice.
-using CallerLink = Amount<struct CallerLinkTag>;
-
 struct GuardSettings
 {
   /// The node's incarnation at its start. Questions about calls that were sent
@@ -135,18 +135,17 @@
   bool IsIdle() const { return m_entries.empty(); }
 
   LoadReport Load() const;
+  /// Calls refused for this reason so far.
+  std::uint64_t RefusedFor(RefusalReason aReason) const
+  {
+    return m_refused[static_cast<std::size_t>(aReason)];
+  }
   const OperationTableCounters& OperationCounters() const
   {
     return m_operations.Counters();
   }
 
 private:
-  /// A call of a link that waits for an entry's answer.
-  struct Waiter
-  {
-    CallerLink m_link;
-    CallId m_call;
-  };
   /// An admitted call.
   struct Entry
   {
@@ -191,8 +190,6 @@
   void ReplyNotRun(const Waiter& aWaiter,
                    RefusalReason aReason,
                    GuardActions& aActions);
-  void ForgetWaiter(const Waiter& aWaiter);
-  void LearnServiceTime(Duration aTime);
   AdmissionRoom Room() const;
   bool IsDraining() const
   {
@@ -205,10 +202,11 @@
   UpstreamAnnouncement m_upstream;
   bool m_isDraining = false;
   Entries m_entries;
-  std::unordered_map<CallerLink, std::unordered_map<CallId, Ticket>> m_links;
+  CallerLinks m_links;
   std::uint32_t m_running = 0;
   Ticket m_lastTicket;
-  Duration m_serviceTime{ 0 };
+  ServiceTimes m_serviceTimes;
+  std::array<std::uint64_t, kRefusalReasons> m_refused{};
 };
 
 } // namespace tarragontray
