--- a/tools/benchlib/control.py
+++ b/tools/benchlib/control.py
@@ -245,13 +245,38 @@
     return getattr(sample, field)
 
 
+def _stewards(samples):
+    """Of one window: in each data centre the node that receives the most.
+
+    Reports of a move go to one node of each data centre, its steward; nothing
+    else differs as much between nodes.
+    """
+    most = {}
+    for sample in samples:
+        centre = sample.vm % DATA_CENTRES
+        if centre not in most or (sample.received_per_s
+                                  > most[centre].received_per_s):
+            most[centre] = sample
+    return list(most.values())
+
+
+def _with_role(samples, window, role):
+    """The samples of one size and window whose node has the role."""
+    stewards = _stewards(samples) if window == "move" else []
+    if role == "steward":
+        return stewards
+    return [s for s in samples
+            if s.is_relay == (role == "relay") and s not in stewards]
+
+
 def _means(samples, window, role, field):
     """(nodes, mean over the nodes of the role) for each size."""
     points = []
     for size in sorted({s.nodes for s in samples}):
-        values = [value_of(s, field) for s in samples
-                  if (s.nodes, s.window) == (size, window)
-                  and s.is_relay == (role == "relay")]
+        chosen = [s for s in samples
+                  if (s.nodes, s.window) == (size, window)]
+        values = [value_of(s, field)
+                  for s in _with_role(chosen, window, role)]
         if values:
             points.append((size, statistics.fmean(values)))
     return points
@@ -261,7 +286,7 @@
     """The fitted line of each window, role and field, with its points."""
     found = []
     for window in ("rest", "change", "move"):
-        for role in ("plain", "relay"):
+        for role in ("plain", "relay", "steward"):
             for field in FIELDS:
                 points = _means(samples, window, role, field)
                 # With three relays in a data centre, fleets below this size
