--- a/src/process/ViewBuilder.cpp
+++ b/src/process/ViewBuilder.cpp
@@ -51,13 +51,14 @@
 using TargetsByService = std::map<ServiceId, std::vector<Target>>;
 
 TargetsByService
-GroupTargets(const std::map<VmId, MemberRecord>& aMembers)
+GroupTargets(const ViewInputs& aInputs)
 {
   TargetsByService groups;
-  for (const auto& [vm, member] : aMembers) {
-    if (MayGetWork(member)) {
-      groups[member.m_upstream.m_service].push_back(TargetOf(member));
+  for (const auto& [vm, member] : aInputs.m_members) {
+    if (!MayGetWork(member)) {
+      continue;
     }
+    groups[member.m_upstream.m_service].push_back(TargetOf(member));
   }
   return groups;
 }
@@ -109,7 +110,7 @@
   const SubsetSettings subset{ .m_node = aSelf.m_vm,
                                .m_dataCentre = aSelf.m_dataCentre,
                                .m_region = aSelf.m_region };
-  const TargetsByService targets = GroupTargets(aInputs.m_members);
+  const TargetsByService targets = GroupTargets(aInputs);
   auto view = std::make_shared<View>();
   for (const auto& configuration : aInputs.m_configurations) {
     view->m_configurations.emplace(configuration->m_account, configuration);
--- a/src/process/testing/FakeNetwork.cpp
+++ b/src/process/testing/FakeNetwork.cpp
@@ -48,6 +48,17 @@
   }
 }
 
+FakeNode&
+FakeNetwork::StartElsewhere(const std::string& aVm,
+                            const std::string& aDataCentre)
+{
+  const auto number = static_cast<std::uint32_t>(m_starts + 1);
+  Kill(aVm);
+  m_byAddress.erase(Node(aVm).m_address);
+  Node(aVm).m_address = NetworkAddress(0x0A000000 + number, 7000);
+  return Start(aVm, aDataCentre);
+}
+
 FakeNode&
 FakeNetwork::Start(const std::string& aVm, const std::string& aDataCentre)
 {
@@ -64,10 +75,9 @@
   self.m_dataCentre = node->m_dataCentre;
   self.m_region = RegionId("r");
   self.m_peerAddress = node->m_address;
+  const Duration wall = m_clock.WallNow().time_since_epoch() + m_clockSkew;
   self.m_incarnation = Incarnation(
-    static_cast<std::uint64_t>(m_clock.WallNow().time_since_epoch() /
-                               std::chrono::microseconds(1)) +
-    number);
+    static_cast<std::uint64_t>(wall / std::chrono::microseconds(1)) + number);
   std::vector<NetworkAddress> seeds;
   for (const auto& [vm, other] : m_nodes) {
     if (other && (vm.Value().ends_with("-1") || vm.Value().ends_with("-2"))) {
@@ -136,40 +146,6 @@
   }
 }
 
-bool
-FakeNetwork::AllHave(const std::string& aKey, Revision aRevision) const
-{
-  return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto& aEntry) {
-    const FakeNode& node = *aEntry.second;
-    const Document* held =
-      node.m_gossip->Documents().Table().Find(ObjectKey(aKey));
-    return !node.m_isAlive ||
-           (held != nullptr && held->m_revision >= aRevision);
-  });
-}
-
-bool
-FakeNetwork::AllAgree() const
-{
-  for (const auto& [vm, node] : m_nodes) {
-    if (!node->m_isAlive) {
-      continue;
-    }
-    const MemberTable& table = node->m_gossip->Members().Table();
-    for (const auto& [otherVm, other] : m_nodes) {
-      const MemberRecord* record = table.Find(otherVm);
-      const bool isLive = record != nullptr &&
-                          record->m_state == NodeState::Alive &&
-                          record->m_incarnation ==
-                            other->m_gossip->Members().Self().m_incarnation;
-      if (isLive != other->m_isAlive) {
-        return false;
-      }
-    }
-  }
-  return true;
-}
-
 void
 FakeNetwork::After(Duration aDelay, std::function<void()> aRun)
 {
@@ -354,34 +330,6 @@
   Wake(aNode);
 }
 
-void
-FakeNetwork::Check(FakeNode& aNode)
-{
-  for (const Document& document : aNode.m_gossip->Documents().TakeChanged()) {
-    Revision& applied = aNode.m_applied[document.m_key];
-    if (document.m_revision <= applied) {
-      ++m_violations;
-      std::printf("revision of %s fell\n", document.m_key.Value().c_str());
-    }
-    applied = document.m_revision;
-    aNode.m_appliedAt.emplace(document.m_revision, Now());
-  }
-  if (!m_isCheckingRecords) {
-    return;
-  }
-  for (const auto& [vm, record] : aNode.m_gossip->Members().Members()) {
-    const auto [known, isNew] = aNode.m_records.try_emplace(vm, record);
-    if (isNew || known->second == record) {
-      continue;
-    }
-    if (!Supersedes(record, known->second)) {
-      ++m_violations;
-      std::printf("record of %s went back\n", vm.Value().c_str());
-    }
-    known->second = record;
-  }
-}
-
 bool
 FakeNetwork::IsBlocked(const FakeNode& aFrom, const FakeNode& aTo) const
 {
