--- a/tools/benchlib/control.py
+++ b/tools/benchlib/control.py
@@ -91,17 +91,19 @@
     return samples
 
 
-def _measure(fleet, window, work):
+def measure(fleet, window, work):
+    """Samples of all nodes over the time that work takes."""
     before = _look(fleet)
     work()
     return _samples(fleet, window, before, _look(fleet))
 
 
-def _changes(fleet, seconds):
+def change(fleet, seconds, account="mesqel-gate"):
+    """Writes a change every CHANGE_INTERVAL_S."""
     end = time.monotonic() + seconds
     for number in range(seconds // CHANGE_INTERVAL_S):
-        fleet.put("configurations/mesqel-gate",
-                  documents.box_office_parameters(700 + number))
+        fleet.put(f"configurations/{account}",
+                  documents.changed_parameters(account, 700 + number))
         time.sleep(CHANGE_INTERVAL_S)
     time.sleep(max(0.0, end - time.monotonic()))
 
@@ -127,26 +129,27 @@
     missing: int
 
 
-def _converge(fleet, count, first_timeout):
+def _converge(fleet, account, count, first_value):
     """Writes count changes; the time is from the first accepted write."""
     begin = None
     for number in range(count):
         revision = fleet.put(
-            "configurations/mesqel-gate",
-            documents.box_office_parameters(first_timeout + number))
+            f"configurations/{account}",
+            documents.changed_parameters(account, first_value + number))
         begin = begin or time.monotonic()
-    wait = fleet.await_version("mesqel-gate", revision, CONVERGENCE_LIMIT_S)
+    wait = fleet.await_version(account, revision, CONVERGENCE_LIMIT_S)
     return time.monotonic() - begin, wait
 
 
-def _convergence(fleet, singles):
+def measure_convergence(fleet, singles, account="mesqel-gate"):
+    """Times of single changes and of a burst."""
     times, waits = [], []
     for number in range(singles):
-        seconds, wait = _converge(fleet, 1, 800 + number)
+        seconds, wait = _converge(fleet, account, 1, 800 + number)
         times.append(seconds)
         waits.append(wait)
         time.sleep(1)
-    burst, wait = _converge(fleet, BURST, 900)
+    burst, wait = _converge(fleet, account, BURST, 900)
     waits.append(wait)
     return Convergence(fleet.size, times, burst,
                        max(one.resolution_s for one in waits),
@@ -178,14 +181,14 @@
         try:
             time.sleep(plan.settle_s)
             if "convergence" in parts:
-                convergence = _convergence(fleet, plan.single_changes)
+                convergence = measure_convergence(fleet, plan.single_changes)
             if "control" in parts:
-                samples += _measure(fleet, "rest",
-                                    lambda: time.sleep(plan.rest_s))
-                samples += _measure(fleet, "change",
-                                    lambda: _changes(fleet, plan.change_s))
+                samples += measure(fleet, "rest",
+                                   lambda: time.sleep(plan.rest_s))
+                samples += measure(fleet, "change",
+                                   lambda: change(fleet, plan.change_s))
                 loads = []
-                samples += _measure(
+                samples += measure(
                     fleet, "move", lambda: loads.append(_move(
                         fleet, processes, plan.move_s, options.seed,
                         mix.name)))
@@ -235,19 +238,45 @@
           "platform_per_s": ("calls/s", None)}
 
 
-def _value(sample, field):
+def value_of(sample, field):
+    """A field of FIELDS of a sample."""
     if field == "bytes_per_s":
         return sample.sent_per_s + sample.received_per_s
     return getattr(sample, field)
 
 
+def _stewards(samples):
+    """Of one window: in each data centre the node that receives the most.
+
+    Reports of a move go to one node of each data centre, its steward; nothing
+    else differs as much between nodes.
+    """
+    most = {}
+    for sample in samples:
+        centre = sample.vm % DATA_CENTRES
+        if centre not in most or (sample.received_per_s
+                                  > most[centre].received_per_s):
+            most[centre] = sample
+    return list(most.values())
+
+
+def _with_role(samples, window, role):
+    """The samples of one size and window whose node has the role."""
+    stewards = _stewards(samples) if window == "move" else []
+    if role == "steward":
+        return stewards
+    return [s for s in samples
+            if s.is_relay == (role == "relay") and s not in stewards]
+
+
 def _means(samples, window, role, field):
     """(nodes, mean over the nodes of the role) for each size."""
     points = []
     for size in sorted({s.nodes for s in samples}):
-        values = [_value(s, field) for s in samples
-                  if (s.nodes, s.window) == (size, window)
-                  and s.is_relay == (role == "relay")]
+        chosen = [s for s in samples
+                  if (s.nodes, s.window) == (size, window)]
+        values = [value_of(s, field)
+                  for s in _with_role(chosen, window, role)]
         if values:
             points.append((size, statistics.fmean(values)))
     return points
@@ -257,7 +286,7 @@
     """The fitted line of each window, role and field, with its points."""
     found = []
     for window in ("rest", "change", "move"):
-        for role in ("plain", "relay"):
+        for role in ("plain", "relay", "steward"):
             for field in FIELDS:
                 points = _means(samples, window, role, field)
                 # With three relays in a data centre, fleets below this size
@@ -281,7 +310,7 @@
     largest = max(s.nodes for s in samples)
     for window in ("rest", "change", "move"):
         for field, (unit, most) in FIELDS.items():
-            values = [_value(s, field) for s in samples
+            values = [value_of(s, field) for s in samples
                       if (s.nodes, s.window) == (largest, window)]
             figures.append(Figure(
                 "control", f"{window}, {largest} nodes, mean {field}",
--- a/tools/benchlib/micro.py
+++ b/tools/benchlib/micro.py
@@ -24,8 +24,9 @@
         capture_output=True, text=True, check=True, timeout=LIMIT_S)
     times = {}
     for row in json.loads(run.stdout)["benchmarks"]:
-        name, scale = row["name"].rsplit("/", 1)
-        times[name, int(scale)] = row["cpu_time"]
+        name, _, scale = row["name"].rpartition("/")
+        if name:
+            times[name, int(scale)] = row["cpu_time"]
     return times
 
 
