--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -5,12 +5,10 @@
 #include <unordered_map>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include "connection/FrameStream.h"
 #include "connection/Sockets.h"
@@ -27,7 +25,6 @@
 
 namespace {
 
-constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr Duration kUsageInterval = std::chrono::seconds(1);
 constexpr char kPart[] = "guard";
 
