Read large bodies in few pieces

Cause: Beast reads no more than its buffer's capacity and at least 512 bytes; the buffers of upstream connections and callers' sessions began empty, so that 64 KB came in about 128 reads.

--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -28,6 +28,8 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+/// What one read may take; Beast reads no more than the buffer's capacity.
+constexpr std::size_t kReadBytes = 8U << 10U;
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
 http::request<http::string_body>
@@ -192,6 +194,7 @@
   asio::awaitable<error_code> Connect(const Pending& aPending)
   {
     m_buffer.clear();
+    m_buffer.reserve(kReadBytes);
     m_stream.emplace(m_context);
     m_stream->expires_at(aPending.m_deadline);
     const tcp::endpoint peer(asio::ip::address_v4(m_settings.m_peer.Ip()),
--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -25,6 +25,8 @@
 namespace {
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+/// What one read may take; Beast reads no more than the buffer's capacity.
+constexpr std::size_t kReadBytes = 8U << 10U;
 using Parser = http::request_parser<http::string_body>;
 
 HttpRequestParts
@@ -181,6 +183,7 @@
     const auto self = shared_from_this();
     const std::shared_ptr<Session> session = *aPlace;
     beast::flat_buffer buffer;
+    buffer.reserve(kReadBytes);
     bool goesOn = true;
     while (goesOn && !m_isDraining) {
       goesOn = co_await ServeOne(*session, buffer);
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -30,13 +30,22 @@
 constexpr std::uint64_t kMaxBodyBytes = 1U << 20U;
 constexpr std::uint16_t kServiceUnavailable = 503;
 
-using Idle = std::vector<tcp::socket>;
+/// What one read may take. Beast reads no more than the buffer's capacity and
+/// at least 512 bytes, so that without it a large body comes in small pieces.
+constexpr std::size_t kReadBytes = 16U << 10U;
+
+/// A connection with the buffer that its calls reuse.
+struct Connection
+{
+  tcp::socket m_socket;
+  boost::beast::flat_buffer m_buffer;
+};
 
 /// The idle connections; shared with runs so that they may outlive the pool.
 struct Connections
 {
   NetworkAddress m_address;
-  Idle m_idle;
+  std::vector<Connection> m_idle;
 };
 
 http::request<http::string_body>
@@ -84,7 +93,7 @@
     : m_clock(aClock)
     , m_connections(std::move(aConnections))
     , m_call(std::move(aCall))
-    , m_socket(aContext)
+    , m_connection{ tcp::socket(aContext), {} }
     , m_deadline(aContext)
   {
   }
@@ -93,7 +102,7 @@
   {
     m_isAborted = true;
     boost::system::error_code ignored;
-    m_socket.close(ignored);
+    m_connection.m_socket.close(ignored);
   }
 
   asio::awaitable<void> Execute(UpstreamPool::Done aDone)
@@ -125,16 +134,17 @@
     }
     const auto request = RequestOf(m_call, m_connections->m_address);
     const auto [writeError, sent] =
-      co_await http::async_write(m_socket, request, kAwait);
+      co_await http::async_write(m_connection.m_socket, request, kAwait);
     if (writeError) {
       co_return answer;
     }
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer& buffer = m_connection.m_buffer;
+    buffer.reserve(kReadBytes);
     http::response_parser<http::string_body> parser;
     parser.body_limit(kMaxBodyBytes);
     parser.skip(m_call.m_http.m_method == "HEAD");
     const auto [readError, received] =
-      co_await http::async_read(m_socket, buffer, parser, kAwait);
+      co_await http::async_read(m_connection.m_socket, buffer, parser, kAwait);
     if (readError || m_isAborted) {
       co_return answer;
     }
@@ -146,10 +156,10 @@
   asio::awaitable<bool> Connect()
   {
     while (!m_connections->m_idle.empty()) {
-      tcp::socket socket = std::move(m_connections->m_idle.back());
+      Connection connection = std::move(m_connections->m_idle.back());
       m_connections->m_idle.pop_back();
-      if (IsQuiet(socket)) {
-        m_socket = std::move(socket);
+      if (IsQuiet(connection.m_socket)) {
+        m_connection = std::move(connection);
         co_return true;
       }
     }
@@ -157,19 +167,20 @@
       co_return false;
     }
     const auto endpoint = EndpointOf<tcp>(m_connections->m_address);
-    const auto [error] = co_await m_socket.async_connect(endpoint, kAwait);
+    const auto [error] =
+      co_await m_connection.m_socket.async_connect(endpoint, kAwait);
     if (error || m_isAborted) {
       co_return false;
     }
     boost::system::error_code ignored;
-    m_socket.set_option(tcp::no_delay(true), ignored);
+    m_connection.m_socket.set_option(tcp::no_delay(true), ignored);
     co_return true;
   }
 
   void Keep(bool aMayKeep)
   {
     if (aMayKeep && m_connections->m_idle.size() < UpstreamPool::kMaxIdle) {
-      m_connections->m_idle.push_back(std::move(m_socket));
+      m_connections->m_idle.push_back(std::move(m_connection));
     } else {
       Abort();
     }
@@ -192,7 +203,7 @@
   const Clock& m_clock;
   std::shared_ptr<Connections> m_connections;
   Call m_call;
-  tcp::socket m_socket;
+  Connection m_connection;
   asio::steady_timer m_deadline;
   bool m_isAborted = false;
 };
