Test silent, stopping and crossing peers, and late upstreams, on sockets

peer_link_test and upstream_pool_test play the other side of a connection. Seen failing without the mechanism: the silence limit (the call then took its whole 5 s) and LinkLeaving (the second call was sent). The late answer and the crossed answers were not seen failing. PeerLinks closes unused links beyond 4,096.

--- a/src/connection/Links.cmake
+++ b/src/connection/Links.cmake
@@ -10,3 +10,6 @@
 tt_library(tt_peer_link SRCS FrameStream.cpp PeerLink.cpp
   DEPS tt_frame_codec tt_call_plan tt_sockets)
 tt_benchmark(frame_benchmark SRCS FrameBenchmark.cpp DEPS tt_frame_codec)
+tt_test(peer_link_test SRCS PeerLinkTest.cpp DEPS tt_peer_link)
+tt_test(upstream_pool_test SRCS UpstreamPoolTest.cpp
+  DEPS tt_http_server tt_upstream_pool)
--- a/src/connection/PeerLink.cpp
+++ b/src/connection/PeerLink.cpp
@@ -319,6 +319,7 @@
 std::shared_ptr<PeerLink>
 PeerLinks::Get(const NetworkAddress& aPeer)
 {
+  ForgetClosed();
   std::shared_ptr<PeerLink>& link = m_links[aPeer];
   const bool isLeaving = link && link->IsLeaving() &&
                          m_clock.Now() < link->LeavingSince() + kLeavingTime;
@@ -328,6 +329,20 @@
   return link;
 }
 
+void
+PeerLinks::ForgetClosed()
+{
+  if (m_links.size() < kMaxLinks) {
+    return;
+  }
+  std::erase_if(m_links, [](const auto& aEntry) {
+    if (aEntry.second->IsUnused()) {
+      aEntry.second->Close();
+    }
+    return aEntry.second->IsClosed();
+  });
+}
+
 std::shared_ptr<PeerLink>
 PeerLinks::GetFresh(const NetworkAddress& aPeer)
 {
--- a/src/connection/PeerLink.h
+++ b/src/connection/PeerLink.h
@@ -12,6 +12,7 @@
 /// Thread safety: one thread, that of the io_context.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -83,7 +84,8 @@
   void Close();
   /// True once the link will not carry anything again.
   bool IsClosed() const { return m_state == State::Closed; }
-  bool IsIdle() const { return m_pending.empty(); }
+  /// True when the link is open and nothing waits.
+  bool IsUnused() const { return m_state == State::Open && m_pending.empty(); }
   std::uint64_t BytesSent() const;
   std::uint64_t BytesReceived() const;
 
@@ -165,7 +167,12 @@
   /// Longer than a stopping node goes on after it said so.
   static constexpr Duration kLeavingTime = std::chrono::seconds(3);
 
+  /// Peers held; on more, links that carry nothing are closed and forgotten.
+  static constexpr std::size_t kMaxLinks = 4096;
+
 private:
+  void ForgetClosed();
+
   boost::asio::io_context& m_context;
   const Clock& m_clock;
   LinkSettings m_settings;
--- /dev/null
+++ b/src/connection/PeerLinkTest.cpp
@@ -0,0 +1,174 @@
+#include "connection/PeerLink.h"
+
+#include <memory>
+#include <thread>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <criterion/criterion.h>
+
+#include "connection/Sockets.h"
+
+namespace tarragontray {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+/// A peer that accepts links and reacts to each message by aReact.
+class FakePeer
+{
+public:
+  using React = std::function<void(FrameStream&, const PeerMessage&)>;
+
+  FakePeer(asio::io_context& aContext, React aReact)
+    : m_acceptor(aContext)
+    , m_react(std::move(aReact))
+  {
+    const auto listening =
+      Listen(m_acceptor, { .m_address = { 0x7F000001, 0 }, .m_step = "test" });
+    cr_assert(listening.has_value());
+    asio::co_spawn(aContext, Serve(), asio::detached);
+  }
+
+  NetworkAddress Address() const
+  {
+    return AddressOf(m_acceptor.local_endpoint());
+  }
+  int Calls() const { return m_calls; }
+  int Connections() const { return m_connections; }
+
+private:
+  asio::awaitable<void> Serve()
+  {
+    while (true) {
+      tcp::socket socket = co_await Accept(m_acceptor);
+      ++m_connections;
+      auto stream = FrameStream::Create(std::move(socket), "caller");
+      asio::co_spawn(
+        m_acceptor.get_executor(), Receive(std::move(stream)), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Receive(std::shared_ptr<FrameStream> aStream)
+  {
+    while (true) {
+      const auto message = co_await aStream->Receive();
+      if (!message) {
+        co_return;
+      }
+      m_calls += std::holds_alternative<Call>(message.value()) ? 1 : 0;
+      m_react(*aStream, message.value());
+    }
+  }
+
+  tcp::acceptor m_acceptor;
+  React m_react;
+  int m_calls = 0;
+  int m_connections = 0;
+};
+
+/// Runs one call to its end on the context.
+Exchange<Answer>
+RunOne(asio::io_context& aContext, PeerLinks& aLinks, const FakePeer& aPeer)
+{
+  std::optional<Exchange<Answer>> result;
+  const auto link = aLinks.Get(aPeer.Address());
+  asio::co_spawn(
+    aContext,
+    [&]() -> asio::awaitable<void> {
+      Call call;
+      result = co_await link->Run(std::move(call), std::chrono::seconds(5));
+      aContext.stop();
+    },
+    asio::detached);
+  aContext.restart();
+  aContext.run();
+  return std::move(*result);
+}
+
+void
+AnswerCall(FrameStream& aStream, const PeerMessage& aMessage)
+{
+  if (const Call* call = std::get_if<Call>(&aMessage)) {
+    Answer answer;
+    answer.m_id = call->m_id;
+    answer.m_outcome = CallOutcome::Done;
+    aStream.Send(answer);
+  }
+}
+
+} // namespace
+
+Test(PeerLink, ASilentPeerCostsItsCallNoMoreThanTheSilenceLimit)
+{
+  asio::io_context context(1);
+  const SystemClock clock;
+  // Takes every byte and says nothing, not even to pings.
+  const FakePeer peer(context, [](FrameStream&, const PeerMessage&) {});
+  PeerLinks links(context, clock, LinkSettings{});
+  const MonotonicTime start = clock.Now();
+  const auto result = RunOne(context, links, peer);
+  const auto* failure = std::get_if<LinkFailure>(&result);
+  cr_assert(failure != nullptr, "the call did not fail");
+  cr_assert(failure->m_stage == LostStage::Sent);
+  cr_assert(clock.Now() - start < std::chrono::seconds(4));
+  cr_assert(links.Get(peer.Address())->IsClosed() == false,
+            "the next call must get a fresh connection");
+}
+
+Test(PeerLink, APeerThatStopsGetsNoMoreCalls)
+{
+  asio::io_context context(1);
+  const SystemClock clock;
+  const FakePeer peer(context,
+                      [](FrameStream& aStream, const PeerMessage& aMessage) {
+                        aStream.Send(LinkLeaving{});
+                        AnswerCall(aStream, aMessage);
+                      });
+  PeerLinks links(context, clock, LinkSettings{});
+  const auto first = RunOne(context, links, peer);
+  const auto* answer = std::get_if<Answer>(&first);
+  cr_assert(answer != nullptr && answer->m_outcome == CallOutcome::Done,
+            "a call that was sent is answered");
+  const auto second = RunOne(context, links, peer);
+  const auto* refusal = std::get_if<Answer>(&second);
+  cr_assert(refusal != nullptr);
+  cr_assert(refusal->m_outcome == CallOutcome::NotRun);
+  cr_assert(refusal->m_refusal == RefusalReason::Draining);
+  cr_assert_eq(peer.Calls(), 1);
+}
+
+Test(PeerLink, AnAnswerToAnotherCallReachesNobody)
+{
+  asio::io_context context(1);
+  const SystemClock clock;
+  const FakePeer peer(context,
+                      [](FrameStream& aStream, const PeerMessage& aMessage) {
+                        const Call* call = std::get_if<Call>(&aMessage);
+                        if (call == nullptr) {
+                          return;
+                        }
+                        Answer other;
+                        other.m_id = CallId(call->m_id.Value() + 7);
+                        other.m_http.m_body = "another caller's";
+                        aStream.Send(other);
+                        Answer own;
+                        own.m_id = call->m_id;
+                        own.m_http.m_body = "own";
+                        aStream.Send(own);
+                        aStream.Send(own);
+                      });
+  PeerLinks links(context, clock, LinkSettings{});
+  for (int i = 0; i < 3; ++i) {
+    const auto result = RunOne(context, links, peer);
+    const auto* answer = std::get_if<Answer>(&result);
+    cr_assert(answer != nullptr);
+    cr_assert(answer->m_http.m_body == "own");
+  }
+  cr_assert_eq(peer.Connections(), 1);
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/connection/UpstreamPoolTest.cpp
@@ -0,0 +1,108 @@
+#include "connection/UpstreamPool.h"
+
+#include <optional>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <criterion/criterion.h>
+
+#include "connection/HttpServer.h"
+
+namespace tarragontray {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration kSlow = std::chrono::milliseconds(60);
+
+/// An upstream whose answers name the target; "/slow" answers late.
+class FakeUpstream
+{
+public:
+  FakeUpstream()
+    : m_pool(UpstreamPool::Create(m_context, m_clock))
+  {
+    HttpServerSettings settings;
+    settings.m_address = NetworkAddress(0x7F000001, 0);
+    m_server = HttpServer::Create(m_context,
+                                  settings,
+                                  [this](HttpRequestParts aRequest) {
+                                    return Serve(std::move(aRequest));
+                                  })
+                 .value();
+    m_pool->SetAddress(m_server->Address());
+  }
+
+  /// Runs one call to its end.
+  Answer Run(const std::string& aTarget, Duration aTimeRemaining)
+  {
+    Call call;
+    call.m_id = CallId(++m_calls);
+    call.m_http.m_method = "GET";
+    call.m_http.m_target = aTarget;
+    call.m_timeRemaining = aTimeRemaining;
+    std::optional<Answer> result;
+    const auto run = m_pool->Start(call, [&](Answer aAnswer) {
+      result = std::move(aAnswer);
+      m_context.stop();
+    });
+    m_context.restart();
+    m_context.run();
+    cr_assert(result->m_id == call.m_id);
+    return *result;
+  }
+
+  UpstreamPool& Pool() { return *m_pool; }
+
+private:
+  asio::awaitable<HttpAnswerParts> Serve(HttpRequestParts aRequest)
+  {
+    if (aRequest.m_target == "/slow") {
+      asio::steady_timer timer(m_context, kSlow);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+    if (aRequest.m_target == "/shed") {
+      HttpAnswerParts answer = TextAnswer(503, "busy");
+      answer.m_headers.push_back({ "x-not-run", "1" });
+      co_return answer;
+    }
+    co_return TextAnswer(200, aRequest.m_target);
+  }
+
+  asio::io_context m_context{ 1 };
+  SystemClock m_clock;
+  std::shared_ptr<HttpServer> m_server;
+  std::unique_ptr<UpstreamPool> m_pool;
+  std::uint64_t m_calls = 0;
+};
+
+} // namespace
+
+Test(UpstreamPool, ALateAnswerNeverReachesTheNextCall)
+{
+  FakeUpstream upstream;
+  for (int i = 0; i < 5; ++i) {
+    const Answer late = upstream.Run("/slow", kSlow / 4);
+    cr_assert(late.m_outcome == CallOutcome::Unknown);
+    const std::string target = "/own-" + std::to_string(i);
+    const Answer own = upstream.Run(target, std::chrono::seconds(5));
+    cr_assert(own.m_outcome == CallOutcome::Done);
+    cr_assert(own.m_http.m_body == target, "%s", own.m_http.m_body.c_str());
+  }
+}
+
+Test(UpstreamPool, ShedCallsAndMissingUpstreamsAreNotRun)
+{
+  FakeUpstream upstream;
+  const Answer shed = upstream.Run("/shed", std::chrono::seconds(5));
+  cr_assert(shed.m_outcome == CallOutcome::NotRun);
+  // Port 9 of this address has no listener.
+  upstream.Pool().SetAddress(NetworkAddress(0x7F000001, 9));
+  const Answer gone = upstream.Run("/", std::chrono::seconds(5));
+  cr_assert(gone.m_outcome == CallOutcome::NotRun);
+  cr_assert(gone.m_refusal == RefusalReason::UpstreamGone);
+}
+
+} // namespace tarragontray
