--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -1,61 +1,14 @@
 #include "process/ControlCore.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
-#include "process/DatagramSize.h"
+#include "process/EvidenceRouting.h"
 #include "process/ViewBuilder.h"
 #include "version/SequentialMovePolicy.h"
 
 namespace tarragontray {
 
-namespace {
-
-LocalObservation
-ObservationOf(const AttemptObservation& aAttempt, bool aIsStarting)
-{
-  LocalObservation observation;
-  observation.m_service = aAttempt.m_service;
-  observation.m_route = aAttempt.m_route;
-  observation.m_version = aAttempt.m_version;
-  observation.m_target = aAttempt.m_target;
-  observation.m_isStarting = aIsStarting;
-  VersionCounters& counters = observation.m_delta;
-  counters.m_calls = 1;
-  counters.m_failures = aAttempt.m_failed ? 1 : 0;
-  counters.m_callerErrors = aAttempt.m_isCallerError ? 1 : 0;
-  counters.m_latency[LatencyBucket(aAttempt.m_latency)] = 1;
-  return observation;
-}
-
-/// Splits a report into datagrams that keep their bound.
-std::vector<Datagram>
-Pack(const VmId& aFrom, const EvidenceReport& aReport)
-{
-  EvidenceReport head = aReport;
-  head.m_entries.clear();
-  std::vector<Datagram> datagrams;
-  for (const EvidenceEntry& entry : aReport.m_entries) {
-    if (!datagrams.empty()) {
-      auto& entries = datagrams.back().m_evidence.front().m_entries;
-      entries.push_back(entry);
-      if (EncodedSize(datagrams.back()) <= kMaxDatagramBytes) {
-        continue;
-      }
-      entries.pop_back();
-    }
-    Datagram& next = datagrams.emplace_back();
-    next.m_kind = DatagramKind::News;
-    next.m_from = aFrom;
-    next.m_evidence.push_back(head);
-    next.m_evidence.front().m_entries.push_back(entry);
-  }
-  return datagrams;
-}
-
-} // namespace
-
 Result<std::unique_ptr<ControlCore>>
 ControlCore::Create(const ControlSettings& aSettings,
                     const ConfigurationDecoder& aDecoder,
@@ -166,12 +119,8 @@
 {
   const auto& members = m_gossip.Members().Members();
   for (const AttemptObservation& attempt : aBatch.m_observations) {
-    const auto target = members.find(attempt.m_target);
-    const bool isStarting =
-      target != members.end() &&
-      target->second.m_upstream.m_state == UpstreamState::Starting;
     if (attempt.m_isFirstAttempt) {
-      m_moves.LearnLocal(ObservationOf(attempt, isStarting));
+      m_moves.LearnLocal(ObservationOf(attempt, members));
     }
   }
 }
@@ -339,19 +288,8 @@
 {
   const auto& members = m_gossip.Members().Members();
   const MemberRecord& self = m_gossip.Members().Self();
-  std::set<DataCentreId> dataCentres;
-  std::vector<VmId> neighbours;
-  for (const auto& [vm, member] : members) {
-    if (member.m_state == NodeState::Dead) {
-      continue;
-    }
-    dataCentres.insert(member.m_dataCentre);
-    if (member.m_dataCentre == self.m_dataCentre &&
-        member.m_state == NodeState::Alive) {
-      neighbours.push_back(vm);
-    }
-  }
-  m_moves.SetDataCentres(std::move(dataCentres));
+  const std::vector<VmId> neighbours = LiveNeighbours(members, self);
+  m_moves.SetDataCentres(DataCentresInReach(members));
   for (const auto& configuration : InForce()) {
     for (const ServiceSpec& service : configuration->m_services) {
       if (service.m_move) {
@@ -391,21 +329,15 @@
 ControlCore::SendReport(const EvidenceReport& aReport, ControlActions& aActions)
 {
   const MemberRecord& self = m_gossip.Members().Self();
-  std::vector<VmId> neighbours;
   const auto& members = m_gossip.Members().Members();
-  for (const auto& [vm, member] : members) {
-    if (member.m_dataCentre == self.m_dataCentre &&
-        member.m_state == NodeState::Alive) {
-      neighbours.push_back(vm);
-    }
-  }
+  const std::vector<VmId> neighbours = LiveNeighbours(members, self);
   const auto steward =
     PickSteward(aReport.m_move, self.m_dataCentre, neighbours);
   if (!steward || *steward == self.m_vm) {
     return;
   }
   const NetworkAddress& address = members.at(*steward).m_peerAddress;
-  for (Datagram& datagram : Pack(self.m_vm, aReport)) {
+  for (Datagram& datagram : PackEvidence(self.m_vm, aReport)) {
     aActions.m_send.push_back({ address, std::move(datagram) });
   }
 }
--- a/src/process/Runtime.cmake
+++ b/src/process/Runtime.cmake
@@ -21,7 +21,8 @@
 tt_library(tt_node_settings SRCS NodeSettings.cpp DEPS tt_settings)
 
 tt_decision_library(tt_control_core
-  SRCS ControlCore.cpp HDRS ControlCore.h TrafficReport.h
+  SRCS ControlCore.cpp EvidenceRouting.cpp
+  HDRS ControlCore.h EvidenceRouting.h TrafficReport.h
   DEPS tt_call_plan tt_configuration_store tt_gossip tt_ledger tt_moves
        tt_view_builder)
 tt_library(tt_status SRCS StatusJson.cpp StatusPage.cpp
@@ -34,3 +35,4 @@
   DEPS tt_control_thread tt_front_thread tt_guard_thread tt_node_settings)
 tt_test(view_builder_test SRCS ViewBuilderTest.cpp DEPS tt_view_builder)
 tt_benchmark(view_benchmark SRCS ViewBenchmark.cpp DEPS tt_view_builder)
+tt_test(evidence_routing_test SRCS EvidenceRoutingTest.cpp DEPS tt_control_core)
