--- a/src/programs/DistributionExperiment.cpp
+++ b/src/programs/DistributionExperiment.cpp
@@ -166,12 +166,18 @@
     "detection-nodes",
     "nodes in the detection sessions; 0: none",
     cxxopts::value<std::size_t>()->default_value("80"))(
-    "json", "one JSON object a line")("help", "prints this text");
+    "json", "one JSON object a line")("help", "prints this text")(
+    "version", "prints the version");
   const cxxopts::ParseResult parsed = options.parse(aCount, aArguments);
   if (parsed.count("help") > 0) {
     std::cout << options.help();
     return 0;
   }
+  if (parsed.count("version") > 0) {
+    std::cout << "tarragontray-experiment-distribution " << TARRAGONTRAY_VERSION
+              << "\n";
+    return 0;
+  }
   Report report(parsed.count("json") > 0);
   ScenarioSettings settings;
   settings.m_dataCentres = parsed["data-centres"].as<std::size_t>();
