Take the control status once for each /status

Cause: the status, which copies the member table, was taken a second time for the figures beside it.

--- a/src/process/ControlThread.cpp
+++ b/src/process/ControlThread.cpp
@@ -270,16 +270,16 @@
       return TextAnswer(405, "method not allowed\n");
     }
     if (aRequest.m_target == "/status") {
-      return TextAnswer(200,
-                        StatusJson(m_core->Status(m_clock.WallNow()),
-                                   Figures(),
-                                   m_traffic.m_guardFigures(),
-                                   m_isDraining) +
-                          "\n",
-                        "application/json");
+      const ControlStatus status = m_core->Status(m_clock.WallNow());
+      return TextAnswer(
+        200,
+        StatusJson(
+          status, FiguresOf(status), m_traffic.m_guardFigures(), m_isDraining) +
+          "\n",
+        "application/json");
     }
     if (aRequest.m_target == "/metrics") {
-      m_metrics.Set(Figures());
+      m_metrics.Set(FiguresOf(m_core->Status(m_clock.WallNow())));
       m_metrics.Set(m_traffic.m_guardFigures());
       return TextAnswer(200, m_metrics.Text(), "text/plain; version=0.0.4");
     }
@@ -324,9 +324,8 @@
     return answer;
   }
 
-  ControlFigures Figures() const
+  ControlFigures FiguresOf(const ControlStatus& aStatus) const
   {
-    const ControlStatus status = m_core->Status(m_clock.WallNow());
     ControlFigures figures;
     figures.m_processorTime = m_loop.ProcessorTime();
     const PlatformTraffic platform = m_platform->Traffic();
@@ -334,10 +333,10 @@
     figures.m_received = ByteCount(m_received);
     figures.m_platformCalls = platform.m_calls;
     figures.m_badDatagrams = CallCount(m_badDatagrams);
-    for (const MemberRecord& member : status.m_members) {
+    for (const MemberRecord& member : aStatus.m_members) {
       figures.m_membersAlive += member.m_state == NodeState::Alive ? 1 : 0;
     }
-    for (const AccountStatus& account : status.m_accounts) {
+    for (const AccountStatus& account : aStatus.m_accounts) {
       figures.m_configurations += account.m_inForce ? 1 : 0;
       figures.m_rejected += account.m_pending && account.m_pending->m_reason ==
                                                    PendingReason::Rejected
