--- a/src/base/Error.cpp
+++ b/src/base/Error.cpp
@@ -26,6 +26,8 @@
       return "unavailable";
     case ErrorCode::Refused:
       return "refused";
+    case ErrorCode::HistoryGone:
+      return "history-gone";
     case ErrorCode::Internal:
       return "internal";
   }
--- a/src/base/Error.h
+++ b/src/base/Error.h
@@ -36,6 +36,8 @@
   Unavailable,
   /// The peer refused: the work was not run.
   Refused,
+  /// The past that was asked for is no longer kept.
+  HistoryGone,
   /// A fault of this program.
   Internal,
 };
--- a/src/base/Ids.h
+++ b/src/base/Ids.h
@@ -32,6 +32,8 @@
 using ClassName = StringId<struct ClassNameTag>;
 /// A version of a back end's program, for example "v2".
 using UpstreamVersion = StringId<struct UpstreamVersionTag>;
+/// One life of an upstream's program, as the upstream names itself.
+using UpstreamInstanceId = StringId<struct UpstreamInstanceIdTag>;
 /// The name of a shared template.
 using TemplateName = StringId<struct TemplateNameTag>;
 /// The key of an object in the platform's object API.
--- a/src/connection/DatagramCodec.cpp
+++ b/src/connection/DatagramCodec.cpp
@@ -94,6 +94,7 @@
   Reader& reader = aSource.Values();
   Get(reader, aRecord.m_vm);
   aSource.Shared(aRecord.m_dataCentre);
+  aSource.Shared(aRecord.m_cell);
   aSource.Shared(aRecord.m_region);
   Get(reader, aRecord.m_peerAddress);
   Get(reader, aRecord.m_incarnation);
--- a/src/connection/FrameCodec.cpp
+++ b/src/connection/FrameCodec.cpp
@@ -114,6 +114,7 @@
          aCall.m_route,
          aCall.m_class,
          aCall.m_version,
+         aCall.m_origin,
          aCall.m_priority,
          aCall.m_idempotent,
          aCall.m_attempt,
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -26,7 +26,7 @@
 #include "base/NetworkAddress.h"
 #include "base/Result.h"
 #include "base/Units.h"
-#include "request/Call.h"
+#include "request/HttpDialect.h"
 
 namespace tarragontray {
 
@@ -37,8 +37,13 @@
   std::size_t m_maxSessions = 4096;
   std::uint32_t m_maxHeaderBytes = 16U << 10U;
   std::uint64_t m_maxBodyBytes = 1U << 20U;
-  /// A session that sends no request for this long is closed.
+  /// A session that neither sends nor takes anything for this long is closed.
   Duration m_idleLimit{ std::chrono::seconds(60) };
+  /// From the first byte of a request to its last one.
+  Duration m_requestLimit{ std::chrono::seconds(60) };
+  /// Requests of one session that are served at once; answers keep the order
+  /// of the requests.
+  std::size_t m_maxPipelined = 16;
   /// Several servers of one process may share the address.
   bool m_sharesPort = false;
   /// Called around each request, from its last byte read (from Drain on: its
@@ -52,11 +57,26 @@
 {
   std::uint64_t m_requests = 0;
   std::uint64_t m_badRequests = 0;
+  /// Requests whose caller closed the connection before the answer.
+  std::uint64_t m_abandoned = 0;
   /// Sessions that were turned away at m_maxSessions.
   std::uint64_t m_refusedSessions = 0;
 };
 
-/// Answers one request. Header names come in lower case.
+/// The part of the bounds that may change while a server runs.
+struct HttpServerLimits
+{
+  std::uint32_t m_maxHeaderBytes = 0;
+  std::uint64_t m_maxBodyBytes = 0;
+  Duration m_idleLimit{ 0 };
+  Duration m_requestLimit{ 0 };
+
+  bool operator==(const HttpServerLimits&) const = default;
+};
+
+/// Answers one request. Header names come in lower case. A caller that closes
+/// its connection cancels the handler (cancellation type terminal); what it
+/// answers after that is dropped.
 using HttpHandler =
   std::function<boost::asio::awaitable<HttpAnswerParts>(HttpRequestParts)>;
 
@@ -75,6 +95,8 @@
 
   /// The address in use; the port is known even where 0 was asked for.
   virtual NetworkAddress Address() const = 0;
+  /// For requests that are read from now on.
+  virtual void SetLimits(const HttpServerLimits& aLimits) = 0;
   /// From now on each answer ends its session; idle sessions stay.
   virtual void Leave() = 0;
   /// Accepts no more sessions, closes idle ones; the others end after the
@@ -83,10 +105,4 @@
   virtual const HttpServerCounters& Counters() const = 0;
 };
 
-/// An answer of text with a content type.
-HttpAnswerParts
-TextAnswer(std::uint16_t aStatus,
-           std::string aBody,
-           std::string aContentType = "text/plain; charset=utf-8");
-
 } // namespace tarragontray
--- a/src/connection/Links.cmake
+++ b/src/connection/Links.cmake
@@ -3,8 +3,8 @@
 tt_test(frame_codec_test SRCS FrameCodecTest.cpp DEPS tt_frame_codec)
 
 tt_library(tt_sockets SRCS Sockets.cpp DEPS tt_base Threads::Threads)
-tt_library(tt_upstream_pool SRCS UpstreamPool.cpp DEPS tt_call tt_sockets)
-tt_library(tt_http_server SRCS HttpServer.cpp DEPS tt_call tt_sockets)
+tt_library(tt_upstream_pool SRCS UpstreamPool.cpp DEPS tt_http_dialect tt_sockets)
+tt_library(tt_http_server SRCS HttpServer.cpp DEPS tt_http_dialect tt_sockets)
 tt_test(http_server_test SRCS HttpServerTest.cpp DEPS tt_http_server)
 
 tt_library(tt_peer_link SRCS FrameStream.cpp PeerLink.cpp
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -1,6 +1,7 @@
 #include "connection/UpstreamPool.h"
 
 #include <algorithm>
+#include <charconv>
 #include <optional>
 #include <string>
 #include <utility>
@@ -27,45 +28,48 @@
 namespace {
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
-constexpr std::uint64_t kMaxBodyBytes = 1U << 20U;
-constexpr std::uint16_t kServiceUnavailable = 503;
 
 /// What one read may take. Beast reads no more than the buffer's capacity and
 /// at least 512 bytes, so that without it a large body comes in small pieces.
 constexpr std::size_t kReadBytes = 16U << 10U;
+/// How long an idle connection is used again when the upstream does not say.
+constexpr Duration kIdleLimit = std::chrono::seconds(4);
+/// Part of the upstream's own idle time after which its connection is left:
+/// the rest covers a delayed close.
+constexpr int kIdleSafety = 2;
+/// Longest wait for a connection.
+constexpr Duration kConnectLimit = std::chrono::seconds(1);
 
 /// A connection with the buffer that its calls reuse.
 struct Connection
 {
   tcp::socket m_socket;
   boost::beast::flat_buffer m_buffer;
+  /// Not used again from this time on.
+  MonotonicTime m_goodUntil{};
 };
 
 /// The idle connections; shared with runs so that they may outlive the pool.
 struct Connections
 {
-  NetworkAddress m_address;
+  UpstreamPlace m_place;
   std::vector<Connection> m_idle;
+  std::uint64_t m_opened = 0;
 };
 
-http::request<http::string_body>
-RequestOf(const Call& aCall, const NetworkAddress& aUpstream)
+using Request = http::request<http::string_body>;
+
+Request
+ToBeast(HttpRequestParts aParts)
 {
-  http::request<http::string_body> request;
+  Request request;
   request.version(11);
-  request.method_string(aCall.m_http.m_method);
-  request.target(aCall.m_http.m_target);
-  for (const HttpHeader& header : aCall.m_http.m_headers) {
+  request.method_string(aParts.m_method);
+  request.target(aParts.m_target);
+  for (const HttpHeader& header : aParts.m_headers) {
     request.insert(header.m_name, header.m_value);
   }
-  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
-    aCall.m_timeRemaining);
-  request.set(http::field::host, aUpstream.ToString());
-  request.set("x-operation-id", aCall.m_operation.Value());
-  request.set("x-client-account", aCall.m_caller.Value());
-  request.set("x-time-remaining-ms", std::to_string(remaining.count()));
-  request.set("x-attempt", std::to_string(aCall.m_attempt));
-  request.body() = aCall.m_http.m_body;
+  request.body() = std::move(aParts.m_body);
   request.prepare_payload();
   return request;
 }
@@ -81,6 +85,24 @@
   return error == asio::error::would_block;
 }
 
+/// How long the upstream keeps the connection (the "timeout" of Keep-Alive),
+/// less a margin.
+Duration
+ReuseTime(std::string_view aKeepAlive)
+{
+  constexpr std::string_view kTimeout = "timeout=";
+  const auto at = aKeepAlive.find(kTimeout);
+  std::uint32_t seconds = 0;
+  if (at == std::string_view::npos) {
+    return kIdleLimit;
+  }
+  const std::string_view text = aKeepAlive.substr(at + kTimeout.size());
+  std::from_chars(text.data(), text.data() + text.size(), seconds);
+  return std::min<Duration>(kIdleLimit,
+                            Duration(std::chrono::seconds(seconds)) /
+                              kIdleSafety);
+}
+
 class Run final
   : public UpstreamRun
   , public std::enable_shared_from_this<Run>
@@ -88,13 +110,15 @@
 public:
   Run(asio::io_context& aContext,
       const Clock& aClock,
+      std::shared_ptr<const UpstreamDialect> aDialect,
       std::shared_ptr<Connections> aConnections,
       Call aCall)
     : m_clock(aClock)
+    , m_dialect(std::move(aDialect))
     , m_connections(std::move(aConnections))
     , m_call(std::move(aCall))
     , m_connection{ tcp::socket(aContext), {} }
-    , m_deadline(aContext)
+    , m_timer(aContext)
   {
   }
 
@@ -109,15 +133,9 @@
   {
     const auto self = shared_from_this();
     const MonotonicTime start = m_clock.Now();
-    m_deadline.expires_after(std::max(m_call.m_timeRemaining, Duration(0)));
-    m_deadline.async_wait([weak = weak_from_this()](const auto& aError) {
-      const auto run = weak.lock();
-      if (!aError && run) {
-        run->Abort();
-      }
-    });
+    m_deadline = start + std::max(m_call.m_timeRemaining, Duration(0));
     Answer answer = co_await Exchange();
-    m_deadline.cancel();
+    m_timer.cancel();
     answer.m_id = m_call.m_id;
     answer.m_serviceTime = m_clock.Now() - start;
     aDone(std::move(answer));
@@ -132,33 +150,64 @@
       answer.m_refusal = RefusalReason::UpstreamGone;
       co_return answer;
     }
-    const auto request = RequestOf(m_call, m_connections->m_address);
-    const auto [writeError, sent] =
-      co_await http::async_write(m_connection.m_socket, request, kAwait);
-    if (writeError) {
-      co_return answer;
-    }
+    AbortAt(m_deadline);
+    m_call.m_timeRemaining = m_deadline - m_clock.Now();
+    StartWrite();
     boost::beast::flat_buffer& buffer = m_connection.m_buffer;
     buffer.reserve(kReadBytes);
     http::response_parser<http::string_body> parser;
-    parser.body_limit(kMaxBodyBytes);
+    parser.body_limit(kMaxCallBytes.Value());
     parser.skip(m_call.m_http.m_method == "HEAD");
-    const auto [readError, received] =
+    const auto [error, received] =
       co_await http::async_read(m_connection.m_socket, buffer, parser, kAwait);
-    if (readError || m_isAborted) {
+    if (error || m_isAborted) {
+      if (m_isAborted && !parser.got_some()) {
+        // The way to the upstream may have gone silent: start afresh.
+        m_connections->m_idle.clear();
+      }
       co_return answer;
     }
-    Keep(parser.get().keep_alive() && buffer.size() == 0);
+    const bool isReusable =
+      m_isWritten && parser.get().keep_alive() && buffer.size() == 0;
+    m_connection.m_goodUntil =
+      m_clock.Now() + ReuseTime(parser.get()[http::field::keep_alive]);
     Fill(answer, parser.release());
+    Keep(isReusable && answer.m_outcome != CallOutcome::Unknown);
     co_return answer;
   }
 
+  /// Writes while the answer is read: an upstream may answer before it has
+  /// read the whole request.
+  void StartWrite()
+  {
+    m_request = ToBeast(m_dialect->Write(m_call, m_connections->m_place));
+    http::async_write(
+      m_connection.m_socket,
+      m_request,
+      [self = shared_from_this()](const boost::system::error_code& aError,
+                                  std::size_t) {
+        self->m_isWritten = !aError;
+      });
+  }
+
+  void AbortAt(MonotonicTime aTime)
+  {
+    m_timer.expires_after(std::max(aTime - m_clock.Now(), Duration(0)));
+    m_timer.async_wait([weak = weak_from_this()](const auto& aError) {
+      const auto run = weak.lock();
+      if (!aError && run) {
+        run->Abort();
+      }
+    });
+  }
+
   asio::awaitable<bool> Connect()
   {
+    const MonotonicTime now = m_clock.Now();
     while (!m_connections->m_idle.empty()) {
       Connection connection = std::move(m_connections->m_idle.back());
       m_connections->m_idle.pop_back();
-      if (IsQuiet(connection.m_socket)) {
+      if (now < connection.m_goodUntil && IsQuiet(connection.m_socket)) {
         m_connection = std::move(connection);
         co_return true;
       }
@@ -166,7 +215,9 @@
     if (m_isAborted) {
       co_return false;
     }
-    const auto endpoint = EndpointOf<tcp>(m_connections->m_address);
+    ++m_connections->m_opened;
+    AbortAt(std::min(m_deadline, now + kConnectLimit));
+    const auto endpoint = EndpointOf<tcp>(m_connections->m_place.m_address);
     const auto [error] =
       co_await m_connection.m_socket.async_connect(endpoint, kAwait);
     if (error || m_isAborted) {
@@ -186,50 +237,69 @@
     }
   }
 
-  static void Fill(Answer& aAnswer,
-                   http::response<http::string_body>&& aResponse)
+  void Fill(Answer& aAnswer, http::response<http::string_body>&& aResponse)
   {
     aAnswer.m_http.m_status =
       static_cast<std::uint16_t>(aResponse.result_int());
-    const bool wasShed = aAnswer.m_http.m_status == kServiceUnavailable &&
-                         aResponse["x-not-run"] == "1";
-    aAnswer.m_outcome = wasShed ? CallOutcome::NotRun : CallOutcome::Done;
-    aAnswer.m_refusal =
-      wasShed ? RefusalReason::QueueFull : RefusalReason::None;
     aAnswer.m_http.m_headers = EndToEndHeaders(aResponse);
     aAnswer.m_http.m_body = std::move(aResponse.body());
+    switch (m_dialect->Judge(m_call, aAnswer.m_http)) {
+      case UpstreamVerdict::Ran:
+        aAnswer.m_outcome = CallOutcome::Done;
+        break;
+      case UpstreamVerdict::Shed:
+        aAnswer.m_outcome = CallOutcome::NotRun;
+        aAnswer.m_refusal = RefusalReason::QueueFull;
+        break;
+      case UpstreamVerdict::OtherUpstream:
+        aAnswer.m_outcome = CallOutcome::NotRun;
+        aAnswer.m_refusal = RefusalReason::UpstreamGone;
+        break;
+      case UpstreamVerdict::Foreign:
+        aAnswer.m_http = {};
+        break;
+    }
   }
 
   const Clock& m_clock;
+  std::shared_ptr<const UpstreamDialect> m_dialect;
   std::shared_ptr<Connections> m_connections;
   Call m_call;
   Connection m_connection;
-  asio::steady_timer m_deadline;
+  Request m_request;
+  asio::steady_timer m_timer;
+  MonotonicTime m_deadline{};
+  bool m_isWritten = false;
   bool m_isAborted = false;
 };
 
 class HttpUpstreamPool final : public UpstreamPool
 {
 public:
-  HttpUpstreamPool(asio::io_context& aContext, const Clock& aClock)
+  HttpUpstreamPool(asio::io_context& aContext,
+                   const Clock& aClock,
+                   std::shared_ptr<const UpstreamDialect> aDialect)
     : m_context(aContext)
     , m_clock(aClock)
+    , m_dialect(std::move(aDialect))
     , m_connections(std::make_shared<Connections>())
   {
   }
 
-  void SetAddress(const NetworkAddress& aAddress) override
+  void SetPlace(const UpstreamPlace& aPlace) override
   {
-    if (m_connections->m_address != aAddress) {
+    const UpstreamPlace& former = m_connections->m_place;
+    if (former.m_address != aPlace.m_address ||
+        former.m_instance != aPlace.m_instance) {
       m_connections = std::make_shared<Connections>();
-      m_connections->m_address = aAddress;
+      m_connections->m_place = aPlace;
     }
   }
 
   std::shared_ptr<UpstreamRun> Start(Call aCall, Done aDone) override
   {
     auto run = std::make_shared<Run>(
-      m_context, m_clock, m_connections, std::move(aCall));
+      m_context, m_clock, m_dialect, m_connections, std::move(aCall));
     asio::co_spawn(
       m_context,
       [run, done = std::move(aDone)]() mutable {
@@ -242,15 +312,19 @@
 private:
   asio::io_context& m_context;
   const Clock& m_clock;
+  std::shared_ptr<const UpstreamDialect> m_dialect;
   std::shared_ptr<Connections> m_connections;
 };
 
 } // namespace
 
 std::unique_ptr<UpstreamPool>
-UpstreamPool::Create(asio::io_context& aContext, const Clock& aClock)
+UpstreamPool::Create(asio::io_context& aContext,
+                     const Clock& aClock,
+                     std::shared_ptr<const UpstreamDialect> aDialect)
 {
-  return std::make_unique<HttpUpstreamPool>(aContext, aClock);
+  return std::make_unique<HttpUpstreamPool>(
+    aContext, aClock, std::move(aDialect));
 }
 
 } // namespace tarragontray
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -6,7 +6,7 @@
 /// no late answer can reach another caller.
 ///
 ///     auto pool = UpstreamPool::Create(context, clock);
-///     pool->SetAddress(address);
+///     pool->SetPlace({ address, instance });
 ///     std::shared_ptr<UpstreamRun> run =
 ///       pool->Start(call, [](Answer aAnswer) { ... });
 ///
@@ -19,7 +19,7 @@
 
 #include "base/Clock.h"
 #include "base/NetworkAddress.h"
-#include "request/Call.h"
+#include "request/OwnDialect.h"
 
 namespace boost::asio {
 class io_context;
@@ -49,11 +49,16 @@
   virtual ~UpstreamPool() = default;
 
   /// \param aClock must outlive the pool.
-  static std::unique_ptr<UpstreamPool> Create(boost::asio::io_context& aContext,
-                                              const Clock& aClock);
+  static std::unique_ptr<UpstreamPool> Create(
+    boost::asio::io_context& aContext,
+    const Clock& aClock,
+    std::shared_ptr<const UpstreamDialect> aDialect =
+      std::make_shared<OwnUpstreamDialect>());
 
-  /// Where the upstream listens; idle connections to another address close.
-  virtual void SetAddress(const NetworkAddress& aAddress) = 0;
+  /// Where the upstream listens and which life of it; idle connections to
+  /// another one close.
+  virtual void SetPlace(const UpstreamPlace& aPlace) = 0;
+  void SetAddress(const NetworkAddress& aAddress) { SetPlace({ aAddress, {} }); }
 
   /// Hands a call to the upstream. aDone is called exactly once, later.
   virtual std::shared_ptr<UpstreamRun> Start(Call aCall, Done aDone) = 0;
--- a/src/process/ConfigurationStore.cpp
+++ b/src/process/ConfigurationStore.cpp
@@ -217,7 +217,7 @@
     aAccount.m_inForce ? aAccount.m_inForce->m_version : Revision{ 0 };
   aAccount.m_pending.reset();
   aAccount.m_templates.clear();
-  if (aAccount.m_inForce) {
+  if (aAccount.m_inForce && !aAccount.m_inForce->m_templateName.IsEmpty()) {
     aAccount.m_templates.insert(
       TemplateKey(aAccount.m_inForce->m_templateName,
                   aAccount.m_inForce->m_templateVersion));
@@ -267,6 +267,13 @@
   const auto reject = [](const Error& aError) {
     return Attempt{ nullptr, PendingReason::Rejected, aError.Detail() };
   };
+  if (auto whole = m_decoder.DecodeWhole(aDocument)) {
+    return *whole ? Attempt{ std::make_shared<const Configuration>(
+                               std::move(*whole).value()),
+                             {},
+                             {} }
+                  : reject(whole->error());
+  }
   const Result<AccountParameters> parameters =
     m_decoder.DecodeParameters(aDocument.m_body);
   if (!parameters) {
@@ -302,6 +309,9 @@
 ConfigurationStore::UnknownServices(const Configuration& aConfiguration,
                                     const Account& aAccount) const
 {
+  if (aConfiguration.m_declaresServices) {
+    return {};
+  }
   std::set<ServiceId> unknown;
   for (const RouteSpec& route : aConfiguration.m_routes) {
     const bool isServed =
--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -9,6 +9,13 @@
 
 namespace tarragontray {
 
+namespace {
+
+/// Between tries to record that an order was taken up.
+constexpr Duration kRecordInterval = std::chrono::seconds(1);
+
+} // namespace
+
 Result<std::unique_ptr<ControlCore>>
 ControlCore::Create(const ControlSettings& aSettings,
                     const ConfigurationDecoder& aDecoder,
@@ -21,7 +28,8 @@
   MovesSettings moveSettings;
   moveSettings.m_vm = self.m_vm;
   moveSettings.m_incarnation = self.m_incarnation;
-  moveSettings.m_dataCentre = self.m_dataCentre;
+  moveSettings.m_dataCentre =
+    self.m_cell.IsEmpty() ? self.m_dataCentre : self.m_cell;
   BOOST_OUTCOME_TRY(auto policy, SequentialMovePolicy::Create({}));
   BOOST_OUTCOME_TRY(auto moves, Moves::Create(moveSettings, std::move(policy)));
   LedgerSettings ledgerSettings;
@@ -45,6 +53,7 @@
   : m_settings(aSettings)
   , m_gossip(std::move(aGossip))
   , m_store(aDecoder)
+  , m_orders(aDecoder)
   , m_moves(std::move(aMoves))
   , m_ledger(std::move(aLedger))
 {
@@ -152,17 +161,44 @@
 }
 
 Revision
-ControlCore::WatchAfter() const
+ControlCore::WatchAfter(const std::string& aPrefix) const
+{
+  return m_gossip.Documents().WatchAfter(aPrefix);
+}
+
+void
+ControlCore::OnHistoryGone(const std::string& aPrefix)
+{
+  m_gossip.Documents().ForgetWatch(aPrefix);
+}
+
+void
+ControlCore::OnNodes(std::vector<NetworkAddress> aAddresses, MonotonicTime aNow)
+{
+  m_gossip.Members().SetSeeds(std::move(aAddresses), aNow);
+}
+
+bool
+ControlCore::IsAlone() const
 {
-  return m_gossip.Documents().WatchAfter();
+  const MemberRecord& self = m_gossip.Members().Self();
+  return LiveNeighbours(m_gossip.Members().Members(), self).size() <= 1;
+}
+
+std::optional<Revision>
+ControlCore::OrderRevision(const MoveId& aMove) const
+{
+  return m_orders.RevisionOf(aMove);
 }
 
 ControlActions
 ControlCore::OnListing(const std::vector<Document>& aDocuments,
                        Revision aComplete,
-                       const Times& aTimes)
+                       const Times& aTimes,
+                       const std::string& aPrefix)
 {
-  m_gossip.Documents().OfferFromPlatform(aDocuments, aComplete, aTimes.m_now);
+  m_gossip.Documents().OfferFromPlatform(
+    aDocuments, aComplete, aTimes.m_now, aPrefix);
   return Finish(m_gossip.Tick(aTimes.m_now), aTimes);
 }
 
@@ -209,7 +245,7 @@
     TakeMembers();
     MarkViewStale(aTimes.m_now);
   }
-  TakeDocuments();
+  TakeDocuments(aTimes);
   Apply(std::exchange(m_changes, {}), aTimes);
   if (aGossip.m_membersChanged) {
     UpdateRoles();
@@ -252,10 +288,12 @@
 }
 
 void
-ControlCore::TakeDocuments()
+ControlCore::TakeDocuments(const Times& aTimes)
 {
   if (m_gossip.Documents().HasChanged()) {
-    auto changes = m_store.Offer(m_gossip.Documents().TakeChanged());
+    const std::vector<Document> documents = m_gossip.Documents().TakeChanged();
+    m_ordersChanged |= m_orders.Offer(documents, aTimes.m_wall);
+    auto changes = m_store.Offer(documents);
     std::move(changes.begin(), changes.end(), std::back_inserter(m_changes));
   }
 }
@@ -264,20 +302,13 @@
 ControlCore::Apply(const std::vector<ConfigurationChange>& aChanges,
                    const Times& aTimes)
 {
-  const bool mayServe = m_gossip.MayServe();
-  if (aChanges.empty() && mayServe == m_mayServe) {
+  const bool mayServe = MayServe();
+  const bool ordersChanged = std::exchange(m_ordersChanged, false);
+  if (aChanges.empty() && !ordersChanged && mayServe == m_mayServe) {
     return;
   }
   m_mayServe = mayServe;
-  std::vector<MovePlan> plans;
-  for (const auto& configuration : InForce()) {
-    for (const ServiceSpec& service : configuration->m_services) {
-      if (service.m_move) {
-        plans.push_back(*service.m_move);
-      }
-    }
-  }
-  m_moves.SetPlans(plans, aTimes.m_now);
+  m_moves.SetPlans(Plans(), aTimes.m_now);
   UpdateRoles();
   // At once: what the status calls in force is what traffic is served by.
   m_viewDue = aTimes.m_now;
@@ -290,19 +321,79 @@
   const MemberRecord& self = m_gossip.Members().Self();
   const std::vector<VmId> neighbours = LiveNeighbours(members, self);
   m_moves.SetDataCentres(DataCentresInReach(members));
+  for (const MovePlan& plan : Plans()) {
+    const auto steward = PickSteward(plan.m_id, self.m_cell, neighbours);
+    m_moves.SetSteward(plan.m_id, steward == self.m_vm);
+    m_moves.SetWarmSlots(plan.m_id,
+                         WarmSlots(members, plan, plan.m_from),
+                         WarmSlots(members, plan, plan.m_to));
+  }
+}
+
+std::vector<MovePlan>
+ControlCore::Plans() const
+{
+  std::vector<MovePlan> plans = m_orders.Plans();
   for (const auto& configuration : InForce()) {
     for (const ServiceSpec& service : configuration->m_services) {
       if (service.m_move) {
-        const MovePlan& plan = *service.m_move;
-        const auto steward =
-          PickSteward(plan.m_id, self.m_dataCentre, neighbours);
-        m_moves.SetSteward(plan.m_id, steward == self.m_vm);
-        m_moves.SetWarmSlots(plan.m_id,
-                             WarmSlots(members, service.m_id, plan.m_from),
-                             WarmSlots(members, service.m_id, plan.m_to));
+        plans.push_back(*service.m_move);
       }
     }
   }
+  return plans;
+}
+
+bool
+ControlCore::IsSteward(const MovePlan& aPlan) const
+{
+  const MemberRecord& self = m_gossip.Members().Self();
+  const auto steward =
+    PickSteward(aPlan.m_id,
+                self.m_cell,
+                LiveNeighbours(m_gossip.Members().Members(), self));
+  return steward == self.m_vm;
+}
+
+std::optional<VersionSplit>
+ControlCore::SplitOf(const ServiceId& aService) const
+{
+  auto split = m_moves.SplitOf(aService);
+  return split ? split : m_orders.EndedSplit(aService);
+}
+
+void
+ControlCore::RecordOrders(const Times& aTimes, ControlActions& aActions)
+{
+  if (aTimes.m_now < m_recordAt) {
+    return;
+  }
+  for (const MovePlan& plan : m_orders.Plans()) {
+    if (!m_orders.Recorded(plan.m_id) && IsSteward(plan)) {
+      m_recordAt = aTimes.m_now + kRecordInterval;
+      MoveOutcome outcome;
+      outcome.m_move = plan.m_id;
+      outcome.m_to = plan.m_to;
+      outcome.m_started = plan.m_start;
+      outcome.m_state = MoveState::Moving;
+      outcome.m_time = plan.m_start;
+      aActions.m_outcomes.push_back(std::move(outcome));
+    }
+  }
+}
+
+bool
+ControlCore::MayServe() const
+{
+  // What the platform lists is complete; without it, peers must have told.
+  const Distribution& documents = m_gossip.Documents();
+  const bool isListed =
+    std::all_of(m_settings.m_prefixes.begin(),
+                m_settings.m_prefixes.end(),
+                [&](const std::string& aPrefix) {
+                  return documents.WatchAfter(aPrefix) > Revision(0);
+                });
+  return (isListed || m_gossip.MayServe()) && !documents.IsBelowFloor();
 }
 
 void
@@ -320,6 +411,7 @@
     SendReport(report, aActions);
   }
   aActions.m_outcomes = std::move(moves.m_outcomes);
+  RecordOrders(aTimes, aActions);
   if (moves.m_splitsChanged) {
     MarkViewStale(aTimes.m_now);
   }
@@ -332,7 +424,7 @@
   const auto& members = m_gossip.Members().Members();
   const std::vector<VmId> neighbours = LiveNeighbours(members, self);
   const auto steward =
-    PickSteward(aReport.m_move, self.m_dataCentre, neighbours);
+    PickSteward(aReport.m_move, self.m_cell, neighbours);
   if (!steward || *steward == self.m_vm) {
     return;
   }
@@ -362,7 +454,7 @@
                               ViewInputs{ m_gossip.Members().Members(),
                                           configurations,
                                           [this](const ServiceId& aService) {
-                                            return m_moves.SplitOf(aService);
+                                            return SplitOf(aService);
                                           },
                                           m_view.get() });
   m_view = aActions.m_view;
@@ -378,7 +470,7 @@
 {
   std::vector<std::shared_ptr<const Configuration>> configurations;
   // A replacement serves nothing until it holds what its forerunner held.
-  if (!m_gossip.MayServe()) {
+  if (!MayServe()) {
     return configurations;
   }
   for (const AccountStatus& account : m_store.Status()) {
@@ -414,7 +506,7 @@
   ControlStatus status;
   status.m_self = members.Self();
   status.m_isRelay = members.RelayRank().has_value();
-  status.m_isBelowFloor = !m_gossip.MayServe();
+  status.m_isBelowFloor = !MayServe();
   status.m_digest = m_gossip.Documents().Table().Digest();
   for (const auto& [vm, member] : members.Members()) {
     status.m_members.push_back(member);
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -24,6 +24,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "base/Ids.h"
@@ -35,6 +36,7 @@
 #include "process/Gossip.h"
 #include "process/Ledger.h"
 #include "process/MemberRecord.h"
+#include "process/MoveOrders.h"
 #include "process/TrafficReport.h"
 #include "process/View.h"
 #include "request/AdmissionPolicy.h"
@@ -51,6 +53,8 @@
   GossipSettings m_gossip;
   /// An upstream that is silent for so long counts as absent.
   Duration m_announcementLapse = std::chrono::seconds(3);
+  /// Keys that the platform is watched for.
+  std::vector<std::string> m_prefixes{ "configurations/" };
   /// Changes of members that come within this time go into one view.
   Duration m_viewDelay = std::chrono::milliseconds(20);
 };
@@ -123,10 +127,21 @@
   bool WantsWatch(MonotonicTime aNow);
   bool TakePlatformRead(MonotonicTime aNow);
   MonotonicTime PlatformReadyAt(MonotonicTime aNow);
-  Revision WatchAfter() const;
+  Revision WatchAfter(const std::string& aPrefix) const;
+  /// \param aPrefix of the keys that were asked for.
   ControlActions OnListing(const std::vector<Document>& aDocuments,
                            Revision aComplete,
-                           const Times& aTimes);
+                           const Times& aTimes,
+                           const std::string& aPrefix);
+  /// The history that a watch would go on from is gone.
+  void OnHistoryGone(const std::string& aPrefix);
+  /// Where nodes register, their addresses.
+  void OnNodes(std::vector<NetworkAddress> aAddresses, MonotonicTime aNow);
+  /// No other node is known to live.
+  bool IsAlone() const;
+  /// The order's object that records the move's outcome, for a conditional
+  /// write; not set for a move of a configuration.
+  std::optional<Revision> OrderRevision(const MoveId& aMove) const;
   std::vector<ObjectKey> MissingTemplates() const;
   /// The outcome is in the platform, written by whichever node.
   void OnOutcomeWritten(const MoveId& aMove);
@@ -149,7 +164,7 @@
               Ledger aLedger);
 
   ControlActions Finish(GossipActions aGossip, const Times& aTimes);
-  void TakeDocuments();
+  void TakeDocuments(const Times& aTimes);
   void TakeMembers();
   void Apply(const std::vector<ConfigurationChange>& aChanges,
              const Times& aTimes);
@@ -158,6 +173,12 @@
   void CheckAnnouncement(const Times& aTimes, ControlActions& aActions);
   void PublishView(const Times& aTimes, ControlActions& aActions);
   void UpdateRoles();
+  void RecordOrders(const Times& aTimes, ControlActions& aActions);
+  bool MayServe() const;
+  std::optional<VersionSplit> SplitOf(const ServiceId& aService) const;
+  /// The plans of all moves that are to run.
+  std::vector<MovePlan> Plans() const;
+  bool IsSteward(const MovePlan& aPlan) const;
   std::vector<std::shared_ptr<const Configuration>> InForce() const;
   std::optional<AdmissionBounds> OwnBounds() const;
   void MarkViewStale(MonotonicTime aNow);
@@ -165,6 +186,10 @@
   ControlSettings m_settings;
   Gossip m_gossip;
   ConfigurationStore m_store;
+  MoveOrders m_orders;
+  bool m_ordersChanged = false;
+  /// Not before: the next try to record that orders were taken up.
+  MonotonicTime m_recordAt{};
   Moves m_moves;
   Ledger m_ledger;
   /// Whether the last view had this node's configurations.
--- a/src/process/ControlThread.cpp
+++ b/src/process/ControlThread.cpp
@@ -63,19 +63,26 @@
   Result<void> Start()
   {
     BOOST_OUTCOME_TRY(
-      m_core, ControlCore::Create(m_settings.m_core, m_decoder, m_random));
+      m_core,
+      ControlCore::Create(
+        m_settings.m_core, *m_settings.m_dialects.m_decoder, m_random));
     BOOST_OUTCOME_TRY(Bind());
-    HttpServerSettings admin;
-    admin.m_address = m_settings.m_adminAddress;
-    BOOST_OUTCOME_TRY(
-      m_admin,
-      HttpServer::Create(
-        m_loop.Context(), admin, [this](HttpRequestParts aRequest) {
-          return ServeAdmin(std::move(aRequest));
-        }));
+    for (const NetworkAddress& address : m_settings.m_adminAddresses) {
+      HttpServerSettings admin;
+      admin.m_address = address;
+      BOOST_OUTCOME_TRY(
+        auto server,
+        HttpServer::Create(
+          m_loop.Context(), admin, [this](HttpRequestParts aRequest) {
+            return ServeAdmin(std::move(aRequest));
+          }));
+      m_admins.push_back(std::move(server));
+    }
+    BOOST_OUTCOME_TRY(auto platforms, MakePlatforms());
     BOOST_OUTCOME_TRY(m_platform,
                       PlatformLoop::Create(m_loop.Context(),
-                                           m_settings.m_platform,
+                                           LoopSettings(),
+                                           std::move(platforms),
                                            m_clock,
                                            *m_core,
                                            m_random,
@@ -129,6 +136,32 @@
 private:
   Times Now() const { return { m_clock.Now(), m_clock.WallNow() }; }
 
+  Result<std::vector<std::unique_ptr<Platform>>> MakePlatforms()
+  {
+    std::vector<std::unique_ptr<Platform>> platforms;
+    for (const NetworkAddress& address : m_settings.m_platform) {
+      PlatformSettings settings;
+      settings.m_address = address;
+      settings.m_counters = m_platformCounters;
+      BOOST_OUTCOME_TRY(auto platform,
+                        m_settings.m_dialects.m_makePlatform(
+                          m_loop.Context(), std::move(settings)));
+      platforms.push_back(std::move(platform));
+    }
+    return platforms;
+  }
+
+  PlatformLoopSettings LoopSettings() const
+  {
+    PlatformLoopSettings settings;
+    settings.m_prefixes = m_settings.m_core.m_prefixes;
+    settings.m_counters = m_platformCounters;
+    if (m_settings.m_isRegistered) {
+      settings.m_registered = m_settings.m_core.m_self;
+    }
+    return settings;
+  }
+
   Result<void> Bind()
   {
     const auto endpoint = EndpointOf<udp>(m_settings.m_peerAddress);
@@ -199,7 +232,8 @@
     }
     if (aActions.m_upstream) {
       Log(LogLevel::Warning, kPart, "Upstream lapsed.");
-      m_traffic.m_setUpstream(*aActions.m_upstream, m_upstreamAddress);
+      m_upstreams.Lapse();
+      m_traffic.m_setUpstream(m_upstreams.Announcement(), m_upstreams.Place());
     }
     m_platform->Write(aActions.m_outcomes, aActions.m_usage);
     m_platform->Check();
@@ -263,8 +297,8 @@
 
   HttpAnswerParts Answer(const HttpRequestParts& aRequest)
   {
-    if (aRequest.m_method == "POST" && aRequest.m_target == "/v1/upstream") {
-      return TakeUpstream(aRequest.m_body);
+    if (auto known = m_settings.m_dialects.m_control->Read(aRequest)) {
+      return Answer(*known);
     }
     if (aRequest.m_method != "GET") {
       return TextAnswer(405, "method not allowed\n");
@@ -286,11 +320,6 @@
     if (aRequest.m_target == "/health") {
       return TextAnswer(200, "ok\n");
     }
-    if (aRequest.m_target == "/ready") {
-      const bool isReady = m_core->IsReady() && !m_isDraining;
-      return TextAnswer(isReady ? 200 : 503,
-                        isReady ? "ready\n" : "not ready\n");
-    }
     if (aRequest.m_target == "/") {
       return TextAnswer(
         200, std::string(StatusPage()), "text/html; charset=utf-8");
@@ -298,40 +327,47 @@
     return TextAnswer(404, "not found\n");
   }
 
-  HttpAnswerParts TakeUpstream(const std::string& aBody)
+  HttpAnswerParts Answer(const Result<ControlRequest>& aRequest)
   {
-    const auto report = ParseUpstreamReport(aBody);
-    if (!report) {
-      Log(LogLevel::Warning, kPart, "Announcement refused.", report.error());
-      return TextAnswer(400, report.error().Message() + "\n");
+    if (!aRequest) {
+      Log(
+        LogLevel::Warning, kPart, "Announcement refused.", aRequest.error());
+      return TextAnswer(400, aRequest.error().Message() + "\n");
+    }
+    if (const auto* report = std::get_if<UpstreamReport>(&aRequest.value())) {
+      return TakeUpstream(*report);
     }
-    const UpstreamAnnouncement& announcement = report.value().m_announcement;
-    if (announcement != m_announced ||
-        report.value().m_address != m_upstreamAddress) {
-      m_announced = announcement;
-      m_upstreamAddress = report.value().m_address;
+    const bool isReady = m_core->IsReady() && !m_isDraining;
+    return TextAnswer(isReady ? 200 : 503, isReady ? "ready\n" : "not ready\n");
+  }
+
+  HttpAnswerParts TakeUpstream(const UpstreamReport& aReport)
+  {
+    if (m_upstreams.Offer(aReport)) {
+      const UpstreamAnnouncement& announcement = m_upstreams.Announcement();
       Log(LogLevel::Info,
           kPart,
           "Upstream announced.",
           { { "service", announcement.m_service.m_name.Value() },
             { "version", announcement.m_version.Value() },
+            { "instance", m_upstreams.Place().m_instance.Value() },
+            { "number", std::to_string(aReport.m_number.Value()) },
             { "state", std::string(Name(announcement.m_state)) } });
+      m_traffic.m_setUpstream(announcement, m_upstreams.Place());
     }
-    m_traffic.m_setUpstream(announcement, m_upstreamAddress);
-    Handle(m_core->OnUpstream(announcement, Now()));
-    HttpAnswerParts answer;
-    answer.m_status = 204;
-    return answer;
+    Handle(m_core->OnUpstream(m_upstreams.Announcement(), Now()));
+    return m_settings.m_dialects.m_control->Acknowledge();
   }
 
   ControlFigures FiguresOf(const ControlStatus& aStatus) const
   {
     ControlFigures figures;
     figures.m_processorTime = m_loop.ProcessorTime();
-    const PlatformTraffic platform = m_platform->Traffic();
     figures.m_sent = ByteCount(m_sent);
     figures.m_received = ByteCount(m_received);
-    figures.m_platformCalls = platform.m_calls;
+    figures.m_platformCalls =
+      CallCount(m_platformCounters->m_reads + m_platformCounters->m_lists +
+                m_platformCounters->m_writes + m_platformCounters->m_watches);
     figures.m_badDatagrams = CallCount(m_badDatagrams);
     for (const MemberRecord& member : aStatus.m_members) {
       figures.m_membersAlive += member.m_state == NodeState::Alive ? 1 : 0;
@@ -350,20 +386,20 @@
   const Clock& m_clock;
   Metrics& m_metrics;
   TrafficPorts m_traffic;
+  const std::shared_ptr<PlatformCounters> m_platformCounters =
+    std::make_shared<PlatformCounters>();
   SeededRandom m_random;
-  JsonConfigurationDecoder m_decoder;
   ThreadLoop m_loop;
 
   // Used on the loop's thread only, once it has started.
   std::unique_ptr<ControlCore> m_core;
   std::unique_ptr<PlatformLoop> m_platform;
-  std::shared_ptr<HttpServer> m_admin;
+  std::vector<std::shared_ptr<HttpServer>> m_admins;
   udp::socket m_socket;
   asio::steady_timer m_timer;
   std::optional<MonotonicTime> m_scheduled;
   PeerLinks m_links;
-  UpstreamAnnouncement m_announced;
-  NetworkAddress m_upstreamAddress;
+  UpstreamRegister m_upstreams;
   bool m_isDraining = false;
   std::uint64_t m_sent = 0;
   std::uint64_t m_received = 0;
--- a/src/process/ControlThread.h
+++ b/src/process/ControlThread.h
@@ -18,6 +18,7 @@
 #include "base/Result.h"
 #include "process/ControlCore.h"
 #include "process/Metrics.h"
+#include "process/NodeDialects.h"
 #include "process/TrafficReport.h"
 
 namespace tarragontray {
@@ -26,8 +27,12 @@
 {
   ControlSettings m_core;
   NetworkAddress m_peerAddress;
-  NetworkAddress m_adminAddress;
+  /// Where operators, upstreams and readiness checks are answered.
+  std::vector<NetworkAddress> m_adminAddresses;
   std::vector<NetworkAddress> m_platform;
+  NodeDialects m_dialects;
+  /// Nodes find each other through the platform, not by seeds.
+  bool m_isRegistered = false;
   std::uint64_t m_seed = 0;
 };
 
@@ -35,7 +40,7 @@
 struct TrafficPorts
 {
   std::function<void(std::shared_ptr<const View>)> m_publish;
-  std::function<void(const UpstreamAnnouncement&, const NetworkAddress&)>
+  std::function<void(const UpstreamAnnouncement&, const UpstreamPlace&)>
     m_setUpstream;
   std::function<void(const AdmissionBounds&)> m_setBounds;
   std::function<GuardFigures()> m_guardFigures;
--- a/src/process/DatagramLayout.h
+++ b/src/process/DatagramLayout.h
@@ -54,6 +54,7 @@
 {
   aSink.Text(aRecord.m_vm.Value());
   aSink.Shared(aRecord.m_dataCentre.Value());
+  aSink.Shared(aRecord.m_cell.Value());
   aSink.Shared(aRecord.m_region.Value());
   Layout(aSink, aRecord.m_peerAddress);
   aSink.Number(aRecord.m_incarnation.Value());
--- a/src/process/Distribution.cpp
+++ b/src/process/Distribution.cpp
@@ -95,10 +95,12 @@
 void
 Distribution::OfferFromPlatform(const std::vector<Document>& aDocuments,
                                 Revision aComplete,
-                                MonotonicTime aNow)
+                                MonotonicTime aNow,
+                                const std::string& aPrefix)
 {
   // A read that is behind does not move the watch back.
-  m_complete = std::max(m_complete, aComplete);
+  Revision& complete = m_complete[aPrefix];
+  complete = std::max(complete, aComplete);
   SpreadLater(Apply(aDocuments), aNow);
 }
 
@@ -183,7 +185,7 @@
 void
 Distribution::SpreadLater(const std::set<ObjectKey>& aKeys, MonotonicTime aNow)
 {
-  if (aKeys.empty()) {
+  if (aKeys.empty() || !m_settings.m_spreads) {
     return;
   }
   const std::optional<std::size_t> rank = m_topology->RelayRank();
--- a/src/process/Distribution.h
+++ b/src/process/Distribution.h
@@ -32,6 +32,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "base/Ids.h"
@@ -50,6 +51,9 @@
 struct DistributionSettings
 {
   std::size_t m_maxDocuments = 20'000;
+  /// Whether what comes from the platform is sent along a tree; off where
+  /// every node watches.
+  bool m_spreads = true;
   /// The wait of each rank after the one before it.
   Duration m_rankDelay = std::chrono::milliseconds(300);
   /// Platform reads of this node, a second and at once.
@@ -105,7 +109,10 @@
   /// \param aComplete the listing's revision: the next watch starts there.
   void OfferFromPlatform(const std::vector<Document>& aDocuments,
                          Revision aComplete,
-                         MonotonicTime aNow);
+                         MonotonicTime aNow,
+                         const std::string& aPrefix = {});
+  /// The platform's history after WatchAfter is gone: list again.
+  void ForgetWatch(const std::string& aPrefix) { m_complete.erase(aPrefix); }
   /// \param aPath set when the pull followed a digest along a tree: children
   /// are told in turn.
   DistributionActions OfferFromPeer(const std::vector<Document>& aDocuments,
@@ -123,7 +130,12 @@
     return m_platformReads.ReadyAt(1.0, aNow);
   }
   /// The revision that the next watch starts after; 0 asks for a List first.
-  Revision WatchAfter() const { return m_complete; }
+  /// Each prefix of keys has its own listing.
+  Revision WatchAfter(const std::string& aPrefix = {}) const
+  {
+    const auto found = m_complete.find(aPrefix);
+    return found == m_complete.end() ? Revision(0) : found->second;
+  }
 
   /// A peer says that a process on this VM has held this revision.
   void RaiseFloor(Revision aFloor) { m_floor = std::max(m_floor, aFloor); }
@@ -171,7 +183,7 @@
   std::set<ObjectKey> m_changed;
   /// Keys to send along a new tree, unless they come along one before.
   std::map<ObjectKey, MonotonicTime> m_waiting;
-  Revision m_complete;
+  std::map<std::string, Revision> m_complete;
   Revision m_floor;
   std::optional<MonotonicTime> m_coldAt;
 };
--- a/src/process/EvidenceRouting.cpp
+++ b/src/process/EvidenceRouting.cpp
@@ -9,7 +9,7 @@
 {
   std::vector<VmId> neighbours;
   for (const auto& [vm, member] : aMembers) {
-    if (member.m_dataCentre == aSelf.m_dataCentre &&
+    if (member.m_cell == aSelf.m_cell &&
         member.m_state == NodeState::Alive) {
       neighbours.push_back(vm);
     }
@@ -23,7 +23,7 @@
   std::set<DataCentreId> dataCentres;
   for (const auto& [vm, member] : aMembers) {
     if (member.m_state != NodeState::Dead) {
-      dataCentres.insert(member.m_dataCentre);
+      dataCentres.insert(member.m_cell);
     }
   }
   return dataCentres;
--- a/src/process/FrontThread.cpp
+++ b/src/process/FrontThread.cpp
@@ -1,7 +1,6 @@
 #include "process/FrontThread.h"
 
 #include <algorithm>
-#include <charconv>
 #include <map>
 #include <optional>
 #include <string>
@@ -11,9 +10,11 @@
 
 #include "base/Random.h"
 #include "connection/HttpServer.h"
+#include "process/Log.h"
 #include "process/ThreadLoop.h"
 #include "request/CallPlan.h"
 #include "request/CallRunner.h"
+#include "request/PartSplitter.h"
 #include "request/RetryBudget.h"
 #include "request/TwoChoicesBalancing.h"
 #include "request/VersionSplitter.h"
@@ -27,26 +28,13 @@
 /// Observations wait at most this long for their batch.
 constexpr Duration kBatchInterval = std::chrono::milliseconds(100);
 constexpr std::size_t kMaxBatch = 1000;
-constexpr std::size_t kMaxOperationIdBytes = 128;
-
-const std::string*
-FindHeader(const std::vector<HttpHeader>& aHeaders, std::string_view aName)
-{
-  const auto found =
-    std::find_if(aHeaders.begin(), aHeaders.end(), [&](const HttpHeader& aOne) {
-      return aOne.m_name == aName;
-    });
-  return found == aHeaders.end() ? nullptr : &found->m_value;
-}
-
-std::uint16_t
-StatusOf(const Answer& aAnswer)
-{
-  if (aAnswer.m_outcome == CallOutcome::Unknown) {
-    return 504;
-  }
-  return aAnswer.m_refusal == RefusalReason::NoRoute ? 404 : 503;
-}
+constexpr std::uint16_t kFirstServerError = 500;
+constexpr char kPart[] = "front";
+/// Callers that are refused for load come back after about this time, when a
+/// good part of the calls that run now has ended.
+constexpr Duration kRetryAfterLoad = std::chrono::milliseconds(200);
+/// Time in which a configuration or a target may turn up.
+constexpr Duration kRetryAfterAbsence = std::chrono::milliseconds(400);
 
 Answer
 Refusal(RefusalReason aReason)
@@ -57,51 +45,19 @@
   return answer;
 }
 
-HttpAnswerParts
-ToHttp(Answer&& aAnswer)
-{
-  HttpAnswerParts http;
-  if (aAnswer.m_outcome == CallOutcome::Done) {
-    http = std::move(aAnswer.m_http);
-  } else {
-    http = TextAnswer(StatusOf(aAnswer),
-                      std::string(Name(aAnswer.m_outcome)) + " " +
-                        std::string(Name(aAnswer.m_refusal)) + "\n");
-  }
-  http.m_headers.push_back(
-    { "x-outcome", std::string(Name(aAnswer.m_outcome)) });
-  if (aAnswer.m_refusal != RefusalReason::None) {
-    http.m_headers.push_back(
-      { "x-reason", std::string(Name(aAnswer.m_refusal)) });
-  }
-  return http;
-}
-
-/// A key that can't be kept must not run the call as if it had none.
-HttpAnswerParts
-BadKeyAnswer()
-{
-  HttpAnswerParts answer =
-    TextAnswer(400, "idempotency-key must have 1 to 128 bytes\n");
-  answer.m_headers.push_back({ "x-outcome", "not-run" });
-  answer.m_headers.push_back({ "x-reason", "bad-idempotency-key" });
-  return answer;
-}
-
-/// The time that the caller waits: its header, at most the route's timeout.
 Duration
-Timeout(const HttpRequestParts& aRequest, const RouteSpec& aRoute)
+RetryAfter(RefusalReason aReason)
 {
-  const std::string* text =
-    FindHeader(aRequest.m_headers, "x-time-remaining-ms");
-  std::uint32_t milliseconds = 0;
-  if (text == nullptr ||
-      std::from_chars(text->data(), text->data() + text->size(), milliseconds)
-          .ec != std::errc()) {
-    return aRoute.m_timeout;
+  switch (aReason) {
+    case RefusalReason::NoConfiguration:
+    case RefusalReason::NoTarget:
+    case RefusalReason::UpstreamGone:
+      return kRetryAfterAbsence;
+    case RefusalReason::NoRoute:
+      return Duration(0);
+    default:
+      return kRetryAfterLoad;
   }
-  return std::min<Duration>(std::chrono::milliseconds(milliseconds),
-                            aRoute.m_timeout);
 }
 
 std::uint8_t
@@ -132,6 +88,7 @@
     , m_random(aSettings.m_seed)
     , m_balancing(TwoChoicesSettings{ .m_region = aSettings.m_region })
     , m_splitter(m_random)
+    , m_parts(m_random)
     , m_retries(RetryBudgetSettings{})
     , m_links(m_loop.Context(), aClock, aSettings.m_links)
     , m_batchTimer(m_loop.Context())
@@ -159,8 +116,10 @@
 
   void Publish(std::shared_ptr<const View> aView) override
   {
-    m_loop.Post(
-      [this, view = std::move(aView)]() mutable { m_view = std::move(view); });
+    m_loop.Post([this, view = std::move(aView)]() mutable {
+      m_view = std::move(view);
+      TakeLimits();
+    });
   }
 
   void Leave() override
@@ -179,66 +138,124 @@
   asio::awaitable<HttpAnswerParts> Serve(HttpRequestParts aRequest)
   {
     const MonotonicTime start = m_clock.Now();
+    const CallerDialect& dialect = *m_settings.m_dialect;
+    Result<CallerRequest> caller = dialect.Read(aRequest);
+    if (!caller) {
+      co_return dialect.Reject(caller.error());
+    }
+    // The view holds the configuration and the targets while the call runs.
     const std::shared_ptr<const View> view = m_view;
-    const std::string* account =
-      FindHeader(aRequest.m_headers, "x-client-account");
     const Configuration* configuration =
-      account == nullptr ? nullptr : FindConfiguration(*view, *account);
-    const RouteSpec* route =
-      configuration == nullptr
-        ? nullptr
-        : FindRoute(*configuration, aRequest.m_method, aRequest.m_target);
-    HttpAnswerParts http;
+      FindConfiguration(*view, caller.value().m_account);
+    const RouteSpec* route = configuration == nullptr
+                               ? nullptr
+                               : FindRoute(*configuration,
+                                           aRequest.m_method,
+                                           aRequest.m_target,
+                                           caller.value().m_host);
     if (route == nullptr) {
-      http =
-        ToHttp(Refusal(configuration == nullptr ? RefusalReason::NoConfiguration
-                                                : RefusalReason::NoRoute));
-    } else {
-      http = co_await ServeRoute(
-        std::move(aRequest), *view, *configuration, *route, start);
+      co_return Write(
+        caller.value(),
+        Refusal(configuration == nullptr ? RefusalReason::NoConfiguration
+                                         : RefusalReason::NoRoute));
     }
-    co_return http;
+    Answer answer = co_await ServeRoute(std::move(aRequest),
+                                        caller.value(),
+                                        *view,
+                                        *configuration,
+                                        *route,
+                                        start);
+    SeriesOf(configuration->m_account, route->m_class)
+      .Observe(answer.m_outcome, m_clock.Now() - start);
+    co_return Write(caller.value(), std::move(answer));
   }
 
-  asio::awaitable<HttpAnswerParts> ServeRoute(
-    HttpRequestParts aRequest,
-    const View& aView,
-    const Configuration& aConfiguration,
-    const RouteSpec& aRoute,
-    MonotonicTime aStart)
+  asio::awaitable<Answer> ServeRoute(HttpRequestParts aRequest,
+                                     const CallerRequest& aCaller,
+                                     const View& aView,
+                                     const Configuration& aConfiguration,
+                                     const RouteSpec& aRoute,
+                                     MonotonicTime aStart)
   {
-    const auto service = aView.m_services.find(aRoute.m_service);
-    CallMetrics& metrics = SeriesOf(aConfiguration.m_account, aRoute.m_class);
+    const auto service = aView.m_services.find(m_parts.Choose(aRoute));
     if (service == aView.m_services.end()) {
-      metrics.Observe(CallOutcome::NotRun, m_clock.Now() - aStart);
-      co_return ToHttp(Refusal(RefusalReason::NoTarget));
-    }
-    const std::string* key = FindHeader(aRequest.m_headers, "idempotency-key");
-    if (key != nullptr &&
-        (key->empty() || key->size() > kMaxOperationIdBytes)) {
-      metrics.Observe(CallOutcome::NotRun, m_clock.Now() - aStart);
-      co_return BadKeyAnswer();
+      co_return Refusal(RefusalReason::NoTarget);
     }
-    const bool hasKey = key != nullptr;
     TrafficPolicies policies{ m_balancing, m_splitter, m_retries, m_random };
+    const Duration timeout =
+      std::min(aCaller.m_timeRemaining.value_or(aRoute.m_timeout),
+               aRoute.m_timeout);
     CallSetup setup{ .m_route = aRoute,
                      .m_service = service->second,
-                     .m_operation = hasKey ? OperationId(*key) : NewOperation(),
-                     .m_isCallerKey = hasKey,
+                     .m_operation = aCaller.m_operation.IsEmpty()
+                                      ? NewOperation()
+                                      : aCaller.m_operation,
+                     .m_isCallerKey = aCaller.m_isCallerKey,
                      .m_caller = aConfiguration.m_account,
                      .m_priority = PriorityOf(aConfiguration, aRoute.m_class),
-                     .m_deadline = aStart + Timeout(aRequest, aRoute),
+                     .m_deadline = aStart + timeout,
                      .m_dataCentre = m_settings.m_dataCentre,
                      .m_policies = policies };
     Call call = CallOf(setup);
+    call.m_origin = m_settings.m_origin;
     call.m_http = std::move(aRequest);
     CallPlan plan = CallPlan::Start(setup);
     Answer answer = co_await RunCall(plan, std::move(call), m_links, m_clock);
-    metrics.Observe(answer.m_outcome, m_clock.Now() - aStart);
     if (service->second.m_split.m_move) {
       Report(plan.Observations());
     }
-    co_return ToHttp(std::move(answer));
+    LogEnd(setup, plan, answer, aStart);
+    co_return answer;
+  }
+
+  HttpAnswerParts Write(const CallerRequest& aCaller, Answer aAnswer)
+  {
+    if (aAnswer.m_outcome == CallOutcome::NotRun) {
+      aAnswer.m_retryAfter = RetryAfter(aAnswer.m_refusal);
+      if (aAnswer.m_refusal == RefusalReason::NoConfiguration ||
+          aAnswer.m_refusal == RefusalReason::NoRoute) {
+        Log(LogLevel::Info,
+            kPart,
+            "Call refused.",
+            { { "id", aCaller.m_operation.Value() },
+              { "host", aCaller.m_host },
+              { "reason", std::string(Name(aAnswer.m_refusal)) } });
+      }
+    }
+    return m_settings.m_dialect->Write(std::move(aAnswer));
+  }
+
+  /// One line for each call that was not simply served.
+  void LogEnd(const CallSetup& aSetup,
+              const CallPlan& aPlan,
+              const Answer& aAnswer,
+              MonotonicTime aStart)
+  {
+    const bool isPlain = aAnswer.m_outcome == CallOutcome::Done &&
+                         aAnswer.m_http.m_status < kFirstServerError;
+    const LogLevel level = isPlain ? LogLevel::Debug : LogLevel::Info;
+    if (!IsLogged(level)) {
+      return;
+    }
+    Log(level,
+        kPart,
+        "Call ended.",
+        { { "id", aSetup.m_operation.Value() },
+          { "route", aSetup.m_route.m_name.Value() },
+          { "service", aSetup.m_service.m_id.m_name.Value() },
+          { "outcome", std::string(Name(aAnswer.m_outcome)) },
+          { "reason", std::string(Name(aAnswer.m_refusal)) },
+          { "status", std::to_string(aAnswer.m_http.m_status) },
+          { "attempts", std::to_string(aPlan.Attempts()) },
+          { "target", aPlan.LastTarget().Value() },
+          { "took_ms", Milliseconds(m_clock.Now() - aStart) },
+          { "left_ms", Milliseconds(aSetup.m_deadline - m_clock.Now()) } });
+  }
+
+  static std::string Milliseconds(Duration aTime)
+  {
+    return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
   }
 
   static Call CallOf(const CallSetup& aSetup)
@@ -255,13 +272,32 @@
   }
 
   static const Configuration* FindConfiguration(const View& aView,
-                                                const std::string& aAccount)
+                                                const ClientAccountId& aAccount)
   {
-    const auto found = aView.m_configurations.find(ClientAccountId(aAccount));
+    const auto found = aView.m_configurations.find(aAccount);
     return found == aView.m_configurations.end() ? nullptr
                                                  : found->second.get();
   }
 
+  /// The listener serves all accounts: it keeps the limits of the first one
+  /// that states some.
+  void TakeLimits()
+  {
+    for (const auto& [account, configuration] : m_view->m_configurations) {
+      if (configuration->m_callerLimits) {
+        const CallerLimits& limits = *configuration->m_callerLimits;
+        m_server->SetLimits(
+          { .m_maxHeaderBytes =
+              static_cast<std::uint32_t>(limits.m_headerBytes.Value()),
+            .m_maxBodyBytes =
+              std::min(limits.m_bodyBytes.Value(), kMaxCallBytes.Value()),
+            .m_idleLimit = limits.m_idleTimeout,
+            .m_requestLimit = limits.m_requestTimeout });
+        return;
+      }
+    }
+  }
+
   OperationId NewOperation()
   {
     return OperationId(m_settings.m_vm.Value() + "/" +
@@ -316,6 +352,7 @@
   SeededRandom m_random;
   TwoChoicesBalancing m_balancing;
   VersionSplitter m_splitter;
+  PartSplitter m_parts;
   RetryBudget m_retries;
   PeerLinks m_links;
   std::map<std::pair<ClientAccountId, ClassName>, CallMetrics*> m_series;
--- a/src/process/FrontThread.h
+++ b/src/process/FrontThread.h
@@ -25,6 +25,7 @@
 #include "process/Metrics.h"
 #include "process/TrafficReport.h"
 #include "process/View.h"
+#include "request/HttpDialect.h"
 
 namespace tarragontray {
 
@@ -35,7 +36,11 @@
   DataCentreId m_dataCentre;
   RegionId m_region;
   Incarnation m_incarnation;
+  /// The service of this VM; empty when unknown.
+  ServiceName m_origin;
   NetworkAddress m_address;
+  /// Never null.
+  std::shared_ptr<const CallerDialect> m_dialect;
   /// Tells the threads of one process apart.
   std::uint32_t m_index = 0;
   std::uint64_t m_seed = 0;
--- a/src/process/Gossip.cpp
+++ b/src/process/Gossip.cpp
@@ -190,7 +190,7 @@
 {
   const MemberRecord* member = m_members->Table().Find(aVm);
   return member != nullptr &&
-         member->m_dataCentre != m_members->Self().m_dataCentre;
+         member->m_cell != m_members->Self().m_cell;
 }
 
 void
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -45,7 +45,7 @@
     , m_acceptor(m_loop.Context())
     , m_tick(m_loop.Context())
     , m_usageTimer(m_loop.Context())
-    , m_pool(UpstreamPool::Create(m_loop.Context(), aClock))
+    , m_pool(UpstreamPool::Create(m_loop.Context(), aClock, aSettings.m_dialect))
   {
   }
 
@@ -62,10 +62,10 @@
   }
 
   void SetUpstream(const UpstreamAnnouncement& aUpstream,
-                   const NetworkAddress& aAddress) override
+                   const UpstreamPlace& aPlace) override
   {
-    m_loop.Post([this, aUpstream, aAddress] {
-      m_pool->SetAddress(aAddress);
+    m_loop.Post([this, aUpstream, aPlace] {
+      m_pool->SetPlace(aPlace);
       m_version = aUpstream.m_version;
       Execute(m_guard.SetUpstream(aUpstream, m_clock.Now()));
     });
@@ -211,7 +211,8 @@
     if (aReply.m_answer.m_outcome == CallOutcome::NotRun) {
       ++m_refused;
     } else if (aReply.m_answer.m_outcome == CallOutcome::Done) {
-      AddOrigin(aReply.m_answer.m_http);
+      m_settings.m_dialect->AddOrigin(
+        m_settings.m_vm, m_version, aReply.m_answer.m_http);
     }
     const auto link = m_links.find(aReply.m_link);
     if (link != m_links.end()) {
@@ -219,17 +220,6 @@
     }
   }
 
-  /// Names who answered, in place of what the upstream may say of that.
-  void AddOrigin(HttpAnswerParts& aHttp) const
-  {
-    std::erase_if(aHttp.m_headers, [](const HttpHeader& aHeader) {
-      return aHeader.m_name == "x-vm" || aHeader.m_name == "x-version" ||
-             aHeader.m_name == "x-outcome" || aHeader.m_name == "x-reason";
-    });
-    aHttp.m_headers.push_back({ "x-vm", m_settings.m_vm.Value() });
-    aHttp.m_headers.push_back({ "x-version", m_version.Value() });
-  }
-
   void Start(Run aRun)
   {
     const Ticket ticket = aRun.m_ticket;
--- a/src/process/GuardThread.h
+++ b/src/process/GuardThread.h
@@ -21,6 +21,7 @@
 #include "process/Metrics.h"
 #include "process/TrafficReport.h"
 #include "request/AdmissionPolicy.h"
+#include "request/HttpDialect.h"
 
 namespace tarragontray {
 
@@ -31,6 +32,8 @@
   NetworkAddress m_address;
   VmId m_vm;
   Incarnation m_incarnation;
+  /// How the upstream is spoken to; never null.
+  std::shared_ptr<const UpstreamDialect> m_dialect;
   /// Peer links that may be open at once.
   std::size_t m_maxLinks = 4096;
 };
@@ -61,7 +64,7 @@
 
   /// What the upstream announced of itself, and where it listens.
   virtual void SetUpstream(const UpstreamAnnouncement& aUpstream,
-                           const NetworkAddress& aAddress) = 0;
+                           const UpstreamPlace& aPlace) = 0;
   /// Bounds of admission, from the configuration of the service's owner.
   virtual void SetBounds(const AdmissionBounds& aBounds) = 0;
   /// Refuses waiting and new calls with NotRun; running ones go on. Tells all
--- a/src/process/Log.cpp
+++ b/src/process/Log.cpp
@@ -1,14 +1,18 @@
 #include "process/Log.h"
 
+#include <atomic>
 #include <iostream>
 
+#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
 
 namespace tarragontray {
 
@@ -26,6 +30,38 @@
   return logger;
 }
 
+/// Lines that wait to be written; what does not fit is dropped.
+constexpr std::size_t kMaxWaitingLines = 2048;
+
+std::atomic<std::uint64_t> g_dropped = 0;
+std::atomic<LogLevel> g_least = LogLevel::Info;
+
+/// Drops what does not fit and counts it, so that nobody waits for the log.
+class DropAndCount
+{
+protected:
+  template<typename Lock>
+  static bool on_overflow(const log::record_view& /*aRecord*/, Lock& /*aLock*/)
+  {
+    ++g_dropped;
+    return false;
+  }
+  static void on_queue_space_available() {}
+  static void interrupt() {}
+};
+
+using Backend = log::sinks::text_ostream_backend;
+using Sink = log::sinks::asynchronous_sink<
+  Backend,
+  log::sinks::bounded_fifo_queue<kMaxWaitingLines, DropAndCount>>;
+
+boost::shared_ptr<Sink>&
+TheSink()
+{
+  static boost::shared_ptr<Sink> sink;
+  return sink;
+}
+
 bool
 NeedsQuotes(const std::string& aValue)
 {
@@ -65,20 +101,46 @@
 }
 
 void
-StartLog(LogLevel aLevel)
+StartLog(LogLevel aLevel, LogOutput aOutput)
 {
   log::add_common_attributes();
-  log::add_console_log(
-    std::clog,
-    log::keywords::auto_flush = true,
-    log::keywords::format =
-      (expressions::stream
-       << expressions::format_date_time<boost::posix_time::ptime>(
-            "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-       << " " << expressions::attr<LogLevel>("Severity") << " "
-       << expressions::smessage));
-  log::core::get()->set_filter(expressions::attr<LogLevel>("Severity") >=
-                               aLevel);
+  const auto backend = boost::make_shared<Backend>();
+  backend->add_stream(boost::shared_ptr<std::ostream>(
+    aOutput == LogOutput::StandardOutput ? &std::cout : &std::clog,
+    boost::null_deleter()));
+  backend->auto_flush(true);
+  TheSink() = boost::make_shared<Sink>(backend);
+  TheSink()->set_formatter(
+    expressions::stream << expressions::format_date_time<
+                             boost::posix_time::ptime>("TimeStamp",
+                                                       "%Y-%m-%dT%H:%M:%S.%f")
+                        << " " << expressions::attr<LogLevel>("Severity") << " "
+                        << expressions::smessage);
+  log::core::get()->add_sink(TheSink());
+  g_least = aLevel;
+}
+
+void
+StopLog()
+{
+  if (TheSink()) {
+    log::core::get()->remove_sink(TheSink());
+    TheSink()->stop();
+    TheSink()->flush();
+    TheSink().reset();
+  }
+}
+
+bool
+IsLogged(LogLevel aLevel)
+{
+  return aLevel >= g_least;
+}
+
+std::uint64_t
+DroppedLogLines()
+{
+  return g_dropped;
 }
 
 LogLevel
@@ -99,6 +161,9 @@
     std::string_view aSentence,
     std::initializer_list<LogField> aFields)
 {
+  if (!IsLogged(aLevel)) {
+    return;
+  }
   std::string line(aPart);
   line += ": ";
   line += aSentence;
--- a/src/process/Log.h
+++ b/src/process/Log.h
@@ -4,7 +4,7 @@
 ///     Log(LogLevel::Warning, "member", "Peer failed.",
 ///         { { "vm", vm.Value() }, { "after_ms", "1500" } });
 ///
-/// prints to standard error
+/// prints
 ///
 ///     2026-12-04T07:40:00.123 warning member: Peer failed. vm=a after_ms=1500
 ///
@@ -38,9 +38,28 @@
   std::string m_value;
 };
 
-/// Sends logs to standard error from aLevel on. Call once, at the start.
+enum class LogOutput : std::uint8_t
+{
+  StandardOutput,
+  StandardError,
+};
+
+/// Sends logs to aOutput from aLevel on. Call once, at the start. A thread of
+/// its own writes; lines that come faster than that are dropped and counted.
 void
-StartLog(LogLevel aLevel);
+StartLog(LogLevel aLevel, LogOutput aOutput = LogOutput::StandardError);
+
+/// Writes what waits and ends the log's thread.
+void
+StopLog();
+
+/// Whether lines of this level are written; check before costly fields.
+bool
+IsLogged(LogLevel aLevel);
+
+/// Lines dropped since the start.
+std::uint64_t
+DroppedLogLines();
 
 /// The level of a name: debug, info, warning or error; Info for others.
 LogLevel
--- a/src/process/MemberRecord.h
+++ b/src/process/MemberRecord.h
@@ -56,6 +56,9 @@
 {
   VmId m_vm;
   DataCentreId m_dataCentre;
+  /// The name under which this member gossips and moves traffic: its data
+  /// centre's, or one for several data centres that act as one.
+  DataCentreId m_cell;
   RegionId m_region;
   /// The UDP and TCP address for other nodes.
   NetworkAddress m_peerAddress;
--- a/src/process/MemberTable.cpp
+++ b/src/process/MemberTable.cpp
@@ -85,7 +85,7 @@
 {
   std::vector<VmId> dead;
   for (const auto& [vm, time] : m_diedAt) {
-    if (m_members.at(vm).m_dataCentre == aDataCentre) {
+    if (m_members.at(vm).m_cell == aDataCentre) {
       dead.push_back(vm);
     }
   }
@@ -125,7 +125,7 @@
   m_live.clear();
   for (const auto& [vm, record] : m_members) {
     if (record.m_state != NodeState::Dead) {
-      m_live[record.m_dataCentre].push_back(vm);
+      m_live[record.m_cell].push_back(vm);
     }
   }
   m_liveIsStale = false;
--- a/src/process/Membership.cpp
+++ b/src/process/Membership.cpp
@@ -11,6 +11,8 @@
 
 /// News that came along a tree has reached most members already.
 constexpr std::size_t kTreeNewsLimit = 1;
+/// Seeds that are greeted at once after a new list of them.
+constexpr std::size_t kMaxGreetings = 16;
 
 } // namespace
 
@@ -27,6 +29,9 @@
                  "",
                  "VM, data centre and peer address are required");
   }
+  if (aSelf.m_cell.IsEmpty()) {
+    aSelf.m_cell = aSelf.m_dataCentre;
+  }
   aSelf.m_state = NodeState::Alive;
   std::erase(aSeeds, aSelf.m_peerAddress);
   return Membership(aSettings, std::move(aSelf), std::move(aSeeds), aRandom);
@@ -116,6 +121,15 @@
   return changed;
 }
 
+void
+Membership::SetSeeds(std::vector<NetworkAddress> aSeeds, MonotonicTime aNow)
+{
+  std::erase(aSeeds, m_self.m_peerAddress);
+  m_seeds = std::move(aSeeds);
+  m_greetings = std::min(m_seeds.size(), kMaxGreetings);
+  m_contactAt = std::min(m_contactAt, aNow);
+}
+
 void
 Membership::MarkJoined(MonotonicTime aNow)
 {
@@ -140,7 +154,7 @@
   m_changed = true;
   if (aRecord.m_state != NodeState::Suspect) {
     m_suspicions.Clear(aRecord.m_vm);
-  } else if (aRecord.m_dataCentre == m_self.m_dataCentre) {
+  } else if (aRecord.m_cell == m_self.m_cell) {
     m_suspicions.Start(aRecord.m_vm, SuspicionSource::Rumour, aNow);
   }
   PassOn(aRecord, aSource, aNow);
@@ -170,7 +184,7 @@
       MarkUrgent(aRecord.m_vm, m_settings.m_reportDelay, aNow);
       break;
   }
-  if (aRecord.m_dataCentre == m_self.m_dataCentre &&
+  if (aRecord.m_cell == m_self.m_cell &&
       aRecord.m_state != NodeState::Suspect) {
     MarkRelayed(aRecord.m_vm, aNow);
   }
@@ -255,7 +269,7 @@
   }
   const MemberRecord* sender = m_table.Find(aDatagram.m_from);
   const bool isForeign =
-    sender != nullptr && sender->m_dataCentre != m_self.m_dataCentre;
+    sender != nullptr && sender->m_cell != m_self.m_cell;
   if (isForeign) {
     return RecordSource::OtherDataCentre;
   }
@@ -285,14 +299,14 @@
 Membership::NewsLimit() const
 {
   return RetransmitLimit(m_settings.m_retransmitFactor,
-                         m_table.Live(m_self.m_dataCentre).size());
+                         m_table.Live(m_self.m_cell).size());
 }
 
 std::vector<VmId>
 Membership::Relays() const
 {
   return TopRanked(
-    "relays", m_table.Live(m_self.m_dataCentre), m_settings.m_relays);
+    "relays", m_table.Live(m_self.m_cell), m_settings.m_relays);
 }
 
 std::optional<VmId>
@@ -320,7 +334,7 @@
 {
   std::vector<VmId> members;
   std::vector<VmId> suspects;
-  for (const VmId& vm : m_table.Live(m_self.m_dataCentre)) {
+  for (const VmId& vm : m_table.Live(m_self.m_cell)) {
     const bool isSuspect = m_table.Find(vm)->m_state == NodeState::Suspect;
     (isSuspect ? suspects : members).push_back(vm);
   }
@@ -353,7 +367,7 @@
 std::vector<VmId>
 Membership::Peers() const
 {
-  std::vector<VmId> peers = m_table.Live(m_self.m_dataCentre);
+  std::vector<VmId> peers = m_table.Live(m_self.m_cell);
   std::erase(peers, m_self.m_vm);
   return peers;
 }
@@ -372,7 +386,7 @@
 {
   std::vector<DataCentreId> others;
   for (const auto& [dataCentre, live] : m_table.LiveByDataCentre()) {
-    if (dataCentre != m_self.m_dataCentre) {
+    if (dataCentre != m_self.m_cell) {
       others.push_back(dataCentre);
     }
   }
--- a/src/process/Membership.h
+++ b/src/process/Membership.h
@@ -133,6 +133,8 @@
 
   /// Takes what the upstream announced. A drain goes to all peers at once.
   void SetUpstream(const UpstreamAnnouncement& aUpstream, MonotonicTime aNow);
+  /// Nodes to join by, found after the start.
+  void SetSeeds(std::vector<NetworkAddress> aSeeds, MonotonicTime aNow);
   /// Announces that this node stops; it probes no longer from then on.
   void Leave(MonotonicTime aNow);
 
@@ -272,6 +274,8 @@
   std::size_t m_announcementsLeft = 0;
   MonotonicTime m_announceAt{};
   MonotonicTime m_contactAt{};
+  /// Seeds still to be greeted.
+  std::size_t m_greetings = 0;
   std::size_t m_contactTurn = 0;
   MonotonicTime m_reconnectAt{};
   MonotonicTime m_joinAt{};
--- a/src/process/MembershipSending.cpp
+++ b/src/process/MembershipSending.cpp
@@ -212,6 +212,9 @@
   if (aNow >= m_reconnectAt) {
     Reconnect(aNow, aSend);
   }
+  for (; m_greetings > 0; --m_greetings) {
+    PingSeed(aSend);
+  }
   const std::optional<std::size_t> rank = RelayRank();
   const std::vector<DataCentreId> others = OtherDataCentres();
   if (!rank || others.empty()) {
@@ -229,7 +232,7 @@
   m_reconnectAt = aNow + (Peers().empty() ? m_settings.m_contactInterval
                                           : m_settings.m_reconnectInterval);
   m_table.ExpireDead(aNow);
-  if (const auto dead = PickFrom(m_table.Dead(m_self.m_dataCentre))) {
+  if (const auto dead = PickFrom(m_table.Dead(m_self.m_cell))) {
     Ping(*dead, m_prober.NextNumber(), aSend);
   }
   PingSeed(aSend);
--- /dev/null
+++ b/src/process/MoveOrders.cpp
@@ -0,0 +1,114 @@
+#include "process/MoveOrders.h"
+
+#include "version/ObjectKeys.h"
+
+namespace tarragontray {
+
+namespace {
+
+bool
+HasEnded(const MoveOrder& aOrder)
+{
+  return aOrder.m_recorded == MoveState::Done ||
+         aOrder.m_recorded == MoveState::TakenBack;
+}
+
+} // namespace
+
+bool
+MoveOrders::Offer(const std::vector<Document>& aDocuments, WallTime aWall)
+{
+  bool isChanged = false;
+  for (const Document& document : aDocuments) {
+    const auto service = OrderedService(document.m_key);
+    if (!service) {
+      continue;
+    }
+    if (document.m_body.empty()) {
+      isChanged |= m_orders.erase(*service) > 0;
+      continue;
+    }
+    const Result<MoveOrder> order = m_decoder.DecodeOrder(document);
+    if (!order) {
+      ++m_rejected;
+      continue;
+    }
+    Known& known = m_orders[*service];
+    const bool isSame = known.m_order.m_id == order.value().m_id;
+    if (!isSame || !known.m_revision.Value()) {
+      known.m_start = order.value().m_start.value_or(aWall);
+    }
+    known.m_revision = document.m_revision;
+    known.m_order = order.value();
+    isChanged = true;
+  }
+  return isChanged;
+}
+
+std::vector<MovePlan>
+MoveOrders::Plans() const
+{
+  std::vector<MovePlan> plans;
+  for (const auto& [service, known] : m_orders) {
+    if (HasEnded(known.m_order)) {
+      continue;
+    }
+    MovePlan plan;
+    plan.m_id = known.m_order.m_id;
+    plan.m_to = known.m_order.m_to;
+    plan.m_start = known.m_start;
+    plan.m_deadline = known.m_start + known.m_order.m_duration;
+    plan.m_hold = known.m_order.m_duration / kHoldPart;
+    plans.push_back(plan);
+  }
+  return plans;
+}
+
+std::optional<VersionSplit>
+MoveOrders::EndedSplit(const ServiceId& aService) const
+{
+  const auto found = m_orders.find(aService);
+  if (found == m_orders.end() || !HasEnded(found->second.m_order)) {
+    return std::nullopt;
+  }
+  VersionSplit split;
+  const MoveOrder& order = found->second.m_order;
+  if (order.m_recorded == MoveState::Done) {
+    split.m_from = order.m_to;
+  } else {
+    split.m_to = order.m_to;
+  }
+  return split;
+}
+
+const MoveOrders::Known*
+MoveOrders::Find(const MoveId& aMove) const
+{
+  const auto found = m_orders.find(aMove.m_service);
+  const bool isThere =
+    found != m_orders.end() && found->second.m_order.m_id == aMove;
+  return isThere ? &found->second : nullptr;
+}
+
+std::optional<Revision>
+MoveOrders::RevisionOf(const MoveId& aMove) const
+{
+  const Known* known = Find(aMove);
+  return known == nullptr ? std::nullopt : std::optional(known->m_revision);
+}
+
+std::optional<MoveState>
+MoveOrders::Recorded(const MoveId& aMove) const
+{
+  const Known* known = Find(aMove);
+  return known == nullptr ? std::nullopt : known->m_order.m_recorded;
+}
+
+std::optional<WallTime>
+MoveOrders::StartOf(const MoveId& aMove) const
+{
+  const Known* known = Find(aMove);
+  return known == nullptr ? std::nullopt : std::optional(known->m_start);
+}
+
+} // namespace tarragontray
--- a/src/process/Node.cpp
+++ b/src/process/Node.cpp
@@ -16,17 +16,17 @@
 
 namespace {
 
-/// Callers and peers get this long to hear that the node leaves, while it
-/// still answers.
-constexpr Duration kLeaveNotice = std::chrono::milliseconds(1500);
 /// A peer that does not close its link for so long does not hold the stop up.
 constexpr Duration kLinkCloseLimit = std::chrono::seconds(2);
 
 class ThreadedNode final : public Node
 {
 public:
-  ThreadedNode(const NodeSettings& aSettings, const Clock& aClock)
+  ThreadedNode(const NodeSettings& aSettings,
+               NodeDialects aDialects,
+               const Clock& aClock)
     : m_settings(aSettings)
+    , m_dialects(std::move(aDialects))
     , m_clock(aClock)
     , m_metrics(aSettings.m_vm, aSettings.m_dataCentre)
   {
@@ -62,7 +62,8 @@
           { "data_centre", m_settings.m_dataCentre.Value() },
           { "front", m_settings.m_frontAddress.ToString() },
           { "peer", m_settings.m_peerAddress.ToString() },
-          { "admin", m_settings.m_adminAddress.ToString() } });
+          { "admin", m_settings.m_adminAddresses.front().ToString() },
+          { "incarnation", std::to_string(m_incarnation.Value()) } });
     return Success();
   }
 
@@ -75,7 +76,7 @@
     for (const auto& front : m_fronts) {
       front->Leave();
     }
-    std::this_thread::sleep_for(kLeaveNotice);
+    std::this_thread::sleep_for(m_settings.m_leaveNotice);
     for (const auto& front : m_fronts) {
       front->Drain();
     }
@@ -92,6 +93,7 @@
   {
     GuardThreadSettings settings;
     settings.m_address = m_settings.m_peerAddress;
+    settings.m_dialect = m_dialects.m_upstreams;
     settings.m_vm = m_settings.m_vm;
     settings.m_incarnation = m_incarnation;
     GuardEvents events;
@@ -119,6 +121,8 @@
       settings.m_region = m_settings.m_region;
       settings.m_incarnation = m_incarnation;
       settings.m_address = m_settings.m_frontAddress;
+      settings.m_dialect = m_dialects.m_callers;
+      settings.m_origin = m_settings.m_service;
       settings.m_index = i;
       settings.m_seed = Seed() + i + 1;
       BOOST_OUTCOME_TRY(auto front,
@@ -141,12 +145,21 @@
     MemberRecord& self = settings.m_core.m_self;
     self.m_vm = m_settings.m_vm;
     self.m_dataCentre = m_settings.m_dataCentre;
+    self.m_cell = m_settings.m_cell.IsEmpty() ? m_settings.m_dataCentre
+                                              : m_settings.m_cell;
     self.m_region = m_settings.m_region;
     self.m_peerAddress = m_settings.m_peerAddress;
     self.m_incarnation = m_incarnation;
     settings.m_core.m_seeds = m_settings.m_seeds;
     settings.m_peerAddress = m_settings.m_peerAddress;
-    settings.m_adminAddress = m_settings.m_adminAddress;
+    settings.m_adminAddresses = m_settings.m_adminAddresses;
+    settings.m_dialects = m_dialects;
+    settings.m_isRegistered = m_settings.m_isRegistered;
+    settings.m_core.m_announcementLapse = m_settings.m_announcementLapse;
+    settings.m_core.m_gossip = m_settings.m_gossip;
+    if (!m_settings.m_prefixes.empty()) {
+      settings.m_core.m_prefixes = m_settings.m_prefixes;
+    }
     settings.m_platform = m_settings.m_platform;
     settings.m_seed = Seed();
     BOOST_OUTCOME_TRY(
@@ -164,8 +177,8 @@
       }
     };
     ports.m_setUpstream = [this](const UpstreamAnnouncement& aUpstream,
-                                 const NetworkAddress& aAddress) {
-      m_guard->SetUpstream(aUpstream, aAddress);
+                                 const UpstreamPlace& aPlace) {
+      m_guard->SetUpstream(aUpstream, aPlace);
     };
     ports.m_setBounds = [this](const AdmissionBounds& aBounds) {
       m_guard->SetBounds(aBounds);
@@ -180,6 +193,7 @@
   }
 
   NodeSettings m_settings;
+  NodeDialects m_dialects;
   const Clock& m_clock;
   Metrics m_metrics;
   Incarnation m_incarnation;
@@ -194,9 +208,12 @@
 } // namespace
 
 Result<std::unique_ptr<Node>>
-Node::Create(const NodeSettings& aSettings, const Clock& aClock)
+Node::Create(const NodeSettings& aSettings,
+             NodeDialects aDialects,
+             const Clock& aClock)
 {
-  auto node = std::make_unique<ThreadedNode>(aSettings, aClock);
+  auto node = std::make_unique<ThreadedNode>(
+    aSettings, std::move(aDialects), aClock);
   BOOST_OUTCOME_TRY(node->Start());
   return std::unique_ptr<Node>(std::move(node));
 }
--- a/src/process/Node.h
+++ b/src/process/Node.h
@@ -1,7 +1,7 @@
 /// \file
 /// A whole node: the control thread, the guard thread and the front threads.
 ///
-///     auto node = Node::Create(settings, clock);
+///     auto node = Node::Create(settings, OwnDialects(), clock);
 ///     ... wait for SIGTERM ...
 ///     node.value()->Drain();   // returns when no request is in flight
 ///
@@ -12,6 +12,7 @@
 
 #include "base/Clock.h"
 #include "base/Result.h"
+#include "process/NodeDialects.h"
 #include "process/NodeSettings.h"
 
 namespace tarragontray {
@@ -25,6 +26,7 @@
   /// Starts all threads. Errors: Unavailable for an address that is taken,
   /// InvalidArgument. \param aClock must outlive the node.
   static Result<std::unique_ptr<Node>> Create(const NodeSettings& aSettings,
+                                              NodeDialects aDialects,
                                               const Clock& aClock);
 
   /// Announces that the node leaves, refuses new work and waits until nothing
--- /dev/null
+++ b/src/process/NodeDialects.cpp
@@ -0,0 +1,21 @@
+#include "process/NodeDialects.h"
+
+#include "process/StatusJson.h"
+#include "request/OwnDialect.h"
+#include "version/ConfigurationJson.h"
+
+namespace tarragontray {
+
+NodeDialects
+OwnDialects()
+{
+  NodeDialects dialects;
+  dialects.m_callers = std::make_shared<OwnCallerDialect>();
+  dialects.m_upstreams = std::make_shared<OwnUpstreamDialect>();
+  dialects.m_control = std::make_shared<OwnControlDialect>();
+  dialects.m_decoder = std::make_shared<JsonConfigurationDecoder>();
+  dialects.m_makePlatform = PlatformSession::Create;
+  return dialects;
+}
+
+} // namespace tarragontray
--- a/src/process/NodeSettings.cpp
+++ b/src/process/NodeSettings.cpp
@@ -1,5 +1,7 @@
 #include "process/NodeSettings.h"
 
+#include "version/ObjectKeys.h"
+
 namespace tarragontray {
 
 SettingsParser
@@ -13,16 +15,30 @@
     "data-centre", "The data centre of this VM.", {}, std::nullopt });
   parser.Add(
     TextSetting{ "region", "The region of the data centre.", {}, "default" });
+  parser.Add(TextSetting{ "cell",
+                          "One name for data centres that gossip and move "
+                          "traffic as one; empty for each alone.",
+                          {},
+                          "" });
+  parser.Add(TextSetting{
+    "service", "The service of this VM's upstream, if known.", {}, "" });
   parser.Add(AddressSetting{ "front-address", "Listens for callers' HTTP." });
   parser.Add(AddressSetting{ "peer-address",
                              "Listens for other nodes, by UDP and TCP." });
   parser.Add(AddressSetting{
     "admin-address",
-    "Listens for operators and for the upstream's announcements." });
+    "Listens for operators and for the upstream's announcements.",
+    true });
   parser.Add(AddressSetting{
     "platform", "The platform's object API, in order of preference.", true });
   parser.Add(AddressSetting{
     "seeds", "Peer addresses of nodes to join by.", true, false });
+  parser.Add(TextSetting{ "join",
+                          "How nodes find each other: by --seeds, or through "
+                          "the platform, where every node then registers and "
+                          "watches.",
+                          { "seeds", "platform" },
+                          "seeds" });
   parser.Add(IntegerSetting{
     "front-threads", "threads", "Traffic threads for callers.", 1, 64, 1 });
   parser.Add(IntegerSetting{ "drain-limit-ms",
@@ -31,6 +47,20 @@
                              0,
                              600'000,
                              30'000 });
+  parser.Add(IntegerSetting{ "leave-notice-ms",
+                             "ms",
+                             "Answers callers and peers for so long after the "
+                             "start of a stop.",
+                             0,
+                             60'000,
+                             1'500 });
+  parser.Add(
+    IntegerSetting{ "upstream-lapse-ms",
+                    "ms",
+                    "An upstream that is silent for so long counts as absent.",
+                    100,
+                    600'000,
+                    3'000 });
   parser.Add(TextSetting{ "log-level",
                           "Least severity that is logged.",
                           { "debug", "info", "warning", "error" },
@@ -38,6 +68,30 @@
   return parser;
 }
 
+namespace {
+
+/// Small fleets whose nodes all watch the platform: a change needs no tree,
+/// and what a node can't read there it hears of by digests on probes.
+void
+JoinByPlatform(NodeSettings& aSettings)
+{
+  constexpr std::size_t kAllNodes = 4'096;
+  aSettings.m_isRegistered = true;
+  aSettings.m_prefixes = { std::string(kConfigurationPrefix),
+                           std::string(kOrderPrefix) };
+  MembershipSettings& membership = aSettings.m_gossip.m_membership;
+  membership.m_relays = kAllNodes;
+  membership.m_relaySettleTime = Duration(0);
+  membership.m_reportDelay = membership.m_urgentDelay;
+  membership.m_reconnectInterval = std::chrono::seconds(1);
+  DistributionSettings& distribution = aSettings.m_gossip.m_distribution;
+  distribution.m_spreads = false;
+  distribution.m_platformReads = 10;
+  distribution.m_platformBurst = 20;
+}
+
+} // namespace
+
 NodeSettings
 ReadNodeSettings(const Settings& aSettings)
 {
@@ -47,12 +101,19 @@
   settings.m_region = RegionId(aSettings.Text("region"));
   settings.m_frontAddress = aSettings.Address("front-address");
   settings.m_peerAddress = aSettings.Address("peer-address");
-  settings.m_adminAddress = aSettings.Address("admin-address");
+  settings.m_adminAddresses = aSettings.Addresses("admin-address");
+  settings.m_cell = DataCentreId(aSettings.Text("cell"));
+  settings.m_service = ServiceName(aSettings.Text("service"));
+  settings.m_leaveNotice = aSettings.Milliseconds("leave-notice-ms");
+  settings.m_announcementLapse = aSettings.Milliseconds("upstream-lapse-ms");
   settings.m_platform = aSettings.Addresses("platform");
   settings.m_seeds = aSettings.Addresses("seeds");
   settings.m_frontThreads =
     static_cast<std::uint32_t>(aSettings.Integer("front-threads"));
   settings.m_drainLimit = aSettings.Milliseconds("drain-limit-ms");
+  if (aSettings.Text("join") == "platform") {
+    JoinByPlatform(settings);
+  }
   settings.m_logLevel = aSettings.Text("log-level");
   return settings;
 }
--- a/src/process/NodeSettings.h
+++ b/src/process/NodeSettings.h
@@ -11,6 +11,7 @@
 #include "base/Ids.h"
 #include "base/NetworkAddress.h"
 #include "base/Units.h"
+#include "process/Gossip.h"
 #include "process/Settings.h"
 
 namespace tarragontray {
@@ -20,17 +21,32 @@
 {
   VmId m_vm;
   DataCentreId m_dataCentre;
+  /// The data centres that act as one for gossip and moves; empty: the own
+  /// one alone.
+  DataCentreId m_cell;
   RegionId m_region;
+  /// The service of this VM; empty when unknown.
+  ServiceName m_service;
   /// Callers' HTTP.
   NetworkAddress m_frontAddress;
   /// UDP and TCP for other nodes.
   NetworkAddress m_peerAddress;
-  /// The operators' and the own upstream's HTTP.
-  NetworkAddress m_adminAddress;
+  /// The operators' and the own upstream's HTTP; at least one.
+  std::vector<NetworkAddress> m_adminAddresses;
   std::vector<NetworkAddress> m_platform;
   std::vector<NetworkAddress> m_seeds;
   std::uint32_t m_frontThreads = 1;
   Duration m_drainLimit{ 0 };
+  /// Callers and peers get this long to hear that the node leaves, while it
+  /// still answers.
+  Duration m_leaveNotice{ 0 };
+  /// An upstream that is silent for so long counts as absent.
+  Duration m_announcementLapse{ 0 };
+  /// Nodes find each other through the platform.
+  bool m_isRegistered = false;
+  /// Keys that the platform is watched for; empty: configurations.
+  std::vector<std::string> m_prefixes;
+  GossipSettings m_gossip;
   std::string m_logLevel;
 };
 
--- a/src/process/PlatformLoop.cpp
+++ b/src/process/PlatformLoop.cpp
@@ -6,15 +6,18 @@
 
 #include "process/Log.h"
 #include "process/StatusJson.h"
+#include "version/ObjectKeys.h"
 
 namespace tarragontray {
 
 namespace {
 
 constexpr char kPart[] = "platform";
-constexpr char kConfigurations[] = "configurations/";
 /// How long one watch waits for changes.
 constexpr Duration kWatchWait = std::chrono::seconds(25);
+/// Between readings of the other nodes, in company and alone.
+constexpr Duration kReadNodes = std::chrono::seconds(60);
+constexpr Duration kReadNodesAlone = std::chrono::seconds(2);
 constexpr Duration kFirstRetry = std::chrono::milliseconds(200);
 constexpr std::uint32_t kMaxDoublings = 5;
 
@@ -29,34 +32,49 @@
   return documents;
 }
 
+/// Entries that can't be read name no node.
+std::vector<NetworkAddress>
+NodesOf(const PlatformListing& aListing)
+{
+  std::vector<NetworkAddress> addresses;
+  for (const PlatformObject& object : aListing.m_objects) {
+    const auto address = ParseNode(object.m_document.m_body);
+    if (address) {
+      addresses.push_back(address.value());
+    } else {
+      Log(LogLevel::Info, kPart, "Node entry skipped.", address.error());
+    }
+  }
+  return addresses;
+}
+
 } // namespace
 
 Result<std::unique_ptr<PlatformLoop>>
 PlatformLoop::Create(boost::asio::io_context& aContext,
-                     const std::vector<NetworkAddress>& aAddresses,
+                     PlatformLoopSettings aSettings,
+                     std::vector<std::unique_ptr<Platform>> aPlatforms,
                      const Clock& aClock,
                      ControlCore& aCore,
                      Random& aRandom,
                      Handle aHandle)
 {
-  std::unique_ptr<PlatformLoop> loop(
-    new PlatformLoop(aContext, aClock, aCore, aRandom, std::move(aHandle)));
-  for (const NetworkAddress& address : aAddresses) {
-    PlatformSettings settings;
-    settings.m_address = address;
-    settings.m_counters = loop->m_counters;
-    BOOST_OUTCOME_TRY(auto platform,
-                      PlatformSession::Create(aContext, std::move(settings)));
-    loop->m_platforms.push_back(std::move(platform));
-  }
-  if (loop->m_platforms.empty()) {
+  if (aPlatforms.empty()) {
     return Error(
       ErrorCode::InvalidArgument, "platform.create", "", "no address");
   }
+  std::unique_ptr<PlatformLoop> loop(new PlatformLoop(aContext,
+                                                      std::move(aSettings),
+                                                      aClock,
+                                                      aCore,
+                                                      aRandom,
+                                                      std::move(aHandle)));
+  loop->m_platforms = std::move(aPlatforms);
   return loop;
 }
 
 PlatformLoop::PlatformLoop(boost::asio::io_context& aContext,
+                           PlatformLoopSettings aSettings,
                            const Clock& aClock,
                            ControlCore& aCore,
                            Random& aRandom,
@@ -66,8 +84,11 @@
   , m_random(aRandom)
   , m_handle(std::move(aHandle))
   , m_retry(aContext)
-  , m_counters(std::make_shared<PlatformCounters>())
+  , m_settings(std::move(aSettings))
 {
+  for (const std::string& keys : m_settings.m_prefixes) {
+    m_prefixes.push_back({ keys, false });
+  }
 }
 
 void
@@ -78,42 +99,120 @@
     CheckAt(m_notBefore);
     return;
   }
-  if (!m_isWatching && m_core.WantsWatch(now)) {
-    if (m_core.TakePlatformRead(now)) {
-      Watch();
-    } else {
-      CheckAt(m_core.PlatformReadyAt(now));
+  Register();
+  for (Prefix& prefix : m_prefixes) {
+    if (!prefix.m_isWatching && m_core.WantsWatch(now)) {
+      if (m_core.TakePlatformRead(now)) {
+        Watch(prefix);
+      } else {
+        CheckAt(m_core.PlatformReadyAt(now));
+      }
     }
   }
   ReadTemplates();
 }
 
 void
-PlatformLoop::Watch()
+PlatformLoop::Watch(Prefix& aPrefix)
 {
-  m_isWatching = true;
-  const auto done = [this](const Result<PlatformListing>& aListing) {
-    m_isWatching = false;
-    OnListing(aListing);
+  aPrefix.m_isWatching = true;
+  const auto done = [this, &aPrefix](const Result<PlatformListing>& aListing) {
+    aPrefix.m_isWatching = false;
+    OnListing(aPrefix, aListing);
   };
-  const Revision after = m_core.WatchAfter();
+  const Revision after = m_core.WatchAfter(aPrefix.m_keys);
   if (after == Revision(0)) {
-    Current().List(kConfigurations, done);
+    Current().List(aPrefix.m_keys, done);
   } else {
-    Current().Watch(kConfigurations, after, kWatchWait, done);
+    Current().Watch(aPrefix.m_keys, after, kWatchWait, done);
   }
 }
 
 void
-PlatformLoop::OnListing(const Result<PlatformListing>& aListing)
+PlatformLoop::OnListing(const Prefix& aPrefix,
+                        const Result<PlatformListing>& aListing)
 {
+  if (!aListing && aListing.error().Code() == ErrorCode::HistoryGone) {
+    Log(LogLevel::Info, kPart, "Lists again.", aListing.error());
+    m_core.OnHistoryGone(aPrefix.m_keys);
+    Check();
+    return;
+  }
   if (!aListing) {
     Fail(aListing.error());
     return;
   }
+  Succeed();
+  m_handle(m_core.OnListing(DocumentsOf(aListing.value()),
+                            aListing.value().m_revision,
+                            Now(),
+                            aPrefix.m_keys));
+}
+
+void
+PlatformLoop::Succeed()
+{
+  if (m_failures > 0) {
+    Log(LogLevel::Info,
+        kPart,
+        "Platform is back.",
+        { { "failures", std::to_string(m_failures) } });
+  }
   m_failures = 0;
-  m_handle(m_core.OnListing(
-    DocumentsOf(aListing.value()), aListing.value().m_revision, Now()));
+}
+
+void
+PlatformLoop::Register()
+{
+  if (!m_settings.m_registered || m_isRegistering) {
+    return;
+  }
+  if (m_isRegistered) {
+    ReadNodes();
+    return;
+  }
+  m_isRegistering = true;
+  PlatformWrite write;
+  write.m_key = NodeKey(m_settings.m_registered->m_vm);
+  write.m_body = NodeJson(*m_settings.m_registered);
+  write.m_operation =
+    OperationId("node-" + std::to_string(
+                            m_settings.m_registered->m_incarnation.Value()));
+  Current().Write(std::move(write), [this](const Result<Revision>& aRevision) {
+    m_isRegistering = false;
+    if (!aRevision) {
+      Fail(aRevision.error());
+      return;
+    }
+    Succeed();
+    m_isRegistered = true;
+    Log(LogLevel::Info, kPart, "Registered.");
+    Check();
+  });
+}
+
+void
+PlatformLoop::ReadNodes()
+{
+  const MonotonicTime now = m_clock.Now();
+  if (now < m_readNodesAt) {
+    return;
+  }
+  m_isRegistering = true;
+  Current().List(std::string(kNodePrefix),
+                 [this](const Result<PlatformListing>& aListing) {
+                   m_isRegistering = false;
+                   if (!aListing) {
+                     Fail(aListing.error());
+                     return;
+                   }
+                   Succeed();
+                   const MonotonicTime now = m_clock.Now();
+                   m_readNodesAt =
+                     now + (m_core.IsAlone() ? kReadNodesAlone : kReadNodes);
+                   m_core.OnNodes(NodesOf(aListing.value()), now);
+                   m_handle(m_core.OnTick(Now()));
+                 });
 }
 
 void
@@ -138,9 +237,9 @@
         Fail(aObject.error());
         return;
       }
-      m_failures = 0;
+      Succeed();
       m_handle(m_core.OnListing(
-        { aObject.value().m_document }, m_core.WatchAfter(), Now()));
+        { aObject.value().m_document }, Revision(0), Now(), {}));
     });
   }
 }
@@ -194,27 +293,38 @@
 PlatformLoop::WriteOutcome(const MoveOutcome& aOutcome)
 {
   const MoveId move = aOutcome.m_move;
+  const auto order = m_core.OrderRevision(move);
   PlatformWrite write;
-  write.m_key = ObjectKey("moves/" + move.m_service.m_owner.Value() + "/" +
-                          move.m_service.m_name.Value() + "/" +
-                          std::to_string(move.m_plan.Value()));
+  write.m_key = order ? OrderKey(move.m_service) : MoveKey(move);
   write.m_body = OutcomeJson(aOutcome);
-  write.m_expected = Revision(0);
+  write.m_expected = order.value_or(Revision(0));
   write.m_operation = OperationId("outcome-" + std::to_string(++m_operations));
+  const bool isEnd = aOutcome.m_state == MoveState::Done ||
+                     aOutcome.m_state == MoveState::TakenBack;
+  const std::string state(Name(aOutcome.m_state));
   Current().Write(
-    std::move(write), [this, move](const Result<Revision>& aRevision) {
-      // A conflict means that another steward's outcome is there already.
-      if (aRevision || aRevision.error().Code() == ErrorCode::Conflict) {
-        m_core.OnOutcomeWritten(move);
-        Log(LogLevel::Info,
-            "move",
-            "Outcome written.",
-            { { "service", move.m_service.m_name.Value() },
-              { "plan", std::to_string(move.m_plan.Value()) } });
-      } else {
+    std::move(write),
+    [this, move, isEnd, state, isOrder = order.has_value()](
+      const Result<Revision>& aRevision) {
+      // Of a move without an order, a conflict means that another steward's
+      // outcome is there already; an order's object is read again first.
+      const bool isThere =
+        !aRevision && aRevision.error().Code() == ErrorCode::Conflict &&
+        !isOrder;
+      if (!aRevision && !isThere) {
         Log(
           LogLevel::Warning, "move", "Outcome not written.", aRevision.error());
+        return;
       }
+      if (isEnd) {
+        m_core.OnOutcomeWritten(move);
+      }
+      Log(LogLevel::Info,
+          "move",
+          "Outcome written.",
+          { { "service", move.m_service.m_name.Value() },
+            { "plan", std::to_string(move.m_plan.Value()) },
+            { "state", state } });
     });
 }
 
@@ -234,11 +344,4 @@
                   });
 }
 
-PlatformTraffic
-PlatformLoop::Traffic() const
-{
-  return { CallCount(m_counters->m_reads + m_counters->m_lists +
-                     m_counters->m_writes + m_counters->m_watches) };
-}
-
 } // namespace tarragontray
--- a/src/process/PlatformLoop.h
+++ b/src/process/PlatformLoop.h
@@ -2,10 +2,13 @@
 /// Keeps the control core and the platform in touch: watches while this node
 /// is a relay, reads missing templates, writes outcomes and the ledger.
 ///
-///     auto loop = PlatformLoop::Create(context, addresses, clock, core,
-///     handle); loop.value()->Check();   // after each event of the core
+///     auto loop = PlatformLoop::Create(settings, std::move(platforms), clock,
+///                                      core, random, handle);
+///     loop.value()->Check();   // after each event of the core
 ///
-/// On an error the next address is tried, after a wait with full jitter.
+/// Where nodes register, it writes this node's address once for each life of
+/// the process and reads the others'. On an error the next address is tried,
+/// after a wait with full jitter.
 ///
 /// Thread safety: one thread (control).
 #pragma once
@@ -14,7 +17,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -28,10 +33,14 @@
 
 namespace tarragontray {
 
-/// What the platform was asked.
-struct PlatformTraffic
+/// Where the node registers, and what it watches.
+struct PlatformLoopSettings
 {
-  CallCount m_calls;
+  /// Prefixes of keys; one watch each.
+  std::vector<std::string> m_prefixes{ "configurations/" };
+  /// Written so that nodes find each other; not set: they are told of seeds.
+  std::optional<MemberRecord> m_registered;
+  std::shared_ptr<PlatformCounters> m_counters;
 };
 
 /// See the file comment.
@@ -40,11 +49,12 @@
 public:
   using Handle = std::function<void(ControlActions)>;
 
-  /// \param aAddresses in order of preference, at least one.
+  /// \param aPlatforms in order of preference, at least one.
   /// Errors: InvalidArgument. All references must outlive the result.
   static Result<std::unique_ptr<PlatformLoop>> Create(
     boost::asio::io_context& aContext,
-    const std::vector<NetworkAddress>& aAddresses,
+    PlatformLoopSettings aSettings,
+    std::vector<std::unique_ptr<Platform>> aPlatforms,
     const Clock& aClock,
     ControlCore& aCore,
     Random& aRandom,
@@ -54,10 +64,17 @@
   void Check();
   void Write(const std::vector<MoveOutcome>& aOutcomes,
              const std::vector<UsageReport>& aUsage);
-  PlatformTraffic Traffic() const;
 
 private:
+  /// One watched prefix.
+  struct Prefix
+  {
+    std::string m_keys;
+    bool m_isWatching = false;
+  };
+
   PlatformLoop(boost::asio::io_context& aContext,
+               PlatformLoopSettings aSettings,
                const Clock& aClock,
                ControlCore& aCore,
                Random& aRandom,
@@ -65,8 +82,12 @@
 
   Times Now() const { return { m_clock.Now(), m_clock.WallNow() }; }
   Platform& Current() { return *m_platforms[m_current]; }
-  void Watch();
-  void OnListing(const Result<PlatformListing>& aListing);
+  void Watch(Prefix& aPrefix);
+  void OnListing(const Prefix& aPrefix,
+                 const Result<PlatformListing>& aListing);
+  void Succeed();
+  void Register();
+  void ReadNodes();
   void ReadTemplates();
   void CheckAt(MonotonicTime aTime);
   void Fail(const Error& aError);
@@ -78,10 +99,14 @@
   Random& m_random;
   Handle m_handle;
   boost::asio::steady_timer m_retry;
-  std::shared_ptr<PlatformCounters> m_counters;
   std::vector<std::unique_ptr<Platform>> m_platforms;
   std::size_t m_current = 0;
-  bool m_isWatching = false;
+  PlatformLoopSettings m_settings;
+  std::vector<Prefix> m_prefixes;
+  bool m_isRegistering = false;
+  bool m_isRegistered = false;
+  /// When the other nodes are read next.
+  MonotonicTime m_readNodesAt{};
   bool m_isRetryPending = false;
   /// Failures since the last success, for the wait.
   std::uint32_t m_failures = 0;
--- a/src/process/Runtime.cmake
+++ b/src/process/Runtime.cmake
@@ -1,5 +1,5 @@
 # Targets; see cmake/Targets.cmake.
-tt_library(tt_settings SRCS Settings.cpp DEPS tt_base)
+tt_library(tt_settings SRCS Settings.cpp SettingsFile.cpp DEPS tt_base)
 tt_test(settings_test SRCS SettingsTest.cpp DEPS tt_settings)
 
 tt_library(tt_log SRCS Log.cpp
@@ -11,26 +11,29 @@
 tt_test(metrics_test SRCS MetricsTest.cpp DEPS tt_metrics)
 
 tt_library(tt_front_thread SRCS FrontThread.cpp
-  DEPS tt_call_runner tt_http_server tt_ledger tt_metrics tt_thread_loop)
+  DEPS tt_call_runner tt_http_server tt_ledger tt_log tt_metrics tt_thread_loop)
 tt_library(tt_guard_thread SRCS GuardThread.cpp
   DEPS tt_frame_codec tt_guard tt_ledger tt_log tt_metrics tt_peer_link
        tt_thread_loop tt_upstream_pool)
 
 tt_decision_library(tt_view_builder
   SRCS ViewBuilder.cpp HDRS ViewBuilder.h DEPS tt_balancing)
-tt_library(tt_node_settings SRCS NodeSettings.cpp DEPS tt_settings)
+tt_library(tt_node_settings SRCS NodeSettings.cpp DEPS tt_gossip tt_settings)
 
 tt_decision_library(tt_control_core
-  SRCS ControlCore.cpp EvidenceRouting.cpp
-  HDRS ControlCore.h EvidenceRouting.h TrafficReport.h
-  DEPS tt_call_plan tt_configuration_store tt_gossip tt_ledger tt_moves
+  SRCS ControlCore.cpp EvidenceRouting.cpp MoveOrders.cpp UpstreamRegister.cpp
+  HDRS ControlCore.h ControlDialect.h EvidenceRouting.h MoveOrders.h
+       TrafficReport.h UpstreamRegister.h
+  DEPS tt_call_plan tt_http_dialect tt_configuration_store tt_gossip tt_ledger tt_moves
        tt_view_builder)
 tt_library(tt_status SRCS StatusJson.cpp StatusPage.cpp
   DEPS tt_control_core tt_json tt_metrics)
 tt_test(status_test SRCS StatusTest.cpp DEPS tt_status)
+tt_library(tt_node_dialects SRCS NodeDialects.cpp
+  DEPS tt_configuration_json tt_http_dialect tt_platform_session tt_status)
 tt_library(tt_control_thread SRCS ControlThread.cpp PlatformLoop.cpp
-  DEPS tt_configuration_json tt_control_core tt_datagrams tt_http_server
-       tt_log tt_peer_link tt_platform_session tt_status tt_thread_loop)
+  DEPS tt_control_core tt_datagrams tt_http_server tt_log tt_node_dialects
+       tt_peer_link tt_platform_session tt_status tt_thread_loop)
 tt_library(tt_node SRCS Node.cpp
   DEPS tt_control_thread tt_front_thread tt_guard_thread tt_node_settings)
 tt_test(view_builder_test SRCS ViewBuilderTest.cpp DEPS tt_view_builder)
--- a/src/process/StatusJson.cpp
+++ b/src/process/StatusJson.cpp
@@ -210,7 +210,7 @@
   BOOST_OUTCOME_TRY(auto version, TextField(object, "version"));
   BOOST_OUTCOME_TRY(announcement.m_state, StateField(object));
   BOOST_OUTCOME_TRY(const auto address, TextField(object, "address"));
-  BOOST_OUTCOME_TRY(report.m_address, NetworkAddress::Parse(address));
+  BOOST_OUTCOME_TRY(report.m_place.m_address, NetworkAddress::Parse(address));
   announcement.m_service = { ClientAccountId(std::move(account)),
                              ServiceName(std::move(service)) };
   announcement.m_version = UpstreamVersion(std::move(version));
@@ -224,6 +224,30 @@
   return report;
 }
 
+std::optional<Result<ControlRequest>>
+OwnControlDialect::Read(const HttpRequestParts& aRequest) const
+{
+  if (aRequest.m_method == "GET" && aRequest.m_target == "/ready") {
+    return ControlRequest(ReadinessQuery{});
+  }
+  if (aRequest.m_method != "POST" || aRequest.m_target != "/v1/upstream") {
+    return std::nullopt;
+  }
+  Result<UpstreamReport> report = ParseUpstreamReport(aRequest.m_body);
+  if (!report) {
+    return Result<ControlRequest>(report.error());
+  }
+  return Result<ControlRequest>(ControlRequest(std::move(report.value())));
+}
+
+HttpAnswerParts
+OwnControlDialect::Acknowledge() const
+{
+  HttpAnswerParts answer;
+  answer.m_status = 204;
+  return answer;
+}
+
 std::string
 OutcomeJson(const MoveOutcome& aOutcome)
 {
@@ -231,12 +255,39 @@
     json::object{ { "account", aOutcome.m_move.m_service.m_owner.Value() },
                   { "service", aOutcome.m_move.m_service.m_name.Value() },
                   { "plan", aOutcome.m_move.m_plan.Value() },
+                  { "version", aOutcome.m_to.Value() },
+                  { "started_ms",
+                    std::chrono::duration_cast<std::chrono::milliseconds>(
+                      aOutcome.m_started.time_since_epoch())
+                      .count() },
                   { "state", std::string(Name(aOutcome.m_state)) },
                   { "time", FormatWallTime(aOutcome.m_time) },
                   { "route", aOutcome.m_route.Value() },
                   { "reason", aOutcome.m_reason } });
 }
 
+std::string
+NodeJson(const MemberRecord& aNode)
+{
+  return json::serialize(
+    json::object{ { "vm", aNode.m_vm.Value() },
+                  { "peer_address", aNode.m_peerAddress.ToString() },
+                  { "incarnation", aNode.m_incarnation.Value() } });
+}
+
+Result<NetworkAddress>
+ParseNode(const std::string& aText)
+{
+  boost::system::error_code error;
+  const json::value value = json::parse(aText, error);
+  if (error || !value.is_object()) {
+    return Error(ErrorCode::Malformed, "node.read", "", "not a JSON object");
+  }
+  BOOST_OUTCOME_TRY(const auto address,
+                    TextField(value.as_object(), "peer_address"));
+  return NetworkAddress::Parse(address);
+}
+
 std::string
 UsageJson(const UsageReport& aReport)
 {
--- a/src/process/StatusJson.h
+++ b/src/process/StatusJson.h
@@ -10,6 +10,7 @@
 
 #include "base/Result.h"
 #include "process/ControlCore.h"
+#include "process/ControlDialect.h"
 #include "process/Metrics.h"
 #include "version/MoveStatus.h"
 
@@ -22,21 +23,31 @@
            const GuardFigures& aGuard,
            bool aIsDraining);
 
-/// What the upstream sends with POST /v1/upstream.
-struct UpstreamReport
-{
-  UpstreamAnnouncement m_announcement;
-  NetworkAddress m_address;
-};
-
 /// Errors: Malformed, InvalidArgument with the field's name.
 Result<UpstreamReport>
 ParseUpstreamReport(const std::string& aText);
 
+/// GET /ready and POST /v1/upstream. Thread safety: any thread.
+class OwnControlDialect final : public ControlDialect
+{
+public:
+  std::optional<Result<ControlRequest>> Read(
+    const HttpRequestParts& aRequest) const override;
+  HttpAnswerParts Acknowledge() const override;
+};
+
 /// The platform object of a move's outcome.
 std::string
 OutcomeJson(const MoveOutcome& aOutcome);
 
+/// The platform object by which nodes find each other.
+std::string
+NodeJson(const MemberRecord& aNode);
+
+/// The peer address of a node's object. Errors: Malformed, InvalidArgument.
+Result<NetworkAddress>
+ParseNode(const std::string& aText);
+
 /// The platform object of a ledger report.
 std::string
 UsageJson(const UsageReport& aReport);
--- /dev/null
+++ b/src/process/UpstreamRegister.cpp
@@ -0,0 +1,72 @@
+#include "process/UpstreamRegister.h"
+
+namespace tarragontray {
+
+bool
+UpstreamRegister::IsOfCurrentLife(const UpstreamReport& aReport) const
+{
+  return aReport.m_birth == m_birth &&
+         aReport.m_place.m_instance == m_place.m_instance;
+}
+
+bool
+UpstreamRegister::IsLate(const UpstreamReport& aReport) const
+{
+  if (!aReport.m_birth || !m_birth) {
+    return false;
+  }
+  if (!IsOfCurrentLife(aReport)) {
+    return *aReport.m_birth <= *m_birth;
+  }
+  return aReport.m_number <= m_number;
+}
+
+bool
+UpstreamRegister::Leave(const UpstreamReport& aReport)
+{
+  const bool isCurrent =
+    aReport.m_place.m_instance == m_place.m_instance &&
+    (!aReport.m_birth || !m_birth || *aReport.m_birth >= *m_birth);
+  if (!isCurrent || m_isLeaving) {
+    return false;
+  }
+  m_isLeaving = true;
+  m_announcement.m_state = UpstreamState::Draining;
+  return true;
+}
+
+bool
+UpstreamRegister::Offer(const UpstreamReport& aReport)
+{
+  if (aReport.m_isLeave) {
+    return Leave(aReport);
+  }
+  if (IsLate(aReport)) {
+    return false;
+  }
+  UpstreamAnnouncement announcement = aReport.m_announcement;
+  if (aReport.m_birth) {
+    m_isLeaving = m_isLeaving && IsOfCurrentLife(aReport);
+    m_isLeaving |= announcement.m_state == UpstreamState::Draining;
+    if (m_isLeaving) {
+      announcement.m_state = UpstreamState::Draining;
+    }
+  }
+  const bool isChanged =
+    announcement != m_announcement ||
+    aReport.m_place.m_address != m_place.m_address ||
+    aReport.m_place.m_instance != m_place.m_instance;
+  m_announcement = std::move(announcement);
+  m_place = aReport.m_place;
+  m_birth = aReport.m_birth;
+  m_number = aReport.m_number;
+  return isChanged;
+}
+
+void
+UpstreamRegister::Lapse()
+{
+  m_announcement.m_state = UpstreamState::Absent;
+}
+
+} // namespace tarragontray
--- a/src/process/ViewBuilder.cpp
+++ b/src/process/ViewBuilder.cpp
@@ -44,7 +44,7 @@
 bool
 IsServed(const VersionSplit& aSplit, const UpstreamVersion& aVersion)
 {
-  return aVersion == aSplit.m_from ||
+  return aSplit.Fits(aSplit.m_from, aVersion) ||
          (aSplit.m_move && aVersion == aSplit.m_to);
 }
 
@@ -145,15 +145,16 @@
 
 SlotCount
 WarmSlots(const std::map<VmId, MemberRecord>& aMembers,
-          const ServiceId& aService,
-          const UpstreamVersion& aVersion)
+          const MovePlan& aPlan,
+          const UpstreamVersion& aSide)
 {
   SlotCount slots(0);
   for (const auto& [vm, member] : aMembers) {
     const UpstreamAnnouncement& upstream = member.m_upstream;
     if (member.m_state == NodeState::Alive &&
         upstream.m_state == UpstreamState::Live &&
-        upstream.m_service == aService && upstream.m_version == aVersion) {
+        upstream.m_service == aPlan.m_id.m_service &&
+        IsOfSide(aSide, aPlan.m_to, upstream.m_version)) {
       slots += upstream.m_slots;
     }
   }
--- a/src/process/ViewBuilder.h
+++ b/src/process/ViewBuilder.h
@@ -46,10 +46,10 @@
 std::set<ServiceId>
 AnnouncedServices(const std::map<VmId, MemberRecord>& aMembers);
 
-/// Slots of live upstreams of a service and version.
+/// Slots of live upstreams on one side of a move: m_from or m_to of its plan.
 SlotCount
 WarmSlots(const std::map<VmId, MemberRecord>& aMembers,
-          const ServiceId& aService,
-          const UpstreamVersion& aVersion);
+          const MovePlan& aPlan,
+          const UpstreamVersion& aSide);
 
 } // namespace tarragontray
--- a/src/programs/Node.cpp
+++ b/src/programs/Node.cpp
@@ -37,9 +37,10 @@
   StartLog(LogLevelOf(settings.m_logLevel));
   const sigset_t signals = BlockStopSignals();
   const SystemClock clock;
-  const auto node = Node::Create(settings, clock);
+  const auto node = Node::Create(settings, OwnDialects(), clock);
   if (!node) {
     Log(LogLevel::Error, "node", "Node not started.", node.error());
+    StopLog();
     return 1;
   }
   std::printf("ready %s\n", settings.m_vm.Value().c_str());
@@ -51,5 +52,6 @@
       "node",
       "Node stopped.",
       { { "in_flight", isClean ? "none" : "some" } });
+  StopLog();
   return isClean ? 0 : 1;
 }
--- a/src/request/BalancingPolicy.h
+++ b/src/request/BalancingPolicy.h
@@ -25,6 +25,8 @@
   bool m_failed = false;
   /// Not run: the latency is that of the refusal.
   bool m_isRefused = false;
+  /// The caller left first: the latency says nothing about the target.
+  bool m_isAbandoned = false;
   Duration m_latency{ 0 };
   /// Set when the answer carried one.
   std::optional<LoadReport> m_load = std::nullopt;
--- a/src/request/Call.h
+++ b/src/request/Call.h
@@ -103,6 +103,9 @@
 /// In a question: whatever attempt of an operation, by whatever entry node.
 inline constexpr std::uint8_t kAllAttempts = 255;
 
+/// The most that a call's request or answer may hold: nodes keep each whole.
+inline constexpr ByteCount kMaxCallBytes{ 1U << 20U };
+
 /// One attempt of a call, as node A sends it to node B.
 struct Call
 {
@@ -115,6 +118,8 @@
   RouteName m_route;
   ClassName m_class;
   UpstreamVersion m_version;
+  /// The service of the VM where the call began; empty when unknown.
+  ServiceName m_origin;
   /// Lower runs first.
   std::uint8_t m_priority = 0;
   bool m_idempotent = false;
@@ -131,6 +136,8 @@
   CallId m_id;
   CallOutcome m_outcome = CallOutcome::Unknown;
   RefusalReason m_refusal = RefusalReason::None;
+  /// With NotRun: when the caller may try again; zero says nothing.
+  Duration m_retryAfter{ 0 };
   HttpAnswerParts m_http;
   LoadReport m_load;
   /// Time in the upstream, without queue and links.
--- a/src/request/CallPlan.cpp
+++ b/src/request/CallPlan.cpp
@@ -204,6 +204,14 @@
   return m_lastDone ? End(*m_lastDone) : EndUnknown();
 }
 
+Answer
+CallPlan::Abandon(MonotonicTime aNow)
+{
+  EndAttemptUnobserved({ .m_isAbandoned = true }, aNow);
+  m_state = State::Finished;
+  return Answer{};
+}
+
 Step
 CallPlan::Send(const Target& aTarget, MonotonicTime aNow)
 {
--- a/src/request/CallPlan.h
+++ b/src/request/CallPlan.h
@@ -125,11 +125,22 @@
   /// A WaitUntil is due, or m_deadline has come.
   Step OnTimer(MonotonicTime aNow);
 
+  /// The caller has gone: ends the attempt that is out without a verdict on
+  /// its target. Nobody reads the answer.
+  Answer Abandon(MonotonicTime aNow);
+
   /// Observations of all attempts so far, oldest first.
   const std::vector<AttemptObservation>& Observations() const
   {
     return m_observations;
   }
+  /// Attempts so far.
+  std::uint8_t Attempts() const { return m_attempts; }
+  /// The target that was sent to or asked last; empty before the first.
+  VmId LastTarget() const
+  {
+    return m_target == nullptr ? VmId() : m_target->m_vm;
+  }
   MonotonicTime Deadline() const { return Setup().m_deadline; }
   bool IsIdempotent() const { return Setup().m_route.m_idempotent; }
   bool IsFinished() const { return m_state == State::Finished; }
--- a/src/request/CallRunner.cpp
+++ b/src/request/CallRunner.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/cancellation_type.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -31,8 +32,13 @@
 
   asio::awaitable<Answer> Run()
   {
+    co_await asio::this_coro::throw_if_cancelled(false);
     Step step = m_plan.Begin(m_clock.Now());
     while (true) {
+      const auto state = co_await asio::this_coro::cancellation_state;
+      if (state.cancelled() != asio::cancellation_type::none) {
+        co_return m_plan.Abandon(m_clock.Now());
+      }
       if (const auto* send = std::get_if<SendAttempt>(&step)) {
         step = co_await Take(*send);
       } else if (const auto* ask = std::get_if<AskOperation>(&step)) {
--- a/src/request/TargetSequence.cpp
+++ b/src/request/TargetSequence.cpp
@@ -162,7 +162,8 @@
   std::vector<const Target*>& candidates = m_setup.m_policies.m_candidates;
   candidates.clear();
   for (const Target& target : m_setup.m_service.m_targets) {
-    if (target.m_version == aVersion && !WasTried(target.m_vm)) {
+    if (m_setup.m_service.m_split.Fits(aVersion, target.m_version) &&
+        !WasTried(target.m_vm)) {
       candidates.push_back(&target);
     }
   }
--- a/src/request/TwoChoicesBalancing.cpp
+++ b/src/request/TwoChoicesBalancing.cpp
@@ -166,6 +166,9 @@
     stats.m_reported = aResult.m_load->m_running + aResult.m_load->m_queued;
     stats.m_reportTime = aNow;
   }
+  if (aResult.m_isAbandoned) {
+    return;
+  }
   if (aResult.m_isRefused) {
     // Quick, but no sign of speed: whatever it reports, it has no room.
     stats.m_fullUntil = aNow + m_settings.m_refusalPause;
--- a/src/version/Configuration.cpp
+++ b/src/version/Configuration.cpp
@@ -8,10 +8,12 @@
 
 bool
 Matches(const RouteSpec& aRoute,
+        std::string_view aHost,
         std::string_view aMethod,
         std::string_view aTarget)
 {
-  return (aRoute.m_method.empty() || aRoute.m_method == aMethod) &&
+  return (aRoute.m_host.empty() || aRoute.m_host == aHost) &&
+         (aRoute.m_method.empty() || aRoute.m_method == aMethod) &&
          aTarget.starts_with(aRoute.m_pathPrefix);
 }
 
@@ -20,12 +22,13 @@
 const RouteSpec*
 FindRoute(const Configuration& aConfiguration,
           std::string_view aMethod,
-          std::string_view aTarget)
+          std::string_view aTarget,
+          std::string_view aHost)
 {
   const auto& routes = aConfiguration.m_routes;
   const auto found =
     std::find_if(routes.begin(), routes.end(), [&](const RouteSpec& aRoute) {
-      return Matches(aRoute, aMethod, aTarget);
+      return Matches(aRoute, aHost, aMethod, aTarget);
     });
   return found == routes.end() ? nullptr : &*found;
 }
--- a/src/version/Configuration.h
+++ b/src/version/Configuration.h
@@ -49,11 +49,25 @@
   bool operator==(const ServiceSpec&) const = default;
 };
 
+/// One of the services that share a route's calls.
+struct WeightedService
+{
+  ServiceId m_service;
+  std::uint32_t m_weight = 1;
+
+  bool operator==(const WeightedService&) const = default;
+};
+
 /// A route: which calls go to which service, and how.
 struct RouteSpec
 {
   RouteName m_name;
   ServiceId m_service;
+  /// Services that share the calls by weight, m_service among them; empty:
+  /// all calls go to m_service.
+  std::vector<WeightedService> m_parts;
+  /// The host that callers name; empty for any.
+  std::string m_host;
   /// "GET", "POST" ...; empty for any.
   std::string m_method;
   /// Matches targets that start with it.
@@ -61,6 +75,8 @@
   ClassName m_class;
   bool m_idempotent = false;
   Duration m_timeout{ 0 };
+  /// The time within which an answer is worth most; zero: not stated.
+  Duration m_objective{ 0 };
   /// Attempts over one call, at least 1.
   std::uint8_t m_maxAttempts = 3;
 
@@ -79,6 +95,17 @@
   bool operator==(const MoveLimits&) const = default;
 };
 
+/// What callers may send, and how long they may take.
+struct CallerLimits
+{
+  ByteCount m_headerBytes;
+  ByteCount m_bodyBytes;
+  Duration m_requestTimeout{ 0 };
+  Duration m_idleTimeout{ 0 };
+
+  bool operator==(const CallerLimits&) const = default;
+};
+
 /// All that one account's version says.
 struct Configuration
 {
@@ -92,6 +119,11 @@
   /// Longest path prefix first.
   std::vector<RouteSpec> m_routes;
   MoveLimits m_moveLimits;
+  /// Not set: the node's own limits.
+  std::optional<CallerLimits> m_callerLimits;
+  /// All services that routes name are listed in m_services: the version is
+  /// whole without any announcement of an upstream.
+  bool m_declaresServices = false;
 
   bool operator==(const Configuration&) const = default;
 };
@@ -100,6 +132,7 @@
 const RouteSpec*
 FindRoute(const Configuration& aConfiguration,
           std::string_view aMethod,
-          std::string_view aTarget);
+          std::string_view aTarget,
+          std::string_view aHost = {});
 
 } // namespace tarragontray
--- a/src/version/EvidenceTable.cpp
+++ b/src/version/EvidenceTable.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "version/VersionSplit.h"
+
 namespace tarragontray {
 
 namespace {
@@ -78,7 +80,8 @@
                           const EvidenceEntry& aEntry,
                           bool aIsBaseline)
 {
-  if (aEntry.m_version != m_plan.m_from && aEntry.m_version != m_plan.m_to) {
+  if (aEntry.m_version != m_plan.m_to &&
+      !IsOfSide(m_plan.m_from, m_plan.m_to, aEntry.m_version)) {
     return;
   }
   const EntryKey key{ aEntry.m_route, aEntry.m_version, aEntry.m_target };
--- a/src/version/Move.cpp
+++ b/src/version/Move.cpp
@@ -176,12 +176,14 @@
   const MoveState state = State(aTimes.m_wall);
   const bool isOver = state == MoveState::Done || state == MoveState::TakenBack;
   if (!isOver || !m_steward || m_isOutcomeWritten ||
-      !IsDue(m_lastOutcome, aTimes.m_now, m_settings->m_refreshInterval)) {
+      !IsDue(m_lastOutcome, aTimes.m_now, m_settings->m_outcomeInterval)) {
     return;
   }
   m_lastOutcome = aTimes.m_now;
   MoveOutcome outcome;
   outcome.m_move = m_plan.m_id;
+  outcome.m_to = m_plan.m_to;
+  outcome.m_started = m_plan.m_start;
   outcome.m_state = state;
   outcome.m_reason = Reason(state);
   if (m_progress.m_veto) {
--- a/src/version/MovePlan.h
+++ b/src/version/MovePlan.h
@@ -13,6 +13,7 @@
 struct MovePlan
 {
   MoveId m_id;
+  /// Empty: every version but m_to.
   UpstreamVersion m_from;
   UpstreamVersion m_to;
   WallTime m_start{};
--- a/src/version/MoveStatus.h
+++ b/src/version/MoveStatus.h
@@ -52,7 +52,10 @@
 struct MoveOutcome
 {
   MoveId m_move;
-  /// Done or TakenBack.
+  UpstreamVersion m_to;
+  /// The plan's start.
+  WallTime m_started{};
+  /// Done or TakenBack; Moving for an order that has been taken up.
   MoveState m_state = MoveState::Done;
   WallTime m_time{};
   RouteName m_route;
--- a/src/version/ObjectKeys.cpp
+++ b/src/version/ObjectKeys.cpp
@@ -25,6 +25,32 @@
                    std::to_string(aMove.m_plan.Value()));
 }
 
+ObjectKey
+OrderKey(const ServiceId& aService)
+{
+  return ObjectKey(std::string(kOrderPrefix) + aService.m_owner.Value() + "/" +
+                   aService.m_name.Value());
+}
+
+ObjectKey
+NodeKey(const VmId& aVm)
+{
+  return ObjectKey(std::string(kNodePrefix) + aVm.Value());
+}
+
+std::optional<ServiceId>
+OrderedService(const ObjectKey& aKey)
+{
+  const std::string& text = aKey.Value();
+  const auto slash = text.find('/', kOrderPrefix.size());
+  if (!text.starts_with(kOrderPrefix) || slash == std::string::npos) {
+    return std::nullopt;
+  }
+  return ServiceId{ ClientAccountId(text.substr(
+                      kOrderPrefix.size(), slash - kOrderPrefix.size())),
+                    ServiceName(text.substr(slash + 1)) };
+}
+
 bool
 IsTemplateKey(const ObjectKey& aKey)
 {
--- a/src/version/ObjectKeys.h
+++ b/src/version/ObjectKeys.h
@@ -19,6 +19,8 @@
 inline constexpr std::string_view kConfigurationPrefix = "configurations/";
 inline constexpr std::string_view kHistoryPrefix = "history/";
 inline constexpr std::string_view kMovePrefix = "moves/";
+inline constexpr std::string_view kOrderPrefix = "orders/";
+inline constexpr std::string_view kNodePrefix = "nodes/";
 
 /// "templates/NAME/VERSION".
 ObjectKey
@@ -32,6 +34,18 @@
 ObjectKey
 MoveKey(const MoveId& aMove);
 
+/// "orders/ACCOUNT/SERVICE", an order to move the service's traffic.
+ObjectKey
+OrderKey(const ServiceId& aService);
+
+/// "nodes/VM", where the node of a VM is reached.
+ObjectKey
+NodeKey(const VmId& aVm);
+
+/// The service of an "orders/ACCOUNT/SERVICE" key.
+std::optional<ServiceId>
+OrderedService(const ObjectKey& aKey);
+
 /// Whether the key is one of a template. Thread safety: any thread.
 bool
 IsTemplateKey(const ObjectKey& aKey);
