--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -17,6 +17,7 @@
 #include <boost/beast/http.hpp>
 
 #include "connection/HttpFields.h"
+#include "connection/Sockets.h"
 
 namespace tarragontray {
 
@@ -203,6 +204,7 @@
     if (!error && m_stream) {
       error_code ignored;
       m_stream->socket().set_option(tcp::no_delay(true), ignored);
+      WatchForSilence(m_stream->socket());
     }
     co_return error;
   }
--- a/src/connection/Platform.h
+++ b/src/connection/Platform.h
@@ -70,6 +70,8 @@
                      Revision aAfter,
                      Duration aMaxWait,
                      Callback<PlatformListing> aDone) = 0;
+  /// Gives up the watches that wait, without their callbacks.
+  virtual void DropWatches() = 0;
 };
 
 } // namespace tarragontray
--- a/src/connection/PlatformSession.cpp
+++ b/src/connection/PlatformSession.cpp
@@ -170,6 +170,8 @@
       std::move(aDone));
   }
 
+  void DropWatches() override { m_watches.clear(); }
+
 private:
   template<typename T>
   using Decoder = std::function<std::optional<T>(std::string_view)>;
--- a/src/connection/Sockets.cpp
+++ b/src/connection/Sockets.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/socket_base.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <netinet/tcp.h>
 
 namespace tarragontray {
 
@@ -16,6 +17,12 @@
 using ReusePort =
   asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
+/// Of silence before the first probe, and between probes.
+constexpr int kKeepAliveSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+/// Milliseconds in which what was sent must be acknowledged.
+constexpr int kUnacknowledgedMs = 2000;
+
 } // namespace
 
 asio::awaitable<asio::ip::tcp::socket>
@@ -30,6 +37,25 @@
   co_return std::move(socket);
 }
 
+void
+WatchForSilence(asio::ip::tcp::socket& aSocket)
+{
+  using KeepIdle =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+  using KeepInterval =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+  using KeepCount =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+  using UserTimeout =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  boost::system::error_code ignored;
+  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
+  aSocket.set_option(KeepIdle(kKeepAliveSeconds), ignored);
+  aSocket.set_option(KeepInterval(kKeepAliveSeconds), ignored);
+  aSocket.set_option(KeepCount(kKeepAliveProbes), ignored);
+  aSocket.set_option(UserTimeout(kUnacknowledgedMs), ignored);
+}
+
 Result<void>
 Listen(asio::ip::tcp::acceptor& aAcceptor, const ListenOptions& aOptions)
 {
--- a/src/connection/Sockets.h
+++ b/src/connection/Sockets.h
@@ -54,6 +54,11 @@
 boost::asio::awaitable<boost::asio::ip::tcp::socket>
 Accept(boost::asio::ip::tcp::acceptor& aAcceptor);
 
+/// Has the system find out within some seconds that a connection that carries
+/// nothing, or nothing that is acknowledged, has gone silent.
+void
+WatchForSilence(boost::asio::ip::tcp::socket& aSocket);
+
 /// Binds and listens. Errors: Unavailable.
 /// Precondition: the acceptor is not open.
 Result<void>
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -249,7 +249,7 @@
         break;
       case UpstreamVerdict::Shed:
         aAnswer.m_outcome = CallOutcome::NotRun;
-        aAnswer.m_refusal = RefusalReason::QueueFull;
+        aAnswer.m_refusal = RefusalReason::UpstreamShed;
         break;
       case UpstreamVerdict::OtherUpstream:
         aAnswer.m_outcome = CallOutcome::NotRun;
--- a/src/process/ConditionalWriterTest.cpp
+++ b/src/process/ConditionalWriterTest.cpp
@@ -78,6 +78,7 @@
   }
 
   void List(std::string, Callback<PlatformListing>) override {}
+  void DropWatches() override {}
   void Watch(std::string,
              Revision,
              Duration,
--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -5,6 +5,7 @@
 
 #include "process/EvidenceRouting.h"
 #include "process/ViewBuilder.h"
+#include "version/BriefMovePolicy.h"
 #include "version/SequentialMovePolicy.h"
 
 namespace tarragontray {
@@ -25,12 +26,15 @@
   BOOST_OUTCOME_TRY(
     auto gossip,
     Gossip::Create(aSettings.m_gossip, self, aSettings.m_seeds, aRandom));
-  MovesSettings moveSettings;
+  MovesSettings moveSettings = aSettings.m_moves;
   moveSettings.m_vm = self.m_vm;
   moveSettings.m_incarnation = self.m_incarnation;
   moveSettings.m_dataCentre =
     self.m_cell.IsEmpty() ? self.m_dataCentre : self.m_cell;
-  BOOST_OUTCOME_TRY(auto policy, SequentialMovePolicy::Create({}));
+  BOOST_OUTCOME_TRY(auto policy,
+                    aSettings.m_hasBriefMoves
+                      ? BriefMovePolicy::Create({})
+                      : SequentialMovePolicy::Create({}));
   BOOST_OUTCOME_TRY(auto moves, Moves::Create(moveSettings, std::move(policy)));
   LedgerSettings ledgerSettings;
   ledgerSettings.m_vm = self.m_vm;
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -51,6 +51,10 @@
   MemberRecord m_self;
   std::vector<NetworkAddress> m_seeds;
   GossipSettings m_gossip;
+  /// Who this node is, is filled in from m_self.
+  MovesSettings m_moves;
+  /// Moves have seconds, not minutes.
+  bool m_hasBriefMoves = false;
   /// An upstream that is silent for so long counts as absent.
   Duration m_announcementLapse = std::chrono::seconds(3);
   /// Keys that the platform is watched for.
--- a/src/process/EvidenceRoutingTest.cpp
+++ b/src/process/EvidenceRoutingTest.cpp
@@ -44,6 +44,7 @@
     MemberRecord& member = members[VmId(aVm)];
     member.m_vm = VmId(aVm);
     member.m_dataCentre = DataCentreId(aCentre);
+    member.m_cell = member.m_dataCentre;
     member.m_state = aState;
   };
   add("a", "one", NodeState::Alive);
--- a/src/process/FrontThread.cpp
+++ b/src/process/FrontThread.cpp
@@ -30,6 +30,8 @@
 constexpr std::size_t kMaxBatch = 1000;
 constexpr std::uint16_t kFirstServerError = 500;
 constexpr char kPart[] = "front";
+/// From the last answers of a stopping node to its end.
+constexpr Duration kLastAnswers = std::chrono::milliseconds(200);
 /// Callers that are refused for load come back after about this time, when a
 /// good part of the calls that run now has ended.
 constexpr Duration kRetryAfterLoad = std::chrono::milliseconds(200);
@@ -89,7 +91,7 @@
     , m_balancing(TwoChoicesSettings{ .m_region = aSettings.m_region })
     , m_splitter(m_random)
     , m_parts(m_random)
-    , m_retries(RetryBudgetSettings{})
+    , m_retries(aSettings.m_retries)
     , m_links(m_loop.Context(), aClock, aSettings.m_links)
     , m_batchTimer(m_loop.Context())
   {
@@ -118,13 +120,17 @@
   {
     m_loop.Post([this, view = std::move(aView)]() mutable {
       m_view = std::move(view);
+      m_retries.SetSharers(m_view->m_nodes);
       TakeLimits();
     });
   }
 
-  void Leave() override
+  void Leave(MonotonicTime aEnd) override
   {
-    m_loop.Post([this] { m_server->Leave(); });
+    m_loop.Post([this, aEnd] {
+      m_end = aEnd - kLastAnswers;
+      m_server->Leave();
+    });
   }
 
   void Drain() override
@@ -193,7 +199,7 @@
                      .m_isCallerKey = aCaller.m_isCallerKey,
                      .m_caller = aConfiguration.m_account,
                      .m_priority = PriorityOf(aConfiguration, aRoute.m_class),
-                     .m_deadline = aStart + timeout,
+                     .m_deadline = std::min(aStart + timeout, m_end),
                      .m_dataCentre = m_settings.m_dataCentre,
                      .m_policies = policies };
     Call call = CallOf(setup);
@@ -357,6 +363,8 @@
   PeerLinks m_links;
   std::map<std::pair<ClientAccountId, ClassName>, CallMetrics*> m_series;
   std::uint64_t m_operations = 0;
+  /// All calls are answered by then.
+  MonotonicTime m_end = MonotonicTime::max();
   ObservationBatch m_batch;
   asio::steady_timer m_batchTimer;
 };
--- a/src/process/FrontThread.h
+++ b/src/process/FrontThread.h
@@ -26,6 +26,7 @@
 #include "process/TrafficReport.h"
 #include "process/View.h"
 #include "request/HttpDialect.h"
+#include "request/RetryBudget.h"
 
 namespace tarragontray {
 
@@ -45,6 +46,7 @@
   std::uint32_t m_index = 0;
   std::uint64_t m_seed = 0;
   LinkSettings m_links;
+  RetryBudgetSettings m_retries;
 };
 
 /// See the file comment.
@@ -68,8 +70,9 @@
 
   /// Calls that begin from now on are served by this view.
   virtual void Publish(std::shared_ptr<const View> aView) = 0;
-  /// Callers are told with each answer to go elsewhere.
-  virtual void Leave() = 0;
+  /// Callers are told with each answer to go elsewhere; calls that begin from
+  /// now on are answered by aEnd.
+  virtual void Leave(MonotonicTime aEnd) = 0;
   /// Accepts no new callers; calls that run go on.
   virtual void Drain() = 0;
   /// Ends the thread; calls that still run are cut.
--- a/src/process/Node.cpp
+++ b/src/process/Node.cpp
@@ -74,21 +74,27 @@
     m_control->Drain();
     m_guard->Drain();
     for (const auto& front : m_fronts) {
-      front->Leave();
+      front->Leave(start + m_settings.m_leaveNotice + m_settings.m_drainLimit);
     }
     std::this_thread::sleep_for(m_settings.m_leaveNotice);
     for (const auto& front : m_fronts) {
       front->Drain();
     }
-    const Duration limit = m_settings.m_drainLimit;
-    const bool isFrontIdle = m_frontCalls.WaitFor(limit);
-    const Duration left = start + limit - m_clock.Now();
-    const bool isGuardIdle = m_guardCalls.WaitFor(std::max(left, Duration(0)));
-    m_guard->WaitForLinks(kLinkCloseLimit);
+    const MonotonicTime end =
+      start + m_settings.m_leaveNotice + m_settings.m_drainLimit;
+    const bool isFrontIdle = m_frontCalls.WaitFor(LeftUntil(end));
+    const bool isGuardIdle = m_guardCalls.WaitFor(LeftUntil(end));
+    m_guard->WaitForLinks(
+      std::min<Duration>(kLinkCloseLimit, LeftUntil(end)));
     return isGuardIdle && isFrontIdle;
   }
 
 private:
+  Duration LeftUntil(MonotonicTime aEnd) const
+  {
+    return std::max(aEnd - m_clock.Now(), Duration(0));
+  }
+
   Result<void> StartGuard()
   {
     GuardThreadSettings settings;
@@ -123,6 +129,7 @@
       settings.m_address = m_settings.m_frontAddress;
       settings.m_dialect = m_dialects.m_callers;
       settings.m_origin = m_settings.m_service;
+      settings.m_retries = m_settings.m_retries;
       settings.m_index = i;
       settings.m_seed = Seed() + i + 1;
       BOOST_OUTCOME_TRY(auto front,
@@ -157,6 +164,8 @@
     settings.m_isRegistered = m_settings.m_isRegistered;
     settings.m_core.m_announcementLapse = m_settings.m_announcementLapse;
     settings.m_core.m_gossip = m_settings.m_gossip;
+    settings.m_core.m_moves = m_settings.m_moves;
+    settings.m_core.m_hasBriefMoves = m_settings.m_hasBriefMoves;
     if (!m_settings.m_prefixes.empty()) {
       settings.m_core.m_prefixes = m_settings.m_prefixes;
     }
--- a/src/process/NodeSettings.cpp
+++ b/src/process/NodeSettings.cpp
@@ -33,6 +33,22 @@
     "platform", "The platform's object API, in order of preference.", true });
   parser.Add(AddressSetting{
     "seeds", "Peer addresses of nodes to join by.", true, false });
+  parser.Add(IntegerSetting{ "retry-percent",
+                             "%",
+                             "Repeated attempts of all nodes together over a "
+                             "service's calls.",
+                             0,
+                             100,
+                             20 });
+  parser.Add(IntegerSetting{ "retry-slack",
+                             "attempts",
+                             "Repeated attempts beyond that, in a window; 0: "
+                             "each node has a budget of its own.",
+                             0,
+                             1'000'000,
+                             0 });
+  parser.Add(IntegerSetting{
+    "retry-window-ms", "ms", "The window.", 100, 600'000, 10'000 });
   parser.Add(TextSetting{ "join",
                           "How nodes find each other: by --seeds, or through "
                           "the platform, where every node then registers and "
@@ -77,6 +93,11 @@
 {
   constexpr std::size_t kAllNodes = 4'096;
   aSettings.m_isRegistered = true;
+  aSettings.m_hasBriefMoves = true;
+  aSettings.m_moves.m_windowInterval = std::chrono::milliseconds(200);
+  aSettings.m_moves.m_reportInterval = std::chrono::milliseconds(200);
+  aSettings.m_moves.m_refreshInterval = std::chrono::seconds(1);
+  aSettings.m_moves.m_outcomeInterval = std::chrono::milliseconds(500);
   aSettings.m_prefixes = { std::string(kConfigurationPrefix),
                            std::string(kOrderPrefix) };
   MembershipSettings& membership = aSettings.m_gossip.m_membership;
@@ -111,6 +132,17 @@
   settings.m_frontThreads =
     static_cast<std::uint32_t>(aSettings.Integer("front-threads"));
   settings.m_drainLimit = aSettings.Milliseconds("drain-limit-ms");
+  const double window = aSettings.Milliseconds("retry-window-ms").count() / 1e9;
+  const auto slack = static_cast<double>(aSettings.Integer("retry-slack"));
+  if (slack > 0) {
+    // Half of the slack at once and half over the window; half of the ratio
+    // is kept for calls that runs of repeated calls make in turn.
+    settings.m_retries.m_isShared = true;
+    settings.m_retries.m_ratio =
+      static_cast<double>(aSettings.Integer("retry-percent")) / 200;
+    settings.m_retries.m_burst = slack / 2;
+    settings.m_retries.m_tokensPerSecond = slack / 2 / window;
+  }
   if (aSettings.Text("join") == "platform") {
     JoinByPlatform(settings);
   }
--- a/src/process/NodeSettings.h
+++ b/src/process/NodeSettings.h
@@ -13,6 +13,8 @@
 #include "base/Units.h"
 #include "process/Gossip.h"
 #include "process/Settings.h"
+#include "request/RetryBudget.h"
+#include "version/Moves.h"
 
 namespace tarragontray {
 
@@ -47,6 +49,9 @@
   /// Keys that the platform is watched for; empty: configurations.
   std::vector<std::string> m_prefixes;
   GossipSettings m_gossip;
+  MovesSettings m_moves;
+  bool m_hasBriefMoves = false;
+  RetryBudgetSettings m_retries;
   std::string m_logLevel;
 };
 
--- a/src/process/PlatformLoop.cpp
+++ b/src/process/PlatformLoop.cpp
@@ -133,22 +133,45 @@
                         const Result<PlatformListing>& aListing)
 {
   if (!aListing && aListing.error().Code() == ErrorCode::HistoryGone) {
-    Log(LogLevel::Info, kPart, "Lists again.", aListing.error());
+    Log(LogLevel::Info,
+        kPart,
+        "Lists again.",
+        { { "prefix", aPrefix.m_keys },
+          { "after",
+            std::to_string(m_core.WatchAfter(aPrefix.m_keys).Value()) } });
     m_core.OnHistoryGone(aPrefix.m_keys);
+    RestartWatches();
     Check();
     return;
   }
   if (!aListing) {
     Fail(aListing.error());
+    RestartWatches();
     return;
   }
   Succeed();
+  Log(LogLevel::Debug,
+      kPart,
+      "Listing.",
+      { { "prefix", aPrefix.m_keys },
+        { "objects", std::to_string(aListing.value().m_objects.size()) },
+        { "revision", std::to_string(aListing.value().m_revision.Value()) } });
   m_handle(m_core.OnListing(DocumentsOf(aListing.value()),
                             aListing.value().m_revision,
                             Now(),
                             aPrefix.m_keys));
 }
 
+void
+PlatformLoop::RestartWatches()
+{
+  // Whatever ended one watch may have silenced the others.
+  Current().DropWatches();
+  for (Prefix& prefix : m_prefixes) {
+    prefix.m_isWatching = false;
+  }
+}
+
 void
 PlatformLoop::Succeed()
 {
--- a/src/process/PlatformLoop.h
+++ b/src/process/PlatformLoop.h
@@ -85,6 +85,7 @@
   void Watch(Prefix& aPrefix);
   void OnListing(const Prefix& aPrefix,
                  const Result<PlatformListing>& aListing);
+  void RestartWatches();
   void Succeed();
   void Register();
   void ReadNodes();
--- a/src/process/View.h
+++ b/src/process/View.h
@@ -60,6 +60,8 @@
 /// Everything a traffic thread needs to serve a call.
 struct View
 {
+  /// Nodes that are not dead, this one among them.
+  std::size_t m_nodes = 1;
   std::unordered_map<ClientAccountId, std::shared_ptr<const Configuration>>
     m_configurations;
   std::unordered_map<ServiceId, ServiceView> m_services;
--- a/src/request/Call.cpp
+++ b/src/request/Call.cpp
@@ -46,6 +46,8 @@
       return "cancelled";
     case RefusalReason::OperationMismatch:
       return "operation-mismatch";
+    case RefusalReason::UpstreamShed:
+      return "upstream-shed";
     case RefusalReason::OperationTableFull:
       return "operation-table-full";
   }
--- a/src/request/Call.h
+++ b/src/request/Call.h
@@ -53,9 +53,11 @@
   OperationMismatch,
   /// No more operations can be remembered now.
   OperationTableFull,
+  /// The upstream itself turned the call away although it had a slot.
+  UpstreamShed,
 };
 inline constexpr RefusalReason kLastRefusalReason =
-  RefusalReason::OperationTableFull;
+  RefusalReason::UpstreamShed;
 inline constexpr std::size_t kRefusalReasons =
   static_cast<std::size_t>(kLastRefusalReason) + 1;
 
--- a/src/request/CallPlan.cpp
+++ b/src/request/CallPlan.cpp
@@ -105,7 +105,12 @@
 Step
 CallPlan::OnRefused(const Answer& aAnswer, MonotonicTime aNow)
 {
-  EndAttemptUnobserved({ .m_isRefused = true, .m_load = aAnswer.m_load }, aNow);
+  // A guard that refuses is only full; an upstream that does has a fault.
+  const bool isShed = aAnswer.m_refusal == RefusalReason::UpstreamShed;
+  EndAttemptUnobserved({ .m_failed = isShed,
+                         .m_isRefused = !isShed,
+                         .m_load = aAnswer.m_load },
+                       aNow);
   const bool isWithdrawn =
     aAnswer.m_refusal == RefusalReason::WithdrawnOperation;
   if (m_targets.IsPlaced() && isWithdrawn) {
@@ -331,6 +336,11 @@
 CallPlan::Observe(const Answer* aAnswer, bool aFailed, MonotonicTime aNow)
 {
   const bool isCallerError = aAnswer != nullptr && IsCallerError(*aAnswer);
+  // Time in queues says nothing about the version.
+  const bool isTimed =
+    aAnswer != nullptr && aAnswer->m_serviceTime > Duration::zero();
+  const Duration latency =
+    isTimed ? aAnswer->m_serviceTime : aNow - m_attemptStart;
   m_observations.push_back({ Setup().m_service.m_id,
                              Setup().m_route.m_name,
                              m_target->m_version,
@@ -338,7 +348,7 @@
                              m_attempts == 1,
                              aFailed,
                              isCallerError,
-                             aNow - m_attemptStart });
+                             latency });
 }
 
 } // namespace tarragontray
--- a/src/request/RetryBudget.cpp
+++ b/src/request/RetryBudget.cpp
@@ -12,13 +12,13 @@
     if (m_buckets.size() >= m_settings.m_maxServices) {
       return nullptr;
     }
-    const Bucket full{ m_settings.m_burst, aNow };
+    const Bucket full{ Burst(), aNow };
     found = m_buckets.emplace(aService, full).first;
   }
   Bucket& bucket = found->second;
   const std::chrono::duration<double> elapsed = aNow - bucket.m_refilled;
-  const double added = elapsed.count() * m_settings.m_tokensPerSecond;
-  bucket.m_tokens = std::min(m_settings.m_burst, bucket.m_tokens + added);
+  const double added = elapsed.count() * m_settings.m_tokensPerSecond * m_part;
+  bucket.m_tokens = std::min(Burst(), bucket.m_tokens + added);
   bucket.m_refilled = aNow;
   return &bucket;
 }
@@ -29,7 +29,7 @@
   Bucket* bucket = Refill(aService, aNow);
   if (bucket != nullptr) {
     bucket->m_tokens =
-      std::min(m_settings.m_burst, bucket->m_tokens + m_settings.m_ratio);
+      std::min(Burst(), bucket->m_tokens + m_settings.m_ratio);
   }
 }
 
--- a/src/request/RetryBudget.h
+++ b/src/request/RetryBudget.h
@@ -13,6 +13,7 @@
 /// Thread safety: one thread for each instance.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <unordered_map>
@@ -31,6 +32,9 @@
   double m_tokensPerSecond = 0.5;
   /// Services tracked; further ones get no retries.
   std::size_t m_maxServices = 4096;
+  /// m_burst and m_tokensPerSecond are those of all nodes together: each takes
+  /// its part.
+  bool m_isShared = false;
 };
 
 class RetryBudget final : public RetryPolicy
@@ -46,6 +50,14 @@
                 std::uint8_t aAttempts,
                 MonotonicTime aNow) override;
 
+  /// How many nodes share the budget, at least 1.
+  void SetSharers(std::size_t aNodes)
+  {
+    m_part = m_settings.m_isShared
+               ? 1.0 / static_cast<double>(std::max<std::size_t>(aNodes, 1))
+               : 1.0;
+  }
+
   /// Retries refused so far. Thread safety: as the class.
   std::uint64_t Refused() const { return m_refused; }
 
@@ -56,11 +68,15 @@
     MonotonicTime m_refilled{};
   };
 
+  /// At least one retry, whatever this node's part.
+  double Burst() const { return std::max(1.0, m_settings.m_burst * m_part); }
   /// Null when the table is full.
   Bucket* Refill(const ServiceId& aService, MonotonicTime aNow);
 
   RetryBudgetSettings m_settings;
   std::unordered_map<ServiceId, Bucket> m_buckets;
+  /// Of the burst and the refill.
+  double m_part = 1.0;
   std::uint64_t m_refused = 0;
 };
 
--- /dev/null
+++ b/src/version/BriefMovePolicy.cpp
@@ -0,0 +1,328 @@
+#include "version/BriefMovePolicy.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace tarragontray {
+
+namespace {
+
+/// A share that is due from a part of the time on.
+struct Stage
+{
+  double m_from;
+  double m_share;
+};
+
+/// With equal load throughout, the stages before the whole take 6 % of the
+/// calls of the whole time.
+constexpr std::array<Stage, 7> kStages{ { { 0.20, 0.02 },
+                                          { 0.30, 0.04 },
+                                          { 0.40, 0.07 },
+                                          { 0.58, 0.14 },
+                                          { 0.62, 0.28 },
+                                          { 0.66, 0.50 },
+                                          { 0.70, 1.00 } } };
+/// Shortest time between two raises, as part of the whole time.
+constexpr double kShortestStep = 0.035;
+
+/// Bad calls of the new version below which a score is chance.
+constexpr double kLeastBad = 4;
+/// How much more often than the old version's a bad version's calls fail or
+/// are slow, at the least.
+constexpr double kFailureExcess = 0.15;
+constexpr double kSlowExcess = 0.30;
+/// Rates of the old version below these say little.
+constexpr double kLeastFailureRate = 0.01;
+constexpr double kLeastSlowRate = 0.05;
+constexpr double kHighestRate = 0.95;
+/// Part of the old version's calls that count as not slow.
+constexpr double kUsualPart = 0.97;
+/// Buckets above the old version's usual ones: four times as long.
+constexpr std::size_t kSlowBuckets = 4;
+/// Calls of the old version from which its latency is known.
+constexpr std::uint64_t kLeastPast = 20;
+
+/// Calls, and how many of them were bad.
+struct Counts
+{
+  double m_calls = 0;
+  double m_bad = 0;
+
+  Counts& operator+=(const Counts& aOther)
+  {
+    m_calls += aOther.m_calls;
+    m_bad += aOther.m_bad;
+    return *this;
+  }
+};
+
+void
+Add(VersionCounters& aInto, const VersionCounters& aFrom)
+{
+  aInto.m_calls += aFrom.m_calls;
+  aInto.m_failures += aFrom.m_failures;
+  aInto.m_callerErrors += aFrom.m_callerErrors;
+  for (std::size_t i = 0; i < kLatencyBuckets; ++i) {
+    aInto.m_latency[i] += aFrom.m_latency[i];
+  }
+}
+
+Counts
+Failures(const VersionCounters& aCounters)
+{
+  return { static_cast<double>(aCounters.m_calls),
+           static_cast<double>(aCounters.m_failures +
+                               aCounters.m_callerErrors) };
+}
+
+Counts
+SlowCalls(const VersionCounters& aCounters, std::size_t aFirstSlow)
+{
+  Counts counts{ static_cast<double>(aCounters.m_calls), 0 };
+  for (std::size_t i = aFirstSlow; i < kLatencyBuckets; ++i) {
+    counts.m_bad += aCounters.m_latency[i];
+  }
+  return counts;
+}
+
+/// The first bucket that counts as slow beside these calls.
+std::size_t
+FirstSlowBucket(const VersionCounters& aPast)
+{
+  double seen = 0;
+  for (std::size_t i = 0; i < kLatencyBuckets; ++i) {
+    seen += aPast.m_latency[i];
+    if (seen >= kUsualPart * static_cast<double>(aPast.m_calls)) {
+      return std::min(i + kSlowBuckets, kLatencyBuckets - 1);
+    }
+  }
+  return kLatencyBuckets;
+}
+
+double
+Rate(const Counts& aCounts, double aLeast)
+{
+  return aCounts.m_calls > 0
+           ? std::max(aLeast, aCounts.m_bad / aCounts.m_calls)
+           : aLeast;
+}
+
+double
+LogLikelihoodRatio(const Counts& aCounts, double aReference, double aExcess)
+{
+  const double reference = std::min(aReference, kHighestRate - aExcess);
+  const double alternative = reference + aExcess;
+  const double good = aCounts.m_calls - aCounts.m_bad;
+  return aCounts.m_bad * std::log(alternative / reference) +
+         good * std::log((1 - alternative) / (1 - reference));
+}
+
+/// One kind of badness: what counts, and how much of it speaks against.
+struct Signal
+{
+  const char* m_name;
+  double m_leastRate;
+  double m_excess;
+};
+
+constexpr Signal kFailureSignal{ "failures", kLeastFailureRate, kFailureExcess };
+constexpr Signal kSlowSignal{ "slow-calls", kLeastSlowRate, kSlowExcess };
+
+using CountsByTarget = std::map<VmId, Counts>;
+
+/// All calls but those of the target whose absence helps most.
+Counts
+WithoutWorst(const CountsByTarget& aTargets)
+{
+  Counts all;
+  const Counts* worst = nullptr;
+  for (const auto& [target, counts] : aTargets) {
+    all += counts;
+    if (worst == nullptr || counts.m_bad > worst->m_bad) {
+      worst = &counts;
+    }
+  }
+  if (aTargets.size() > 1) {
+    all.m_calls -= worst->m_calls;
+    all.m_bad -= worst->m_bad;
+  }
+  return all;
+}
+
+std::string
+Describe(const Signal& aSignal, const Counts& aNew, const Counts& aOld)
+{
+  const auto text = [](double aNumber) {
+    return std::to_string(static_cast<std::uint64_t>(aNumber));
+  };
+  return std::string(aSignal.m_name) + " new=" + text(aNew.m_bad) + "/" +
+         text(aNew.m_calls) + " old=" + text(aOld.m_bad) + "/" +
+         text(aOld.m_calls);
+}
+
+/// What was seen of one route within the memory, and of the old version since
+/// the start.
+struct RouteMemory
+{
+  std::map<VmId, VersionCounters> m_new;
+  VersionCounters m_old;
+};
+
+class BriefJudge final : public VersionJudge
+{
+public:
+  explicit BriefJudge(const BriefMoveSettings& aSettings)
+    : m_settings(aSettings)
+  {
+  }
+
+  void LearnPast(const EvidenceWindow& aWindow) override
+  {
+    for (const WindowEntry& entry : aWindow.m_entries) {
+      if (entry.m_side == VersionSide::Old) {
+        Add(m_past[entry.m_route], entry.m_counters);
+      }
+    }
+  }
+
+  Verdict Judge(const EvidenceWindow& aWindow) override
+  {
+    LearnPast(aWindow);
+    Remember(aWindow);
+    Verdict worst;
+    double highest = m_settings.m_verdictScore;
+    for (const auto& [route, memory] : Sum()) {
+      Consider(route, memory, kFailureSignal, highest, worst);
+      Consider(route, memory, kSlowSignal, highest, worst);
+    }
+    return worst;
+  }
+
+private:
+  void Remember(const EvidenceWindow& aWindow)
+  {
+    m_windows.push_back(aWindow);
+    m_length += aWindow.m_length;
+    while (m_length - m_windows.front().m_length >= m_settings.m_memory) {
+      m_length -= m_windows.front().m_length;
+      m_windows.pop_front();
+    }
+  }
+
+  std::map<RouteName, RouteMemory> Sum() const
+  {
+    std::map<RouteName, RouteMemory> routes;
+    for (const EvidenceWindow& window : m_windows) {
+      for (const WindowEntry& entry : window.m_entries) {
+        RouteMemory& route = routes[entry.m_route];
+        Add(entry.m_side == VersionSide::New ? route.m_new[entry.m_target]
+                                             : route.m_old,
+            entry.m_counters);
+      }
+    }
+    return routes;
+  }
+
+  void Consider(const RouteName& aRoute,
+                const RouteMemory& aMemory,
+                const Signal& aSignal,
+                double& aHighest,
+                Verdict& aVerdict) const
+  {
+    const auto known = m_past.find(aRoute);
+    static const VersionCounters kNone;
+    const VersionCounters& past = known == m_past.end() ? kNone : known->second;
+    const bool isSlow = &aSignal == &kSlowSignal;
+    if (isSlow && past.m_calls < kLeastPast) {
+      return;
+    }
+    const std::size_t firstSlow = FirstSlowBucket(past);
+    const auto count = [&](const VersionCounters& aCounters) {
+      return isSlow ? SlowCalls(aCounters, firstSlow) : Failures(aCounters);
+    };
+    CountsByTarget targets;
+    for (const auto& [target, counters] : aMemory.m_new) {
+      targets[target] = count(counters);
+    }
+    const Counts fresh = WithoutWorst(targets);
+    // What goes on now excuses as much as what went on before.
+    const double reference =
+      std::max(Rate(count(past), aSignal.m_leastRate),
+               Rate(count(aMemory.m_old), aSignal.m_leastRate));
+    const double score =
+      LogLikelihoodRatio(fresh, reference, aSignal.m_excess);
+    if (fresh.m_bad < kLeastBad || score < aHighest) {
+      return;
+    }
+    aHighest = score;
+    aVerdict = Verdict{ VerdictKind::Bad,
+                        aRoute,
+                        Describe(aSignal, fresh, count(past)),
+                        CallCount(static_cast<std::uint64_t>(fresh.m_calls)) };
+  }
+
+  BriefMoveSettings m_settings;
+  std::deque<EvidenceWindow> m_windows;
+  Duration m_length{ 0 };
+  std::map<RouteName, VersionCounters> m_past;
+};
+
+} // namespace
+
+Result<std::unique_ptr<MovePolicy>>
+BriefMovePolicy::Create(const BriefMoveSettings& aSettings)
+{
+  if (aSettings.m_verdictScore <= 0 || aSettings.m_memory <= Duration::zero()) {
+    return Error(ErrorCode::InvalidArgument,
+                 "moves.policy",
+                 "",
+                 "the verdict's score and the memory must be positive");
+  }
+  return std::unique_ptr<MovePolicy>(new BriefMovePolicy(aSettings));
+}
+
+Share
+BriefMovePolicy::NextShare(const PaceInput& aInput) const
+{
+  const Duration whole = aInput.m_plan.m_deadline - aInput.m_plan.m_start;
+  const Duration elapsed = aInput.m_wall - aInput.m_plan.m_start;
+  const auto shortest = std::chrono::duration_cast<Duration>(
+    whole * kShortestStep);
+  const bool isFirst = aInput.m_share == Share::None();
+  if (elapsed < Duration::zero() ||
+      (!isFirst && aInput.m_sinceChange < shortest)) {
+    return aInput.m_share;
+  }
+  const double part = std::chrono::duration<double>(elapsed).count() /
+                      std::chrono::duration<double>(
+                        std::max(whole, Duration(1)))
+                        .count();
+  // One stage at a time, also when late.
+  for (const Stage& stage : kStages) {
+    const Share share = Share::FromFraction(stage.m_share);
+    if (part >= stage.m_from && share > aInput.m_share) {
+      return share;
+    }
+  }
+  return aInput.m_share;
+}
+
+std::unique_ptr<VersionJudge>
+BriefMovePolicy::MakeJudge(EvidenceScope aScope) const
+{
+  BriefMoveSettings settings = m_settings;
+  if (aScope == EvidenceScope::Node) {
+    // Many nodes judge: each needs more.
+    constexpr double kNodeFactor = 1.5;
+    settings.m_verdictScore *= kNodeFactor;
+  }
+  return std::make_unique<BriefJudge>(settings);
+}
+
+} // namespace tarragontray
--- a/src/version/Move.h
+++ b/src/version/Move.h
@@ -39,7 +39,7 @@
   /// The time between repeats of progress by a steward.
   Duration m_refreshInterval = std::chrono::seconds(5);
   /// The time between tries to write an outcome.
-  Duration m_outcomeInterval = std::chrono::seconds(1);
+  Duration m_outcomeInterval = std::chrono::seconds(5);
   /// Outcomes and vetoes are kept this long after the plan is gone.
   Duration m_retention = std::chrono::hours(48);
   /// Moves kept at once; further plans are turned away.
--- a/src/version/Moves.cmake
+++ b/src/version/Moves.cmake
@@ -1,9 +1,9 @@
 tt_decision_library(tt_moves
-  SRCS EvidenceTable.cpp FixedStepPolicy.cpp LoadComparison.cpp
+  SRCS BriefMovePolicy.cpp EvidenceTable.cpp FixedStepPolicy.cpp LoadComparison.cpp
        LocalEvidence.cpp Move.cpp Moves.cpp RouteComparison.cpp
        SequentialJudge.cpp SequentialMovePolicy.cpp SequentialTest.cpp
        Steward.cpp Tripwire.cpp
-  HDRS EvidenceTable.h EvidenceWindow.h FixedStepPolicy.h LoadComparison.h
+  HDRS BriefMovePolicy.h EvidenceTable.h EvidenceWindow.h FixedStepPolicy.h LoadComparison.h
        LocalEvidence.h Move.h MovePolicy.h Moves.h MoveStatus.h
        RouteComparison.h SequentialJudge.h SequentialMovePolicy.h
        SequentialTest.h Steward.h Tripwire.h VersionSplit.h
