--- a/src/connection/FrameCodec.cpp
+++ b/src/connection/FrameCodec.cpp
@@ -119,6 +119,7 @@
          aCall.m_idempotent,
          aCall.m_attempt,
          aCall.m_timeRemaining,
+         aCall.m_objectiveRemaining,
          aCall.m_http.m_method,
          aCall.m_http.m_target);
   aCoder.List(aCall.m_http.m_headers);
--- a/src/process/FrontThread.cpp
+++ b/src/process/FrontThread.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <utility>
 
 #include <boost/asio/steady_timer.hpp>
@@ -28,6 +29,7 @@
 /// Observations wait at most this long for their batch.
 constexpr Duration kBatchInterval = std::chrono::milliseconds(100);
 constexpr std::size_t kMaxBatch = 1000;
+constexpr std::size_t kMaxPatienceRoutes = 4096;
 constexpr std::uint16_t kFirstServerError = 500;
 constexpr char kPart[] = "front";
 /// From the last answers of a stopping node to its end.
@@ -200,6 +202,7 @@
                      .m_caller = aConfiguration.m_account,
                      .m_priority = PriorityOf(aConfiguration, aRoute.m_class),
                      .m_deadline = std::min(aStart + timeout, m_end),
+                     .m_objective = Objective(aCaller, aRoute, aStart),
                      .m_dataCentre = m_settings.m_dataCentre,
                      .m_policies = policies };
     Call call = CallOf(setup);
@@ -248,6 +251,7 @@
         "Call ended.",
         { { "id", aSetup.m_operation.Value() },
           { "route", aSetup.m_route.m_name.Value() },
+          { "class", aSetup.m_route.m_class.Value() },
           { "service", aSetup.m_service.m_id.m_name.Value() },
           { "outcome", std::string(Name(aAnswer.m_outcome)) },
           { "reason", std::string(Name(aAnswer.m_refusal)) },
@@ -264,6 +268,28 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
   }
 
+  /// Callers come back after a refusal with less time than they had at first.
+  /// The most that callers of a route ever had tells how long one has waited
+  /// already.
+  MonotonicTime Objective(const CallerRequest& aCaller,
+                          const RouteSpec& aRoute,
+                          MonotonicTime aStart)
+  {
+    if (aRoute.m_objective == Duration::zero()) {
+      return MonotonicTime::max();
+    }
+    if (!aCaller.m_timeRemaining) {
+      return aStart + aRoute.m_objective;
+    }
+    if (m_patience.size() >= kMaxPatienceRoutes &&
+        !m_patience.contains(aRoute.m_name)) {
+      m_patience.clear();
+    }
+    Duration& most = m_patience[aRoute.m_name];
+    most = std::max(most, *aCaller.m_timeRemaining);
+    return aStart + aRoute.m_objective - (most - *aCaller.m_timeRemaining);
+  }
+
   static Call CallOf(const CallSetup& aSetup)
   {
     Call call;
@@ -362,6 +388,8 @@
   RetryBudget m_retries;
   PeerLinks m_links;
   std::map<std::pair<ClientAccountId, ClassName>, CallMetrics*> m_series;
+  /// The longest time that callers of a route said they wait.
+  std::unordered_map<RouteName, Duration> m_patience;
   std::uint64_t m_operations = 0;
   /// All calls are answered by then.
   MonotonicTime m_end = MonotonicTime::max();
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -17,6 +17,7 @@
 #include "process/ThreadLoop.h"
 #include "request/FairAdmission.h"
 #include "request/Guard.h"
+#include "request/ObjectiveAdmission.h"
 
 namespace tarragontray {
 
@@ -324,7 +325,10 @@
 {
   GuardSettings settings;
   settings.m_incarnation = aSettings.m_incarnation;
-  BOOST_OUTCOME_TRY(auto policy, FairAdmission::Create({}));
+  BOOST_OUTCOME_TRY(auto policy,
+                    aSettings.m_admitsByObjective
+                      ? ObjectiveAdmission::Create({})
+                      : FairAdmission::Create({}));
   BOOST_OUTCOME_TRY(auto guard, Guard::Create(settings, std::move(policy)));
   auto loop = std::make_unique<GuardLoop>(
     aSettings, aClock, aInFlight, std::move(aEvents), std::move(guard));
--- a/src/process/GuardThread.h
+++ b/src/process/GuardThread.h
@@ -34,6 +34,8 @@
   Incarnation m_incarnation;
   /// How the upstream is spoken to; never null.
   std::shared_ptr<const UpstreamDialect> m_dialect;
+  /// Admission by objectives in place of fair shares of accounts.
+  bool m_admitsByObjective = false;
   /// Peer links that may be open at once.
   std::size_t m_maxLinks = 4096;
 };
--- a/src/process/Node.cpp
+++ b/src/process/Node.cpp
@@ -100,6 +100,7 @@
     GuardThreadSettings settings;
     settings.m_address = m_settings.m_peerAddress;
     settings.m_dialect = m_dialects.m_upstreams;
+    settings.m_admitsByObjective = m_settings.m_admitsByObjective;
     settings.m_vm = m_settings.m_vm;
     settings.m_incarnation = m_incarnation;
     GuardEvents events;
--- a/src/process/NodeSettings.cpp
+++ b/src/process/NodeSettings.cpp
@@ -49,6 +49,11 @@
                              0 });
   parser.Add(IntegerSetting{
     "retry-window-ms", "ms", "The window.", 100, 600'000, 10'000 });
+  parser.Add(TextSetting{ "admission",
+                          "Who gets the upstream's slots: accounts by fair "
+                          "shares, or calls that can meet their objective.",
+                          { "fair", "objective" },
+                          "fair" });
   parser.Add(TextSetting{ "join",
                           "How nodes find each other: by --seeds, or through "
                           "the platform, where every node then registers and "
@@ -146,6 +151,7 @@
   if (aSettings.Text("join") == "platform") {
     JoinByPlatform(settings);
   }
+  settings.m_admitsByObjective = aSettings.Text("admission") == "objective";
   settings.m_logLevel = aSettings.Text("log-level");
   return settings;
 }
--- a/src/process/NodeSettings.h
+++ b/src/process/NodeSettings.h
@@ -51,6 +51,7 @@
   GossipSettings m_gossip;
   MovesSettings m_moves;
   bool m_hasBriefMoves = false;
+  bool m_admitsByObjective = false;
   RetryBudgetSettings m_retries;
   std::string m_logLevel;
 };
--- a/src/request/AdmissionPolicy.h
+++ b/src/request/AdmissionPolicy.h
@@ -33,6 +33,9 @@
   std::uint8_t m_priority = 0;
   /// After this time its answer is of no use.
   MonotonicTime m_deadline{};
+  /// An answer by this time is worth most. On arrival behind the present: it
+  /// is late already.
+  MonotonicTime m_objective = MonotonicTime::max();
   /// Smoothed time that calls of its route take in the upstream; 0: unknown.
   Duration m_serviceTime{ 0 };
 };
--- a/src/request/Call.h
+++ b/src/request/Call.h
@@ -108,6 +108,9 @@
 /// The most that a call's request or answer may hold: nodes keep each whole.
 inline constexpr ByteCount kMaxCallBytes{ 1U << 20U };
 
+/// Stands for an objective that is not stated.
+inline constexpr Duration kNoObjective = std::chrono::hours(24);
+
 /// One attempt of a call, as node A sends it to node B.
 struct Call
 {
@@ -129,6 +132,9 @@
   std::uint8_t m_attempt = 1;
   /// Crosses links as time remaining, never as a wall time.
   Duration m_timeRemaining{ 0 };
+  /// Until the route's objective passes, counted from the caller's first try;
+  /// zero: it has passed.
+  Duration m_objectiveRemaining = kNoObjective;
   HttpRequestParts m_http;
 };
 
--- a/src/request/CallPlan.cpp
+++ b/src/request/CallPlan.cpp
@@ -48,6 +48,8 @@
     case RefusalReason::UpstreamGone:
     case RefusalReason::NoConfiguration:
       return RetryReason::TargetGone;
+    case RefusalReason::UpstreamShed:
+      return RetryReason::Shed;
     default:
       return RetryReason::Overload;
   }
@@ -226,9 +228,16 @@
   m_attemptStart = aNow;
   ++m_attempts;
   Setup().m_policies.m_balancing.Started(aTarget.m_vm, aNow);
-  return SendAttempt{
-    &aTarget, m_attempts, aTarget.m_version, Setup().m_deadline - aNow
-  };
+  SendAttempt send;
+  send.m_target = &aTarget;
+  send.m_attempt = m_attempts;
+  send.m_version = aTarget.m_version;
+  send.m_timeRemaining = Setup().m_deadline - aNow;
+  if (Setup().m_objective != MonotonicTime::max()) {
+    send.m_objectiveRemaining =
+      std::max(Setup().m_objective - aNow, Duration(0));
+  }
+  return send;
 }
 
 Step
@@ -260,7 +269,8 @@
   // The others don't add load: what wasn't handed over is not run twice, and
   // a target that leaves takes none.
   const bool addsLoad =
-    aReason == RetryReason::Failed || aReason == RetryReason::Overload;
+    aReason == RetryReason::Failed || aReason == RetryReason::Shed ||
+    aReason == RetryReason::Overload;
   return !addsLoad || Setup().m_policies.m_retries.TryRetry(
                         Setup().m_service.m_id, m_attempts, aNow);
 }
--- a/src/request/CallPlan.h
+++ b/src/request/CallPlan.h
@@ -61,6 +61,7 @@
   std::uint8_t m_attempt = 1;
   UpstreamVersion m_version;
   Duration m_timeRemaining{ 0 };
+  Duration m_objectiveRemaining = kNoObjective;
 };
 
 /// Ask the node about the operation over a fresh connection; the question
--- a/src/request/CallRunner.cpp
+++ b/src/request/CallRunner.cpp
@@ -57,6 +57,7 @@
     m_call.m_version = aSend.m_version;
     m_call.m_attempt = aSend.m_attempt;
     m_call.m_timeRemaining = aSend.m_timeRemaining;
+    m_call.m_objectiveRemaining = aSend.m_objectiveRemaining;
     const auto link = m_links.Get(aSend.m_target->m_peerAddress);
     const Exchange<Answer> exchange =
       co_await link->Run(m_call, aSend.m_timeRemaining);
--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -141,11 +141,13 @@
              GuardActions& aActions)
 {
   const Ticket ticket = m_lastTicket += Ticket(1);
-  const WaitingCall waiting{ ticket,
-                             aCall.m_caller,
-                             aCall.m_priority,
-                             aNow + aCall.m_timeRemaining,
-                             m_serviceTimes.Of(aCall.m_route) };
+  const WaitingCall waiting{ .m_ticket = ticket,
+                             .m_caller = aCall.m_caller,
+                             .m_priority = aCall.m_priority,
+                             .m_deadline = aNow + aCall.m_timeRemaining,
+                             .m_objective = aNow + aCall.m_objectiveRemaining,
+                             .m_serviceTime =
+                               m_serviceTimes.Of(aCall.m_route) };
   m_links.Add({ aFrom, aCall.m_id }, ticket);
   Entry& entry = m_entries[ticket];
   entry.m_waiters.push_back({ aFrom, aCall.m_id });
--- a/src/request/TargetSequence.cpp
+++ b/src/request/TargetSequence.cpp
@@ -86,6 +86,7 @@
     case RetryReason::TargetGone:
       // The upstream may come back, and a repeat would then run again there.
     case RetryReason::Overload:
+    case RetryReason::Shed:
     case RetryReason::Failed:
       break;
   }
--- a/src/request/TargetSequence.h
+++ b/src/request/TargetSequence.h
@@ -46,6 +46,8 @@
   ClientAccountId m_caller;
   std::uint8_t m_priority = 0;
   MonotonicTime m_deadline{};
+  /// An answer by this time is worth most.
+  MonotonicTime m_objective = MonotonicTime::max();
   DataCentreId m_dataCentre;
   TrafficPolicies& m_policies;
 };
@@ -53,8 +55,10 @@
 /// Why another attempt is wanted.
 enum class RetryReason : std::uint8_t
 {
-  /// The target refused for load.
+  /// The target's guard refused for load.
   Overload,
+  /// The target itself turned the call away.
+  Shed,
   /// The target refused because it drains, and will never take work again.
   Draining,
   /// The target refused because it has no upstream of the version now.
