Stay in the zone while the objective can be met there; never put small calls behind

A zone is left only when waiting and service there would take over 0.6 of the time to the objective, or when its targets refuse; calls under half of the usual service time keep their place.

--- a/src/request/BalancingPolicy.h
+++ b/src/request/BalancingPolicy.h
@@ -2,7 +2,7 @@
 /// Choice of a target for one attempt.
 ///
 ///     std::optional<std::size_t> index = policy->Choose(candidates, 0,
-///     dataCentre, now, random); policy->Started(candidates[*index].m_vm, now);
+///     dataCentre, timeLeft, now, random); policy->Started(candidates[*index].m_vm, now);
 ///     ...
 ///     policy->Finished(candidates[*index].m_vm, result, now);
 ///
@@ -28,6 +28,8 @@
   /// The caller left first: the latency says nothing about the target.
   bool m_isAbandoned = false;
   Duration m_latency{ 0 };
+  /// The part of it in the upstream itself; zero while unknown.
+  Duration m_serviceTime{ 0 };
   /// Set when the answer carried one.
   std::optional<LoadReport> m_load = std::nullopt;
 };
@@ -41,10 +43,12 @@
   /// Picks one of the candidates, or nothing when none should get work now.
   /// \param aCandidates targets of the service and version, not tried yet.
   /// \param aTried targets that this call has tried already.
+  /// \param aTimeLeft until the call's objective; zero when it has none.
   virtual std::optional<std::size_t> Choose(
     const std::vector<const Target*>& aCandidates,
     std::size_t aTried,
     const DataCentreId& aOwnDataCentre,
+    Duration aTimeLeft,
     MonotonicTime aNow,
     Random& aRandom) = 0;
 
--- a/src/request/CallPlan.cpp
+++ b/src/request/CallPlan.cpp
@@ -325,6 +325,7 @@
   AttemptResult result;
   result.m_failed = aFailed;
   if (aAnswer != nullptr) {
+    result.m_serviceTime = aAnswer->m_serviceTime;
     result.m_load = aAnswer->m_load;
   }
   EndAttemptUnobserved(result, aNow);
--- a/src/request/ObjectiveAdmission.cpp
+++ b/src/request/ObjectiveAdmission.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// A call that takes less than this part of the usual service time holds up
+/// nobody: it is never put behind the others for being late.
+constexpr double kSmallPart = 0.5;
 /// Part of the usual service time that must be left before the deadline when a
 /// call starts. Less than one, because some calls are faster than the usual.
 constexpr double kLeastServiceLeft = 0.5;
@@ -103,16 +106,22 @@
                           MonotonicTime aNow)
 {
   Demote(aNow);
+  const bool isSmall =
+    aCall.m_serviceTime < Scaled(aRoom.m_serviceTime, kSmallPart);
+  WaitingCall call = aCall;
+  if (isSmall) {
+    call.m_objective = call.m_deadline;
+  }
   const bool isLate =
-    aNow + ExpectedWait(aCall, false, aRoom) > LatestTimelyStart(aCall);
+    aNow + ExpectedWait(call, false, aRoom) > LatestTimelyStart(call);
   if (isLate &&
-      aNow + ExpectedWait(aCall, true, aRoom) > LatestUsefulStart(aCall)) {
-    return { { aCall.m_ticket, RefusalReason::DeadlineTooShort } };
+      aNow + ExpectedWait(call, true, aRoom) > LatestUsefulStart(call)) {
+    return { { call.m_ticket, RefusalReason::DeadlineTooShort } };
   }
   if (Size() >= m_bounds.m_limit) {
-    return OfferToFull(aCall, isLate);
+    return OfferToFull(call, isLate);
   }
-  Append(aCall, isLate);
+  Append(call, isLate);
   return {};
 }
 
--- a/src/request/TargetSequence.cpp
+++ b/src/request/TargetSequence.cpp
@@ -157,6 +157,14 @@
            : nullptr;
 }
 
+Duration
+TargetSequence::TimeToObjective(MonotonicTime aNow) const
+{
+  const bool isStated = m_setup.m_objective != MonotonicTime::max();
+  return isStated ? std::max(m_setup.m_objective - aNow, Duration(0))
+                  : Duration(0);
+}
+
 const Target*
 TargetSequence::ChooseAmong(const UpstreamVersion& aVersion, MonotonicTime aNow)
 {
@@ -172,6 +180,7 @@
     m_setup.m_policies.m_balancing.Choose(candidates,
                                           m_tried.size(),
                                           m_setup.m_dataCentre,
+                                          TimeToObjective(aNow),
                                           aNow,
                                           m_setup.m_policies.m_random);
   return index ? candidates[*index] : nullptr;
--- a/src/request/TargetSequence.h
+++ b/src/request/TargetSequence.h
@@ -106,6 +106,7 @@
                          MonotonicTime aNow) const;
   /// The aIndex-th place that may have held the key, or null.
   const Target* FormerHome(std::size_t aIndex, MonotonicTime aNow) const;
+  Duration TimeToObjective(MonotonicTime aNow) const;
   const Target* ChooseAmong(const UpstreamVersion& aVersion,
                             MonotonicTime aNow);
   bool WasTried(const VmId& aVm) const;
--- a/src/request/TwoChoicesBalancing.cpp
+++ b/src/request/TwoChoicesBalancing.cpp
@@ -30,6 +30,7 @@
 TwoChoicesBalancing::Choose(const std::vector<const Target*>& aCandidates,
                             std::size_t aTried,
                             const DataCentreId& aOwnDataCentre,
+                            Duration aTimeLeft,
                             MonotonicTime aNow,
                             Random& aRandom)
 {
@@ -38,7 +39,7 @@
   }
   m_considered.clear();
   for (const Target* target : aCandidates) {
-    m_considered.push_back(Consider(*target, aOwnDataCentre, aNow));
+    m_considered.push_back(Consider(*target, aOwnDataCentre, aTimeLeft, aNow));
   }
   LimitEjections(aTried);
   SelectTier();
@@ -56,6 +57,7 @@
 TwoChoicesBalancing::Considered
 TwoChoicesBalancing::Consider(const Target& aTarget,
                               const DataCentreId& aOwnDataCentre,
+                              Duration aTimeLeft,
                               MonotonicTime aNow) const
 {
   static const Stats kNew;
@@ -66,13 +68,26 @@
   const double latency = stats.m_latency > 0 ? stats.m_latency : m_usualLatency;
   Considered considered;
   considered.m_isEjected = aNow < stats.m_ejectedUntil;
+  considered.m_isOpen = aNow >= stats.m_fullUntil;
   considered.m_hasRoom =
-    aNow >= stats.m_fullUntil && load < m_settings.m_saturation;
+    considered.m_isOpen && (load < m_settings.m_saturation ||
+                            IsNearEnough(load, stats, aTimeLeft));
   considered.m_tier = Tier(aTarget, aOwnDataCentre);
   considered.m_cost = (load + 1 / slots) * latency;
   return considered;
 }
 
+bool
+TwoChoicesBalancing::IsNearEnough(double aLoad,
+                                  const Stats& aStats,
+                                  Duration aTimeLeft) const
+{
+  // A load of 1 has all slots busy; each unit above is one service time.
+  const double end = std::max(aLoad, 1.0) * aStats.m_serviceTime;
+  return aStats.m_serviceTime > 0 &&
+         end <= m_settings.m_patientPart * Seconds(aTimeLeft);
+}
+
 void
 TwoChoicesBalancing::LimitEjections(std::size_t aTried)
 {
@@ -95,19 +110,32 @@
 void
 TwoChoicesBalancing::SelectTier()
 {
-  int nearest = kTiers;
-  for (const Considered& one : m_considered) {
-    if (!one.m_isEjected && one.m_hasRoom) {
-      nearest = std::min(nearest, one.m_tier);
+  const auto select = [&](auto aFits) {
+    int nearest = kTiers;
+    for (const Considered& one : m_considered) {
+      if (!one.m_isEjected && aFits(one)) {
+        nearest = std::min(nearest, one.m_tier);
+      }
+    }
+    m_tier.clear();
+    for (std::size_t i = 0; i < m_considered.size(); ++i) {
+      const Considered& one = m_considered[i];
+      if (!one.m_isEjected && aFits(one) && one.m_tier <= nearest) {
+        m_tier.push_back(i);
+      }
     }
+    return !m_tier.empty();
+  };
+  if (select([](const Considered& aOne) { return aOne.m_hasRoom; })) {
+    return;
+  }
+  // All are saturated: it is no better further away.
+  if (select([](const Considered& aOne) { return aOne.m_isOpen; })) {
+    return;
   }
-  // When all are saturated any may get the call.
-  const bool isSaturated = nearest == kTiers;
   m_tier.clear();
   for (std::size_t i = 0; i < m_considered.size(); ++i) {
-    const Considered& one = m_considered[i];
-    const bool fits = isSaturated || (one.m_hasRoom && one.m_tier <= nearest);
-    if (!one.m_isEjected && fits) {
+    if (!m_considered[i].m_isEjected) {
       m_tier.push_back(i);
     }
   }
@@ -174,6 +202,9 @@
     stats.m_fullUntil = aNow + m_settings.m_refusalPause;
     return;
   }
+  if (aResult.m_serviceTime > Duration::zero()) {
+    Smooth(stats.m_serviceTime, Seconds(aResult.m_serviceTime));
+  }
   const double latency = Seconds(aResult.m_latency);
   Smooth(stats.m_latency, latency);
   Smooth(m_usualLatency, latency);
--- a/src/request/TwoChoicesBalancing.h
+++ b/src/request/TwoChoicesBalancing.h
@@ -3,7 +3,7 @@
 ///
 ///     TwoChoicesBalancing policy(TwoChoicesSettings{});
 ///     std::optional<std::size_t> index =
-///       policy.Choose(candidates, 0, dataCentre, now, random);
+///       policy.Choose(candidates, 0, dataCentre, timeLeft, now, random);
 ///     policy.Started(candidates[*index]->m_vm, now);
 ///     policy.Finished(candidates[*index]->m_vm, result, now);
 ///
@@ -34,6 +34,10 @@
   RegionId m_region;
   /// Load over slots at which a target counts as saturated.
   double m_saturation = 1.0;
+  /// Part of the time to a call's objective that waiting and service at a
+  /// saturated target may take before one further away is asked. The rest is
+  /// for calls that take longer than the mean.
+  double m_patientPart = 0.6;
   /// Time in which a report loses half of its weight.
   Duration m_reportHalfLife = std::chrono::milliseconds(500);
   /// Failures in a row that eject a target.
@@ -64,6 +68,7 @@
     const std::vector<const Target*>& aCandidates,
     std::size_t aTried,
     const DataCentreId& aOwnDataCentre,
+    Duration aTimeLeft,
     MonotonicTime aNow,
     Random& aRandom) override;
   void Started(const VmId& aVm, MonotonicTime aNow) override;
@@ -83,6 +88,8 @@
     MonotonicTime m_reportTime{};
     /// Smoothed latency in seconds; 0 until the first answer.
     double m_latency = 0;
+    /// The same of the time in the upstream alone.
+    double m_serviceTime = 0;
     std::uint32_t m_failuresInRow = 0;
     std::uint32_t m_ejections = 0;
     MonotonicTime m_ejectedUntil{};
@@ -94,7 +101,9 @@
   struct Considered
   {
     bool m_isEjected = false;
-    /// Neither saturated nor refusing.
+    /// Has not refused for load lately.
+    bool m_isOpen = true;
+    /// Open, and not saturated or worth the wait.
     bool m_hasRoom = true;
     int m_tier = 0;
     /// What two choices compare: load over usable slots, weighted by latency.
@@ -103,7 +112,10 @@
 
   Considered Consider(const Target& aTarget,
                       const DataCentreId& aOwnDataCentre,
+                      Duration aTimeLeft,
                       MonotonicTime aNow) const;
+  /// Whether a call may wait there rather than go further away.
+  bool IsNearEnough(double aLoad, const Stats& aStats, Duration aTimeLeft) const;
   /// Ignores all ejections when they take more than half of the targets.
   void LimitEjections(std::size_t aTried);
   /// Fills m_tier with the targets that have room, from no further away than
