--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -281,17 +281,16 @@
     m_endsSession = !exchange.m_keepsAlive ||
                     (m_state->m_isLeaving && m_exchanges.size() == 1);
     m_isLastRead |= m_endsSession;
-    m_response = ResponseOf(std::move(*exchange.m_answer),
-                            m_endsSession ? std::nullopt
-                                          : std::optional(m_state->m_settings
-                                                            .m_idleLimit),
-                            exchange.m_isHead);
-    http::async_write(m_socket,
-                      m_response,
-                      [self = shared_from_this()](
-                        const boost::system::error_code& aError, std::size_t) {
-                        self->OnWritten(aError);
-                      });
+    m_response =
+      ResponseOf(std::move(*exchange.m_answer),
+                 m_endsSession ? std::nullopt
+                               : std::optional(m_state->m_settings.m_idleLimit),
+                 exchange.m_isHead);
+    http::async_write(
+      m_socket,
+      m_response,
+      [self = shared_from_this()](const boost::system::error_code& aError,
+                                  std::size_t) { self->OnWritten(aError); });
   }
 
   void OnWritten(const boost::system::error_code& aError)
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -98,9 +98,8 @@
   }
   const std::string_view text = aKeepAlive.substr(at + kTimeout.size());
   std::from_chars(text.data(), text.data() + text.size(), seconds);
-  return std::min<Duration>(kIdleLimit,
-                            Duration(std::chrono::seconds(seconds)) /
-                              kIdleSafety);
+  return std::min<Duration>(
+    kIdleLimit, Duration(std::chrono::seconds(seconds)) / kIdleSafety);
 }
 
 class Run final
@@ -181,13 +180,12 @@
   void StartWrite()
   {
     m_request = ToBeast(m_dialect->Write(m_call, m_connections->m_place));
-    http::async_write(
-      m_connection.m_socket,
-      m_request,
-      [self = shared_from_this()](const boost::system::error_code& aError,
-                                  std::size_t) {
-        self->m_isWritten = !aError;
-      });
+    http::async_write(m_connection.m_socket,
+                      m_request,
+                      [self = shared_from_this()](
+                        const boost::system::error_code& aError, std::size_t) {
+                        self->m_isWritten = !aError;
+                      });
   }
 
   void AbortAt(MonotonicTime aTime)
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -58,7 +58,10 @@
   /// Where the upstream listens and which life of it; idle connections to
   /// another one close.
   virtual void SetPlace(const UpstreamPlace& aPlace) = 0;
-  void SetAddress(const NetworkAddress& aAddress) { SetPlace({ aAddress, {} }); }
+  void SetAddress(const NetworkAddress& aAddress)
+  {
+    SetPlace({ aAddress, {} });
+  }
 
   /// Hands a call to the upstream. aDone is called exactly once, later.
   virtual std::shared_ptr<UpstreamRun> Start(Call aCall, Done aDone) = 0;
--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -427,8 +427,7 @@
   const MemberRecord& self = m_gossip.Members().Self();
   const auto& members = m_gossip.Members().Members();
   const std::vector<VmId> neighbours = LiveNeighbours(members, self);
-  const auto steward =
-    PickSteward(aReport.m_move, self.m_cell, neighbours);
+  const auto steward = PickSteward(aReport.m_move, self.m_cell, neighbours);
   if (!steward || *steward == self.m_vm) {
     return;
   }
@@ -454,13 +453,12 @@
   }
   m_viewDue.reset();
   const auto configurations = InForce();
-  aActions.m_view = BuildView(m_gossip.Members().Self(),
-                              ViewInputs{ m_gossip.Members().Members(),
-                                          configurations,
-                                          [this](const ServiceId& aService) {
-                                            return SplitOf(aService);
-                                          },
-                                          m_view.get() });
+  aActions.m_view = BuildView(
+    m_gossip.Members().Self(),
+    ViewInputs{ m_gossip.Members().Members(),
+                configurations,
+                [this](const ServiceId& aService) { return SplitOf(aService); },
+                m_view.get() });
   m_view = aActions.m_view;
   const auto bounds = OwnBounds();
   if (bounds != m_bounds) {
--- a/src/process/ControlThread.cpp
+++ b/src/process/ControlThread.cpp
@@ -62,10 +62,10 @@
 
   Result<void> Start()
   {
-    BOOST_OUTCOME_TRY(
-      m_core,
-      ControlCore::Create(
-        m_settings.m_core, *m_settings.m_dialects.m_decoder, m_random));
+    BOOST_OUTCOME_TRY(m_core,
+                      ControlCore::Create(m_settings.m_core,
+                                          *m_settings.m_dialects.m_decoder,
+                                          m_random));
     BOOST_OUTCOME_TRY(Bind());
     for (const NetworkAddress& address : m_settings.m_adminAddresses) {
       HttpServerSettings admin;
@@ -330,8 +330,7 @@
   HttpAnswerParts Answer(const Result<ControlRequest>& aRequest)
   {
     if (!aRequest) {
-      Log(
-        LogLevel::Warning, kPart, "Announcement refused.", aRequest.error());
+      Log(LogLevel::Warning, kPart, "Announcement refused.", aRequest.error());
       return TextAnswer(400, aRequest.error().Message() + "\n");
     }
     if (const auto* report = std::get_if<UpstreamReport>(&aRequest.value())) {
--- a/src/process/EvidenceRouting.cpp
+++ b/src/process/EvidenceRouting.cpp
@@ -9,8 +9,7 @@
 {
   std::vector<VmId> neighbours;
   for (const auto& [vm, member] : aMembers) {
-    if (member.m_cell == aSelf.m_cell &&
-        member.m_state == NodeState::Alive) {
+    if (member.m_cell == aSelf.m_cell && member.m_state == NodeState::Alive) {
       neighbours.push_back(vm);
     }
   }
--- a/src/process/FrontThread.cpp
+++ b/src/process/FrontThread.cpp
@@ -162,10 +162,10 @@
                                            aRequest.m_target,
                                            caller.value().m_host);
     if (route == nullptr) {
-      co_return Write(
-        caller.value(),
-        Refusal(configuration == nullptr ? RefusalReason::NoConfiguration
-                                         : RefusalReason::NoRoute));
+      co_return Write(caller.value(),
+                      Refusal(configuration == nullptr
+                                ? RefusalReason::NoConfiguration
+                                : RefusalReason::NoRoute));
     }
     Answer answer = co_await ServeRoute(std::move(aRequest),
                                         caller.value(),
@@ -190,9 +190,8 @@
       co_return Refusal(RefusalReason::NoTarget);
     }
     TrafficPolicies policies{ m_balancing, m_splitter, m_retries, m_random };
-    const Duration timeout =
-      std::min(aCaller.m_timeRemaining.value_or(aRoute.m_timeout),
-               aRoute.m_timeout);
+    const Duration timeout = std::min(
+      aCaller.m_timeRemaining.value_or(aRoute.m_timeout), aRoute.m_timeout);
     CallSetup setup{ .m_route = aRoute,
                      .m_service = service->second,
                      .m_operation = aCaller.m_operation.IsEmpty()
@@ -202,9 +201,9 @@
                      .m_caller = aConfiguration.m_account,
                      .m_priority = PriorityOf(aConfiguration, aRoute.m_class),
                      .m_deadline = std::min(aStart + timeout, m_end),
-                     .m_objective = Objective(aCaller, aRoute, aStart),
                      .m_dataCentre = m_settings.m_dataCentre,
-                     .m_policies = policies };
+                     .m_policies = policies,
+                     .m_objective = Objective(aCaller, aRoute, aStart) };
     Call call = CallOf(setup);
     call.m_origin = m_settings.m_origin;
     call.m_http = std::move(aRequest);
--- a/src/process/Gossip.cpp
+++ b/src/process/Gossip.cpp
@@ -189,8 +189,7 @@
 Gossip::IsForeign(const VmId& aVm) const
 {
   const MemberRecord* member = m_members->Table().Find(aVm);
-  return member != nullptr &&
-         member->m_cell != m_members->Self().m_cell;
+  return member != nullptr && member->m_cell != m_members->Self().m_cell;
 }
 
 void
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -46,7 +46,8 @@
     , m_acceptor(m_loop.Context())
     , m_tick(m_loop.Context())
     , m_usageTimer(m_loop.Context())
-    , m_pool(UpstreamPool::Create(m_loop.Context(), aClock, aSettings.m_dialect))
+    , m_pool(
+        UpstreamPool::Create(m_loop.Context(), aClock, aSettings.m_dialect))
   {
   }
 
--- a/src/process/Log.cpp
+++ b/src/process/Log.cpp
@@ -110,12 +110,12 @@
     boost::null_deleter()));
   backend->auto_flush(true);
   TheSink() = boost::make_shared<Sink>(backend);
-  TheSink()->set_formatter(
-    expressions::stream << expressions::format_date_time<
-                             boost::posix_time::ptime>("TimeStamp",
-                                                       "%Y-%m-%dT%H:%M:%S.%f")
-                        << " " << expressions::attr<LogLevel>("Severity") << " "
-                        << expressions::smessage);
+  TheSink()
+    ->set_formatter(expressions::stream
+                    << expressions::format_date_time<boost::posix_time::ptime>(
+                         "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                    << " " << expressions::attr<LogLevel>("Severity") << " "
+                    << expressions::smessage);
   log::core::get()->add_sink(TheSink());
   g_least = aLevel;
 }
--- a/src/process/Membership.cpp
+++ b/src/process/Membership.cpp
@@ -268,8 +268,7 @@
     return RecordSource::Tree;
   }
   const MemberRecord* sender = m_table.Find(aDatagram.m_from);
-  const bool isForeign =
-    sender != nullptr && sender->m_cell != m_self.m_cell;
+  const bool isForeign = sender != nullptr && sender->m_cell != m_self.m_cell;
   if (isForeign) {
     return RecordSource::OtherDataCentre;
   }
@@ -305,8 +304,7 @@
 std::vector<VmId>
 Membership::Relays() const
 {
-  return TopRanked(
-    "relays", m_table.Live(m_self.m_cell), m_settings.m_relays);
+  return TopRanked("relays", m_table.Live(m_self.m_cell), m_settings.m_relays);
 }
 
 std::optional<VmId>
--- /dev/null
+++ b/src/process/MoveOrdersTest.cpp
@@ -0,0 +1,105 @@
+#include "process/MoveOrders.h"
+
+#include <charconv>
+
+#include <criterion/criterion.h>
+
+#include "version/ObjectKeys.h"
+
+namespace tarragontray {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr WallTime kWall{ std::chrono::hours(24 * 365 * 50) };
+const ServiceId kService{ ClientAccountId("a"), ServiceName("s") };
+
+/// Orders as "VERSION STATE", for example "v2 done"; "bad" does not decode.
+class FakeDecoder final : public ConfigurationDecoder
+{
+public:
+  Result<Template> DecodeTemplate(std::string_view /*aText*/) const override
+  {
+    return Error(ErrorCode::NotFound, "fake", "", "");
+  }
+  Result<AccountParameters> DecodeParameters(
+    std::string_view /*aText*/) const override
+  {
+    return Error(ErrorCode::NotFound, "fake", "", "");
+  }
+  Result<MoveOrder> DecodeOrder(const Document& aDocument) const override
+  {
+    const std::string& text = aDocument.m_body;
+    if (text == "bad") {
+      return Error(ErrorCode::Malformed, "fake", "", "");
+    }
+    MoveOrder order;
+    order.m_to = UpstreamVersion(text.substr(0, 2));
+    order.m_id = { kService, PlanNumber(text[1] - '0') };
+    order.m_duration = 16s;
+    if (text.ends_with("done")) {
+      order.m_recorded = MoveState::Done;
+    } else if (text.ends_with("taken-back")) {
+      order.m_recorded = MoveState::TakenBack;
+    }
+    return order;
+  }
+};
+
+Document
+Order(const char* aText, std::uint64_t aRevision)
+{
+  return { OrderKey(kService), Revision(aRevision), aText };
+}
+
+} // namespace
+
+Test(MoveOrders, AnOrderIsAPlanFromWhenItWasFirstSeen)
+{
+  const FakeDecoder decoder;
+  MoveOrders orders(decoder);
+  cr_assert(orders.Offer({ Order("v2", 5) }, kWall));
+  cr_assert(orders.Offer({ Order("v2", 6) }, kWall + 3s));
+  const auto plans = orders.Plans();
+  cr_assert_eq(plans.size(), 1);
+  cr_assert(plans.front().m_start == kWall);
+  cr_assert(plans.front().m_deadline == kWall + 16s);
+  cr_assert(plans.front().m_from.IsEmpty());
+  cr_assert(orders.RevisionOf(plans.front().m_id) == Revision(6));
+  cr_assert(!orders.EndedSplit(kService));
+}
+
+Test(MoveOrders, AfterTheEndOneSideGetsEverything)
+{
+  const FakeDecoder decoder;
+  MoveOrders orders(decoder);
+  orders.Offer({ Order("v2 done", 5) }, kWall);
+  cr_assert(orders.Plans().empty());
+  const UpstreamVersion v1("v1");
+  const UpstreamVersion v2("v2");
+  const VersionSplit done = orders.EndedSplit(kService).value();
+  cr_assert(done.Fits(done.m_from, v2) && !done.Fits(done.m_from, v1));
+  orders.Offer({ Order("v2 taken-back", 6) }, kWall);
+  const VersionSplit back = orders.EndedSplit(kService).value();
+  cr_assert(back.Fits(back.m_from, v1) && !back.Fits(back.m_from, v2));
+  // The next order starts a move of its own.
+  orders.Offer({ Order("v3", 7) }, kWall + 9s);
+  cr_assert(orders.Plans().front().m_start == kWall + 9s);
+}
+
+Test(MoveOrders, WhatDoesNotDecodeChangesNothing)
+{
+  const FakeDecoder decoder;
+  MoveOrders orders(decoder);
+  orders.Offer({ Order("v2", 5) }, kWall);
+  cr_assert(!orders.Offer({ Order("bad", 6) }, kWall));
+  cr_assert_eq(orders.Rejected(), 1);
+  cr_assert_eq(orders.Plans().size(), 1);
+  cr_assert(
+    !orders.Offer({ { ObjectKey("nodes/x"), Revision(7), "v2" } }, kWall));
+  cr_assert(orders.Offer({ Order("", 8) }, kWall));
+  cr_assert(orders.Plans().empty());
+}
+
+} // namespace tarragontray
--- a/src/process/Node.cpp
+++ b/src/process/Node.cpp
@@ -84,8 +84,7 @@
       start + m_settings.m_leaveNotice + m_settings.m_drainLimit;
     const bool isFrontIdle = m_frontCalls.WaitFor(LeftUntil(end));
     const bool isGuardIdle = m_guardCalls.WaitFor(LeftUntil(end));
-    m_guard->WaitForLinks(
-      std::min<Duration>(kLinkCloseLimit, LeftUntil(end)));
+    m_guard->WaitForLinks(std::min<Duration>(kLinkCloseLimit, LeftUntil(end)));
     return isGuardIdle && isFrontIdle;
   }
 
@@ -153,8 +152,8 @@
     MemberRecord& self = settings.m_core.m_self;
     self.m_vm = m_settings.m_vm;
     self.m_dataCentre = m_settings.m_dataCentre;
-    self.m_cell = m_settings.m_cell.IsEmpty() ? m_settings.m_dataCentre
-                                              : m_settings.m_cell;
+    self.m_cell =
+      m_settings.m_cell.IsEmpty() ? m_settings.m_dataCentre : m_settings.m_cell;
     self.m_region = m_settings.m_region;
     self.m_peerAddress = m_settings.m_peerAddress;
     self.m_incarnation = m_incarnation;
@@ -222,8 +221,8 @@
              NodeDialects aDialects,
              const Clock& aClock)
 {
-  auto node = std::make_unique<ThreadedNode>(
-    aSettings, std::move(aDialects), aClock);
+  auto node =
+    std::make_unique<ThreadedNode>(aSettings, std::move(aDialects), aClock);
   BOOST_OUTCOME_TRY(node->Start());
   return std::unique_ptr<Node>(std::move(node));
 }
--- a/src/process/PlatformLoop.cpp
+++ b/src/process/PlatformLoop.cpp
@@ -198,9 +198,8 @@
   PlatformWrite write;
   write.m_key = NodeKey(m_settings.m_registered->m_vm);
   write.m_body = NodeJson(*m_settings.m_registered);
-  write.m_operation =
-    OperationId("node-" + std::to_string(
-                            m_settings.m_registered->m_incarnation.Value()));
+  write.m_operation = OperationId(
+    "node-" + std::to_string(m_settings.m_registered->m_incarnation.Value()));
   Current().Write(std::move(write), [this](const Result<Revision>& aRevision) {
     m_isRegistering = false;
     if (!aRevision) {
@@ -222,20 +221,19 @@
     return;
   }
   m_isRegistering = true;
-  Current().List(std::string(kNodePrefix),
-                 [this](const Result<PlatformListing>& aListing) {
-                   m_isRegistering = false;
-                   if (!aListing) {
-                     Fail(aListing.error());
-                     return;
-                   }
-                   Succeed();
-                   const MonotonicTime now = m_clock.Now();
-                   m_readNodesAt =
-                     now + (m_core.IsAlone() ? kReadNodesAlone : kReadNodes);
-                   m_core.OnNodes(NodesOf(aListing.value()), now);
-                   m_handle(m_core.OnTick(Now()));
-                 });
+  Current().List(
+    std::string(kNodePrefix), [this](const Result<PlatformListing>& aListing) {
+      m_isRegistering = false;
+      if (!aListing) {
+        Fail(aListing.error());
+        return;
+      }
+      Succeed();
+      const MonotonicTime now = m_clock.Now();
+      m_readNodesAt = now + (m_core.IsAlone() ? kReadNodesAlone : kReadNodes);
+      m_core.OnNodes(NodesOf(aListing.value()), now);
+      m_handle(m_core.OnTick(Now()));
+    });
 }
 
 void
@@ -331,9 +329,9 @@
       const Result<Revision>& aRevision) {
       // Of a move without an order, a conflict means that another steward's
       // outcome is there already; an order's object is read again first.
-      const bool isThere =
-        !aRevision && aRevision.error().Code() == ErrorCode::Conflict &&
-        !isOrder;
+      const bool isThere = !aRevision &&
+                           aRevision.error().Code() == ErrorCode::Conflict &&
+                           !isOrder;
       if (!aRevision && !isThere) {
         Log(
           LogLevel::Warning, "move", "Outcome not written.", aRevision.error());
--- a/src/process/Runtime.cmake
+++ b/src/process/Runtime.cmake
@@ -39,3 +39,5 @@
 tt_test(view_builder_test SRCS ViewBuilderTest.cpp DEPS tt_view_builder)
 tt_benchmark(view_benchmark SRCS ViewBenchmark.cpp DEPS tt_view_builder)
 tt_test(evidence_routing_test SRCS EvidenceRoutingTest.cpp DEPS tt_control_core)
+tt_test(upstream_control_test
+  SRCS MoveOrdersTest.cpp UpstreamRegisterTest.cpp DEPS tt_control_core)
--- a/src/process/UpstreamRegister.cpp
+++ b/src/process/UpstreamRegister.cpp
@@ -52,10 +52,9 @@
       announcement.m_state = UpstreamState::Draining;
     }
   }
-  const bool isChanged =
-    announcement != m_announcement ||
-    aReport.m_place.m_address != m_place.m_address ||
-    aReport.m_place.m_instance != m_place.m_instance;
+  const bool isChanged = announcement != m_announcement ||
+                         aReport.m_place.m_address != m_place.m_address ||
+                         aReport.m_place.m_instance != m_place.m_instance;
   m_announcement = std::move(announcement);
   m_place = aReport.m_place;
   m_birth = aReport.m_birth;
--- /dev/null
+++ b/src/process/UpstreamRegisterTest.cpp
@@ -0,0 +1,101 @@
+#include "process/UpstreamRegister.h"
+
+#include <criterion/criterion.h>
+
+namespace tarragontray {
+
+namespace {
+
+UpstreamReport
+Beat(const char* aInstance,
+     std::uint64_t aBirth,
+     std::uint64_t aNumber,
+     UpstreamState aState = UpstreamState::Live)
+{
+  UpstreamReport report;
+  report.m_announcement.m_service = { ClientAccountId("a"), ServiceName("s") };
+  report.m_announcement.m_version = UpstreamVersion("v1");
+  report.m_announcement.m_state = aState;
+  report.m_announcement.m_slots = SlotCount(4);
+  report.m_place = { NetworkAddress(0x7F000001, 9000),
+                     UpstreamInstanceId(aInstance) };
+  report.m_birth = UpstreamBirth(aBirth);
+  report.m_number = AnnouncementNumber(aNumber);
+  return report;
+}
+
+UpstreamReport
+Leave(const char* aInstance, std::optional<std::uint64_t> aBirth)
+{
+  UpstreamReport report;
+  report.m_isLeave = true;
+  report.m_place.m_instance = UpstreamInstanceId(aInstance);
+  if (aBirth) {
+    report.m_birth = UpstreamBirth(*aBirth);
+  }
+  return report;
+}
+
+UpstreamState
+StateOf(const UpstreamRegister& aRegister)
+{
+  return aRegister.Announcement().m_state;
+}
+
+} // namespace
+
+Test(UpstreamRegister, ALateAnnouncementChangesNothing)
+{
+  UpstreamRegister upstreams;
+  cr_assert(upstreams.Offer(Beat("i-1", 100, 1)));
+  cr_assert(upstreams.Offer(Beat("i-1", 100, 3, UpstreamState::Draining)));
+  cr_assert(!upstreams.Offer(Beat("i-1", 100, 2)));
+  cr_assert(StateOf(upstreams) == UpstreamState::Draining);
+}
+
+Test(UpstreamRegister, AnEarlierLifeAtTheAddressStaysGone)
+{
+  UpstreamRegister upstreams;
+  upstreams.Offer(Beat("i-2", 200, 1));
+  cr_assert(!upstreams.Offer(Beat("i-1", 100, 50)));
+  cr_assert_str_eq(upstreams.Place().m_instance.Value().c_str(), "i-2");
+  cr_assert(!upstreams.Offer(Leave("i-1", 100)));
+  cr_assert(StateOf(upstreams) == UpstreamState::Live);
+}
+
+Test(UpstreamRegister, NothingBringsALeavingLifeBack)
+{
+  UpstreamRegister upstreams;
+  upstreams.Offer(Beat("i-1", 100, 1));
+  cr_assert(upstreams.Offer(Leave("i-1", std::nullopt)));
+  cr_assert(!upstreams.Offer(Leave("i-1", 100)));
+  upstreams.Offer(Beat("i-1", 100, 2));
+  cr_assert(StateOf(upstreams) == UpstreamState::Draining);
+  upstreams.Lapse();
+  upstreams.Offer(Beat("i-1", 100, 3));
+  cr_assert(StateOf(upstreams) == UpstreamState::Draining);
+}
+
+Test(UpstreamRegister, TheSameNameStartedAnewCountsFromTheStart)
+{
+  UpstreamRegister upstreams;
+  upstreams.Offer(Beat("i-1", 100, 9));
+  upstreams.Offer(Leave("i-1", 100));
+  cr_assert(upstreams.Offer(Beat("i-1", 300, 1)));
+  cr_assert(StateOf(upstreams) == UpstreamState::Live);
+}
+
+Test(UpstreamRegister, WithoutNumbersTheNewestCounts)
+{
+  UpstreamRegister upstreams;
+  UpstreamReport report = Beat("", 0, 0);
+  report.m_birth.reset();
+  cr_assert(upstreams.Offer(report));
+  cr_assert(!upstreams.Offer(report));
+  report.m_announcement.m_state = UpstreamState::Draining;
+  cr_assert(upstreams.Offer(report));
+  report.m_announcement.m_state = UpstreamState::Live;
+  cr_assert(upstreams.Offer(report));
+}
+
+} // namespace tarragontray
--- a/src/process/ViewBuilder.cpp
+++ b/src/process/ViewBuilder.cpp
@@ -112,12 +112,10 @@
                                .m_region = aSelf.m_region };
   const TargetsByService targets = GroupTargets(aInputs);
   auto view = std::make_shared<View>();
-  view->m_nodes = static_cast<std::size_t>(
-    std::count_if(aInputs.m_members.begin(),
-                  aInputs.m_members.end(),
-                  [](const auto& aEntry) {
-                    return aEntry.second.m_state != NodeState::Dead;
-                  }));
+  view->m_nodes = static_cast<std::size_t>(std::count_if(
+    aInputs.m_members.begin(), aInputs.m_members.end(), [](const auto& aEntry) {
+      return aEntry.second.m_state != NodeState::Dead;
+    }));
   for (const auto& configuration : aInputs.m_configurations) {
     view->m_configurations.emplace(configuration->m_account, configuration);
     for (const ServiceSpec& spec : configuration->m_services) {
--- a/src/request/BalancingPolicy.h
+++ b/src/request/BalancingPolicy.h
@@ -2,7 +2,8 @@
 /// Choice of a target for one attempt.
 ///
 ///     std::optional<std::size_t> index = policy->Choose(candidates, 0,
-///     dataCentre, timeLeft, now, random); policy->Started(candidates[*index].m_vm, now);
+///     dataCentre, timeLeft, now, random);
+///     policy->Started(candidates[*index].m_vm, now);
 ///     ...
 ///     policy->Finished(candidates[*index].m_vm, result, now);
 ///
--- a/src/request/Call.h
+++ b/src/request/Call.h
@@ -56,8 +56,7 @@
   /// The upstream itself turned the call away although it had a slot.
   UpstreamShed,
 };
-inline constexpr RefusalReason kLastRefusalReason =
-  RefusalReason::UpstreamShed;
+inline constexpr RefusalReason kLastRefusalReason = RefusalReason::UpstreamShed;
 inline constexpr std::size_t kRefusalReasons =
   static_cast<std::size_t>(kLastRefusalReason) + 1;
 
--- a/src/request/CallPlan.cpp
+++ b/src/request/CallPlan.cpp
@@ -109,10 +109,9 @@
 {
   // A guard that refuses is only full; an upstream that does has a fault.
   const bool isShed = aAnswer.m_refusal == RefusalReason::UpstreamShed;
-  EndAttemptUnobserved({ .m_failed = isShed,
-                         .m_isRefused = !isShed,
-                         .m_load = aAnswer.m_load },
-                       aNow);
+  EndAttemptUnobserved(
+    { .m_failed = isShed, .m_isRefused = !isShed, .m_load = aAnswer.m_load },
+    aNow);
   const bool isWithdrawn =
     aAnswer.m_refusal == RefusalReason::WithdrawnOperation;
   if (m_targets.IsPlaced() && isWithdrawn) {
@@ -268,9 +267,9 @@
 {
   // The others don't add load: what wasn't handed over is not run twice, and
   // a target that leaves takes none.
-  const bool addsLoad =
-    aReason == RetryReason::Failed || aReason == RetryReason::Shed ||
-    aReason == RetryReason::Overload;
+  const bool addsLoad = aReason == RetryReason::Failed ||
+                        aReason == RetryReason::Shed ||
+                        aReason == RetryReason::Overload;
   return !addsLoad || Setup().m_policies.m_retries.TryRetry(
                         Setup().m_service.m_id, m_attempts, aNow);
 }
--- a/src/request/ObjectiveAdmission.cpp
+++ b/src/request/ObjectiveAdmission.cpp
@@ -25,8 +25,9 @@
 MonotonicTime
 LatestStart(const WaitingCall& aCall, MonotonicTime aEnd, double aPart)
 {
-  return aEnd == MonotonicTime::max() ? aEnd
-                                      : aEnd - Scaled(aCall.m_serviceTime, aPart);
+  return aEnd == MonotonicTime::max()
+           ? aEnd
+           : aEnd - Scaled(aCall.m_serviceTime, aPart);
 }
 
 MonotonicTime
@@ -159,11 +160,8 @@
 ObjectiveAdmission::Append(const WaitingCall& aCall, bool aIsLate)
 {
   std::vector<WaitingCall>& calls = aIsLate ? m_late : m_timely;
-  const auto place =
-    std::upper_bound(calls.begin(),
-                     calls.end(),
-                     aCall,
-                     aIsLate ? LateGoesBefore : GoesBefore);
+  const auto place = std::upper_bound(
+    calls.begin(), calls.end(), aCall, aIsLate ? LateGoesBefore : GoesBefore);
   calls.insert(place, aCall);
 }
 
@@ -200,8 +198,8 @@
   std::optional<MonotonicTime> next;
   for (const std::vector<WaitingCall>* calls : { &m_timely, &m_late }) {
     for (const WaitingCall& call : *calls) {
-      next = std::min(next.value_or(MonotonicTime::max()),
-                      LatestUsefulStart(call));
+      next =
+        std::min(next.value_or(MonotonicTime::max()), LatestUsefulStart(call));
     }
   }
   return next;
--- a/src/request/ObjectiveAdmission.h
+++ b/src/request/ObjectiveAdmission.h
@@ -39,10 +39,7 @@
   std::optional<MonotonicTime> NextExpiry() const override;
   bool Remove(Ticket aTicket) override;
   void Released(const ClientAccountId& /*aCaller*/) override {}
-  std::size_t Size() const override
-  {
-    return m_timely.size() + m_late.size();
-  }
+  std::size_t Size() const override { return m_timely.size() + m_late.size(); }
 
 private:
   explicit ObjectiveAdmission(AdmissionBounds aBounds)
--- /dev/null
+++ b/src/request/ObjectiveAdmissionTest.cpp
@@ -0,0 +1,142 @@
+#include "request/ObjectiveAdmission.h"
+
+#include <criterion/criterion.h>
+
+namespace tarragontray {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr MonotonicTime kStart{ std::chrono::hours(1) };
+constexpr Duration kUsual = milliseconds(200);
+constexpr AdmissionRoom kBusy{ SlotCount(1), 1, kUsual };
+constexpr AdmissionRoom kFree{ SlotCount(1), 0, kUsual };
+
+WaitingCall
+MakeCall(std::uint64_t aTicket,
+         Duration aObjective,
+         std::uint8_t aPriority = 1,
+         Duration aDeadline = std::chrono::seconds(1))
+{
+  WaitingCall call;
+  call.m_ticket = Ticket(aTicket);
+  call.m_priority = aPriority;
+  call.m_deadline = kStart + aDeadline;
+  call.m_objective = kStart + aObjective;
+  call.m_serviceTime = kUsual;
+  return call;
+}
+
+std::unique_ptr<AdmissionPolicy>
+MakePolicy(std::size_t aLimit = 8)
+{
+  AdmissionBounds bounds;
+  bounds.m_limit = aLimit;
+  return ObjectiveAdmission::Create(bounds).value();
+}
+
+std::uint64_t
+TakeNext(AdmissionPolicy& aPolicy)
+{
+  return aPolicy.Next(kFree, kStart).value_or(Ticket(0)).Value();
+}
+
+} // namespace
+
+Test(ObjectiveAdmission, TheUrgentAndThenTheEarliestObjectiveGoesFirst)
+{
+  const auto policy = MakePolicy();
+  cr_assert(
+    policy->Offer(MakeCall(1, milliseconds(900)), kBusy, kStart).empty());
+  cr_assert(
+    policy->Offer(MakeCall(2, milliseconds(800)), kBusy, kStart).empty());
+  cr_assert(
+    policy->Offer(MakeCall(3, milliseconds(900), 0), kBusy, kStart).empty());
+  cr_assert_eq(TakeNext(*policy), 3);
+  cr_assert_eq(TakeNext(*policy), 2);
+  cr_assert_eq(TakeNext(*policy), 1);
+  cr_assert_eq(TakeNext(*policy), 0);
+}
+
+Test(ObjectiveAdmission, WhatIsLateWaitsForWhatIsInTime)
+{
+  const auto policy = MakePolicy();
+  // Its objective has passed: it was refused before.
+  cr_assert(
+    policy->Offer(MakeCall(1, milliseconds(-1), 0), kBusy, kStart).empty());
+  cr_assert(
+    policy->Offer(MakeCall(2, milliseconds(600), 2), kBusy, kStart).empty());
+  cr_assert_eq(TakeNext(*policy), 2);
+  cr_assert_eq(TakeNext(*policy), 1);
+}
+
+Test(ObjectiveAdmission, ACallWhoseObjectiveGoesByIsPutBehind)
+{
+  const auto policy = MakePolicy();
+  cr_assert(
+    policy->Offer(MakeCall(1, milliseconds(450), 0), kBusy, kStart).empty());
+  const MonotonicTime later = kStart + milliseconds(300);
+  cr_assert(policy->TakeExpired(later).empty());
+  WaitingCall fresh = MakeCall(2, milliseconds(900), 2);
+  cr_assert(policy->Offer(fresh, kBusy, later).empty());
+  cr_assert_eq(TakeNext(*policy), 2);
+  cr_assert_eq(TakeNext(*policy), 1);
+}
+
+Test(ObjectiveAdmission, ACallThatCannotEndInTimeIsRefusedAtOnce)
+{
+  const auto policy = MakePolicy();
+  for (std::uint64_t ticket = 1; ticket <= 4; ++ticket) {
+    cr_assert(
+      policy->Offer(MakeCall(ticket, milliseconds(-1)), kBusy, kStart).empty());
+  }
+  // Four late calls and the running one take a second: its whole time.
+  const auto refused =
+    policy->Offer(MakeCall(5, milliseconds(-1)), kBusy, kStart);
+  cr_assert_eq(refused.size(), 1);
+  cr_assert_eq(refused.front().m_ticket.Value(), 5);
+  cr_assert(refused.front().m_reason == RefusalReason::DeadlineTooShort);
+  // When half of the usual time is not left, a waiting one goes, too.
+  cr_assert_eq(policy->TakeExpired(kStart + milliseconds(901)).size(), 4);
+  cr_assert_eq(policy->Size(), 0);
+}
+
+Test(ObjectiveAdmission, ASmallCallKeepsItsPlaceWhenItIsLate)
+{
+  const auto policy = MakePolicy();
+  WaitingCall small = MakeCall(1, milliseconds(-1), 1);
+  small.m_serviceTime = milliseconds(40);
+  cr_assert(policy->Offer(small, kBusy, kStart).empty());
+  cr_assert(
+    policy->Offer(MakeCall(2, milliseconds(900), 2), kBusy, kStart).empty());
+  cr_assert_eq(TakeNext(*policy), 1);
+}
+
+Test(ObjectiveAdmission, AFullQueueDropsTheLateBeforeTheTimely)
+{
+  const auto policy = MakePolicy(2);
+  cr_assert(
+    policy->Offer(MakeCall(1, milliseconds(900)), kBusy, kStart).empty());
+  cr_assert(
+    policy->Offer(MakeCall(2, milliseconds(-1)), kBusy, kStart).empty());
+  const auto dropped =
+    policy->Offer(MakeCall(3, milliseconds(900)), kBusy, kStart);
+  cr_assert_eq(dropped.size(), 1);
+  cr_assert_eq(dropped.front().m_ticket.Value(), 2);
+  const auto refused =
+    policy->Offer(MakeCall(4, milliseconds(950)), kBusy, kStart);
+  cr_assert_eq(refused.front().m_ticket.Value(), 4);
+}
+
+Test(ObjectiveAdmission, ARemovedCallIsNotRun)
+{
+  const auto policy = MakePolicy();
+  cr_assert(
+    policy->Offer(MakeCall(1, milliseconds(900)), kBusy, kStart).empty());
+  cr_assert(policy->Remove(Ticket(1)));
+  cr_assert(!policy->Remove(Ticket(1)));
+  cr_assert_eq(TakeNext(*policy), 0);
+}
+
+} // namespace tarragontray
--- a/src/request/RequestBenchmark.cpp
+++ b/src/request/RequestBenchmark.cpp
@@ -62,7 +62,8 @@
   Thread thread;
   for (auto _ : aState) {
     const std::size_t index =
-      thread.m_balancing.Choose(candidates, 0, kOwn, Duration(0), kNow, thread.m_random)
+      thread.m_balancing
+        .Choose(candidates, 0, kOwn, Duration(0), kNow, thread.m_random)
         .value();
     thread.m_balancing.Started(candidates[index]->m_vm, kNow);
     thread.m_balancing.Finished(candidates[index]->m_vm, {}, kNow);
--- a/src/request/RetryBudget.cpp
+++ b/src/request/RetryBudget.cpp
@@ -28,8 +28,7 @@
 {
   Bucket* bucket = Refill(aService, aNow);
   if (bucket != nullptr) {
-    bucket->m_tokens =
-      std::min(Burst(), bucket->m_tokens + m_settings.m_ratio);
+    bucket->m_tokens = std::min(Burst(), bucket->m_tokens + m_settings.m_ratio);
   }
 }
 
--- a/src/request/TargetSequence.h
+++ b/src/request/TargetSequence.h
@@ -46,10 +46,10 @@
   ClientAccountId m_caller;
   std::uint8_t m_priority = 0;
   MonotonicTime m_deadline{};
-  /// An answer by this time is worth most.
-  MonotonicTime m_objective = MonotonicTime::max();
   DataCentreId m_dataCentre;
   TrafficPolicies& m_policies;
+  /// An answer by this time is worth most.
+  MonotonicTime m_objective = MonotonicTime::max();
 };
 
 /// Why another attempt is wanted.
--- a/src/request/TwoChoicesBalancing.cpp
+++ b/src/request/TwoChoicesBalancing.cpp
@@ -70,8 +70,8 @@
   considered.m_isEjected = aNow < stats.m_ejectedUntil;
   considered.m_isOpen = aNow >= stats.m_fullUntil;
   considered.m_hasRoom =
-    considered.m_isOpen && (load < m_settings.m_saturation ||
-                            IsNearEnough(load, stats, aTimeLeft));
+    considered.m_isOpen &&
+    (load < m_settings.m_saturation || IsNearEnough(load, stats, aTimeLeft));
   considered.m_tier = Tier(aTarget, aOwnDataCentre);
   considered.m_cost = (load + 1 / slots) * latency;
   return considered;
--- a/src/request/TwoChoicesBalancing.h
+++ b/src/request/TwoChoicesBalancing.h
@@ -115,7 +115,9 @@
                       Duration aTimeLeft,
                       MonotonicTime aNow) const;
   /// Whether a call may wait there rather than go further away.
-  bool IsNearEnough(double aLoad, const Stats& aStats, Duration aTimeLeft) const;
+  bool IsNearEnough(double aLoad,
+                    const Stats& aStats,
+                    Duration aTimeLeft) const;
   /// Ignores all ejections when they take more than half of the targets.
   void LimitEjections(std::size_t aTried);
   /// Fills m_tier with the targets that have room, from no further away than
--- a/src/version/BriefMovePolicy.cpp
+++ b/src/version/BriefMovePolicy.cpp
@@ -108,9 +108,8 @@
 double
 Rate(const Counts& aCounts, double aLeast)
 {
-  return aCounts.m_calls > 0
-           ? std::max(aLeast, aCounts.m_bad / aCounts.m_calls)
-           : aLeast;
+  return aCounts.m_calls > 0 ? std::max(aLeast, aCounts.m_bad / aCounts.m_calls)
+                             : aLeast;
 }
 
 double
@@ -131,7 +130,9 @@
   double m_excess;
 };
 
-constexpr Signal kFailureSignal{ "failures", kLeastFailureRate, kFailureExcess };
+constexpr Signal kFailureSignal{ "failures",
+                                 kLeastFailureRate,
+                                 kFailureExcess };
 constexpr Signal kSlowSignal{ "slow-calls", kLeastSlowRate, kSlowExcess };
 
 using CountsByTarget = std::map<VmId, Counts>;
@@ -255,8 +256,7 @@
     const double reference =
       std::max(Rate(count(past), aSignal.m_leastRate),
                Rate(count(aMemory.m_old), aSignal.m_leastRate));
-    const double score =
-      LogLikelihoodRatio(fresh, reference, aSignal.m_excess);
+    const double score = LogLikelihoodRatio(fresh, reference, aSignal.m_excess);
     if (fresh.m_bad < kLeastBad || score < aHighest) {
       return;
     }
@@ -292,17 +292,16 @@
 {
   const Duration whole = aInput.m_plan.m_deadline - aInput.m_plan.m_start;
   const Duration elapsed = aInput.m_wall - aInput.m_plan.m_start;
-  const auto shortest = std::chrono::duration_cast<Duration>(
-    whole * kShortestStep);
+  const auto shortest =
+    std::chrono::duration_cast<Duration>(whole * kShortestStep);
   const bool isFirst = aInput.m_share == Share::None();
   if (elapsed < Duration::zero() ||
       (!isFirst && aInput.m_sinceChange < shortest)) {
     return aInput.m_share;
   }
-  const double part = std::chrono::duration<double>(elapsed).count() /
-                      std::chrono::duration<double>(
-                        std::max(whole, Duration(1)))
-                        .count();
+  const double part =
+    std::chrono::duration<double>(elapsed).count() /
+    std::chrono::duration<double>(std::max(whole, Duration(1))).count();
   // One stage at a time, also when late.
   for (const Stage& stage : kStages) {
     const Share share = Share::FromFraction(stage.m_share);
--- /dev/null
+++ b/src/version/BriefMovePolicyTest.cpp
@@ -0,0 +1,176 @@
+#include "version/BriefMovePolicy.h"
+
+#include <criterion/criterion.h>
+
+namespace tarragontray {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr WallTime kWall{ std::chrono::hours(24 * 365 * 50) };
+constexpr Duration kWindow = 200ms;
+const RouteName kRoute("seat-map");
+
+MovePlan
+PlanOf(Duration aWhole)
+{
+  MovePlan plan;
+  plan.m_start = kWall;
+  plan.m_deadline = kWall + aWhole;
+  return plan;
+}
+
+std::unique_ptr<MovePolicy>
+MakePolicy()
+{
+  return BriefMovePolicy::Create({}).value();
+}
+
+/// A window's calls of one target, of which some fail; all take aLatency.
+WindowEntry
+Entry(VersionSide aSide,
+      const char* aTarget,
+      std::uint64_t aCalls,
+      std::uint64_t aFailures,
+      Duration aLatency = 100ms)
+{
+  WindowEntry entry;
+  entry.m_route = kRoute;
+  entry.m_side = aSide;
+  entry.m_target = VmId(aTarget);
+  entry.m_counters.m_calls = aCalls;
+  entry.m_counters.m_failures = aFailures;
+  entry.m_counters.m_latency[LatencyBucket(aLatency)] =
+    static_cast<std::uint32_t>(aCalls);
+  return entry;
+}
+
+EvidenceWindow
+Window(std::vector<WindowEntry> aEntries)
+{
+  EvidenceWindow window;
+  window.m_length = kWindow;
+  window.m_entries = std::move(aEntries);
+  return window;
+}
+
+EvidenceWindow
+OldOnly(std::uint64_t aCalls = 40)
+{
+  return Window({ Entry(VersionSide::Old, "o-1", aCalls, 0) });
+}
+
+} // namespace
+
+Test(BriefMovePolicy, TheWholeIsReachedInTimeAndLittleGoesThereBefore)
+{
+  const auto policy = MakePolicy();
+  for (const Duration whole :
+       { Duration(12s), Duration(16s), Duration(5min) }) {
+    const MovePlan plan = PlanOf(whole);
+    const Duration step = whole / 400;
+    Share share = Share::None();
+    Duration changed{ 0 };
+    double calls = 0;
+    Duration elapsed{ 0 };
+    for (; share != Share::All(); elapsed += step) {
+      cr_assert(elapsed < whole * 8 / 10);
+      const Share next =
+        policy->NextShare({ plan, kWall + elapsed, share, elapsed - changed });
+      cr_assert(next >= share);
+      changed = next == share ? changed : elapsed;
+      share = next;
+      calls += share == Share::All() ? 0 : share.Fraction() / 400;
+    }
+    // A tenth may go to a version that turns out bad; the rest is for the
+    // time until it is found out at the whole share.
+    cr_assert_lt(calls, 0.065);
+  }
+}
+
+Test(BriefMovePolicy, LateItStillGoesOneStageAtATime)
+{
+  const auto policy = MakePolicy();
+  const MovePlan plan = PlanOf(14s);
+  const Share first =
+    policy->NextShare({ plan, kWall + 13s, Share::None(), 13s });
+  cr_assert(first < Share::FromFraction(0.05));
+  cr_assert(policy->NextShare({ plan, kWall + 13s, first, 100ms }) == first);
+  cr_assert(policy->NextShare({ plan, kWall + 13s, first, 600ms }) > first);
+}
+
+Test(BriefMovePolicy, AVersionThatFailsOnlyAtTheWholeShareIsFoundAtOnce)
+{
+  const auto judge = MakePolicy()->MakeJudge(EvidenceScope::DataCentre);
+  for (int i = 0; i < 30; ++i) {
+    cr_assert(judge->Judge(OldOnly()).m_kind == VerdictKind::Clear);
+  }
+  int windows = 0;
+  Verdict verdict;
+  while (verdict.m_kind != VerdictKind::Bad) {
+    ++windows;
+    cr_assert_leq(windows, 2);
+    verdict = judge->Judge(Window({ Entry(VersionSide::New, "n-1", 20, 10),
+                                    Entry(VersionSide::New, "n-2", 20, 10) }));
+  }
+  cr_assert(verdict.m_route == kRoute);
+}
+
+Test(BriefMovePolicy, AFewFailuresAtASmallShareAreEnough)
+{
+  const auto judge = MakePolicy()->MakeJudge(EvidenceScope::DataCentre);
+  judge->Judge(OldOnly());
+  Verdict verdict;
+  int calls = 0;
+  while (verdict.m_kind != VerdictKind::Bad) {
+    calls += 4;
+    cr_assert_leq(calls, 24);
+    verdict = judge->Judge(Window({ Entry(VersionSide::Old, "o-1", 40, 0),
+                                    Entry(VersionSide::New, "n-1", 2, 1),
+                                    Entry(VersionSide::New, "n-2", 2, 1) }));
+  }
+}
+
+Test(BriefMovePolicy, SlowCallsSpeakAgainstIt)
+{
+  const auto judge = MakePolicy()->MakeJudge(EvidenceScope::DataCentre);
+  judge->Judge(OldOnly());
+  const Verdict verdict =
+    judge->Judge(Window({ Entry(VersionSide::New, "n-1", 6, 0, 900ms),
+                          Entry(VersionSide::New, "n-2", 6, 0, 900ms) }));
+  cr_assert(verdict.m_kind == VerdictKind::Bad);
+}
+
+Test(BriefMovePolicy, OneSickTargetDoesNotCondemnTheVersion)
+{
+  const auto judge = MakePolicy()->MakeJudge(EvidenceScope::DataCentre);
+  for (int i = 0; i < 50; ++i) {
+    const Verdict verdict =
+      judge->Judge(Window({ Entry(VersionSide::Old, "o-1", 10, 0),
+                            Entry(VersionSide::New, "n-1", 5, 5),
+                            Entry(VersionSide::New, "n-2", 5, 0) }));
+    cr_assert(verdict.m_kind == VerdictKind::Clear);
+  }
+}
+
+Test(BriefMovePolicy, WhatTheOldVersionSuffersTooIsExcused)
+{
+  const auto judge = MakePolicy()->MakeJudge(EvidenceScope::DataCentre);
+  for (int i = 0; i < 50; ++i) {
+    const Verdict verdict =
+      judge->Judge(Window({ Entry(VersionSide::Old, "o-1", 10, 4),
+                            Entry(VersionSide::New, "n-1", 5, 2),
+                            Entry(VersionSide::New, "n-2", 5, 2) }));
+    cr_assert(verdict.m_kind == VerdictKind::Clear);
+  }
+}
+
+Test(BriefMovePolicy, RefusesSettingsWithoutMeaning)
+{
+  BriefMoveSettings settings;
+  settings.m_memory = Duration(0);
+  cr_assert(!BriefMovePolicy::Create(settings).has_value());
+}
+
+} // namespace tarragontray
--- a/src/version/Moves.cmake
+++ b/src/version/Moves.cmake
@@ -16,7 +16,8 @@
   DEPS tt_moves)
 tt_test(move_progress_test SRCS MoveProgressTest.cpp DEPS tt_move_values)
 tt_test(evidence_test SRCS EvidenceTest.cpp DEPS tt_moves)
-tt_test(moves_test SRCS MovesTest.cpp DEPS tt_move_session)
+tt_test(moves_test SRCS BriefMovePolicyTest.cpp MovesTest.cpp
+  DEPS tt_move_session)
 tt_test(move_session_test SRCS MoveSessionTest.cpp DEPS tt_move_session)
 tt_test(move_golden_test SRCS MoveGoldenTest.cpp DEPS tt_move_session)
 tt_test(move_regression_test
--- a/src/version/ObjectKeys.cpp
+++ b/src/version/ObjectKeys.cpp
@@ -46,8 +46,8 @@
   if (!text.starts_with(kOrderPrefix) || slash == std::string::npos) {
     return std::nullopt;
   }
-  return ServiceId{ ClientAccountId(text.substr(
-                      kOrderPrefix.size(), slash - kOrderPrefix.size())),
+  return ServiceId{ ClientAccountId(text.substr(kOrderPrefix.size(),
+                                                slash - kOrderPrefix.size())),
                     ServiceName(text.substr(slash + 1)) };
 }
 
