--- a/src/connection/HttpServerTest.cpp
+++ b/src/connection/HttpServerTest.cpp
@@ -1,13 +1,17 @@
 #include "connection/HttpServer.h"
 
+#include <atomic>
 #include <future>
 #include <thread>
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 
@@ -141,4 +145,151 @@
   cr_assert(second.error().Peer() == settings.m_address.ToString());
 }
 
+namespace {
+
+/// Answers "/slow" late and all else at once; counts abandoned handlers.
+class SlowServer
+{
+public:
+  SlowServer()
+  {
+    HttpServerSettings settings;
+    settings.m_address = NetworkAddress(0x7F000001, 0);
+    settings.m_onBegin = [this] { ++m_begun; };
+    settings.m_onEnd = [this] { ++m_ended; };
+    m_server = HttpServer::Create(m_context,
+                                  settings,
+                                  [this](HttpRequestParts aRequest) {
+                                    return Serve(std::move(aRequest));
+                                  })
+                 .value();
+    m_thread = std::thread([this] { m_context.run(); });
+  }
+  ~SlowServer()
+  {
+    m_context.stop();
+    m_thread.join();
+  }
+
+  tcp::socket Connect(asio::io_context& aContext) const
+  {
+    tcp::socket socket(aContext);
+    const NetworkAddress address = m_server->Address();
+    socket.connect(
+      tcp::endpoint(asio::ip::address_v4(address.Ip()), address.Port()));
+    return socket;
+  }
+  /// Runs on the server's thread.
+  void Leave()
+  {
+    std::promise<void> left;
+    asio::post(m_context, [&] {
+      m_server->Leave();
+      left.set_value();
+    });
+    left.get_future().wait();
+  }
+
+  std::atomic<int> m_begun = 0;
+  std::atomic<int> m_ended = 0;
+  std::atomic<int> m_cancelled = 0;
+  std::atomic<int> m_served = 0;
+
+private:
+  asio::awaitable<HttpAnswerParts> Serve(HttpRequestParts aRequest)
+  {
+    ++m_served;
+    if (aRequest.m_target == "/slow") {
+      asio::steady_timer timer(m_context, std::chrono::milliseconds(150));
+      const auto [error] =
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+      m_cancelled += error ? 1 : 0;
+    }
+    co_return TextAnswer(200, aRequest.m_target);
+  }
+
+  asio::io_context m_context{ 1 };
+  std::shared_ptr<HttpServer> m_server;
+  std::thread m_thread;
+};
+
+std::string
+ReadUntil(tcp::socket& aSocket, const std::string& aEnd)
+{
+  std::string text;
+  boost::system::error_code error;
+  asio::read_until(aSocket, asio::dynamic_buffer(text), aEnd, error);
+  return text;
+}
+
+/// True once aCount is reached, within seconds.
+bool
+Reaches(const std::atomic<int>& aCounter, int aCount)
+{
+  for (int i = 0; i < 500 && aCounter != aCount; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return aCounter == aCount;
+}
+
+} // namespace
+
+Test(HttpServer, PipelinedRequestsRunAtOnceAndAreAnsweredInOrder)
+{
+  SlowServer server;
+  asio::io_context context;
+  tcp::socket socket = server.Connect(context);
+  const auto start = std::chrono::steady_clock::now();
+  asio::write(socket,
+              asio::buffer(std::string("GET /slow HTTP/1.1\r\n\r\n"
+                                       "GET /quick HTTP/1.1\r\n\r\n"
+                                       "GET /slow HTTP/1.1\r\n\r\n"
+                                       "GET /last HTTP/1.1\r\n\r\n")));
+  const std::string answers = ReadUntil(socket, "/last");
+  cr_assert(std::chrono::steady_clock::now() - start <
+            std::chrono::milliseconds(290));
+  const auto slow = answers.find("/slow");
+  const auto quick = answers.find("/quick");
+  const auto second = answers.rfind("/slow");
+  cr_assert(slow < quick && quick < second && second < answers.find("/last"));
+}
+
+Test(HttpServer, ACallerThatLeavesCancelsItsRequests)
+{
+  SlowServer server;
+  for (int i = 1; i <= 20; ++i) {
+    asio::io_context context;
+    {
+      tcp::socket socket = server.Connect(context);
+      asio::write(socket,
+                  asio::buffer(std::string("GET /quick HTTP/1.1\r\n\r\n"
+                                           "GET /slow HTTP/1.1\r\n\r\n")));
+      ReadUntil(socket, "/quick");
+    }
+    cr_assert(Reaches(server.m_cancelled, i));
+  }
+  cr_assert(Reaches(server.m_ended, server.m_begun));
+}
+
+Test(HttpServer, WhatComesBehindAClosingAnswerIsNotServed)
+{
+  SlowServer server;
+  asio::io_context context;
+  tcp::socket socket = server.Connect(context);
+  asio::write(socket, asio::buffer(std::string("GET /slow HTTP/1.1\r\n\r\n")));
+  cr_assert(Reaches(server.m_served, 1));
+  server.Leave();
+  const std::string answer = ReadUntil(socket, "/slow");
+  cr_assert(answer.find("Connection: close") != std::string::npos);
+  boost::system::error_code error;
+  asio::write(socket,
+              asio::buffer(std::string("POST /quick HTTP/1.1\r\n"
+                                       "Content-Length: 0\r\n\r\n")),
+              error);
+  std::string rest;
+  asio::read(socket, asio::dynamic_buffer(rest), error);
+  cr_assert_eq(server.m_served, 1);
+  cr_assert(rest.empty());
+}
+
 } // namespace tarragontray
