Notice a watch that the store has lost; fewer calls to the store

Now watches after a failure wait 1 s and grow with each answer, one that peers overtake for 0.5 s is given up, and relays send digests of large documents along a tree without holding them back.

--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -170,6 +170,12 @@
   return m_gossip.Documents().WatchAfter(aPrefix);
 }
 
+bool
+ControlCore::IsOvertaken(const std::string& aPrefix) const
+{
+  return m_gossip.Documents().IsOvertaken(aPrefix);
+}
+
 void
 ControlCore::OnHistoryGone(const std::string& aPrefix)
 {
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -137,6 +137,8 @@
                            Revision aComplete,
                            const Times& aTimes,
                            const std::string& aPrefix);
+  /// Peers brought something newer than the watch of the prefix did.
+  bool IsOvertaken(const std::string& aPrefix) const;
   /// The history that a watch would go on from is gone.
   void OnHistoryGone(const std::string& aPrefix);
   /// Where nodes register, their addresses.
--- a/src/process/ControlThread.h
+++ b/src/process/ControlThread.h
@@ -33,6 +33,8 @@
   NodeDialects m_dialects;
   /// Nodes find each other through the platform, not by seeds.
   bool m_isRegistered = false;
+  Duration m_watchWait = std::chrono::seconds(25);
+  Duration m_watchRest{ 0 };
   std::uint64_t m_seed = 0;
 };
 
--- a/src/process/Distribution.cpp
+++ b/src/process/Distribution.cpp
@@ -49,6 +49,10 @@
     return;
   }
   // The tree covers the data centre: no need to start another one.
+  if (aDatagram.m_digest &&
+      aDatagram.m_digest->m_documents == m_table.Digest()) {
+    m_waiting.clear();
+  }
   for (const Document& document : aDatagram.m_documents) {
     const Document* held = m_table.Find(document.m_key);
     if (held != nullptr && held->m_revision == document.m_revision) {
@@ -143,12 +147,24 @@
   return true;
 }
 
+bool
+Distribution::IsOvertaken(const std::string& aPrefix) const
+{
+  const Revision complete = WatchAfter(aPrefix);
+  const auto& documents = m_table.Documents();
+  return std::any_of(
+    documents.begin(), documents.end(), [&](const auto& aEntry) {
+      return aEntry.second.m_revision > complete &&
+             aEntry.first.Value().starts_with(aPrefix);
+    });
+}
+
 std::vector<Document>
 Distribution::TakeChanged()
 {
   std::vector<Document> documents;
   for (auto key = m_changed.begin(); key != m_changed.end();) {
-    if (m_waiting.contains(*key)) {
+    if (IsHeldBack(*key)) {
       ++key;
       continue;
     }
@@ -163,7 +179,7 @@
 {
   return std::any_of(
     m_changed.begin(), m_changed.end(), [this](const ObjectKey& aKey) {
-      return !m_waiting.contains(aKey);
+      return !IsHeldBack(aKey);
     });
 }
 
@@ -185,7 +201,7 @@
 void
 Distribution::SpreadLater(const std::set<ObjectKey>& aKeys, MonotonicTime aNow)
 {
-  if (aKeys.empty() || !m_settings.m_spreads) {
+  if (aKeys.empty()) {
     return;
   }
   const std::optional<std::size_t> rank = m_topology->RelayRank();
--- a/src/process/Distribution.h
+++ b/src/process/Distribution.h
@@ -51,9 +51,9 @@
 struct DistributionSettings
 {
   std::size_t m_maxDocuments = 20'000;
-  /// Whether what comes from the platform is sent along a tree; off where
-  /// every node watches.
-  bool m_spreads = true;
+  /// A document takes effect on a relay only once it has been sent on; off
+  /// where every node watches, and none depends on others for its start.
+  bool m_holdsBack = true;
   /// The wait of each rank after the one before it.
   Duration m_rankDelay = std::chrono::milliseconds(300);
   /// Platform reads of this node, a second and at once.
@@ -137,6 +137,9 @@
     return found == m_complete.end() ? Revision(0) : found->second;
   }
 
+  /// Peers brought a newer document of the prefix than the platform did.
+  bool IsOvertaken(const std::string& aPrefix) const;
+
   /// A peer says that a process on this VM has held this revision.
   void RaiseFloor(Revision aFloor) { m_floor = std::max(m_floor, aFloor); }
   /// True while this node holds less than its forerunner on the same VM did:
@@ -162,6 +165,10 @@
                SpreadTopology& aTopology,
                Random& aRandom);
 
+  bool IsHeldBack(const ObjectKey& aKey) const
+  {
+    return m_settings.m_holdsBack && m_waiting.contains(aKey);
+  }
   /// The keys that were news.
   std::set<ObjectKey> Apply(const std::vector<Document>& aDocuments);
   void SpreadLater(const std::set<ObjectKey>& aKeys, MonotonicTime aNow);
--- a/src/process/Node.cpp
+++ b/src/process/Node.cpp
@@ -162,6 +162,8 @@
     settings.m_adminAddresses = m_settings.m_adminAddresses;
     settings.m_dialects = m_dialects;
     settings.m_isRegistered = m_settings.m_isRegistered;
+    settings.m_watchWait = m_settings.m_watchWait;
+    settings.m_watchRest = m_settings.m_watchRest;
     settings.m_core.m_announcementLapse = m_settings.m_announcementLapse;
     settings.m_core.m_gossip = m_settings.m_gossip;
     settings.m_core.m_moves = m_settings.m_moves;
--- a/src/process/NodeSettings.cpp
+++ b/src/process/NodeSettings.cpp
@@ -49,6 +49,20 @@
                              0 });
   parser.Add(IntegerSetting{
     "retry-window-ms", "ms", "The window.", 100, 600'000, 10'000 });
+  parser.Add(IntegerSetting{ "watch-wait-ms",
+                             "ms",
+                             "How long one watch of the platform waits; less "
+                             "than it keeps its history.",
+                             1'000,
+                             600'000,
+                             25'000 });
+  parser.Add(IntegerSetting{ "watch-rest-ms",
+                             "ms",
+                             "From a change to the next watch; changes in "
+                             "between come with one answer.",
+                             0,
+                             10'000,
+                             0 });
   parser.Add(TextSetting{ "admission",
                           "Who gets the upstream's slots: accounts by fair "
                           "shares, or calls that can meet their objective.",
@@ -110,8 +124,12 @@
   membership.m_relaySettleTime = Duration(0);
   membership.m_reportDelay = membership.m_urgentDelay;
   membership.m_reconnectInterval = std::chrono::seconds(1);
+  // Pulls are rare here, and a configuration is large.
+  aSettings.m_gossip.m_servedBytes = 1'000'000;
+  aSettings.m_gossip.m_servedBurst = 4'000'000;
   DistributionSettings& distribution = aSettings.m_gossip.m_distribution;
-  distribution.m_spreads = false;
+  distribution.m_holdsBack = false;
+  distribution.m_rankDelay = std::chrono::milliseconds(100);
   distribution.m_platformReads = 10;
   distribution.m_platformBurst = 20;
 }
@@ -151,6 +169,8 @@
   if (aSettings.Text("join") == "platform") {
     JoinByPlatform(settings);
   }
+  settings.m_watchWait = aSettings.Milliseconds("watch-wait-ms");
+  settings.m_watchRest = aSettings.Milliseconds("watch-rest-ms");
   settings.m_admitsByObjective = aSettings.Text("admission") == "objective";
   settings.m_logLevel = aSettings.Text("log-level");
   return settings;
--- a/src/process/NodeSettings.h
+++ b/src/process/NodeSettings.h
@@ -46,6 +46,9 @@
   Duration m_announcementLapse{ 0 };
   /// Nodes find each other through the platform.
   bool m_isRegistered = false;
+  Duration m_watchWait{ 0 };
+  /// From a change to the next watch.
+  Duration m_watchRest{ 0 };
   /// Keys that the platform is watched for; empty: configurations.
   std::vector<std::string> m_prefixes;
   GossipSettings m_gossip;
--- a/src/process/PlatformLoop.cpp
+++ b/src/process/PlatformLoop.cpp
@@ -13,8 +13,10 @@
 namespace {
 
 constexpr char kPart[] = "platform";
-/// How long one watch waits for changes.
-constexpr Duration kWatchWait = std::chrono::seconds(25);
+/// The first wait of a watch after a failure.
+constexpr Duration kDoubtfulWait = std::chrono::seconds(1);
+/// How much later than peers a watch may bring the same.
+constexpr Duration kDeafLimit = std::chrono::milliseconds(500);
 /// Between readings of the other nodes, in company and alone.
 constexpr Duration kReadNodes = std::chrono::seconds(60);
 constexpr Duration kReadNodesAlone = std::chrono::seconds(2);
@@ -85,9 +87,10 @@
   , m_handle(std::move(aHandle))
   , m_retry(aContext)
   , m_settings(std::move(aSettings))
+  , m_wait(m_settings.m_watchWait)
 {
   for (const std::string& keys : m_settings.m_prefixes) {
-    m_prefixes.push_back({ keys, false });
+    m_prefixes.emplace_back().m_keys = keys;
   }
 }
 
@@ -101,8 +104,11 @@
   }
   Register();
   for (Prefix& prefix : m_prefixes) {
+    CheckForDeafness(prefix, now);
     if (!prefix.m_isWatching && m_core.WantsWatch(now)) {
-      if (m_core.TakePlatformRead(now)) {
+      if (now < prefix.m_notBefore) {
+        CheckAt(prefix.m_notBefore);
+      } else if (m_core.TakePlatformRead(now)) {
         Watch(prefix);
       } else {
         CheckAt(m_core.PlatformReadyAt(now));
@@ -124,12 +130,12 @@
   if (after == Revision(0)) {
     Current().List(aPrefix.m_keys, done);
   } else {
-    Current().Watch(aPrefix.m_keys, after, kWatchWait, done);
+    Current().Watch(aPrefix.m_keys, after, m_wait, done);
   }
 }
 
 void
-PlatformLoop::OnListing(const Prefix& aPrefix,
+PlatformLoop::OnListing(Prefix& aPrefix,
                         const Result<PlatformListing>& aListing)
 {
   if (!aListing && aListing.error().Code() == ErrorCode::HistoryGone) {
@@ -150,6 +156,10 @@
     return;
   }
   Succeed();
+  m_wait = std::min(m_wait * 2, m_settings.m_watchWait);
+  if (!aListing.value().m_objects.empty()) {
+    aPrefix.m_notBefore = m_clock.Now() + m_settings.m_watchRest;
+  }
   Log(LogLevel::Debug,
       kPart,
       "Listing.",
@@ -166,10 +176,36 @@
 PlatformLoop::RestartWatches()
 {
   // Whatever ended one watch may have silenced the others.
+  m_wait = std::min(kDoubtfulWait, m_settings.m_watchWait);
   Current().DropWatches();
   for (Prefix& prefix : m_prefixes) {
     prefix.m_isWatching = false;
+    prefix.m_overtakenAt.reset();
+  }
+}
+
+void
+PlatformLoop::CheckForDeafness(Prefix& aPrefix, MonotonicTime aNow)
+{
+  if (!aPrefix.m_isWatching || !m_core.IsOvertaken(aPrefix.m_keys)) {
+    aPrefix.m_overtakenAt.reset();
+    return;
+  }
+  if (!aPrefix.m_overtakenAt) {
+    aPrefix.m_overtakenAt = aNow;
   }
+  const MonotonicTime limit = *aPrefix.m_overtakenAt + kDeafLimit;
+  if (aNow < limit) {
+    CheckAt(limit);
+    return;
+  }
+  Log(LogLevel::Warning,
+      kPart,
+      "Watch is overtaken by peers.",
+      { { "prefix", aPrefix.m_keys },
+        { "after",
+          std::to_string(m_core.WatchAfter(aPrefix.m_keys).Value()) } });
+  RestartWatches();
 }
 
 void
@@ -197,11 +233,20 @@
   m_isRegistering = true;
   PlatformWrite write;
   write.m_key = NodeKey(m_settings.m_registered->m_vm);
+  if (!m_isRegisteredBefore) {
+    write.m_expected = Revision(0);
+  }
   write.m_body = NodeJson(*m_settings.m_registered);
   write.m_operation = OperationId(
     "node-" + std::to_string(m_settings.m_registered->m_incarnation.Value()));
   Current().Write(std::move(write), [this](const Result<Revision>& aRevision) {
     m_isRegistering = false;
+    if (!aRevision && aRevision.error().Code() == ErrorCode::Conflict) {
+      // A former process of this VM: its entry is replaced.
+      m_isRegisteredBefore = true;
+      Check();
+      return;
+    }
     if (!aRevision) {
       Fail(aRevision.error());
       return;
@@ -268,14 +313,14 @@
 void
 PlatformLoop::CheckAt(MonotonicTime aTime)
 {
-  if (m_isRetryPending) {
+  if (m_retryAt && *m_retryAt <= aTime) {
     return;
   }
-  m_isRetryPending = true;
+  m_retryAt = aTime;
   m_retry.expires_after(std::max(aTime - m_clock.Now(), Duration(0)));
   m_retry.async_wait([this](const auto& aError) {
     if (!aError) {
-      m_isRetryPending = false;
+      m_retryAt.reset();
       Check();
     }
   });
--- a/src/process/PlatformLoop.h
+++ b/src/process/PlatformLoop.h
@@ -6,6 +6,10 @@
 ///                                      core, random, handle);
 ///     loop.value()->Check();   // after each event of the core
 ///
+/// A watch can go unanswered for good without its connection failing. After a
+/// failure watches are short and grow with each answer, and a watch that peers
+/// overtake is given up.
+///
 /// Where nodes register, it writes this node's address once for each life of
 /// the process and reads the others'. On an error the next address is tried,
 /// after a wait with full jitter.
@@ -38,6 +42,12 @@
 {
   /// Prefixes of keys; one watch each.
   std::vector<std::string> m_prefixes{ "configurations/" };
+  /// How long one watch waits; less than the platform keeps its history, so
+  /// that a quiet watch goes on from where it ended.
+  Duration m_watchWait = std::chrono::seconds(25);
+  /// From a change to the next watch: changes in quick succession come with
+  /// one answer.
+  Duration m_watchRest{ 0 };
   /// Written so that nodes find each other; not set: they are told of seeds.
   std::optional<MemberRecord> m_registered;
   std::shared_ptr<PlatformCounters> m_counters;
@@ -71,6 +81,9 @@
   {
     std::string m_keys;
     bool m_isWatching = false;
+    MonotonicTime m_notBefore{};
+    /// Since when peers know more than the watch has brought.
+    std::optional<MonotonicTime> m_overtakenAt;
   };
 
   PlatformLoop(boost::asio::io_context& aContext,
@@ -83,9 +96,11 @@
   Times Now() const { return { m_clock.Now(), m_clock.WallNow() }; }
   Platform& Current() { return *m_platforms[m_current]; }
   void Watch(Prefix& aPrefix);
-  void OnListing(const Prefix& aPrefix,
+  void OnListing(Prefix& aPrefix,
                  const Result<PlatformListing>& aListing);
   void RestartWatches();
+  /// Gives up a watch that has brought nothing although there is news.
+  void CheckForDeafness(Prefix& aPrefix, MonotonicTime aNow);
   void Succeed();
   void Register();
   void ReadNodes();
@@ -104,11 +119,17 @@
   std::size_t m_current = 0;
   PlatformLoopSettings m_settings;
   std::vector<Prefix> m_prefixes;
+  /// How long the next watch waits: short after a failure, so that one that
+  /// the platform has lost costs little.
+  Duration m_wait{ 0 };
   bool m_isRegistering = false;
   bool m_isRegistered = false;
+  /// The VM has an entry already.
+  bool m_isRegisteredBefore = false;
   /// When the other nodes are read next.
   MonotonicTime m_readNodesAt{};
-  bool m_isRetryPending = false;
+  /// When Check runs next; not set: only when it is called.
+  std::optional<MonotonicTime> m_retryAt;
   /// Failures since the last success, for the wait.
   std::uint32_t m_failures = 0;
   MonotonicTime m_notBefore{};
