--- a/src/process/PlatformLoop.cpp
+++ b/src/process/PlatformLoop.cpp
@@ -199,12 +199,12 @@
     CheckAt(limit);
     return;
   }
-  Log(LogLevel::Warning,
-      kPart,
-      "Watch is overtaken by peers.",
-      { { "prefix", aPrefix.m_keys },
-        { "after",
-          std::to_string(m_core.WatchAfter(aPrefix.m_keys).Value()) } });
+  Log(
+    LogLevel::Warning,
+    kPart,
+    "Watch is overtaken by peers.",
+    { { "prefix", aPrefix.m_keys },
+      { "after", std::to_string(m_core.WatchAfter(aPrefix.m_keys).Value()) } });
   RestartWatches();
 }
 
--- /dev/null
+++ b/src/process/PlatformLoopTest.cpp
@@ -0,0 +1,206 @@
+#include "process/PlatformLoop.h"
+
+#include <deque>
+
+#include <boost/asio/io_context.hpp>
+#include <criterion/criterion.h>
+
+#include "version/ConfigurationJson.h"
+#include "version/ObjectKeys.h"
+
+namespace tarragontray {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const char kPrefix[] = "configurations/";
+
+/// What a script of the platform has seen; calls wait until they are answered.
+struct PlatformScript
+{
+  std::deque<Platform::Callback<PlatformListing>> m_lists;
+  std::deque<Platform::Callback<PlatformListing>> m_watches;
+  std::deque<PlatformWrite> m_writes;
+  std::deque<Platform::Callback<Revision>> m_written;
+  std::vector<Duration> m_waits;
+  int m_dropped = 0;
+};
+
+class ScriptedPlatform final : public Platform
+{
+public:
+  explicit ScriptedPlatform(PlatformScript& aScript)
+    : m_script(aScript)
+  {
+  }
+
+  void Read(ObjectKey /*aKey*/, Callback<PlatformObject> /*aDone*/) override {}
+  void List(std::string /*aPrefix*/, Callback<PlatformListing> aDone) override
+  {
+    m_script.m_lists.push_back(std::move(aDone));
+  }
+  void Write(PlatformWrite aWrite, Callback<Revision> aDone) override
+  {
+    m_script.m_writes.push_back(std::move(aWrite));
+    m_script.m_written.push_back(std::move(aDone));
+  }
+  void Watch(std::string /*aPrefix*/,
+             Revision /*aAfter*/,
+             Duration aMaxWait,
+             Callback<PlatformListing> aDone) override
+  {
+    m_script.m_waits.push_back(aMaxWait);
+    m_script.m_watches.push_back(std::move(aDone));
+  }
+  void DropWatches() override
+  {
+    ++m_script.m_dropped;
+    m_script.m_watches.clear();
+  }
+
+private:
+  PlatformScript& m_script;
+};
+
+Document
+Parameters(std::uint64_t aRevision)
+{
+  return { ConfigurationKey(ClientAccountId("a")), Revision(aRevision), "{}" };
+}
+
+/// A node that is alone and watches.
+class WatchingNode
+{
+public:
+  explicit WatchingNode(bool aIsRegistered = false)
+    : m_random(1)
+  {
+    ControlSettings control;
+    control.m_self.m_vm = VmId("vm-1");
+    control.m_self.m_dataCentre = DataCentreId("dc");
+    control.m_self.m_peerAddress = NetworkAddress(0x7F000001, 7000);
+    control.m_gossip.m_membership.m_relaySettleTime = Duration(0);
+    control.m_gossip.m_distribution.m_holdsBack = false;
+    control.m_gossip.m_distribution.m_platformReads = 1000;
+    control.m_gossip.m_distribution.m_platformBurst = 1000;
+    m_core = ControlCore::Create(control, m_decoder, m_random).value();
+    PlatformLoopSettings settings;
+    if (aIsRegistered) {
+      settings.m_registered = control.m_self;
+    }
+    std::vector<std::unique_ptr<Platform>> platforms;
+    platforms.push_back(std::make_unique<ScriptedPlatform>(m_script));
+    m_loop = PlatformLoop::Create(m_context,
+                                  settings,
+                                  std::move(platforms),
+                                  m_clock,
+                                  *m_core,
+                                  m_random,
+                                  [this](const ControlActions&) { Check(); })
+               .value();
+    m_core->OnTick(Now());
+    Check();
+  }
+
+  Times Now() const { return { m_clock.Now(), m_clock.WallNow() }; }
+  void Check() { m_loop->Check(); }
+  void RunFor(Duration aTime) { m_context.run_for(aTime); }
+
+  void AnswerList(std::uint64_t aRevision)
+  {
+    Take(m_script.m_lists)(PlatformListing{ {}, Revision(aRevision) });
+  }
+  void AnswerWatch(std::uint64_t aRevision)
+  {
+    Take(m_script.m_watches)(PlatformListing{ {}, Revision(aRevision) });
+  }
+  void FailWatch()
+  {
+    Take(m_script.m_watches)(
+      Error(ErrorCode::Closed, "platform.watch", "", "reset"));
+  }
+  /// A peer's pull brings a document.
+  void HearFromPeer(const Document& aDocument)
+  {
+    PullAnswer answer;
+    answer.m_documents.push_back(aDocument);
+    m_core->OnPullAnswer(answer, Now());
+    Check();
+  }
+
+  PlatformScript m_script;
+
+private:
+  template<typename T>
+  static T Take(std::deque<T>& aQueue)
+  {
+    cr_assert(!aQueue.empty());
+    T first = std::move(aQueue.front());
+    aQueue.pop_front();
+    return first;
+  }
+
+  boost::asio::io_context m_context{ 1 };
+  SystemClock m_clock;
+  SeededRandom m_random;
+  JsonConfigurationDecoder m_decoder;
+  std::unique_ptr<ControlCore> m_core;
+  std::unique_ptr<PlatformLoop> m_loop;
+};
+
+} // namespace
+
+Test(PlatformLoop, AWatchThatPeersOvertakeIsGivenUp)
+{
+  WatchingNode node;
+  node.AnswerList(5);
+  cr_assert_eq(node.m_script.m_watches.size(), 1);
+  node.HearFromPeer(Parameters(9));
+  node.RunFor(200ms);
+  cr_assert_eq(node.m_script.m_dropped, 0);
+  node.RunFor(600ms);
+  cr_assert_eq(node.m_script.m_dropped, 1);
+  cr_assert_eq(node.m_script.m_watches.size(), 1);
+}
+
+Test(PlatformLoop, AWatchThatBringsTheSameInTimeStays)
+{
+  WatchingNode node;
+  node.AnswerList(5);
+  node.HearFromPeer(Parameters(9));
+  node.RunFor(200ms);
+  node.AnswerWatch(9);
+  node.RunFor(600ms);
+  cr_assert_eq(node.m_script.m_dropped, 0);
+}
+
+Test(PlatformLoop, WatchesAreShortAfterAFailureAndGrowAgain)
+{
+  WatchingNode node;
+  node.AnswerList(5);
+  const Duration usual = node.m_script.m_waits.back();
+  node.FailWatch();
+  node.RunFor(500ms);
+  cr_assert_eq(node.m_script.m_watches.size(), 1);
+  Duration wait = node.m_script.m_waits.back();
+  cr_assert(wait <= 1s);
+  while (wait < usual) {
+    node.AnswerWatch(5);
+    cr_assert(node.m_script.m_waits.back() > wait);
+    wait = node.m_script.m_waits.back();
+  }
+}
+
+Test(PlatformLoop, ANodeReplacesTheEntryOfItsForerunner)
+{
+  WatchingNode node(true);
+  cr_assert(node.m_script.m_writes.back().m_key == NodeKey(VmId("vm-1")));
+  cr_assert(node.m_script.m_writes.back().m_expected == Revision(0));
+  node.m_script.m_written.back()(
+    Error(ErrorCode::Conflict, "platform.write", "", "status 409"));
+  cr_assert_eq(node.m_script.m_writes.size(), 2);
+  cr_assert(!node.m_script.m_writes.back().m_expected);
+}
+
+} // namespace tarragontray
