--- a/src/process/NodeSettings.cpp
+++ b/src/process/NodeSettings.cpp
@@ -124,6 +124,8 @@
   membership.m_relaySettleTime = Duration(0);
   membership.m_reportDelay = membership.m_urgentDelay;
   membership.m_reconnectInterval = std::chrono::seconds(1);
+  aSettings.m_gossip.m_pulls.m_pathWait = std::chrono::milliseconds(700);
+  aSettings.m_gossip.m_pulls.m_behindWait = std::chrono::milliseconds(700);
   // Pulls are rare here, and a configuration is large.
   aSettings.m_gossip.m_servedBytes = 1'000'000;
   aSettings.m_gossip.m_servedBurst = 4'000'000;
--- a/src/process/PlatformLoop.h
+++ b/src/process/PlatformLoop.h
@@ -96,8 +96,7 @@
   Times Now() const { return { m_clock.Now(), m_clock.WallNow() }; }
   Platform& Current() { return *m_platforms[m_current]; }
   void Watch(Prefix& aPrefix);
-  void OnListing(Prefix& aPrefix,
-                 const Result<PlatformListing>& aListing);
+  void OnListing(Prefix& aPrefix, const Result<PlatformListing>& aListing);
   void RestartWatches();
   /// Gives up a watch that has brought nothing although there is news.
   void CheckForDeafness(Prefix& aPrefix, MonotonicTime aNow);
--- a/src/process/PullSchedule.cpp
+++ b/src/process/PullSchedule.cpp
@@ -110,7 +110,9 @@
     const Duration least =
       isInDocuments ? m_settings.m_differWait / 2 : m_settings.m_differWait;
     wait = least + RandomUpTo(least / 2);
-  } else if (!aCandidate.m_path) {
+  } else if (aCandidate.m_path) {
+    wait = m_settings.m_pathWait;
+  } else {
     wait = m_settings.m_behindWait + RandomUpTo(m_settings.m_behindWait);
   }
   return std::max(aNow + wait, m_notBefore);
--- a/src/process/PullSchedule.h
+++ b/src/process/PullSchedule.h
@@ -33,6 +33,9 @@
   /// Until a pull from a peer that is ahead in revisions; plus as much again
   /// at random.
   Duration m_behindWait = std::chrono::milliseconds(100);
+  /// The same when its digest came along a tree. Where every node watches the
+  /// platform: time for the own watch to bring what is new at less cost.
+  Duration m_pathWait{ 0 };
   /// Until a pull from a peer that merely differs, half of it when documents
   /// do; plus half at random.
   Duration m_differWait = std::chrono::milliseconds(800);
@@ -52,7 +55,7 @@
   /// Where it was heard from; it may not be a known member yet.
   NetworkAddress m_address;
   StateDigest m_theirs;
-  /// Set when the digest came along a tree: pull at once.
+  /// Set when the digest came along a tree.
   std::optional<SpreadPath> m_path;
   /// This node starts and needs all that the peer has.
   bool m_isJoining = false;
--- a/src/request/BalancingPolicy.h
+++ b/src/request/BalancingPolicy.h
@@ -2,7 +2,7 @@
 /// Choice of a target for one attempt.
 ///
 ///     std::optional<std::size_t> index = policy->Choose(candidates, 0,
-///     dataCentre, timeLeft, now, random);
+///     dataCentre, needs, now, random);
 ///     policy->Started(candidates[*index].m_vm, now);
 ///     ...
 ///     policy->Finished(candidates[*index].m_vm, result, now);
@@ -35,6 +35,15 @@
   std::optional<LoadReport> m_load = std::nullopt;
 };
 
+/// What a call needs of its next target.
+struct ChoiceNeeds
+{
+  /// Until the call's objective; zero when it has none.
+  Duration m_timeLeft{ 0 };
+  /// Rather none than one that seems saturated.
+  bool m_mustHaveRoom = false;
+};
+
 /// Chooses targets and learns from results.
 class BalancingPolicy
 {
@@ -44,12 +53,11 @@
   /// Picks one of the candidates, or nothing when none should get work now.
   /// \param aCandidates targets of the service and version, not tried yet.
   /// \param aTried targets that this call has tried already.
-  /// \param aTimeLeft until the call's objective; zero when it has none.
   virtual std::optional<std::size_t> Choose(
     const std::vector<const Target*>& aCandidates,
     std::size_t aTried,
     const DataCentreId& aOwnDataCentre,
-    Duration aTimeLeft,
+    const ChoiceNeeds& aNeeds,
     MonotonicTime aNow,
     Random& aRandom) = 0;
 
--- a/src/request/BalancingTest.cpp
+++ b/src/request/BalancingTest.cpp
@@ -62,7 +62,7 @@
   const std::vector<const Target*> candidates = Pointers(aTargets);
   for (int i = 0; i < aCalls; ++i) {
     const std::size_t index =
-      aPolicy.Choose(candidates, 0, kOwn, Duration(0), kNow, random).value();
+      aPolicy.Choose(candidates, 0, kOwn, ChoiceNeeds{}, kNow, random).value();
     aPolicy.Started(aTargets[index].m_vm, kNow);
     ++counts[index];
   }
--- a/src/request/TargetSequence.cpp
+++ b/src/request/TargetSequence.cpp
@@ -39,9 +39,10 @@
       m_setup.m_operation,
       VersionSplitter::ChooseForKey(split, m_setup.m_operation));
   } else {
-    target = ChooseAmong(m_setup.m_policies.m_splitter.Choose(split), aNow);
+    target =
+      ChooseAmong(m_setup.m_policies.m_splitter.Choose(split), false, aNow);
     if (target == nullptr) {
-      target = ChooseAmong(split.m_from, aNow);
+      target = ChooseAmong(split.m_from, false, aNow);
     }
   }
   if (target != nullptr) {
@@ -59,9 +60,13 @@
   // Retries go to the version that the move comes from: it is the known one,
   // and the new one keeps to its share.
   const VersionSplit& split = m_setup.m_service.m_split;
-  const Target* target = ChooseAmong(split.m_from, aNow);
+  const bool mustHaveRoom =
+    m_setup.m_objective != MonotonicTime::max() &&
+    (aReason == RetryReason::Overload || aReason == RetryReason::Shed ||
+     aReason == RetryReason::Failed);
+  const Target* target = ChooseAmong(split.m_from, mustHaveRoom, aNow);
   if (target == nullptr && split.m_toShare == Share::All()) {
-    target = ChooseAmong(split.m_to, aNow);
+    target = ChooseAmong(split.m_to, mustHaveRoom, aNow);
   }
   if (target != nullptr) {
     m_tried.push_back(target);
@@ -166,7 +171,9 @@
 }
 
 const Target*
-TargetSequence::ChooseAmong(const UpstreamVersion& aVersion, MonotonicTime aNow)
+TargetSequence::ChooseAmong(const UpstreamVersion& aVersion,
+                            bool aMustHaveRoom,
+                            MonotonicTime aNow)
 {
   std::vector<const Target*>& candidates = m_setup.m_policies.m_candidates;
   candidates.clear();
@@ -177,12 +184,13 @@
     }
   }
   const std::optional<std::size_t> index =
-    m_setup.m_policies.m_balancing.Choose(candidates,
-                                          m_tried.size(),
-                                          m_setup.m_dataCentre,
-                                          TimeToObjective(aNow),
-                                          aNow,
-                                          m_setup.m_policies.m_random);
+    m_setup.m_policies.m_balancing.Choose(
+      candidates,
+      m_tried.size(),
+      m_setup.m_dataCentre,
+      { TimeToObjective(aNow), aMustHaveRoom },
+      aNow,
+      m_setup.m_policies.m_random);
   return index ? candidates[*index] : nullptr;
 }
 
--- a/src/request/TargetSequence.h
+++ b/src/request/TargetSequence.h
@@ -107,7 +107,9 @@
   /// The aIndex-th place that may have held the key, or null.
   const Target* FormerHome(std::size_t aIndex, MonotonicTime aNow) const;
   Duration TimeToObjective(MonotonicTime aNow) const;
+  /// \param aMustHaveRoom a target that seems saturated is no help.
   const Target* ChooseAmong(const UpstreamVersion& aVersion,
+                            bool aMustHaveRoom,
                             MonotonicTime aNow);
   bool WasTried(const VmId& aVm) const;
 
--- a/src/request/TwoChoicesBalancing.cpp
+++ b/src/request/TwoChoicesBalancing.cpp
@@ -30,7 +30,7 @@
 TwoChoicesBalancing::Choose(const std::vector<const Target*>& aCandidates,
                             std::size_t aTried,
                             const DataCentreId& aOwnDataCentre,
-                            Duration aTimeLeft,
+                            const ChoiceNeeds& aNeeds,
                             MonotonicTime aNow,
                             Random& aRandom)
 {
@@ -39,11 +39,15 @@
   }
   m_considered.clear();
   for (const Target* target : aCandidates) {
-    m_considered.push_back(Consider(*target, aOwnDataCentre, aTimeLeft, aNow));
+    m_considered.push_back(
+      Consider(*target, aOwnDataCentre, aNeeds.m_timeLeft, aNow));
   }
   LimitEjections(aTried);
-  SelectTier();
+  SelectTier(aNeeds.m_mustHaveRoom);
   const std::size_t count = m_tier.size();
+  if (count == 0) {
+    return std::nullopt;
+  }
   if (count == 1) {
     return m_tier.front();
   }
@@ -108,7 +112,7 @@
 }
 
 void
-TwoChoicesBalancing::SelectTier()
+TwoChoicesBalancing::SelectTier(bool aMustHaveRoom)
 {
   const auto select = [&](auto aFits) {
     int nearest = kTiers;
@@ -126,7 +130,9 @@
     }
     return !m_tier.empty();
   };
-  if (select([](const Considered& aOne) { return aOne.m_hasRoom; })) {
+  const bool hasRoom =
+    select([](const Considered& aOne) { return aOne.m_hasRoom; });
+  if (hasRoom || aMustHaveRoom) {
     return;
   }
   // All are saturated: it is no better further away.
--- a/src/request/TwoChoicesBalancing.h
+++ b/src/request/TwoChoicesBalancing.h
@@ -3,7 +3,7 @@
 ///
 ///     TwoChoicesBalancing policy(TwoChoicesSettings{});
 ///     std::optional<std::size_t> index =
-///       policy.Choose(candidates, 0, dataCentre, timeLeft, now, random);
+///       policy.Choose(candidates, 0, dataCentre, needs, now, random);
 ///     policy.Started(candidates[*index]->m_vm, now);
 ///     policy.Finished(candidates[*index]->m_vm, result, now);
 ///
@@ -62,13 +62,13 @@
   {
   }
 
-  /// Gives a target whenever there is a candidate: guards refuse what is too
-  /// much, and only they know it.
+  /// Gives a target whenever there is a candidate, unless the call needs one
+  /// with room: guards refuse what is too much, and only they know it.
   std::optional<std::size_t> Choose(
     const std::vector<const Target*>& aCandidates,
     std::size_t aTried,
     const DataCentreId& aOwnDataCentre,
-    Duration aTimeLeft,
+    const ChoiceNeeds& aNeeds,
     MonotonicTime aNow,
     Random& aRandom) override;
   void Started(const VmId& aVm, MonotonicTime aNow) override;
@@ -121,8 +121,8 @@
   /// Ignores all ejections when they take more than half of the targets.
   void LimitEjections(std::size_t aTried);
   /// Fills m_tier with the targets that have room, from no further away than
-  /// needed.
-  void SelectTier();
+  /// needed; \param aMustHaveRoom with none when there is no such target.
+  void SelectTier(bool aMustHaveRoom);
   /// Slots, or the few of a target that is starting or on trial.
   double UsableSlots(const Target& aTarget, const Stats& aStats) const;
   /// Calls at the target: own ones in flight, or the faded report if higher.
