--- a/src/process/ControlThread.cpp
+++ b/src/process/ControlThread.cpp
@@ -123,6 +123,11 @@
     });
   }
 
+  void RefuseCallers() override
+  {
+    m_loop.Post([this] { m_isDraining = true; });
+  }
+
   void Drain() override
   {
     m_loop.Post([this] {
--- a/src/process/ControlThread.h
+++ b/src/process/ControlThread.h
@@ -67,7 +67,9 @@
   /// A peer pulls state; aReply is called on the control thread.
   virtual void AnswerState(std::string aRequest,
                            std::function<void(std::string)> aReply) = 0;
-  /// Tells the peers that this node leaves; /ready answers 503 from now on.
+  /// From now on readiness checks hear that this node takes no new callers.
+  virtual void RefuseCallers() = 0;
+  /// Tells the peers that this node leaves. Implies RefuseCallers.
   virtual void Drain() = 0;
   virtual void Stop() = 0;
 };
--- a/src/process/Node.cpp
+++ b/src/process/Node.cpp
@@ -71,12 +71,16 @@
   {
     Log(LogLevel::Info, "node", "Node drains.");
     const MonotonicTime start = m_clock.Now();
-    m_control->Drain();
-    m_guard->Drain();
+    m_control->RefuseCallers();
     for (const auto& front : m_fronts) {
       front->Leave(start + m_settings.m_leaveNotice + m_settings.m_drainLimit);
     }
-    std::this_thread::sleep_for(m_settings.m_leaveNotice);
+    // The upstream is well: it serves on while callers look for other nodes,
+    // and stops early enough that what it runs can end.
+    std::this_thread::sleep_for(m_settings.m_leaveNotice / 2);
+    m_control->Drain();
+    m_guard->Drain();
+    std::this_thread::sleep_for(m_settings.m_leaveNotice / 2);
     for (const auto& front : m_fronts) {
       front->Drain();
     }
