--- a/src/connection/PlatformSession.cpp
+++ b/src/connection/PlatformSession.cpp
@@ -12,6 +12,7 @@
 
 #include "connection/HttpClient.h"
 #include "connection/PlatformMessages.h"
+#include "connection/WatchClients.h"
 
 namespace tarragontray {
 
@@ -93,7 +94,8 @@
     , m_settings(std::move(aSettings))
     , m_counters(m_settings.m_counters ? m_settings.m_counters
                                        : std::make_shared<PlatformCounters>())
-    , m_calls(MakeClient())
+    , m_calls(HttpClient::Create(aContext, ClientSettings(m_settings)))
+    , m_watches(aContext, ClientSettings(m_settings), m_settings.m_maxWatches)
   {
   }
 
@@ -150,7 +152,7 @@
              Callback<PlatformListing> aDone) override
   {
     ++m_counters->m_watches;
-    HttpClient* client = IdleWatchClient();
+    HttpClient* client = m_watches.Idle();
     if (client == nullptr) {
       Refuse<PlatformListing>({ ErrorCode::Unavailable,
                                 "platform.watch",
@@ -170,29 +172,18 @@
       std::move(aDone));
   }
 
-  void DropWatches() override { m_watches.clear(); }
+  void DropWatches() override { m_watches.Drop(); }
 
 private:
   template<typename T>
   using Decoder = std::function<std::optional<T>(std::string_view)>;
 
-  std::unique_ptr<HttpClient> MakeClient()
+  static HttpClientSettings ClientSettings(const PlatformSettings& aSettings)
   {
-    return HttpClient::Create(
-      m_context, { .m_peer = m_settings.m_address, .m_maxBody = kMaxListing });
-  }
-
-  HttpClient* IdleWatchClient()
-  {
-    for (const auto& client : m_watches) {
-      if (client->IsIdle()) {
-        return client.get();
-      }
-    }
-    if (m_watches.size() >= m_settings.m_maxWatches) {
-      return nullptr;
-    }
-    return m_watches.emplace_back(MakeClient()).get();
+    HttpClientSettings settings;
+    settings.m_peer = aSettings.m_address;
+    settings.m_maxBody = kMaxListing;
+    return settings;
   }
 
   template<typename T>
@@ -249,7 +240,7 @@
   const PlatformSettings m_settings;
   const std::shared_ptr<PlatformCounters> m_counters;
   const std::unique_ptr<HttpClient> m_calls;
-  std::vector<std::unique_ptr<HttpClient>> m_watches;
+  WatchClients m_watches;
 };
 
 } // namespace
--- /dev/null
+++ b/src/connection/WatchClients.h
@@ -0,0 +1,57 @@
+/// \file
+/// The connections of waiting watches: one each, kept for the next watch.
+///
+///     HttpClient* client = watches.Idle();
+///     if (client == nullptr) { ... too many watches wait ... }
+///
+/// Thread safety: one thread, the one that runs the io_context.
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "connection/HttpClient.h"
+
+namespace tarragontray {
+
+class WatchClients
+{
+public:
+  /// \param aMost watches that may wait at the same time.
+  WatchClients(boost::asio::io_context& aContext,
+               HttpClientSettings aSettings,
+               std::size_t aMost)
+    : m_context(aContext)
+    , m_settings(std::move(aSettings))
+    , m_most(aMost)
+  {
+  }
+
+  /// A client on which no watch waits, or null.
+  HttpClient* Idle()
+  {
+    for (const auto& client : m_clients) {
+      if (client->IsIdle()) {
+        return client.get();
+      }
+    }
+    if (m_clients.size() >= m_most) {
+      return nullptr;
+    }
+    return m_clients.emplace_back(HttpClient::Create(m_context, m_settings))
+      .get();
+  }
+
+  /// Drops all watches without their callbacks.
+  void Drop() { m_clients.clear(); }
+
+private:
+  boost::asio::io_context& m_context;
+  const HttpClientSettings m_settings;
+  const std::size_t m_most;
+  std::vector<std::unique_ptr<HttpClient>> m_clients;
+};
+
+} // namespace tarragontray
--- a/src/process/ControlThread.cpp
+++ b/src/process/ControlThread.cpp
@@ -162,7 +162,6 @@
     settings.m_prefixes = m_settings.m_core.m_prefixes;
     settings.m_watchWait = m_settings.m_watchWait;
     settings.m_watchRest = m_settings.m_watchRest;
-    settings.m_counters = m_platformCounters;
     if (m_settings.m_isRegistered) {
       settings.m_registered = m_settings.m_core.m_self;
     }
--- a/src/process/Log.cpp
+++ b/src/process/Log.cpp
@@ -40,6 +40,7 @@
 class DropAndCount
 {
 protected:
+  // Boost.Log gives these names. NOLINTBEGIN(readability-identifier-naming)
   template<typename Lock>
   static bool on_overflow(const log::record_view& /*aRecord*/, Lock& /*aLock*/)
   {
@@ -48,6 +49,7 @@
   }
   static void on_queue_space_available() {}
   static void interrupt() {}
+  // NOLINTEND(readability-identifier-naming)
 };
 
 using Backend = log::sinks::text_ostream_backend;
--- a/src/process/MoveOrders.cpp
+++ b/src/process/MoveOrders.cpp
@@ -104,11 +104,4 @@
   return known == nullptr ? std::nullopt : known->m_order.m_recorded;
 }
 
-std::optional<WallTime>
-MoveOrders::StartOf(const MoveId& aMove) const
-{
-  const Known* known = Find(aMove);
-  return known == nullptr ? std::nullopt : std::optional(known->m_start);
-}
-
 } // namespace tarragontray
--- a/src/process/MoveOrders.h
+++ b/src/process/MoveOrders.h
@@ -49,8 +49,6 @@
   std::optional<Revision> RevisionOf(const MoveId& aMove) const;
   /// What the order's object says of the move.
   std::optional<MoveState> Recorded(const MoveId& aMove) const;
-  /// When the order was first seen.
-  std::optional<WallTime> StartOf(const MoveId& aMove) const;
   /// Documents that did not decode.
   std::uint64_t Rejected() const { return m_rejected; }
 
--- a/src/process/NodeSettings.cpp
+++ b/src/process/NodeSettings.cpp
@@ -157,7 +157,9 @@
   settings.m_frontThreads =
     static_cast<std::uint32_t>(aSettings.Integer("front-threads"));
   settings.m_drainLimit = aSettings.Milliseconds("drain-limit-ms");
-  const double window = aSettings.Milliseconds("retry-window-ms").count() / 1e9;
+  const double window =
+    std::chrono::duration<double>(aSettings.Milliseconds("retry-window-ms"))
+      .count();
   const auto slack = static_cast<double>(aSettings.Integer("retry-slack"));
   if (slack > 0) {
     // Half of the slack at once and half over the window; half of the ratio
--- a/src/process/PlatformLoop.h
+++ b/src/process/PlatformLoop.h
@@ -50,7 +50,6 @@
   Duration m_watchRest{ 0 };
   /// Written so that nodes find each other; not set: they are told of seeds.
   std::optional<MemberRecord> m_registered;
-  std::shared_ptr<PlatformCounters> m_counters;
 };
 
 /// See the file comment.
--- a/src/process/PlatformLoopTest.cpp
+++ b/src/process/PlatformLoopTest.cpp
@@ -14,8 +14,6 @@
 
 using namespace std::chrono_literals;
 
-const char kPrefix[] = "configurations/";
-
 /// What a script of the platform has seen; calls wait until they are answered.
 struct PlatformScript
 {
--- a/src/process/Runtime.cmake
+++ b/src/process/Runtime.cmake
@@ -36,6 +36,7 @@
        tt_peer_link tt_platform_session tt_status tt_thread_loop)
 tt_library(tt_node SRCS Node.cpp
   DEPS tt_control_thread tt_front_thread tt_guard_thread tt_node_settings)
+tt_library(tt_node_program SRCS NodeProgram.cpp DEPS tt_node)
 tt_test(view_builder_test SRCS ViewBuilderTest.cpp DEPS tt_view_builder)
 tt_benchmark(view_benchmark SRCS ViewBenchmark.cpp DEPS tt_view_builder)
 tt_test(evidence_routing_test SRCS EvidenceRoutingTest.cpp DEPS tt_control_core)
