--- a/src/connection/WatchClients.h
+++ b/src/connection/WatchClients.h
@@ -9,7 +9,6 @@
 
 #include <cstddef>
 #include <memory>
-#include <utility>
 #include <vector>
 
 #include "connection/HttpClient.h"
@@ -21,10 +20,10 @@
 public:
   /// \param aMost watches that may wait at the same time.
   WatchClients(boost::asio::io_context& aContext,
-               HttpClientSettings aSettings,
+               const HttpClientSettings& aSettings,
                std::size_t aMost)
     : m_context(aContext)
-    , m_settings(std::move(aSettings))
+    , m_settings(aSettings)
     , m_most(aMost)
   {
   }
