One reader for the store clients' settings, one for a move's steward

Found on the last reading: both store clients built the same settings, the steward of a move was picked in three places by the same lines, and a count of opened connections was never read.

--- a/src/connection/PlatformSession.cpp
+++ b/src/connection/PlatformSession.cpp
@@ -94,8 +94,8 @@
     , m_settings(std::move(aSettings))
     , m_counters(m_settings.m_counters ? m_settings.m_counters
                                        : std::make_shared<PlatformCounters>())
-    , m_calls(HttpClient::Create(aContext, ClientSettings(m_settings)))
-    , m_watches(aContext, ClientSettings(m_settings), m_settings.m_maxWatches)
+    , m_calls(HttpClient::Create(aContext, ClientSettingsOf(m_settings)))
+    , m_watches(aContext, ClientSettingsOf(m_settings), m_settings.m_maxWatches)
   {
   }
 
@@ -178,14 +178,6 @@
   template<typename T>
   using Decoder = std::function<std::optional<T>(std::string_view)>;
 
-  static HttpClientSettings ClientSettings(const PlatformSettings& aSettings)
-  {
-    HttpClientSettings settings;
-    settings.m_peer = aSettings.m_address;
-    settings.m_maxBody = kMaxListing;
-    return settings;
-  }
-
   template<typename T>
   void Refuse(Error aError, Callback<T> aDone)
   {
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -54,7 +54,6 @@
 {
   UpstreamPlace m_place;
   std::vector<Connection> m_idle;
-  std::uint64_t m_opened = 0;
 };
 
 using Request = http::request<http::string_body>;
@@ -213,7 +212,6 @@
     if (m_isAborted) {
       co_return false;
     }
-    ++m_connections->m_opened;
     AbortAt(std::min(m_deadline, now + kConnectLimit));
     const auto endpoint = EndpointOf<tcp>(m_connections->m_place.m_address);
     const auto [error] =
--- a/src/connection/WatchClients.h
+++ b/src/connection/WatchClients.h
@@ -12,9 +12,20 @@
 #include <vector>
 
 #include "connection/HttpClient.h"
+#include "connection/PlatformSession.h"
 
 namespace tarragontray {
 
+/// How a platform's service is called.
+inline HttpClientSettings
+ClientSettingsOf(const PlatformSettings& aSettings)
+{
+  HttpClientSettings settings;
+  settings.m_peer = aSettings.m_address;
+  settings.m_maxBody = kMaxListing;
+  return settings;
+}
+
 class WatchClients
 {
 public:
--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -354,15 +354,12 @@
   return plans;
 }
 
-bool
-ControlCore::IsSteward(const MovePlan& aPlan) const
+std::optional<VmId>
+ControlCore::StewardOf(const MoveId& aMove) const
 {
   const MemberRecord& self = m_gossip.Members().Self();
-  const auto steward =
-    PickSteward(aPlan.m_id,
-                self.m_cell,
-                LiveNeighbours(m_gossip.Members().Members(), self));
-  return steward == self.m_vm;
+  return PickSteward(
+    aMove, self.m_cell, LiveNeighbours(m_gossip.Members().Members(), self));
 }
 
 std::optional<VersionSplit>
@@ -378,8 +375,9 @@
   if (aTimes.m_now < m_recordAt) {
     return;
   }
+  const VmId& self = m_gossip.Members().Self().m_vm;
   for (const MovePlan& plan : m_orders.Plans()) {
-    if (!m_orders.Recorded(plan.m_id) && IsSteward(plan)) {
+    if (!m_orders.Recorded(plan.m_id) && StewardOf(plan.m_id) == self) {
       m_recordAt = aTimes.m_now + kRecordInterval;
       MoveOutcome outcome;
       outcome.m_move = plan.m_id;
@@ -432,8 +430,7 @@
 {
   const MemberRecord& self = m_gossip.Members().Self();
   const auto& members = m_gossip.Members().Members();
-  const std::vector<VmId> neighbours = LiveNeighbours(members, self);
-  const auto steward = PickSteward(aReport.m_move, self.m_cell, neighbours);
+  const auto steward = StewardOf(aReport.m_move);
   if (!steward || *steward == self.m_vm) {
     return;
   }
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -184,7 +184,7 @@
   std::optional<VersionSplit> SplitOf(const ServiceId& aService) const;
   /// The plans of all moves that are to run.
   std::vector<MovePlan> Plans() const;
-  bool IsSteward(const MovePlan& aPlan) const;
+  std::optional<VmId> StewardOf(const MoveId& aMove) const;
   std::vector<std::shared_ptr<const Configuration>> InForce() const;
   std::optional<AdmissionBounds> OwnBounds() const;
   void MarkViewStale(MonotonicTime aNow);
