--- a/src/version/Move.cpp
+++ b/src/version/Move.cpp
@@ -268,8 +268,7 @@
   if (IsStale()) {
     return Share::None();
   }
-  return std::min(
-    { DataCentreShare(), m_tripwire.Ceiling(), SlotCeiling() });
+  return std::min({ DataCentreShare(), m_tripwire.Ceiling(), SlotCeiling() });
 }
 
 VersionSplit
