--- a/src/request/AdmissionPolicy.h
+++ b/src/request/AdmissionPolicy.h
@@ -38,6 +38,8 @@
   MonotonicTime m_objective = MonotonicTime::max();
   /// Smoothed time that calls of its route take in the upstream; 0: unknown.
   Duration m_serviceTime{ 0 };
+  /// It takes a small part of what a used slot is held for.
+  bool m_isQuick = false;
 };
 
 /// What the guard knows of its upstream.
--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -146,8 +146,9 @@
                              .m_priority = aCall.m_priority,
                              .m_deadline = aNow + aCall.m_timeRemaining,
                              .m_objective = aNow + aCall.m_objectiveRemaining,
-                             .m_serviceTime =
-                               m_serviceTimes.Of(aCall.m_route) };
+                             .m_serviceTime = m_serviceTimes.Of(aCall.m_route),
+                             .m_isQuick =
+                               m_serviceTimes.IsQuick(aCall.m_route) };
   m_links.Add({ aFrom, aCall.m_id }, ticket);
   Entry& entry = m_entries[ticket];
   entry.m_waiters.push_back({ aFrom, aCall.m_id });
--- a/src/request/ObjectiveAdmission.cpp
+++ b/src/request/ObjectiveAdmission.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// A call that takes less than this part of the usual service time holds up
-/// nobody: it is never put behind the others for being late.
-constexpr double kSmallPart = 0.5;
 /// Part of the usual service time that must be left before the deadline when a
 /// call starts. Less than one, because some calls are faster than the usual.
 constexpr double kLeastServiceLeft = 0.5;
@@ -43,18 +40,24 @@
   return LatestStart(aCall, aCall.m_deadline, kLeastServiceLeft);
 }
 
+/// What orders the waiting calls: urgency, then the quick ones, then aEnd.
+auto
+Rank(const WaitingCall& aCall, MonotonicTime aEnd)
+{
+  return std::tuple(
+    aCall.m_priority, !aCall.m_isQuick, aEnd, aCall.m_ticket.Value());
+}
+
 bool
 GoesBefore(const WaitingCall& aLeft, const WaitingCall& aRight)
 {
-  return std::tie(aLeft.m_priority, aLeft.m_objective, aLeft.m_ticket) <
-         std::tie(aRight.m_priority, aRight.m_objective, aRight.m_ticket);
+  return Rank(aLeft, aLeft.m_objective) < Rank(aRight, aRight.m_objective);
 }
 
 bool
 LateGoesBefore(const WaitingCall& aLeft, const WaitingCall& aRight)
 {
-  return std::tie(aLeft.m_priority, aLeft.m_deadline, aLeft.m_ticket) <
-         std::tie(aRight.m_priority, aRight.m_deadline, aRight.m_ticket);
+  return Rank(aLeft, aLeft.m_deadline) < Rank(aRight, aRight.m_deadline);
 }
 
 } // namespace
@@ -107,10 +110,9 @@
                           MonotonicTime aNow)
 {
   Demote(aNow);
-  const bool isSmall =
-    aCall.m_serviceTime < Scaled(aRoom.m_serviceTime, kSmallPart);
   WaitingCall call = aCall;
-  if (isSmall) {
+  if (call.m_isQuick) {
+    // It holds up nobody, and who waits for it may still be in time.
     call.m_objective = call.m_deadline;
   }
   const bool isLate =
--- a/src/request/ObjectiveAdmission.h
+++ b/src/request/ObjectiveAdmission.h
@@ -2,11 +2,12 @@
 /// Admission by the time in which an answer is worth most.
 ///
 /// Calls that can still be answered within their objective go first, the most
-/// urgent class and the earliest objective before others. The rest are late
-/// already, or will be: they wait for what the others leave. Under overload
-/// the slots go to calls that are worth most, where a plain queue would make
-/// all of them late. A call is refused as soon as the queue ahead of it leaves
-/// it no time before its deadline.
+/// urgent class before others, within it the quick ones, then the earliest
+/// objective. The rest are late already, or will be: they wait for what the
+/// others leave; quick calls only when their deadline is out of reach. Under
+/// overload the slots go to calls that are worth most, where a plain queue
+/// would make all of them late. A call is refused as soon as the queue ahead of
+/// it leaves it no time before its deadline.
 ///
 /// All accounts are alike here; FairAdmission is the policy for neighbours
 /// that share an upstream.
@@ -57,9 +58,9 @@
   void Demote(MonotonicTime aNow);
 
   AdmissionBounds m_bounds;
-  /// Sorted by priority, then objective.
+  /// Sorted by priority, quick ones first, then objective.
   std::vector<WaitingCall> m_timely;
-  /// Sorted by priority, then deadline.
+  /// Sorted by priority, quick ones first, then deadline.
   std::vector<WaitingCall> m_late;
 };
 
--- a/src/request/ObjectiveAdmissionTest.cpp
+++ b/src/request/ObjectiveAdmissionTest.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include "request/ServiceTimes.h"
+
 namespace tarragontray {
 
 namespace {
@@ -102,17 +104,61 @@
   cr_assert_eq(policy->Size(), 0);
 }
 
-Test(ObjectiveAdmission, ASmallCallKeepsItsPlaceWhenItIsLate)
+Test(ObjectiveAdmission, AQuickCallKeepsItsPlaceWhenItIsLate)
 {
   const auto policy = MakePolicy();
-  WaitingCall small = MakeCall(1, milliseconds(-1), 1);
-  small.m_serviceTime = milliseconds(40);
-  cr_assert(policy->Offer(small, kBusy, kStart).empty());
+  WaitingCall quick = MakeCall(1, milliseconds(-1), 1);
+  quick.m_serviceTime = milliseconds(40);
+  quick.m_isQuick = true;
+  cr_assert(policy->Offer(quick, kBusy, kStart).empty());
   cr_assert(
     policy->Offer(MakeCall(2, milliseconds(900), 2), kBusy, kStart).empty());
   cr_assert_eq(TakeNext(*policy), 1);
 }
 
+Test(ObjectiveAdmission, AQuickCallGoesBeforeEarlierObjectivesOfItsClass)
+{
+  const auto policy = MakePolicy();
+  cr_assert(
+    policy->Offer(MakeCall(1, milliseconds(400)), kBusy, kStart).empty());
+  cr_assert(
+    policy->Offer(MakeCall(2, milliseconds(900), 0), kBusy, kStart).empty());
+  WaitingCall quick = MakeCall(3, milliseconds(-1));
+  quick.m_serviceTime = milliseconds(40);
+  quick.m_isQuick = true;
+  cr_assert(policy->Offer(quick, kBusy, kStart).empty());
+  cr_assert_eq(TakeNext(*policy), 2);
+  cr_assert_eq(TakeNext(*policy), 3);
+  cr_assert_eq(TakeNext(*policy), 1);
+}
+
+Test(ServiceTimes, FewLongCallsDecideWhatIsQuick)
+{
+  const RouteName lookup("lookup");
+  const RouteName review("review");
+  ServiceTimes times;
+  cr_assert(!times.IsQuick(lookup));
+  // Nine in ten are lookups.
+  for (int round = 0; round < 50; ++round) {
+    times.Learn(review, milliseconds(400));
+    for (int i = 0; i < 9; ++i) {
+      times.Learn(lookup, milliseconds(40));
+    }
+  }
+  cr_assert(times.IsQuick(lookup));
+  cr_assert(!times.IsQuick(review));
+}
+
+Test(ServiceTimes, TheOnlyRouteIsNeverQuick)
+{
+  const RouteName lookup("lookup");
+  ServiceTimes times;
+  for (int round = 0; round < 100; ++round) {
+    times.Learn(lookup, milliseconds(round % 10 == 0 ? 400 : 20));
+    cr_assert(!times.IsQuick(lookup));
+  }
+}
+
 Test(ObjectiveAdmission, AFullQueueDropsTheLateBeforeTheTimely)
 {
   const auto policy = MakePolicy(2);
