Signals are blocked before the log's thread starts

The log's thread was started before the signals were blocked. While the main thread waits for signals they reach it; while it drains they reach the one thread that does not block them, and the default action ends the process with its requests. Ruled out: the drain's limit (2.5 s, not reached).

--- a/src/process/NodeProgram.cpp
+++ b/src/process/NodeProgram.cpp
@@ -46,8 +46,10 @@
                NodeDialects aDialects,
                const NodeProgramOptions& aOptions)
 {
-  StartLog(LogLevelOf(aSettings.m_logLevel), aOptions.m_logOutput);
+  // Before the first thread, the log's: a signal that comes while the main
+  // thread drains would end the process through any thread that takes it.
   const sigset_t signals = BlockSignals(static_cast<bool>(aOptions.m_onReload));
+  StartLog(LogLevelOf(aSettings.m_logLevel), aOptions.m_logOutput);
   const SystemClock clock;
   const auto node = Node::Create(aSettings, std::move(aDialects), clock);
   if (!node) {
--- a/src/programs/ProcessTest.cpp
+++ b/src/programs/ProcessTest.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <fstream>
 #include <string>
+#include <thread>
 
 #include <boost/json.hpp>
 #include <criterion/criterion.h>
@@ -182,6 +183,17 @@
   }
 }
 
+Test(Process, ASecondSignalWhileItDrainsDoesNotEndANode, .timeout = 90)
+{
+  LocalDeployment deployment;
+  StartMesqelGate(deployment);
+  deployment.Node(1).Signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  deployment.Node(1).Signal(SIGTERM);
+  const auto status = deployment.Node(1).WaitForExit(kLimit);
+  cr_assert(status == 0, "ended with %d", status.value_or(-1));
+}
+
 Test(Process,
      AReplacementLearnsItsVersionFromPeersWhileThePlatformIsOut,
      .timeout = 90)
