--- a/src/process/NodeProgram.cpp
+++ b/src/process/NodeProgram.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "process/CrashLine.h"
 #include "process/Node.h"
 
 namespace tarragontray {
@@ -46,6 +47,7 @@
                NodeDialects aDialects,
                const NodeProgramOptions& aOptions)
 {
+  WatchCrashes(aOptions.m_logOutput);
   // Before the first thread, the log's: a signal that comes while the main
   // thread drains would end the process through any thread that takes it.
   const sigset_t signals = BlockSignals(static_cast<bool>(aOptions.m_onReload));
