Orders are watched by six nodes of a cell; a slow list is not cut short again and again

Peers had told them of news, so that after 0.5 s the watch counted as deaf, was dropped and asked for the same again, five times over, until 3.5 s. Change: such a prefix is listed (one configuration instead of three), and the patience doubles with each try that brings nothing. Orders are small and travel in datagrams: only the first six of the ranking watch them; the others list them once.

--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -147,9 +147,9 @@
 }
 
 bool
-ControlCore::WantsWatch(MonotonicTime aNow)
+ControlCore::WantsWatch(MonotonicTime aNow, const WatchedPrefix& aPrefix)
 {
-  return m_gossip.Documents().WantsWatch(aNow);
+  return m_gossip.Documents().WantsWatch(aNow, aPrefix);
 }
 
 bool
@@ -398,8 +398,8 @@
   const bool isListed =
     std::all_of(m_settings.m_prefixes.begin(),
                 m_settings.m_prefixes.end(),
-                [&](const std::string& aPrefix) {
-                  return documents.WatchAfter(aPrefix) > Revision(0);
+                [&](const WatchedPrefix& aPrefix) {
+                  return documents.WatchAfter(aPrefix.m_keys) > Revision(0);
                 });
   return (isListed || m_gossip.MayServe()) && !documents.IsBelowFloor();
 }
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -58,7 +58,7 @@
   /// An upstream that is silent for so long counts as absent.
   Duration m_announcementLapse = std::chrono::seconds(3);
   /// Keys that the platform is watched for.
-  std::vector<std::string> m_prefixes{ "configurations/" };
+  std::vector<WatchedPrefix> m_prefixes{ { "configurations/" } };
   /// Changes of members that come within this time go into one view.
   Duration m_viewDelay = std::chrono::milliseconds(20);
 };
@@ -128,7 +128,7 @@
 
   /// \name The platform
   /// \{
-  bool WantsWatch(MonotonicTime aNow);
+  bool WantsWatch(MonotonicTime aNow, const WatchedPrefix& aPrefix = {});
   bool TakePlatformRead(MonotonicTime aNow);
   MonotonicTime PlatformReadyAt(MonotonicTime aNow);
   Revision WatchAfter(const std::string& aPrefix) const;
--- a/src/process/Distribution.cpp
+++ b/src/process/Distribution.cpp
@@ -128,10 +128,11 @@
 }
 
 bool
-Distribution::WantsWatch(MonotonicTime aNow)
+Distribution::WantsWatch(MonotonicTime aNow, const WatchedPrefix& aPrefix)
 {
-  if (m_topology->RelayRank()) {
-    return true;
+  if (const auto rank = m_topology->RelayRank()) {
+    return *rank < aPrefix.m_watchers ||
+           WatchAfter(aPrefix.m_keys) == Revision(0);
   }
   return m_table.Documents().empty() && m_coldAt && aNow >= *m_coldAt;
 }
--- a/src/process/Distribution.h
+++ b/src/process/Distribution.h
@@ -29,6 +29,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -66,6 +67,15 @@
   ByteCount m_maxAnswer{ 262'144 };
 };
 
+/// Keys that are watched at the platform, and by how many nodes of a cell.
+struct WatchedPrefix
+{
+  std::string m_keys;
+  /// The others list the keys once, and are told of changes by peers: for
+  /// objects so small that telling costs less than a watch.
+  std::size_t m_watchers = std::numeric_limits<std::size_t>::max();
+};
+
 struct DistributionActions
 {
   std::vector<OutgoingDatagram> m_send;
@@ -121,7 +131,7 @@
                                     MonotonicTime aNow);
 
   /// True while this node is to keep a watch at the platform.
-  bool WantsWatch(MonotonicTime aNow);
+  bool WantsWatch(MonotonicTime aNow, const WatchedPrefix& aPrefix = {});
   /// Asks for leave to call the platform once; false: try again at
   /// PlatformReadyAt().
   bool TakePlatformRead(MonotonicTime aNow);
--- a/src/process/DistributionTest.cpp
+++ b/src/process/DistributionTest.cpp
@@ -72,6 +72,26 @@
 
 } // namespace
 
+Test(Distribution, OnlyTheFirstRelaysWatchWhatHasFewWatchers)
+{
+  SeededRandom random(1);
+  LoneTopology topology;
+  auto distribution = Distribution::Create({}, topology, random).value();
+  const WatchedPrefix orders{ "orders/", 2 };
+  const WatchedPrefix all{ "configurations/" };
+  const MonotonicTime now{ seconds(1) };
+  topology.m_rank = 2;
+  // Each lists once, so that it starts with what there is.
+  cr_assert(distribution.WantsWatch(now, orders));
+  distribution.OfferFromPlatform({}, Revision(7), now, orders.m_keys);
+  distribution.OfferFromPlatform({}, Revision(7), now, all.m_keys);
+  cr_assert(!distribution.WantsWatch(now, orders));
+  cr_assert(distribution.WantsWatch(now, all));
+  // One of the first two has gone.
+  topology.m_rank = 1;
+  cr_assert(distribution.WantsWatch(now, orders));
+}
+
 Test(Distribution, CrossedDuplicatedAndReorderedUpdatesNeverLower)
 {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
--- a/src/process/NodeSettings.cpp
+++ b/src/process/NodeSettings.cpp
@@ -105,20 +105,23 @@
 
 namespace {
 
-/// Small fleets whose nodes all watch the platform: a change needs no tree,
-/// and what a node can't read there it hears of by digests on probes.
+/// All nodes watch the configuration at the platform: a change needs no tree,
+/// and what a node can't read there it hears of by digests on probes. Orders
+/// are small and come from the few that watch them.
 void
 JoinByPlatform(NodeSettings& aSettings)
 {
   constexpr std::size_t kAllNodes = 4'096;
+  // With 2 in 5 turned away by the platform, all of them are 1 time in 250.
+  constexpr std::size_t kOrderWatchers = 6;
   aSettings.m_isRegistered = true;
   aSettings.m_hasBriefMoves = true;
   aSettings.m_moves.m_windowInterval = std::chrono::milliseconds(200);
   aSettings.m_moves.m_reportInterval = std::chrono::milliseconds(200);
   aSettings.m_moves.m_refreshInterval = std::chrono::seconds(1);
   aSettings.m_moves.m_outcomeInterval = std::chrono::milliseconds(500);
-  aSettings.m_prefixes = { std::string(kConfigurationPrefix),
-                           std::string(kOrderPrefix) };
+  aSettings.m_prefixes = { { std::string(kConfigurationPrefix) },
+                           { std::string(kOrderPrefix), kOrderWatchers } };
   MembershipSettings& membership = aSettings.m_gossip.m_membership;
   membership.m_relays = kAllNodes;
   membership.m_relaySettleTime = Duration(0);
--- a/src/process/NodeSettings.h
+++ b/src/process/NodeSettings.h
@@ -50,7 +50,7 @@
   /// From a change to the next watch.
   Duration m_watchRest{ 0 };
   /// Keys that the platform is watched for; empty: configurations.
-  std::vector<std::string> m_prefixes;
+  std::vector<WatchedPrefix> m_prefixes;
   GossipSettings m_gossip;
   MovesSettings m_moves;
   bool m_hasBriefMoves = false;
--- a/src/process/PlatformLoop.cpp
+++ b/src/process/PlatformLoop.cpp
@@ -15,8 +15,6 @@
 constexpr char kPart[] = "platform";
 /// The first wait of a watch after a failure.
 constexpr Duration kDoubtfulWait = std::chrono::seconds(1);
-/// How much later than peers a watch may bring the same.
-constexpr Duration kDeafLimit = std::chrono::milliseconds(500);
 /// Between readings of the other nodes, in company and alone.
 constexpr Duration kReadNodes = std::chrono::seconds(60);
 constexpr Duration kReadNodesAlone = std::chrono::seconds(2);
@@ -89,8 +87,8 @@
   , m_settings(std::move(aSettings))
   , m_wait(m_settings.m_watchWait)
 {
-  for (const std::string& keys : m_settings.m_prefixes) {
-    m_prefixes.emplace_back().m_keys = keys;
+  for (const WatchedPrefix& watched : m_settings.m_prefixes) {
+    m_prefixes.emplace_back().m_watched = watched;
   }
 }
 
@@ -105,7 +103,7 @@
   Register();
   for (Prefix& prefix : m_prefixes) {
     CheckForDeafness(prefix, now);
-    if (!prefix.m_isWatching && m_core.WantsWatch(now)) {
+    if (!prefix.m_isWatching && m_core.WantsWatch(now, prefix.m_watched)) {
       if (now < prefix.m_notBefore) {
         CheckAt(prefix.m_notBefore);
       } else if (m_core.TakePlatformRead(now)) {
@@ -126,11 +124,12 @@
     aPrefix.m_isWatching = false;
     OnListing(aPrefix, aListing);
   };
-  const Revision after = m_core.WatchAfter(aPrefix.m_keys);
-  if (after == Revision(0)) {
-    Current().List(aPrefix.m_keys, done);
+  const std::string& keys = aPrefix.m_watched.m_keys;
+  const Revision after = m_core.WatchAfter(keys);
+  if (after == Revision(0) || aPrefix.m_mustList) {
+    Current().List(keys, done);
   } else {
-    Current().Watch(aPrefix.m_keys, after, m_wait, done);
+    Current().Watch(keys, after, m_wait, done);
   }
 }
 
@@ -138,14 +137,14 @@
 PlatformLoop::OnListing(Prefix& aPrefix,
                         const Result<PlatformListing>& aListing)
 {
+  const std::string& keys = aPrefix.m_watched.m_keys;
   if (!aListing && aListing.error().Code() == ErrorCode::HistoryGone) {
     Log(LogLevel::Info,
         kPart,
         "Lists again.",
-        { { "prefix", aPrefix.m_keys },
-          { "after",
-            std::to_string(m_core.WatchAfter(aPrefix.m_keys).Value()) } });
-    m_core.OnHistoryGone(aPrefix.m_keys);
+        { { "prefix", keys },
+          { "after", std::to_string(m_core.WatchAfter(keys).Value()) } });
+    m_core.OnHistoryGone(keys);
     RestartWatches();
     Check();
     return;
@@ -157,19 +156,19 @@
   }
   Succeed();
   m_wait = std::min(m_wait * 2, m_settings.m_watchWait);
+  aPrefix.m_mustList = false;
+  aPrefix.m_deafLimit = kShortestDeafLimit;
   if (!aListing.value().m_objects.empty()) {
     aPrefix.m_notBefore = m_clock.Now() + m_settings.m_watchRest;
   }
   Log(LogLevel::Debug,
       kPart,
       "Listing.",
-      { { "prefix", aPrefix.m_keys },
+      { { "prefix", keys },
         { "objects", std::to_string(aListing.value().m_objects.size()) },
         { "revision", std::to_string(aListing.value().m_revision.Value()) } });
-  m_handle(m_core.OnListing(DocumentsOf(aListing.value()),
-                            aListing.value().m_revision,
-                            Now(),
-                            aPrefix.m_keys));
+  m_handle(m_core.OnListing(
+    DocumentsOf(aListing.value()), aListing.value().m_revision, Now(), keys));
 }
 
 void
@@ -187,25 +186,27 @@
 void
 PlatformLoop::CheckForDeafness(Prefix& aPrefix, MonotonicTime aNow)
 {
-  if (!aPrefix.m_isWatching || !m_core.IsOvertaken(aPrefix.m_keys)) {
+  if (!aPrefix.m_isWatching || !m_core.IsOvertaken(aPrefix.m_watched.m_keys)) {
     aPrefix.m_overtakenAt.reset();
     return;
   }
   if (!aPrefix.m_overtakenAt) {
     aPrefix.m_overtakenAt = aNow;
   }
-  const MonotonicTime limit = *aPrefix.m_overtakenAt + kDeafLimit;
+  const MonotonicTime limit = *aPrefix.m_overtakenAt + aPrefix.m_deafLimit;
   if (aNow < limit) {
     CheckAt(limit);
     return;
   }
-  Log(
-    LogLevel::Warning,
-    kPart,
-    "Watch is overtaken by peers.",
-    { { "prefix", aPrefix.m_keys },
-      { "after", std::to_string(m_core.WatchAfter(aPrefix.m_keys).Value()) } });
+  const std::string& keys = aPrefix.m_watched.m_keys;
+  Log(LogLevel::Warning,
+      kPart,
+      "Watch is overtaken by peers.",
+      { { "prefix", keys },
+        { "after", std::to_string(m_core.WatchAfter(keys).Value()) } });
   RestartWatches();
+  aPrefix.m_mustList = true;
+  aPrefix.m_deafLimit = std::min(aPrefix.m_deafLimit * 2, kLongestDeafLimit);
 }
 
 void
--- a/src/process/PlatformLoop.h
+++ b/src/process/PlatformLoop.h
@@ -40,8 +40,8 @@
 /// Where the node registers, and what it watches.
 struct PlatformLoopSettings
 {
-  /// Prefixes of keys; one watch each.
-  std::vector<std::string> m_prefixes{ "configurations/" };
+  /// One watch each.
+  std::vector<WatchedPrefix> m_prefixes{ { "configurations/" } };
   /// How long one watch waits; less than the platform keeps its history, so
   /// that a quiet watch goes on from where it ended.
   Duration m_watchWait = std::chrono::seconds(25);
@@ -75,14 +75,22 @@
              const std::vector<UsageReport>& aUsage);
 
 private:
+  /// How much later than peers a watch may bring the same.
+  static constexpr Duration kShortestDeafLimit = std::chrono::milliseconds(500);
+  static constexpr Duration kLongestDeafLimit = std::chrono::seconds(8);
   /// One watched prefix.
   struct Prefix
   {
-    std::string m_keys;
+    WatchedPrefix m_watched;
     bool m_isWatching = false;
     MonotonicTime m_notBefore{};
     /// Since when peers know more than the watch has brought.
     std::optional<MonotonicTime> m_overtakenAt;
+    /// How long the watch may be behind peers. Doubled with each try that
+    /// brings nothing, since a large answer over a narrow link takes its time.
+    Duration m_deafLimit = kShortestDeafLimit;
+    /// The next call lists what there is now rather than all changes since.
+    bool m_mustList = false;
   };
 
   PlatformLoop(boost::asio::io_context& aContext,
--- a/src/process/PlatformLoopTest.cpp
+++ b/src/process/PlatformLoopTest.cpp
@@ -159,6 +159,22 @@
   cr_assert_eq(node.m_script.m_dropped, 0);
   node.RunFor(600ms);
   cr_assert_eq(node.m_script.m_dropped, 1);
+  // What there is now, rather than all that came since.
+  cr_assert_eq(node.m_script.m_watches.size(), 0);
+  cr_assert_eq(node.m_script.m_lists.size(), 1);
+}
+
+Test(PlatformLoop, ASlowAnswerIsNotCutShortTwiceAtTheSameAge)
+{
+  WatchingNode node;
+  node.AnswerList(5);
+  node.HearFromPeer(Parameters(9));
+  node.RunFor(600ms);
+  cr_assert_eq(node.m_script.m_dropped, 1);
+  // The list takes longer than the first limit, as over a narrow link.
+  node.RunFor(800ms);
+  cr_assert_eq(node.m_script.m_dropped, 1);
+  node.AnswerList(9);
   cr_assert_eq(node.m_script.m_watches.size(), 1);
 }
 
