Idle connections to the upstream that it has forgotten cost no call

A call that may run twice is then sent again on a new connection at once; one that may run once is never sent again, so it takes no connection that has been idle for 250 ms or longer.

--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -37,6 +37,10 @@
 /// Part of the upstream's own idle time after which its connection is left:
 /// the rest covers a delayed close.
 constexpr int kIdleSafety = 2;
+/// The same for calls that may not run twice. An upstream that has forgotten a
+/// connection resets what is sent on it, which cannot be told from a reset
+/// after the call has run.
+constexpr Duration kIdleLimitOnce = std::chrono::milliseconds(250);
 /// Longest wait for a connection.
 constexpr Duration kConnectLimit = std::chrono::seconds(1);
 
@@ -45,6 +49,7 @@
 {
   tcp::socket m_socket;
   boost::beast::flat_buffer m_buffer;
+  MonotonicTime m_idleSince{};
   /// Not used again from this time on.
   MonotonicTime m_goodUntil{};
 };
@@ -57,6 +62,7 @@
 };
 
 using Request = http::request<http::string_body>;
+using Parser = http::response_parser<http::string_body>;
 
 Request
 ToBeast(HttpRequestParts aParts)
@@ -111,7 +117,8 @@
       std::shared_ptr<const UpstreamDialect> aDialect,
       std::shared_ptr<Connections> aConnections,
       Call aCall)
-    : m_clock(aClock)
+    : m_context(aContext)
+    , m_clock(aClock)
     , m_dialect(std::move(aDialect))
     , m_connections(std::move(aConnections))
     , m_call(std::move(aCall))
@@ -143,50 +150,88 @@
   asio::awaitable<Answer> Exchange()
   {
     Answer answer;
-    if (!co_await Connect()) {
+    std::optional<Parser> parser;
+    TryResult tried = co_await ExchangeOnce(parser);
+    const bool isForgotten =
+      tried && *tried && m_isReused && !m_isAborted && !parser->got_some();
+    if (isForgotten && m_call.m_idempotent) {
+      // The others may have been forgotten with it.
+      m_connections->m_idle.clear();
+      boost::system::error_code ignored;
+      m_connection.m_socket.close(ignored);
+      m_connection = Connection{ tcp::socket(m_context), {} };
+      tried = co_await ExchangeOnce(parser);
+    }
+    if (!tried) {
       answer.m_outcome = CallOutcome::NotRun;
       answer.m_refusal = RefusalReason::UpstreamGone;
       co_return answer;
     }
-    AbortAt(m_deadline);
-    m_call.m_timeRemaining = m_deadline - m_clock.Now();
-    StartWrite();
-    boost::beast::flat_buffer& buffer = m_connection.m_buffer;
-    buffer.reserve(kReadBytes);
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(kMaxCallBytes.Value());
-    parser.skip(m_call.m_http.m_method == "HEAD");
-    const auto [error, received] =
-      co_await http::async_read(m_connection.m_socket, buffer, parser, kAwait);
-    if (error || m_isAborted) {
-      if (m_isAborted && !parser.got_some()) {
+    if (*tried || m_isAborted) {
+      if (m_isAborted && !parser->got_some()) {
         // The way to the upstream may have gone silent: start afresh.
         m_connections->m_idle.clear();
       }
       co_return answer;
     }
-    const bool isReusable =
-      m_isWritten && parser.get().keep_alive() && buffer.size() == 0;
+    const bool isReusable = m_isWritten && parser->get().keep_alive() &&
+                            m_connection.m_buffer.size() == 0;
+    m_connection.m_idleSince = m_clock.Now();
     m_connection.m_goodUntil =
-      m_clock.Now() + ReuseTime(parser.get()[http::field::keep_alive]);
-    Fill(answer, parser.release());
+      m_connection.m_idleSince +
+      ReuseTime(parser->get()[http::field::keep_alive]);
+    Fill(answer, parser->release());
     Keep(isReusable && answer.m_outcome != CallOutcome::Unknown);
     co_return answer;
   }
 
+  /// How sending and reading ended; not set: there was no connection, so that
+  /// nothing was sent.
+  using TryResult = std::optional<boost::system::error_code>;
+
+  /// Sends the call over an idle connection or a new one and reads the answer.
+  asio::awaitable<TryResult> ExchangeOnce(std::optional<Parser>& aParser)
+  {
+    aParser.emplace();
+    aParser->body_limit(kMaxCallBytes.Value());
+    aParser->skip(m_call.m_http.m_method == "HEAD");
+    if (!co_await Connect()) {
+      co_return std::nullopt;
+    }
+    AbortAt(m_deadline);
+    m_call.m_timeRemaining = m_deadline - m_clock.Now();
+    StartWrite();
+    m_connection.m_buffer.reserve(kReadBytes);
+    const auto [error, received] = co_await http::async_read(
+      m_connection.m_socket, m_connection.m_buffer, *aParser, kAwait);
+    co_return error;
+  }
+
   /// Writes while the answer is read: an upstream may answer before it has
   /// read the whole request.
   void StartWrite()
   {
-    m_request = ToBeast(m_dialect->Write(m_call, m_connections->m_place));
+    m_isWritten = false;
+    m_request = std::make_shared<Request>(
+      ToBeast(m_dialect->Write(m_call, m_connections->m_place)));
     http::async_write(m_connection.m_socket,
-                      m_request,
-                      [self = shared_from_this()](
+                      *m_request,
+                      [self = shared_from_this(), request = m_request](
                         const boost::system::error_code& aError, std::size_t) {
-                        self->m_isWritten = !aError;
+                        if (request == self->m_request) {
+                          self->m_isWritten = !aError;
+                        }
                       });
   }
 
+  /// Idle for so short a time that the upstream can't have forgotten it, or
+  /// the call may be sent again.
+  bool IsRecentEnough(const Connection& aConnection, MonotonicTime aNow) const
+  {
+    return m_call.m_idempotent ||
+           aNow - aConnection.m_idleSince < kIdleLimitOnce;
+  }
+
   void AbortAt(MonotonicTime aTime)
   {
     m_timer.expires_after(std::max(aTime - m_clock.Now(), Duration(0)));
@@ -201,11 +246,18 @@
   asio::awaitable<bool> Connect()
   {
     const MonotonicTime now = m_clock.Now();
+    m_isReused = false;
+    // The last one has been idle for the shortest time.
     while (!m_connections->m_idle.empty()) {
+      const bool isGood = now < m_connections->m_idle.back().m_goodUntil;
+      if (isGood && !IsRecentEnough(m_connections->m_idle.back(), now)) {
+        break;
+      }
       Connection connection = std::move(m_connections->m_idle.back());
       m_connections->m_idle.pop_back();
-      if (now < connection.m_goodUntil && IsQuiet(connection.m_socket)) {
+      if (isGood && IsQuiet(connection.m_socket)) {
         m_connection = std::move(connection);
+        m_isReused = true;
         co_return true;
       }
     }
@@ -257,12 +309,15 @@
     }
   }
 
+  asio::io_context& m_context;
   const Clock& m_clock;
   std::shared_ptr<const UpstreamDialect> m_dialect;
   std::shared_ptr<Connections> m_connections;
   Call m_call;
   Connection m_connection;
-  Request m_request;
+  /// Shared with its writing, which may outlast the try.
+  std::shared_ptr<Request> m_request;
+  bool m_isReused = false;
   asio::steady_timer m_timer;
   MonotonicTime m_deadline{};
   bool m_isWritten = false;
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -2,6 +2,8 @@
 /// HTTP connections to the upstream of this node's own VM.
 ///
 /// One call uses one connection; idle connections are kept for the next call.
+/// A call that may run twice is sent again when an idle connection turns out
+/// to be forgotten; any other gets one that was just used, or a new one.
 /// An aborted or failed call's connection is closed, never used again, so that
 /// no late answer can reach another caller.
 ///
--- a/src/connection/UpstreamPoolTest.cpp
+++ b/src/connection/UpstreamPoolTest.cpp
@@ -1,10 +1,16 @@
 #include "connection/UpstreamPool.h"
 
+#include <array>
 #include <optional>
+#include <thread>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 
 #include "connection/HttpServer.h"
@@ -78,8 +84,99 @@
   std::uint64_t m_calls = 0;
 };
 
+/// An upstream that answers one request on each connection, says that it keeps
+/// it, and has forgotten it when the next one comes.
+class ForgetfulUpstream
+{
+public:
+  ForgetfulUpstream()
+    : m_acceptor(m_context,
+                 { asio::ip::address_v4::loopback(), std::uint16_t{ 0 } })
+    , m_pool(UpstreamPool::Create(m_context, m_clock))
+  {
+    asio::co_spawn(m_context, Accept(), asio::detached);
+    m_pool->SetAddress(
+      NetworkAddress(0x7F000001, m_acceptor.local_endpoint().port()));
+  }
+
+  Answer Run(bool aIsIdempotent)
+  {
+    Call call;
+    call.m_id = CallId(++m_calls);
+    call.m_idempotent = aIsIdempotent;
+    call.m_http.m_method = "POST";
+    call.m_http.m_target = "/";
+    call.m_timeRemaining = std::chrono::seconds(5);
+    std::optional<Answer> result;
+    const auto run = m_pool->Start(call, [&](Answer aAnswer) {
+      result = std::move(aAnswer);
+      m_context.stop();
+    });
+    m_context.restart();
+    m_context.run();
+    return *result;
+  }
+
+  int m_connections = 0;
+
+private:
+  asio::awaitable<void> Accept()
+  {
+    while (true) {
+      asio::ip::tcp::socket socket =
+        co_await m_acceptor.async_accept(asio::use_awaitable);
+      ++m_connections;
+      asio::co_spawn(m_context, Serve(std::move(socket)), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Serve(asio::ip::tcp::socket aSocket)
+  {
+    std::array<char, 4096> bytes{};
+    co_await aSocket.async_read_some(asio::buffer(bytes), asio::use_awaitable);
+    const std::string answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    co_await asio::async_write(
+      aSocket, asio::buffer(answer), asio::use_awaitable);
+    co_await aSocket.async_read_some(asio::buffer(bytes), asio::use_awaitable);
+    aSocket.set_option(asio::socket_base::linger(true, 0));
+  }
+
+  asio::io_context m_context{ 1 };
+  SystemClock m_clock;
+  asio::ip::tcp::acceptor m_acceptor;
+  std::unique_ptr<UpstreamPool> m_pool;
+  std::uint64_t m_calls = 0;
+};
+
 } // namespace
 
+Test(UpstreamPool, AForgottenConnectionCostsACallThatMayRunTwiceNothing)
+{
+  ForgetfulUpstream upstream;
+  for (int i = 0; i < 3; ++i) {
+    cr_assert(upstream.Run(true).m_outcome == CallOutcome::Done);
+  }
+  cr_assert_eq(upstream.m_connections, 3);
+}
+
+Test(UpstreamPool, ACallThatMayRunOnceIsNotSentAgain)
+{
+  ForgetfulUpstream upstream;
+  cr_assert(upstream.Run(false).m_outcome == CallOutcome::Done);
+  cr_assert(upstream.Run(false).m_outcome == CallOutcome::Unknown);
+  cr_assert_eq(upstream.m_connections, 1);
+}
+
+Test(UpstreamPool, ACallThatMayRunOnceTakesNoConnectionThatWasIdleForLong)
+{
+  ForgetfulUpstream upstream;
+  for (int i = 0; i < 3; ++i) {
+    cr_assert(upstream.Run(false).m_outcome == CallOutcome::Done);
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  }
+  cr_assert_eq(upstream.m_connections, 3);
+}
+
 Test(UpstreamPool, ALateAnswerNeverReachesTheNextCall)
 {
   FakeUpstream upstream;
