A connection that is made as its time ends leaves no handler with a dead socket

PeerLink::Connect gave its timer's handler a reference to the socket in the coroutine's frame. When a process stands still while it connects, the connection and the timer are due in one round; the coroutine ends first, and cancelling does not call back a handler that is due. Ruled out: the calls from traffic threads before the control thread exists (no call can be served then). The upstream pool's limit of connecting could end a call that had begun in the same way; its handler now looks at the time.

--- a/src/connection/PeerLink.cpp
+++ b/src/connection/PeerLink.cpp
@@ -162,25 +162,29 @@
 PeerLink::Connect()
 {
   const auto self = shared_from_this();
-  tcp::socket socket(m_context);
+  // Shared with the timer: its handler may be due already when the connection
+  // is made, and then runs after this coroutine has ended.
+  const auto socket = std::make_shared<tcp::socket>(m_context);
   asio::steady_timer timeout(m_context, m_settings.m_connectTimeout);
-  timeout.async_wait([&socket](const boost::system::error_code& aError) {
-    if (!aError) {
-      boost::system::error_code ignored;
-      socket.close(ignored);
-    }
-  });
+  timeout.async_wait(
+    [weak = std::weak_ptr(socket)](const boost::system::error_code& aError) {
+      const auto connecting = weak.lock();
+      if (!aError && connecting) {
+        boost::system::error_code ignored;
+        connecting->close(ignored);
+      }
+    });
   const auto endpoint = EndpointOf<tcp>(m_peer);
-  const auto [error] = co_await socket.async_connect(endpoint, kAwait);
+  const auto [error] = co_await socket->async_connect(endpoint, kAwait);
   timeout.cancel();
-  if (error || !socket.is_open() || m_state == State::Closed) {
+  if (error || !socket->is_open() || m_state == State::Closed) {
     m_connectError = Error(ErrorCode::Unreachable,
                            "link.connect",
                            m_peer.ToString(),
                            error ? error.message() : "timeout");
     m_state = State::Closed;
   } else {
-    m_stream = FrameStream::Create(std::move(socket), m_peer.ToString());
+    m_stream = FrameStream::Create(std::move(*socket), m_peer.ToString());
     m_state = State::Open;
     m_lastHeard = m_clock.Now();
     asio::co_spawn(
--- a/src/connection/PeerLinkTest.cpp
+++ b/src/connection/PeerLinkTest.cpp
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <thread>
+#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -89,6 +90,14 @@
   return std::move(*result);
 }
 
+asio::awaitable<void>
+RunAndCount(std::shared_ptr<PeerLink> aLink, int& aEnded)
+{
+  Call call;
+  co_await aLink->Run(std::move(call), std::chrono::seconds(5));
+  ++aEnded;
+}
+
 void
 AnswerCall(FrameStream& aStream, const PeerMessage& aMessage)
 {
@@ -102,6 +111,34 @@
 
 } // namespace
 
+/// As in a process that stood still meanwhile: when it runs again, the
+/// connection is there and its time limit has passed, both at once.
+Test(PeerLink, AConnectionThatIsMadeAsItsTimeEndsIsSafe)
+{
+  // The handlers that run before the pause: one of these counts ends with the
+  // connection under way.
+  for (int steps = 1; steps <= 12; ++steps) {
+    asio::io_context context(1);
+    const SystemClock clock;
+    const FakePeer peer(context, AnswerCall);
+    LinkSettings settings;
+    settings.m_connectTimeout = std::chrono::milliseconds(20);
+    const auto link =
+      PeerLink::Create(context, clock, peer.Address(), settings);
+    int ended = 0;
+    asio::co_spawn(context, RunAndCount(link, ended), asio::detached);
+    for (int i = 0; i < steps; ++i) {
+      context.poll_one();
+    }
+    std::this_thread::sleep_for(settings.m_connectTimeout * 2);
+    while (ended == 0) {
+      context.run_one();
+    }
+    link->Close();
+    context.poll();
+  }
+}
+
 Test(PeerLink, ASilentPeerCostsItsCallNoMoreThanTheSilenceLimit)
 {
   asio::io_context context(1);
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -234,10 +234,12 @@
 
   void AbortAt(MonotonicTime aTime)
   {
+    m_abortAt = aTime;
     m_timer.expires_after(std::max(aTime - m_clock.Now(), Duration(0)));
     m_timer.async_wait([weak = weak_from_this()](const auto& aError) {
       const auto run = weak.lock();
-      if (!aError && run) {
+      // The limit of the connecting may be due when the call has begun.
+      if (!aError && run && run->m_clock.Now() >= run->m_abortAt) {
         run->Abort();
       }
     });
@@ -320,6 +322,7 @@
   bool m_isReused = false;
   asio::steady_timer m_timer;
   MonotonicTime m_deadline{};
+  MonotonicTime m_abortAt{};
   bool m_isWritten = false;
   bool m_isAborted = false;
 };
