Lines for what a node comes to believe, and for refusals at the guard

Configurations in force or held up, nodes and their upstreams, moves with shares and reason, orders that do not decode, lines that the log dropped; each once, from a comparison when a view is published, so that decisions know nothing of logs. The guard's refusals carry the call's id, what it waited, what it had left, and the queue.

--- /dev/null
+++ b/src/process/BeliefLog.cpp
@@ -0,0 +1,173 @@
+#include "process/BeliefLog.h"
+
+#include <set>
+
+#include "process/Log.h"
+
+namespace tarragontray {
+
+namespace {
+
+std::string
+Text(std::optional<Revision> aRevision)
+{
+  return aRevision ? std::to_string(aRevision->Value()) : "none";
+}
+
+std::string
+Shares(const MoveStatus& aMove)
+{
+  std::string text;
+  for (const auto& [dataCentre, share] : aMove.m_shares) {
+    text += text.empty() ? "" : ",";
+    text += dataCentre.Value() + ":" + std::to_string(share.Fraction());
+  }
+  return text;
+}
+
+/// Forgets what a status no longer names.
+template<typename Map, typename Entries, typename KeyOf>
+void
+KeepOnly(Map& aMap, const Entries& aEntries, KeyOf aKeyOf)
+{
+  std::set<typename Map::key_type> keys;
+  for (const auto& entry : aEntries) {
+    keys.insert(aKeyOf(entry));
+  }
+  std::erase_if(
+    aMap, [&](const auto& aEntry) { return !keys.contains(aEntry.first); });
+}
+
+} // namespace
+
+void
+BeliefLog::Note(const ControlStatus& aStatus)
+{
+  for (const AccountStatus& account : aStatus.m_accounts) {
+    NoteAccount(account);
+  }
+  for (const MemberRecord& member : aStatus.m_members) {
+    NoteMember(member);
+  }
+  for (const MoveStatus& move : aStatus.m_moves) {
+    NoteMove(move);
+  }
+  NoteOrders(aStatus);
+  KeepOnly(m_members, aStatus.m_members, [](const MemberRecord& aMember) {
+    return aMember.m_vm;
+  });
+  KeepOnly(m_moves, aStatus.m_moves, [](const MoveStatus& aMove) {
+    return aMove.m_plan.m_id;
+  });
+  NoteDropped();
+}
+
+void
+BeliefLog::NoteAccount(const AccountStatus& aAccount)
+{
+  AccountStatus& known = m_accounts[aAccount.m_account];
+  if (known.m_inForce != aAccount.m_inForce) {
+    Log(LogLevel::Info,
+        "control",
+        "Configuration in force.",
+        { { "account", aAccount.m_account.Value() },
+          { "revision", Text(aAccount.m_inForce) },
+          { "was", Text(known.m_inForce) } });
+  }
+  const auto pendingOf = [](const AccountStatus& aStatus) {
+    return aStatus.m_pending ? std::optional(aStatus.m_pending->m_version)
+                             : std::nullopt;
+  };
+  if (aAccount.m_pending && pendingOf(known) != pendingOf(aAccount)) {
+    Log(LogLevel::Warning,
+        "control",
+        "Configuration held up.",
+        { { "account", aAccount.m_account.Value() },
+          { "revision", Text(pendingOf(aAccount)) },
+          { "reason", std::string(Name(aAccount.m_pending->m_reason)) },
+          { "detail", aAccount.m_pending->m_detail },
+          { "in_force", Text(aAccount.m_inForce) } });
+  }
+  known = aAccount;
+}
+
+void
+BeliefLog::NoteMember(const MemberRecord& aMember)
+{
+  const auto [entry, isNew] = m_members.try_emplace(aMember.m_vm);
+  MemberRecord& known = entry->second;
+  const UpstreamAnnouncement& upstream = aMember.m_upstream;
+  const bool isChanged = isNew || known.m_state != aMember.m_state ||
+                         known.m_incarnation != aMember.m_incarnation ||
+                         known.m_upstream.m_state != upstream.m_state ||
+                         known.m_upstream.m_version != upstream.m_version ||
+                         known.m_upstream.m_service != upstream.m_service;
+  if (isChanged) {
+    Log(LogLevel::Info,
+        "member",
+        "Node changed.",
+        { { "vm", aMember.m_vm.Value() },
+          { "state", std::string(Name(aMember.m_state)) },
+          { "incarnation", std::to_string(aMember.m_incarnation.Value()) },
+          { "sequence", std::to_string(aMember.m_sequence) },
+          { "service", upstream.m_service.m_name.Value() },
+          { "version", upstream.m_version.Value() },
+          { "upstream", std::string(Name(upstream.m_state)) } });
+  }
+  known = aMember;
+}
+
+void
+BeliefLog::NoteMove(const MoveStatus& aMove)
+{
+  const MoveId& id = aMove.m_plan.m_id;
+  const std::string shares = Shares(aMove);
+  const std::string text =
+    std::string(Name(aMove.m_state)) + " " + shares + " " + aMove.m_reason;
+  std::string& known = m_moves[id];
+  if (known == text) {
+    return;
+  }
+  known = text;
+  Log(LogLevel::Info,
+      "move",
+      "Move changed.",
+      { { "service", id.m_service.m_name.Value() },
+        { "plan", std::to_string(id.m_plan.Value()) },
+        { "to", aMove.m_plan.m_to.Value() },
+        { "state", std::string(Name(aMove.m_state)) },
+        { "shares", shares },
+        { "route", aMove.m_route.Value() },
+        { "calls", std::to_string(aMove.m_calls.Value()) },
+        { "reason", aMove.m_reason } });
+}
+
+void
+BeliefLog::NoteOrders(const ControlStatus& aStatus)
+{
+  if (aStatus.m_rejectedOrders != m_rejectedOrders &&
+      aStatus.m_lastRejectedOrder) {
+    Log(LogLevel::Warning,
+        "move",
+        "Order refused.",
+        *aStatus.m_lastRejectedOrder);
+  }
+  m_rejectedOrders = aStatus.m_rejectedOrders;
+}
+
+void
+BeliefLog::NoteDropped()
+{
+  const std::uint64_t dropped = DroppedLogLines();
+  if (dropped == m_dropped) {
+    return;
+  }
+  Log(LogLevel::Warning,
+      "log",
+      "Lines dropped.",
+      { { "since_last", std::to_string(dropped - m_dropped) },
+        { "since_start", std::to_string(dropped) } });
+  m_dropped = dropped;
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/process/BeliefLog.h
@@ -0,0 +1,43 @@
+/// \file
+/// Writes a line for each change of what this node believes: configurations in
+/// force or held up, other nodes and their upstreams, moves of traffic.
+///
+///     BeliefLog beliefs;
+///     beliefs.Note(core.Status(wall));   // whenever a new view is published
+///
+/// It compares with what it noted last, so that the decisions know nothing of
+/// logs and a change is told once.
+///
+/// Thread safety: one thread.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "process/ControlCore.h"
+
+namespace tarragontray {
+
+class BeliefLog
+{
+public:
+  void Note(const ControlStatus& aStatus);
+
+private:
+  void NoteAccount(const AccountStatus& aAccount);
+  void NoteMember(const MemberRecord& aMember);
+  void NoteMove(const MoveStatus& aMove);
+  void NoteOrders(const ControlStatus& aStatus);
+  /// The log's own state: lines that it had to drop.
+  void NoteDropped();
+
+  std::map<ClientAccountId, AccountStatus> m_accounts;
+  std::map<VmId, MemberRecord> m_members;
+  /// The text last written of each move.
+  std::map<MoveId, std::string> m_moves;
+  std::uint64_t m_rejectedOrders = 0;
+  std::uint64_t m_dropped = 0;
+};
+
+} // namespace tarragontray
--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -302,7 +302,10 @@
 {
   if (m_gossip.Documents().HasChanged()) {
     const std::vector<Document> documents = m_gossip.Documents().TakeChanged();
+    const std::uint64_t rejected = m_orders.Rejected();
     m_ordersChanged |= m_orders.Offer(documents, aTimes.m_wall);
+    // Told like every change of what this node believes.
+    m_ordersChanged |= m_orders.Rejected() != rejected;
     auto changes = m_store.Offer(documents);
     std::move(changes.begin(), changes.end(), std::back_inserter(m_changes));
   }
@@ -523,6 +526,8 @@
     }
   }
   status.m_moves = m_moves.Status(aWall);
+  status.m_rejectedOrders = m_orders.Rejected();
+  status.m_lastRejectedOrder = m_orders.LastRejection();
   status.m_ledger = m_ledger.Totals();
   status.m_membership = members.Counters();
   status.m_distribution = m_gossip.Documents().Counters();
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -90,6 +90,8 @@
   std::vector<MemberRecord> m_members;
   std::vector<AccountStatus> m_accounts;
   std::vector<MoveStatus> m_moves;
+  std::uint64_t m_rejectedOrders = 0;
+  std::optional<Error> m_lastRejectedOrder;
   std::vector<UsageEntry> m_ledger;
   MembershipCounters m_membership;
   DistributionCounters m_distribution;
--- a/src/process/ControlThread.cpp
+++ b/src/process/ControlThread.cpp
@@ -17,6 +17,7 @@
 #include "connection/HttpServer.h"
 #include "connection/PeerLink.h"
 #include "connection/Sockets.h"
+#include "process/BeliefLog.h"
 #include "process/Log.h"
 #include "process/PlatformLoop.h"
 #include "process/StatusJson.h"
@@ -231,6 +232,7 @@
         m_loop.Context(), Pull(std::move(*aActions.m_pull)), asio::detached);
     }
     if (aActions.m_view) {
+      m_beliefs.Note(m_core->Status(m_clock.WallNow()));
       m_traffic.m_publish(std::move(aActions.m_view));
     }
     if (aActions.m_bounds) {
@@ -398,6 +400,7 @@
 
   // Used on the loop's thread only, once it has started.
   std::unique_ptr<ControlCore> m_core;
+  BeliefLog m_beliefs;
   std::unique_ptr<PlatformLoop> m_platform;
   std::vector<std::shared_ptr<HttpServer>> m_admins;
   udp::socket m_socket;
--- a/src/process/FrontThread.cpp
+++ b/src/process/FrontThread.cpp
@@ -261,12 +261,6 @@
           { "left_ms", Milliseconds(aSetup.m_deadline - m_clock.Now()) } });
   }
 
-  static std::string Milliseconds(Duration aTime)
-  {
-    return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
-  }
-
   /// Callers come back after a refusal with less time than they had at first.
   /// The most that callers of a route ever had tells how long one has waited
   /// already.
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -198,6 +198,9 @@
         run->second->Abort();
       }
     }
+    for (const RefusedCall& refused : aActions.m_refused) {
+      LogRefusal(refused);
+    }
     for (Reply& reply : aActions.m_replies) {
       SendReply(std::move(reply));
     }
@@ -208,6 +211,28 @@
     ScheduleTick();
   }
 
+  void LogRefusal(const RefusedCall& aRefused) const
+  {
+    // Who cancels knows; the others are told only the reason.
+    const bool isWish = aRefused.m_reason == RefusalReason::Cancelled;
+    const LogLevel level = isWish ? LogLevel::Debug : LogLevel::Info;
+    if (!IsLogged(level)) {
+      return;
+    }
+    const LoadReport load = m_guard.Load();
+    Log(level,
+        kPart,
+        "Call refused.",
+        { { "id", aRefused.m_operation.Value() },
+          { "route", aRefused.m_route.Value() },
+          { "reason", std::string(Name(aRefused.m_reason)) },
+          { "waited_ms", Milliseconds(aRefused.m_waited) },
+          { "left_ms", Milliseconds(aRefused.m_left) },
+          { "running", std::to_string(load.m_running) },
+          { "waiting", std::to_string(load.m_queued) },
+          { "slots", std::to_string(load.m_slots.Value()) } });
+  }
+
   void SendReply(Reply aReply)
   {
     if (aReply.m_answer.m_outcome == CallOutcome::NotRun) {
--- a/src/process/Log.cpp
+++ b/src/process/Log.cpp
@@ -102,6 +102,13 @@
   return aStream;
 }
 
+std::string
+Milliseconds(Duration aTime)
+{
+  return std::to_string(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
+}
+
 void
 StartLog(LogLevel aLevel, LogOutput aOutput)
 {
--- a/src/process/Log.h
+++ b/src/process/Log.h
@@ -19,6 +19,7 @@
 #include <string_view>
 
 #include "base/Error.h"
+#include "base/Units.h"
 
 namespace tarragontray {
 
@@ -44,6 +45,10 @@
   StandardError,
 };
 
+/// Whole milliseconds, as fields give times.
+std::string
+Milliseconds(Duration aTime);
+
 /// Sends logs to aOutput from aLevel on. Call once, at the start. A thread of
 /// its own writes; lines that come faster than that are dropped and counted.
 void
--- a/src/process/MoveOrders.cpp
+++ b/src/process/MoveOrders.cpp
@@ -31,6 +31,7 @@
     const Result<MoveOrder> order = m_decoder.DecodeOrder(document);
     if (!order) {
       ++m_rejected;
+      m_lastRejection = order.error();
       continue;
     }
     Known& known = m_orders[*service];
--- a/src/process/MoveOrders.h
+++ b/src/process/MoveOrders.h
@@ -51,6 +51,8 @@
   std::optional<MoveState> Recorded(const MoveId& aMove) const;
   /// Documents that did not decode.
   std::uint64_t Rejected() const { return m_rejected; }
+  /// Why the last of them did not.
+  const std::optional<Error>& LastRejection() const { return m_lastRejection; }
 
 private:
   struct Known
@@ -68,6 +70,7 @@
   const ConfigurationDecoder& m_decoder;
   std::map<ServiceId, Known> m_orders;
   std::uint64_t m_rejected = 0;
+  std::optional<Error> m_lastRejection;
 };
 
 } // namespace tarragontray
--- a/src/process/Runtime.cmake
+++ b/src/process/Runtime.cmake
@@ -31,9 +31,10 @@
 tt_test(status_test SRCS StatusTest.cpp DEPS tt_status)
 tt_library(tt_node_dialects SRCS NodeDialects.cpp
   DEPS tt_configuration_json tt_http_dialect tt_platform_session tt_status)
-tt_library(tt_control_thread SRCS ControlThread.cpp PlatformLoop.cpp
+tt_library(tt_control_thread SRCS BeliefLog.cpp ControlThread.cpp PlatformLoop.cpp
   DEPS tt_control_core tt_datagrams tt_http_server tt_log tt_node_dialects
        tt_peer_link tt_platform_session tt_status tt_thread_loop)
+tt_test(belief_log_test SRCS BeliefLogTest.cpp DEPS tt_control_thread)
 tt_library(tt_node SRCS Node.cpp
   DEPS tt_control_thread tt_front_thread tt_guard_thread tt_node_settings)
 tt_library(tt_node_program SRCS NodeProgram.cpp DEPS tt_node)
--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -60,12 +60,14 @@
   }
   const RefusalReason reason = CheckUpstream(aCall);
   if (reason != RefusalReason::None) {
+    NoteRefusal(aCall, reason, actions);
     ReplyNotRun({ aFrom, aCall.m_id }, reason, actions);
     return actions;
   }
   const Ticket ticket = m_lastTicket + Ticket(1);
   if (HasKey(aCall) &&
       !m_operations.Begin(KeyOf(aCall), ticket, fingerprint, aNow)) {
+    NoteRefusal(aCall, RefusalReason::OperationTableFull, actions);
     ReplyNotRun(
       { aFrom, aCall.m_id }, RefusalReason::OperationTableFull, actions);
     return actions;
@@ -89,11 +91,13 @@
   if (known->m_state == OperationEntry::State::Withdrawn) {
     const bool isRefused = aCall.m_attempt <= known->m_withdrawnAttempt;
     if (isRefused) {
+      NoteRefusal(aCall, RefusalReason::WithdrawnOperation, aActions);
       ReplyNotRun(waiter, RefusalReason::WithdrawnOperation, aActions);
     }
     return isRefused;
   }
   if (known->m_fingerprint != aFingerprint) {
+    NoteRefusal(aCall, RefusalReason::OperationMismatch, aActions);
     ReplyNotRun(waiter, RefusalReason::OperationMismatch, aActions);
     return true;
   }
@@ -152,6 +156,7 @@
   m_links.Add({ aFrom, aCall.m_id }, ticket);
   Entry& entry = m_entries[ticket];
   entry.m_waiters.push_back({ aFrom, aCall.m_id });
+  entry.m_arrived = aNow;
   entry.m_deadline = waiting.m_deadline;
   entry.m_call = std::move(aCall);
   for (const Refused& refused : m_policy->Offer(waiting, Room(), aNow)) {
@@ -356,12 +361,27 @@
   if (HasKey(entry.m_call)) {
     m_operations.Release(KeyOf(entry.m_call), aNow);
   }
+  NoteRefusal(entry.m_call, aReason, aActions);
+  RefusedCall& noted = aActions.m_refused.back();
+  noted.m_waited = aNow - entry.m_arrived;
+  noted.m_left = entry.m_deadline - aNow;
   for (const Waiter& waiter : entry.m_waiters) {
     ReplyNotRun(waiter, aReason, aActions);
     m_links.Remove(waiter);
   }
 }
 
+void
+Guard::NoteRefusal(const Call& aCall,
+                   RefusalReason aReason,
+                   GuardActions& aActions)
+{
+  aActions.m_refused.push_back({ .m_operation = aCall.m_operation,
+                                 .m_route = aCall.m_route,
+                                 .m_reason = aReason,
+                                 .m_left = aCall.m_timeRemaining });
+}
+
 void
 Guard::ReplyTo(const Waiter& aWaiter, Answer aAnswer, GuardActions& aActions)
 {
--- a/src/request/Guard.h
+++ b/src/request/Guard.h
@@ -61,6 +61,17 @@
   Answer m_answer;
 };
 
+/// A call that was told that it was not run, for the log.
+struct RefusedCall
+{
+  OperationId m_operation;
+  RouteName m_route;
+  RefusalReason m_reason = RefusalReason::None;
+  Duration m_waited{ 0 };
+  /// Until its deadline; below 0: it had passed.
+  Duration m_left{ 0 };
+};
+
 /// Stop a running call.
 struct AbortUpstream
 {
@@ -73,6 +84,7 @@
   std::vector<AbortUpstream> m_aborts;
   std::vector<Reply> m_replies;
   std::vector<Run> m_runs;
+  std::vector<RefusedCall> m_refused;
 };
 
 /// The answer to a question about an operation.
@@ -153,6 +165,7 @@
     Call m_call;
     std::vector<Waiter> m_waiters;
     bool m_isRunning = false;
+    MonotonicTime m_arrived{};
     MonotonicTime m_started{};
     MonotonicTime m_deadline{};
   };
@@ -187,6 +200,9 @@
              MonotonicTime aNow,
              GuardActions& aActions);
   void ReplyTo(const Waiter& aWaiter, Answer aAnswer, GuardActions& aActions);
+  static void NoteRefusal(const Call& aCall,
+                          RefusalReason aReason,
+                          GuardActions& aActions);
   void ReplyNotRun(const Waiter& aWaiter,
                    RefusalReason aReason,
                    GuardActions& aActions);
