A leave that comes before any announcement binds; a platform that is back is found in time

The node knew no life of it, so the leave changed nothing, and a heartbeat held up on its way then made the upstream live. Now leaves of other lives are remembered and bind their lives' announcements. Tests: UpstreamRegister.ALeave* (three failed before), PlatformLoop.APlatformThatIsBackIsFoundWithinTheTimeForAChange (failed before).

--- a/src/process/PlatformLoop.cpp
+++ b/src/process/PlatformLoop.cpp
@@ -19,7 +19,9 @@
 constexpr Duration kReadNodes = std::chrono::seconds(60);
 constexpr Duration kReadNodesAlone = std::chrono::seconds(2);
 constexpr Duration kFirstRetry = std::chrono::milliseconds(200);
-constexpr std::uint32_t kMaxDoublings = 5;
+/// To 1.6 s: a platform that is back is found within the 2 s in which a change
+/// is to be in force.
+constexpr std::uint32_t kMaxDoublings = 3;
 
 std::vector<Document>
 DocumentsOf(const PlatformListing& aListing)
--- a/src/process/PlatformLoopTest.cpp
+++ b/src/process/PlatformLoopTest.cpp
@@ -103,7 +103,11 @@
 
   Times Now() const { return { m_clock.Now(), m_clock.WallNow() }; }
   void Check() { m_loop->Check(); }
-  void RunFor(Duration aTime) { m_context.run_for(aTime); }
+  void RunFor(Duration aTime)
+  {
+    m_context.restart();
+    m_context.run_for(aTime);
+  }
 
   void AnswerList(std::uint64_t aRevision)
   {
@@ -206,6 +210,22 @@
   }
 }
 
+Test(PlatformLoop, APlatformThatIsBackIsFoundWithinTheTimeForAChange)
+{
+  WatchingNode node;
+  node.AnswerList(5);
+  for (int failures = 1; failures <= 8; ++failures) {
+    node.FailWatch();
+    Duration waited{ 0 };
+    while (node.m_script.m_watches.empty() && waited < 2s) {
+      node.RunFor(50ms);
+      waited += 50ms;
+    }
+    cr_assert_eq(
+      node.m_script.m_watches.size(), 1, "after %d failures", failures);
+  }
+}
+
 Test(PlatformLoop, ANodeReplacesTheEntryOfItsForerunner)
 {
   WatchingNode node(true);
--- a/src/process/UpstreamRegister.cpp
+++ b/src/process/UpstreamRegister.cpp
@@ -1,5 +1,7 @@
 #include "process/UpstreamRegister.h"
 
+#include <algorithm>
+
 namespace tarragontray {
 
 bool
@@ -27,7 +29,11 @@
   const bool isCurrent =
     aReport.m_place.m_instance == m_place.m_instance &&
     (!aReport.m_birth || !m_birth || *aReport.m_birth >= *m_birth);
-  if (!isCurrent || m_isLeaving) {
+  if (!isCurrent) {
+    RememberLeft(aReport);
+    return false;
+  }
+  if (m_isLeaving) {
     return false;
   }
   m_isLeaving = true;
@@ -35,6 +41,25 @@
   return true;
 }
 
+void
+UpstreamRegister::RememberLeft(const UpstreamReport& aReport)
+{
+  if (m_left.size() >= kMaxLeft) {
+    m_left.pop_front();
+  }
+  m_left.push_back({ aReport.m_place.m_instance, aReport.m_birth });
+}
+
+bool
+UpstreamRegister::HasLeft(const UpstreamReport& aReport) const
+{
+  return std::any_of(m_left.begin(), m_left.end(), [&](const LeftLife& aLife) {
+    return aLife.m_instance == aReport.m_place.m_instance &&
+           (!aLife.m_birth || !aReport.m_birth ||
+            *aReport.m_birth <= *aLife.m_birth);
+  });
+}
+
 bool
 UpstreamRegister::Offer(const UpstreamReport& aReport)
 {
@@ -47,7 +72,8 @@
   UpstreamAnnouncement announcement = aReport.m_announcement;
   if (aReport.m_birth) {
     m_isLeaving = m_isLeaving && IsOfCurrentLife(aReport);
-    m_isLeaving |= announcement.m_state == UpstreamState::Draining;
+    m_isLeaving |=
+      announcement.m_state == UpstreamState::Draining || HasLeft(aReport);
     if (m_isLeaving) {
       announcement.m_state = UpstreamState::Draining;
     }
--- a/src/process/UpstreamRegister.h
+++ b/src/process/UpstreamRegister.h
@@ -10,7 +10,9 @@
 /// Thread safety: one thread (control).
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 
 #include "base/Ids.h"
@@ -56,6 +58,19 @@
   bool IsLate(const UpstreamReport& aReport) const;
   bool IsOfCurrentLife(const UpstreamReport& aReport) const;
   bool Leave(const UpstreamReport& aReport);
+  /// Another life than the current one said that it ends.
+  void RememberLeft(const UpstreamReport& aReport);
+  bool HasLeft(const UpstreamReport& aReport) const;
+
+  /// A life that ended, without an announcement of it before.
+  struct LeftLife
+  {
+    UpstreamInstanceId m_instance;
+    /// Not set: all lives of the name.
+    std::optional<UpstreamBirth> m_birth;
+  };
+  /// More than one only while upstreams replace each other.
+  static constexpr std::size_t kMaxLeft = 8;
 
   UpstreamAnnouncement m_announcement;
   UpstreamPlace m_place;
@@ -63,6 +78,7 @@
   AnnouncementNumber m_number;
   /// The current life said that it ends; nothing brings it back.
   bool m_isLeaving = false;
+  std::deque<LeftLife> m_left;
 };
 
 } // namespace tarragontray
--- a/src/process/UpstreamRegisterTest.cpp
+++ b/src/process/UpstreamRegisterTest.cpp
@@ -76,6 +76,40 @@
   cr_assert(StateOf(upstreams) == UpstreamState::Draining);
 }
 
+Test(UpstreamRegister, ALeaveThatComesBeforeAnyAnnouncementBinds)
+{
+  // As after a restart of the node: the announcement was held up on its way.
+  UpstreamRegister upstreams;
+  upstreams.Offer(Leave("i-1", 100));
+  upstreams.Offer(Beat("i-1", 100, 13));
+  cr_assert(StateOf(upstreams) == UpstreamState::Draining);
+  upstreams.Offer(Beat("i-1", 100, 14));
+  cr_assert(StateOf(upstreams) == UpstreamState::Draining);
+  // A later life of the same name is another one.
+  upstreams.Offer(Beat("i-1", 300, 1));
+  cr_assert(StateOf(upstreams) == UpstreamState::Live);
+}
+
+Test(UpstreamRegister, ALeaveWithoutABirthBindsTheLivesUpToThen)
+{
+  UpstreamRegister upstreams;
+  upstreams.Offer(Leave("i-1", std::nullopt));
+  upstreams.Offer(Beat("i-1", 100, 13));
+  cr_assert(StateOf(upstreams) == UpstreamState::Draining);
+  upstreams.Offer(Beat("i-2", 200, 1));
+  cr_assert(StateOf(upstreams) == UpstreamState::Live);
+}
+
+Test(UpstreamRegister, ALeaveOfAnotherLifeDoesNotEndTheCurrentOne)
+{
+  UpstreamRegister upstreams;
+  upstreams.Offer(Beat("i-1", 100, 3));
+  cr_assert(!upstreams.Offer(Leave("i-2", 200)));
+  cr_assert(StateOf(upstreams) == UpstreamState::Live);
+  upstreams.Offer(Beat("i-2", 200, 1));
+  cr_assert(StateOf(upstreams) == UpstreamState::Draining);
+}
+
 Test(UpstreamRegister, TheSameNameStartedAnewCountsFromTheStart)
 {
   UpstreamRegister upstreams;
