--- a/src/process/Log.h
+++ b/src/process/Log.h
@@ -8,7 +8,7 @@
 ///
 ///     2026-12-04T07:40:00.123 warning member: Peer failed. vm=a after_ms=1500
 ///
-/// Prefixes in use are listed in docs/OPERATIONS.md.
+/// All lines are listed in docs/LOGS.md.
 ///
 /// Thread safety: any thread.
 #pragma once
