--- a/src/process/NodeSettings.cpp
+++ b/src/process/NodeSettings.cpp
@@ -89,6 +89,13 @@
                              0,
                              60'000,
                              1'500 });
+  parser.Add(IntegerSetting{ "stop-limit-ms",
+                             "ms",
+                             "Time from SIGTERM until the process is killed; "
+                             "sets the two before. 0: they stand as given.",
+                             0,
+                             600'000,
+                             0 });
   parser.Add(
     IntegerSetting{ "upstream-lapse-ms",
                     "ms",
@@ -141,6 +148,21 @@
 
 } // namespace
 
+namespace {
+
+/// Half of the time is for callers to notice; a twelfth is left for the end of
+/// the process itself.
+void
+DivideStop(Duration aLimit, NodeSettings& aSettings)
+{
+  if (aLimit > Duration::zero()) {
+    aSettings.m_leaveNotice = aLimit / 2;
+    aSettings.m_drainLimit = aLimit * 5 / 12;
+  }
+}
+
+} // namespace
+
 NodeSettings
 ReadNodeSettings(const Settings& aSettings)
 {
@@ -160,6 +182,7 @@
   settings.m_frontThreads =
     static_cast<std::uint32_t>(aSettings.Integer("front-threads"));
   settings.m_drainLimit = aSettings.Milliseconds("drain-limit-ms");
+  DivideStop(aSettings.Milliseconds("stop-limit-ms"), settings);
   const double window =
     std::chrono::duration<double>(aSettings.Milliseconds("retry-window-ms"))
       .count();
--- a/src/process/Settings.cpp
+++ b/src/process/Settings.cpp
@@ -33,6 +33,8 @@
   return text;
 }
 
+constexpr std::int64_t kMillisecondsPerSecond = 1000;
+
 std::string
 Range(const IntegerSetting& aSetting)
 {
@@ -98,11 +100,19 @@
   std::int64_t number = 0;
   const char* end = aText.data() + aText.size();
   const auto [next, error] = std::from_chars(aText.data(), end, number);
-  if (error != std::errc() || next != end || number < aSetting.m_min ||
-      number > aSetting.m_max) {
+  const std::string_view unit(next, static_cast<std::size_t>(end - next));
+  const bool isTime = aSetting.m_unit == "ms";
+  const bool isUnitGood =
+    unit.empty() || unit == aSetting.m_unit || (isTime && unit == "s");
+  if (error != std::errc() || !isUnitGood) {
+    return Refusal(aSetting, aText);
+  }
+  // Compared before the unit is applied, so that it cannot overflow.
+  const std::int64_t scale = isTime && unit == "s" ? kMillisecondsPerSecond : 1;
+  if (number > aSetting.m_max / scale || number * scale < aSetting.m_min) {
     return Refusal(aSetting, aText);
   }
-  return number;
+  return number * scale;
 }
 
 Result<std::vector<NetworkAddress>>
--- a/src/process/Settings.h
+++ b/src/process/Settings.h
@@ -35,7 +35,8 @@
 /// Exit status for a bad setting or refused input.
 inline constexpr int kExitRefused = 2;
 
-/// A whole number with its unit and range.
+/// A whole number with its unit and range. The unit may be written behind the
+/// number; times in ms also as "6s".
 struct IntegerSetting
 {
   std::string m_name;
--- a/src/process/SettingsTest.cpp
+++ b/src/process/SettingsTest.cpp
@@ -16,6 +16,7 @@
   parser.Add(TextSetting{ "mode", "How.", { "fast", "slow" }, "fast" });
   parser.Add(AddressSetting{ "seeds", "Peers.", true, false });
   parser.Add(SwitchSetting{ "quiet", "Says less." });
+  parser.Add(IntegerSetting{ "limit", "ms", "How long.", 100, 600'000, 1'000 });
   return parser;
 }
 
@@ -53,6 +54,19 @@
   cr_assert(settings.value().IsOn("quiet"));
 }
 
+Test(Settings, ANumberMayCarryItsUnit)
+{
+  cr_assert_eq(Check({ "--limit=2500ms" }).value().Integer("limit"), 2'500);
+  cr_assert_eq(Check({ "--limit=6s" }).value().Integer("limit"), 6'000);
+  cr_assert_eq(Check({ "--limit=250" }).value().Integer("limit"), 250);
+  cr_assert_eq(Check({ "--count=4calls" }).value().Integer("count"), 4);
+  cr_assert(!Check({ "--limit=601s" }).has_value());
+  cr_assert(!Check({ "--limit=9223372036854775807s" }).has_value());
+  cr_assert(!Check({ "--limit=6m" }).has_value());
+  cr_assert(!Check({ "--limit=1.5s" }).has_value());
+  cr_assert(!Check({ "--count=4s" }).has_value());
+}
+
 Test(Settings, AListFlagMayBeRepeated)
 {
   const auto settings =
