--- a/src/programs/Ctl.cmake
+++ b/src/programs/Ctl.cmake
@@ -1,6 +1,6 @@
 # Targets; see cmake/Targets.cmake.
 tt_library(tt_ctl
-  SRCS CtlChange.cpp CtlCommand.cpp CtlConfigurations.cpp CtlExplain.cpp
+  SRCS CtlChange.cpp CtlCommand.cpp CtlConfigurations.cpp CtlExplain.cpp CtlExplainRequest.cpp
        CtlFormat.cpp CtlMoves.cpp CtlMoveView.cpp CtlNodes.cpp
        CtlNodeStatus.cpp CtlOutcome.cpp CtlSession.cpp CtlTemplates.cpp
        CtlWait.cpp
--- a/src/programs/CtlCommand.cpp
+++ b/src/programs/CtlCommand.cpp
@@ -37,7 +37,8 @@
     std::count_if(names.begin(), names.end(), [](const std::string& aName) {
       return aName.front() != '[';
     }));
-  return aCount >= required && aCount <= names.size();
+  const bool isOpen = !names.empty() && names.back().ends_with("...");
+  return aCount >= required && (isOpen || aCount <= names.size());
 }
 
 Error
@@ -71,6 +72,7 @@
   AddMoveCommands(commands);
   AddNodeCommands(commands);
   AddExplainCommand(commands);
+  AddExplainRequestCommand(commands);
   return commands;
 }
 
--- a/src/programs/CtlCommand.h
+++ b/src/programs/CtlCommand.h
@@ -50,7 +50,8 @@
   virtual ~CtlCommand() = default;
   /// "config apply".
   virtual std::string_view Name() const = 0;
-  /// "FILE", for the help text; a word in brackets may be left out.
+  /// "FILE", for the help text; a word in brackets may be left out, one that
+  /// ends with "..." repeated.
   virtual std::string_view Arguments() const = 0;
   /// One sentence for the help text.
   virtual std::string_view Summary() const = 0;
@@ -72,6 +73,8 @@
 AddNodeCommands(CtlCommands& aCommands);
 void
 AddExplainCommand(CtlCommands& aCommands);
+void
+AddExplainRequestCommand(CtlCommands& aCommands);
 /// \}
 
 CtlCommands
--- a/src/programs/CtlTest.cpp
+++ b/src/programs/CtlTest.cpp
@@ -41,6 +41,36 @@
   cr_assert(DecodeTemplate(got.m_text).value() == SampleTemplate());
 }
 
+Test(Ctl, ARequestIsExplainedFromTheLogsOfItsNodes)
+{
+  const Surroundings surroundings;
+  const Operator op(surroundings);
+  const TemporaryFile first(
+    "2026-12-04T10:00:00.000001 info node: Node started. vm=a front=x\n"
+    "2026-12-04T10:00:02.000900 info front: Call ended. id=7f target=b "
+    "outcome=not-run\n"
+    "2026-12-04T10:00:02.000100 info front: Call ended. id=7fff target=c\n");
+  const TemporaryFile second(
+    "   1.2 b 2026-12-04T10:00:02.000800 info guard: Call refused. id=7f "
+    "reason=queue-full\n"
+    "   1.1 b 2026-12-04T10:00:02.000700 info front: Call ended. id=7f.1 "
+    "target=d\n");
+  const std::string text =
+    op.Done({ "explain-request", "7f", first.Path(), second.Path() }).m_text;
+  const std::size_t call = text.find("id=7f.1");
+  const std::size_t refused = text.find("b info guard: Call refused. id=7f");
+  const std::size_t ended = text.find("a info front: Call ended. id=7f ");
+  cr_assert(call < refused && refused < ended, "%s", text.c_str());
+  cr_assert(ended != std::string::npos, "%s", text.c_str());
+  cr_assert(!Contains(text, "7fff"), "%s", text.c_str());
+  cr_assert(Contains(text, "gap: no log of d was given"), "%s", text.c_str());
+  cr_assert(!Contains(text, "no log of b"), "%s", text.c_str());
+  const auto missing = op.Run({ "explain-request", "99", first.Path() });
+  cr_assert_eq(missing.value().m_exitStatus, kExitFailed);
+  cr_assert(!op.Run({ "explain-request", "99", "/nowhere/log" }).has_value());
+  cr_assert(!op.Run({ "explain-request", "99" }).has_value());
+}
+
 Test(Ctl, WhatConfigGetPrintsCanBeApplied)
 {
   const Surroundings surroundings;
