What a node knows of its upstream's end outlasts its process

The node's own entry in the store now names the life that left; the next process takes it over from the list of nodes that it reads anyway. An entry that holds is no longer written again at each start: two calls for a restart instead of three, one more for a leave. Tests: PlatformLoop.WhatTheForerunnerKnewToLeaveIsTakenOver, ALeavingLife*, ALeaveDuring*, AnEntryThatHolds*. ANodeReplacesTheEntryOfItsForerunner now has the forerunner at another address, which is when it is to be replaced.

--- a/src/process/ControlThread.cpp
+++ b/src/process/ControlThread.cpp
@@ -157,7 +157,7 @@
     return platforms;
   }
 
-  PlatformLoopSettings LoopSettings() const
+  PlatformLoopSettings LoopSettings()
   {
     PlatformLoopSettings settings;
     settings.m_prefixes = m_settings.m_core.m_prefixes;
@@ -165,6 +165,16 @@
     settings.m_watchRest = m_settings.m_watchRest;
     if (m_settings.m_isRegistered) {
       settings.m_registered = m_settings.m_core.m_self;
+      settings.m_onFormerLeave = [this](const UpstreamLife& aLife) {
+        UpstreamReport report;
+        report.m_isLeave = true;
+        report.m_place.m_instance = aLife.m_instance;
+        report.m_birth = aLife.m_birth;
+        if (m_upstreams.Offer(report)) {
+          PublishUpstream(AnnouncementNumber(0));
+          Handle(m_core->OnUpstream(m_upstreams.Announcement(), Now()));
+        }
+      };
     }
     return settings;
   }
@@ -351,21 +361,29 @@
   HttpAnswerParts TakeUpstream(const UpstreamReport& aReport)
   {
     if (m_upstreams.Offer(aReport)) {
-      const UpstreamAnnouncement& announcement = m_upstreams.Announcement();
-      Log(LogLevel::Info,
-          kPart,
-          "Upstream announced.",
-          { { "service", announcement.m_service.m_name.Value() },
-            { "version", announcement.m_version.Value() },
-            { "instance", m_upstreams.Place().m_instance.Value() },
-            { "number", std::to_string(aReport.m_number.Value()) },
-            { "state", std::string(Name(announcement.m_state)) } });
-      m_traffic.m_setUpstream(announcement, m_upstreams.Place());
+      PublishUpstream(aReport.m_number);
+    }
+    if (m_upstreams.LastLeft()) {
+      m_platform->KeepLeft(*m_upstreams.LastLeft());
     }
     Handle(m_core->OnUpstream(m_upstreams.Announcement(), Now()));
     return m_settings.m_dialects.m_control->Acknowledge();
   }
 
+  void PublishUpstream(AnnouncementNumber aNumber)
+  {
+    const UpstreamAnnouncement& announcement = m_upstreams.Announcement();
+    Log(LogLevel::Info,
+        kPart,
+        "Upstream announced.",
+        { { "service", announcement.m_service.m_name.Value() },
+          { "version", announcement.m_version.Value() },
+          { "instance", m_upstreams.Place().m_instance.Value() },
+          { "number", std::to_string(aNumber.Value()) },
+          { "state", std::string(Name(announcement.m_state)) } });
+    m_traffic.m_setUpstream(announcement, m_upstreams.Place());
+  }
+
   ControlFigures FiguresOf(const ControlStatus& aStatus) const
   {
     ControlFigures figures;
--- a/src/process/PlatformLoop.cpp
+++ b/src/process/PlatformLoop.cpp
@@ -40,11 +40,11 @@
 {
   std::vector<NetworkAddress> addresses;
   for (const PlatformObject& object : aListing.m_objects) {
-    const auto address = ParseNode(object.m_document.m_body);
-    if (address) {
-      addresses.push_back(address.value());
+    const auto entry = ParseNode(object.m_document.m_body);
+    if (entry) {
+      addresses.push_back(entry.value().m_peerAddress);
     } else {
-      Log(LogLevel::Info, kPart, "Node entry skipped.", address.error());
+      Log(LogLevel::Info, kPart, "Node entry skipped.", entry.error());
     }
   }
   return addresses;
@@ -239,26 +239,33 @@
   if (!m_isRegisteredBefore) {
     write.m_expected = Revision(0);
   }
-  write.m_body = NodeJson(*m_settings.m_registered);
+  write.m_body = NodeJson(*m_settings.m_registered, m_left);
   write.m_operation = OperationId(
-    "node-" + std::to_string(m_settings.m_registered->m_incarnation.Value()));
-  Current().Write(std::move(write), [this](const Result<Revision>& aRevision) {
-    m_isRegistering = false;
-    if (!aRevision && aRevision.error().Code() == ErrorCode::Conflict) {
-      // A former process of this VM: its entry is replaced.
+    "node-" + std::to_string(m_settings.m_registered->m_incarnation.Value()) +
+    "-" + std::to_string(++m_operations));
+  const std::optional<UpstreamLife> written = m_left;
+  Current().Write(
+    std::move(write), [this, written](const Result<Revision>& aRevision) {
+      m_isRegistering = false;
+      if (!aRevision && aRevision.error().Code() == ErrorCode::Conflict) {
+        // A former process of this VM: its entry comes with those of the
+        // others.
+        m_isRegisteredBefore = true;
+        m_isRegistered = true;
+        m_mustTakeOver = true;
+        Check();
+        return;
+      }
+      if (!aRevision) {
+        Fail(aRevision.error());
+        return;
+      }
+      Succeed();
       m_isRegisteredBefore = true;
+      m_isRegistered = m_left == written;
+      Log(LogLevel::Info, kPart, "Registered.");
       Check();
-      return;
-    }
-    if (!aRevision) {
-      Fail(aRevision.error());
-      return;
-    }
-    Succeed();
-    m_isRegistered = true;
-    Log(LogLevel::Info, kPart, "Registered.");
-    Check();
-  });
+    });
 }
 
 void
@@ -277,6 +284,7 @@
         return;
       }
       Succeed();
+      TakeOver(aListing.value());
       const MonotonicTime now = m_clock.Now();
       m_readNodesAt = now + (m_core.IsAlone() ? kReadNodesAlone : kReadNodes);
       m_core.OnNodes(NodesOf(aListing.value()), now);
@@ -284,6 +292,47 @@
     });
 }
 
+void
+PlatformLoop::TakeOver(const PlatformListing& aNodes)
+{
+  if (!std::exchange(m_mustTakeOver, false)) {
+    return;
+  }
+  // Without a good entry at the right address this node writes its own.
+  m_isRegistered = false;
+  const ObjectKey own = NodeKey(m_settings.m_registered->m_vm);
+  for (const PlatformObject& object : aNodes.m_objects) {
+    const auto entry = object.m_document.m_key == own
+                         ? std::optional(ParseNode(object.m_document.m_body))
+                         : std::nullopt;
+    if (!entry || !*entry) {
+      continue;
+    }
+    const NodeEntry& former = entry->value();
+    const bool isNews = m_left && m_left != former.m_left;
+    m_isRegistered =
+      former.m_peerAddress == m_settings.m_registered->m_peerAddress && !isNews;
+    if (former.m_left) {
+      m_left = m_left.value_or(*former.m_left);
+      m_settings.m_onFormerLeave(*former.m_left);
+    }
+  }
+}
+
+void
+PlatformLoop::KeepLeft(const UpstreamLife& aLeft)
+{
+  if (!m_settings.m_registered || m_left == aLeft) {
+    return;
+  }
+  m_left = aLeft;
+  // While the entry is unread or being written, what ends that writes it again.
+  if (m_isRegistered && !m_mustTakeOver) {
+    m_isRegistered = false;
+    Check();
+  }
+}
+
 void
 PlatformLoop::ReadTemplates()
 {
--- a/src/process/PlatformLoop.h
+++ b/src/process/PlatformLoop.h
@@ -34,6 +34,7 @@
 #include "connection/Platform.h"
 #include "connection/PlatformSession.h"
 #include "process/ControlCore.h"
+#include "process/UpstreamRegister.h"
 
 namespace tarragontray {
 
@@ -50,6 +51,9 @@
   Duration m_watchRest{ 0 };
   /// Written so that nodes find each other; not set: they are told of seeds.
   std::optional<MemberRecord> m_registered;
+  /// Gets the upstream's life that a former process of this VM knew to end.
+  std::function<void(const UpstreamLife&)> m_onFormerLeave =
+    [](const UpstreamLife&) {};
 };
 
 /// See the file comment.
@@ -71,6 +75,10 @@
 
   /// Starts what the core wants now and what does not run yet.
   void Check();
+  /// Keeps with this node's entry that a life of its upstream ends, for the
+  /// processes that come after this one. Does nothing when it is kept already
+  /// or the node is not registered at all.
+  void KeepLeft(const UpstreamLife& aLeft);
   void Write(const std::vector<MoveOutcome>& aOutcomes,
              const std::vector<UsageReport>& aUsage);
 
@@ -110,6 +118,8 @@
   void Succeed();
   void Register();
   void ReadNodes();
+  /// Takes over what a former process of this VM left in its entry.
+  void TakeOver(const PlatformListing& aNodes);
   void ReadTemplates();
   void CheckAt(MonotonicTime aTime);
   void Fail(const Error& aError);
@@ -132,6 +142,10 @@
   bool m_isRegistered = false;
   /// The VM has an entry already.
   bool m_isRegisteredBefore = false;
+  /// The entry is a former process's and has not been read yet.
+  bool m_mustTakeOver = false;
+  /// What the entry says, or is to say.
+  std::optional<UpstreamLife> m_left;
   /// When the other nodes are read next.
   MonotonicTime m_readNodesAt{};
   /// When Check runs next; not set: only when it is called.
--- a/src/process/PlatformLoopTest.cpp
+++ b/src/process/PlatformLoopTest.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <criterion/criterion.h>
 
+#include "process/StatusJson.h"
 #include "version/ConfigurationJson.h"
 #include "version/ObjectKeys.h"
 
@@ -87,6 +88,9 @@
     if (aIsRegistered) {
       settings.m_registered = control.m_self;
     }
+    settings.m_onFormerLeave = [this](const UpstreamLife& aLife) {
+      m_former.push_back(aLife);
+    };
     std::vector<std::unique_ptr<Platform>> platforms;
     platforms.push_back(std::make_unique<ScriptedPlatform>(m_script));
     m_loop = PlatformLoop::Create(m_context,
@@ -131,7 +135,29 @@
     Check();
   }
 
+  /// A former process of the VM has an entry.
+  void ConflictOfEntry()
+  {
+    m_script.m_written.back()(
+      Error(ErrorCode::Conflict, "platform.write", "", "status 409"));
+  }
+  /// The list of nodes that was asked for last holds this node's own entry.
+  void AnswerNodes(const std::string& aAddress, const std::string& aMore)
+  {
+    cr_assert(!m_script.m_lists.empty());
+    const auto done = std::move(m_script.m_lists.back());
+    m_script.m_lists.pop_back();
+    PlatformObject own;
+    own.m_document.m_key = NodeKey(VmId("vm-1"));
+    own.m_document.m_body =
+      R"({"vm": "vm-1", "peer_address": ")" + aAddress + R"(")" + aMore + "}";
+    done(PlatformListing{ { own }, Revision(9) });
+    Check();
+  }
+  void KeepLeft(const UpstreamLife& aLife) { m_loop->KeepLeft(aLife); }
+
   PlatformScript m_script;
+  std::vector<UpstreamLife> m_former;
 
 private:
   template<typename T>
@@ -226,15 +252,65 @@
   }
 }
 
-Test(PlatformLoop, ANodeReplacesTheEntryOfItsForerunner)
+Test(PlatformLoop, ANodeReplacesTheEntryOfItsForerunnerAtAnotherAddress)
 {
   WatchingNode node(true);
   cr_assert(node.m_script.m_writes.back().m_key == NodeKey(VmId("vm-1")));
   cr_assert(node.m_script.m_writes.back().m_expected == Revision(0));
-  node.m_script.m_written.back()(
-    Error(ErrorCode::Conflict, "platform.write", "", "status 409"));
+  node.ConflictOfEntry();
+  node.AnswerNodes("10.0.0.1:7000", "");
   cr_assert_eq(node.m_script.m_writes.size(), 2);
   cr_assert(!node.m_script.m_writes.back().m_expected);
 }
 
+Test(PlatformLoop, AnEntryThatHoldsIsNotWrittenAgain)
+{
+  WatchingNode node(true);
+  node.ConflictOfEntry();
+  node.AnswerNodes("127.0.0.1:7000", "");
+  cr_assert_eq(node.m_script.m_writes.size(), 1);
+}
+
+Test(PlatformLoop, WhatTheForerunnerKnewToLeaveIsTakenOver)
+{
+  WatchingNode node(true);
+  node.ConflictOfEntry();
+  node.AnswerNodes("127.0.0.1:7000",
+                   R"(, "left": {"instance": "i-1", "birth": 100})");
+  cr_assert_eq(node.m_former.size(), 1);
+  cr_assert(node.m_former.front() ==
+            (UpstreamLife{ UpstreamInstanceId("i-1"), UpstreamBirth(100) }));
+  cr_assert_eq(node.m_script.m_writes.size(), 1);
+}
+
+Test(PlatformLoop, ALeavingLifeIsKeptWithTheEntryOnce)
+{
+  WatchingNode node(true);
+  node.m_script.m_written.back()(Revision(3));
+  const UpstreamLife life{ UpstreamInstanceId("i-1"), UpstreamBirth(100) };
+  node.KeepLeft(life);
+  // The list of nodes is on its way; the write follows it.
+  node.AnswerNodes("127.0.0.1:7000", "");
+  node.KeepLeft(life);
+  cr_assert_eq(node.m_script.m_writes.size(), 2);
+  const auto entry = ParseNode(node.m_script.m_writes.back().m_body);
+  cr_assert(entry.value().m_left == life);
+  node.m_script.m_written.back()(Revision(4));
+  node.KeepLeft(life);
+  cr_assert_eq(node.m_script.m_writes.size(), 2);
+}
+
+Test(PlatformLoop, ALeaveDuringTheTakingOverIsKept)
+{
+  WatchingNode node(true);
+  node.ConflictOfEntry();
+  const UpstreamLife life{ UpstreamInstanceId("i-2"), UpstreamBirth(200) };
+  node.KeepLeft(life);
+  node.AnswerNodes("127.0.0.1:7000",
+                   R"(, "left": {"instance": "i-1", "birth": 100})");
+  cr_assert_eq(node.m_script.m_writes.size(), 2);
+  const auto entry = ParseNode(node.m_script.m_writes.back().m_body);
+  cr_assert(entry.value().m_left == life);
+}
+
 } // namespace tarragontray
--- a/src/process/StatusJson.cpp
+++ b/src/process/StatusJson.cpp
@@ -267,15 +267,22 @@
 }
 
 std::string
-NodeJson(const MemberRecord& aNode)
+NodeJson(const MemberRecord& aNode, const std::optional<UpstreamLife>& aLeft)
 {
-  return json::serialize(
-    json::object{ { "vm", aNode.m_vm.Value() },
-                  { "peer_address", aNode.m_peerAddress.ToString() },
-                  { "incarnation", aNode.m_incarnation.Value() } });
+  json::object node{ { "vm", aNode.m_vm.Value() },
+                     { "peer_address", aNode.m_peerAddress.ToString() },
+                     { "incarnation", aNode.m_incarnation.Value() } };
+  if (aLeft) {
+    json::object left{ { "instance", aLeft->m_instance.Value() } };
+    if (aLeft->m_birth) {
+      left["birth"] = aLeft->m_birth->Value();
+    }
+    node["left"] = std::move(left);
+  }
+  return json::serialize(node);
 }
 
-Result<NetworkAddress>
+Result<NodeEntry>
 ParseNode(const std::string& aText)
 {
   boost::system::error_code error;
@@ -283,9 +290,21 @@
   if (error || !value.is_object()) {
     return Error(ErrorCode::Malformed, "node.read", "", "not a JSON object");
   }
-  BOOST_OUTCOME_TRY(const auto address,
-                    TextField(value.as_object(), "peer_address"));
-  return NetworkAddress::Parse(address);
+  const json::object& node = value.as_object();
+  NodeEntry entry;
+  BOOST_OUTCOME_TRY(const auto address, TextField(node, "peer_address"));
+  BOOST_OUTCOME_TRY(entry.m_peerAddress, NetworkAddress::Parse(address));
+  const json::value* left = node.if_contains("left");
+  if (left != nullptr && left->is_object()) {
+    BOOST_OUTCOME_TRY(auto instance, TextField(left->as_object(), "instance"));
+    entry.m_left = UpstreamLife{ UpstreamInstanceId(std::move(instance)), {} };
+    const json::value* birth = left->as_object().if_contains("birth");
+    if (birth != nullptr && birth->is_int64() && birth->as_int64() >= 0) {
+      entry.m_left->m_birth =
+        UpstreamBirth(static_cast<std::uint64_t>(birth->as_int64()));
+    }
+  }
+  return entry;
 }
 
 std::string
--- a/src/process/StatusJson.h
+++ b/src/process/StatusJson.h
@@ -40,12 +40,22 @@
 std::string
 OutcomeJson(const MoveOutcome& aOutcome);
 
+/// What a node keeps at the platform: where others find it, and what outlasts
+/// its process.
+struct NodeEntry
+{
+  NetworkAddress m_peerAddress;
+  /// The upstream's life that last said that it ends.
+  std::optional<UpstreamLife> m_left;
+};
+
 /// The platform object by which nodes find each other.
 std::string
-NodeJson(const MemberRecord& aNode);
+NodeJson(const MemberRecord& aNode,
+         const std::optional<UpstreamLife>& aLeft = std::nullopt);
 
-/// The peer address of a node's object. Errors: Malformed, InvalidArgument.
-Result<NetworkAddress>
+/// Errors: Malformed, InvalidArgument.
+Result<NodeEntry>
 ParseNode(const std::string& aText);
 
 /// The platform object of a ledger report.
--- a/src/process/UpstreamRegister.cpp
+++ b/src/process/UpstreamRegister.cpp
@@ -37,6 +37,8 @@
     return false;
   }
   m_isLeaving = true;
+  m_lastLeft = UpstreamLife{ m_place.m_instance,
+                             aReport.m_birth ? aReport.m_birth : m_birth };
   m_announcement.m_state = UpstreamState::Draining;
   return true;
 }
@@ -48,16 +50,18 @@
     m_left.pop_front();
   }
   m_left.push_back({ aReport.m_place.m_instance, aReport.m_birth });
+  m_lastLeft = m_left.back();
 }
 
 bool
 UpstreamRegister::HasLeft(const UpstreamReport& aReport) const
 {
-  return std::any_of(m_left.begin(), m_left.end(), [&](const LeftLife& aLife) {
-    return aLife.m_instance == aReport.m_place.m_instance &&
-           (!aLife.m_birth || !aReport.m_birth ||
-            *aReport.m_birth <= *aLife.m_birth);
-  });
+  return std::any_of(
+    m_left.begin(), m_left.end(), [&](const UpstreamLife& aLife) {
+      return aLife.m_instance == aReport.m_place.m_instance &&
+             (!aLife.m_birth || !aReport.m_birth ||
+              *aReport.m_birth <= *aLife.m_birth);
+    });
 }
 
 bool
@@ -76,6 +80,7 @@
       announcement.m_state == UpstreamState::Draining || HasLeft(aReport);
     if (m_isLeaving) {
       announcement.m_state = UpstreamState::Draining;
+      m_lastLeft = UpstreamLife{ aReport.m_place.m_instance, aReport.m_birth };
     }
   }
   const bool isChanged = announcement != m_announcement ||
--- a/src/process/UpstreamRegister.h
+++ b/src/process/UpstreamRegister.h
@@ -28,6 +28,16 @@
 /// Rises with each announcement of one life.
 using AnnouncementNumber = Amount<struct AnnouncementNumberTag>;
 
+/// One life of an upstream.
+struct UpstreamLife
+{
+  UpstreamInstanceId m_instance;
+  /// Not set: all lives of the name.
+  std::optional<UpstreamBirth> m_birth;
+
+  bool operator==(const UpstreamLife&) const = default;
+};
+
 /// One announcement.
 struct UpstreamReport
 {
@@ -53,6 +63,8 @@
 
   const UpstreamAnnouncement& Announcement() const { return m_announcement; }
   const UpstreamPlace& Place() const { return m_place; }
+  /// The life that last said that it ends or drains.
+  const std::optional<UpstreamLife>& LastLeft() const { return m_lastLeft; }
 
 private:
   bool IsLate(const UpstreamReport& aReport) const;
@@ -62,13 +74,6 @@
   void RememberLeft(const UpstreamReport& aReport);
   bool HasLeft(const UpstreamReport& aReport) const;
 
-  /// A life that ended, without an announcement of it before.
-  struct LeftLife
-  {
-    UpstreamInstanceId m_instance;
-    /// Not set: all lives of the name.
-    std::optional<UpstreamBirth> m_birth;
-  };
   /// More than one only while upstreams replace each other.
   static constexpr std::size_t kMaxLeft = 8;
 
@@ -78,7 +83,9 @@
   AnnouncementNumber m_number;
   /// The current life said that it ends; nothing brings it back.
   bool m_isLeaving = false;
-  std::deque<LeftLife> m_left;
+  /// Lives that ended without an announcement of them before.
+  std::deque<UpstreamLife> m_left;
+  std::optional<UpstreamLife> m_lastLeft;
 };
 
 } // namespace tarragontray
