--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -321,6 +321,11 @@
     return;
   }
   m_mayServe = mayServe;
+  if (ordersChanged) {
+    for (const MovePlan& plan : m_orders.Plans()) {
+      m_gossip.Moves().SetCurrent(plan.m_id);
+    }
+  }
   m_moves.SetPlans(Plans(), aTimes.m_now);
   UpdateRoles();
   // At once: what the status calls in force is what traffic is served by.
--- a/src/process/MoveGossip.cpp
+++ b/src/process/MoveGossip.cpp
@@ -53,6 +53,26 @@
 {
 }
 
+void
+MoveGossip::SetCurrent(const MoveId& aMove)
+{
+  m_retired.erase(aMove);
+  const auto found = m_moves.find(aMove.m_service);
+  if (found == m_moves.end() ||
+      found->second.m_progress.m_move.m_plan <= aMove.m_plan) {
+    return;
+  }
+  MoveProgress& held = found->second.m_progress;
+  if (m_retired.size() >= kMaxRetired) {
+    m_retired.erase(m_retired.begin());
+  }
+  m_retired.insert(held.m_move);
+  m_digest ^= HashOf(held);
+  held = MoveProgress();
+  held.m_move = aMove;
+  m_digest ^= HashOf(held);
+}
+
 bool
 MoveGossip::Offer(const MoveProgress& aProgress, MonotonicTime aNow)
 {
@@ -169,6 +189,9 @@
 MoveGossip::Join(const MoveProgress& aProgress)
 {
   const ServiceId& service = aProgress.m_move.m_service;
+  if (m_retired.contains(aProgress.m_move)) {
+    return false;
+  }
   const auto found = m_moves.find(service);
   if (found == m_moves.end()) {
     if (m_moves.size() >= m_settings.m_maxServices) {
--- a/src/process/MoveGossip.h
+++ b/src/process/MoveGossip.h
@@ -55,6 +55,9 @@
   /// The topology outlives this object.
   MoveGossip(const MoveGossipSettings& aSettings, SpreadTopology& aTopology);
 
+  /// The service's move is this one, whatever is held or comes of others: for
+  /// orders whose numbers may fall.
+  void SetCurrent(const MoveId& aMove);
   /// Joins own progress in. True when it was news.
   bool Offer(const MoveProgress& aProgress, MonotonicTime aNow);
   /// Joins what a datagram or the answer of a pull brought.
@@ -83,6 +86,9 @@
     MonotonicTime m_spreadAt{};
   };
 
+  /// Ended moves with higher numbers than their service's current one.
+  static constexpr std::size_t kMaxRetired = 64;
+
   bool Join(const MoveProgress& aProgress);
   void SpreadLater(const ServiceId& aService, MonotonicTime aNow);
   std::vector<OutgoingDatagram> Send(const MoveProgress& aProgress);
@@ -90,6 +96,7 @@
   MoveGossipSettings m_settings;
   SpreadTopology* m_topology;
   std::map<ServiceId, Entry> m_moves;
+  std::set<MoveId> m_retired;
   /// Services whose progress goes along a new tree, and when.
   std::map<ServiceId, MonotonicTime> m_waiting;
   UpdateQueue<ServiceId> m_news;
--- a/src/process/MoveGossipTest.cpp
+++ b/src/process/MoveGossipTest.cpp
@@ -55,6 +55,27 @@
 
 } // namespace
 
+Test(MoveGossip, AnOrderWithALowerNumberIsTheOneThatCounts)
+{
+  FakeNetwork network(1, {});
+  network.AddNodes("dc1", 4);
+  network.Run(seconds(10));
+  network.At("dc1-1").Moves().Offer(Progress(9, 1.0), network.Now());
+  network.Kick("dc1-1");
+  network.Run(seconds(3));
+  const MoveId next{ kService, PlanNumber(4) };
+  for (const auto& [vm, node] : network.Nodes()) {
+    node->m_gossip->Moves().SetCurrent(next);
+  }
+  network.At("dc1-2").Moves().Offer(Vetoed(4), network.Now());
+  network.Kick("dc1-2");
+  // Late word of the former one changes nothing.
+  network.At("dc1-3").Moves().Offer(Progress(9, 1.0), network.Now());
+  network.Kick("dc1-3");
+  network.Run(seconds(3));
+  cr_assert(AllKnowVeto(network, 4));
+}
+
 Test(MoveGossip, VetoReachesAllWithinSecondsUnderLoss)
 {
   for (const double loss : { 0.0, 0.05, 0.2 }) {
