--- /dev/null
+++ b/src/process/ControlMoves.cpp
@@ -0,0 +1,132 @@
+/// The part of ControlCore that moves traffic: who is steward, what is
+/// reported to stewards, what of a move goes to peers and to the platform.
+#include <utility>
+
+#include "process/ControlCore.h"
+#include "process/EvidenceRouting.h"
+#include "process/ViewBuilder.h"
+
+namespace tarragontray {
+
+namespace {
+
+/// Between tries to record that an order was taken up.
+constexpr Duration kRecordInterval = std::chrono::seconds(1);
+
+} // namespace
+
+std::optional<Revision>
+ControlCore::OrderRevision(const MoveId& aMove) const
+{
+  return m_orders.RevisionOf(aMove);
+}
+
+void
+ControlCore::OnOutcomeWritten(const MoveId& aMove)
+{
+  m_moves.AcknowledgeOutcome(aMove);
+}
+
+void
+ControlCore::UpdateRoles()
+{
+  const auto& members = m_gossip.Members().Members();
+  const MemberRecord& self = m_gossip.Members().Self();
+  const std::vector<VmId> neighbours = LiveNeighbours(members, self);
+  m_moves.SetDataCentres(DataCentresInReach(members));
+  for (const MovePlan& plan : Plans()) {
+    const auto steward = PickSteward(plan.m_id, self.m_cell, neighbours);
+    m_moves.SetSteward(plan.m_id, steward == self.m_vm);
+    m_moves.SetWarmSlots(plan.m_id,
+                         WarmSlots(members, plan, plan.m_from),
+                         WarmSlots(members, plan, plan.m_to));
+  }
+}
+
+std::vector<MovePlan>
+ControlCore::Plans() const
+{
+  std::vector<MovePlan> plans = m_orders.Plans();
+  for (const auto& configuration : InForce()) {
+    for (const ServiceSpec& service : configuration->m_services) {
+      if (service.m_move) {
+        plans.push_back(*service.m_move);
+      }
+    }
+  }
+  return plans;
+}
+
+std::optional<VmId>
+ControlCore::StewardOf(const MoveId& aMove) const
+{
+  const MemberRecord& self = m_gossip.Members().Self();
+  return PickSteward(
+    aMove, self.m_cell, LiveNeighbours(m_gossip.Members().Members(), self));
+}
+
+std::optional<VersionSplit>
+ControlCore::SplitOf(const ServiceId& aService) const
+{
+  auto split = m_moves.SplitOf(aService);
+  return split ? split : m_orders.EndedSplit(aService);
+}
+
+void
+ControlCore::RecordOrders(const Times& aTimes, ControlActions& aActions)
+{
+  if (aTimes.m_now < m_recordAt) {
+    return;
+  }
+  const VmId& self = m_gossip.Members().Self().m_vm;
+  for (const MovePlan& plan : m_orders.Plans()) {
+    if (!m_orders.Recorded(plan.m_id) && StewardOf(plan.m_id) == self) {
+      m_recordAt = aTimes.m_now + kRecordInterval;
+      MoveOutcome outcome;
+      outcome.m_move = plan.m_id;
+      outcome.m_to = plan.m_to;
+      outcome.m_started = plan.m_start;
+      outcome.m_state = MoveState::Moving;
+      outcome.m_time = plan.m_start;
+      aActions.m_outcomes.push_back(std::move(outcome));
+    }
+  }
+}
+
+void
+ControlCore::TickMoves(const Times& aTimes, ControlActions& aActions)
+{
+  const auto next = m_moves.NextTick();
+  if (!next || aTimes.m_now < *next) {
+    return;
+  }
+  MoveActions moves = m_moves.Tick(aTimes.m_now, aTimes.m_wall);
+  for (const MoveProgress& progress : moves.m_spread) {
+    m_gossip.Moves().Offer(progress, aTimes.m_now);
+  }
+  for (const EvidenceReport& report : moves.m_reports) {
+    SendReport(report, aActions);
+  }
+  aActions.m_outcomes = std::move(moves.m_outcomes);
+  RecordOrders(aTimes, aActions);
+  if (moves.m_splitsChanged) {
+    MarkViewStale(aTimes.m_now);
+  }
+}
+
+void
+ControlCore::SendReport(const EvidenceReport& aReport, ControlActions& aActions)
+{
+  const MemberRecord& self = m_gossip.Members().Self();
+  const auto& members = m_gossip.Members().Members();
+  const auto steward = StewardOf(aReport.m_move);
+  if (!steward || *steward == self.m_vm) {
+    return;
+  }
+  const NetworkAddress& address = members.at(*steward).m_peerAddress;
+  for (Datagram& datagram : PackEvidence(self.m_vm, aReport)) {
+    aActions.m_send.push_back({ address, std::move(datagram) });
+  }
+}
+
+} // namespace tarragontray
