--- a/src/connection/PeerLinkTest.cpp
+++ b/src/connection/PeerLinkTest.cpp
@@ -131,9 +131,8 @@
       context.poll_one();
     }
     std::this_thread::sleep_for(settings.m_connectTimeout * 2);
-    while (ended == 0) {
-      context.run_one();
-    }
+    context.run_for(std::chrono::milliseconds(200));
+    cr_assert_eq(ended, 1);
     link->Close();
     context.poll();
   }
--- a/src/programs/CtlExplainRequest.cpp
+++ b/src/programs/CtlExplainRequest.cpp
@@ -56,8 +56,8 @@
 FindTime(const std::string& aLine)
 {
   constexpr std::size_t kTimeLength = 26;
-  for (std::size_t at = aLine.find("-"); at != std::string::npos;
-       at = aLine.find("-", at + 1)) {
+  for (std::size_t at = aLine.find('-'); at != std::string::npos;
+       at = aLine.find('-', at + 1)) {
     const bool isTime = at >= 4 && at + kTimeLength - 4 <= aLine.size() &&
                         aLine[at + 3] == '-' && aLine[at + 6] == 'T' &&
                         aLine[at + 9] == ':' && aLine[at + 12] == ':' &&
