--- /dev/null
+++ b/src/connection/HttpSession.cpp
@@ -0,0 +1,401 @@
+#include "connection/HttpSession.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <deque>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include "connection/HttpFields.h"
+
+namespace tarragontray {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+/// What one read may take; Beast reads no more than the buffer's capacity.
+constexpr std::size_t kReadBytes = 8U << 10U;
+/// Longest wait for the caller to close after the last answer.
+constexpr Duration kLingerLimit = std::chrono::seconds(1);
+/// Looks at a session's progress this often within its shortest limit.
+constexpr int kTimeSteps = 4;
+using Parser = http::request_parser<http::string_body>;
+
+HttpRequestParts
+PartsOf(http::request<http::string_body>&& aRequest)
+{
+  HttpRequestParts parts;
+  parts.m_method = std::string(aRequest.method_string());
+  parts.m_target = std::string(aRequest.target());
+  parts.m_headers = EndToEndHeaders(aRequest);
+  parts.m_body = std::move(aRequest.body());
+  return parts;
+}
+
+/// \param aKeepsAlive false: the answer ends the session.
+http::response<http::string_body>
+ResponseOf(HttpAnswerParts&& aAnswer, bool aKeepsAlive, bool aIsHead)
+{
+  http::response<http::string_body> response;
+  response.version(11);
+  response.result(aAnswer.m_status);
+  for (const HttpHeader& header : aAnswer.m_headers) {
+    response.insert(header.m_name, header.m_value);
+  }
+  response.keep_alive(aKeepsAlive);
+  response.content_length(aAnswer.m_body.size());
+  if (!aIsHead) {
+    response.body() = std::move(aAnswer.m_body);
+  }
+  return response;
+}
+
+/// The status for a request that could not be read; 0: say nothing.
+std::uint16_t
+StatusOf(const boost::system::error_code& aError)
+{
+  if (aError == http::error::body_limit) {
+    return 413;
+  }
+  if (aError == http::error::header_limit) {
+    return 431;
+  }
+  const bool isGarbled =
+    aError.category() == make_error_code(http::error::bad_version).category();
+  return isGarbled && aError != http::error::end_of_stream &&
+             aError != http::error::partial_message
+           ? 400
+           : 0;
+}
+
+/// One request of a session and, later, its answer.
+struct ServerExchange
+{
+  bool m_isHead = false;
+  bool m_keepsAlive = true;
+  std::optional<HttpAnswerParts> m_answer;
+  asio::cancellation_signal m_cancel;
+};
+
+/// One caller's connection: reads requests ahead, serves them at once and
+/// writes their answers in order.
+class Session final
+  : public HttpSession
+  , public std::enable_shared_from_this<Session>
+{
+public:
+  Session(tcp::socket aSocket, std::shared_ptr<HttpServerState> aState)
+    : m_socket(std::move(aSocket))
+    , m_state(std::move(aState))
+    , m_timer(m_socket.get_executor())
+    , m_room(m_socket.get_executor(), asio::steady_timer::time_point::max())
+  {
+  }
+
+  asio::awaitable<void> Run() override
+  {
+    const auto self = shared_from_this();
+    m_buffer.reserve(kReadBytes);
+    WatchTime();
+    while (!m_isClosed && !m_isLastRead && !m_state->m_isDraining) {
+      co_await ReadOne();
+    }
+    while (!m_isClosed && (m_isLingering || !m_exchanges.empty())) {
+      co_await WaitForCaller();
+    }
+    Close();
+  }
+
+  void Drain() override
+  {
+    if (m_parser != nullptr && m_parser->got_some()) {
+      BeginCounting();
+    } else if (m_exchanges.empty()) {
+      Close();
+    }
+  }
+
+private:
+  using Exchanges = std::deque<std::shared_ptr<ServerExchange>>;
+
+  void Close()
+  {
+    if (std::exchange(m_isClosed, true)) {
+      return;
+    }
+    boost::system::error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_both, ignored);
+    m_socket.close(ignored);
+    m_timer.cancel();
+    m_room.cancel();
+    if (m_isCounted) {
+      EndCounting();
+    }
+    for (std::size_t i = 0; i < m_exchanges.size(); ++i) {
+      if (!m_exchanges[i]->m_answer) {
+        ++m_state->m_counters.m_abandoned;
+        m_exchanges[i]->m_cancel.emit(asio::cancellation_type::terminal);
+      } else if (i > 0 || !m_isWriting) {
+        Count(m_state->m_settings.m_onEnd);
+      }
+    }
+  }
+
+  asio::awaitable<void> ReadOne()
+  {
+    while (m_exchanges.size() >= m_state->m_settings.m_maxPipelined &&
+           !m_isClosed) {
+      co_await m_room.async_wait(kAwait);
+    }
+    Parser parser;
+    parser.header_limit(m_state->m_settings.m_maxHeaderBytes);
+    parser.body_limit(m_state->m_settings.m_maxBodyBytes);
+    m_parser = &parser;
+    const auto [error, size] =
+      co_await http::async_read(m_socket, m_buffer, parser, kAwait);
+    m_parser = nullptr;
+    m_requestBegan.reset();
+    // What comes behind the session's last request counts as not read.
+    if (m_isClosed || m_isLastRead) {
+      co_return;
+    }
+    if (error) {
+      Refuse(error, parser.got_some());
+      co_return;
+    }
+    Take(parser);
+  }
+
+  void Take(Parser& aParser)
+  {
+    ++m_state->m_counters.m_requests;
+    if (!std::exchange(m_isCounted, false)) {
+      Count(m_state->m_settings.m_onBegin);
+    }
+    const auto exchange = std::make_shared<ServerExchange>();
+    exchange->m_keepsAlive = aParser.get().keep_alive();
+    exchange->m_isHead = aParser.get().method() == http::verb::head;
+    m_isLastRead = !exchange->m_keepsAlive;
+    m_exchanges.push_back(exchange);
+    m_lastProgress = Now();
+    // The signal must outlive the coroutine that is bound to its slot.
+    asio::co_spawn(
+      m_socket.get_executor(),
+      Serve(exchange, PartsOf(aParser.release())),
+      asio::bind_cancellation_slot(
+        exchange->m_cancel.slot(),
+        [self = shared_from_this(), exchange](const std::exception_ptr&) {}));
+  }
+
+  asio::awaitable<void> Serve(std::shared_ptr<ServerExchange> aExchange,
+                              HttpRequestParts aRequest)
+  {
+    const auto self = shared_from_this();
+    co_await asio::this_coro::throw_if_cancelled(false);
+    aExchange->m_answer = co_await m_state->m_handler(std::move(aRequest));
+    if (m_isClosed) {
+      Count(m_state->m_settings.m_onEnd);
+      co_return;
+    }
+    WriteReady();
+  }
+
+  /// A request that could not be read: answered when there is a status for
+  /// it, in its turn; else the caller has gone.
+  void Refuse(const boost::system::error_code& aError, bool aGotSome)
+  {
+    m_isLastRead = true;
+    const std::uint16_t status = StatusOf(aError);
+    if (status == 0 || !aGotSome) {
+      Close();
+      return;
+    }
+    ++m_state->m_counters.m_badRequests;
+    if (!std::exchange(m_isCounted, false)) {
+      Count(m_state->m_settings.m_onBegin);
+    }
+    const auto exchange = std::make_shared<ServerExchange>();
+    exchange->m_keepsAlive = false;
+    exchange->m_answer = TextAnswer(status, aError.message() + "\n");
+    m_exchanges.push_back(exchange);
+    WriteReady();
+  }
+
+  /// After the last request: notices a caller that leaves before its answer.
+  asio::awaitable<void> WaitForCaller()
+  {
+    std::array<char, 256> ignored{};
+    const auto [error, size] =
+      co_await m_socket.async_read_some(asio::buffer(ignored), kAwait);
+    if (error) {
+      Close();
+    }
+  }
+
+  /// Starts to write the next answer when it is there.
+  void WriteReady()
+  {
+    if (m_isWriting || m_isClosed || m_exchanges.empty() ||
+        !m_exchanges.front()->m_answer) {
+      return;
+    }
+    m_isWriting = true;
+    ServerExchange& exchange = *m_exchanges.front();
+    // Requests behind this one were taken: the last of them ends the session.
+    m_endsSession = !exchange.m_keepsAlive ||
+                    (m_state->m_isLeaving && m_exchanges.size() == 1);
+    m_isLastRead |= m_endsSession;
+    m_response = ResponseOf(
+      std::move(*exchange.m_answer), !m_endsSession, exchange.m_isHead);
+    http::async_write(
+      m_socket,
+      m_response,
+      [self = shared_from_this()](const boost::system::error_code& aError,
+                                  std::size_t) { self->OnWritten(aError); });
+  }
+
+  void OnWritten(const boost::system::error_code& aError)
+  {
+    m_isWriting = false;
+    m_lastProgress = Now();
+    m_exchanges.pop_front();
+    Count(m_state->m_settings.m_onEnd);
+    const bool isDrained =
+      m_state->m_isDraining && m_exchanges.empty() && !m_isCounted;
+    if (aError) {
+      Close();
+      return;
+    }
+    if (m_endsSession || isDrained) {
+      Linger();
+      return;
+    }
+    m_room.cancel();
+    WriteReady();
+  }
+
+  /// Ends the session towards the caller and drops what still comes: to close
+  /// a socket with unread bytes would reset it and could lose the last answer.
+  void Linger()
+  {
+    m_isLastRead = true;
+    m_isLingering = true;
+    boost::system::error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    m_timer.expires_after(kLingerLimit);
+    m_timer.async_wait([weak = weak_from_this()](const auto& aError) {
+      const auto self = weak.lock();
+      if (!aError && self) {
+        self->Close();
+      }
+    });
+  }
+
+  /// Closes a session without progress. One timer, moved on only when it
+  /// fires, so that a request costs no timer of its own.
+  void WatchTime()
+  {
+    if (m_isClosed) {
+      return;
+    }
+    const auto now = Now();
+    const HttpServerSettings& settings = m_state->m_settings;
+    const bool isReading = m_parser != nullptr && m_parser->got_some();
+    if (!isReading) {
+      m_requestBegan.reset();
+    } else if (!m_requestBegan) {
+      m_requestBegan = now;
+    }
+    const bool isServing = !m_exchanges.empty() && !m_isWriting;
+    const bool isIdle =
+      !isServing && now - m_lastProgress >= settings.m_idleLimit;
+    const bool isSlow =
+      m_requestBegan && now - *m_requestBegan >= settings.m_requestLimit;
+    if (isIdle || isSlow) {
+      Close();
+      return;
+    }
+    m_timer.expires_after(
+      std::min(settings.m_idleLimit, settings.m_requestLimit) / kTimeSteps);
+    m_timer.async_wait([weak = weak_from_this()](const auto& aError) {
+      const auto self = weak.lock();
+      if (!aError && self) {
+        self->WatchTime();
+      }
+    });
+  }
+
+  static std::chrono::steady_clock::time_point Now()
+  {
+    return std::chrono::steady_clock::now();
+  }
+
+  void BeginCounting()
+  {
+    if (!std::exchange(m_isCounted, true)) {
+      Count(m_state->m_settings.m_onBegin);
+    }
+  }
+  void EndCounting()
+  {
+    m_isCounted = false;
+    Count(m_state->m_settings.m_onEnd);
+  }
+  static void Count(const std::function<void()>& aEvent)
+  {
+    if (aEvent) {
+      aEvent();
+    }
+  }
+
+  tcp::socket m_socket;
+  std::shared_ptr<HttpServerState> m_state;
+  beast::flat_buffer m_buffer;
+  Exchanges m_exchanges;
+  http::response<http::string_body> m_response;
+  asio::steady_timer m_timer;
+  /// Cancelled when an exchange has ended.
+  asio::steady_timer m_room;
+  /// The request that is being read.
+  const Parser* m_parser = nullptr;
+  std::chrono::steady_clock::time_point m_lastProgress = Now();
+  std::optional<std::chrono::steady_clock::time_point> m_requestBegan;
+  bool m_isWriting = false;
+  bool m_endsSession = false;
+  /// All is answered; waits for the caller's end of the connection.
+  bool m_isLingering = false;
+  /// No request is read after the one that was read last.
+  bool m_isLastRead = false;
+  /// The request that is being read counts already as in flight.
+  bool m_isCounted = false;
+  bool m_isClosed = false;
+};
+
+} // namespace
+
+std::shared_ptr<HttpSession>
+HttpSession::Create(tcp::socket aSocket,
+                    std::shared_ptr<HttpServerState> aState)
+{
+  return std::make_shared<Session>(std::move(aSocket), std::move(aState));
+}
+
+} // namespace tarragontray
