Moves: log the coordinator's strongest evidence and every change of state

Cause: a score just below a verdict and no evidence at all looked alike in the log. A state that changed without a change of the share (done) was not logged, nor was a rollback whose order the platform had ended before the next view was published.

Change: a verdict carries the strongest evidence whatever its kind, 'Move changed.' has it as a field, and the log is written when a move's state or split changes.

--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -81,6 +81,9 @@
   std::vector<MoveOutcome> m_outcomes;
   /// Usage reports to write to the platform.
   std::vector<UsageReport> m_usage;
+  /// Whether the share or the state of a move changed; the status is logged
+  /// before the outcome reaches the platform.
+  bool m_movesChanged = false;
 };
 
 /// A snapshot of the control state for operators; see process/StatusJson.h.
--- a/src/process/ControlMoves.cpp
+++ b/src/process/ControlMoves.cpp
@@ -106,6 +106,7 @@
     SendReport(report, aActions);
   }
   aActions.m_outcomes = std::move(moves.m_outcomes);
+  aActions.m_movesChanged = moves.m_splitsChanged || moves.m_statesChanged;
   RecordOrders(aTimes, aActions);
   if (moves.m_splitsChanged) {
     ScheduleView(aTimes.m_now);
--- a/src/process/ControlThread.cpp
+++ b/src/process/ControlThread.cpp
@@ -246,8 +246,10 @@
       asio::co_spawn(
         m_loop.Context(), Pull(std::move(*aActions.m_pull)), asio::detached);
     }
-    if (aActions.m_view) {
+    if (aActions.m_view || aActions.m_movesChanged) {
       m_stateChanges.LogChanges(m_core->Status(m_clock.WallNow()));
+    }
+    if (aActions.m_view) {
       m_traffic.m_publish(std::move(aActions.m_view));
     }
     if (aActions.m_bounds) {
--- a/src/process/StateChangeLog.cpp
+++ b/src/process/StateChangeLog.cpp
@@ -149,7 +149,8 @@
         { "shares", shares },
         { "route", aMove.m_route.Value() },
         { "calls", std::to_string(aMove.m_calls.Value()) },
-        { "reason", aMove.m_reason } });
+        { "reason", aMove.m_reason },
+        { "evidence", aMove.m_evidence } });
 }
 
 void
--- a/src/process/StateChangeLogTest.cpp
+++ b/src/process/StateChangeLogTest.cpp
@@ -96,6 +96,7 @@
   MoveStatus move;
   move.m_state = MoveState::Moving;
   move.m_shares[DataCentreId("dc")] = Share::FromFraction(0.25);
+  move.m_evidence = "route-1 failures new=1/20 old=0/40 score=1.2";
   status.m_moves = { move };
   stateChanges.LogChanges(status);
   status.m_moves.front().m_calls = CallCount(9);
@@ -106,6 +107,7 @@
   const std::string text = log.Text();
   cr_assert_eq(Count(text, "Move changed."), 2, "%s", text.c_str());
   cr_assert_eq(Count(text, "shares=dc:0.25"), 2, "%s", text.c_str());
+  cr_assert_eq(Count(text, "old=0/40 score=1.2\""), 2, "%s", text.c_str());
   cr_assert_eq(Count(text, "reason=\"failures new=9/20 old=0/40\""),
                1,
                "%s",
--- a/src/version/BriefMovePolicy.cpp
+++ b/src/version/BriefMovePolicy.cpp
@@ -4,7 +4,10 @@
 #include <array>
 #include <cmath>
 #include <deque>
+#include <iomanip>
+#include <limits>
 #include <map>
+#include <sstream>
 #include <string>
 #include <utility>
 
@@ -159,6 +162,14 @@
          text(aOld.m_calls);
 }
 
+std::string
+ScoreText(double aScore)
+{
+  std::ostringstream text;
+  text << " score=" << std::fixed << std::setprecision(1) << aScore;
+  return text.str();
+}
+
 /// The counters of one route within BriefMoveSettings::m_lookback.
 struct RouteCounters
 {
@@ -188,7 +199,7 @@
     AddHistory(aWindow);
     AddWindow(aWindow);
     Verdict worst;
-    double highest = m_settings.m_verdictScore;
+    double highest = -std::numeric_limits<double>::infinity();
     for (const auto& [route, routeCounters] : Sum()) {
       ScoreSignal(route, routeCounters, kFailureSignal, highest, worst);
       ScoreSignal(route, routeCounters, kSlowSignal, highest, worst);
@@ -252,15 +263,20 @@
                Rate(count(aRouteCounters.m_old), aSignal.m_minRate));
     const double score =
       LogLikelihoodRatio(newCounts, reference, aSignal.m_excess);
-    if (newCounts.m_bad < kMinBadCalls || score < aHighest) {
+    if (newCounts.m_calls <= 0 || score < aHighest) {
       return;
     }
     aHighest = score;
-    aVerdict =
-      Verdict{ VerdictKind::Bad,
-               aRoute,
-               Describe(aSignal, newCounts, count(history)),
-               CallCount(static_cast<std::uint64_t>(newCounts.m_calls)) };
+    const std::string reason = Describe(aSignal, newCounts, count(history));
+    aVerdict = Verdict();
+    aVerdict.m_evidence = aRoute.Value() + " " + reason + ScoreText(score);
+    if (newCounts.m_bad >= kMinBadCalls && score >= m_settings.m_verdictScore) {
+      aVerdict.m_kind = VerdictKind::Bad;
+      aVerdict.m_route = aRoute;
+      aVerdict.m_reason = reason;
+      aVerdict.m_calls =
+        CallCount(static_cast<std::uint64_t>(newCounts.m_calls));
+    }
   }
 
   BriefMoveSettings m_settings;
--- a/src/version/Move.cpp
+++ b/src/version/Move.cpp
@@ -241,6 +241,9 @@
   const VersionSplit split = Split();
   aActions.m_splitsChanged |= m_lastSplit != split;
   m_lastSplit = split;
+  const MoveState state = State(aTimes.m_wall);
+  aActions.m_statesChanged |= m_lastState != state;
+  m_lastState = state;
 }
 
 Share
@@ -329,6 +332,9 @@
     status.m_shares[dataCentre] = EffectiveShare(m_progress, dataCentre);
   }
   status.m_reason = Reason(status.m_state);
+  if (m_coordinator) {
+    status.m_evidence = m_coordinator->LastVerdict().m_evidence;
+  }
   status.m_calls = CallCount(m_newCalls);
   if (m_progress.m_veto) {
     status.m_route = m_progress.m_veto->m_route;
--- a/src/version/Move.h
+++ b/src/version/Move.h
@@ -51,6 +51,8 @@
 {
   /// Whether a split changed, so that a new view must be published.
   bool m_splitsChanged = false;
+  /// Whether the state of a move changed.
+  bool m_statesChanged = false;
   /// Progress to send to all nodes.
   std::vector<MoveProgress> m_progressUpdates;
   /// Reports to send to the move's coordinator in this data centre.
@@ -126,6 +128,7 @@
   bool m_isOutcomeWritten = false;
   std::uint64_t m_newCalls = 0;
   std::optional<VersionSplit> m_lastSplit;
+  MoveState m_lastState = MoveState::Planned;
   /// The end of the last process pause; see IsStale.
   std::optional<MonotonicTime> m_resumedAt;
   bool m_hasMergedSinceResume = false;
--- a/src/version/MovePolicy.h
+++ b/src/version/MovePolicy.h
@@ -43,6 +43,9 @@
   std::string m_reason;
   /// The number of calls to the new version that the verdict is based on.
   CallCount m_calls;
+  /// The strongest evidence against the new version, whatever the verdict: a
+  /// route, its counts and their score, in one line; empty if there is none.
+  std::string m_evidence{};
 };
 
 /// The scope of the evidence that a judge receives.
--- a/src/version/MoveStatus.h
+++ b/src/version/MoveStatus.h
@@ -42,6 +42,9 @@
   std::map<DataCentreId, Share> m_shares;
   /// The reason for the state; with figures if evidence is the cause.
   std::string m_reason;
+  /// The coordinator's strongest evidence against the new version, whether or
+  /// not it is sufficient for a verdict; empty on other nodes.
+  std::string m_evidence;
   /// The route that the reason refers to, if any.
   RouteName m_route;
   /// When the move was rolled back or done.
