--- a/src/programs/MoveExperiment.cpp
+++ b/src/programs/MoveExperiment.cpp
@@ -3,6 +3,7 @@
 /// moves. Each scenario kind runs with the same seeds under each policy.
 ///
 ///     tarragontray-experiment-moves --seeds 10 --first-seed 1 --json
+///     tarragontray-experiment-moves --seeds 100 --brief
 #include <algorithm>
 #include <cstdint>
 #include <cstdio>
@@ -13,8 +14,10 @@
 #include <boost/json.hpp>
 
 #include "process/Settings.h"
+#include "version/BriefMovePolicy.h"
 #include "version/FixedStepPolicy.h"
 #include "version/SequentialMovePolicy.h"
+#include "version/testing/BriefScenarios.h"
 #include "version/testing/MoveScenarios.h"
 
 namespace tarragontray {
@@ -187,6 +190,53 @@
   return rows;
 }
 
+/// Runs the scenarios of moves that last seconds under BriefMovePolicy and
+/// prints one line per kind.
+void
+RunBrief(std::uint64_t aFirstSeed, std::uint64_t aSeeds, bool aVerbose)
+{
+  std::printf("%-18s %5s %6s %6s %6s %9s %9s\n",
+              "kind",
+              "moves",
+              "done",
+              "back",
+              "over",
+              "exp-p50",
+              "exp-max");
+  for (const testing::BriefKind kind : testing::AllBriefKinds()) {
+    std::size_t done = 0;
+    std::size_t takenBack = 0;
+    std::size_t overexposed = 0;
+    std::vector<double> exposures;
+    for (std::uint64_t i = 0; i < aSeeds; ++i) {
+      const testing::BriefOutcome outcome =
+        testing::RunBriefScenario(kind, aFirstSeed + i, [] {
+          return BriefMovePolicy::Create(BriefMoveSettings{}).value();
+        });
+      done += outcome.m_isDone ? 1 : 0;
+      takenBack += outcome.m_isTakenBack ? 1 : 0;
+      overexposed += outcome.m_isOverexposed ? 1 : 0;
+      exposures.push_back(outcome.m_exposure);
+      const bool isWrong =
+        testing::IsBad(kind) ? outcome.m_isOverexposed : outcome.m_isTakenBack;
+      if (aVerbose && isWrong) {
+        std::cerr << "wrong kind=" << testing::Name(kind)
+                  << " seed=" << aFirstSeed + i
+                  << " exposure=" << outcome.m_exposure << " reason=\""
+                  << outcome.m_result.m_reason << "\"\n";
+      }
+    }
+    std::printf("%-18s %5zu %6zu %6zu %6zu %8.2f%% %8.2f%%\n",
+                std::string(testing::Name(kind)).c_str(),
+                exposures.size(),
+                done,
+                takenBack,
+                overexposed,
+                100.0 * Quantile(exposures, 0.5),
+                100.0 * Quantile(exposures, 1.0));
+  }
+}
+
 /// Prints the event log of one move under the first policy.
 int
 Trace(const std::string& aKind, std::uint64_t aSeed)
@@ -219,6 +269,8 @@
                              1 });
   parser.Add(IntegerSetting{
     "seeds", "moves", "Moves per scenario kind.", 1, 10'000, 10 });
+  parser.Add(SwitchSetting{
+    "brief", "Runs moves that last seconds under the brief policy." });
   parser.Add(
     TextSetting{ "policy", "Runs only the policy with this name.", {}, "" });
   parser.Add(TextSetting{
@@ -241,6 +293,12 @@
   if (!traced.empty()) {
     return Trace(traced, firstSeed);
   }
+  if (aSettings.IsOn("brief")) {
+    RunBrief(firstSeed,
+             static_cast<std::uint64_t>(aSettings.Integer("seeds")),
+             aSettings.IsOn("verbose"));
+    return 0;
+  }
   std::vector<Summary> all;
   const std::string& only = aSettings.Text("policy");
   for (const Candidate& candidate : Candidates()) {
--- a/src/version/Moves.cmake
+++ b/src/version/Moves.cmake
@@ -12,7 +12,7 @@
 # The simulation model of the upstreams and simulated sessions, for tests and
 # experiments.
 tt_library(tt_move_session
-  SRCS testing/MoveScenarios.cpp testing/MoveSession.cpp testing/UpstreamModel.cpp
+  SRCS testing/BriefScenarios.cpp testing/MoveScenarios.cpp testing/MoveSession.cpp testing/UpstreamModel.cpp
   DEPS tt_moves)
 tt_test(move_progress_test SRCS MoveProgressTest.cpp DEPS tt_move_values)
 tt_test(evidence_test SRCS EvidenceTest.cpp DEPS tt_moves)
@@ -22,3 +22,5 @@
 tt_test(move_golden_test SRCS MoveGoldenTest.cpp DEPS tt_move_session)
 tt_test(move_regression_test
   SRCS MoveRegressionTest.cpp DEPS tt_move_session)
+tt_test(brief_move_regression_test
+  SRCS BriefMoveRegressionTest.cpp DEPS tt_move_session)
--- a/src/version/testing/MoveSession.cpp
+++ b/src/version/testing/MoveSession.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-constexpr Duration kStep = std::chrono::milliseconds(100);
+/// The resolution of the times in the event log.
+constexpr Duration kLogResolution = std::chrono::milliseconds(100);
+constexpr Duration kNoTimeout = std::chrono::hours(1);
 constexpr Duration kMessageDelay = std::chrono::milliseconds(20);
-/// The maximum of the additional, uniformly distributed delay.
-constexpr Duration kMessageJitter = std::chrono::milliseconds(200);
 /// The time until the other nodes detect that a node was paused or resumed.
 constexpr Duration kDetectionTime = std::chrono::seconds(4);
 /// The time after a pause in which a node need not apply the full share.
@@ -75,13 +75,17 @@
     settings.m_vm = node.m_vm;
     settings.m_incarnation = Incarnation(1);
     settings.m_dataCentre = DataCentreOf(node.m_dataCentre);
+    settings.m_windowInterval = m_settings.m_evidenceInterval;
+    settings.m_reportInterval = m_settings.m_evidenceInterval;
+    settings.m_refreshInterval =
+      std::min(settings.m_refreshInterval, 5 * m_settings.m_evidenceInterval);
     Result<Moves> moves = Moves::Create(settings, aPolicy());
     node.m_moves = std::make_unique<Moves>(std::move(moves).value());
     node.m_moves->SetDataCentres(all);
     node.m_moves->SetPlans({ m_plan }, Now());
     node.m_moves->SetWarmSlots(m_plan.m_id, SlotCount(slots), SlotCount(slots));
     node.m_splitRemainder = m_random.Fraction();
-    node.m_nextTick = kStep * m_random.Below(10);
+    node.m_nextTick = m_settings.m_step * m_random.Below(10);
     m_nodes.push_back(std::move(node));
   }
   std::vector<VmId> first;
@@ -93,9 +97,23 @@
   while (m_nodes[m_pausedNode].m_vm != *coordinator) {
     ++m_pausedNode;
   }
+  MakeCut();
   m_lastShares.assign(m_settings.m_dataCentres, Share::None());
 }
 
+void
+MoveSession::MakeCut()
+{
+  std::size_t others = m_settings.m_cut ? m_settings.m_cut->m_others : 0;
+  for (std::size_t i = 0; m_settings.m_cut && i < m_settings.m_nodes; ++i) {
+    m_nodes[i].m_isCut = i == m_pausedNode;
+    if (i != m_pausedNode && others > 0) {
+      m_nodes[i].m_isCut = true;
+      --others;
+    }
+  }
+}
+
 bool
 MoveSession::IsPaused(std::size_t aNode) const
 {
@@ -115,6 +133,10 @@
 bool
 MoveSession::IsPartitioned(std::size_t aFrom, std::size_t aTo) const
 {
+  if (m_settings.m_cut && m_settings.m_cut->m_span.Contains(m_time) &&
+      m_nodes[aFrom].m_isCut != m_nodes[aTo].m_isCut) {
+    return true;
+  }
   if (!m_settings.m_partition ||
       !m_settings.m_partition->m_span.Contains(m_time)) {
     return false;
@@ -139,31 +161,48 @@
     SessionSpan{ m_settings.m_coordinatorPause->m_begin + kDetectionTime,
                  m_settings.m_coordinatorPause->m_end + kDetectionTime }
       .Contains(m_time);
+  const bool isCutDetected =
+    m_settings.m_cut &&
+    SessionSpan{ m_settings.m_cut->m_span.m_begin + kDetectionTime,
+                 m_settings.m_cut->m_span.m_end + kDetectionTime }
+      .Contains(m_time);
   for (std::size_t dc = 0; dc < m_settings.m_dataCentres; ++dc) {
-    std::vector<VmId> live;
-    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
-      const bool isExcluded = isPauseDetected && i == m_pausedNode;
-      if (m_nodes[i].m_dataCentre == dc && !isExcluded) {
-        live.push_back(m_nodes[i].m_vm);
+    for (const bool isCut : { false, true }) {
+      std::vector<VmId> live;
+      for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        const bool isExcluded = (isPauseDetected && i == m_pausedNode) ||
+                                (isCutDetected && m_nodes[i].m_isCut != isCut);
+        if (m_nodes[i].m_dataCentre == dc && !isExcluded) {
+          live.push_back(m_nodes[i].m_vm);
+        }
       }
+      AssignCoordinators(dc, isCut, std::move(live));
     }
-    std::vector<VmId> coordinators;
-    coordinators.push_back(
-      *PickCoordinator(m_plan.m_id, DataCentreOf(dc), live));
-    if (m_settings.m_hasTwoCoordinators && live.size() > 1) {
-      std::erase(live, coordinators.front());
-      coordinators.push_back(
-        *PickCoordinator(m_plan.m_id, DataCentreOf(dc), live));
-    }
-    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
-      Node& node = m_nodes[i];
-      const bool isCoordinator =
-        std::count(coordinators.begin(), coordinators.end(), node.m_vm) > 0;
-      // A paused node does not receive the role change.
-      if (node.m_dataCentre == dc && !IsPaused(i) &&
-          node.m_isCoordinator != isCoordinator) {
-        SetIsCoordinator(node, isCoordinator);
-      }
+  }
+}
+
+void
+MoveSession::AssignCoordinators(std::size_t aDataCentre,
+                                bool aIsCut,
+                                std::vector<VmId> aLive)
+{
+  std::vector<VmId> coordinators;
+  const DataCentreId dataCentre = DataCentreOf(aDataCentre);
+  if (!aLive.empty()) {
+    coordinators.push_back(*PickCoordinator(m_plan.m_id, dataCentre, aLive));
+  }
+  if (m_settings.m_hasTwoCoordinators && aLive.size() > 1) {
+    std::erase(aLive, coordinators.front());
+    coordinators.push_back(*PickCoordinator(m_plan.m_id, dataCentre, aLive));
+  }
+  for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+    Node& node = m_nodes[i];
+    const bool isCoordinator =
+      std::count(coordinators.begin(), coordinators.end(), node.m_vm) > 0;
+    // A paused node does not receive the role change.
+    if (node.m_dataCentre == aDataCentre && node.m_isCut == aIsCut &&
+        !IsPaused(i) && node.m_isCoordinator != isCoordinator) {
+      SetIsCoordinator(node, isCoordinator);
     }
   }
 }
@@ -181,12 +220,33 @@
   observation.m_target =
     VmId("target-" + std::to_string(aCall.m_dataCentre + 1) + "-" +
          std::to_string(aCall.m_target + 1) + (isNew ? "-new" : "-old"));
+  const Duration latency =
+    std::min(aAnswer.m_latency, m_settings.m_callTimeout.value_or(kNoTimeout));
+  const bool isTimedOut = latency < aAnswer.m_latency;
   VersionCounters& delta = observation.m_delta;
   delta.m_calls = 1;
-  delta.m_failures = aAnswer.m_failed ? 1 : 0;
-  delta.m_callerErrors = aAnswer.m_isCallerError ? 1 : 0;
-  delta.m_latency[LatencyBucket(aAnswer.m_latency)] = 1;
-  aNode.m_moves->AddObservation(observation);
+  delta.m_failures = aAnswer.m_failed || isTimedOut ? 1 : 0;
+  delta.m_callerErrors = aAnswer.m_isCallerError && !isTimedOut ? 1 : 0;
+  delta.m_latency[LatencyBucket(latency)] = 1;
+  if (!m_settings.m_callTimeout) {
+    aNode.m_moves->AddObservation(observation);
+    return;
+  }
+  m_pending.push(
+    PendingObservation{ m_time + latency,
+                        ++m_sent,
+                        static_cast<std::size_t>(&aNode - m_nodes.data()),
+                        std::move(observation) });
+}
+
+void
+MoveSession::DeliverObservations()
+{
+  while (!m_pending.empty() && m_pending.top().m_endAt <= m_time) {
+    const PendingObservation& pending = m_pending.top();
+    m_nodes[pending.m_node].m_moves->AddObservation(pending.m_observation);
+    m_pending.pop();
+  }
 }
 
 void
@@ -209,6 +269,9 @@
   }
   const ModelAnswer answer = m_model.Answer(call, m_time, m_random);
   ++m_result.m_calls;
+  if (m_time >= m_settings.m_start && m_time < m_settings.m_deadline) {
+    ++m_result.m_plannedCalls;
+  }
   if (call.m_side == VersionSide::New) {
     ++m_result.m_newCalls;
     m_result.m_lastNewCall = m_time;
@@ -225,7 +288,8 @@
 {
   const double peak =
     m_settings.m_peak.Contains(m_time) ? m_settings.m_peakFactor : 1.0;
-  const double mean = m_settings.m_callsPerSecond * peak * Seconds(kStep) /
+  const double mean = m_settings.m_callsPerSecond * peak *
+                      Seconds(m_settings.m_step) /
                       static_cast<double>(m_settings.m_nodes);
   const std::size_t calls = DrawPoisson(mean, m_random);
   const std::optional<VersionSplit> split =
@@ -244,8 +308,8 @@
   if (isLost || IsPartitioned(aFrom, aTo)) {
     return;
   }
-  const auto jitter =
-    std::chrono::duration_cast<Duration>(kMessageJitter * m_random.Fraction());
+  const auto jitter = std::chrono::duration_cast<Duration>(
+    m_settings.m_messageJitter * m_random.Fraction());
   m_queue.push(Message{
     m_time + kMessageDelay + jitter, ++m_sent, aTo, std::move(aBody) });
 }
@@ -340,7 +404,7 @@
   }
   if (line != m_lastLine) {
     m_lastLine = line;
-    const auto tenths = m_time / kStep;
+    const auto tenths = m_time / kLogResolution;
     m_result.m_log.push_back("t=" + std::to_string(tenths / 10) + "." +
                              std::to_string(tenths % 10) + line);
   }
@@ -373,6 +437,7 @@
     }
     AssignCoordinators();
     Deliver();
+    DeliverObservations();
     for (std::size_t i = 0; i < m_nodes.size(); ++i) {
       if (!IsPaused(i)) {
         SimulateCalls(m_nodes[i]);
@@ -395,8 +460,8 @@
         m_result.m_hasFullShareInTime &= share == Share::All();
       }
     }
-    m_clock.Advance(kStep);
-    m_time += kStep;
+    m_clock.Advance(m_settings.m_step);
+    m_time += m_settings.m_step;
   }
   Finish();
   return m_result;
--- a/src/version/testing/MoveSession.h
+++ b/src/version/testing/MoveSession.h
@@ -46,6 +46,14 @@
   SessionSpan m_span;
 };
 
+/// A network partition that isolates the first data centre's coordinator and
+/// some other nodes of it.
+struct SessionCut
+{
+  std::size_t m_others = 0;
+  SessionSpan m_span;
+};
+
 /// The settings of a session.
 struct SessionSettings
 {
@@ -62,11 +70,21 @@
   SessionTime m_end = std::chrono::seconds(200);
   ModelSettings m_model;
   double m_messageLoss = 0.05;
+  /// The maximum of the additional, uniformly distributed message delay.
+  Duration m_messageJitter = std::chrono::milliseconds(200);
+  /// The step of the virtual clock.
+  Duration m_step = std::chrono::milliseconds(100);
+  /// The interval of evidence windows and of reports.
+  Duration m_evidenceInterval = std::chrono::seconds(1);
+  /// If set, a call is observed when it ends, and fails at this time-out;
+  /// otherwise it is observed when it starts.
+  std::optional<Duration> m_callTimeout;
   /// The call rate is multiplied by this factor during m_peak.
   double m_peakFactor = 1.0;
   SessionSpan m_peak;
   SessionSpan m_platformOutage;
   std::optional<SessionPartition> m_partition;
+  std::optional<SessionCut> m_cut;
   /// The first data centre's coordinator is paused during this interval.
   std::optional<SessionSpan> m_coordinatorPause;
   /// Whether another node takes over while the coordinator is paused.
@@ -89,6 +107,8 @@
   /// The shares that the nodes applied at the deadline.
   std::vector<Share> m_sharesAtDeadline;
   std::size_t m_calls = 0;
+  /// The number of calls between the start and the deadline of the plan.
+  std::size_t m_plannedCalls = 0;
   std::size_t m_newCalls = 0;
   /// The number of calls affected by a fault of the new version alone.
   std::size_t m_faultyCalls = 0;
@@ -125,6 +145,8 @@
     double m_splitRemainder = 0.0;
     SessionTime m_nextTick{ 0 };
     bool m_isCoordinator = false;
+    /// Whether the node is on the coordinator's side of SessionSettings::m_cut.
+    bool m_isCut = false;
   };
   struct Message
   {
@@ -140,16 +162,38 @@
     }
   };
 
+  /// An observation of a call that has not ended yet.
+  struct PendingObservation
+  {
+    SessionTime m_endAt{ 0 };
+    std::uint64_t m_order = 0;
+    std::size_t m_node = 0;
+    LocalObservation m_observation;
+
+    bool operator>(const PendingObservation& aOther) const
+    {
+      return std::tie(m_endAt, m_order) >
+             std::tie(aOther.m_endAt, aOther.m_order);
+    }
+  };
+
   void MakeNodes(const PolicyFactory& aPolicy);
   MonotonicTime Now() const { return m_clock.Now(); }
   bool IsPaused(std::size_t aNode) const;
   bool HasJustResumed(std::size_t aNode) const;
   bool IsPartitioned(std::size_t aFrom, std::size_t aTo) const;
   void AssignCoordinators();
+  /// Assigns the role among the nodes of a data centre on one side of the cut.
+  /// \param aLive the nodes that those consider alive.
+  void AssignCoordinators(std::size_t aDataCentre,
+                          bool aIsCut,
+                          std::vector<VmId> aLive);
+  void MakeCut();
   void SetIsCoordinator(Node& aNode, bool aIsCoordinator);
   void SimulateCalls(Node& aNode);
   void SimulateCall(Node& aNode, std::optional<VersionSplit> aSplit);
   void Observe(Node& aNode, const ModelCall& aCall, const ModelAnswer& aAnswer);
+  void DeliverObservations();
   void Tick(std::size_t aNode);
   void Send(std::size_t aFrom,
             std::size_t aTo,
@@ -170,6 +214,10 @@
   std::vector<Node> m_nodes;
   std::size_t m_pausedNode = 0;
   std::priority_queue<Message, std::vector<Message>, std::greater<>> m_queue;
+  std::priority_queue<PendingObservation,
+                      std::vector<PendingObservation>,
+                      std::greater<>>
+    m_pending;
   std::uint64_t m_sent = 0;
   std::vector<Share> m_lastShares;
   std::string m_lastLine;
--- a/src/version/testing/UpstreamModel.cpp
+++ b/src/version/testing/UpstreamModel.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// Time constant of the exponential smoothing of a target's load.
-constexpr double kLoadSeconds = 2.0;
 /// The slowdown factor of a target whose slots are all in use.
 constexpr double kOverloadSlowdown = 4.0;
 /// Above this mean a Poisson draw is approximated by a normal one.
@@ -68,10 +66,10 @@
 UpstreamModel::UpdateLoad(TargetState& aState, SessionTime aNow) const
 {
   const double gap = Seconds(aNow - aState.m_lastCall);
+  const double smoothing = Seconds(m_settings.m_loadTime);
   aState.m_lastCall = aNow;
   aState.m_callsPerSecond =
-    aState.m_callsPerSecond * std::exp(-gap / kLoadSeconds) +
-    1.0 / kLoadSeconds;
+    aState.m_callsPerSecond * std::exp(-gap / smoothing) + 1.0 / smoothing;
   return aState.m_callsPerSecond * Seconds(m_settings.m_serviceTime) /
          static_cast<double>(m_settings.m_slots);
 }
@@ -100,7 +98,10 @@
   const double load = UpdateLoad(state, aNow);
   double failureRate = m_settings.m_baseFailureRate;
   double callerErrorRate = m_settings.m_baseCallerErrorRate;
-  double slowdown = QueueSlowdown(load);
+  double slowdown =
+    QueueSlowdown(load) *
+    m_settings
+      .m_targetSlowdowns[aCall.m_target % m_settings.m_targetSlowdowns.size()];
   if (load > 1.0) {
     failureRate += 1.0 - 1.0 / load;
   }
@@ -115,7 +116,9 @@
     }
     failureRate += fault.m_failureRate;
     callerErrorRate += fault.m_callerErrorRate;
-    slowdown *= fault.m_slowdown;
+    const bool isSlow =
+      fault.m_slowdownRate >= 1.0 || aRandom.Fraction() < fault.m_slowdownRate;
+    slowdown *= isSlow ? fault.m_slowdown : 1.0;
     answer.m_isVersionFault |= fault.m_side == VersionSide::New;
   }
   const double draw = aRandom.Fraction();
--- a/src/version/testing/UpstreamModel.h
+++ b/src/version/testing/UpstreamModel.h
@@ -41,6 +41,8 @@
   double m_failureRate = 0.0;
   double m_callerErrorRate = 0.0;
   double m_slowdown = 1.0;
+  /// The fraction of the calls that the slowdown applies to.
+  double m_slowdownRate = 1.0;
 };
 
 /// The settings of the modelled upstreams.
@@ -57,6 +59,10 @@
   /// The slowdown factor and the length of a new target's cold start.
   double m_coldSlowdown = 1.0;
   Duration m_coldTime{ 0 };
+  /// Time constant of the exponential smoothing of a target's load.
+  Duration m_loadTime = std::chrono::seconds(2);
+  /// The slowdown factor of each target, repeated if there are more targets.
+  std::vector<double> m_targetSlowdowns{ 1.0 };
   std::vector<ModelFault> m_faults;
 };
 
