Moves: a coordinator without reports from a majority neither raises nor completes

Cause: a coordinator that was cut off with a quarter of the nodes went on raising the share by the clock, and completed the move after 17 calls in its own zone; the outcome in the store ended the old version everywhere. Missing evidence counted as good evidence.

Change: nodes report at least every fifth report interval, also without new evidence. The coordinator raises the share and completes the move only while more than half of the nodes that were live within the last minute report to it, and not while its verdict is suspect. The coordinator also asks the policy when to end a trial, for the share of a comparison and when a suspect version must be decided; no policy uses that yet.

Ruled out: counting live members only; a coordinator in the minority considers the others dead after two seconds.

--- a/src/process/ControlMoves.cpp
+++ b/src/process/ControlMoves.cpp
@@ -13,6 +13,9 @@
 
 /// Time between attempts to record that an order's move has started.
 constexpr Duration kRecordInterval = std::chrono::seconds(1);
+/// A node that was live within this time counts among the nodes of which a
+/// coordinator needs a majority.
+constexpr Duration kRecentlyLive = std::chrono::minutes(1);
 
 } // namespace
 
@@ -98,6 +101,9 @@
   if (!next || aTimes.m_now < *next) {
     return;
   }
+  const Membership& membership = m_gossip.Members();
+  m_moves.SetNodeCount(membership.Table().RecentCount(
+    membership.Self().m_cell, aTimes.m_now - kRecentlyLive));
   MoveActions moves = m_moves.Tick(aTimes.m_now, aTimes.m_wall);
   for (const MoveProgress& progress : moves.m_progressUpdates) {
     m_gossip.Moves().Offer(progress, aTimes.m_now);
--- a/src/process/EvidenceRouting.cpp
+++ b/src/process/EvidenceRouting.cpp
@@ -33,21 +33,21 @@
 {
   EvidenceReport head = aReport;
   head.m_entries.clear();
-  std::vector<Datagram> datagrams;
+  Datagram empty;
+  empty.m_kind = DatagramKind::Update;
+  empty.m_from = aFrom;
+  empty.m_evidence.push_back(head);
+  // A report without entries still shows that the node is reachable.
+  std::vector<Datagram> datagrams{ empty };
   for (const EvidenceEntry& entry : aReport.m_entries) {
-    if (!datagrams.empty()) {
-      auto& entries = datagrams.back().m_evidence.front().m_entries;
-      entries.push_back(entry);
-      if (EncodedSize(datagrams.back()) <= kMaxDatagramBytes) {
-        continue;
-      }
+    auto& entries = datagrams.back().m_evidence.front().m_entries;
+    entries.push_back(entry);
+    if (entries.size() > 1 &&
+        EncodedSize(datagrams.back()) > kMaxDatagramBytes) {
       entries.pop_back();
+      datagrams.push_back(empty);
+      datagrams.back().m_evidence.front().m_entries.push_back(entry);
     }
-    Datagram& next = datagrams.emplace_back();
-    next.m_kind = DatagramKind::Update;
-    next.m_from = aFrom;
-    next.m_evidence.push_back(head);
-    next.m_evidence.front().m_entries.push_back(entry);
   }
   return datagrams;
 }
--- a/src/process/MemberTable.cpp
+++ b/src/process/MemberTable.cpp
@@ -92,6 +92,16 @@
   return dead;
 }
 
+std::size_t
+MemberTable::RecentCount(const DataCentreId& aCell, MonotonicTime aSince) const
+{
+  std::size_t count = Live(aCell).size();
+  for (const auto& [vm, time] : m_diedAt) {
+    count += time > aSince && m_members.at(vm).m_cell == aCell ? 1 : 0;
+  }
+  return count;
+}
+
 std::vector<MemberRecord>
 MemberTable::Differing(const BucketHashes& aTheirs) const
 {
--- a/src/process/MemberTable.h
+++ b/src/process/MemberTable.h
@@ -58,6 +58,10 @@
   /// The dead members of a cell.
   std::vector<VmId> Dead(const DataCentreId& aDataCentre) const;
 
+  /// The number of members of a cell that are not dead or died after aSince.
+  std::size_t RecentCount(const DataCentreId& aCell,
+                          MonotonicTime aSince) const;
+
   /// Hash over the members that are not dead. Suspect and Alive records hash
   /// alike.
   std::uint32_t Digest() const
--- a/src/version/Move.cpp
+++ b/src/version/Move.cpp
@@ -21,6 +21,15 @@
 constexpr Duration kMinStaleTime = std::chrono::seconds(6);
 constexpr Duration kMaxStaleTime = std::chrono::seconds(15);
 
+/// A node without new evidence reports at every kIdleReports-th interval, so
+/// that the coordinator knows that it is reachable.
+constexpr int kIdleReports = 5;
+/// The number of those intervals after which a node counts as unreachable.
+constexpr int kMaxMissedReports = 3;
+/// A node reports for this long after the move was done there, since the
+/// coordinator may still be collecting evidence.
+constexpr Duration kReportsAfterDone = std::chrono::seconds(10);
+
 bool
 IsDue(const std::optional<MonotonicTime>& aLast,
       MonotonicTime aNow,
@@ -78,11 +87,32 @@
   m_dataCentres = aDataCentres;
 }
 
+MoveCoordinator
+Move::MakeCoordinator() const
+{
+  MoveCoordinator coordinator(m_plan,
+                              m_settings->m_dataCentre,
+                              *m_policy,
+                              kMaxMissedReports * kIdleReports *
+                                m_settings->m_reportInterval);
+  coordinator.SetNodeCount(m_nodeCount);
+  return coordinator;
+}
+
+void
+Move::SetNodeCount(std::size_t aNodes)
+{
+  m_nodeCount = aNodes;
+  if (m_coordinator) {
+    m_coordinator->SetNodeCount(aNodes);
+  }
+}
+
 void
 Move::SetIsCoordinator(bool aIsCoordinator)
 {
   if (aIsCoordinator && !m_coordinator) {
-    m_coordinator.emplace(m_plan, m_settings->m_dataCentre, *m_policy);
+    m_coordinator = MakeCoordinator();
   }
   if (!aIsCoordinator) {
     m_coordinator.reset();
@@ -99,10 +129,10 @@
 }
 
 void
-Move::AddReport(const EvidenceReport& aReport)
+Move::AddReport(const EvidenceReport& aReport, MonotonicTime aNow)
 {
   if (m_coordinator && aReport.m_dataCentre == m_settings->m_dataCentre) {
-    m_coordinator->AddReport(aReport);
+    m_coordinator->AddReport(aReport, aNow);
   }
 }
 
@@ -131,6 +161,14 @@
     });
 }
 
+bool
+Move::MayComplete(MonotonicTime aNow) const
+{
+  return !m_coordinator ||
+         (m_coordinator->HasQuorum(aNow) &&
+          m_coordinator->LastVerdict().m_kind == VerdictKind::Clear);
+}
+
 bool
 Move::IsUndecided() const
 {
@@ -150,17 +188,32 @@
     m_mustSendProgress = true;
   }
   if (m_coordinator) {
-    m_coordinator->AddReport(m_evidence.FullReport());
+    m_coordinator->AddReport(m_evidence.FullReport(), aTimes.m_now);
     m_mustSendProgress |=
       m_coordinator->Advance(m_slots, share, aTimes, m_progress);
   }
   m_windowShare = DataCentreShare();
-  if (!m_progress.m_veto &&
+  if (!m_progress.m_veto && MayComplete(aTimes.m_now) &&
       HasFullShareEverywhere(m_plan.m_hold, aTimes.m_wall)) {
     m_doneAt = aTimes.m_wall;
   }
 }
 
+void
+Move::EmitReport(MonotonicTime aNow, MoveActions& aActions)
+{
+  std::optional<EvidenceReport> report =
+    m_evidence.TakeReport(aNow, m_settings->m_reportInterval);
+  if (!report &&
+      IsDue(m_lastReport, aNow, kIdleReports * m_settings->m_reportInterval)) {
+    report = MakeReportHeader(m_plan, *m_settings);
+  }
+  if (report) {
+    m_lastReport = aNow;
+    aActions.m_reports.push_back(std::move(*report));
+  }
+}
+
 void
 Move::EmitProgress(MonotonicTime aNow, MoveActions& aActions)
 {
@@ -203,7 +256,7 @@
     m_resumedAt = aNow;
     m_hasMergedSinceResume = false;
     if (m_coordinator) {
-      m_coordinator.emplace(m_plan, m_settings->m_dataCentre, *m_policy);
+      m_coordinator = MakeCoordinator();
     }
   }
   m_lastTick = aNow;
@@ -229,12 +282,13 @@
     m_lastWindow = aTimes.m_now;
     Judge(aTimes);
   }
-  if (IsUndecided() && !m_coordinator) {
-    std::optional<EvidenceReport> report =
-      m_evidence.TakeReport(aTimes.m_now, m_settings->m_reportInterval);
-    if (report) {
-      aActions.m_reports.push_back(std::move(*report));
-    }
+  const bool isOver =
+    m_progress.m_veto ||
+    (m_doneAt && aTimes.m_wall - *m_doneAt > kReportsAfterDone);
+  // A coordinator reports, too, in case others consider another node the
+  // coordinator.
+  if (!isOver) {
+    EmitReport(aTimes.m_now, aActions);
   }
   EmitProgress(aTimes.m_now, aActions);
   EmitOutcome(aTimes, aActions);
--- a/src/version/Move.h
+++ b/src/version/Move.h
@@ -80,9 +80,11 @@
   void SetIsCoordinator(bool aIsCoordinator);
   bool IsCoordinator() const { return m_coordinator.has_value(); }
   void SetWarmSlots(const WarmSlots& aSlots) { m_slots = aSlots; }
+  /// See MoveCoordinator::SetNodeCount.
+  void SetNodeCount(std::size_t aNodes);
 
   void AddObservation(const LocalObservation& aObservation);
-  void AddReport(const EvidenceReport& aReport);
+  void AddReport(const EvidenceReport& aReport, MonotonicTime aNow);
   /// \return true if the local progress changed.
   bool MergeProgress(const MoveProgress& aProgress);
 
@@ -98,6 +100,10 @@
 
 private:
   bool IsUndecided() const;
+  /// Whether the move may be completed, as far as this node knows.
+  bool MayComplete(MonotonicTime aNow) const;
+  MoveCoordinator MakeCoordinator() const;
+  void EmitReport(MonotonicTime aNow, MoveActions& aActions);
   bool HasFullShareEverywhere(Duration aHold, WallTime aWall) const;
   Share WarmSlotLimit() const;
   /// Detects a pause of this process, after which its progress may be stale.
@@ -123,6 +129,8 @@
   NodeMoveMonitor m_monitor;
   std::optional<MoveCoordinator> m_coordinator;
   WarmSlots m_slots;
+  std::size_t m_nodeCount = 0;
+  std::optional<MonotonicTime> m_lastReport;
   std::optional<WallTime> m_doneAt;
   bool m_mustSendProgress = false;
   bool m_isOutcomeWritten = false;
--- a/src/version/MoveCoordinator.cpp
+++ b/src/version/MoveCoordinator.cpp
@@ -37,15 +37,34 @@
 
 MoveCoordinator::MoveCoordinator(MovePlan aPlan,
                                  DataCentreId aDataCentre,
-                                 const MovePolicy& aPolicy)
+                                 const MovePolicy& aPolicy,
+                                 Duration aReportLapse)
   : m_plan(std::move(aPlan))
   , m_dataCentre(std::move(aDataCentre))
   , m_policy(&aPolicy)
   , m_table(m_plan)
   , m_judge(aPolicy.MakeJudge(EvidenceScope::DataCentre))
+  , m_reportLapse(aReportLapse)
 {
 }
 
+void
+MoveCoordinator::AddReport(const EvidenceReport& aReport, MonotonicTime aNow)
+{
+  m_reportedAt[aReport.m_reporter] = aNow;
+  m_table.AddReport(aReport);
+}
+
+bool
+MoveCoordinator::HasQuorum(MonotonicTime aNow) const
+{
+  const auto fresh = std::count_if(
+    m_reportedAt.begin(), m_reportedAt.end(), [&](const auto& aReported) {
+      return aNow - aReported.second <= m_reportLapse;
+    });
+  return m_nodes == 0 || 2 * static_cast<std::size_t>(fresh) > m_nodes;
+}
+
 void
 MoveCoordinator::Begin(MonotonicTime aNow)
 {
@@ -56,11 +75,21 @@
   m_judge->AddHistory(m_table.TakeWindow(aNow));
 }
 
+PaceInput
+MoveCoordinator::Pace(const Times& aTimes,
+                      const DataCentreProgress& aProgress) const
+{
+  return PaceInput{ m_plan,
+                    aTimes.m_wall,
+                    aProgress.m_share,
+                    aTimes.m_now - m_lastChange,
+                    aProgress.m_epoch != ProgressEpoch() };
+}
+
 bool
 MoveCoordinator::Raise(const Times& aTimes, DataCentreProgress& aProgress)
 {
-  const Share next = m_policy->NextShare(PaceInput{
-    m_plan, aTimes.m_wall, aProgress.m_share, aTimes.m_now - m_lastChange });
+  const Share next = m_policy->NextShare(Pace(aTimes, aProgress));
   if (next <= aProgress.m_share) {
     return false;
   }
@@ -72,15 +101,13 @@
 }
 
 bool
-MoveCoordinator::LowerForComparison(const WarmSlots& aSlots,
-                                    DataCentreProgress& aProgress)
+MoveCoordinator::Lower(Share aShare, DataCentreProgress& aProgress)
 {
-  const Share equal = EqualLoadShare(aSlots.m_old, aSlots.m_new);
-  if (equal >= aProgress.m_share) {
+  if (aShare >= aProgress.m_share) {
     return false;
   }
   aProgress.m_epoch += ProgressEpoch(1);
-  aProgress.m_share = equal;
+  aProgress.m_share = aShare;
   aProgress.m_fullShareSince.reset();
   return true;
 }
@@ -103,19 +130,24 @@
   if (aProgress.m_veto) {
     return false;
   }
-  if (m_verdict.m_kind == VerdictKind::Bad) {
+  DataCentreProgress& own = aProgress.m_dataCentres[m_dataCentre];
+  const bool isOverdue = m_verdict.m_kind != VerdictKind::Clear &&
+                         m_policy->MustDecide(Pace(aTimes, own));
+  if (m_verdict.m_kind == VerdictKind::Bad || isOverdue) {
     aProgress.m_veto = MakeVeto(m_verdict, m_dataCentre, aTimes.m_wall);
     return true;
   }
-  DataCentreProgress& own = aProgress.m_dataCentres[m_dataCentre];
   if (own != m_lastProgress) {
     m_lastChange = aTimes.m_now;
   }
-  bool changed = false;
+  bool changed = Lower(m_policy->ShareAfterTrial(Pace(aTimes, own)), own);
   if (m_verdict.m_kind == VerdictKind::NeedsComparison) {
-    changed = LowerForComparison(aSlots, own);
-  } else if (m_verdict.m_kind == VerdictKind::Clear &&
-             aTimes.m_now - m_begunAt >= kObservationTime) {
+    changed |= Lower(
+      m_policy->ComparisonShare(EqualLoadShare(aSlots.m_old, aSlots.m_new)),
+      own);
+  } else if (!changed && m_verdict.m_kind == VerdictKind::Clear &&
+             aTimes.m_now - m_begunAt >= kObservationTime &&
+             HasQuorum(aTimes.m_now)) {
     m_table.SetFirstReportsAsBaseline(false);
     changed = Raise(aTimes, own);
   }
--- a/src/version/MoveCoordinator.h
+++ b/src/version/MoveCoordinator.h
@@ -13,6 +13,8 @@
 /// Thread safety: one thread; PickCoordinator is a pure function.
 #pragma once
 
+#include <cstddef>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -45,12 +47,24 @@
 {
 public:
   /// Precondition: the policy outlives the coordinator.
+  /// \param aReportLapse the age from which a node's last report does not count
+  /// towards the quorum.
   MoveCoordinator(MovePlan aPlan,
                   DataCentreId aDataCentre,
-                  const MovePolicy& aPolicy);
+                  const MovePolicy& aPolicy,
+                  Duration aReportLapse);
 
-  /// Adds a report from a node of this data centre.
-  void AddReport(const EvidenceReport& aReport) { m_table.AddReport(aReport); }
+  /// Adds a report from a node of this data centre; it may have no entries.
+  void AddReport(const EvidenceReport& aReport, MonotonicTime aNow);
+
+  /// Sets the number of nodes of this data centre, including those that failed
+  /// recently. While it is zero, every coordinator has a quorum.
+  void SetNodeCount(std::size_t aNodes) { m_nodes = aNodes; }
+
+  /// Whether more than half of the nodes have reported recently. A coordinator
+  /// without a quorum may be cut off from the evidence, so it does not raise
+  /// the share, and the move must not be completed.
+  bool HasQuorum(MonotonicTime aNow) const;
 
   /// Judges the window since the previous call and updates this data centre's
   /// progress. A new coordinator does not raise the share during an initial
@@ -68,9 +82,11 @@
 
 private:
   void Begin(MonotonicTime aNow);
+  PaceInput Pace(const Times& aTimes,
+                 const DataCentreProgress& aProgress) const;
   bool Raise(const Times& aTimes, DataCentreProgress& aProgress);
-  bool LowerForComparison(const WarmSlots& aSlots,
-                          DataCentreProgress& aProgress);
+  /// Lowers the share, if it is higher than aShare.
+  static bool Lower(Share aShare, DataCentreProgress& aProgress);
 
   MovePlan m_plan;
   DataCentreId m_dataCentre;
@@ -78,6 +94,10 @@
   EvidenceTable m_table;
   std::unique_ptr<VersionJudge> m_judge;
   Verdict m_verdict;
+  Duration m_reportLapse;
+  std::size_t m_nodes = 0;
+  /// When each node reported last.
+  std::map<VmId, MonotonicTime> m_reportedAt;
   bool m_hasBegun = false;
   MonotonicTime m_begunAt{};
   /// The progress after the previous call, and when it last changed.
--- a/src/version/MovePolicy.h
+++ b/src/version/MovePolicy.h
@@ -77,6 +77,8 @@
   Share m_share = Share::None();
   /// The time since the share last changed.
   Duration m_sinceChange{ 0 };
+  /// Whether the share has been lowered, by the end of a trial or otherwise.
+  bool m_wasLowered = false;
 };
 
 /// A strategy for pacing and judging moves.
@@ -89,6 +91,24 @@
   /// At least aInput.m_share. Thread safety: any thread.
   virtual Share NextShare(const PaceInput& aInput) const = 0;
 
+  /// The share to fall back to after a trial at aInput.m_share has lasted long
+  /// enough, while its evidence is collected; aInput.m_share otherwise. At most
+  /// aInput.m_share. Thread safety: any thread.
+  virtual Share ShareAfterTrial(const PaceInput& aInput) const
+  {
+    return aInput.m_share;
+  }
+
+  /// Whether a suspect version must be rolled back, because the remaining time
+  /// does not suffice to clear it and complete the move. Thread safety: any
+  /// thread.
+  virtual bool MustDecide(const PaceInput& /*aInput*/) const { return false; }
+
+  /// The share for a comparison that a judge has requested.
+  /// \param aEqualLoad the share at which the slots of both versions carry the
+  /// same load. Thread safety: any thread.
+  virtual Share ComparisonShare(Share aEqualLoad) const { return aEqualLoad; }
+
   /// Creates a judge without evidence. Thread safety: any thread.
   virtual std::unique_ptr<VersionJudge> MakeJudge(
     EvidenceScope aScope) const = 0;
--- a/src/version/Moves.cpp
+++ b/src/version/Moves.cpp
@@ -79,6 +79,7 @@
     }
     record->m_move = std::make_unique<Move>(aPlan, *m_settings, *m_policy);
     record->m_move->SetDataCentres(m_dataCentres);
+    record->m_move->SetNodeCount(m_nodeCount);
     record->m_move->MergeProgress(record->m_progress);
   }
   m_plansChanged |= !record->m_isInForce;
@@ -124,6 +125,17 @@
   }
 }
 
+void
+Moves::SetNodeCount(std::size_t aNodes)
+{
+  m_nodeCount = aNodes;
+  for (auto& [id, record] : m_records) {
+    if (record.m_move) {
+      record.m_move->SetNodeCount(aNodes);
+    }
+  }
+}
+
 void
 Moves::SetIsCoordinator(const MoveId& aMove, bool aIsCoordinator)
 {
@@ -153,10 +165,10 @@
 }
 
 void
-Moves::AddReport(const EvidenceReport& aReport, MonotonicTime /*aNow*/)
+Moves::AddReport(const EvidenceReport& aReport, MonotonicTime aNow)
 {
   if (Move* const move = FindInForce(aReport.m_move)) {
-    move->AddReport(aReport);
+    move->AddReport(aReport, aNow);
   }
 }
 
--- a/src/version/Moves.h
+++ b/src/version/Moves.h
@@ -63,6 +63,11 @@
                     SlotCount aOldWarm,
                     SlotCount aNewWarm);
 
+  /// Sets the number of nodes of this data centre, including those that failed
+  /// recently. A coordinator raises the share and completes a move only while
+  /// more than half of them report to it.
+  void SetNodeCount(std::size_t aNodes);
+
   /// Records an observation of a traffic thread. Ignores observations of
   /// services without a move in force.
   void AddObservation(const LocalObservation& aObservation);
@@ -114,6 +119,7 @@
   std::unique_ptr<const MovesSettings> m_settings;
   std::unique_ptr<MovePolicy> m_policy;
   std::set<DataCentreId> m_dataCentres;
+  std::size_t m_nodeCount = 0;
   std::map<MoveId, Record> m_records;
   /// The move in force of each service.
   std::map<ServiceId, MoveId> m_inForce;
--- a/src/version/testing/MoveSession.cpp
+++ b/src/version/testing/MoveSession.cpp
@@ -82,6 +82,7 @@
     Result<Moves> moves = Moves::Create(settings, aPolicy());
     node.m_moves = std::make_unique<Moves>(std::move(moves).value());
     node.m_moves->SetDataCentres(all);
+    node.m_moves->SetNodeCount(m_settings.m_nodes);
     node.m_moves->SetPlans({ m_plan }, Now());
     node.m_moves->SetWarmSlots(m_plan.m_id, SlotCount(slots), SlotCount(slots));
     node.m_splitRemainder = m_random.Fraction();
