Moves of seconds: test whole latency distributions, and try the full load briefly

Cause: slow calls were counted beyond four times the old version's 97th percentile. The latencies of one route spread over a factor of ten, so most calls of a version that is eight times slower stayed below it. The share rose in steps that were shorter than the time that evidence takes to arrive, and nothing but a verdict of bad stopped it. Class: a fixed threshold where the distributions differ, and a pace that does not wait for evidence.

Change: SlowCallTest compares the latency distributions, with a factor of its own for each target. The failure test estimates the old version's rate under both hypotheses. Old calls are weighted by the new version's concurrent calls. Before the full share, a trial of 3 % of the time at 90 % shows faults under load; its evidence is collected at 7 %. A suspect version keeps its share, goes back to 7 % from a larger one, and is rolled back at 93 % of the time. Evidence travels in half the time (windows and reports of 100 ms).

Tests: the settings' test of the lookback is unchanged.

--- a/src/process/FrontThread.cpp
+++ b/src/process/FrontThread.cpp
@@ -27,7 +27,7 @@
 namespace {
 
 /// Longest delay before an observation is sent to the control thread.
-constexpr Duration kBatchInterval = std::chrono::milliseconds(100);
+constexpr Duration kBatchInterval = std::chrono::milliseconds(50);
 constexpr std::size_t kMaxBatch = 1000;
 constexpr std::size_t kMaxTrackedRoutes = 4096;
 constexpr std::uint16_t kFirstServerError = 500;
--- a/src/process/NodeSettings.cpp
+++ b/src/process/NodeSettings.cpp
@@ -138,8 +138,8 @@
   constexpr std::size_t kOrderWatcherCount = 6;
   aSettings.m_isRegistered = true;
   aSettings.m_hasBriefMoves = true;
-  aSettings.m_moves.m_windowInterval = std::chrono::milliseconds(200);
-  aSettings.m_moves.m_reportInterval = std::chrono::milliseconds(200);
+  aSettings.m_moves.m_windowInterval = std::chrono::milliseconds(100);
+  aSettings.m_moves.m_reportInterval = std::chrono::milliseconds(100);
   aSettings.m_moves.m_refreshInterval = std::chrono::seconds(1);
   aSettings.m_moves.m_outcomeInterval = std::chrono::milliseconds(500);
   aSettings.m_prefixes = { { std::string(kConfigurationPrefix) },
--- /dev/null
+++ b/src/version/BriefJudge.cpp
@@ -0,0 +1,433 @@
+#include "version/BriefJudge.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <iomanip>
+#include <limits>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "version/EvidenceTable.h"
+#include "version/SlowCallTest.h"
+
+namespace tarragontray {
+
+namespace {
+
+/// The time spans evaluated, as divisors of the lookback.
+constexpr std::array<int, 3> kSpanDivisors{ 18, 6, 1 };
+/// Calls to the old version are concurrent with one to the new version if they
+/// end between kConcurrentBefore before it and kConcurrentAfter after it. A
+/// disturbance of both versions that has just begun does not show in earlier
+/// calls.
+constexpr Duration kConcurrentBefore = std::chrono::milliseconds(300);
+constexpr Duration kConcurrentAfter = std::chrono::seconds(1);
+/// The fraction of the verdict score from which the version is suspect.
+constexpr double kSuspicion = 0.4;
+/// Up to this share a suspect version keeps its share.
+constexpr double kMaxSuspectShare = 0.2;
+/// With fewer bad calls to the new version, a high score may be chance.
+constexpr double kMinBadCalls = 3;
+/// The increases of the failure rate that the test considers.
+constexpr std::array<double, 3> kFailureExcess{ 0.05, 0.15, 0.5 };
+/// Lower bound of the old version's failure rate: a lower observed rate is not
+/// reliable.
+constexpr double kMinFailureRate = 0.01;
+constexpr double kMaxFailureRate = 0.98;
+/// The ratio between the rates of the old version that the test considers.
+constexpr double kRateStep = 1.25;
+/// Concurrent calls to the old version required for a verdict.
+constexpr double kMinConcurrentCalls = 20;
+/// Calls to the old version required to determine its latency.
+constexpr double kMinLatencyCalls = 20;
+/// The fraction of the old version's calls that a verdict's reason does not
+/// count as slow.
+constexpr double kUsualFraction = 0.97;
+
+/// The calls to one target or version; fractional, as they may be weighted.
+struct Counts
+{
+  double m_calls = 0;
+  double m_failures = 0;
+  LatencyCounts m_latency{};
+
+  void Add(const VersionCounters& aCounters, double aWeight = 1.0)
+  {
+    m_calls += aWeight * static_cast<double>(aCounters.m_calls);
+    m_failures += aWeight * static_cast<double>(aCounters.m_failures +
+                                                aCounters.m_callerErrors);
+    for (std::size_t i = 0; i < kLatencyBuckets; ++i) {
+      m_latency[i] += aWeight * aCounters.m_latency[i];
+    }
+  }
+
+  void Add(const Counts& aOther, double aWeight = 1.0)
+  {
+    m_calls += aWeight * aOther.m_calls;
+    m_failures += aWeight * aOther.m_failures;
+    for (std::size_t i = 0; i < kLatencyBuckets; ++i) {
+      m_latency[i] += aWeight * aOther.m_latency[i];
+    }
+  }
+
+  double FailureRate() const { return m_calls > 0 ? m_failures / m_calls : 0; }
+};
+
+using CountsByTarget = std::map<VmId, Counts>;
+
+Counts
+Total(const CountsByTarget& aTargets)
+{
+  Counts total;
+  for (const auto& [target, counts] : aTargets) {
+    total.Add(counts);
+  }
+  return total;
+}
+
+/// The total of all targets except the one with the most failures.
+Counts
+TotalWithoutWorst(const CountsByTarget& aTargets)
+{
+  Counts total = Total(aTargets);
+  const auto worst = std::max_element(
+    aTargets.begin(),
+    aTargets.end(),
+    [](const auto& aFirst, const auto& aSecond) {
+      return aFirst.second.m_failures < aSecond.second.m_failures;
+    });
+  if (aTargets.size() > 1) {
+    total.Add(worst->second, -1.0);
+  }
+  return total;
+}
+
+/// The calls of one route within a span.
+struct Comparison
+{
+  CountsByTarget m_new;
+  /// The old version's calls, weighted by the new version's concurrent calls.
+  CountsByTarget m_old;
+  /// The number of unweighted calls that m_old is as reliable as.
+  double m_oldCalls = 0;
+};
+
+/// For each window, the calls to the new version that its calls to the old one
+/// are concurrent with.
+std::vector<double>
+ConcurrentCalls(const std::vector<const EvidenceWindow*>& aWindows,
+                const RouteName& aRoute)
+{
+  std::vector<double> calls(aWindows.size());
+  std::vector<Duration> ends(aWindows.size());
+  Duration end{ 0 };
+  for (std::size_t i = 0; i < aWindows.size(); ++i) {
+    end += aWindows[i]->m_length;
+    ends[i] = end;
+    for (const WindowEntry& entry : aWindows[i]->m_entries) {
+      if (entry.m_route == aRoute && entry.m_side == VersionSide::New) {
+        calls[i] += static_cast<double>(entry.m_counters.m_calls);
+      }
+    }
+  }
+  std::vector<double> concurrent(aWindows.size());
+  std::size_t first = 0;
+  std::size_t last = 0;
+  double sum = 0;
+  for (std::size_t i = 0; i < aWindows.size(); ++i) {
+    while (last < aWindows.size() &&
+           ends[last] - ends[i] <= kConcurrentBefore) {
+      sum += calls[last++];
+    }
+    while (ends[i] - ends[first] > kConcurrentAfter) {
+      sum -= calls[first++];
+    }
+    concurrent[i] = sum;
+  }
+  return concurrent;
+}
+
+Comparison
+Compare(const std::vector<const EvidenceWindow*>& aWindows,
+        const RouteName& aRoute)
+{
+  const std::vector<double> weights = ConcurrentCalls(aWindows, aRoute);
+  Comparison comparison;
+  double weighted = 0;
+  double weightedSquares = 0;
+  for (std::size_t i = 0; i < aWindows.size(); ++i) {
+    for (const WindowEntry& entry : aWindows[i]->m_entries) {
+      if (entry.m_route != aRoute) {
+        continue;
+      }
+      if (entry.m_side == VersionSide::New) {
+        comparison.m_new[entry.m_target].Add(entry.m_counters);
+        continue;
+      }
+      if (weights[i] > 0) {
+        const auto calls = static_cast<double>(entry.m_counters.m_calls);
+        comparison.m_old[entry.m_target].Add(entry.m_counters, weights[i]);
+        weighted += weights[i] * calls;
+        weightedSquares += weights[i] * weights[i] * calls;
+      }
+    }
+  }
+  // Kish's effective sample size.
+  comparison.m_oldCalls =
+    weightedSquares > 0 ? weighted * weighted / weightedSquares : 0;
+  return comparison;
+}
+
+/// Scales aCounts to aCalls calls.
+Counts
+Scaled(const Counts& aCounts, double aCalls)
+{
+  Counts result;
+  if (aCounts.m_calls > 0) {
+    result.Add(aCounts, aCalls / aCounts.m_calls);
+  }
+  return result;
+}
+
+double
+LogLikelihood(const Counts& aCounts, double aRate)
+{
+  return aCounts.m_failures * std::log(aRate) +
+         (aCounts.m_calls - aCounts.m_failures) * std::log(1 - aRate);
+}
+
+/// The log-likelihood ratio of the best alternative, in which the new version
+/// fails more often than the old one, to equal failure rates. The old version's
+/// rate is estimated under either hypothesis.
+double
+FailureScore(const Counts& aNew, const Counts& aOld)
+{
+  const auto bounded = [](double aRate) {
+    return std::clamp(aRate, kMinFailureRate, kMaxFailureRate);
+  };
+  const double equal = bounded((aNew.m_failures + aOld.m_failures) /
+                               (aNew.m_calls + aOld.m_calls));
+  const double null = LogLikelihood(aNew, equal) + LogLikelihood(aOld, equal);
+  double best = -std::numeric_limits<double>::infinity();
+  for (const double excess : kFailureExcess) {
+    for (double old = kMinFailureRate; old + excess <= kMaxFailureRate;
+         old *= kRateStep) {
+      best = std::max(
+        best, LogLikelihood(aNew, old + excess) + LogLikelihood(aOld, old));
+    }
+  }
+  return best - null;
+}
+
+/// The old version's calls.
+struct OldCounts
+{
+  Counts m_all;
+  Counts m_withoutWorst;
+};
+
+OldCounts
+MakeOldCounts(const CountsByTarget& aTargets)
+{
+  return { Total(aTargets), TotalWithoutWorst(aTargets) };
+}
+
+/// The concurrent calls to the old version, scaled to the number of calls that
+/// they are as reliable as.
+OldCounts
+ConcurrentCounts(const Comparison& aComparison)
+{
+  const OldCounts weighted = MakeOldCounts(aComparison.m_old);
+  const double calls = aComparison.m_oldCalls;
+  if (calls <= 0) {
+    return {};
+  }
+  return { Scaled(weighted.m_all, calls),
+           Scaled(weighted.m_withoutWorst,
+                  calls * weighted.m_withoutWorst.m_calls /
+                    weighted.m_all.m_calls) };
+}
+
+/// The first bucket above the usual latencies of aReference.
+std::size_t
+FirstSlowBucket(const Counts& aReference)
+{
+  const double limit = kUsualFraction * aReference.m_calls;
+  double seen = 0;
+  std::size_t bucket = 0;
+  while (bucket < kLatencyBuckets && seen < limit) {
+    seen += aReference.m_latency[bucket++];
+  }
+  return bucket;
+}
+
+double
+SlowCalls(const Counts& aCounts, std::size_t aFirstSlow)
+{
+  double calls = 0;
+  for (std::size_t i = aFirstSlow; i < kLatencyBuckets; ++i) {
+    calls += aCounts.m_latency[i];
+  }
+  return calls;
+}
+
+std::string
+Fraction(double aBad, double aCalls)
+{
+  return std::to_string(std::lround(aBad)) + "/" +
+         std::to_string(std::lround(aCalls));
+}
+
+std::string
+ScoreText(double aScore)
+{
+  std::ostringstream text;
+  text << " score=" << std::fixed << std::setprecision(1) << aScore;
+  return text.str();
+}
+
+} // namespace
+
+void
+BriefJudge::AddHistory(const EvidenceWindow& aWindow)
+{
+  for (const WindowEntry& entry : aWindow.m_entries) {
+    if (entry.m_side == VersionSide::Old) {
+      AddCounters(m_history[entry.m_route][entry.m_target], entry.m_counters);
+    }
+  }
+}
+
+void
+BriefJudge::AddWindow(const EvidenceWindow& aWindow)
+{
+  m_windows.push_back(aWindow);
+  m_length += aWindow.m_length;
+  while (m_length - m_windows.front().m_length >= m_settings.m_lookback) {
+    m_length -= m_windows.front().m_length;
+    m_windows.pop_front();
+  }
+}
+
+std::set<RouteName>
+BriefJudge::RoutesOfNewVersion() const
+{
+  std::set<RouteName> routes;
+  for (const EvidenceWindow& window : m_windows) {
+    for (const WindowEntry& entry : window.m_entries) {
+      if (entry.m_side == VersionSide::New) {
+        routes.insert(entry.m_route);
+      }
+    }
+  }
+  return routes;
+}
+
+Verdict
+BriefJudge::Judge(const EvidenceWindow& aWindow)
+{
+  AddHistory(aWindow);
+  AddWindow(aWindow);
+  Verdict verdict;
+  double highest = -std::numeric_limits<double>::infinity();
+  for (const RouteName& route : RoutesOfNewVersion()) {
+    for (const int divisor : kSpanDivisors) {
+      ScoreRoute(route, m_settings.m_lookback / divisor, highest, verdict);
+    }
+  }
+  // Evidence at a large share costs many calls, and the rest may be too few for
+  // a comparison.
+  if (verdict.m_kind == VerdictKind::Suspect &&
+      aWindow.m_share > Share::FromFraction(kMaxSuspectShare)) {
+    verdict.m_kind = VerdictKind::NeedsComparison;
+  }
+  return verdict;
+}
+
+void
+BriefJudge::ScoreRoute(const RouteName& aRoute,
+                       Duration aSpan,
+                       double& aHighest,
+                       Verdict& aVerdict) const
+{
+  std::vector<const EvidenceWindow*> windows;
+  Duration length{ 0 };
+  for (auto window = m_windows.rbegin();
+       window != m_windows.rend() && length < aSpan;
+       ++window) {
+    length += window->m_length;
+    windows.push_back(&*window);
+  }
+  std::reverse(windows.begin(), windows.end());
+  const Comparison comparison = Compare(windows, aRoute);
+  const Counts newCounts = TotalWithoutWorst(comparison.m_new);
+  if (newCounts.m_calls <= 0) {
+    return;
+  }
+  CountsByTarget history;
+  if (const auto known = m_history.find(aRoute); known != m_history.end()) {
+    for (const auto& [target, counters] : known->second) {
+      history[target].Add(counters);
+    }
+  }
+  const OldCounts historic = MakeOldCounts(history);
+  const OldCounts concurrent = ConcurrentCounts(comparison);
+  const bool isCompared = comparison.m_oldCalls >= kMinConcurrentCalls;
+  const auto offer = [&](
+                       double aScore, double aBad, const std::string& aReason) {
+    if (aScore < aHighest) {
+      return;
+    }
+    aHighest = aScore;
+    aVerdict = Verdict();
+    aVerdict.m_evidence = aRoute.Value() + " " + aReason + ScoreText(aScore);
+    if (aScore < kSuspicion * m_settings.m_verdictScore ||
+        aBad < kMinBadCalls) {
+      return;
+    }
+    const bool isCertain = isCompared && aScore >= m_settings.m_verdictScore;
+    aVerdict.m_kind = isCertain ? VerdictKind::Bad : VerdictKind::Suspect;
+    aVerdict.m_route = aRoute;
+    aVerdict.m_reason = aReason;
+    aVerdict.m_calls = CallCount(static_cast<std::uint64_t>(newCounts.m_calls));
+  };
+  const auto score = [&](const auto& aTest) {
+    const double historicScore = aTest(historic);
+    return isCompared ? std::min(historicScore, aTest(concurrent))
+                      : historicScore;
+  };
+
+  offer(score([&](const OldCounts& aOld) {
+          return FailureScore(newCounts, aOld.m_withoutWorst);
+        }),
+        newCounts.m_failures,
+        "failures new=" + Fraction(newCounts.m_failures, newCounts.m_calls) +
+          " old=" +
+          Fraction(concurrent.m_withoutWorst.m_failures,
+                   concurrent.m_withoutWorst.m_calls));
+
+  if (historic.m_all.m_calls < kMinLatencyCalls) {
+    return;
+  }
+  const Counts allNew = Total(comparison.m_new);
+  const std::size_t firstSlow = FirstSlowBucket(historic.m_all);
+  const double newSlow = SlowCalls(allNew, firstSlow);
+  if (newSlow < kMinBadCalls) {
+    return;
+  }
+  std::vector<LatencyCounts> targets;
+  for (const auto& [target, counts] : comparison.m_new) {
+    targets.push_back(counts.m_latency);
+  }
+  offer(score([&](const OldCounts& aOld) {
+          return SlowCallTest(aOld.m_all.m_latency).Score(targets);
+        }),
+        newSlow,
+        "slow-calls new=" + Fraction(newSlow, allNew.m_calls) + " old=" +
+          Fraction(SlowCalls(concurrent.m_all, firstSlow),
+                   concurrent.m_all.m_calls));
+}
+
+} // namespace tarragontray
--- /dev/null
+++ b/src/version/BriefJudge.h
@@ -0,0 +1,58 @@
+/// \file
+/// A judge for moves that last only seconds.
+///
+///     BriefJudge judge(BriefMoveSettings{});
+///     Verdict verdict = judge.Judge(window);
+///
+/// Compares the new version with the old one on every route over several time
+/// spans, up to BriefMoveSettings::m_lookback. Two likelihood-ratio tests, for
+/// failures and for slow calls, each consider several sizes of the fault. The
+/// worst target of each version is excluded.
+///
+/// The share changes within a span, so the old version's calls are weighted by
+/// the number of calls to the new version at about the same time. A fault of
+/// both versions is thus not attributed to the one that carried most calls
+/// while it lasted. A fault must also show against the old version's history.
+/// A verdict of Bad requires enough concurrent calls to the old version. At a
+/// large share, a suspect version therefore needs a comparison at a small one.
+///
+/// Thread safety: one thread.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <set>
+
+#include "version/BriefMovePolicy.h"
+
+namespace tarragontray {
+
+/// A judge for moves that last only seconds; see the file comment.
+class BriefJudge final : public VersionJudge
+{
+public:
+  explicit BriefJudge(const BriefMoveSettings& aSettings)
+    : m_settings(aSettings)
+  {
+  }
+
+  void AddHistory(const EvidenceWindow& aWindow) override;
+  Verdict Judge(const EvidenceWindow& aWindow) override;
+
+private:
+  using CountersByTarget = std::map<VmId, VersionCounters>;
+
+  void AddWindow(const EvidenceWindow& aWindow);
+  std::set<RouteName> RoutesOfNewVersion() const;
+  void ScoreRoute(const RouteName& aRoute,
+                  Duration aSpan,
+                  double& aHighest,
+                  Verdict& aVerdict) const;
+
+  BriefMoveSettings m_settings;
+  std::deque<EvidenceWindow> m_windows;
+  Duration m_length{ 0 };
+  std::map<RouteName, CountersByTarget> m_history;
+};
+
+} // namespace tarragontray
--- a/src/version/BriefMovePolicy.h
+++ b/src/version/BriefMovePolicy.h
@@ -8,14 +8,9 @@
 ///
 /// A version that fails only under load is detected in the last steps. These
 /// are short, so that all steps below the full share together receive less than
-/// a tenth of the calls. The judge evaluates only the last seconds, because
-/// there is no time to return to equal load for a comparison as
-/// SequentialMovePolicy does.
-///
-/// The verdict uses two likelihood ratios, one for failures and one for slow
-/// calls, that compare the new version with the old version's history and
-/// exclude the worst target. A call is slow if it takes about four times as
-/// long as nearly all calls to the old version.
+/// a tenth of the calls. The judge (version/BriefJudge.h) evaluates only the
+/// last seconds, because there is no time to return to equal load for a
+/// comparison as SequentialMovePolicy does.
 #pragma once
 
 #include <memory>
@@ -31,9 +26,9 @@
   /// The natural logarithm of the likelihood ratio at which a version is judged
   /// bad. A good version reaches it with a probability of about
   /// exp(-m_verdictScore).
-  double m_verdictScore = 7.0;
+  double m_verdictScore = 8.0;
   /// How far back calls are evaluated.
-  Duration m_lookback = std::chrono::seconds(4);
+  Duration m_lookback = std::chrono::seconds(18);
 };
 
 /// A policy for moves of a few seconds; see the file comment. Thread safety:
@@ -46,6 +41,9 @@
     const BriefMoveSettings& aSettings);
 
   Share NextShare(const PaceInput& aInput) const override;
+  Share ShareAfterTrial(const PaceInput& aInput) const override;
+  bool MustDecide(const PaceInput& aInput) const override;
+  Share ComparisonShare(Share aEqualLoad) const override;
   std::unique_ptr<VersionJudge> MakeJudge(EvidenceScope aScope) const override;
 
 private:
--- a/src/version/Moves.cmake
+++ b/src/version/Moves.cmake
@@ -1,12 +1,13 @@
 tt_decision_library(tt_moves
-  SRCS BriefMovePolicy.cpp EvidenceTable.cpp FixedStepPolicy.cpp LoadComparison.cpp
+  SRCS BriefJudge.cpp BriefMovePolicy.cpp EvidenceTable.cpp FixedStepPolicy.cpp LoadComparison.cpp
        LocalEvidence.cpp Move.cpp MoveCoordinator.cpp Moves.cpp
        NodeMoveMonitor.cpp RouteComparison.cpp SequentialJudge.cpp
-       SequentialMovePolicy.cpp SequentialTest.cpp
-  HDRS BriefMovePolicy.h EvidenceTable.h EvidenceWindow.h FixedStepPolicy.h LoadComparison.h
+       SequentialMovePolicy.cpp SequentialTest.cpp SlowCallTest.cpp
+  HDRS BriefJudge.h BriefMovePolicy.h EvidenceTable.h EvidenceWindow.h FixedStepPolicy.h LoadComparison.h
        LocalEvidence.h Move.h MoveCoordinator.h MovePolicy.h Moves.h MoveStatus.h
        NodeMoveMonitor.h RouteComparison.h SequentialJudge.h
-       SequentialMovePolicy.h SequentialTest.h VersionSplit.h
+       SequentialMovePolicy.h SequentialTest.h SlowCallTest.h
+       VersionSplit.h
   DEPS tt_base tt_configuration tt_move_values)
 
 # The simulation model of the upstreams and simulated sessions, for tests and
--- a/src/version/testing/BriefScenarios.cpp
+++ b/src/version/testing/BriefScenarios.cpp
@@ -30,6 +30,9 @@
 /// A bad version may receive kMaxExposure of the calls and kExposureSlack more.
 constexpr double kMaxExposure = 0.1;
 constexpr double kExposureSlack = 50.0;
+/// The failure rate of a version that fails under load, relative to that of
+/// other bad versions.
+constexpr double kUnderLoadFactor = 0.5;
 
 double
 Between(Random& aRandom, double aLow, double aHigh)
@@ -89,6 +92,7 @@
     case BriefKind::SlowUnderLoad: {
       ModelFault fault =
         aKind == BriefKind::SlowUnderLoad ? Slow(aRandom) : Failing(aRandom);
+      fault.m_failureRate *= kUnderLoadFactor;
       fault.m_aboveLoad = Load(aSettings) * Between(aRandom, 0.2, 0.6);
       return fault;
     }
