Distribution: failing tests for a change that is late on a node in touch (CONFIG)

A watch on which the platform answers no more is replaced only after a pull of the newer document, and a failed pull waits for another digest.

--- a/src/process/PlatformLoopTest.cpp
+++ b/src/process/PlatformLoopTest.cpp
@@ -151,6 +151,22 @@
     Check();
   }
 
+  /// Delivers a datagram from a peer whose highest revision is aRevision.
+  void ReceiveDigest(std::uint64_t aRevision)
+  {
+    Datagram datagram;
+    datagram.m_from = VmId("vm-2");
+    MemberRecord& peer = datagram.m_members.emplace_back();
+    peer.m_vm = datagram.m_from;
+    peer.m_dataCentre = DataCentreId("dc");
+    peer.m_cell = DataCentreId("dc");
+    peer.m_incarnation = Incarnation(1);
+    peer.m_peerAddress = NetworkAddress(0x7F000001, 7001);
+    datagram.m_digest.emplace().m_documents.m_highest = Revision(aRevision);
+    m_core->OnDatagram(datagram, peer.m_peerAddress, Now());
+    Check();
+  }
+
   /// Answers the registration with a conflict, as if a previous process of the
   /// VM had written its entry.
   void RejectRegistration()
@@ -215,6 +231,24 @@
   cr_assert_eq(node.m_script.m_lists.size(), 1);
 }
 
+/// Waiting for the pull of the peer's documents exceeds the propagation bound.
+Test(PlatformLoop, WatchWithoutAnswersIsKeptAlthoughAPeerIsAhead)
+{
+  WatchingNode node;
+  node.AnswerList(5);
+  node.ReceiveDigest(9);
+  node.RunFor(200ms);
+  cr_assert_eq(node.m_script.m_dropped, 0);
+  node.RunFor(400ms);
+  cr_assert_eq(node.m_script.m_dropped, 1);
+  cr_assert_eq(node.m_script.m_lists.size(), 1);
+  // The platform's answer covers the peer's revision.
+  node.AnswerList(9);
+  node.ReceiveDigest(9);
+  node.RunFor(800ms);
+  cr_assert_eq(node.m_script.m_dropped, 1);
+}
+
 Test(PlatformLoop, AllowsASlowAnswerMoreTimeAfterADrop)
 {
   WatchingNode node;
