Distribution: a peer's digest alone shows that a watch is overtaken; a failed pull asks another peer

Cause: a node has two ways to a change, its watch and its peers. A watch on which the platform answers no more was replaced only after a pull had delivered a newer document. Without the tree's datagram the pull came up to 1 s (probe) + 1.4 s (wait) after the change, and a failed pull waited for another digest: more than the bound of 2 s. Class: timeouts in series whose sum nobody bounded.

Change: a revision in any peer's digest that neither the watch nor the node's documents cover counts as overtaken, so that the node lists from the platform 0.5 s later. After a failed pull another peer that is ahead is asked; only the backoff delays it.

Ruled out: shorter waits before pulls; they would transfer large configurations twice while the node's own watch delivers them.

--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -167,7 +167,11 @@
 bool
 ControlCore::IsOvertaken(const std::string& aPrefix) const
 {
-  return m_gossip.Documents().HasNewerThanPlatform(aPrefix);
+  const Distribution& documents = m_gossip.Documents();
+  const Revision known = std::max(documents.Table().Digest().m_highest,
+                                  documents.WatchAfter(aPrefix));
+  return documents.HasNewerThanPlatform(aPrefix) ||
+         m_gossip.HighestReported() > known;
 }
 
 void
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -151,7 +151,9 @@
                            const Times& aTimes,
                            const std::string& aPrefix,
                            DocumentChannel aChannel);
-  /// Whether peers delivered a newer revision than the prefix's watch did.
+  /// Whether a peer has delivered a newer document of the prefix than its watch
+  /// did, or has reported a revision that neither the watch nor this node's
+  /// documents cover.
   bool IsOvertaken(const std::string& aPrefix) const;
   /// Resets the prefix's watch position after the platform reported that its
   /// history no longer reaches back that far.
--- a/src/process/Gossip.cpp
+++ b/src/process/Gossip.cpp
@@ -178,6 +178,38 @@
 {
   ++m_counters.m_pullsFailed;
   m_pulls.Failed(aNow);
+  PullFromAnother(aNow);
+}
+
+void
+Gossip::PullFromAnother(MonotonicTime aNow)
+{
+  const StateDigest mine = Digest();
+  const auto isAhead = [&](const auto& aReported) {
+    const MemberRecord* peer = m_members->Table().Find(aReported.first);
+    return aReported.second > mine.m_documents.m_highest && peer != nullptr &&
+           peer->m_state == NodeState::Alive &&
+           aReported.first != m_pulling.m_peer;
+  };
+  // The first one after the peer that failed, so that repeated failures reach
+  // every peer.
+  auto next = std::find_if(m_reportedRevisions.upper_bound(m_pulling.m_peer),
+                           m_reportedRevisions.end(),
+                           isAhead);
+  if (next == m_reportedRevisions.end()) {
+    next = std::find_if(
+      m_reportedRevisions.begin(), m_reportedRevisions.end(), isAhead);
+  }
+  if (next == m_reportedRevisions.end()) {
+    return;
+  }
+  PullCandidate candidate;
+  candidate.m_peer = next->first;
+  candidate.m_address = m_members->Table().Find(next->first)->m_peerAddress;
+  candidate.m_theirs = mine;
+  candidate.m_theirs.m_documents.m_highest = next->second;
+  candidate.m_isRetry = true;
+  m_pulls.Offer(candidate, mine, aNow);
 }
 
 StateDigest
@@ -206,6 +238,7 @@
   if (m_members->Table().Find(aDatagram.m_from) != nullptr) {
     Revision& reported = m_reportedRevisions[aDatagram.m_from];
     reported = std::max(reported, aDatagram.m_digest->m_documents.m_highest);
+    m_highestReported = std::max(m_highestReported, reported);
   }
   m_pulls.Offer({ aDatagram.m_from,
                   aFrom,
--- a/src/process/Gossip.h
+++ b/src/process/Gossip.h
@@ -119,6 +119,9 @@
     return m_members->IsSettled() && !m_documents.IsBelowFloor();
   }
 
+  /// The highest document revision in any peer's digest so far.
+  Revision HighestReported() const { return m_highestReported; }
+
   Membership& Members() { return *m_members; }
   const Membership& Members() const { return *m_members; }
   Distribution& Documents() { return m_documents; }
@@ -135,6 +138,8 @@
 
   StateDigest Digest() const;
   bool IsInOtherCell(const VmId& aVm) const;
+  /// After a failed pull, schedules one from another peer that is ahead.
+  void PullFromAnother(MonotonicTime aNow);
   void ReceiveDigest(const Datagram& aDatagram,
                      const NetworkAddress& aFrom,
                      MonotonicTime aNow);
@@ -163,6 +168,7 @@
   /// The highest revision that each VM has reported in a digest: the floor for
   /// a replacement process on that VM.
   std::map<VmId, Revision> m_reportedRevisions;
+  Revision m_highestReported;
 };
 
 } // namespace tarragontray
--- a/src/process/PullSchedule.cpp
+++ b/src/process/PullSchedule.cpp
@@ -103,7 +103,9 @@
                       MonotonicTime aNow)
 {
   Duration wait{ 0 };
-  if (aCandidate.m_isJoining) {
+  if (aCandidate.m_isRetry) {
+    wait = Duration(0);
+  } else if (aCandidate.m_isJoining) {
     wait = m_settings.m_joinWait + RandomUpTo(m_settings.m_joinWait);
   } else if (!IsBehind(aMine, aCandidate.m_theirs)) {
     const bool isInDocuments =
--- a/src/process/PullSchedule.h
+++ b/src/process/PullSchedule.h
@@ -67,6 +67,8 @@
   std::optional<SpreadPath> m_path;
   /// True while this node joins and needs the peer's whole state.
   bool m_isJoining = false;
+  /// True when another peer failed to answer; only the backoff delays the pull.
+  bool m_isRetry = false;
 };
 
 /// True when the peer holds a higher document revision than this node.
