Guard: keep an upstream's stated rate limit, and stop sending to one that says it is leaving

Cause: what an upstream states about itself in its answers was forwarded and had no effect. Class: a bound on the calls of all nodes together, which no entry node can keep alone.

Change: UpstreamDialect reads a notice from each answer. All calls to an upstream pass its own node's guard, which starts calls at the stated rate (a burst of one second), reports the slots that can be kept busy at it, so that other nodes choose other targets, and states in refusals when to return. ObjectiveAdmission refuses at once what the rate keeps from its deadline, with the share that more urgent calls take. A leaving upstream counts as draining at once, at the guard and, through the control thread, at all nodes, until another process serves.

Ruled out: limits at the entry nodes; they would have to agree on shares of the limit.

--- a/src/process/TokenBucket.h
+++ b/src/base/TokenBucket.h
@@ -26,6 +26,15 @@
   {
   }
 
+  /// Changes the rate and the burst; tokens beyond the burst are lost.
+  void SetRate(double aRate, double aBurst, MonotonicTime aNow)
+  {
+    Refill(aNow);
+    m_rate = aRate;
+    m_burst = aBurst;
+    m_tokens = std::min(m_tokens, aBurst);
+  }
+
   /// Takes aCost tokens and returns true, or takes none and returns false when
   /// fewer are available.
   bool Take(double aCost, MonotonicTime aNow)
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -316,8 +316,10 @@
     switch (m_dialect->Judge(m_call, aAnswer.m_http)) {
       case UpstreamVerdict::Ran:
         aAnswer.m_outcome = CallOutcome::Done;
+        aAnswer.m_notice = m_dialect->ReadNotice(aAnswer.m_http);
         break;
       case UpstreamVerdict::Shed:
+        aAnswer.m_notice = m_dialect->ReadNotice(aAnswer.m_http);
         aAnswer.m_outcome = CallOutcome::NotRun;
         aAnswer.m_refusal = RefusalReason::UpstreamShed;
         break;
--- a/src/process/ControlThread.cpp
+++ b/src/process/ControlThread.cpp
@@ -100,6 +100,16 @@
     return Success();
   }
 
+  void UpstreamIsLeaving(UpstreamInstanceId aInstance) override
+  {
+    m_loop.Post([this, instance = std::move(aInstance)] {
+      UpstreamReport report;
+      report.m_place.m_instance = instance;
+      report.m_isLeave = true;
+      ApplyUpstreamReport(report);
+    });
+  }
+
   void Observe(ObservationBatch aBatch) override
   {
     m_loop.Post(
@@ -389,13 +399,14 @@
       return TextAnswer(400, aRequest.error().Message() + "\n");
     }
     if (const auto* report = std::get_if<UpstreamReport>(&aRequest.value())) {
-      return ApplyUpstreamReport(*report);
+      ApplyUpstreamReport(*report);
+      return m_settings.m_dialects.m_control->Acknowledge();
     }
     const bool isReady = m_core->IsReady() && !m_isDraining;
     return TextAnswer(isReady ? 200 : 503, isReady ? "ready\n" : "not ready\n");
   }
 
-  HttpAnswerParts ApplyUpstreamReport(const UpstreamReport& aReport)
+  void ApplyUpstreamReport(const UpstreamReport& aReport)
   {
     if (m_upstreams.Offer(aReport)) {
       PublishUpstream(aReport.m_number);
@@ -404,7 +415,6 @@
       m_platform->RecordUpstreamLeave(*m_upstreams.LastLeavingProcess());
     }
     Handle(m_core->OnUpstreamAnnouncement(m_upstreams.Announcement(), Now()));
-    return m_settings.m_dialects.m_control->Acknowledge();
   }
 
   void PublishUpstream(AnnouncementNumber aNumber)
--- a/src/process/ControlThread.h
+++ b/src/process/ControlThread.h
@@ -75,6 +75,9 @@
   virtual void Observe(ObservationBatch aBatch) = 0;
   /// Adds usage of this node's upstream to the ledger.
   virtual void Account(UsageBatch aBatch) = 0;
+  /// Records that the upstream with this instance id has stated in an answer
+  /// that it is leaving, and announces that to the peers. Any thread.
+  virtual void UpstreamIsLeaving(UpstreamInstanceId aInstance) = 0;
   /// Answers an encoded pull request from a peer. aReply is called on the
   /// control thread, and not at all when the request does not decode.
   virtual void AnswerState(std::string aRequest,
--- a/src/process/Distribution.h
+++ b/src/process/Distribution.h
@@ -46,7 +46,7 @@
 #include "process/DocumentTable.h"
 #include "process/Pull.h"
 #include "process/SpreadTree.h"
-#include "process/TokenBucket.h"
+#include "base/TokenBucket.h"
 #include "version/Document.h"
 
 namespace tarragontray {
--- a/src/process/FrontThread.cpp
+++ b/src/process/FrontThread.cpp
@@ -224,7 +224,8 @@
   HttpAnswerParts Write(const CallerRequest& aCaller, Answer aAnswer)
   {
     if (aAnswer.m_outcome == CallOutcome::NotRun) {
-      aAnswer.m_retryAfter = RetryAfter(aAnswer.m_refusal);
+      aAnswer.m_retryAfter =
+        std::max(aAnswer.m_retryAfter, RetryAfter(aAnswer.m_refusal));
       if (aAnswer.m_refusal == RefusalReason::NoConfiguration ||
           aAnswer.m_refusal == RefusalReason::NoRoute) {
         Log(LogLevel::Info,
--- a/src/process/Gossip.h
+++ b/src/process/Gossip.h
@@ -40,7 +40,7 @@
 #include "process/Pull.h"
 #include "process/PullSchedule.h"
 #include "process/SpreadTree.h"
-#include "process/TokenBucket.h"
+#include "base/TokenBucket.h"
 
 namespace tarragontray {
 
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -67,6 +67,11 @@
                    const UpstreamEndpoint& aPlace) override
   {
     m_loop.Post([this, aUpstream, aPlace] {
+      if (aPlace.m_address != m_place.m_address ||
+          aPlace.m_instance != m_place.m_instance) {
+        m_guard.ResetNotice();
+      }
+      m_place = aPlace;
       m_pool->SetEndpoint(aPlace);
       m_version = aUpstream.m_version;
       Execute(m_guard.SetUpstream(aUpstream, m_clock.Now()));
@@ -209,6 +214,9 @@
         run->second->Abort();
       }
     }
+    if (aActions.m_notice) {
+      HandleNotice(*aActions.m_notice);
+    }
     for (const RefusedCall& refused : aActions.m_refused) {
       LogRefusal(refused);
     }
@@ -222,6 +230,20 @@
     ScheduleTick();
   }
 
+  void HandleNotice(const UpstreamNotice& aNotice)
+  {
+    Log(LogLevel::Info,
+        kPart,
+        "Upstream notice.",
+        { { "limit_per_s",
+            aNotice.m_rateLimit ? std::to_string(aNotice.m_rateLimit->Value())
+                                : "none" },
+          { "leaving", aNotice.m_isLeaving ? "yes" : "no" } });
+    if (aNotice.m_isLeaving) {
+      m_events.m_onUpstreamLeaving(m_place.m_instance);
+    }
+  }
+
   void LogRefusal(const RefusedCall& aRefused) const
   {
     // A caller that cancelled expects the refusal. Other callers receive only
@@ -341,6 +363,7 @@
   asio::steady_timer m_usageTimer;
   UsageBatch m_usage;
   UpstreamVersion m_version;
+  UpstreamEndpoint m_place;
   std::unique_ptr<UpstreamPool> m_pool;
   std::unordered_map<CallerLink, std::shared_ptr<FrameStream>> m_links;
   std::unordered_map<Ticket, std::shared_ptr<UpstreamRun>> m_runs;
--- a/src/process/GuardThread.h
+++ b/src/process/GuardThread.h
@@ -45,6 +45,8 @@
 /// thread.
 struct GuardEvents
 {
+  /// The upstream with this instance id has stated that it is leaving.
+  std::function<void(UpstreamInstanceId)> m_onUpstreamLeaving;
   /// Usage of the upstream since the previous batch.
   std::function<void(UsageBatch)> m_onUsage;
   /// An encoded pull request from a peer. The second argument sends the encoded
--- a/src/process/Membership.cmake
+++ b/src/process/Membership.cmake
@@ -11,7 +11,7 @@
   SRCS DatagramMerge.cpp Distribution.cpp DocumentTable.cpp Gossip.cpp
        MoveGossip.cpp PullSchedule.cpp
   HDRS DatagramMerge.h Distribution.h DocumentTable.h Gossip.h MoveGossip.h
-       PullSchedule.h TokenBucket.h
+       PullSchedule.h
   DEPS tt_membership)
 
 tt_library(tt_fake_network SRCS testing/FakeNetwork.cpp testing/FakeNetworkChecks.cpp DEPS tt_gossip)
--- a/src/process/Node.cpp
+++ b/src/process/Node.cpp
@@ -113,6 +113,9 @@
     events.m_onUsage = [this](UsageBatch aBatch) {
       m_control->Account(std::move(aBatch));
     };
+    events.m_onUpstreamLeaving = [this](UpstreamInstanceId aInstance) {
+      m_control->UpstreamIsLeaving(std::move(aInstance));
+    };
     events.m_onStateRequest = [this](std::string aRequest,
                                      std::function<void(std::string)> aReply) {
       if (m_isRunning) {
--- a/src/programs/StandinPlatform.h
+++ b/src/programs/StandinPlatform.h
@@ -31,7 +31,7 @@
 #include "base/NetworkAddress.h"
 #include "base/Result.h"
 #include "connection/PlatformMessages.h"
-#include "process/TokenBucket.h"
+#include "base/TokenBucket.h"
 #include "programs/FaultyHttpServer.h"
 #include "programs/StandinPlatformStore.h"
 
--- a/src/request/AdmissionPolicy.h
+++ b/src/request/AdmissionPolicy.h
@@ -50,6 +50,10 @@
   std::uint32_t m_running = 0;
   /// Mean time of one call in the upstream; 0 when unknown.
   Duration m_serviceTime{ 0 };
+  /// While the upstream limits its rate of calls: the time between two starts,
+  /// and the time until the next one. 0 without a limit.
+  Duration m_startInterval{ 0 };
+  Duration m_startDelay{ 0 };
 };
 
 /// A call to be refused, and why.
--- a/src/request/BalancingTest.cpp
+++ b/src/request/BalancingTest.cpp
@@ -138,6 +138,22 @@
   cr_assert(counts[0] <= 1, "refusing target got %d of 8 calls", counts[0]);
 }
 
+Test(TwoChoices, TargetThatReportsFewerSlotsGetsAFullShare)
+{
+  const std::vector<Target> targets = MakeTargets(2, 2);
+  TwoChoicesBalancing policy = MakePolicy();
+  for (const std::uint32_t slots : { 1U, 4U }) {
+    const Target& target = targets[slots == 1U ? 0 : 1];
+    policy.Started(target.m_vm, kNow);
+    policy.Finished(target.m_vm,
+                    { .m_latency = milliseconds(20),
+                      .m_load = LoadReport{ 0, 0, SlotCount(slots) } },
+                    kNow);
+  }
+  const std::vector<int> counts = Spread(policy, targets, 8);
+  cr_assert(counts[0] <= 2, "limited target got %d of 8 calls", counts[0]);
+}
+
 Test(Subset, OwnDataCentreFirstBoundedAndStable)
 {
   std::vector<Target> targets = MakeTargets(100, 8);
--- a/src/request/Call.h
+++ b/src/request/Call.h
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -96,6 +97,8 @@
   std::uint32_t m_running = 0;
   /// Calls that are waiting in the guard's queue.
   std::uint32_t m_queued = 0;
+  /// The slots that calls can use; fewer than the upstream has while it limits
+  /// its rate of calls.
   SlotCount m_slots{ 0 };
 };
 
@@ -138,6 +141,18 @@
   HttpRequestParts m_http;
 };
 
+/// What an upstream states about itself in its answers.
+struct UpstreamNotice
+{
+  /// The calls per second that it accepts from all nodes together, for as long
+  /// as its answers state it; not set without a limit.
+  std::optional<CallRate> m_rateLimit;
+  /// It is about to end. Not revoked by later answers.
+  bool m_isLeaving = false;
+
+  bool operator==(const UpstreamNotice&) const = default;
+};
+
 /// How one attempt ended.
 struct Answer
 {
@@ -151,6 +166,9 @@
   LoadReport m_load;
   /// Time in the upstream, without queueing and network time.
   Duration m_serviceTime{ 0 };
+  /// Set by the upstream's node when the upstream has answered; not sent to
+  /// other nodes.
+  std::optional<UpstreamNotice> m_notice{};
 };
 
 /// What a guard reports about an operation whose answer was lost.
--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <string>
 #include <utility>
 
@@ -31,6 +32,26 @@
   return !aCall.m_idempotent && !aCall.m_operation.IsEmpty();
 }
 
+/// Calls that may start at once under a rate limit, in seconds of the rate.
+constexpr double kBurstSeconds = 1.0;
+/// Lowest rate at which calls are sent to an upstream with a lower limit, since
+/// only its answers show that the limit has changed.
+constexpr CallRate kMinRate(1.0);
+constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
+
+double
+Burst(CallRate aRate)
+{
+  return std::max(1.0, kBurstSeconds * aRate.Value());
+}
+
+Duration
+Interval(CallRate aRate)
+{
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(1.0 / aRate.Value()));
+}
+
 } // namespace
 
 Result<Guard>
@@ -56,6 +77,7 @@
   : m_settings(aSettings)
   , m_policy(std::move(aPolicy))
   , m_operations(aSettings.m_operations)
+  , m_starts(kMinRate.Value(), Burst(kMinRate))
 {
 }
 
@@ -165,7 +187,8 @@
   entry.m_arrived = aNow;
   entry.m_deadline = waiting.m_deadline;
   entry.m_call = std::move(aCall);
-  for (const Refused& refused : m_policy->Offer(waiting, Capacity(), aNow)) {
+  for (const Refused& refused :
+       m_policy->Offer(waiting, Capacity(aNow), aNow)) {
     Refuse(refused.m_ticket, refused.m_reason, aNow, aActions);
   }
 }
@@ -176,7 +199,20 @@
   for (const Refused& refused : m_policy->TakeExpired(aNow)) {
     Refuse(refused.m_ticket, refused.m_reason, aNow, aActions);
   }
-  while (const std::optional<Ticket> next = m_policy->Next(Capacity(), aNow)) {
+  m_nextStart.reset();
+  while (m_policy->Size() > 0) {
+    const UpstreamCapacity capacity = Capacity(aNow);
+    if (capacity.m_startDelay > Duration::zero()) {
+      m_nextStart = aNow + capacity.m_startDelay;
+      break;
+    }
+    const std::optional<Ticket> next = m_policy->Next(capacity, aNow);
+    if (!next) {
+      break;
+    }
+    if (m_notice.m_rateLimit) {
+      m_starts.Charge(1.0);
+    }
     Entry& entry = m_entries.at(*next);
     entry.m_isRunning = true;
     entry.m_started = aNow;
@@ -211,6 +247,9 @@
       m_operations.Finish(KeyOf(entry.m_call), aAnswer, aNow);
     }
   }
+  if (aAnswer.m_notice) {
+    ApplyNotice(*aAnswer.m_notice, aNow, actions);
+  }
   for (const Waiter& waiter : entry.m_waiters) {
     ReplyTo(waiter, aAnswer, actions);
     m_links.Remove(waiter);
@@ -219,6 +258,34 @@
   return actions;
 }
 
+void
+Guard::ApplyNotice(const UpstreamNotice& aNotice,
+                   MonotonicTime aNow,
+                   GuardActions& aActions)
+{
+  UpstreamNotice notice = aNotice;
+  notice.m_isLeaving |= m_notice.m_isLeaving;
+  if (notice == m_notice) {
+    return;
+  }
+  if (notice.m_rateLimit) {
+    const CallRate rate = std::max(*notice.m_rateLimit, kMinRate);
+    m_starts.SetRate(rate.Value(), Burst(rate), aNow);
+  }
+  const bool startsLeaving = notice.m_isLeaving && !m_notice.m_isLeaving;
+  m_notice = notice;
+  aActions.m_notice = notice;
+  if (startsLeaving) {
+    RefuseWaiting(RefusalReason::Draining, aNow, aActions);
+  }
+}
+
+void
+Guard::ResetNotice()
+{
+  m_notice = {};
+}
+
 GuardActions
 Guard::Cancel(CallerLink aFrom, CallId aCall, MonotonicTime aNow)
 {
@@ -309,7 +376,10 @@
 std::optional<MonotonicTime>
 Guard::NextTick() const
 {
-  return m_policy->NextExpiry();
+  const std::optional<MonotonicTime> expiry = m_policy->NextExpiry();
+  return m_nextStart && expiry ? std::min(*m_nextStart, *expiry)
+         : m_nextStart         ? m_nextStart
+                               : expiry;
 }
 
 GuardActions
@@ -319,6 +389,11 @@
   const bool isReplaced = aUpstream.m_service != m_upstream.m_service ||
                           aUpstream.m_version != m_upstream.m_version;
   m_upstream = aUpstream;
+  if (isReplaced || aUpstream.m_state == UpstreamState::Draining ||
+      aUpstream.m_state == UpstreamState::Absent) {
+    // From a draining or absent state, only another process becomes live.
+    m_notice.m_isLeaving = false;
+  }
   const bool isGone = aUpstream.m_state == UpstreamState::Absent || isReplaced;
   if (isGone || aUpstream.m_state == UpstreamState::Draining) {
     RefuseWaiting(isGone ? RefusalReason::UpstreamGone
@@ -418,13 +493,48 @@
   Answer answer;
   answer.m_outcome = CallOutcome::NotRun;
   answer.m_refusal = aReason;
+  answer.m_retryAfter = RetryAfter(aReason);
   ReplyTo(aWaiter, std::move(answer), aActions);
 }
 
 UpstreamCapacity
-Guard::Capacity() const
+Guard::Capacity(MonotonicTime aNow)
 {
-  return { m_upstream.m_slots, m_running, m_serviceTimes.Mean() };
+  UpstreamCapacity capacity{ m_upstream.m_slots,
+                             m_running,
+                             m_serviceTimes.Mean() };
+  if (m_notice.m_rateLimit) {
+    capacity.m_startInterval =
+      Interval(std::max(*m_notice.m_rateLimit, kMinRate));
+    capacity.m_startDelay = m_starts.ReadyAt(1.0, aNow) - aNow;
+  }
+  return capacity;
+}
+
+SlotCount
+Guard::UsableSlots() const
+{
+  if (!m_notice.m_rateLimit) {
+    return m_upstream.m_slots;
+  }
+  const double seconds =
+    std::chrono::duration<double>(m_serviceTimes.Mean()).count();
+  const auto busy = static_cast<std::uint32_t>(
+    std::lround(m_notice.m_rateLimit->Value() * seconds));
+  return std::min(m_upstream.m_slots, SlotCount(std::max(1U, busy)));
+}
+
+Duration
+Guard::RetryAfter(RefusalReason aReason) const
+{
+  const bool isForLoad = aReason == RefusalReason::QueueFull ||
+                         aReason == RefusalReason::DeadlineTooShort;
+  if (!m_notice.m_rateLimit || !isForLoad) {
+    return Duration(0);
+  }
+  const auto ahead = static_cast<int>(m_policy->Size()) + 1;
+  return std::min(kMaxRetryAfter,
+                  ahead * Interval(std::max(*m_notice.m_rateLimit, kMinRate)));
 }
 
 LoadReport
@@ -432,7 +542,7 @@
 {
   return { m_running,
            static_cast<std::uint32_t>(m_policy->Size()),
-           m_upstream.m_slots };
+           UsableSlots() };
 }
 
 } // namespace tarragontray
--- a/src/request/Guard.h
+++ b/src/request/Guard.h
@@ -28,6 +28,7 @@
 
 #include "base/Ids.h"
 #include "base/Result.h"
+#include "base/TokenBucket.h"
 #include "base/Units.h"
 #include "process/MemberRecord.h"
 #include "request/AdmissionPolicy.h"
@@ -86,6 +87,8 @@
   std::vector<Reply> m_replies;
   std::vector<Run> m_runs;
   std::vector<RefusedCall> m_refused;
+  /// Set when the upstream has stated something else about itself than before.
+  std::optional<UpstreamNotice> m_notice;
 };
 
 /// The answer to a query about an operation.
@@ -144,6 +147,9 @@
   {
     m_policy->SetBounds(aBounds);
   }
+  /// Forgets what the upstream has stated about itself. Call when another
+  /// process serves.
+  void ResetNotice();
   /// Refuses waiting and new calls from now on; running calls complete.
   GuardActions Drain(MonotonicTime aNow);
   /// True when no call is waiting or running.
@@ -216,10 +222,18 @@
   void ReplyNotRun(const Waiter& aWaiter,
                    RefusalReason aReason,
                    GuardActions& aActions);
-  UpstreamCapacity Capacity() const;
+  UpstreamCapacity Capacity(MonotonicTime aNow);
+  void ApplyNotice(const UpstreamNotice& aNotice,
+                   MonotonicTime aNow,
+                   GuardActions& aActions);
+  /// The slots that calls can keep busy at the upstream's rate limit.
+  SlotCount UsableSlots() const;
+  /// How long a refused caller should wait; zero without a rate limit.
+  Duration RetryAfter(RefusalReason aReason) const;
   bool IsDraining() const
   {
-    return m_isDraining || m_upstream.m_state == UpstreamState::Draining;
+    return m_isDraining || m_notice.m_isLeaving ||
+           m_upstream.m_state == UpstreamState::Draining;
   }
 
   GuardSettings m_settings;
@@ -227,6 +241,11 @@
   OperationTable m_operations;
   UpstreamAnnouncement m_upstream;
   bool m_isDraining = false;
+  UpstreamNotice m_notice;
+  /// Limits the starts of calls while m_notice has a rate limit.
+  TokenBucket m_starts;
+  /// Set while waiting calls can't start because of the rate limit.
+  std::optional<MonotonicTime> m_nextStart;
   Entries m_entries;
   CallerLinks m_links;
   std::uint32_t m_running = 0;
--- a/src/request/GuardTest.cpp
+++ b/src/request/GuardTest.cpp
@@ -327,4 +327,103 @@
   cr_assert(refused.m_replies.at(0).m_answer.m_id == CallId(4));
 }
 
+namespace {
+
+Answer
+Limited(double aPerSecond)
+{
+  Answer answer = Done("x");
+  answer.m_notice = UpstreamNotice{ CallRate(aPerSecond), false };
+  return answer;
+}
+
+} // namespace
+
+Test(Guard, UpstreamGetsMoreCallsThanItsStatedLimit)
+{
+  Guard guard = MakeGuard(8, 1000);
+  MonotonicTime now = kStart;
+  const GuardActions first = guard.Submit(MakeCall(1), kLink, now);
+  guard.Finished(first.m_runs[0].m_ticket, Limited(10), now);
+  int runs = 0;
+  std::uint64_t id = 1;
+  for (int step = 0; step < 400; ++step) {
+    now += milliseconds(10);
+    GuardActions actions = guard.Submit(MakeCall(++id), kLink, now);
+    while (!actions.m_runs.empty()) {
+      ++runs;
+      actions = guard.Finished(actions.m_runs[0].m_ticket, Limited(10), now);
+    }
+  }
+  // 4 s at 10 calls per second, and a short burst.
+  cr_assert(runs <= 44, "%d calls", runs);
+  cr_assert(runs >= 36, "%d calls", runs);
+}
+
+Test(Guard, WaitingCallsStartWhenTheRateLimitAllows)
+{
+  Guard guard = MakeGuard(8);
+  const GuardActions first = guard.Submit(MakeCall(1), kLink, kStart);
+  guard.Finished(first.m_runs[0].m_ticket, Limited(2), kStart);
+  guard.Submit(MakeCall(2), kLink, kStart);
+  guard.Submit(MakeCall(3), kLink, kStart);
+  cr_assert(guard.NextTick().has_value());
+  const MonotonicTime next = *guard.NextTick();
+  cr_assert(next > kStart && next <= kStart + milliseconds(500));
+  cr_assert_eq(guard.Tick(next).m_runs.size(), 1);
+}
+
+Test(Guard, RateLimitEndsWhenAnswersStateItNoMore)
+{
+  Guard guard = MakeGuard(8);
+  const GuardActions first = guard.Submit(MakeCall(1), kLink, kStart);
+  guard.Finished(first.m_runs[0].m_ticket, Limited(1), kStart);
+  const MonotonicTime later = kStart + std::chrono::seconds(2);
+  const GuardActions second = guard.Submit(MakeCall(2), kLink, later);
+  cr_assert_eq(second.m_runs.size(), 1);
+  Answer unlimited = Done("x");
+  unlimited.m_notice = UpstreamNotice{};
+  guard.Finished(second.m_runs[0].m_ticket, unlimited, later);
+  for (std::uint64_t id = 3; id <= 8; ++id) {
+    cr_assert_eq(guard.Submit(MakeCall(id), kLink, later).m_runs.size(), 1);
+  }
+}
+
+Test(Guard, ReportsFewerSlotsUnderARateLimit)
+{
+  Guard guard = MakeGuard(8);
+  const GuardActions first = guard.Submit(MakeCall(1), kLink, kStart);
+  const MonotonicTime later = kStart + milliseconds(200);
+  guard.Finished(first.m_runs[0].m_ticket, Limited(10), later);
+  cr_assert_eq(guard.Load().m_slots.Value(), 2);
+}
+
+Test(Guard, LeavingUpstreamGetsCallsUntilItAnnouncesThat)
+{
+  Guard guard = MakeGuard(1);
+  const GuardActions first = guard.Submit(MakeCall(1), kLink, kStart);
+  guard.Submit(MakeCall(2), kLink, kStart);
+  Answer leaving = Done("x");
+  leaving.m_notice = UpstreamNotice{ std::nullopt, true };
+  const GuardActions end =
+    guard.Finished(first.m_runs[0].m_ticket, leaving, kStart);
+  cr_assert(end.m_notice && end.m_notice->m_isLeaving);
+  cr_assert(end.m_runs.empty());
+  cr_assert_eq(end.m_replies.size(), 2);
+  const GuardActions refused = guard.Submit(MakeCall(3), kLink, kStart);
+  cr_assert_eq(refused.m_refused.size(), 1);
+  cr_assert(refused.m_refused[0].m_reason == RefusalReason::Draining);
+  // A live upstream after a draining one is another process.
+  const UpstreamAnnouncement live{
+    kService, kVersion, UpstreamState::Live, SlotCount(1)
+  };
+  UpstreamAnnouncement draining = live;
+  draining.m_state = UpstreamState::Draining;
+  guard.SetUpstream(live, kStart);
+  cr_assert(guard.Submit(MakeCall(4), kLink, kStart).m_runs.empty());
+  guard.SetUpstream(draining, kStart);
+  guard.SetUpstream(live, kStart);
+  cr_assert_eq(guard.Submit(MakeCall(5), kLink, kStart).m_runs.size(), 1);
+}
+
 } // namespace tarragontray
--- a/src/request/HttpDialect.h
+++ b/src/request/HttpDialect.h
@@ -93,6 +93,12 @@
   /// Classifies a complete answer.
   virtual UpstreamVerdict Judge(const Call& aCall,
                                 const HttpAnswerParts& aAnswer) const = 0;
+  /// Reads what the upstream states about itself in a complete answer of its
+  /// own. A value that can't be read counts as absent.
+  virtual UpstreamNotice ReadNotice(const HttpAnswerParts& /*aAnswer*/) const
+  {
+    return {};
+  }
 };
 
 /// The value of a header, or null when it is absent. Precondition: header names
--- a/src/request/ObjectiveAdmission.cpp
+++ b/src/request/ObjectiveAdmission.cpp
@@ -1,6 +1,7 @@
 #include "request/ObjectiveAdmission.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -12,6 +13,19 @@
 /// a call starts. Less than 1, because some calls are faster than the mean.
 constexpr double kMinServiceFraction = 0.5;
 
+/// Time constant of the rates of starts.
+constexpr Duration kRateTime = std::chrono::seconds(1);
+/// When more urgent calls leave less than this fraction of the upstream's rate
+/// limit, a call is not expected to start.
+constexpr double kMinRateLeft = 0.05;
+constexpr Duration kNoStart = std::chrono::hours(1);
+
+double
+Seconds(Duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
 Duration
 Scaled(Duration aTime, double aFactor)
 {
@@ -81,30 +95,66 @@
   m_bounds = aBounds;
 }
 
+Duration
+ObjectiveAdmission::WaitForStart(const WaitingCall& aCall,
+                                 int aCallsAhead,
+                                 const UpstreamCapacity& aCapacity) const
+{
+  const Duration wait =
+    aCapacity.m_startDelay + aCallsAhead * aCapacity.m_startInterval;
+  if (wait <= Duration::zero()) {
+    return wait;
+  }
+  // More urgent calls that arrive during the wait start first.
+  double urgent = 0;
+  for (const auto& [priority, starts] : m_starts) {
+    urgent += priority < aCall.m_priority ? starts.m_perSecond : 0.0;
+  }
+  const double left = 1.0 - urgent * Seconds(aCapacity.m_startInterval);
+  return left <= kMinRateLeft ? kNoStart : Scaled(wait, 1.0 / left);
+}
+
+void
+ObjectiveAdmission::RecordStart(std::uint8_t aPriority, MonotonicTime aNow)
+{
+  const double seconds = Seconds(kRateTime);
+  for (auto& [priority, starts] : m_starts) {
+    starts.m_perSecond *= std::exp(-Seconds(aNow - starts.m_at) / seconds);
+    starts.m_at = aNow;
+  }
+  StartRate& own = m_starts[aPriority];
+  own.m_perSecond += 1.0 / seconds;
+  own.m_at = aNow;
+}
+
 Duration
 ObjectiveAdmission::ExpectedWait(const WaitingCall& aCall,
                                  bool aIsLate,
                                  const UpstreamCapacity& aCapacity) const
 {
-  const std::uint32_t slots = std::max(1U, aCapacity.m_slots.Value());
-  if (aCapacity.m_running < slots) {
-    return Duration(0);
-  }
-  // On average a slot becomes free every mean service time / slots.
-  Duration ahead = aCapacity.m_serviceTime;
+  Duration work{ 0 };
+  int calls = 0;
   for (const WaitingCall& waiting : m_timely) {
     if (!aIsLate && !TimelyPrecedes(waiting, aCall)) {
-      return ahead / slots;
+      break;
     }
-    ahead += waiting.m_serviceTime;
+    work += waiting.m_serviceTime;
+    ++calls;
   }
   for (const WaitingCall& waiting : m_late) {
     if (!aIsLate || !LatePrecedes(waiting, aCall)) {
       break;
     }
-    ahead += waiting.m_serviceTime;
+    work += waiting.m_serviceTime;
+    ++calls;
+  }
+  const Duration forStart = WaitForStart(aCall, calls, aCapacity);
+  const std::uint32_t slots = std::max(1U, aCapacity.m_slots.Value());
+  if (aCapacity.m_running < slots) {
+    return forStart;
   }
-  return ahead / slots;
+  // On average a slot becomes free every mean service time / slots.
+  return std::max(forStart, (aCapacity.m_serviceTime + work) / slots);
 }
 
 std::vector<Refused>
@@ -172,14 +222,16 @@
 }
 
 std::optional<Ticket>
-ObjectiveAdmission::Next(const UpstreamCapacity& aCapacity,
-                         MonotonicTime /*aNow*/)
+ObjectiveAdmission::Next(const UpstreamCapacity& aCapacity, MonotonicTime aNow)
 {
   std::vector<WaitingCall>& calls = m_timely.empty() ? m_late : m_timely;
   if (calls.empty() || aCapacity.m_running >= aCapacity.m_slots.Value()) {
     return std::nullopt;
   }
   const Ticket ticket = calls.front().m_ticket;
+  if (aCapacity.m_startInterval > Duration::zero()) {
+    RecordStart(calls.front().m_priority, aNow);
+  }
   calls.erase(calls.begin());
   return ticket;
 }
--- a/src/request/ObjectiveAdmission.h
+++ b/src/request/ObjectiveAdmission.h
@@ -16,6 +16,8 @@
 /// Thread safety: one thread for each instance.
 #pragma once
 
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -49,6 +51,19 @@
   {
   }
 
+  /// The calls of one priority that have started per second, smoothed, as of
+  /// m_at.
+  struct StartRate
+  {
+    double m_perSecond = 0;
+    MonotonicTime m_at{};
+  };
+
+  /// The wait for the upstream's rate limit, with aCallsAhead calls first.
+  Duration WaitForStart(const WaitingCall& aCall,
+                        int aCallsAhead,
+                        const UpstreamCapacity& aCapacity) const;
+  void RecordStart(std::uint8_t aPriority, MonotonicTime aNow);
   /// Expected time until the call would start in the timely or the late queue.
   Duration ExpectedWait(const WaitingCall& aCall,
                         bool aIsLate,
@@ -58,6 +73,8 @@
   /// Moves timely calls that can't meet their objective to the late queue.
   void DemoteLateCalls(MonotonicTime aNow);
 
+  /// By priority, while the upstream limits its rate of calls.
+  std::map<std::uint8_t, StartRate> m_starts;
   AdmissionBounds m_bounds;
   /// Sorted by priority, then quick calls first, then objective.
   std::vector<WaitingCall> m_timely;
--- a/src/request/ObjectiveAdmissionTest.cpp
+++ b/src/request/ObjectiveAdmissionTest.cpp
@@ -186,4 +186,46 @@
   cr_assert_eq(TakeNext(*policy), 0);
 }
 
+Test(ObjectiveAdmission, CallThatTheRateLimitKeepsFromItsDeadlineWaits)
+{
+  const auto policy = MakePolicy();
+  UpstreamCapacity limited = kFree;
+  limited.m_startInterval = milliseconds(400);
+  limited.m_startDelay = milliseconds(300);
+  cr_assert(
+    policy->Offer(MakeCall(1, milliseconds(900)), limited, kStart).empty());
+  cr_assert(
+    policy->Offer(MakeCall(2, milliseconds(900)), limited, kStart).empty());
+  const std::vector<Refused> refused =
+    policy->Offer(MakeCall(3, milliseconds(900)), limited, kStart);
+  cr_assert_eq(refused.size(), 1);
+  cr_assert(refused[0].m_reason == RefusalReason::DeadlineTooShort);
+  // A more urgent call starts first.
+  cr_assert(
+    policy->Offer(MakeCall(4, milliseconds(900), 0), limited, kStart).empty());
+}
+
+Test(ObjectiveAdmission, CallWaitsBehindUrgentOnesThatUseUpTheRateLimit)
+{
+  const auto policy = MakePolicy();
+  UpstreamCapacity limited = kFree;
+  limited.m_startInterval = milliseconds(100);
+  MonotonicTime now = kStart;
+  for (std::uint64_t ticket = 1; ticket <= 50; ++ticket) {
+    WaitingCall urgent = MakeCall(ticket, std::chrono::hours(1), 0);
+    urgent.m_deadline = now + std::chrono::hours(1);
+    cr_assert(policy->Offer(urgent, limited, now).empty());
+    cr_assert(policy->Next(limited, now).has_value());
+    now += milliseconds(100);
+  }
+  WaitingCall call = MakeCall(51, std::chrono::hours(1));
+  call.m_deadline = now + std::chrono::seconds(1);
+  limited.m_startDelay = milliseconds(100);
+  cr_assert_eq(policy->Offer(call, limited, now).size(), 1);
+  // An urgent call has to wait for the next start only.
+  call.m_ticket = Ticket(52);
+  call.m_priority = 0;
+  cr_assert(policy->Offer(call, limited, now).empty());
+}
+
 } // namespace tarragontray
--- a/src/request/TwoChoicesBalancing.cpp
+++ b/src/request/TwoChoicesBalancing.cpp
@@ -69,7 +69,7 @@
   static const Stats kNoStats;
   const auto found = m_stats.find(aTarget.m_vm);
   const Stats& stats = found == m_stats.end() ? kNoStats : found->second;
-  const double slots = UsableSlots(aTarget, stats);
+  const double slots = UsableSlots(aTarget, stats, aNow);
   const double load = EstimateLoad(stats, aNow) / slots;
   const double latency = stats.m_latency > 0 ? stats.m_latency : m_meanLatency;
   CandidateState state;
@@ -163,12 +163,19 @@
 
 double
 TwoChoicesBalancing::UsableSlots(const Target& aTarget,
-                                 const Stats& aStats) const
+                                 const Stats& aStats,
+                                 MonotonicTime aNow) const
 {
   const bool isRecovering = aStats.m_ejections > 0;
   const bool isLimited =
     isRecovering || aTarget.m_state == UpstreamState::Starting;
-  const double slots = std::max<double>(1, aTarget.m_slots.Value());
+  const bool isReported =
+    aStats.m_reportedSlots > SlotCount(0) &&
+    aNow - aStats.m_reportTime < m_settings.m_slotReportLapse;
+  const SlotCount usable = isReported
+                             ? std::min(aTarget.m_slots, aStats.m_reportedSlots)
+                             : aTarget.m_slots;
+  const double slots = std::max<double>(1, usable.Value());
   return isLimited ? slots / m_settings.m_startingPenalty : slots;
 }
 
@@ -202,6 +209,7 @@
   stats.m_inFlight -= stats.m_inFlight > 0 ? 1 : 0;
   if (aResult.m_load) {
     stats.m_reported = aResult.m_load->m_running + aResult.m_load->m_queued;
+    stats.m_reportedSlots = aResult.m_load->m_slots;
     stats.m_reportTime = aNow;
   }
   if (aResult.m_isAbandoned) {
--- a/src/request/TwoChoicesBalancing.h
+++ b/src/request/TwoChoicesBalancing.h
@@ -40,6 +40,8 @@
   /// take at most this fraction of the time to the call's objective. The rest
   /// allows for calls that take longer than the mean.
   double m_maxWaitFraction = 0.6;
+  /// How long a report of fewer slots than announced is used.
+  Duration m_slotReportLapse = std::chrono::seconds(3);
   /// Half-life of the weight of a load report.
   Duration m_reportHalfLife = std::chrono::milliseconds(500);
   /// Number of failures in a row after which a target is ejected.
@@ -89,6 +91,8 @@
     std::uint32_t m_inFlight = 0;
     /// Calls running and queued at the target in its last report.
     double m_reported = 0;
+    /// The slots in the target's last report; 0 until the first one.
+    SlotCount m_reportedSlots{ 0 };
     MonotonicTime m_reportTime{};
     /// Mean latency in seconds, exponentially weighted; 0 until the first
     /// answer.
@@ -135,9 +139,11 @@
   /// ejected. \param aRequiresCapacity leave m_eligible empty when no target
   /// has capacity.
   void SelectTier(bool aRequiresCapacity);
-  /// The slots of the target, reduced while it is starting or has not succeeded
-  /// since its ejection.
-  double UsableSlots(const Target& aTarget, const Stats& aStats) const;
+  /// The slots of the target, reduced while it is starting, has not succeeded
+  /// since its ejection or reports fewer.
+  double UsableSlots(const Target& aTarget,
+                     const Stats& aStats,
+                     MonotonicTime aNow) const;
   /// Estimated calls at the target: own calls in flight, or the decayed report
   /// when that is higher.
   double EstimateLoad(const Stats& aStats, MonotonicTime aNow) const;
