UpstreamPool: no connection is kept after a refusal

A connection was kept after the upstream had refused a call. The id in the answer does not tell, when the later call has the same id.

Change: only a complete answer of a call that ran keeps the connection.

Measured: upstream_pool_test, RepeatedRefusalPassesForTheAnswerToALaterCall, fails without the change.

--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -188,7 +188,9 @@
       m_connection.m_idleSince +
       ReuseTime(parser->get()[http::field::keep_alive]);
     Fill(answer, parser->release());
-    Keep(isReusable && answer.m_outcome != CallOutcome::Unknown);
+    // A faulty upstream may repeat a refusal, which would then pass for the
+    // refusal of a later call on the connection.
+    Keep(isReusable && answer.m_outcome == CallOutcome::Done);
     co_return answer;
   }
 
--- a/src/connection/UpstreamPoolTest.cpp
+++ b/src/connection/UpstreamPoolTest.cpp
@@ -2,12 +2,16 @@
 
 #include <array>
 #include <optional>
+#include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -85,6 +89,76 @@
   std::uint64_t m_calls = 0;
 };
 
+/// An upstream that writes fixed bytes for each request of a connection; empty
+/// bytes close it.
+class ScriptedUpstream
+{
+public:
+  explicit ScriptedUpstream(std::vector<std::string> aAnswers)
+    : m_answers(std::move(aAnswers))
+    , m_acceptor(m_context,
+                 { asio::ip::address_v4::loopback(), std::uint16_t{ 0 } })
+    , m_pool(UpstreamPool::Create(m_context, m_clock))
+  {
+    asio::co_spawn(m_context, Accept(), asio::detached);
+    m_pool->SetAddress(
+      NetworkAddress(0x7F000001, m_acceptor.local_endpoint().port()));
+  }
+
+  Answer Run()
+  {
+    Call call;
+    call.m_id = CallId(++m_calls);
+    call.m_operation = OperationId("the same");
+    call.m_http.m_method = "POST";
+    call.m_http.m_target = "/";
+    call.m_timeRemaining = std::chrono::seconds(2);
+    std::optional<Answer> result;
+    const auto run = m_pool->Start(call, [&](Answer aAnswer) {
+      result = std::move(aAnswer);
+      m_context.stop();
+    });
+    m_context.restart();
+    m_context.run();
+    return *result;
+  }
+
+  int m_connections = 0;
+
+private:
+  asio::awaitable<void> Accept()
+  {
+    while (true) {
+      asio::ip::tcp::socket socket =
+        co_await m_acceptor.async_accept(asio::use_awaitable);
+      ++m_connections;
+      asio::co_spawn(m_context, Serve(std::move(socket)), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Serve(asio::ip::tcp::socket aSocket)
+  {
+    std::array<char, 4096> bytes{};
+    boost::system::error_code error;
+    for (const std::string& answer : m_answers) {
+      co_await aSocket.async_read_some(
+        asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+      if (error || answer.empty()) {
+        co_return;
+      }
+      co_await asio::async_write(
+        aSocket, asio::buffer(answer), asio::use_awaitable);
+    }
+  }
+
+  std::vector<std::string> m_answers;
+  asio::io_context m_context{ 1 };
+  SystemClock m_clock;
+  asio::ip::tcp::acceptor m_acceptor;
+  std::unique_ptr<UpstreamPool> m_pool;
+  std::uint64_t m_calls = 0;
+};
+
 /// An upstream that answers the first request of each connection, keeps the
 /// connection open and resets it when the second request arrives.
 class ResettingUpstream
@@ -203,4 +277,29 @@
   cr_assert(gone.m_refusal == RefusalReason::UpstreamGone);
 }
 
+/// A faulty upstream repeats an earlier refusal on the kept connection,
+/// although it runs the call.
+Test(UpstreamPool, RepeatedRefusalPassesForTheAnswerToALaterCall)
+{
+  const std::string refusal =
+    "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+  ScriptedUpstream upstream({ refusal, refusal });
+  cr_assert(upstream.Run().m_outcome == CallOutcome::NotRun);
+  upstream.Run();
+  cr_assert_eq(upstream.m_connections, 2);
+}
+
+Test(UpstreamPool, AnswerWhoseHeadIsCutPassesForComplete)
+{
+  for (const char* head : { "HTTP/1.1 200 OK",
+                            "HTTP/1.1 200 OK\r\n",
+                            "HTTP/1.1 200 OK\r\nx-signature: a\r\ncont",
+                            "HTTP/1.1 200 OK\r\nx-signature: a\r\n",
+                            "HTTP/1.1 200 OK\r\nx-signature: a\r\n\r" }) {
+    ScriptedUpstream upstream({ head });
+    cr_assert(
+      upstream.Run().m_outcome == CallOutcome::Unknown, "after \"%s\"", head);
+  }
+}
+
 } // namespace tarragontray
