Refusals for a rate limit reach the caller with the wait that the guard states

Cause: the wait of a refusal was not part of the frame between nodes, so that a caller was told to return after 200 ms while the queue of a limited upstream held seconds.

Change: the frame carries the wait; of several refusals the shortest one counts.

Measured: frame_codec_test, EveryRefusalReasonRoundTrips, fails without the change. 53 of 53 tests pass.

--- a/src/connection/FrameCodec.cpp
+++ b/src/connection/FrameCodec.cpp
@@ -138,6 +138,7 @@
          aAnswer.m_load.m_queued,
          aAnswer.m_load.m_slots,
          aAnswer.m_serviceTime,
+         aAnswer.m_retryAfter,
          aAnswer.m_http.m_status);
   aCoder.List(aAnswer.m_http.m_headers);
   aCoder(aAnswer.m_http.m_body);
--- a/src/connection/FrameCodecTest.cpp
+++ b/src/connection/FrameCodecTest.cpp
@@ -66,11 +66,14 @@
   for (int i = 0; i <= static_cast<int>(kLastRefusalReason); ++i) {
     Answer answer;
     answer.m_refusal = static_cast<RefusalReason>(i);
+    answer.m_retryAfter = std::chrono::milliseconds(i);
     const std::string frame = FrameOf(answer);
     const auto message =
       DecodeMessage(std::string_view(frame).substr(kFrameHeaderBytes), "p");
     cr_assert(message.has_value(), "reason %d was not decoded", i);
-    cr_assert(std::get<Answer>(message.value()).m_refusal == answer.m_refusal);
+    const Answer& decoded = std::get<Answer>(message.value());
+    cr_assert(decoded.m_refusal == answer.m_refusal);
+    cr_assert(decoded.m_retryAfter == answer.m_retryAfter);
   }
 }
 
--- a/src/request/CallPlan.cpp
+++ b/src/request/CallPlan.cpp
@@ -126,7 +126,10 @@
   // which may be missing from this view.
   const bool provesNotRun =
     reason != RetryReason::Draining || !m_targets.IsPinned();
-  return RetryOrFinish(provesNotRun ? aAnswer : Answer{}, reason, aNow);
+  Answer refused = provesNotRun ? aAnswer : Answer{};
+  m_retryAfter = std::min(m_retryAfter, aAnswer.m_retryAfter);
+  refused.m_retryAfter = m_retryAfter;
+  return RetryOrFinish(std::move(refused), reason, aNow);
 }
 
 Step
