Front: a request that is read after the drain began is refused when the time does not suffice

A request that was still being read when the drain began was handed to a target whatever the time left, and cut off at the end of the grace period while its target was at work.

Change: such a request is refused as not run unless its full time fits. Requests read before are served as before.

Measured: front_thread_test, RequestReadAfterDrainIsForwardedWithoutEnoughTime, fails without the change; RequestReadAfterDrainWithEnoughTimeIsForwarded guards the other side.

--- a/src/process/Distribution.h
+++ b/src/process/Distribution.h
@@ -40,13 +40,13 @@
 #include "base/Ids.h"
 #include "base/Random.h"
 #include "base/Result.h"
+#include "base/TokenBucket.h"
 #include "base/Units.h"
 #include "process/Datagram.h"
 #include "process/DocumentOrigin.h"
 #include "process/DocumentTable.h"
 #include "process/Pull.h"
 #include "process/SpreadTree.h"
-#include "base/TokenBucket.h"
 #include "version/Document.h"
 
 namespace tarragontray {
--- a/src/process/FrontThread.cpp
+++ b/src/process/FrontThread.cpp
@@ -120,6 +120,8 @@
     return Success();
   }
 
+  NetworkAddress Address() const override { return m_server->Address(); }
+
   void Publish(std::shared_ptr<const View> aView) override
   {
     m_loop.Post([this, view = std::move(aView)]() mutable {
@@ -139,7 +141,10 @@
 
   void Drain() override
   {
-    m_loop.Post([this] { m_server->Drain(); });
+    m_loop.Post([this] {
+      m_isDraining = true;
+      m_server->Drain();
+    });
   }
 
   void Stop() override { m_loop.Stop(); }
@@ -197,6 +202,10 @@
     };
     const Duration timeout = std::min(
       aCaller.m_timeRemaining.value_or(aRoute.m_timeout), aRoute.m_timeout);
+    if (m_isDraining && aStart + timeout > m_end) {
+      // Its target might still be at work when this process ends.
+      co_return Refusal(RefusalReason::Draining);
+    }
     CallSetup setup{ .m_route = aRoute,
                      .m_service = service->second,
                      .m_operation = aCaller.m_operation.IsEmpty()
@@ -392,6 +401,7 @@
   /// The longest remaining time that callers of each route have stated.
   std::unordered_map<RouteName, Duration> m_maxTimeRemaining;
   std::uint64_t m_operations = 0;
+  bool m_isDraining = false;
   /// Upper bound of all call deadlines; set by Leave.
   MonotonicTime m_end = MonotonicTime::max();
   ObservationBatch m_batch;
--- a/src/process/FrontThread.h
+++ b/src/process/FrontThread.h
@@ -71,12 +71,16 @@
     IdleSignal& aInFlight,
     OnBatch aOnBatch);
 
+  /// The address on which the thread listens.
+  virtual NetworkAddress Address() const = 0;
   /// Calls that begin from now on use aView.
   virtual void Publish(std::shared_ptr<const View> aView) = 0;
   /// Asks callers, in each answer, to use another node. Calls that begin from
   /// now on are answered before aEnd.
   virtual void Leave(MonotonicTime aEnd) = 0;
-  /// Accepts no new calls; running calls continue.
+  /// Accepts no new calls; running calls continue. A request that is still
+  /// being read is refused unless its call can take its full time before the
+  /// end of Leave.
   virtual void Drain() = 0;
   /// Ends the thread and aborts the calls that are still running.
   virtual void Stop() = 0;
--- /dev/null
+++ b/src/process/FrontThreadTest.cpp
@@ -0,0 +1,103 @@
+#include "process/FrontThread.h"
+
+#include <future>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+
+#include "request/NativeDialect.h"
+
+namespace tarragontray {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::seconds;
+
+namespace {
+
+const ClientAccountId kAccount("mesqel-gate");
+const ServiceId kService{ kAccount, ServiceName("box-office") };
+
+/// A view with one route, whose service has no target.
+std::shared_ptr<const View>
+MakeView(Duration aTimeout)
+{
+  Configuration configuration;
+  configuration.m_account = kAccount;
+  RouteSpec& route = configuration.m_routes.emplace_back();
+  route.m_name = RouteName("buy");
+  route.m_service = kService;
+  route.m_pathPrefix = "/";
+  route.m_timeout = aTimeout;
+  auto view = std::make_shared<View>();
+  view->m_configurations[kAccount] =
+    std::make_shared<const Configuration>(std::move(configuration));
+  view->m_services[kService].m_id = kService;
+  return view;
+}
+
+/// Sends the first part of a request, begins the shutdown with aTimeLeft, and
+/// sends the rest when no further requests are read. \return the answer.
+std::string
+AnswerAfterDrain(Duration aTimeout, Duration aTimeLeft)
+{
+  SystemClock clock;
+  Metrics metrics(VmId("vm-1"), DataCentreId("dc"));
+  IdleSignal inFlight;
+  FrontSettings settings;
+  settings.m_vm = VmId("vm-1");
+  settings.m_address = NetworkAddress(0x7F000001, 0);
+  settings.m_dialect = std::make_shared<NativeCallerDialect>();
+  std::unique_ptr<FrontThread> front =
+    FrontThread::Create(settings, clock, metrics, inFlight, [](auto) {
+    }).value();
+  front->Publish(MakeView(aTimeout));
+  asio::io_context context;
+  tcp::socket socket(context);
+  const NetworkAddress address = front->Address();
+  socket.connect(
+    tcp::endpoint(asio::ip::address_v4(address.Ip()), address.Port()));
+  const std::string head = "POST / HTTP/1.1\r\nx-client-account: mesqel-gate"
+                           "\r\ncontent-length: 2\r\n\r\n";
+  // The answer to the first request shows that the second is being read.
+  asio::write(socket, asio::buffer(head + "hi" + head + "h"));
+  std::string answer;
+  asio::read_until(socket, asio::dynamic_buffer(answer), "no-target");
+  front->Leave(clock.Now() + aTimeLeft);
+  front->Drain();
+  // Drain reports the request that is being read as in flight.
+  while (inFlight.WaitFor(std::chrono::milliseconds(1))) {
+  }
+  asio::write(socket, asio::buffer(std::string("i")));
+  answer.clear();
+  boost::system::error_code error;
+  asio::read(socket, asio::dynamic_buffer(answer), error);
+  front->Stop();
+  return answer;
+}
+
+} // namespace
+
+/// The call would be cut off while its target is at work.
+Test(FrontThread, RequestReadAfterDrainIsForwardedWithoutEnoughTime)
+{
+  const std::string answer = AnswerAfterDrain(seconds(5), seconds(2));
+  cr_assert(answer.find("x-reason: draining") != std::string::npos,
+            "%s",
+            answer.c_str());
+}
+
+Test(FrontThread, RequestReadAfterDrainWithEnoughTimeIsForwarded)
+{
+  const std::string answer = AnswerAfterDrain(seconds(1), seconds(5));
+  cr_assert(answer.find("x-reason: no-target") != std::string::npos,
+            "%s",
+            answer.c_str());
+}
+
+} // namespace tarragontray
--- a/src/process/Gossip.h
+++ b/src/process/Gossip.h
@@ -33,6 +33,7 @@
 #include "base/NetworkAddress.h"
 #include "base/Random.h"
 #include "base/Result.h"
+#include "base/TokenBucket.h"
 #include "base/Units.h"
 #include "process/Distribution.h"
 #include "process/Membership.h"
@@ -40,7 +41,6 @@
 #include "process/Pull.h"
 #include "process/PullSchedule.h"
 #include "process/SpreadTree.h"
-#include "base/TokenBucket.h"
 
 namespace tarragontray {
 
--- a/src/programs/StandinPlatform.h
+++ b/src/programs/StandinPlatform.h
@@ -30,8 +30,8 @@
 #include "base/Clock.h"
 #include "base/NetworkAddress.h"
 #include "base/Result.h"
-#include "connection/PlatformMessages.h"
 #include "base/TokenBucket.h"
+#include "connection/PlatformMessages.h"
 #include "programs/FaultyHttpServer.h"
 #include "programs/StandinPlatformStore.h"
 
