--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 #include <string>
 #include <utility>
 
@@ -32,26 +31,6 @@
   return !aCall.m_idempotent && !aCall.m_operation.IsEmpty();
 }
 
-/// Calls that may start at once under a rate limit, in seconds of the rate.
-constexpr double kBurstSeconds = 1.0;
-/// Lowest rate at which calls are sent to an upstream with a lower limit, since
-/// only its answers show that the limit has changed.
-constexpr CallRate kMinRate(1.0);
-constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
-
-double
-Burst(CallRate aRate)
-{
-  return std::max(1.0, kBurstSeconds * aRate.Value());
-}
-
-Duration
-Interval(CallRate aRate)
-{
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(1.0 / aRate.Value()));
-}
-
 } // namespace
 
 Result<Guard>
@@ -77,7 +56,6 @@
   : m_settings(aSettings)
   , m_policy(std::move(aPolicy))
   , m_operations(aSettings.m_operations)
-  , m_starts(kMinRate.Value(), Burst(kMinRate))
 {
 }
 
@@ -210,9 +188,7 @@
     if (!next) {
       break;
     }
-    if (m_notice.m_rateLimit) {
-      m_starts.Charge(1.0);
-    }
+    m_starts.OnStart();
     Entry& entry = m_entries.at(*next);
     entry.m_isRunning = true;
     entry.m_started = aNow;
@@ -268,10 +244,7 @@
   if (notice == m_notice) {
     return;
   }
-  if (notice.m_rateLimit) {
-    const CallRate rate = std::max(*notice.m_rateLimit, kMinRate);
-    m_starts.SetRate(rate.Value(), Burst(rate), aNow);
-  }
+  m_starts.SetLimit(notice.m_rateLimit, aNow);
   const bool startsLeaving = notice.m_isLeaving && !m_notice.m_isLeaving;
   m_notice = notice;
   aActions.m_notice = notice;
@@ -284,6 +257,7 @@
 Guard::ResetNotice()
 {
   m_notice = {};
+  m_starts = StartLimiter();
 }
 
 GuardActions
@@ -376,10 +350,11 @@
 std::optional<MonotonicTime>
 Guard::NextTick() const
 {
-  const std::optional<MonotonicTime> expiry = m_policy->NextExpiry();
-  return m_nextStart && expiry ? std::min(*m_nextStart, *expiry)
-         : m_nextStart         ? m_nextStart
-                               : expiry;
+  std::optional<MonotonicTime> next = m_policy->NextExpiry();
+  if (m_nextStart && (!next || *m_nextStart < *next)) {
+    next = m_nextStart;
+  }
+  return next;
 }
 
 GuardActions
@@ -493,48 +468,21 @@
   Answer answer;
   answer.m_outcome = CallOutcome::NotRun;
   answer.m_refusal = aReason;
-  answer.m_retryAfter = RetryAfter(aReason);
+  if (aReason == RefusalReason::QueueFull ||
+      aReason == RefusalReason::DeadlineTooShort) {
+    answer.m_retryAfter = m_starts.RetryAfter(m_policy->Size());
+  }
   ReplyTo(aWaiter, std::move(answer), aActions);
 }
 
 UpstreamCapacity
 Guard::Capacity(MonotonicTime aNow)
 {
-  UpstreamCapacity capacity{ m_upstream.m_slots,
-                             m_running,
-                             m_serviceTimes.Mean() };
-  if (m_notice.m_rateLimit) {
-    capacity.m_startInterval =
-      Interval(std::max(*m_notice.m_rateLimit, kMinRate));
-    capacity.m_startDelay = m_starts.ReadyAt(1.0, aNow) - aNow;
-  }
-  return capacity;
-}
-
-SlotCount
-Guard::UsableSlots() const
-{
-  if (!m_notice.m_rateLimit) {
-    return m_upstream.m_slots;
-  }
-  const double seconds =
-    std::chrono::duration<double>(m_serviceTimes.Mean()).count();
-  const auto busy = static_cast<std::uint32_t>(
-    std::lround(m_notice.m_rateLimit->Value() * seconds));
-  return std::min(m_upstream.m_slots, SlotCount(std::max(1U, busy)));
-}
-
-Duration
-Guard::RetryAfter(RefusalReason aReason) const
-{
-  const bool isForLoad = aReason == RefusalReason::QueueFull ||
-                         aReason == RefusalReason::DeadlineTooShort;
-  if (!m_notice.m_rateLimit || !isForLoad) {
-    return Duration(0);
-  }
-  const auto ahead = static_cast<int>(m_policy->Size()) + 1;
-  return std::min(kMaxRetryAfter,
-                  ahead * Interval(std::max(*m_notice.m_rateLimit, kMinRate)));
+  return { m_upstream.m_slots,
+           m_running,
+           m_serviceTimes.Mean(),
+           m_starts.Interval(),
+           m_starts.Delay(aNow) };
 }
 
 LoadReport
@@ -542,7 +490,7 @@
 {
   return { m_running,
            static_cast<std::uint32_t>(m_policy->Size()),
-           UsableSlots() };
+           m_starts.UsableSlots(m_upstream.m_slots, m_serviceTimes.Mean()) };
 }
 
 } // namespace tarragontray
--- a/src/request/Guard.h
+++ b/src/request/Guard.h
@@ -28,7 +28,6 @@
 
 #include "base/Ids.h"
 #include "base/Result.h"
-#include "base/TokenBucket.h"
 #include "base/Units.h"
 #include "process/MemberRecord.h"
 #include "request/AdmissionPolicy.h"
@@ -36,6 +35,7 @@
 #include "request/CallerLinks.h"
 #include "request/OperationTable.h"
 #include "request/ServiceTimes.h"
+#include "request/StartLimiter.h"
 
 namespace tarragontray {
 
@@ -226,10 +226,6 @@
   void ApplyNotice(const UpstreamNotice& aNotice,
                    MonotonicTime aNow,
                    GuardActions& aActions);
-  /// The slots that calls can keep busy at the upstream's rate limit.
-  SlotCount UsableSlots() const;
-  /// How long a refused caller should wait; zero without a rate limit.
-  Duration RetryAfter(RefusalReason aReason) const;
   bool IsDraining() const
   {
     return m_isDraining || m_notice.m_isLeaving ||
@@ -242,8 +238,7 @@
   UpstreamAnnouncement m_upstream;
   bool m_isDraining = false;
   UpstreamNotice m_notice;
-  /// Limits the starts of calls while m_notice has a rate limit.
-  TokenBucket m_starts;
+  StartLimiter m_starts;
   /// Set while waiting calls can't start because of the rate limit.
   std::optional<MonotonicTime> m_nextStart;
   Entries m_entries;
