Moves of seconds: another trial after each suspicion; evidence of every signal counts

A coordinator cut off 0.9 s earlier still counted on reports of the others. A signal with a high score from too few bad calls hid another one.

Change: the full share needs a trial without evidence against the version since; a version that is suspect after three lowerings is rolled back. Nodes report at least every second interval, so that a lost majority shows after 0.6 s. A new coordinator observes for a sixteenth of the time, at most 3 s. The judge keeps evidence and verdict apart.

--- a/src/version/BriefJudge.cpp
+++ b/src/version/BriefJudge.cpp
@@ -330,27 +330,26 @@
 {
   AddHistory(aWindow);
   AddWindow(aWindow);
-  Verdict verdict;
-  double highest = -std::numeric_limits<double>::infinity();
+  Findings findings;
+  findings.m_verdictScore = kSuspicion * m_settings.m_verdictScore;
   for (const RouteName& route : RoutesOfNewVersion()) {
     for (const int divisor : kSpanDivisors) {
-      ScoreRoute(route, m_settings.m_lookback / divisor, highest, verdict);
+      ScoreRoute(route, m_settings.m_lookback / divisor, findings);
     }
   }
   // Evidence at a large share costs many calls, and the rest may be too few for
   // a comparison.
-  if (verdict.m_kind == VerdictKind::Suspect &&
+  if (findings.m_verdict.m_kind == VerdictKind::Suspect &&
       aWindow.m_share > Share::FromFraction(kMaxSuspectShare)) {
-    verdict.m_kind = VerdictKind::NeedsComparison;
+    findings.m_verdict.m_kind = VerdictKind::NeedsComparison;
   }
-  return verdict;
+  return findings.m_verdict;
 }
 
 void
 BriefJudge::ScoreRoute(const RouteName& aRoute,
                        Duration aSpan,
-                       double& aHighest,
-                       Verdict& aVerdict) const
+                       Findings& aFindings) const
 {
   std::vector<const EvidenceWindow*> windows;
   Duration length{ 0 };
@@ -377,21 +376,20 @@
   const bool isCompared = comparison.m_oldCalls >= kMinConcurrentCalls;
   const auto offer = [&](
                        double aScore, double aBad, const std::string& aReason) {
-    if (aScore < aHighest) {
-      return;
+    Verdict& verdict = aFindings.m_verdict;
+    if (aScore >= aFindings.m_evidenceScore) {
+      aFindings.m_evidenceScore = aScore;
+      verdict.m_evidence = aRoute.Value() + " " + aReason + ScoreText(aScore);
     }
-    aHighest = aScore;
-    aVerdict = Verdict();
-    aVerdict.m_evidence = aRoute.Value() + " " + aReason + ScoreText(aScore);
-    if (aScore < kSuspicion * m_settings.m_verdictScore ||
-        aBad < kMinBadCalls) {
+    if (aScore < aFindings.m_verdictScore || aBad < kMinBadCalls) {
       return;
     }
+    aFindings.m_verdictScore = aScore;
     const bool isCertain = isCompared && aScore >= m_settings.m_verdictScore;
-    aVerdict.m_kind = isCertain ? VerdictKind::Bad : VerdictKind::Suspect;
-    aVerdict.m_route = aRoute;
-    aVerdict.m_reason = aReason;
-    aVerdict.m_calls = CallCount(static_cast<std::uint64_t>(newCounts.m_calls));
+    verdict.m_kind = isCertain ? VerdictKind::Bad : VerdictKind::Suspect;
+    verdict.m_route = aRoute;
+    verdict.m_reason = aReason;
+    verdict.m_calls = CallCount(static_cast<std::uint64_t>(newCounts.m_calls));
   };
   const auto score = [&](const auto& aTest) {
     const double historicScore = aTest(historic);
--- a/src/version/BriefJudge.h
+++ b/src/version/BriefJudge.h
@@ -20,6 +20,7 @@
 #pragma once
 
 #include <deque>
+#include <limits>
 #include <map>
 #include <set>
 
@@ -42,12 +43,21 @@
 private:
   using CountersByTarget = std::map<VmId, VersionCounters>;
 
+  /// The findings of one window so far.
+  struct Findings
+  {
+    /// The score of m_verdict.m_evidence.
+    double m_evidenceScore = -std::numeric_limits<double>::infinity();
+    /// The score that the next finding needs to decide the verdict.
+    double m_verdictScore = 0;
+    Verdict m_verdict;
+  };
+
   void AddWindow(const EvidenceWindow& aWindow);
   std::set<RouteName> RoutesOfNewVersion() const;
   void ScoreRoute(const RouteName& aRoute,
                   Duration aSpan,
-                  double& aHighest,
-                  Verdict& aVerdict) const;
+                  Findings& aFindings) const;
 
   BriefMoveSettings m_settings;
   std::deque<EvidenceWindow> m_windows;
--- a/src/version/BriefMovePolicy.cpp
+++ b/src/version/BriefMovePolicy.cpp
@@ -32,9 +32,12 @@
 /// fractions of the planned time.
 constexpr double kTrialFraction = 0.03;
 constexpr double kMinStepFraction = 0.035;
-/// The minimum time after the trial in which its evidence is collected, as a
-/// fraction of the planned time.
+/// The minimum time for which evidence is collected before and after a trial,
+/// as a fraction of the planned time.
 constexpr double kEvidenceFraction = 0.10;
+/// A version that is suspect after the share has been lowered this often is
+/// rolled back: it fails only under load.
+constexpr ProgressEpoch kMaxLowerings{ 3 };
 /// From this fraction of the planned time on, a suspect version is rolled back.
 constexpr double kDecisionFraction = 0.93;
 
@@ -71,11 +74,10 @@
   const Duration planned = PlannedTime(aInput.m_plan);
   const Duration elapsed = aInput.m_wall - aInput.m_plan.m_start;
   const std::span<const Stage> stages =
-    aInput.m_wasLowered ? std::span<const Stage>(kStagesAfterTrial)
-                        : std::span<const Stage>(kStagesUntilTrial);
+    aInput.m_hasPassedTrial ? std::span<const Stage>(kStagesAfterTrial)
+                            : std::span<const Stage>(kStagesUntilTrial);
   const bool isCollecting =
-    aInput.m_wasLowered &&
-    aInput.m_share <= Share::FromFraction(kShareAfterTrial);
+    aInput.m_share == Share::FromFraction(kShareAfterTrial);
   const Duration shortest =
     FractionOf(planned, isCollecting ? kEvidenceFraction : kMinStepFraction);
   const bool isFirst = aInput.m_share == Share::None();
@@ -97,8 +99,8 @@
 Share
 BriefMovePolicy::ShareAfterTrial(const PaceInput& aInput) const
 {
-  const bool isTrial =
-    !aInput.m_wasLowered && aInput.m_share >= Share::FromFraction(kTrialShare);
+  const bool isTrial = !aInput.m_hasPassedTrial &&
+                       aInput.m_share >= Share::FromFraction(kTrialShare);
   const Duration length =
     FractionOf(PlannedTime(aInput.m_plan), kTrialFraction);
   return isTrial && aInput.m_sinceChange >= length
@@ -109,9 +111,10 @@
 bool
 BriefMovePolicy::MustDecide(const PaceInput& aInput) const
 {
-  return aInput.m_wall >=
-         aInput.m_plan.m_start +
-           FractionOf(PlannedTime(aInput.m_plan), kDecisionFraction);
+  return aInput.m_lowerings >= kMaxLowerings ||
+         aInput.m_wall >=
+           aInput.m_plan.m_start +
+             FractionOf(PlannedTime(aInput.m_plan), kDecisionFraction);
 }
 
 Share
--- a/src/version/BriefMovePolicyTest.cpp
+++ b/src/version/BriefMovePolicyTest.cpp
@@ -74,21 +74,21 @@
     Duration changed{ 0 };
     double calls = 0;
     Duration elapsed{ 0 };
-    bool wasLowered = false;
+    bool hasPassedTrial = false;
     for (; share != Share::All(); elapsed += step) {
       cr_assert(elapsed < length * 8 / 10);
-      const PaceInput pace{
-        plan, kWall + elapsed, share, elapsed - changed, wasLowered
-      };
+      const PaceInput pace{ plan,           kWall + elapsed,
+                            share,          elapsed - changed,
+                            hasPassedTrial, {} };
       const Share afterTrial = policy->ShareAfterTrial(pace);
       cr_assert(afterTrial <= share);
       // At most one trial.
-      cr_assert(!wasLowered || afterTrial == share);
+      cr_assert(!hasPassedTrial || afterTrial == share);
       const Share next =
         afterTrial < share ? afterTrial : policy->NextShare(pace);
       cr_assert(next == afterTrial || next >= share);
       changed = next == share ? changed : elapsed;
-      wasLowered |= next < share;
+      hasPassedTrial |= next < share;
       share = next;
       calls += share == Share::All() ? 0 : share.Fraction() / 400;
     }
--- a/src/version/Move.cpp
+++ b/src/version/Move.cpp
@@ -21,9 +21,9 @@
 constexpr Duration kMinStaleTime = std::chrono::seconds(6);
 constexpr Duration kMaxStaleTime = std::chrono::seconds(15);
 
-/// A node without new evidence reports at every kIdleReports-th interval, so
+/// A node without new evidence reports at every second interval, so
 /// that the coordinator knows that it is reachable.
-constexpr int kIdleReports = 5;
+constexpr int kIdleReports = 2;
 /// The number of those intervals after which a node counts as unreachable.
 constexpr int kMaxMissedReports = 3;
 /// A node reports for this long after the move was done there, since the
--- a/src/version/MoveCoordinator.cpp
+++ b/src/version/MoveCoordinator.cpp
@@ -9,8 +9,17 @@
 
 namespace {
 
-/// How long a new coordinator collects evidence before it raises the share.
-constexpr Duration kObservationTime = std::chrono::seconds(3);
+/// The longest time that a new coordinator collects evidence before it raises
+/// the share, and the fraction of the planned time if that is shorter.
+constexpr Duration kMaxObservationTime = std::chrono::seconds(3);
+constexpr int kObservationDivisor = 16;
+
+Duration
+ObservationTime(const MovePlan& aPlan)
+{
+  return std::min(kMaxObservationTime,
+                  (aPlan.m_deadline - aPlan.m_start) / kObservationDivisor);
+}
 
 Veto
 MakeVeto(const Verdict& aVerdict,
@@ -83,7 +92,8 @@
                     aTimes.m_wall,
                     aProgress.m_share,
                     aTimes.m_now - m_lastChange,
-                    aProgress.m_epoch != ProgressEpoch() };
+                    m_hasPassedTrial,
+                    aProgress.m_epoch };
 }
 
 bool
@@ -121,6 +131,10 @@
   if (!m_hasBegun) {
     m_hasBegun = true;
     Begin(aTimes.m_now);
+    // A predecessor lowered the share, which usually ended a trial.
+    const auto own = aProgress.m_dataCentres.find(m_dataCentre);
+    m_hasPassedTrial = own != aProgress.m_dataCentres.end() &&
+                       own->second.m_epoch != ProgressEpoch();
   }
   EvidenceWindow window = m_table.TakeWindow(aTimes.m_now);
   window.m_oldSlots = aSlots.m_old;
@@ -141,12 +155,14 @@
     m_lastChange = aTimes.m_now;
   }
   bool changed = Lower(m_policy->ShareAfterTrial(Pace(aTimes, own)), own);
+  m_hasPassedTrial |= changed;
+  m_hasPassedTrial &= m_verdict.m_kind == VerdictKind::Clear;
   if (m_verdict.m_kind == VerdictKind::NeedsComparison) {
     changed |= Lower(
       m_policy->ComparisonShare(EqualLoadShare(aSlots.m_old, aSlots.m_new)),
       own);
   } else if (!changed && m_verdict.m_kind == VerdictKind::Clear &&
-             aTimes.m_now - m_begunAt >= kObservationTime &&
+             aTimes.m_now - m_begunAt >= ObservationTime(m_plan) &&
              HasQuorum(aTimes.m_now)) {
     m_table.SetFirstReportsAsBaseline(false);
     changed = Raise(aTimes, own);
--- a/src/version/MoveCoordinator.h
+++ b/src/version/MoveCoordinator.h
@@ -96,6 +96,8 @@
   Verdict m_verdict;
   Duration m_reportLapse;
   std::size_t m_nodes = 0;
+  /// See PaceInput.
+  bool m_hasPassedTrial = false;
   /// When each node reported last.
   std::map<VmId, MonotonicTime> m_reportedAt;
   bool m_hasBegun = false;
--- a/src/version/MovePolicy.h
+++ b/src/version/MovePolicy.h
@@ -17,6 +17,7 @@
 #include "base/Units.h"
 #include "version/EvidenceWindow.h"
 #include "version/MovePlan.h"
+#include "version/MoveProgress.h"
 
 namespace tarragontray {
 
@@ -77,8 +78,11 @@
   Share m_share = Share::None();
   /// The time since the share last changed.
   Duration m_sinceChange{ 0 };
-  /// Whether the share has been lowered, by the end of a trial or otherwise.
-  bool m_wasLowered = false;
+  /// Whether a trial has ended and there has been no evidence against the new
+  /// version since.
+  bool m_hasPassedTrial = false;
+  /// How often the share has been lowered, by the end of a trial or otherwise.
+  ProgressEpoch m_lowerings{};
 };
 
 /// A strategy for pacing and judging moves.
