PeerLink: a pause of this node's own thread is not silence of its peer

Cause: a link with a call on its way was closed after 400 ms without a byte, by a timer. When the thread itself had paused that long, every link seemed silent at once, and calls whose targets were at work were given up. Class: own lateness taken for another's.

Change: the time by which the timer was late does not count.

Measured: peer_link_test, OwnPauseClosesTheLinkToAHealthyPeer, fails without the change.

--- a/src/connection/PeerLink.cpp
+++ b/src/connection/PeerLink.cpp
@@ -270,6 +270,7 @@
 {
   const auto self = shared_from_this();
   while (m_state == State::Open) {
+    const MonotonicTime due = m_clock.Now() + m_settings.m_pingAfter;
     if (m_pending.empty()) {
       m_receiveTimer.expires_at(asio::steady_timer::time_point::max());
     } else {
@@ -280,7 +281,12 @@
       continue;
     }
     RecordReceivedBytes();
-    const Duration idleTime = m_clock.Now() - m_lastReceive;
+    const MonotonicTime now = m_clock.Now();
+    if (now > due) {
+      // A pause of this thread is not silence of the peer.
+      m_lastReceive = std::min(now, m_lastReceive + (now - due));
+    }
+    const Duration idleTime = now - m_lastReceive;
     if (idleTime >= ReceiveTimeout()) {
       Close();
     } else if (idleTime >= m_settings.m_pingAfter) {
--- a/src/connection/PeerLinkTest.cpp
+++ b/src/connection/PeerLinkTest.cpp
@@ -184,6 +184,32 @@
   cr_assert_eq(peer.Connections(), 1);
 }
 
+/// After a pause of this process, all its links seem silent at once.
+Test(PeerLink, OwnPauseClosesTheLinkToAHealthyPeer)
+{
+  asio::io_context context(1);
+  const SystemClock clock;
+  const LinkSettings settings;
+  CallId waiting;
+  const FakePeer peer(
+    context, [&](FrameStream& aStream, const PeerMessage& aMessage) {
+      if (const Call* call = std::get_if<Call>(&aMessage)) {
+        waiting = call->m_id;
+        std::this_thread::sleep_for(2 * settings.m_receiveTimeout);
+      } else if (const LinkPing* ping = std::get_if<LinkPing>(&aMessage)) {
+        aStream.Send(LinkPong{ ping->m_number });
+        Answer answer;
+        answer.m_id = waiting;
+        answer.m_outcome = CallOutcome::Done;
+        aStream.Send(answer);
+      }
+    });
+  PeerLinks links(context, clock, settings);
+  const auto result = RunOne(context, links, peer);
+  cr_assert(std::holds_alternative<Answer>(result));
+  cr_assert_eq(peer.Connections(), 1);
+}
+
 Test(PeerLink, ALeavingPeerGetsNoMoreCalls)
 {
   asio::io_context context(1);
