--- a/src/process/EvidenceRoutingTest.cpp
+++ b/src/process/EvidenceRoutingTest.cpp
@@ -37,6 +37,16 @@
   cr_assert_eq(calls, kEntries * 1'000'000 + kEntries * (kEntries - 1) / 2);
 }
 
+/// It shows that the reporter is reachable.
+Test(EvidenceRouting, ReportWithoutEntriesIsSent)
+{
+  EvidenceReport report;
+  report.m_reporter = VmId("vm-1");
+  const auto datagrams = PackEvidence(VmId("vm-1"), report);
+  cr_assert_eq(datagrams.size(), 1);
+  cr_assert_eq(datagrams[0].m_evidence.size(), 1);
+}
+
 Test(EvidenceRouting, OnlyLiveNodesOfTheSameDataCentreAreNeighbours)
 {
   MembersByVm members;
--- a/src/process/MembershipTest.cpp
+++ b/src/process/MembershipTest.cpp
@@ -306,6 +306,25 @@
   cr_assert(table.Find(VmId("a")) == nullptr);
 }
 
+Test(Membership, NodesThatFailedRecentlyCountForAMajority)
+{
+  MemberTable table({});
+  const MonotonicTime start{ seconds(1'000) };
+  MemberRecord record;
+  record.m_cell = DataCentreId("dc");
+  record.m_incarnation = Incarnation(1);
+  for (const char* vm : { "a", "b", "c" }) {
+    record.m_vm = VmId(vm);
+    table.Apply(record, start);
+  }
+  record.m_state = NodeState::Dead;
+  table.Apply(record, start);
+  const DataCentreId cell("dc");
+  cr_assert_eq(table.RecentCount(cell, start - seconds(60)), 3);
+  cr_assert_eq(table.RecentCount(cell, start + seconds(1)), 2);
+  cr_assert_eq(table.RecentCount(DataCentreId("other"), start), 0);
+}
+
 Test(Membership, FullTableRejectsAndCountsNewMembers)
 {
   MemberTable table({ .m_maxMembers = 1 });
--- a/src/version/BriefJudge.cpp
+++ b/src/version/BriefJudge.cpp
@@ -71,8 +71,6 @@
       m_latency[i] += aWeight * aOther.m_latency[i];
     }
   }
-
-  double FailureRate() const { return m_calls > 0 ? m_failures / m_calls : 0; }
 };
 
 using CountsByTarget = std::map<VmId, Counts>;
--- a/src/version/BriefMovePolicy.h
+++ b/src/version/BriefMovePolicy.h
@@ -1,16 +1,17 @@
 /// \file
-/// A policy for moves that last only seconds: a small share for most of the
-/// time, then a quick rise to the full share, with a judge that needs few
-/// calls.
+/// A policy for moves that last only seconds: small shares, a short trial at
+/// nearly the full load, and the full share if there is no evidence against the
+/// new version after it.
 ///
 ///     Result<std::unique_ptr<MovePolicy>> policy =
 ///       BriefMovePolicy::Create(BriefMoveSettings{});
 ///
-/// A version that fails only under load is detected in the last steps. These
-/// are short, so that all steps below the full share together receive less than
-/// a tenth of the calls. The judge (version/BriefJudge.h) evaluates only the
-/// last seconds, because there is no time to return to equal load for a
-/// comparison as SequentialMovePolicy does.
+/// The trial shows faults under load. It is shorter than its evidence takes to
+/// arrive, and all stages below the full share together receive less than a
+/// tenth of the calls. A version that is suspect at a large share returns to a
+/// small one, where the judge (version/BriefJudge.h) compares it with
+/// concurrent calls to the old version. The full share requires a trial without
+/// evidence against the version since.
 #pragma once
 
 #include <memory>
--- a/src/version/Moves.cmake
+++ b/src/version/Moves.cmake
@@ -17,7 +17,7 @@
   DEPS tt_moves)
 tt_test(move_progress_test SRCS MoveProgressTest.cpp DEPS tt_move_values)
 tt_test(evidence_test SRCS EvidenceTest.cpp DEPS tt_moves)
-tt_test(moves_test SRCS BriefMovePolicyTest.cpp MovesTest.cpp
+tt_test(moves_test SRCS BriefMovePolicyTest.cpp MovesTest.cpp SlowCallTestTest.cpp
   DEPS tt_move_session)
 tt_test(move_session_test SRCS MoveSessionTest.cpp DEPS tt_move_session)
 tt_test(move_golden_test SRCS MoveGoldenTest.cpp DEPS tt_move_session)
