--- a/src/version/BriefMovePolicy.cpp
+++ b/src/version/BriefMovePolicy.cpp
@@ -32,6 +32,7 @@
 /// fractions of the planned time.
 constexpr double kTrialFraction = 0.03;
 constexpr double kMinStepFraction = 0.035;
+constexpr double kLastTrialFraction = 0.75;
 /// The minimum time for which evidence is collected before and after a trial,
 /// as a fraction of the planned time.
 constexpr double kEvidenceFraction = 0.10;
@@ -85,12 +86,18 @@
       (!isFirst && aInput.m_sinceChange < shortest)) {
     return aInput.m_share;
   }
+  // A trial so late can't lead to completion by the deadline, and would only
+  // add to the calls that a bad version gets before it.
+  const bool isTooLate = !aInput.m_hasPassedTrial &&
+                         elapsed >= FractionOf(planned, kLastTrialFraction) &&
+                         elapsed < planned;
   // At most one stage per call, even if several are overdue.
   for (const Stage& stage : stages) {
     const Share share = Share::FromFraction(stage.m_share);
     if (elapsed >= FractionOf(planned, stage.m_from) &&
         share > aInput.m_share) {
-      return share;
+      const bool isTrial = share >= Share::FromFraction(kTrialShare);
+      return isTrial && isTooLate ? aInput.m_share : share;
     }
   }
   return aInput.m_share;
