Reading the change once more: shared pieces instead of copies

The judge sums the old version's history once for each route instead of once for each span. UpstreamEndpoint compares itself, which three places did by hand. The number of nodes of a move is held by Move alone and passed to its coordinator. Scenarios of both kinds share their draws, kinds and load; tests of the upstream pool share a raw upstream, tests of peer links an answer, tests of the platform loop a step. A test waits instead of spinning. A doc comment stands at its type again.

--- a/src/base/Units.h
+++ b/src/base/Units.h
@@ -27,9 +27,9 @@
 /// Calls that an upstream can run concurrently.
 using SlotCount = Amount<struct SlotCountTag, std::uint32_t>;
 /// A number of calls.
+using CallCount = Amount<struct CallCountTag>;
 /// Calls per second.
 using CallRate = Amount<struct CallRateTag, double>;
-using CallCount = Amount<struct CallCountTag>;
 
 /// A share of traffic from 0 to 1, in steps of 1/10,000.
 class Share
--- a/src/connection/PeerLinkTest.cpp
+++ b/src/connection/PeerLinkTest.cpp
@@ -98,14 +98,20 @@
   ++aEnded;
 }
 
+void
+SendDone(FrameStream& aStream, CallId aCall)
+{
+  Answer answer;
+  answer.m_id = aCall;
+  answer.m_outcome = CallOutcome::Done;
+  aStream.Send(answer);
+}
+
 void
 AnswerCall(FrameStream& aStream, const PeerMessage& aMessage)
 {
   if (const Call* call = std::get_if<Call>(&aMessage)) {
-    Answer answer;
-    answer.m_id = call->m_id;
-    answer.m_outcome = CallOutcome::Done;
-    aStream.Send(answer);
+    SendDone(aStream, call->m_id);
   }
 }
 
@@ -171,10 +177,7 @@
       } else if (const LinkPing* ping = std::get_if<LinkPing>(&aMessage)) {
         aStream.Send(LinkPong{ ping->m_number });
         if (++answered == pings) {
-          Answer answer;
-          answer.m_id = waiting;
-          answer.m_outcome = CallOutcome::Done;
-          aStream.Send(answer);
+          SendDone(aStream, waiting);
         }
       }
     });
@@ -198,10 +201,7 @@
         std::this_thread::sleep_for(2 * settings.m_receiveTimeout);
       } else if (const LinkPing* ping = std::get_if<LinkPing>(&aMessage)) {
         aStream.Send(LinkPong{ ping->m_number });
-        Answer answer;
-        answer.m_id = waiting;
-        answer.m_outcome = CallOutcome::Done;
-        aStream.Send(answer);
+        SendDone(aStream, waiting);
       }
     });
   PeerLinks links(context, clock, settings);
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -366,9 +366,7 @@
 
   void SetEndpoint(const UpstreamEndpoint& aEndpoint) override
   {
-    const UpstreamEndpoint& former = m_connections->m_endpoint;
-    if (former.m_address != aEndpoint.m_address ||
-        former.m_instance != aEndpoint.m_instance) {
+    if (aEndpoint != m_connections->m_endpoint) {
       m_connections = std::make_shared<Connections>();
       m_connections->m_endpoint = aEndpoint;
     }
--- a/src/connection/UpstreamPoolTest.cpp
+++ b/src/connection/UpstreamPoolTest.cpp
@@ -89,14 +89,12 @@
   std::uint64_t m_calls = 0;
 };
 
-/// An upstream that writes fixed bytes for each request of a connection; empty
-/// bytes close it.
-class ScriptedUpstream
+/// An upstream on raw sockets; subclasses decide what a connection does.
+class RawUpstream
 {
 public:
-  explicit ScriptedUpstream(std::vector<std::string> aAnswers)
-    : m_answers(std::move(aAnswers))
-    , m_acceptor(m_context,
+  RawUpstream()
+    : m_acceptor(m_context,
                  { asio::ip::address_v4::loopback(), std::uint16_t{ 0 } })
     , m_pool(UpstreamPool::Create(m_context, m_clock))
   {
@@ -104,15 +102,16 @@
     m_pool->SetAddress(
       NetworkAddress(0x7F000001, m_acceptor.local_endpoint().port()));
   }
+  virtual ~RawUpstream() = default;
 
-  Answer Run()
+  Answer Run(bool aIsIdempotent)
   {
     Call call;
     call.m_id = CallId(++m_calls);
-    call.m_operation = OperationId("the same");
+    call.m_idempotent = aIsIdempotent;
     call.m_http.m_method = "POST";
     call.m_http.m_target = "/";
-    call.m_timeRemaining = std::chrono::seconds(2);
+    call.m_timeRemaining = std::chrono::seconds(5);
     std::optional<Answer> result;
     const auto run = m_pool->Start(call, [&](Answer aAnswer) {
       result = std::move(aAnswer);
@@ -125,6 +124,9 @@
 
   int m_connections = 0;
 
+protected:
+  virtual asio::awaitable<void> Serve(asio::ip::tcp::socket aSocket) = 0;
+
 private:
   asio::awaitable<void> Accept()
   {
@@ -136,14 +138,31 @@
     }
   }
 
-  asio::awaitable<void> Serve(asio::ip::tcp::socket aSocket)
+  asio::io_context m_context{ 1 };
+  SystemClock m_clock;
+  asio::ip::tcp::acceptor m_acceptor;
+  std::unique_ptr<UpstreamPool> m_pool;
+  std::uint64_t m_calls = 0;
+};
+
+/// Writes fixed bytes for each request of a connection, then closes it.
+class ScriptedUpstream final : public RawUpstream
+{
+public:
+  explicit ScriptedUpstream(std::vector<std::string> aAnswers)
+    : m_answers(std::move(aAnswers))
+  {
+  }
+
+private:
+  asio::awaitable<void> Serve(asio::ip::tcp::socket aSocket) override
   {
     std::array<char, 4096> bytes{};
     boost::system::error_code error;
     for (const std::string& answer : m_answers) {
       co_await aSocket.async_read_some(
         asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
-      if (error || answer.empty()) {
+      if (error) {
         co_return;
       }
       co_await asio::async_write(
@@ -152,60 +171,14 @@
   }
 
   std::vector<std::string> m_answers;
-  asio::io_context m_context{ 1 };
-  SystemClock m_clock;
-  asio::ip::tcp::acceptor m_acceptor;
-  std::unique_ptr<UpstreamPool> m_pool;
-  std::uint64_t m_calls = 0;
 };
 
-/// An upstream that answers the first request of each connection, keeps the
-/// connection open and resets it when the second request arrives.
-class ResettingUpstream
+/// Answers the first request of each connection, keeps the connection open and
+/// resets it when the second request arrives.
+class ResettingUpstream final : public RawUpstream
 {
-public:
-  ResettingUpstream()
-    : m_acceptor(m_context,
-                 { asio::ip::address_v4::loopback(), std::uint16_t{ 0 } })
-    , m_pool(UpstreamPool::Create(m_context, m_clock))
-  {
-    asio::co_spawn(m_context, Accept(), asio::detached);
-    m_pool->SetAddress(
-      NetworkAddress(0x7F000001, m_acceptor.local_endpoint().port()));
-  }
-
-  Answer Run(bool aIsIdempotent)
-  {
-    Call call;
-    call.m_id = CallId(++m_calls);
-    call.m_idempotent = aIsIdempotent;
-    call.m_http.m_method = "POST";
-    call.m_http.m_target = "/";
-    call.m_timeRemaining = std::chrono::seconds(5);
-    std::optional<Answer> result;
-    const auto run = m_pool->Start(call, [&](Answer aAnswer) {
-      result = std::move(aAnswer);
-      m_context.stop();
-    });
-    m_context.restart();
-    m_context.run();
-    return *result;
-  }
-
-  int m_connections = 0;
-
 private:
-  asio::awaitable<void> Accept()
-  {
-    while (true) {
-      asio::ip::tcp::socket socket =
-        co_await m_acceptor.async_accept(asio::use_awaitable);
-      ++m_connections;
-      asio::co_spawn(m_context, Serve(std::move(socket)), asio::detached);
-    }
-  }
-
-  asio::awaitable<void> Serve(asio::ip::tcp::socket aSocket)
+  asio::awaitable<void> Serve(asio::ip::tcp::socket aSocket) override
   {
     std::array<char, 4096> bytes{};
     co_await aSocket.async_read_some(asio::buffer(bytes), asio::use_awaitable);
@@ -215,12 +188,6 @@
     co_await aSocket.async_read_some(asio::buffer(bytes), asio::use_awaitable);
     aSocket.set_option(asio::socket_base::linger(true, 0));
   }
-
-  asio::io_context m_context{ 1 };
-  SystemClock m_clock;
-  asio::ip::tcp::acceptor m_acceptor;
-  std::unique_ptr<UpstreamPool> m_pool;
-  std::uint64_t m_calls = 0;
 };
 
 } // namespace
@@ -284,8 +251,8 @@
   const std::string refusal =
     "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
   ScriptedUpstream upstream({ refusal, refusal });
-  cr_assert(upstream.Run().m_outcome == CallOutcome::NotRun);
-  upstream.Run();
+  cr_assert(upstream.Run(false).m_outcome == CallOutcome::NotRun);
+  upstream.Run(false);
   cr_assert_eq(upstream.m_connections, 2);
 }
 
@@ -297,8 +264,9 @@
                             "HTTP/1.1 200 OK\r\nx-signature: a\r\n",
                             "HTTP/1.1 200 OK\r\nx-signature: a\r\n\r" }) {
     ScriptedUpstream upstream({ head });
-    cr_assert(
-      upstream.Run().m_outcome == CallOutcome::Unknown, "after \"%s\"", head);
+    cr_assert(upstream.Run(false).m_outcome == CallOutcome::Unknown,
+              "after \"%s\"",
+              head);
   }
 }
 
--- a/src/process/FrontThreadTest.cpp
+++ b/src/process/FrontThreadTest.cpp
@@ -1,7 +1,7 @@
 #include "process/FrontThread.h"
 
-#include <future>
 #include <string>
+#include <thread>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -71,7 +71,8 @@
   front->Leave(clock.Now() + aTimeLeft);
   front->Drain();
   // Drain reports the request that is being read as in flight.
-  while (inFlight.WaitFor(std::chrono::milliseconds(1))) {
+  while (inFlight.InFlight() == 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
   }
   asio::write(socket, asio::buffer(std::string("i")));
   answer.clear();
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -67,8 +67,7 @@
                    const UpstreamEndpoint& aPlace) override
   {
     m_loop.Post([this, aUpstream, aPlace] {
-      if (aPlace.m_address != m_place.m_address ||
-          aPlace.m_instance != m_place.m_instance) {
+      if (aPlace != m_place) {
         m_guard.ResetNotice();
       }
       m_place = aPlace;
--- a/src/process/PlatformLoopTest.cpp
+++ b/src/process/PlatformLoopTest.cpp
@@ -125,6 +125,13 @@
     m_context.run_for(aTime);
     return m_clock.Now() - start;
   }
+  void ExpectNoDropBeforeStallTime()
+  {
+    const Duration passed = RunFor(200ms);
+    cr_assert(passed >= kStallTime || m_script.m_dropped == 0,
+              "dropped after %lld ms",
+              static_cast<long long>(passed / 1ms));
+  }
 
   void AnswerList(std::uint64_t aRevision)
   {
@@ -228,10 +235,7 @@
   node.AnswerList(5);
   cr_assert_eq(node.m_script.m_watches.size(), 1);
   node.ReceiveFromPeer(Parameters(9));
-  const Duration passed = node.RunFor(200ms);
-  cr_assert(passed >= kStallTime || node.m_script.m_dropped == 0,
-            "dropped after %lld ms",
-            static_cast<long long>(passed / 1ms));
+  node.ExpectNoDropBeforeStallTime();
   node.RunFor(600ms);
   cr_assert_eq(node.m_script.m_dropped, 1);
   // The node lists the current documents rather than watching from its last
@@ -246,10 +250,7 @@
   WatchingNode node;
   node.AnswerList(5);
   node.ReceiveDigest(9);
-  const Duration passed = node.RunFor(200ms);
-  cr_assert(passed >= kStallTime || node.m_script.m_dropped == 0,
-            "dropped after %lld ms",
-            static_cast<long long>(passed / 1ms));
+  node.ExpectNoDropBeforeStallTime();
   node.RunFor(400ms);
   cr_assert_eq(node.m_script.m_dropped, 1);
   cr_assert_eq(node.m_script.m_lists.size(), 1);
--- a/src/process/UpstreamRegister.cpp
+++ b/src/process/UpstreamRegister.cpp
@@ -87,9 +87,8 @@
         UpstreamProcess{ aReport.m_place.m_instance, aReport.m_birth };
     }
   }
-  const bool isChanged = announcement != m_announcement ||
-                         aReport.m_place.m_address != m_place.m_address ||
-                         aReport.m_place.m_instance != m_place.m_instance;
+  const bool isChanged =
+    announcement != m_announcement || aReport.m_place != m_place;
   m_announcement = std::move(announcement);
   m_place = aReport.m_place;
   m_birth = aReport.m_birth;
--- a/src/request/HttpDialect.h
+++ b/src/request/HttpDialect.h
@@ -75,6 +75,8 @@
   NetworkAddress m_address;
   /// Empty when the upstream announced no instance id.
   UpstreamInstanceId m_instance;
+
+  bool operator==(const UpstreamEndpoint&) const = default;
 };
 
 /// Writes the requests to an upstream and reads its answers.
--- a/src/version/BriefJudge.cpp
+++ b/src/version/BriefJudge.cpp
@@ -331,9 +331,7 @@
   Findings findings;
   findings.m_verdictScore = kSuspicion * m_settings.m_verdictScore;
   for (const RouteName& route : RoutesOfNewVersion()) {
-    for (const int divisor : kSpanDivisors) {
-      ScoreRoute(route, m_settings.m_lookback / divisor, findings);
-    }
+    ScoreRoute(route, findings);
   }
   // Evidence at a large share costs many calls, and the rest may be too few for
   // a comparison.
@@ -344,10 +342,32 @@
   return findings.m_verdict;
 }
 
+/// The old version's calls on a route since the judge began.
+struct BriefJudge::RouteHistory
+{
+  OldCounts m_counts;
+};
+
 void
-BriefJudge::ScoreRoute(const RouteName& aRoute,
-                       Duration aSpan,
-                       Findings& aFindings) const
+BriefJudge::ScoreRoute(const RouteName& aRoute, Findings& aFindings) const
+{
+  CountsByTarget targets;
+  if (const auto known = m_history.find(aRoute); known != m_history.end()) {
+    for (const auto& [target, counters] : known->second) {
+      targets[target].Add(counters);
+    }
+  }
+  const RouteHistory history{ MakeOldCounts(targets) };
+  for (const int divisor : kSpanDivisors) {
+    ScoreSpan(aRoute, m_settings.m_lookback / divisor, history, aFindings);
+  }
+}
+
+void
+BriefJudge::ScoreSpan(const RouteName& aRoute,
+                      Duration aSpan,
+                      const RouteHistory& aHistory,
+                      Findings& aFindings) const
 {
   std::vector<const EvidenceWindow*> windows;
   Duration length{ 0 };
@@ -363,13 +383,7 @@
   if (newCounts.m_calls <= 0) {
     return;
   }
-  CountsByTarget history;
-  if (const auto known = m_history.find(aRoute); known != m_history.end()) {
-    for (const auto& [target, counters] : known->second) {
-      history[target].Add(counters);
-    }
-  }
-  const OldCounts historic = MakeOldCounts(history);
+  const OldCounts& historic = aHistory.m_counts;
   const OldCounts concurrent = ConcurrentCounts(comparison);
   const bool isCompared = comparison.m_oldCalls >= kMinConcurrentCalls;
   const auto offer = [&](
--- a/src/version/BriefJudge.h
+++ b/src/version/BriefJudge.h
@@ -55,9 +55,12 @@
 
   void AddWindow(const EvidenceWindow& aWindow);
   std::set<RouteName> RoutesOfNewVersion() const;
-  void ScoreRoute(const RouteName& aRoute,
-                  Duration aSpan,
-                  Findings& aFindings) const;
+  struct RouteHistory;
+  void ScoreRoute(const RouteName& aRoute, Findings& aFindings) const;
+  void ScoreSpan(const RouteName& aRoute,
+                 Duration aSpan,
+                 const RouteHistory& aHistory,
+                 Findings& aFindings) const;
 
   BriefMoveSettings m_settings;
   std::deque<EvidenceWindow> m_windows;
--- a/src/version/Move.cpp
+++ b/src/version/Move.cpp
@@ -90,22 +90,11 @@
 MoveCoordinator
 Move::MakeCoordinator() const
 {
-  MoveCoordinator coordinator(m_plan,
-                              m_settings->m_dataCentre,
-                              *m_policy,
-                              kMaxMissedReports * kIdleReports *
-                                m_settings->m_reportInterval);
-  coordinator.SetNodeCount(m_nodeCount);
-  return coordinator;
-}
-
-void
-Move::SetNodeCount(std::size_t aNodes)
-{
-  m_nodeCount = aNodes;
-  if (m_coordinator) {
-    m_coordinator->SetNodeCount(aNodes);
-  }
+  return MoveCoordinator(m_plan,
+                         m_settings->m_dataCentre,
+                         *m_policy,
+                         kMaxMissedReports * kIdleReports *
+                           m_settings->m_reportInterval);
 }
 
 void
@@ -165,7 +154,7 @@
 Move::MayComplete(MonotonicTime aNow) const
 {
   return !m_coordinator ||
-         (m_coordinator->HasQuorum(aNow) &&
+         (m_coordinator->HasQuorum(m_nodeCount, aNow) &&
           m_coordinator->LastVerdict().m_kind == VerdictKind::Clear);
 }
 
@@ -190,7 +179,7 @@
   if (m_coordinator) {
     m_coordinator->AddReport(m_evidence.FullReport(), aTimes.m_now);
     m_mustSendProgress |=
-      m_coordinator->Advance(m_slots, share, aTimes, m_progress);
+      m_coordinator->Advance(m_slots, m_nodeCount, share, aTimes, m_progress);
   }
   m_windowShare = DataCentreShare();
   if (!m_progress.m_veto && MayComplete(aTimes.m_now) &&
--- a/src/version/Move.h
+++ b/src/version/Move.h
@@ -80,8 +80,8 @@
   void SetIsCoordinator(bool aIsCoordinator);
   bool IsCoordinator() const { return m_coordinator.has_value(); }
   void SetWarmSlots(const WarmSlots& aSlots) { m_slots = aSlots; }
-  /// See MoveCoordinator::SetNodeCount.
-  void SetNodeCount(std::size_t aNodes);
+  /// See MoveCoordinator::HasQuorum.
+  void SetNodeCount(std::size_t aNodes) { m_nodeCount = aNodes; }
 
   void AddObservation(const LocalObservation& aObservation);
   void AddReport(const EvidenceReport& aReport, MonotonicTime aNow);
--- a/src/version/MoveCoordinator.cpp
+++ b/src/version/MoveCoordinator.cpp
@@ -65,13 +65,13 @@
 }
 
 bool
-MoveCoordinator::HasQuorum(MonotonicTime aNow) const
+MoveCoordinator::HasQuorum(std::size_t aNodes, MonotonicTime aNow) const
 {
   const auto fresh = std::count_if(
     m_reportedAt.begin(), m_reportedAt.end(), [&](const auto& aReported) {
       return aNow - aReported.second <= m_reportLapse;
     });
-  return m_nodes == 0 || 2 * static_cast<std::size_t>(fresh) > m_nodes;
+  return aNodes == 0 || 2 * static_cast<std::size_t>(fresh) > aNodes;
 }
 
 void
@@ -124,6 +124,7 @@
 
 bool
 MoveCoordinator::Advance(const WarmSlots& aSlots,
+                         std::size_t aNodes,
                          Share aWindowShare,
                          const Times& aTimes,
                          MoveProgress& aProgress)
@@ -163,7 +164,7 @@
       own);
   } else if (!changed && m_verdict.m_kind == VerdictKind::Clear &&
              aTimes.m_now - m_begunAt >= ObservationTime(m_plan) &&
-             HasQuorum(aTimes.m_now)) {
+             HasQuorum(aNodes, aTimes.m_now)) {
     m_table.SetFirstReportsAsBaseline(false);
     changed = Raise(aTimes, own);
   }
--- a/src/version/MoveCoordinator.h
+++ b/src/version/MoveCoordinator.h
@@ -57,22 +57,22 @@
   /// Adds a report from a node of this data centre; it may have no entries.
   void AddReport(const EvidenceReport& aReport, MonotonicTime aNow);
 
-  /// Sets the number of nodes of this data centre, including those that failed
-  /// recently. While it is zero, every coordinator has a quorum.
-  void SetNodeCount(std::size_t aNodes) { m_nodes = aNodes; }
-
   /// Whether more than half of the nodes have reported recently. A coordinator
   /// without a quorum may be cut off from the evidence, so it does not raise
   /// the share, and the move must not be completed.
-  bool HasQuorum(MonotonicTime aNow) const;
+  /// \param aNodes the number of nodes of this data centre, including those
+  /// that failed recently; zero if unknown, which always is a quorum.
+  bool HasQuorum(std::size_t aNodes, MonotonicTime aNow) const;
 
   /// Judges the window since the previous call and updates this data centre's
   /// progress. A new coordinator does not raise the share during an initial
   /// observation time; reports added before the first call count as history.
   /// After a pause of the process, replace the coordinator with a new one.
+  /// \param aNodes see HasQuorum.
   /// \param aWindowShare the highest share in force since the previous call.
   /// \return true if the progress changed.
   bool Advance(const WarmSlots& aSlots,
+               std::size_t aNodes,
                Share aWindowShare,
                const Times& aTimes,
                MoveProgress& aProgress);
@@ -95,7 +95,6 @@
   std::unique_ptr<VersionJudge> m_judge;
   Verdict m_verdict;
   Duration m_reportLapse;
-  std::size_t m_nodes = 0;
   /// See PaceInput.
   bool m_hasPassedTrial = false;
   /// When each node reported last.
--- a/src/version/testing/BriefScenarios.cpp
+++ b/src/version/testing/BriefScenarios.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "version/testing/ScenarioDraw.h"
+
 namespace tarragontray::testing {
 
 namespace {
@@ -34,164 +36,139 @@
 /// other bad versions.
 constexpr double kUnderLoadFactor = 0.5;
 
-double
-Between(Random& aRandom, double aLow, double aHigh)
-{
-  return aLow + (aHigh - aLow) * aRandom.Fraction();
-}
-
-SessionTime
-Between(Random& aRandom, SessionTime aLow, SessionTime aHigh)
-{
-  return aLow + std::chrono::duration_cast<SessionTime>((aHigh - aLow) *
-                                                        aRandom.Fraction());
-}
-
 ModelFault
-Failing(Random& aRandom)
+Failing(Draw& aDraw)
 {
   ModelFault fault;
   fault.m_side = VersionSide::New;
-  fault.m_failureRate = Between(aRandom, 0.15, 1.0);
+  fault.m_failureRate = aDraw.Between(0.15, 1.0);
   return fault;
 }
 
 ModelFault
-Slow(Random& aRandom)
+Slow(Draw& aDraw)
 {
   ModelFault fault;
   fault.m_side = VersionSide::New;
-  fault.m_slowdown = Between(aRandom, 5.0, 8.0);
-  fault.m_slowdownRate = Between(aRandom, 0.2, 1.0);
+  fault.m_slowdown = aDraw.Between(5.0, 8.0);
+  fault.m_slowdownRate = aDraw.Between(0.2, 1.0);
   return fault;
 }
 
 ModelFault
-FailingOrSlow(Random& aRandom)
+FailingOrSlow(Draw& aDraw)
 {
-  return aRandom.Below(2) == 0 ? Failing(aRandom) : Slow(aRandom);
-}
-
-/// The fraction of one version's slots that all calls together occupy.
-double
-Load(const SessionSettings& aSettings)
-{
-  const ModelSettings& model = aSettings.m_model;
-  return aSettings.m_callsPerSecond *
-         std::chrono::duration<double>(model.m_serviceTime).count() /
-         static_cast<double>(model.m_targets * model.m_slots);
+  return aDraw.Below(2) == 0 ? Failing(aDraw) : Slow(aDraw);
 }
 
 ModelFault
-MakeFault(BriefKind aKind, Random& aRandom, const SessionSettings& aSettings)
+MakeFault(BriefKind aKind, Draw& aDraw, const SessionSettings& aSettings)
 {
   switch (aKind) {
     case BriefKind::Slow:
-      return Slow(aRandom);
+      return Slow(aDraw);
     case BriefKind::FailsUnderLoad:
     case BriefKind::SlowUnderLoad: {
       ModelFault fault =
-        aKind == BriefKind::SlowUnderLoad ? Slow(aRandom) : Failing(aRandom);
+        aKind == BriefKind::SlowUnderLoad ? Slow(aDraw) : Failing(aDraw);
       fault.m_failureRate *= kUnderLoadFactor;
-      fault.m_aboveLoad = Load(aSettings) * Between(aRandom, 0.2, 0.6);
+      fault.m_aboveLoad = Load(aSettings) * aDraw.Between(0.2, 0.6);
       return fault;
     }
     case BriefKind::FailsOnOneRoute: {
-      ModelFault fault = Failing(aRandom);
-      fault.m_route = aRandom.Below(2);
+      ModelFault fault = Failing(aDraw);
+      fault.m_route = aDraw.Below(2);
       return fault;
     }
     case BriefKind::FailsLate: {
-      ModelFault fault = Failing(aRandom);
-      fault.m_begin = aSettings.m_start + Between(aRandom, 2s, 6s);
+      ModelFault fault = Failing(aDraw);
+      fault.m_begin = aSettings.m_start + aDraw.Between(2s, 6s);
       return fault;
     }
     case BriefKind::BadAndSharedFault:
     case BriefKind::BadInLoadPeak:
     case BriefKind::BadWhileCoordinatorCut:
-      return FailingOrSlow(aRandom);
+      return FailingOrSlow(aDraw);
     default:
-      return Failing(aRandom);
+      return Failing(aDraw);
   }
 }
 
 /// A fault of both versions that begins during the move.
 ModelFault
-SharedFault(Random& aRandom, const SessionSettings& aSettings)
+SharedFault(Draw& aDraw, const SessionSettings& aSettings)
 {
   ModelFault fault;
-  fault.m_begin =
-    Between(aRandom, aSettings.m_start, aSettings.m_deadline - 6s);
-  fault.m_end = fault.m_begin + Between(aRandom, 3s, 7s);
+  fault.m_begin = aDraw.Between(aSettings.m_start, aSettings.m_deadline - 6s);
+  fault.m_end = fault.m_begin + aDraw.Between(3s, 7s);
   return fault;
 }
 
 void
 AddFaultyTargets(const ModelFault& aFault,
-                 Random& aRandom,
+                 Draw& aDraw,
                  SessionSettings& aSettings)
 {
   ModelFault fault = aFault;
-  fault.m_target = aRandom.Below(aSettings.m_model.m_targets);
-  fault.m_begin =
-    Between(aRandom, aSettings.m_start, aSettings.m_deadline - 6s);
+  fault.m_target = aDraw.Below(aSettings.m_model.m_targets);
+  fault.m_begin = aDraw.Between(aSettings.m_start, aSettings.m_deadline - 6s);
   fault.m_end = fault.m_begin + 7s;
   // A faulty target of one version, or of each.
-  if (aRandom.Below(2) == 0) {
+  if (aDraw.Below(2) == 0) {
     fault.m_side = VersionSide::New;
   }
   aSettings.m_model.m_faults.push_back(fault);
 }
 
 void
-AddPeak(Random& aRandom, SessionSettings& aSettings)
+AddPeak(Draw& aDraw, SessionSettings& aSettings)
 {
-  aSettings.m_peakFactor = Between(aRandom, 1.3, 1.8);
+  aSettings.m_peakFactor = aDraw.Between(1.3, 1.8);
   aSettings.m_peak.m_begin =
-    Between(aRandom, aSettings.m_start, aSettings.m_deadline - 4s);
-  aSettings.m_peak.m_end = aSettings.m_peak.m_begin + Between(aRandom, 2s, 4s);
+    aDraw.Between(aSettings.m_start, aSettings.m_deadline - 4s);
+  aSettings.m_peak.m_end = aSettings.m_peak.m_begin + aDraw.Between(2s, 4s);
 }
 
 /// Cuts the coordinator and two other nodes off from the rest.
 void
-AddCut(Random& aRandom, SessionSettings& aSettings)
+AddCut(Draw& aDraw, SessionSettings& aSettings)
 {
   SessionCut cut;
   cut.m_span.m_begin =
-    Between(aRandom, aSettings.m_start, aSettings.m_deadline - 8s);
-  cut.m_span.m_end = cut.m_span.m_begin + Between(aRandom, 4s, 7s);
+    aDraw.Between(aSettings.m_start, aSettings.m_deadline - 8s);
+  cut.m_span.m_end = cut.m_span.m_begin + aDraw.Between(4s, 7s);
   cut.m_others = 2;
   aSettings.m_cut = cut;
 }
 
 void
-AddDisturbance(BriefKind aKind, Random& aRandom, SessionSettings& aSettings)
+AddDisturbance(BriefKind aKind, Draw& aDraw, SessionSettings& aSettings)
 {
-  ModelFault fault = SharedFault(aRandom, aSettings);
+  ModelFault fault = SharedFault(aDraw, aSettings);
   switch (aKind) {
     case BriefKind::FaultyTargets:
       fault.m_failureRate = 0.45;
-      AddFaultyTargets(fault, aRandom, aSettings);
+      AddFaultyTargets(fault, aDraw, aSettings);
       return;
     case BriefKind::SlowTargets:
       fault.m_slowdown = 5.0;
-      AddFaultyTargets(fault, aRandom, aSettings);
+      AddFaultyTargets(fault, aDraw, aSettings);
       return;
     case BriefKind::SharedFault:
     case BriefKind::BadAndSharedFault:
-      fault.m_failureRate = Between(aRandom, 0.05, 0.3);
+      fault.m_failureRate = aDraw.Between(0.05, 0.3);
       break;
     case BriefKind::SharedSlowness:
-      fault.m_slowdown = Between(aRandom, 2.0, 5.0);
-      fault.m_slowdownRate = Between(aRandom, 0.2, 0.7);
+      fault.m_slowdown = aDraw.Between(2.0, 5.0);
+      fault.m_slowdownRate = aDraw.Between(0.2, 0.7);
       break;
     case BriefKind::CoordinatorCut:
     case BriefKind::BadWhileCoordinatorCut:
-      AddCut(aRandom, aSettings);
+      AddCut(aDraw, aSettings);
       return;
     case BriefKind::LoadPeak:
     case BriefKind::BadInLoadPeak:
-      AddPeak(aRandom, aSettings);
+      AddPeak(aDraw, aSettings);
       return;
     default:
       return;
@@ -200,15 +177,15 @@
 }
 
 SessionSettings
-MakeDeployment(Random& aRandom)
+MakeDeployment(Draw& aDraw)
 {
   SessionSettings settings;
   settings.m_dataCentres = 1;
   settings.m_nodes = 12;
-  settings.m_callsPerSecond = Between(aRandom, 140.0, 260.0);
+  settings.m_callsPerSecond = aDraw.Between(140.0, 260.0);
   settings.m_routes = { 0.74, 0.26 };
   settings.m_start = 8s;
-  settings.m_deadline = settings.m_start + Between(aRandom, 12s, 18s);
+  settings.m_deadline = settings.m_start + aDraw.Between(12s, 18s);
   settings.m_hold = (settings.m_deadline - settings.m_start) / 8;
   settings.m_end = settings.m_deadline + 2s;
   settings.m_messageJitter = 20ms;
@@ -219,8 +196,8 @@
   model.m_targets = 7;
   model.m_slots = 9;
   model.m_serviceTime = 160ms;
-  model.m_spread = Between(aRandom, 0.3, 0.8);
-  model.m_baseFailureRate = Between(aRandom, 0.0, 0.02);
+  model.m_spread = aDraw.Between(0.3, 0.8);
+  model.m_baseFailureRate = aDraw.Between(0.0, 0.02);
   model.m_baseCallerErrorRate = 0.0;
   model.m_loadTime = 400ms;
   model.m_targetSlowdowns = { 0.7, 0.7, 1.6 };
@@ -232,11 +209,7 @@
 std::array<BriefKind, kBriefKinds>
 AllBriefKinds()
 {
-  std::array<BriefKind, kBriefKinds> all{};
-  for (std::size_t i = 0; i < kBriefKinds; ++i) {
-    all[i] = static_cast<BriefKind>(i);
-  }
-  return all;
+  return AllKinds<BriefKind, kBriefKinds>();
 }
 
 std::string_view
@@ -255,12 +228,13 @@
 MakeBriefScenario(BriefKind aKind, std::uint64_t aSeed)
 {
   SeededRandom random(aSeed * kBriefKinds + static_cast<std::uint64_t>(aKind));
-  SessionSettings settings = MakeDeployment(random);
+  Draw draw(random);
+  SessionSettings settings = MakeDeployment(draw);
   settings.m_seed = random.Next();
   if (IsBad(aKind)) {
-    settings.m_model.m_faults.push_back(MakeFault(aKind, random, settings));
+    settings.m_model.m_faults.push_back(MakeFault(aKind, draw, settings));
   }
-  AddDisturbance(aKind, random, settings);
+  AddDisturbance(aKind, draw, settings);
   return settings;
 }
 
--- a/src/version/testing/MoveScenarios.cpp
+++ b/src/version/testing/MoveScenarios.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "version/testing/ScenarioDraw.h"
+
 namespace tarragontray::testing {
 
 namespace {
@@ -24,30 +26,6 @@
   "two-stewards",        "two-disturbances",
 };
 
-/// Draws values from ranges.
-class Draw
-{
-public:
-  explicit Draw(Random& aRandom)
-    : m_random(aRandom)
-  {
-  }
-
-  double Between(double aLow, double aHigh)
-  {
-    return aLow + (aHigh - aLow) * m_random.Fraction();
-  }
-  Duration Between(Duration aLow, Duration aHigh)
-  {
-    return aLow + std::chrono::duration_cast<Duration>((aHigh - aLow) *
-                                                       m_random.Fraction());
-  }
-  std::size_t Below(std::size_t aBound) { return m_random.Below(aBound); }
-
-private:
-  Random& m_random;
-};
-
 ModelFault
 Failing(Draw& aDraw)
 {
@@ -76,16 +54,6 @@
   return aDraw.Between(SessionTime(20s), SessionTime(95s));
 }
 
-/// The fraction of one version's slots that all calls together occupy.
-double
-Load(const SessionSettings& aSettings)
-{
-  const ModelSettings& model = aSettings.m_model;
-  return aSettings.m_callsPerSecond *
-         std::chrono::duration<double>(model.m_serviceTime).count() /
-         static_cast<double>(model.m_targets * model.m_slots);
-}
-
 void
 MakeBad(ScenarioKind aKind, Draw& aDraw, SessionSettings& aSettings)
 {
@@ -270,11 +238,7 @@
 std::array<ScenarioKind, kScenarioKinds>
 AllScenarioKinds()
 {
-  std::array<ScenarioKind, kScenarioKinds> all{};
-  for (std::size_t i = 0; i < kScenarioKinds; ++i) {
-    all[i] = static_cast<ScenarioKind>(i);
-  }
-  return all;
+  return AllKinds<ScenarioKind, kScenarioKinds>();
 }
 
 std::string_view
