--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -88,7 +88,7 @@
 public:
   Session(asio::io_context& aContext, HttpClientSettings aSettings)
     : m_context(aContext)
-    , m_settings(aSettings)
+    , m_settings(std::move(aSettings))
   {
   }
 
@@ -165,6 +165,9 @@
                            answer.error().Code() == ErrorCode::Closed &&
                            aPending.m_call.m_request.m_method == "GET";
     if (mayResend) {
+      if (m_settings.m_onResend) {
+        m_settings.m_onResend();
+      }
       Result<HttpAnswerParts> second = co_await TryOnce(aPending);
       co_return second;
     }
@@ -300,7 +303,7 @@
                    HttpClientSettings aSettings)
 {
   return std::unique_ptr<HttpClient>(
-    new HttpClient(std::make_shared<Session>(aContext, aSettings)));
+    new HttpClient(std::make_shared<Session>(aContext, std::move(aSettings))));
 }
 
 void
--- a/src/connection/HttpClient.h
+++ b/src/connection/HttpClient.h
@@ -49,6 +49,8 @@
   /// Whether a GET is sent a second time when a reused connection turns out to
   /// be closed. When false, each Send sends at most one request.
   bool m_resendsGet = true;
+  /// Called before a GET is sent a second time; optional.
+  std::function<void()> m_onResend = nullptr;
 };
 
 /// One call of an HttpClient.
--- a/src/connection/PlatformSession.h
+++ b/src/connection/PlatformSession.h
@@ -42,6 +42,9 @@
   std::uint64_t m_lists = 0;
   std::uint64_t m_writes = 0;
   std::uint64_t m_watches = 0;
+  /// Requests that were sent again because a reused connection was closed; the
+  /// other counters count them once.
+  std::uint64_t m_resent = 0;
   /// Calls that ended with any Error but NotFound and Conflict.
   std::uint64_t m_failures = 0;
 };
--- a/src/connection/WatchClients.h
+++ b/src/connection/WatchClients.h
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include "connection/HttpClient.h"
@@ -17,13 +18,19 @@
 
 namespace tarragontray {
 
-/// Settings of the clients that call the platform's service.
+/// Settings of the clients that call the platform's service; they count
+/// requests that are sent again.
+/// Precondition: aCounters is not null.
 inline HttpClientSettings
-ClientSettingsOf(const PlatformSettings& aSettings)
+ClientSettingsOf(const PlatformSettings& aSettings,
+                 std::shared_ptr<PlatformCounters> aCounters)
 {
   HttpClientSettings settings;
   settings.m_peer = aSettings.m_address;
   settings.m_maxBody = kMaxListing;
+  settings.m_onResend = [counters = std::move(aCounters)] {
+    ++counters->m_resent;
+  };
   return settings;
 }
 
--- a/src/process/ControlThread.cpp
+++ b/src/process/ControlThread.cpp
@@ -440,6 +440,7 @@
     stats.m_platformCalls =
       CallCount(m_platformCounters->m_reads + m_platformCounters->m_lists +
                 m_platformCounters->m_writes + m_platformCounters->m_watches);
+    stats.m_platformResent = CallCount(m_platformCounters->m_resent);
     stats.m_badDatagrams = CallCount(m_badDatagrams);
     for (const MemberRecord& member : aStatus.m_members) {
       stats.m_membersAlive += member.m_state == NodeState::Alive ? 1 : 0;
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -121,6 +121,8 @@
     Gauge("configurations_rejected", "Newest versions that were rejected.");
   prometheus::Gauge& m_platformCalls =
     Gauge("platform_calls", "Calls to the platform since the start.");
+  prometheus::Gauge& m_platformResent =
+    Gauge("platform_resent", "Requests to the platform that were sent again.");
   prometheus::Gauge& m_badDatagrams =
     Gauge("bad_datagrams", "Datagrams that did not decode.");
   prometheus::Gauge& m_running =
@@ -167,6 +169,8 @@
   m_state->m_rejected.Set(static_cast<double>(aStats.m_rejected));
   m_state->m_platformCalls.Set(
     static_cast<double>(aStats.m_platformCalls.Value()));
+  m_state->m_platformResent.Set(
+    static_cast<double>(aStats.m_platformResent.Value()));
   m_state->m_badDatagrams.Set(
     static_cast<double>(aStats.m_badDatagrams.Value()));
 }
--- a/src/process/Metrics.h
+++ b/src/process/Metrics.h
@@ -42,6 +42,8 @@
   std::size_t m_configurations = 0;
   std::size_t m_rejected = 0;
   CallCount m_platformCalls;
+  /// Requests to the platform that were sent again on another connection.
+  CallCount m_platformResent;
   CallCount m_badDatagrams;
 };
 
--- a/src/process/StatusJson.cpp
+++ b/src/process/StatusJson.cpp
@@ -109,6 +109,7 @@
            { "sent_bytes", aStats.m_sent.Value() },
            { "received_bytes", aStats.m_received.Value() },
            { "platform_calls", aStats.m_platformCalls.Value() },
+           { "platform_resent", aStats.m_platformResent.Value() },
            { "bad_datagrams", aStats.m_badDatagrams.Value() } };
 }
 
