--- a/src/connection/PlatformSessionTest.cpp
+++ b/src/connection/PlatformSessionTest.cpp
@@ -262,6 +262,24 @@
   cr_assert_eq(next.value().m_objects.at(0).m_document.m_body, "2");
 }
 
+Test(PlatformSession, AWatchThatIsCutOnAReusedConnectionIsSentAgainUnnoticed)
+{
+  Fixture fixture;
+  const Revision before = fixture.Put("configurations/a", "1");
+  cr_assert(fixture.Watch(before, std::chrono::milliseconds(20)).has_value());
+  std::optional<Result<PlatformListing>> watched;
+  fixture.m_platform->Watch(
+    "configurations/",
+    before,
+    std::chrono::seconds(60),
+    [&](Result<PlatformListing> aResult) { watched = std::move(aResult); });
+  fixture.RunUntil([&]() { return fixture.m_standin->WaitingWatches() == 1; });
+  fixture.m_standin->CutWatches();
+  fixture.RunUntil([&]() { return watched.has_value(); });
+  AssertFails(ErrorCode::Closed, "platform.watch", watched->error());
+  cr_assert_eq(fixture.m_standin->Counts().m_watches, 2);
+}
+
 Test(PlatformSession, LostAnswerLeavesTheWriteInEffect)
 {
   Fixture fixture;
--- a/src/process/PlatformLoopTest.cpp
+++ b/src/process/PlatformLoopTest.cpp
@@ -18,6 +18,9 @@
 /// How long a watch may be behind peers without a byte.
 constexpr Duration kStallTime = 500ms;
 
+/// Time from a change at the platform until it is in force on every node.
+constexpr Duration kPropagationBound = 2s;
+
 /// The calls that the platform has received; they stay pending until the test
 /// answers them.
 struct PlatformScript
@@ -29,6 +32,8 @@
   std::vector<Duration> m_waits;
   int m_dropped = 0;
   ByteCount m_watchedBytes;
+  /// The platform's revision, whatever the watches report.
+  Revision m_revision{ 5 };
 };
 
 class ScriptedPlatform final : public Platform
@@ -261,6 +266,15 @@
   cr_assert_eq(node.m_script.m_dropped, 1);
 }
 
+Test(PlatformLoop, AChangeBehindASilentWatchIsNotReadWithinThePropagationBound)
+{
+  WatchingNode node;
+  node.AnswerList(5);
+  node.m_script.m_revision = Revision(9);
+  node.RunFor(kPropagationBound);
+  cr_assert_eq(node.m_script.m_lists.size(), 1);
+}
+
 Test(PlatformLoop, AllowsASlowAnswerMoreTimeAfterADrop)
 {
   WatchingNode node;
--- a/src/programs/StandinPlatform.cpp
+++ b/src/programs/StandinPlatform.cpp
@@ -110,6 +110,14 @@
   return Success();
 }
 
+void
+StandinPlatform::CutWatches()
+{
+  for (const auto& watch : std::exchange(m_watches, {})) {
+    watch->m_exchange->Drop();
+  }
+}
+
 void
 StandinPlatform::OnRequest(FaultyHttpServer::Exchange aExchange)
 {
@@ -272,6 +280,11 @@
     aExchange->Answer(JsonAnswer(200, EncodeCounts(m_counts)));
     return;
   }
+  if (request.m_method == "POST" && request.m_target == "/cut-watches") {
+    CutWatches();
+    aExchange->Answer(JsonAnswer(200, "{}"));
+    return;
+  }
   if (request.m_target != "/faults") {
     aExchange->Answer(ErrorAnswer(404, "no such page"));
     return;
--- a/src/programs/StandinPlatform.h
+++ b/src/programs/StandinPlatform.h
@@ -11,6 +11,7 @@
 /// | --- | --- |
 /// | `GET /faults` | the faults in force, as JSON |
 /// | `POST /faults` | sets the faults named in the JSON body, keeps the rest |
+/// | `POST /cut-watches` | closes the connections of all waiting watches |
 /// | `GET /counts` | number of calls by kind since the start, as JSON |
 ///
 /// Fields of the faults, described at PlatformFaults: `down` ("no", "refuse" or
@@ -107,6 +108,8 @@
   /// Replaces the faults in force. Errors: Unreachable when the address can't
   /// be bound again after an outage.
   Result<void> SetFaults(const PlatformFaults& aFaults);
+  /// Closes the connections of all waiting watches without an answer.
+  void CutWatches();
 
 private:
   struct PendingWatch;
