Watches: a watch whose connection is cut reports it, and the node lists

Callers on several nodes were handled by a version 5.4 s older than the acknowledged one. The store had dropped its history and cut all watches; they ran on reused connections, so HttpClient sent each again with its old revision at once, before the store had dropped the history. The store accepted them and woke them at the next change only.

Watches are no longer sent again: the failure reaches PlatformLoop, which lists.

Short GETs are still sent again: their answer is as of the second request.

--- a/src/connection/WatchClients.h
+++ b/src/connection/WatchClients.h
@@ -1,6 +1,6 @@
 /// \file
 /// The connections of watches: one for each waiting watch, reused by later
-/// watches.
+/// watches. A watch is never sent twice.
 ///
 ///     HttpClient* client = watches.Idle();
 ///     if (client == nullptr) { ... the maximum of watches is waiting ... }
@@ -43,7 +43,7 @@
                const HttpClientSettings& aSettings,
                std::size_t aMaxWatches)
     : m_context(aContext)
-    , m_settings(aSettings)
+    , m_settings(WithoutResends(aSettings))
     , m_maxWatches(aMaxWatches)
   {
   }
@@ -78,6 +78,14 @@
   void Drop() { m_clients.clear(); }
 
 private:
+  /// A watch whose connection is closed may have missed changes, so its caller
+  /// has to know of the failure.
+  static HttpClientSettings WithoutResends(HttpClientSettings aSettings)
+  {
+    aSettings.m_resendsGet = false;
+    return aSettings;
+  }
+
   boost::asio::io_context& m_context;
   const HttpClientSettings m_settings;
   const std::size_t m_maxWatches;
