Revision checks: bound the age of what a node knows behind a silent watch

While a watch was open and silent, nothing but its own wait of up to 28 s ended a node's trust in it. Peers' digests help only if some peer has the change; when the store silences all watches at once, none has.

The relay whose rank is due now reads the platform's revision, lists the prefixes that are behind it beside their watches, and spreads along a tree that the platform has just confirmed its documents. Rank 0 reads 0.5 s after the last confirmation on the users' platform; each further rank 0.3 s later; from the fourth on, each node for itself after 1.4 to 1.6 s. Peers that the confirmation overtakes list 0.5 s later, as before. The datagram format becomes 2.

New tests bound the sum of all links with 40 nodes: rank 0 gone, two nodes cut from the platform, one node without peers, 30 % of datagrams lost; 1.42 s at most, and two calls a second for the fleet. Five of the seven fail without the checks.

--- a/src/connection/DatagramCodec.cpp
+++ b/src/connection/DatagramCodec.cpp
@@ -205,13 +205,19 @@
   Get(aSource.Values(), aPath.m_seed);
 }
 
+void
+Get(Source& aSource, DocumentDigest& aDigest)
+{
+  Get(aSource.Values(), aDigest.m_hash);
+  Get(aSource.Values(), aDigest.m_highest);
+}
+
 void
 Get(Source& aSource, StateDigest& aDigest)
 {
   Reader& reader = aSource.Values();
   Get(reader, aDigest.m_members);
-  Get(reader, aDigest.m_documents.m_hash);
-  Get(reader, aDigest.m_documents.m_highest);
+  Get(aSource, aDigest.m_documents);
   Get(reader, aDigest.m_moves);
 }
 
@@ -237,6 +243,7 @@
   }
   GetOptional(aSource, aDatagram.m_path);
   GetOptional(aSource, aDatagram.m_digest);
+  GetOptional(aSource, aDatagram.m_confirmed);
   Get(aSource, aDatagram.m_members);
   Get(aSource, aDatagram.m_documents);
   Get(aSource, aDatagram.m_moves);
--- a/src/connection/Platform.h
+++ b/src/connection/Platform.h
@@ -68,6 +68,9 @@
                      Revision aAfter,
                      Duration aMaxWait,
                      Callback<PlatformListing> aDone) = 0;
+  /// Reads the revision of the platform's newest change of any object. Costs
+  /// less than a list with objects. Errors: as List.
+  virtual void ReadRevision(Callback<Revision> aDone) = 0;
   /// Cancels the waiting watches without calling their callbacks, and closes
   /// the idle connections: the fault that stopped the data of a watch may
   /// affect them too.
--- a/src/connection/PlatformSession.cpp
+++ b/src/connection/PlatformSession.cpp
@@ -18,6 +18,9 @@
 
 namespace {
 
+/// No key has this prefix; a list of it holds only the platform's revision.
+constexpr std::string_view kUnusedPrefix = "revision/";
+
 /// Step and peer of a call, for errors.
 struct CallContext
 {
@@ -179,6 +182,15 @@
       std::move(aDone));
   }
 
+  void ReadRevision(Callback<Revision> aDone) override
+  {
+    List(std::string(kUnusedPrefix),
+         [done = std::move(aDone)](const Result<PlatformListing>& aListing) {
+           done(aListing ? Result<Revision>(aListing.value().m_revision)
+                         : Result<Revision>(aListing.error()));
+         });
+  }
+
   void DropWatches() override
   {
     m_watches.Drop();
--- a/src/process/ConditionalWriterTest.cpp
+++ b/src/process/ConditionalWriterTest.cpp
@@ -78,6 +78,7 @@
   }
 
   void List(std::string, Callback<PlatformListing>) override {}
+  void ReadRevision(Callback<Revision> /*aDone*/) override {}
   void DropWatches() override {}
   ByteCount WatchedBytes() const override { return {}; }
   void Watch(std::string,
--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -164,6 +164,25 @@
   return m_gossip.Documents().WatchAfter(aPrefix);
 }
 
+MonotonicTime
+ControlCore::NextRevisionCheck(MonotonicTime aNow) const
+{
+  return m_gossip.Documents().NextRevisionCheck(aNow);
+}
+
+ControlActions
+ControlCore::OnDocumentsConfirmed(MonotonicTime aAsOf, const Times& aTimes)
+{
+  m_gossip.Documents().ConfirmFromPlatform(aAsOf);
+  return Finish(m_gossip.Tick(aTimes.m_now), aTimes);
+}
+
+bool
+ControlCore::IsNews(const Document& aDocument) const
+{
+  return m_gossip.Documents().IsNews(aDocument);
+}
+
 bool
 ControlCore::IsOvertaken(const std::string& aPrefix) const
 {
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -142,6 +142,13 @@
   bool TakePlatformRead(MonotonicTime aNow);
   MonotonicTime PlatformReadyAt(MonotonicTime aNow);
   Revision WatchAfter(const std::string& aPrefix) const;
+  /// When to read the platform's revision; see Distribution.
+  MonotonicTime NextRevisionCheck(MonotonicTime aNow) const;
+  /// Records that this node's documents of all watched prefixes were current at
+  /// aAsOf.
+  ControlActions OnDocumentsConfirmed(MonotonicTime aAsOf, const Times& aTimes);
+  /// Whether the document is newer than this node's, or unknown to it.
+  bool IsNews(const Document& aDocument) const;
   /// Handles the result of a list, a watch or the read of a template.
   /// \param aComplete the revision up to which aDocuments is complete.
   /// \param aPrefix the prefix that was requested; empty for a single read.
--- a/src/process/Datagram.h
+++ b/src/process/Datagram.h
@@ -29,7 +29,7 @@
 inline constexpr std::size_t kMaxDatagramBytes = 1400;
 
 /// The first byte of every datagram. Each change of the layout increments it.
-inline constexpr std::uint8_t kDatagramFormat = 1;
+inline constexpr std::uint8_t kDatagramFormat = 2;
 
 enum class DatagramKind : std::uint8_t
 {
@@ -88,6 +88,9 @@
   std::optional<SpreadPath> m_path;
   /// The sender's state. A receiver whose state differs schedules a pull.
   std::optional<StateDigest> m_digest;
+  /// The documents that the root of the path held when the platform had just
+  /// confirmed that they are current.
+  std::optional<DocumentDigest> m_confirmed;
   std::vector<MemberRecord> m_members;
   std::vector<Document> m_documents;
   std::vector<MoveProgress> m_moves;
--- a/src/process/DatagramLayout.h
+++ b/src/process/DatagramLayout.h
@@ -160,13 +160,20 @@
   aSink.Number(aPath.m_seed);
 }
 
+template<typename Sink>
+void
+Layout(Sink& aSink, const DocumentDigest& aDigest)
+{
+  aSink.Number(aDigest.m_hash);
+  aSink.Number(aDigest.m_highest.Value());
+}
+
 template<typename Sink>
 void
 Layout(Sink& aSink, const StateDigest& aDigest)
 {
   aSink.Number(aDigest.m_members);
-  aSink.Number(aDigest.m_documents.m_hash);
-  aSink.Number(aDigest.m_documents.m_highest.Value());
+  Layout(aSink, aDigest.m_documents);
   aSink.Number(aDigest.m_moves);
 }
 
@@ -209,6 +216,7 @@
   }
   LayoutOptional(aSink, aDatagram.m_path);
   LayoutOptional(aSink, aDatagram.m_digest);
+  LayoutOptional(aSink, aDatagram.m_confirmed);
   Layout(aSink, aDatagram.m_members);
   Layout(aSink, aDatagram.m_documents);
   Layout(aSink, aDatagram.m_moves);
--- a/src/process/DatagramMerge.cpp
+++ b/src/process/DatagramMerge.cpp
@@ -24,6 +24,9 @@
   if (!merged.m_digest) {
     merged.m_digest = aRight.m_digest;
   }
+  if (!merged.m_confirmed) {
+    merged.m_confirmed = aRight.m_confirmed;
+  }
   Append(merged.m_members, aRight.m_members);
   Append(merged.m_documents, aRight.m_documents);
   Append(merged.m_moves, aRight.m_moves);
--- a/src/process/Distribution.cpp
+++ b/src/process/Distribution.cpp
@@ -39,6 +39,7 @@
   , m_random(&aRandom)
   , m_table(aSettings.m_maxDocuments)
   , m_platformReads(aSettings.m_platformReads, aSettings.m_platformBurst)
+  , m_checks(aSettings.m_checks, aRandom)
 {
 }
 
@@ -48,6 +49,9 @@
   Apply(aDatagram.m_documents,
         { DocumentChannel::Gossip, aDatagram.m_from, {} },
         aNow);
+  if (aDatagram.m_confirmed) {
+    ReceiveConfirmation(*aDatagram.m_confirmed, aNow);
+  }
   if (!aDatagram.m_path) {
     return;
   }
@@ -87,6 +91,9 @@
     m_counters.m_spread += due.size();
     Send(due, std::nullopt, actions.m_send);
   }
+  if (std::exchange(m_spreadsConfirmation, false)) {
+    SendConfirmation(actions.m_send);
+  }
   return actions;
 }
 
@@ -114,6 +121,50 @@
   m_answeredAt[aPrefix] = aNow;
 }
 
+MonotonicTime
+Distribution::NextRevisionCheck(MonotonicTime aNow) const
+{
+  // Ranking the members takes longer than the comparison.
+  if (const MonotonicTime earliest = m_checks.EarliestCheck();
+      aNow < earliest) {
+    return earliest;
+  }
+  const std::optional<std::size_t> rank = m_topology->RelayRank();
+  return rank ? m_checks.NextCheck(*rank) : MonotonicTime::max();
+}
+
+void
+Distribution::ConfirmFromPlatform(MonotonicTime aAsOf)
+{
+  m_checks.Confirm(aAsOf);
+  const std::optional<std::size_t> rank = m_topology->RelayRank();
+  m_spreadsConfirmation = rank && *rank < RevisionChecks::kAnnouncers;
+}
+
+void
+Distribution::ReceiveConfirmation(const DocumentDigest& aConfirmed,
+                                  MonotonicTime aNow)
+{
+  const DocumentDigest mine = m_table.Digest();
+  // With a higher revision of its own, this node has heard from the platform
+  // after the sender.
+  if (aConfirmed == mine || aConfirmed.m_highest < mine.m_highest) {
+    m_checks.Confirm(aNow);
+  }
+}
+
+void
+Distribution::SendConfirmation(std::vector<OutgoingDatagram>& aSend)
+{
+  Datagram datagram;
+  datagram.m_from = m_topology->SelfVm();
+  datagram.m_path = m_topology->NewPath();
+  datagram.m_confirmed = m_table.Digest();
+  for (const NetworkAddress& child : m_topology->ChildrenOf(*datagram.m_path)) {
+    aSend.push_back({ child, datagram });
+  }
+}
+
 DistributionActions
 Distribution::OfferFromPeer(const VmId& aPeer,
                             const std::vector<Document>& aDocuments,
@@ -192,6 +243,13 @@
     });
 }
 
+bool
+Distribution::IsNews(const Document& aDocument) const
+{
+  const Document* held = m_table.Find(aDocument.m_key);
+  return held == nullptr || held->m_revision < aDocument.m_revision;
+}
+
 const DocumentOrigin*
 Distribution::OriginOf(const ObjectKey& aKey) const
 {
--- a/src/process/Distribution.h
+++ b/src/process/Distribution.h
@@ -46,6 +46,7 @@
 #include "process/DocumentOrigin.h"
 #include "process/DocumentTable.h"
 #include "process/Pull.h"
+#include "process/RevisionChecks.h"
 #include "process/SpreadTree.h"
 #include "version/Document.h"
 
@@ -69,6 +70,7 @@
   Duration m_coldStartWait = std::chrono::seconds(10);
   /// The size limit of the documents in one answer to a pull.
   ByteCount m_maxAnswer{ 262'144 };
+  RevisionCheckSettings m_checks;
 };
 
 /// A prefix of keys to watch at the platform, and how many relays of each cell
@@ -134,6 +136,13 @@
   /// Call when the platform no longer has the history after WatchAfter(), so
   /// that the next read is a listing.
   void ResetWatch(const std::string& aPrefix) { m_complete.erase(aPrefix); }
+  /// When this node should read the platform's revision;
+  /// MonotonicTime::max() when it is not a relay. May be early, but not when it
+  /// is due.
+  MonotonicTime NextRevisionCheck(MonotonicTime aNow) const;
+  /// Records that the platform held no newer documents of the watched prefixes
+  /// at aAsOf, and spreads that to the peers if this node's rank is low.
+  void ConfirmFromPlatform(MonotonicTime aAsOf);
   /// Merges documents from the answer to a pull.
   /// \param aPath set when a digest along a tree led to the pull; the documents
   /// are then forwarded to this node's children in that tree.
@@ -184,6 +193,8 @@
     return m_table.Differing(aTheirs, m_settings.m_maxAnswer);
   }
   const DocumentTable& Table() const { return m_table; }
+  /// Whether the document is newer than this node's, or unknown to it.
+  bool IsNews(const Document& aDocument) const;
   /// How this node received its revision of a document; null for an unknown
   /// key. Valid until the next change.
   const DocumentOrigin* OriginOf(const ObjectKey& aKey) const;
@@ -210,6 +221,9 @@
   /// large for a datagram, the last datagram carries the digest instead.
   std::vector<Datagram> Pack(const std::set<ObjectKey>& aKeys,
                              const std::optional<SpreadPath>& aPath);
+  void ReceiveConfirmation(const DocumentDigest& aConfirmed,
+                           MonotonicTime aNow);
+  void SendConfirmation(std::vector<OutgoingDatagram>& aSend);
   void Send(const std::set<ObjectKey>& aKeys,
             const std::optional<SpreadPath>& aPath,
             std::vector<OutgoingDatagram>& aSend);
@@ -219,6 +233,9 @@
   Random* m_random;
   DocumentTable m_table;
   TokenBucket m_platformReads;
+  RevisionChecks m_checks;
+  /// Whether a confirmation of the platform is to be sent along a tree.
+  bool m_spreadsConfirmation = false;
   DistributionCounters m_counters;
   std::set<ObjectKey> m_changed;
   /// When to send each key along a new tree, unless it arrives along a tree
--- a/src/process/Gossip.cpp
+++ b/src/process/Gossip.cpp
@@ -232,6 +232,10 @@
                       const NetworkAddress& aFrom,
                       MonotonicTime aNow)
 {
+  if (aDatagram.m_confirmed) {
+    m_highestReported =
+      std::max(m_highestReported, aDatagram.m_confirmed->m_highest);
+  }
   if (!aDatagram.m_digest) {
     return;
   }
@@ -265,7 +269,8 @@
   if (isBehind) {
     forwarded.m_digest.reset();
   }
-  const bool isEmpty = !forwarded.m_digest && forwarded.m_members.empty() &&
+  const bool isEmpty = !forwarded.m_digest && !forwarded.m_confirmed &&
+                       forwarded.m_members.empty() &&
                        forwarded.m_documents.empty() &&
                        forwarded.m_moves.empty();
   if (isEmpty) {
--- a/src/process/Gossip.h
+++ b/src/process/Gossip.h
@@ -119,7 +119,8 @@
     return m_members->IsSettled() && !m_documents.IsBelowFloor();
   }
 
-  /// The highest document revision in any peer's digest so far.
+  /// The highest document revision in any peer's digest or confirmation so
+  /// far.
   Revision HighestReported() const { return m_highestReported; }
 
   Membership& Members() { return *m_members; }
--- a/src/process/Membership.cmake
+++ b/src/process/Membership.cmake
@@ -11,7 +11,7 @@
   SRCS DatagramMerge.cpp Distribution.cpp DocumentTable.cpp Gossip.cpp
        MoveGossip.cpp PullSchedule.cpp
   HDRS DatagramMerge.h Distribution.h DocumentTable.h Gossip.h MoveGossip.h
-       PullSchedule.h
+       PullSchedule.h RevisionChecks.h
   DEPS tt_membership)
 
 tt_library(tt_fake_network SRCS testing/FakeNetwork.cpp testing/FakeNetworkChecks.cpp DEPS tt_gossip)
@@ -20,5 +20,6 @@
 tt_test(membership_test SRCS MembershipTest.cpp DEPS tt_fake_network)
 tt_test(move_gossip_test SRCS MoveGossipTest.cpp DEPS tt_fake_network)
 tt_test(gossip_session_test SRCS GossipSessionTest.cpp DEPS tt_fake_network)
+tt_test(revision_checks_test SRCS RevisionChecksTest.cpp DEPS tt_fake_network)
 tt_test(spread_tree_test SRCS SpreadTreeTest.cpp DEPS tt_membership)
 tt_test(prober_test SRCS ProberTest.cpp DEPS tt_membership)
--- a/src/process/NodeSettings.cpp
+++ b/src/process/NodeSettings.cpp
@@ -158,6 +158,8 @@
   DistributionSettings& distribution = aSettings.m_gossip.m_distribution;
   distribution.m_defersUntilSpread = false;
   distribution.m_rankDelay = std::chrono::milliseconds(100);
+  distribution.m_checks.m_interval = std::chrono::milliseconds(500);
+  distribution.m_checks.m_rankDelay = std::chrono::milliseconds(300);
   distribution.m_platformReads = 10;
   distribution.m_platformBurst = 20;
 }
--- a/src/process/PlatformLoop.cpp
+++ b/src/process/PlatformLoop.cpp
@@ -141,6 +141,7 @@
     }
   }
   ReadTemplates();
+  CheckRevision(now);
 }
 
 void
@@ -245,6 +246,107 @@
   }
 }
 
+void
+PlatformLoop::CheckRevision(MonotonicTime aNow)
+{
+  const bool isListing = std::any_of(
+    m_prefixes.begin(), m_prefixes.end(), [](const Prefix& aPrefix) {
+      return aPrefix.m_running == DocumentChannel::List;
+    });
+  if (m_checkCalls > 0 || isListing) {
+    return;
+  }
+  const MonotonicTime due = m_core.NextRevisionCheck(aNow);
+  if (due == MonotonicTime::max()) {
+    return;
+  }
+  if (aNow < due) {
+    CheckAt(due);
+    return;
+  }
+  if (!m_core.TakePlatformRead(aNow)) {
+    CheckAt(m_core.PlatformReadyAt(aNow));
+    return;
+  }
+  m_checkCalls = 1;
+  Current().ReadRevision([this, aNow](const Result<Revision>& aRevision) {
+    if (aRevision) {
+      ListBehind(aRevision.value(), aNow);
+    }
+    EndCheckCall(aRevision ? std::nullopt : std::optional(aRevision.error()),
+                 aNow);
+  });
+}
+
+void
+PlatformLoop::ListBehind(Revision aRevision, MonotonicTime aAsOf)
+{
+  for (Prefix& prefix : m_prefixes) {
+    const std::string& keys = prefix.m_watched.m_keys;
+    if (m_core.WatchAfter(keys) >= aRevision ||
+        !m_core.WantsWatch(m_clock.Now(), prefix.m_watched)) {
+      continue;
+    }
+    const PrefixCall call{ DocumentChannel::List,
+                           m_core.WatchAfter(keys),
+                           m_clock.Now() };
+    ++m_checkCalls;
+    Current().List(
+      keys,
+      [this, &prefix, call, aAsOf](const Result<PlatformListing>& aListing) {
+        if (aListing) {
+          OnListedBeside(prefix, call, aListing.value());
+        }
+        EndCheckCall(aListing ? std::nullopt : std::optional(aListing.error()),
+                     aAsOf);
+      });
+  }
+}
+
+void
+PlatformLoop::OnListedBeside(Prefix& aPrefix,
+                             const PrefixCall& aCall,
+                             const PlatformListing& aListing)
+{
+  const std::vector<Document> documents = DocumentsOf(aListing);
+  const bool hasNews = std::any_of(
+    documents.begin(), documents.end(), [this](const Document& aDocument) {
+      return m_core.IsNews(aDocument);
+    });
+  if (hasNews && aPrefix.m_running == DocumentChannel::Watch) {
+    Log(LogLevel::Warning,
+        kPart,
+        "Watch did not report a change.",
+        { { "prefix", aPrefix.m_watched.m_keys },
+          { "after", std::to_string(aCall.m_after.Value()) } });
+    RestartWatches();
+  }
+  LogListing(aPrefix, aCall, aListing);
+  m_handle(m_core.OnListing(documents,
+                            aListing.m_revision,
+                            Now(),
+                            aPrefix.m_watched.m_keys,
+                            aCall.m_channel));
+}
+
+void
+PlatformLoop::EndCheckCall(const std::optional<Error>& aError,
+                           MonotonicTime aAsOf)
+{
+  --m_checkCalls;
+  m_hasCheckFailed |= aError.has_value();
+  if (aError) {
+    // RestartWatches() must run before OnFailure(), which changes Current().
+    RestartWatches();
+    OnFailure(*aError);
+  } else {
+    OnSuccess();
+  }
+  if (m_checkCalls == 0 && !std::exchange(m_hasCheckFailed, false)) {
+    m_handle(m_core.OnDocumentsConfirmed(aAsOf, Now()));
+  }
+}
+
 void
 PlatformLoop::CheckForStall(Prefix& aPrefix, MonotonicTime aNow)
 {
--- a/src/process/PlatformLoop.h
+++ b/src/process/PlatformLoop.h
@@ -14,6 +14,9 @@
 /// current documents instead of watching, so that catching up transfers one
 /// version of each object however long the gap was.
 ///
+/// A watch that is silent on every node is found by a read of the platform's
+/// revision; process/RevisionChecks.h says which node makes it, and when.
+///
 /// When nodes register with the platform, the loop writes this node's entry
 /// once per process and reads the other nodes' entries. On an error it moves to
 /// the next platform address after a back-off with jitter.
@@ -140,6 +143,17 @@
                   const PrefixCall& aCall,
                   const PlatformListing& aListing) const;
   void RestartWatches();
+  /// Reads the platform's revision when it is due, and lists the watched
+  /// prefixes that are behind it.
+  void CheckRevision(MonotonicTime aNow);
+  /// Lists the prefixes that are behind aRevision, beside their watches.
+  void ListBehind(Revision aRevision, MonotonicTime aAsOf);
+  void OnListedBeside(Prefix& aPrefix,
+                      const PrefixCall& aCall,
+                      const PlatformListing& aListing);
+  /// Ends a call of the revision check; the last one confirms this node's
+  /// documents as of aAsOf unless a call failed.
+  void EndCheckCall(const std::optional<Error>& aError, MonotonicTime aAsOf);
   /// Drops the watches when this one is behind peers and has received nothing
   /// for m_stallTimeout.
   void CheckForStall(Prefix& aPrefix, MonotonicTime aNow);
@@ -166,6 +180,10 @@
   /// The wait of the next watch; short after a failure, so that a watch lost by
   /// the platform delays updates only briefly.
   Duration m_wait{ 0 };
+  /// Calls of the revision check in progress: one for the revision, then one
+  /// for each prefix that is listed.
+  std::size_t m_checkCalls = 0;
+  bool m_hasCheckFailed = false;
   /// Whether this node's entry is being written or all entries are being read.
   bool m_isNodeCallRunning = false;
   /// Whether the platform's entry for this VM is up to date.
--- a/src/process/PlatformLoopTest.cpp
+++ b/src/process/PlatformLoopTest.cpp
@@ -34,6 +34,7 @@
   ByteCount m_watchedBytes;
   /// The platform's revision, whatever the watches report.
   Revision m_revision{ 5 };
+  int m_revisionReads = 0;
 };
 
 class ScriptedPlatform final : public Platform
@@ -62,6 +63,11 @@
     m_script.m_waits.push_back(aMaxWait);
     m_script.m_watches.push_back(std::move(aDone));
   }
+  void ReadRevision(Callback<Revision> aDone) override
+  {
+    ++m_script.m_revisionReads;
+    aDone(m_script.m_revision);
+  }
   void DropWatches() override
   {
     ++m_script.m_dropped;
--- a/src/process/testing/FakeNetwork.cpp
+++ b/src/process/testing/FakeNetwork.cpp
@@ -26,6 +26,10 @@
 /// The time after which a watch without changes returns.
 constexpr Duration kWatchTime = std::chrono::seconds(20);
 constexpr std::size_t kInboxLimit = 256;
+/// As in PlatformLoop.
+constexpr Duration kStallTimeout = std::chrono::milliseconds(500);
+/// How often the simulation looks whether a revision check is due.
+constexpr Duration kCheckStep = std::chrono::milliseconds(10);
 
 std::uint64_t
 StreamBytes(std::size_t aPayload)
@@ -139,6 +143,9 @@
 FakeNetwork::Write(const std::string& aKey, const std::string& aBody)
 {
   m_platform.Write(aKey, aBody);
+  if (m_platform.m_areWatchesSilent) {
+    return;
+  }
   for (auto& [vm, node] : m_nodes) {
     if (node->m_isWatching) {
       FakeNode& watcher = *node;
@@ -332,6 +339,61 @@
   TickIfRunning(aNode);
 }
 
+void
+FakeNetwork::StartRevisionChecks()
+{
+  for (auto& [vm, node] : m_nodes) {
+    if (node->m_isAlive && !node->m_isPaused) {
+      CheckRevision(*node);
+      CheckForStall(*node);
+    }
+  }
+  After(kCheckStep, [this] { StartRevisionChecks(); });
+}
+
+void
+FakeNetwork::CheckRevision(FakeNode& aNode)
+{
+  const Distribution& documents = aNode.m_gossip->Documents();
+  const bool isDue = Now() >= documents.NextRevisionCheck(Now());
+  const bool isCut = m_isCutFromPlatform && m_isCutFromPlatform(aNode);
+  if (!isDue || aNode.m_isChecking || isCut) {
+    return;
+  }
+  aNode.m_isChecking = true;
+  ++m_platform.m_calls;
+  After(Delay() + Delay(), [this, &aNode, asOf = Now()] {
+    aNode.m_isChecking = false;
+    if (!aNode.m_isAlive || aNode.m_isPaused) {
+      return;
+    }
+    if (aNode.m_gossip->Documents().WatchAfter() < m_platform.Latest()) {
+      ++m_platform.m_calls;
+      AnswerPlatform(aNode);
+    }
+    aNode.m_gossip->Documents().ConfirmFromPlatform(asOf);
+    TickIfRunning(aNode);
+  });
+}
+
+void
+FakeNetwork::CheckForStall(FakeNode& aNode)
+{
+  const Distribution& documents = aNode.m_gossip->Documents();
+  const Revision known =
+    std::max(documents.Table().Digest().m_highest, documents.WatchAfter());
+  if (aNode.m_gossip->HighestReported() <= known) {
+    aNode.m_overtakenAt.reset();
+    return;
+  }
+  aNode.m_overtakenAt = aNode.m_overtakenAt.value_or(Now());
+  if (Now() >= *aNode.m_overtakenAt + kStallTimeout) {
+    aNode.m_overtakenAt.reset();
+    ++m_platform.m_calls;
+    AnswerPlatform(aNode);
+  }
+}
+
 bool
 FakeNetwork::IsBlocked(const FakeNode& aFrom, const FakeNode& aTo) const
 {
--- a/src/process/testing/FakeNetwork.h
+++ b/src/process/testing/FakeNetwork.h
@@ -21,6 +21,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <string>
 #include <unordered_map>
@@ -62,6 +63,8 @@
   bool m_isCalling = false;
   bool m_isWatching = false;
   MonotonicTime m_callNotBefore{};
+  bool m_isChecking = false;
+  std::optional<MonotonicTime> m_overtakenAt;
   std::map<ObjectKey, Revision> m_applied;
   std::map<Revision, MonotonicTime> m_appliedAt;
   std::map<VmId, MemberRecord> m_records;
@@ -97,6 +100,10 @@
   /// time.
   Duration RunUntil(const std::function<bool()>& aCondition, Duration aLimit);
   void Write(const std::string& aKey, const std::string& aBody);
+  /// Starts the revision checks that PlatformLoop makes: a node that is due
+  /// reads the platform's revision, and lists the documents when its own are
+  /// older. A node that peers have overtaken for kStallTimeout lists, too.
+  void StartRevisionChecks();
 
   FakeNode& Node(const std::string& aVm) { return *m_nodes.at(VmId(aVm)); }
   Gossip& At(const std::string& aVm) { return *Node(aVm).m_gossip; }
@@ -149,6 +156,8 @@
   void TickIfRunning(FakeNode& aNode);
   void CallPlatform(FakeNode& aNode);
   void AnswerPlatform(FakeNode& aNode);
+  void CheckRevision(FakeNode& aNode);
+  void CheckForStall(FakeNode& aNode);
   void Check(FakeNode& aNode);
   void CheckFloors(FakeNode& aNode);
   void CheckRecords(FakeNode& aNode);
--- a/src/process/testing/FakePlatform.h
+++ b/src/process/testing/FakePlatform.h
@@ -53,7 +53,11 @@
     return listing;
   }
 
+  Revision Latest() const { return m_revision; }
+
   bool m_isDown = false;
+  /// Waiting watches stay open and don't hear of writes.
+  bool m_areWatchesSilent = false;
   /// Number of latest writes that After() does not return yet, as on a stale
   /// replica.
   std::size_t m_staleBy = 0;
