--- /dev/null
+++ b/src/process/RestoredPlatformTest.cpp
@@ -0,0 +1,131 @@
+#include <functional>
+
+#include <boost/asio/io_context.hpp>
+#include <criterion/criterion.h>
+
+#include "connection/PlatformSession.h"
+#include "process/ControlCore.h"
+#include "process/PlatformLoop.h"
+#include "programs/StandinPlatform.h"
+#include "version/ConfigurationJson.h"
+#include "version/ObjectKeys.h"
+
+namespace tarragontray {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr NetworkAddress kAnyPort(0x7F000001, 0);
+/// The time within which a change must be in force.
+constexpr Duration kPropagationBound = 4s;
+const ObjectKey kKey = ConfigurationKey(ClientAccountId("a"));
+
+/// A node that watches a stand-in platform over HTTP.
+class RestoredPlatform
+{
+public:
+  RestoredPlatform()
+    : m_random(1)
+  {
+    StandinPlatformSettings standin;
+    standin.m_address = kAnyPort;
+    standin.m_adminAddress = kAnyPort;
+    m_standin = StandinPlatform::Create(m_context, m_clock, standin).value();
+    m_writer = MakeSession();
+    ControlSettings control;
+    control.m_self.m_vm = VmId("vm-1");
+    control.m_self.m_dataCentre = DataCentreId("dc");
+    control.m_self.m_peerAddress = NetworkAddress(0x7F000001, 7000);
+    control.m_gossip.m_membership.m_relaySettleTime = Duration(0);
+    control.m_gossip.m_distribution.m_defersUntilSpread = false;
+    m_core = ControlCore::Create(control, m_decoder, m_random).value();
+    std::vector<std::unique_ptr<Platform>> platforms;
+    platforms.push_back(MakeSession());
+    m_loop =
+      PlatformLoop::Create(m_context,
+                           {},
+                           std::move(platforms),
+                           m_clock,
+                           *m_core,
+                           m_random,
+                           [this](const ControlActions&) { m_loop->Check(); })
+        .value();
+    m_core->OnTick(Now());
+    m_loop->Check();
+  }
+
+  Times Now() const { return { m_clock.Now(), m_clock.WallNow() }; }
+
+  void Write(const std::string& aBody)
+  {
+    bool isWritten = false;
+    m_writer->Write({ kKey, aBody, std::nullopt, OperationId(aBody) },
+                    [&](const Result<Revision>& aRevision) {
+                      isWritten = aRevision.has_value();
+                    });
+    RunUntil([&] { return isWritten; });
+  }
+  /// The body of the node's document, as a peer would pull it.
+  std::string Held()
+  {
+    PullRequest request;
+    request.m_from = VmId("vm-2");
+    request.m_documents.emplace().fill(1);
+    const PullAnswer answer = m_core->OnPull(request, Now());
+    return answer.m_documents.empty() ? "" : answer.m_documents.front().m_body;
+  }
+  bool Takes(const std::string& aBody)
+  {
+    return RunUntil([&] { return Held() == aBody; });
+  }
+  bool RunUntil(const std::function<bool()>& aDone)
+  {
+    const auto limit = std::chrono::steady_clock::now() + kPropagationBound;
+    while (!aDone() && std::chrono::steady_clock::now() < limit) {
+      m_context.restart();
+      m_context.run_one_for(10ms);
+    }
+    return aDone();
+  }
+  /// Makes the writes before this call older than those after it.
+  void Pause()
+  {
+    m_context.restart();
+    m_context.run_for(100ms);
+  }
+
+  boost::asio::io_context m_context{ 1 };
+  SystemClock m_clock;
+  std::unique_ptr<StandinPlatform> m_standin;
+
+private:
+  std::unique_ptr<Platform> MakeSession()
+  {
+    return PlatformSession::Create(m_context,
+                                   { .m_address = m_standin->Address() })
+      .value();
+  }
+
+  SeededRandom m_random;
+  JsonConfigurationDecoder m_decoder;
+  std::unique_ptr<Platform> m_writer;
+  std::unique_ptr<ControlCore> m_core;
+  std::unique_ptr<PlatformLoop> m_loop;
+};
+
+} // namespace
+
+Test(RestoredPlatform, AChangeWhoseRevisionWasGivenOutBeforeIsNotTaken)
+{
+  RestoredPlatform test;
+  test.Write("1");
+  test.Pause();
+  test.Write("2");
+  cr_assert(test.Takes("2"));
+  test.m_standin->Restore(50ms);
+  test.Write("3");
+  cr_assert(test.Takes("3"), "holds %s", test.Held().c_str());
+}
+
+} // namespace tarragontray
--- a/src/process/Runtime.cmake
+++ b/src/process/Runtime.cmake
@@ -46,3 +46,5 @@
 tt_test(upstream_control_test
   SRCS MoveOrdersTest.cpp UpstreamRegisterTest.cpp DEPS tt_control_core)
 tt_test(platform_loop_test SRCS PlatformLoopTest.cpp DEPS tt_control_thread)
+tt_test(restored_platform_test SRCS RestoredPlatformTest.cpp
+  DEPS tt_control_thread tt_standin_platform)
--- a/src/programs/StandinPlatform.cpp
+++ b/src/programs/StandinPlatform.cpp
@@ -110,6 +110,14 @@
   return Success();
 }
 
+void
+StandinPlatform::Restore(Duration aAge)
+{
+  ++m_era;
+  m_store.Restore(m_clock.Now() - aAge);
+  CutWatches();
+}
+
 void
 StandinPlatform::CutWatches()
 {
@@ -280,6 +288,16 @@
     aExchange->Answer(JsonAnswer(200, EncodeCounts(m_counts)));
     return;
   }
+  if (request.m_method == "POST" && request.m_target == "/restore") {
+    const auto age = DecodeRestore(request.m_body);
+    if (!age) {
+      aExchange->Answer(ErrorAnswer(400, "no age_ms"));
+      return;
+    }
+    Restore(*age);
+    aExchange->Answer(JsonAnswer(200, "{}"));
+    return;
+  }
   if (request.m_method == "POST" && request.m_target == "/cut-watches") {
     CutWatches();
     aExchange->Answer(JsonAnswer(200, "{}"));
--- a/src/programs/StandinPlatform.h
+++ b/src/programs/StandinPlatform.h
@@ -11,6 +11,7 @@
 /// | --- | --- |
 /// | `GET /faults` | the faults in force, as JSON |
 /// | `POST /faults` | sets the faults named in the JSON body, keeps the rest |
+/// | `POST /restore` | loses the writes of the last `age_ms` of the body |
 /// | `POST /cut-watches` | closes the connections of all waiting watches |
 /// | `GET /counts` | number of calls by kind since the start, as JSON |
 ///
@@ -108,6 +109,9 @@
   /// Replaces the faults in force. Errors: Unreachable when the address can't
   /// be bound again after an outage.
   Result<void> SetFaults(const PlatformFaults& aFaults);
+  /// Loses every write of the last aAge, as a platform that is restored from a
+  /// copy does, and begins a new era. Cuts the watches.
+  void Restore(Duration aAge);
   /// Closes the connections of all waiting watches without an answer.
   void CutWatches();
 
@@ -137,6 +141,8 @@
   NetworkAddress m_address;
   PlatformFaults m_faults;
   PlatformCounts m_counts;
+  /// Number of restores; sent as a header with all answers once it is above 0.
+  std::uint64_t m_era = 0;
   StandinPlatformStore m_store;
   /// Without a value: no limit.
   std::optional<TokenBucket> m_readLimit;
--- a/src/programs/StandinPlatformAdmin.cpp
+++ b/src/programs/StandinPlatformAdmin.cpp
@@ -133,4 +133,17 @@
   return faults;
 }
 
+std::optional<Duration>
+DecodeRestore(std::string_view aText)
+{
+  json::error_code error;
+  const json::value value = json::parse(aText, error);
+  const json::value* age = !error && value.is_object()
+                             ? value.get_object().if_contains("age_ms")
+                             : nullptr;
+  Duration duration{ 0 };
+  const bool isValid = age != nullptr && SetMilliseconds(*age, duration);
+  return isValid ? std::optional(duration) : std::nullopt;
+}
+
 } // namespace tarragontray
--- a/src/programs/StandinPlatformAdmin.h
+++ b/src/programs/StandinPlatformAdmin.h
@@ -25,5 +25,9 @@
 /// not a JSON object or when a field is unknown or has an invalid value.
 std::optional<PlatformFaults>
 DecodeFaults(std::string_view aText, const PlatformFaults& aCurrent);
+/// The `age_ms` of a request to restore the platform; nullopt when it is
+/// missing.
+std::optional<Duration>
+DecodeRestore(std::string_view aText);
 
 } // namespace tarragontray
--- a/src/programs/StandinPlatformStore.cpp
+++ b/src/programs/StandinPlatformStore.cpp
@@ -59,6 +59,22 @@
   return stored == nullptr ? std::nullopt : std::optional(stored->m_object);
 }
 
+void
+StandinPlatformStore::Restore(MonotonicTime aAsOf)
+{
+  m_revision = Revision(0);
+  for (auto& [key, versions] : m_objects) {
+    std::erase_if(versions, [aAsOf](const Stored& aStored) {
+      return aStored.m_time > aAsOf;
+    });
+    for (const Stored& stored : versions) {
+      m_revision = std::max(m_revision, stored.m_object.m_document.m_revision);
+    }
+  }
+  std::erase_if(m_objects,
+                [](const auto& aEntry) { return aEntry.second.empty(); });
+}
+
 PlatformListing
 StandinPlatformStore::List(const std::string& aPrefix,
                            MonotonicTime aAsOf) const
--- a/src/programs/StandinPlatformStore.h
+++ b/src/programs/StandinPlatformStore.h
@@ -43,6 +43,9 @@
   /// changed after revision aAfter.
   PlatformListing Changes(const std::string& aPrefix, Revision aAfter) const;
   Revision LatestRevision() const { return m_revision; }
+  /// Returns to the state as of aAsOf; later writes get the revisions after it
+  /// again.
+  void Restore(MonotonicTime aAsOf);
 
 private:
   struct Stored
