--- a/src/base/Ids.h
+++ b/src/base/Ids.h
@@ -46,7 +46,8 @@
 /// The id of one attempt, unique on its peer link.
 using CallId = Amount<struct CallIdTag>;
 /// A revision of the platform's object store: a counter that increases with
-/// each write of any object.
+/// each write of any object. base/PlatformEra.h says what happens when the
+/// platform loses writes.
 using Revision = Amount<struct RevisionTag>;
 /// The version of a template. A version is immutable once written.
 using TemplateVersion = Amount<struct TemplateVersionTag>;
--- a/src/connection/DatagramCodec.cpp
+++ b/src/connection/DatagramCodec.cpp
@@ -112,6 +112,8 @@
 {
   Get(aSource.Values(), aDocument.m_key);
   Get(aSource.Values(), aDocument.m_revision);
+  Get(aSource.Values(), aDocument.m_version);
+  Get(aSource.Values(), aDocument.m_created);
   Get(aSource.Values(), aDocument.m_body);
 }
 
--- a/src/connection/Platform.h
+++ b/src/connection/Platform.h
@@ -5,6 +5,10 @@
 /// Each call ends with exactly one callback, on the thread of the caller's
 /// event loop, unless DropWatches cancels it. A lost answer is an Error with
 /// code Timeout or Closed: the write may have taken effect.
+///
+/// Revisions contain the era of the platform (base/PlatformEra.h). A condition
+/// on a revision of another era is a Conflict, and a watch after one fails with
+/// HistoryGone: the platform may have given out its number a second time.
 #pragma once
 
 #include <functional>
@@ -29,6 +33,8 @@
   /// Stored with the object, so that the writer can recognise its own write
   /// after a lost answer.
   OperationId m_operation;
+  /// The writer's number of this version; see version/Document.h.
+  WriterVersion m_version{};
 };
 
 /// One object, with the operation that wrote it.
@@ -63,7 +69,7 @@
   virtual void Write(PlatformWrite aWrite, Callback<Revision> aDone) = 0;
   /// Waits at most aMaxWait for changes after revision aAfter. Returns the
   /// changed objects, or none after that time; the next watch starts at the
-  /// listing's m_revision.
+  /// listing's m_revision. Errors: HistoryGone, Unavailable, Timeout, Closed.
   virtual void Watch(std::string aPrefix,
                      Revision aAfter,
                      Duration aMaxWait,
--- a/src/connection/PlatformMessages.cpp
+++ b/src/connection/PlatformMessages.cpp
@@ -69,13 +69,24 @@
   return std::string(field->get_string());
 }
 
+/// Adds the writer's version to an object or a write that has one.
+void
+AddVersion(json::object& aInto, WriterVersion aVersion)
+{
+  if (aVersion > WriterVersion(0)) {
+    aInto["version"] = aVersion.Value();
+  }
+}
+
 json::object
 ToJson(const PlatformObject& aObject)
 {
-  return { { "key", aObject.m_document.m_key.Value() },
-           { "revision", aObject.m_document.m_revision.Value() },
-           { "operation", aObject.m_operation.Value() },
-           { "body", aObject.m_document.m_body } };
+  json::object object{ { "key", aObject.m_document.m_key.Value() },
+                       { "revision", aObject.m_document.m_revision.Value() },
+                       { "operation", aObject.m_operation.Value() },
+                       { "body", aObject.m_document.m_body } };
+  AddVersion(object, aObject.m_document.m_version);
+  return object;
 }
 
 std::optional<PlatformObject>
@@ -88,10 +99,12 @@
   if (!key || !operation || !body || !revision) {
     return std::nullopt;
   }
-  return PlatformObject{
-    { ObjectKey(std::move(*key)), Revision(*revision), std::move(*body) },
-    OperationId(std::move(*operation))
-  };
+  return PlatformObject{ { ObjectKey(std::move(*key)),
+                           Revision(*revision),
+                           std::move(*body),
+                           WriterVersion(
+                             NumberField(aObject, "version").value_or(0)) },
+                         OperationId(std::move(*operation)) };
 }
 
 /// Returns the percent-decoded value of a query parameter.
@@ -141,6 +154,8 @@
   request.m_write.m_key = aKey;
   request.m_write.m_body = std::move(*body);
   request.m_write.m_operation = OperationId(std::move(*operation));
+  request.m_write.m_version =
+    WriterVersion(NumberField(*object, "version").value_or(0));
   if (isConditional) {
     request.m_write.m_expected = Revision(*expected);
   }
@@ -187,8 +202,10 @@
 {
   json::object body{ { "operation", aWrite.m_operation.Value() },
                      { "body", aWrite.m_body } };
-  body["expected"] = aWrite.m_expected ? json::value(aWrite.m_expected->Value())
-                                       : json::value(nullptr);
+  AddVersion(body, aWrite.m_version);
+  body["expected"] = aWrite.m_expected
+                       ? json::value(NumberOf(*aWrite.m_expected))
+                       : json::value(nullptr);
   return { "PUT",
            ObjectTarget(aWrite.m_key),
            { { "content-type", "application/json" } },
@@ -202,7 +219,7 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(aMaxWait).count();
   return { "GET",
            std::string(kWatchPath) + "?prefix=" + EncodeQueryValue(aPrefix) +
-             "&after=" + std::to_string(aAfter.Value()) +
+             "&after=" + std::to_string(NumberOf(aAfter)) +
              "&wait_ms=" + std::to_string(wait),
            {},
            "" };
--- a/src/connection/PlatformMessages.h
+++ b/src/connection/PlatformMessages.h
@@ -5,7 +5,9 @@
 ///     std::optional<PlatformObject> object = DecodeObject(answer.m_body);
 ///
 /// Decoders return std::nullopt when the text is not JSON or does not have the
-/// format of docs/PROTOCOLS.md.
+/// format of docs/PROTOCOLS.md. Encoded revisions are numbers within the
+/// platform's era; decoded ones have era 0 until the client sets it from the
+/// header kEraHeader of the answer.
 ///
 /// Thread safety: pure functions.
 #pragma once
@@ -19,6 +21,9 @@
 
 namespace tarragontray {
 
+/// The header of answers that tells the platform's era. Missing in era 0.
+inline constexpr char kEraHeader[] = "platform-era";
+
 HttpRequestParts
 ReadRequest(const ObjectKey& aKey);
 HttpRequestParts
--- a/src/connection/PlatformSession.cpp
+++ b/src/connection/PlatformSession.cpp
@@ -1,5 +1,6 @@
 #include "connection/PlatformSession.h"
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <string_view>
@@ -10,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include "connection/EraHeader.h"
 #include "connection/HttpClient.h"
 #include "connection/PlatformMessages.h"
 #include "connection/WatchClients.h"
@@ -43,6 +45,9 @@
     case 409:
       code = ErrorCode::Conflict;
       break;
+    case 410:
+      code = ErrorCode::HistoryGone;
+      break;
     case 413:
       code = ErrorCode::TooLarge;
       break;
@@ -89,6 +94,31 @@
   return listing;
 }
 
+/// Puts a decoded revision into the platform's era; false when it does not fit.
+bool
+SetEra(Revision& aRevision, PlatformEra aEra)
+{
+  const auto revision = RevisionIn(aEra, aRevision.Value());
+  aRevision = revision.value_or(aRevision);
+  return revision.has_value();
+}
+
+bool
+SetEra(PlatformObject& aObject, PlatformEra aEra)
+{
+  return SetEra(aObject.m_document.m_revision, aEra);
+}
+
+bool
+SetEra(PlatformListing& aListing, PlatformEra aEra)
+{
+  return SetEra(aListing.m_revision, aEra) &&
+         std::all_of(
+           aListing.m_objects.begin(),
+           aListing.m_objects.end(),
+           [aEra](PlatformObject& aObject) { return SetEra(aObject, aEra); });
+}
+
 class Session final : public Platform
 {
 public:
@@ -146,6 +176,16 @@
                        std::move(aDone));
       return;
     }
+    const bool isConditional =
+      aWrite.m_expected.value_or(Revision(0)) > Revision(0);
+    if (isConditional && EraOf(*aWrite.m_expected) < m_era) {
+      Refuse<Revision>({ ErrorCode::Conflict,
+                         "platform.write",
+                         m_settings.m_address.ToString(),
+                         "expects a revision of an earlier era" },
+                       std::move(aDone));
+      return;
+    }
     Call(*m_calls,
          WriteRequest(aWrite),
          "platform.write",
@@ -171,7 +211,7 @@
                               std::move(aDone));
       return;
     }
-    Call(
+    Call<PlatformListing>(
       *client,
       WatchRequest(aPrefix, aAfter, aMaxWait),
       "platform.watch",
@@ -179,7 +219,18 @@
       [prefix = aPrefix](std::string_view aText) {
         return DecodeListingOf(prefix, aText);
       },
-      std::move(aDone));
+      [this, aAfter, done = std::move(aDone)](
+        const Result<PlatformListing>& aListing) {
+        // The platform may hold a watch whose number it has given out again.
+        if (aListing && EraOf(aListing.value().m_revision) != EraOf(aAfter)) {
+          done(Error(ErrorCode::HistoryGone,
+                     "platform.watch",
+                     m_settings.m_address.ToString(),
+                     "the platform was restored"));
+        } else {
+          done(aListing);
+        }
+      });
   }
 
   void ReadRevision(Callback<Revision> aDone) override
@@ -205,7 +256,7 @@
   template<typename T>
   void Refuse(Error aError, Callback<T> aDone)
   {
-    ++m_counters->m_failures;
+    m_counters->m_failures += aError.Code() == ErrorCode::Conflict ? 0 : 1;
     boost::asio::post(
       m_context,
       [error = std::move(aError), done = std::move(aDone)]() { done(error); });
@@ -220,18 +271,23 @@
             Callback<T> aDone)
   {
     CallContext context{ aStep, m_settings.m_address.ToString() };
-    aClient.Send({ std::move(aRequest), std::move(aStep), aTimeout },
-                 [counters = m_counters,
-                  context = std::move(context),
-                  decode = std::move(aDecode),
-                  done = std::move(aDone)](Result<HttpAnswerParts> aAnswer) {
-                   Result<T> result = Interpret<T>(context, aAnswer, decode);
-                   const bool isFailure =
-                     !result && result.error().Code() != ErrorCode::NotFound &&
-                     result.error().Code() != ErrorCode::Conflict;
-                   counters->m_failures += isFailure ? 1 : 0;
-                   done(std::move(result));
-                 });
+    aClient.Send(
+      { std::move(aRequest), std::move(aStep), aTimeout },
+      [this,
+       counters = m_counters,
+       context = std::move(context),
+       decode = std::move(aDecode),
+       done = std::move(aDone)](Result<HttpAnswerParts> aAnswer) {
+        if (aAnswer) {
+          m_era = std::max(m_era, EraIn(aAnswer.value().m_headers, kEraHeader));
+        }
+        Result<T> result = Interpret<T>(context, aAnswer, decode);
+        const bool isFailure = !result &&
+                               result.error().Code() != ErrorCode::NotFound &&
+                               result.error().Code() != ErrorCode::Conflict;
+        counters->m_failures += isFailure ? 1 : 0;
+        done(std::move(result));
+      });
   }
 
   template<typename T>
@@ -246,7 +302,8 @@
       return StatusError(aContext, aAnswer.value());
     }
     std::optional<T> value = aDecode(aAnswer.value().m_body);
-    if (!value) {
+    const PlatformEra era = EraIn(aAnswer.value().m_headers, kEraHeader);
+    if (!value || !SetEra(*value, era)) {
       return MalformedError(aContext);
     }
     return std::move(*value);
@@ -257,6 +314,8 @@
   const std::shared_ptr<PlatformCounters> m_counters;
   const std::unique_ptr<HttpClient> m_calls;
   WatchClients m_watches;
+  /// The latest era in any answer.
+  PlatformEra m_era;
 };
 
 } // namespace
--- a/src/connection/PlatformSessionTest.cpp
+++ b/src/connection/PlatformSessionTest.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -280,6 +281,36 @@
   cr_assert_eq(fixture.m_standin->Counts().m_watches, 2);
 }
 
+Test(PlatformSession, AWatchWhoseNumberIsGivenOutAgainMissesChanges)
+{
+  Fixture fixture;
+  fixture.Put("configurations/a", "1");
+  std::this_thread::sleep_for(std::chrono::milliseconds(60));
+  const Revision before = fixture.Put("configurations/b", "2");
+  fixture.m_standin->Restore(std::chrono::milliseconds(30));
+  // The lost revision is given out again.
+  fixture.Put("configurations/c", "3");
+  const auto watched = fixture.Watch(before, std::chrono::milliseconds(20));
+  AssertFails(ErrorCode::HistoryGone, "platform.watch", watched.error());
+  const auto listing = fixture.List("configurations/");
+  cr_assert(EraOf(listing.value().m_revision) == PlatformEra(1));
+  cr_assert(listing.value().m_revision > before);
+}
+
+Test(PlatformSession, AConditionOnARevisionOfAnEarlierEraMatches)
+{
+  Fixture fixture;
+  fixture.Put("configurations/a", "1");
+  std::this_thread::sleep_for(std::chrono::milliseconds(60));
+  const Revision lost = fixture.Put("configurations/a", "2");
+  fixture.m_standin->Restore(std::chrono::milliseconds(30));
+  fixture.Put("configurations/a", "3");
+  AssertFails(ErrorCode::Conflict,
+              "platform.write",
+              fixture.Write("configurations/a", "4", lost).error());
+  cr_assert_eq(fixture.Read("configurations/a").value().m_document.m_body, "3");
+}
+
 Test(PlatformSession, LostAnswerLeavesTheWriteInEffect)
 {
   Fixture fixture;
--- a/src/process/ConfigurationStore.cpp
+++ b/src/process/ConfigurationStore.cpp
@@ -215,8 +215,6 @@
                                     Account& aAccount)
 {
   const ObjectKey key = ConfigurationKey(aId);
-  const Revision applied =
-    aAccount.m_inForce ? aAccount.m_inForce->m_version : Revision{ 0 };
   aAccount.m_pending.reset();
   aAccount.m_templates.clear();
   if (aAccount.m_inForce && !aAccount.m_inForce->m_templateName.IsEmpty()) {
@@ -225,12 +223,14 @@
                   aAccount.m_inForce->m_templateVersion));
   }
   for (const Document* document : m_configurations.Revisions(key)) {
-    if (document->m_revision <= applied) {
+    if (aAccount.m_inForce &&
+        !Supersedes(document->Stamp(), aAccount.m_applied)) {
       break;
     }
     Evaluation evaluation = Evaluate(*document, aAccount);
     if (evaluation.m_configuration) {
       aAccount.m_inForce = std::move(evaluation.m_configuration);
+      aAccount.m_applied = document->Stamp();
       m_configurations.DropBelow(key, aAccount.m_inForce->m_version);
       return true;
     }
--- a/src/process/ConfigurationStore.h
+++ b/src/process/ConfigurationStore.h
@@ -9,8 +9,9 @@
 /// - its parameters and its template decode and expand;
 /// - every service in its routes is known on this node: a member announced it,
 ///   or the version in force routes to it already;
-/// - it is above the version in force and not below the floor, which is the
-///   version that a previous process on this VM had applied.
+/// - it supersedes the version in force (version/Document.h) and is not below
+///   the floor, which is the version that a previous process on this VM had
+///   applied.
 ///
 /// Any other version is pending or rejected and leaves the version in force
 /// unchanged. A version in force stays in force when a service disappears.
@@ -137,6 +138,8 @@
   struct Account
   {
     std::shared_ptr<const Configuration> m_inForce;
+    /// The stamp of the document that m_inForce was expanded from.
+    DocumentStamp m_applied;
     Revision m_floor;
     std::optional<PendingVersion> m_pending;
     /// The templates of the version in force and of the pending versions.
--- a/src/process/ConfigurationStoreTest.cpp
+++ b/src/process/ConfigurationStoreTest.cpp
@@ -102,6 +102,27 @@
   cr_assert(store.InForce() == 12);
 }
 
+/// A node that starts after a restore of the platform reads the copy first.
+Test(ConfigurationStore, ACopyInForceKeepsTheNewerVersionOfAPeerOut)
+{
+  const auto inEra =
+    [](std::uint64_t aEra, std::uint64_t aNumber, std::uint64_t aVersion) {
+      Document document = VersionDocument(aNumber);
+      document.m_revision = *RevisionIn(PlatformEra(aEra), aNumber);
+      document.m_version = WriterVersion(aVersion);
+      return document;
+    };
+  StoreWithServices store;
+  store->Offer({ TemplateDocument(), inEra(2, 24, 12) });
+  cr_assert_eq(store.InForce(), inEra(2, 24, 12).m_revision.Value());
+  store->Offer({ inEra(1, 25, 18) });
+  cr_assert_eq(store.InForce(), inEra(1, 25, 18).m_revision.Value());
+  store->Offer({ inEra(2, 24, 12) });
+  cr_assert_eq(store.InForce(), inEra(1, 25, 18).m_revision.Value());
+  store->Offer({ inEra(2, 25, 20) });
+  cr_assert_eq(store.InForce(), inEra(2, 25, 20).m_revision.Value());
+}
+
 Test(ConfigurationStore, StaleVersionsAreNotKeptForOtherNodes)
 {
   StoreWithServices store;
--- a/src/process/DatagramLayout.h
+++ b/src/process/DatagramLayout.h
@@ -74,6 +74,8 @@
 {
   aSink.Text(aDocument.m_key.Value());
   aSink.Number(aDocument.m_revision.Value());
+  aSink.Number(aDocument.m_version.Value());
+  aSink.Number(aDocument.m_created.Value());
   aSink.Text(aDocument.m_body);
 }
 
--- a/src/process/Distribution.cpp
+++ b/src/process/Distribution.cpp
@@ -247,7 +247,7 @@
 Distribution::IsNews(const Document& aDocument) const
 {
   const Document* held = m_table.Find(aDocument.m_key);
-  return held == nullptr || held->m_revision < aDocument.m_revision;
+  return held == nullptr || Supersedes(aDocument.Stamp(), held->Stamp());
 }
 
 const DocumentOrigin*
--- a/src/process/DocumentRevisions.cpp
+++ b/src/process/DocumentRevisions.cpp
@@ -1,6 +1,7 @@
 #include "process/DocumentRevisions.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace tarragontray {
 
@@ -20,7 +21,8 @@
   const auto found = m_entries.find(aDocument.m_key);
   const bool isNew = found == m_entries.end();
   if (!isNew) {
-    const Entry& entry = found->second;
+    Entry& entry = found->second;
+    RemoveSuperseded(entry, aDocument);
     const bool isFull = entry.m_revisions.size() >= m_limits.m_maxRevisions;
     if (aDocument.m_revision < entry.m_minRevision ||
         entry.m_revisions.contains(aDocument.m_revision) ||
@@ -128,6 +130,21 @@
   return result;
 }
 
+void
+DocumentRevisions::RemoveSuperseded(Entry& aEntry, const Document& aDocument)
+{
+  auto place = aEntry.m_revisions.upper_bound(aDocument.m_revision);
+  while (place != aEntry.m_revisions.end()) {
+    const auto next = std::next(place);
+    if (Supersedes(aDocument.Stamp(), place->second.Stamp())) {
+      aEntry.m_minRevision =
+        std::min(aEntry.m_minRevision, aDocument.m_revision);
+      Remove(aEntry, place);
+    }
+    place = next;
+  }
+}
+
 void
 DocumentRevisions::Remove(Entry& aEntry,
                           std::map<Revision, Document>::iterator aPlace)
--- a/src/process/DocumentRevisions.h
+++ b/src/process/DocumentRevisions.h
@@ -73,6 +73,9 @@
     Revision m_minRevision;
   };
 
+  /// Removes the versions with higher revisions that the document supersedes:
+  /// copies of older states in a later era of the platform.
+  void RemoveSuperseded(Entry& aEntry, const Document& aDocument);
   void Remove(Entry& aEntry, std::map<Revision, Document>::iterator aPlace);
 
   DocumentLimits m_limits;
--- a/src/process/DocumentTable.cpp
+++ b/src/process/DocumentTable.cpp
@@ -9,6 +9,32 @@
 {
 }
 
+namespace {
+
+/// Of two versions of a document, the one that supersedes the other. Joins what
+/// either tells of the object's creation.
+Document
+Join(const Document& aHeld, const Document& aReceived)
+{
+  const bool isNewer = Supersedes(aReceived.Stamp(), aHeld.Stamp());
+  Document joined = isNewer ? aReceived : aHeld;
+  const Document& other = isNewer ? aHeld : aReceived;
+  const bool isSameEra = EraOf(joined.m_revision) == EraOf(other.m_revision);
+  if (joined.m_body.empty() && isNewer && isSameEra) {
+    joined.m_version = std::max(joined.m_version, other.m_version);
+    joined.m_created = other.m_created;
+  }
+  const bool isWrittenAgain = !isSameEra &&
+                              joined.m_version == other.m_version &&
+                              joined.m_version > WriterVersion(0);
+  if (isWrittenAgain && !joined.m_body.empty() && !other.m_body.empty()) {
+    joined.m_created = std::min(joined.m_created, other.m_created);
+  }
+  return joined;
+}
+
+} // namespace
+
 bool
 DocumentTable::Apply(const Document& aDocument)
 {
@@ -19,14 +45,22 @@
       return false;
     }
     m_documents.emplace(aDocument.m_key, aDocument);
-  } else if (aDocument.m_revision > found->second.m_revision) {
-    Toggle(found->second);
-    found->second = aDocument;
-  } else {
+    Toggle(aDocument);
+    m_highest = std::max(m_highest, aDocument.m_revision);
+    return true;
+  }
+  Document& held = found->second;
+  Document joined = Join(held, aDocument);
+  if (joined == held) {
     return false;
   }
-  Toggle(aDocument);
-  m_highest = std::max(m_highest, aDocument.m_revision);
+  Toggle(held);
+  held = std::move(joined);
+  Toggle(held);
+  m_highest = Revision(0);
+  for (const auto& [key, document] : m_documents) {
+    m_highest = std::max(m_highest, document.m_revision);
+  }
   return true;
 }
 
@@ -68,7 +102,9 @@
 DocumentTable::Toggle(const Document& aDocument)
 {
   const std::string& key = aDocument.m_key.Value();
-  m_digest.Toggle(key, ItemHash(key, aDocument.m_revision.Value(), 0));
+  m_digest.Toggle(
+    key,
+    ItemHash(key, aDocument.m_revision.Value(), aDocument.m_created.Value()));
 }
 
 } // namespace tarragontray
--- a/src/process/DocumentTable.h
+++ b/src/process/DocumentTable.h
@@ -1,9 +1,10 @@
 /// \file
-/// Keeps the highest known revision of each document.
+/// Keeps the newest known version of each document.
 ///
 ///     bool hasChanged = table.Apply(document);
 ///
-/// The revision of a key never decreases, in whatever order documents arrive.
+/// A version is only replaced by one that supersedes it (version/Document.h),
+/// in whatever order documents arrive.
 ///
 /// Thread safety: one thread for each instance.
 #pragma once
@@ -27,8 +28,8 @@
 public:
   explicit DocumentTable(std::size_t aMaxDocuments);
 
-  /// Returns true when the document is new or has a higher revision than the
-  /// stored one. A full table rejects new keys.
+  /// Returns true when the document is new or changes the stored one. A full
+  /// table rejects new keys.
   bool Apply(const Document& aDocument);
   /// Null for an unknown key. Valid until the next Apply().
   const Document* Find(const ObjectKey& aKey) const;
--- a/src/process/RestoredPlatformTest.cpp
+++ b/src/process/RestoredPlatformTest.cpp
@@ -57,10 +57,14 @@
 
   Times Now() const { return { m_clock.Now(), m_clock.WallNow() }; }
 
-  void Write(const std::string& aBody)
+  void Write(const std::string& aBody, std::uint64_t aVersion = 0)
   {
     bool isWritten = false;
-    m_writer->Write({ kKey, aBody, std::nullopt, OperationId(aBody) },
+    m_writer->Write({ kKey,
+                      aBody,
+                      std::nullopt,
+                      OperationId(aBody),
+                      WriterVersion(aVersion) },
                     [&](const Result<Revision>& aRevision) {
                       isWritten = aRevision.has_value();
                     });
@@ -128,4 +132,39 @@
   cr_assert(test.Takes("3"), "holds %s", test.Held().c_str());
 }
 
+Test(RestoredPlatform, TheCopyReplacesANewerAcknowledgedVersion)
+{
+  RestoredPlatform test;
+  test.Write("1", 1);
+  test.Pause();
+  test.Write("2", 2);
+  cr_assert(test.Takes("2"));
+  test.m_standin->Restore(50ms);
+  const std::uint64_t lists = test.m_standin->Counts().m_lists;
+  cr_assert(
+    test.RunUntil([&] { return test.m_standin->Counts().m_lists > lists; }));
+  test.Pause();
+  cr_assert_eq(test.Held(), "2");
+  // The operator writes the lost version again, then the next one.
+  test.Write("2", 2);
+  test.Pause();
+  test.Write("3", 3);
+  cr_assert(test.Takes("3"), "holds %s", test.Held().c_str());
+}
+
+Test(RestoredPlatform, ASecondRestoreHidesAChange)
+{
+  RestoredPlatform test;
+  test.Write("1", 1);
+  for (int restore = 1; restore <= 3; ++restore) {
+    test.Pause();
+    test.Write("lost", static_cast<std::uint64_t>(restore) * 2);
+    cr_assert(test.Takes("lost"));
+    test.m_standin->Restore(50ms);
+    const std::string body = "kept " + std::to_string(restore);
+    test.Write(body, static_cast<std::uint64_t>(restore) * 2 + 1);
+    cr_assert(test.Takes(body), "holds %s", test.Held().c_str());
+  }
+}
+
 } // namespace tarragontray
--- a/src/programs/CtlChange.cpp
+++ b/src/programs/CtlChange.cpp
@@ -276,11 +276,15 @@
   if (aChange.m_current) {
     BOOST_OUTCOME_TRY(AddToHistory(aSession, account, *aChange.m_current));
   }
+  const WriterVersion version = aChange.m_current
+                                  ? aChange.m_current->m_document.m_version
+                                  : WriterVersion(0);
   const OperationId operation = aSession.NewOperation();
   const WriteReport report = aSession.Write({ ConfigurationKey(account),
                                               aChange.m_body,
                                               aExpected.value_or(read),
-                                              operation });
+                                              operation,
+                                              version + WriterVersion(1) });
   switch (report.m_status) {
     case ConditionalWriteStatus::Written:
       return AppliedOutput(aChange, report.m_revision, operation);
--- a/src/programs/StandinPlatform.cpp
+++ b/src/programs/StandinPlatform.cpp
@@ -126,22 +126,32 @@
   }
 }
 
+void
+StandinPlatform::Answer(const FaultyHttpServer::Exchange& aExchange,
+                        HttpAnswerParts aAnswer) const
+{
+  if (m_era > 0) {
+    aAnswer.m_headers.push_back({ kEraHeader, std::to_string(m_era) });
+  }
+  aExchange->Answer(std::move(aAnswer));
+}
+
 void
 StandinPlatform::OnRequest(FaultyHttpServer::Exchange aExchange)
 {
   const auto request = DecodeRequest(aExchange->Request());
   if (!request) {
     ++m_counts.m_malformed;
-    aExchange->Answer(ErrorAnswer(400, "not a request of the object API"));
+    Answer(aExchange, ErrorAnswer(400, "not a request of the object API"));
     return;
   }
   if (m_faults.m_outage == Outage::Error) {
-    aExchange->Answer(ErrorAnswer(503, "down"));
+    Answer(aExchange, ErrorAnswer(503, "down"));
     return;
   }
   if (!TakeToken(request->m_operation)) {
     ++m_counts.m_limited;
-    aExchange->Answer(ErrorAnswer(429, "too many calls"));
+    Answer(aExchange, ErrorAnswer(429, "too many calls"));
     return;
   }
   if (m_faults.m_slowness == Duration::zero()) {
@@ -182,8 +192,9 @@
       return;
     case PlatformOperation::List:
       ++m_counts.m_lists;
-      aExchange->Answer(JsonAnswer(
-        200, EncodeListing(m_store.List(aRequest.m_prefix, AsOf()))));
+      Answer(aExchange,
+             JsonAnswer(
+               200, EncodeListing(m_store.List(aRequest.m_prefix, AsOf()))));
       return;
     case PlatformOperation::Write:
       ServeWrite(aExchange, aRequest.m_write);
@@ -200,8 +211,9 @@
 {
   ++m_counts.m_reads;
   const auto object = m_store.Read(aKey, AsOf());
-  aExchange->Answer(object ? JsonAnswer(200, EncodeObject(*object))
-                           : ErrorAnswer(404, "no such object"));
+  Answer(aExchange,
+         object ? JsonAnswer(200, EncodeObject(*object))
+                : ErrorAnswer(404, "no such object"));
 }
 
 void
@@ -211,23 +223,23 @@
   ++m_counts.m_writes;
   constexpr std::size_t kMaxBodyBytes = 1U << 20U;
   if (aWrite.m_body.size() > kMaxBodyBytes) {
-    aExchange->Answer(ErrorAnswer(413, "the body is over 1 MB"));
+    Answer(aExchange, ErrorAnswer(413, "the body is over 1 MB"));
     return;
   }
   const auto result = m_store.Write(aWrite, m_clock.Now());
   if (!result.m_isWritten) {
     ++m_counts.m_conflicts;
-    aExchange->Answer(JsonAnswer(409,
-                                 result.m_current
-                                   ? EncodeObject(*result.m_current)
-                                   : EncodeRevision(result.m_revision)));
+    Answer(aExchange,
+           JsonAnswer(409,
+                      result.m_current ? EncodeObject(*result.m_current)
+                                       : EncodeRevision(result.m_revision)));
     return;
   }
   if (m_faults.m_lostAnswers > 0) {
     --m_faults.m_lostAnswers;
     aExchange->Drop();
   } else {
-    aExchange->Answer(JsonAnswer(200, EncodeRevision(result.m_revision)));
+    Answer(aExchange, JsonAnswer(200, EncodeRevision(result.m_revision)));
   }
   NotifyWatches();
 }
@@ -241,9 +253,13 @@
     aExchange->OnClosed([]() {});
     return;
   }
+  if (aRequest.m_after > m_store.LatestRevision()) {
+    Answer(aExchange, ErrorAnswer(410, "no such revision"));
+    return;
+  }
   const auto changes = m_store.Changes(aRequest.m_prefix, aRequest.m_after);
   if (!changes.m_objects.empty()) {
-    aExchange->Answer(JsonAnswer(200, EncodeListing(changes)));
+    Answer(aExchange, JsonAnswer(200, EncodeListing(changes)));
     return;
   }
   const auto watch = std::make_shared<PendingWatch>(
@@ -263,7 +279,7 @@
       m_watches.remove(self);
       PlatformListing empty;
       empty.m_revision = m_store.LatestRevision();
-      self->m_exchange->Answer(JsonAnswer(200, EncodeListing(empty)));
+      Answer(self->m_exchange, JsonAnswer(200, EncodeListing(empty)));
     });
 }
 
@@ -275,7 +291,7 @@
     if (changes.m_objects.empty()) {
       return false;
     }
-    aWatch->m_exchange->Answer(JsonAnswer(200, EncodeListing(changes)));
+    Answer(aWatch->m_exchange, JsonAnswer(200, EncodeListing(changes)));
     return true;
   });
 }
--- a/src/programs/StandinPlatform.h
+++ b/src/programs/StandinPlatform.h
@@ -133,6 +133,9 @@
                   const PlatformRequest& aRequest);
   bool TakeToken(PlatformOperation aOperation);
   void NotifyWatches();
+  /// Answers with the header of the era.
+  void Answer(const FaultyHttpServer::Exchange& aExchange,
+              HttpAnswerParts aAnswer) const;
   /// The time whose state reads and lists return.
   MonotonicTime AsOf() const;
 
--- a/src/programs/StandinPlatformStore.cpp
+++ b/src/programs/StandinPlatformStore.cpp
@@ -31,7 +31,8 @@
   Versions& versions = m_objects[aWrite.m_key.Value()];
   versions.push_back(
     { aNow,
-      { { aWrite.m_key, m_revision, aWrite.m_body }, aWrite.m_operation } });
+      { { aWrite.m_key, m_revision, aWrite.m_body, aWrite.m_version },
+        aWrite.m_operation } });
   if (versions.size() > kMaxVersionsKept) {
     versions.pop_front();
   }
