Restored store: an ended move stays ended and its outcome is written again

After a restore the store shows an order without the outcome that the system had written. Each node took the move for a running one again: a bad version that had been taken back would have been tried once more, and a completed move been priced as missed. MoveOrders keeps the end of a move whose order comes from a later era, and the move's coordinator, one node, writes it again at most once a second under the order's new revision until the object shows it.

MoveOrders.AnEndedMoveStartsAgain... failed before: Plans() held the move again.

--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -272,6 +272,7 @@
     }
   }
   TickMoves(aTimes, actions);
+  RecordLostOutcomes(aTimes, actions);
   PublishView(aTimes, actions);
   actions.m_usage = m_ledger.TakeDue(aTimes.m_now);
   actions.m_pull = std::move(aGossip.m_pull);
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -206,6 +206,9 @@
   void PublishView(const Times& aTimes, ControlActions& aActions);
   void UpdateRoles();
   void RecordOrders(const Times& aTimes, ControlActions& aActions);
+  /// Writes outcomes again that the platform has lost in a restore; only the
+  /// coordinator of each move does.
+  void RecordLostOutcomes(const Times& aTimes, ControlActions& aActions);
   bool MayServe() const;
   std::optional<VersionSplit> SplitOf(const ServiceId& aService) const;
   /// The plans of all active moves, from orders and configurations.
@@ -223,6 +226,8 @@
   /// The earliest time of the next attempt to record that orders' moves have
   /// started.
   MonotonicTime m_recordAt{};
+  /// The earliest time of the next attempt to write lost outcomes.
+  MonotonicTime m_recordLostAt{};
   Moves m_moves;
   Ledger m_ledger;
   /// MayServe() at the last applied change.
--- a/src/process/ControlMoves.cpp
+++ b/src/process/ControlMoves.cpp
@@ -94,6 +94,23 @@
   }
 }
 
+void
+ControlCore::RecordLostOutcomes(const Times& aTimes, ControlActions& aActions)
+{
+  if (aTimes.m_now < m_recordLostAt) {
+    return;
+  }
+  const VmId& self = m_gossip.Members().Self().m_vm;
+  for (const LostOutcome& lost : m_orders.LostOutcomes()) {
+    if (CoordinatorOf(lost.m_plan.m_id) == self) {
+      m_recordLostAt = aTimes.m_now + kRecordInterval;
+      MoveOutcome outcome = OutcomeOf(lost.m_plan, lost.m_state);
+      outcome.m_time = aTimes.m_wall;
+      aActions.m_outcomes.push_back(std::move(outcome));
+    }
+  }
+}
+
 void
 ControlCore::TickMoves(const Times& aTimes, ControlActions& aActions)
 {
--- a/src/process/MoveOrders.cpp
+++ b/src/process/MoveOrders.cpp
@@ -36,11 +36,20 @@
     }
     OrderEntry& entry = m_orders[*service];
     const bool isSame = entry.m_order.m_id == order.value().m_id;
+    const bool wasRestored =
+      entry.m_isOutcomeLost ||
+      EraOf(entry.m_revision) != EraOf(document.m_revision);
+    entry.m_isOutcomeLost = isSame && wasRestored && HasEnded(entry.m_order) &&
+                            !HasEnded(order.value());
+    const std::optional<MoveState> ended = entry.m_order.m_recorded;
     if (!isSame || !entry.m_revision.Value()) {
       entry.m_start = order.value().m_start.value_or(aWall);
     }
     entry.m_revision = document.m_revision;
     entry.m_order = order.value();
+    if (entry.m_isOutcomeLost) {
+      entry.m_order.m_recorded = ended;
+    }
     isChanged = true;
   }
   return isChanged;
@@ -54,17 +63,35 @@
     if (HasEnded(entry.m_order)) {
       continue;
     }
-    MovePlan plan;
-    plan.m_id = entry.m_order.m_id;
-    plan.m_to = entry.m_order.m_to;
-    plan.m_start = entry.m_start;
-    plan.m_deadline = entry.m_start + entry.m_order.m_duration;
-    plan.m_hold = entry.m_order.m_duration / kHoldDivisor;
-    plans.push_back(plan);
+    plans.push_back(PlanOf(entry));
   }
   return plans;
 }
 
+MovePlan
+MoveOrders::PlanOf(const OrderEntry& aEntry)
+{
+  MovePlan plan;
+  plan.m_id = aEntry.m_order.m_id;
+  plan.m_to = aEntry.m_order.m_to;
+  plan.m_start = aEntry.m_start;
+  plan.m_deadline = aEntry.m_start + aEntry.m_order.m_duration;
+  plan.m_hold = aEntry.m_order.m_duration / kHoldDivisor;
+  return plan;
+}
+
+std::vector<LostOutcome>
+MoveOrders::LostOutcomes() const
+{
+  std::vector<LostOutcome> lost;
+  for (const auto& [service, entry] : m_orders) {
+    if (entry.m_isOutcomeLost) {
+      lost.push_back({ PlanOf(entry), *entry.m_order.m_recorded });
+    }
+  }
+  return lost;
+}
+
 std::optional<VersionSplit>
 MoveOrders::EndedSplit(const ServiceId& aService) const
 {
--- a/src/process/MoveOrders.h
+++ b/src/process/MoveOrders.h
@@ -27,6 +27,13 @@
 
 namespace tarragontray {
 
+/// The end of a move whose record the platform has lost.
+struct LostOutcome
+{
+  MovePlan m_plan;
+  MoveState m_state = MoveState::Done;
+};
+
 class MoveOrders
 {
 public:
@@ -54,6 +61,9 @@
   std::optional<Revision> RevisionOf(const MoveId& aMove) const;
   /// The state of the move that the order's object records, if any.
   std::optional<MoveState> Recorded(const MoveId& aMove) const;
+  /// The moves that had ended before the platform was restored, and whose
+  /// orders it shows without the end. Their outcomes are to be written again.
+  std::vector<LostOutcome> LostOutcomes() const;
   /// The number of documents that did not decode.
   std::uint64_t Rejected() const { return m_rejected; }
   /// The decoding error of the last rejected document.
@@ -65,11 +75,14 @@
     MoveOrder m_order;
     Revision m_revision;
     WallTime m_start{};
+    /// Whether m_order has ended but its object no longer records that.
+    bool m_isOutcomeLost = false;
   };
 
   /// The hold time after the last step is the order's duration divided by this.
   static constexpr int kHoldDivisor = 8;
 
+  static MovePlan PlanOf(const OrderEntry& aEntry);
   const OrderEntry* Find(const MoveId& aMove) const;
 
   const ConfigurationDecoder& m_decoder;
--- a/src/process/MoveOrdersTest.cpp
+++ b/src/process/MoveOrdersTest.cpp
@@ -103,4 +103,38 @@
   cr_assert(orders.Plans().empty());
 }
 
+/// The operator writes a lost order again; nobody but the nodes knows how its
+/// move ended.
+Test(MoveOrders, AnEndedMoveStartsAgainWhenThePlatformLosesItsOutcome)
+{
+  const FakeDecoder decoder;
+  MoveOrders orders(decoder);
+  const auto inEra =
+    [](std::uint64_t aEra, std::uint64_t aNumber, const char* aText) {
+      return Document{ OrderKey(kService),
+                       *RevisionIn(PlatformEra(aEra), aNumber),
+                       aText };
+    };
+  orders.Offer({ inEra(1, 5, "v2") }, kWall);
+  orders.Offer({ inEra(1, 6, "v2 taken-back") }, kWall);
+  cr_assert(orders.LostOutcomes().empty());
+  for (const std::uint64_t number : { 4, 5 }) {
+    orders.Offer({ inEra(2, number, "v2") }, kWall + 9s);
+    cr_assert(orders.Plans().empty());
+    const VersionSplit split = orders.EndedSplit(kService).value();
+    cr_assert(!split.Fits(split.m_from, UpstreamVersion("v2")));
+    const auto lost = orders.LostOutcomes();
+    cr_assert_eq(lost.size(), 1);
+    cr_assert(lost.front().m_state == MoveState::TakenBack);
+    cr_assert(lost.front().m_plan.m_start == kWall);
+    cr_assert(orders.RevisionOf(lost.front().m_plan.m_id) ==
+              RevisionIn(PlatformEra(2), number));
+  }
+  orders.Offer({ inEra(2, 6, "v2 taken-back") }, kWall + 10s);
+  cr_assert(orders.LostOutcomes().empty());
+  // Another order is not the lost one.
+  orders.Offer({ inEra(3, 2, "v3") }, kWall + 20s);
+  cr_assert_eq(orders.Plans().size(), 1);
+}
+
 } // namespace tarragontray
