Restored store: a node reads its entry back and writes what the copy lacks

A restored store has lost the entries of nodes that joined since the copy and the marks of upstreams that left: a node that restarts would take a left upstream for live, and a new one would find fewer peers. On the first answer of a later era each node reads the entries once, spread over 0.5 s, and writes its own only if it is missing or out of date; its usage report is due again.

--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -236,6 +236,13 @@
   m_ledger.WriteFailed(aReport.m_vm, aReport.m_incarnation);
 }
 
+void
+ControlCore::OnPlatformRestored()
+{
+  const MemberRecord& self = m_gossip.Members().Self();
+  m_ledger.WriteFailed(self.m_vm, self.m_incarnation);
+}
+
 ControlActions
 ControlCore::Leave(const Times& aTimes)
 {
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -178,6 +178,8 @@
   /// it.
   void OnOutcomeWritten(const MoveId& aMove);
   void OnUsageNotWritten(const UsageReport& aReport);
+  /// The platform has lost its newest writes, this node's among them.
+  void OnPlatformRestored();
   /// \}
 
   /// Announces to peers at once that this node shuts down.
--- a/src/process/PlatformLoop.cpp
+++ b/src/process/PlatformLoop.cpp
@@ -20,6 +20,8 @@
 /// peers.
 constexpr Duration kNodeReadInterval = std::chrono::seconds(60);
 constexpr Duration kNodeReadIntervalAlone = std::chrono::seconds(2);
+/// Spreads the nodes' reads of their entries after a restore of the platform.
+constexpr Duration kEntryReadSpread = std::chrono::milliseconds(500);
 constexpr Duration kFirstRetry = std::chrono::milliseconds(200);
 /// Limits the back-off to 0.8 s. Together with one call that times out
 /// (PlatformSettings::m_timeout), a new connection and the answer, the node
@@ -201,6 +203,7 @@
     aPrefix.m_notBefore = m_clock.Now() + m_settings.m_watchRest;
   }
   LogListing(aPrefix, aCall, aListing.value());
+  NoteEra(aListing.value().m_revision);
   m_handle(m_core.OnListing(DocumentsOf(aListing.value()),
                             aListing.value().m_revision,
                             Now(),
@@ -230,6 +233,31 @@
         { "took_ms", Milliseconds(m_clock.Now() - aCall.m_startedAt) } });
 }
 
+void
+PlatformLoop::NoteEra(Revision aRevision)
+{
+  const PlatformEra era = EraOf(aRevision);
+  const std::optional<PlatformEra> former = m_era;
+  m_era = std::max(former.value_or(era), era);
+  if (era <= former.value_or(era)) {
+    return;
+  }
+  Log(LogLevel::Warning,
+      kPart,
+      "Platform restored.",
+      { { "era", std::to_string(era.Value()) },
+        { "was", std::to_string(former->Value()) } });
+  m_core.OnPlatformRestored();
+  if (m_settings.m_registered) {
+    m_mustReadPreviousEntry = true;
+    m_readNodesAt =
+      m_clock.Now() +
+      Duration(m_random.Below(
+        static_cast<std::uint64_t>(kEntryReadSpread.count()) + 1));
+    CheckAt(m_readNodesAt);
+  }
+}
+
 void
 PlatformLoop::RestartWatches()
 {
@@ -322,6 +350,7 @@
     RestartWatches();
   }
   LogListing(aPrefix, aCall, aListing);
+  NoteEra(aListing.m_revision);
   m_handle(m_core.OnListing(documents,
                             aListing.m_revision,
                             Now(),
--- a/src/process/PlatformLoop.h
+++ b/src/process/PlatformLoop.h
@@ -18,7 +18,9 @@
 /// revision; process/RevisionChecks.h says which node makes it, and when.
 ///
 /// When nodes register with the platform, the loop writes this node's entry
-/// once per process and reads the other nodes' entries. On an error it moves to
+/// once per process and reads the other nodes' entries. After a restore of the
+/// platform it reads its own entry back, and writes it again when it is lost or
+/// out of date. On an error it moves to
 /// the next platform address after a back-off with jitter.
 ///
 /// Thread safety: not thread-safe; belongs to the control thread.
@@ -143,6 +145,9 @@
                   const PrefixCall& aCall,
                   const PlatformListing& aListing) const;
   void RestartWatches();
+  /// Called with the revision of each listing. In a new era of the platform,
+  /// reads back what this node had written.
+  void NoteEra(Revision aRevision);
   /// Reads the platform's revision when it is due, and lists the watched
   /// prefixes that are behind it.
   void CheckRevision(MonotonicTime aNow);
@@ -184,13 +189,16 @@
   /// for each prefix that is listed.
   std::size_t m_checkCalls = 0;
   bool m_hasCheckFailed = false;
+  /// The latest era in any listing; not set before the first one.
+  std::optional<PlatformEra> m_era;
   /// Whether this node's entry is being written or all entries are being read.
   bool m_isNodeCallRunning = false;
   /// Whether the platform's entry for this VM is up to date.
   bool m_isRegistered = false;
   /// Whether the platform has an entry for this VM, up to date or not.
   bool m_hasEntry = false;
-  /// Whether the entry of a previous process has still to be read.
+  /// Whether this VM's entry has still to be read: a previous process wrote it,
+  /// or the platform was restored.
   bool m_mustReadPreviousEntry = false;
   /// The leaving upstream process to record in the entry.
   std::optional<UpstreamProcess> m_left;
--- a/src/process/PlatformLoopTest.cpp
+++ b/src/process/PlatformLoopTest.cpp
@@ -461,4 +461,38 @@
   cr_assert(entry.value().m_left == life);
 }
 
+Test(PlatformLoop, TheEntryOfANodeStaysLostAfterARestore)
+{
+  WatchingNode node(true);
+  node.m_script.m_written.back()(Revision(3));
+  const UpstreamProcess left{ UpstreamInstanceId("i-1"), UpstreamBirth(100) };
+  node.AnswerNodes("127.0.0.1:7000", "");
+  node.RecordUpstreamLeave(left);
+  node.m_script.m_written.back()(Revision(4));
+  node.AnswerList(5);
+  node.AnswerWatch(RevisionIn(PlatformEra(1), 4)->Value());
+  node.RunFor(700ms);
+  cr_assert_eq(node.m_script.m_writes.size(), 2);
+  // The copy has the entry as it was before the upstream left.
+  node.AnswerNodes("127.0.0.1:7000", "");
+  cr_assert_eq(node.m_script.m_writes.size(), 3);
+  const auto entry = ParseNode(node.m_script.m_writes.back().m_body);
+  cr_assert(entry.value().m_left == left);
+  node.m_script.m_written.back()(*RevisionIn(PlatformEra(1), 5));
+  node.RunFor(700ms);
+  cr_assert_eq(node.m_script.m_writes.size(), 3);
+}
+
+Test(PlatformLoop, AnEntryThatTheCopyHasIsWrittenAgain)
+{
+  WatchingNode node(true);
+  node.m_script.m_written.back()(Revision(3));
+  node.AnswerNodes("127.0.0.1:7000", "");
+  node.AnswerList(5);
+  node.AnswerWatch(RevisionIn(PlatformEra(1), 4)->Value());
+  node.RunFor(700ms);
+  node.AnswerNodes("127.0.0.1:7000", "");
+  cr_assert_eq(node.m_script.m_writes.size(), 1);
+}
+
 } // namespace tarragontray
