--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -11,6 +11,17 @@
 
 namespace tarragontray {
 
+namespace {
+
+/// Platforms count their eras from 0 or 1.
+constexpr PlatformEra kFirstEra{ 1 };
+/// How long a node that starts after a restore of the platform waits for a
+/// peer's documents before it serves the listed ones. Exceeds the delay of the
+/// first pull and the pull.
+constexpr Duration kPeerWait = std::chrono::milliseconds(1500);
+
+} // namespace
+
 Result<std::unique_ptr<ControlCore>>
 ControlCore::Create(const ControlSettings& aSettings,
                     const ConfigurationDecoder& aDecoder,
@@ -73,6 +84,9 @@
   if (m_viewDue) {
     next = std::min(next, *m_viewDue);
   }
+  if (m_listedAt && !m_isSynchronized) {
+    next = std::min(next, *m_listedAt + kPeerWait);
+  }
   if (m_announcedAt) {
     next = std::min(next, *m_announcedAt + m_settings.m_announcementLapse);
   }
@@ -269,6 +283,7 @@
     ScheduleView(aTimes.m_now);
   }
   ProcessDocuments(aTimes);
+  UpdateSynchronized(aTimes.m_now);
   Apply(std::exchange(m_changes, {}), aTimes);
   if (aGossip.m_membersChanged) {
     UpdateRoles();
@@ -352,14 +367,40 @@
 {
   // A listing from the platform is complete. Without one, this node relies on
   // having synchronised with its peers.
-  const Distribution& documents = m_gossip.Documents();
-  const bool isListed =
-    std::all_of(m_settings.m_prefixes.begin(),
-                m_settings.m_prefixes.end(),
-                [&](const WatchedPrefix& aPrefix) {
-                  return documents.WatchAfter(aPrefix.m_keys) > Revision(0);
-                });
-  return (isListed || m_gossip.MayServe()) && !documents.IsBelowFloor();
+  const bool isCurrent =
+    IsListed() && (m_isSynchronized || !WasPlatformRestored());
+  return (isCurrent || m_gossip.MayServe()) &&
+         !m_gossip.Documents().IsBelowFloor();
+}
+
+bool
+ControlCore::IsListed() const
+{
+  return std::all_of(m_settings.m_prefixes.begin(),
+                     m_settings.m_prefixes.end(),
+                     [this](const WatchedPrefix& aPrefix) {
+                       return WatchAfter(aPrefix.m_keys) > Revision(0);
+                     });
+}
+
+bool
+ControlCore::WasPlatformRestored() const
+{
+  return std::any_of(m_settings.m_prefixes.begin(),
+                     m_settings.m_prefixes.end(),
+                     [this](const WatchedPrefix& aPrefix) {
+                       return EraOf(WatchAfter(aPrefix.m_keys)) > kFirstEra;
+                     });
+}
+
+void
+ControlCore::UpdateSynchronized(MonotonicTime aNow)
+{
+  if (!m_listedAt && IsListed()) {
+    m_listedAt = aNow;
+  }
+  m_isSynchronized |=
+    m_gossip.HasPulled() || (m_listedAt && aNow >= *m_listedAt + kPeerWait);
 }
 
 void
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -212,6 +212,12 @@
   /// coordinator of each move does.
   void RecordLostOutcomes(const Times& aTimes, ControlActions& aActions);
   bool MayServe() const;
+  /// Whether every watched prefix has been listed.
+  bool IsListed() const;
+  /// Whether the platform's era tells that it has lost writes.
+  bool WasPlatformRestored() const;
+  /// Whether a peer has told what it holds, or none has for kPeerWait.
+  void UpdateSynchronized(MonotonicTime aNow);
   std::optional<VersionSplit> SplitOf(const ServiceId& aService) const;
   /// The plans of all active moves, from orders and configurations.
   std::vector<MovePlan> Plans() const;
@@ -232,6 +238,11 @@
   MonotonicTime m_recordLostAt{};
   Moves m_moves;
   Ledger m_ledger;
+  /// Whether a listing of a restored platform can be trusted to be no older
+  /// than what peers have in force.
+  bool m_isSynchronized = false;
+  /// When the first listing of all prefixes was complete.
+  std::optional<MonotonicTime> m_listedAt;
   /// MayServe() at the last applied change.
   bool m_mayServe = false;
   std::optional<MonotonicTime> m_viewDue;
--- a/src/process/Gossip.cpp
+++ b/src/process/Gossip.cpp
@@ -151,6 +151,7 @@
     return actions;
   }
   m_pulls.Done();
+  m_hasPulled = true;
   m_documents.RaiseFloor(aAnswer.m_floor);
   m_members->MarkJoined(aNow);
   // The peer may itself be joining and have only part of the members, so
--- a/src/process/Gossip.h
+++ b/src/process/Gossip.h
@@ -119,6 +119,8 @@
     return m_members->IsSettled() && !m_documents.IsBelowFloor();
   }
 
+  /// Whether a peer has answered a pull since the start.
+  bool HasPulled() const { return m_hasPulled; }
   /// The highest document revision in any peer's digest or confirmation so
   /// far.
   Revision HighestReported() const { return m_highestReported; }
@@ -170,6 +172,7 @@
   /// a replacement process on that VM.
   std::map<VmId, Revision> m_reportedRevisions;
   Revision m_highestReported;
+  bool m_hasPulled = false;
 };
 
 } // namespace tarragontray
--- a/src/process/RestoredPlatformTest.cpp
+++ b/src/process/RestoredPlatformTest.cpp
@@ -25,7 +25,9 @@
 class RestoredPlatform
 {
 public:
-  RestoredPlatform()
+  /// \param aRestores how often the platform is restored before the node
+  /// starts.
+  explicit RestoredPlatform(int aRestores = 0)
     : m_random(1)
   {
     StandinPlatformSettings standin;
@@ -33,6 +35,10 @@
     standin.m_adminAddress = kAnyPort;
     m_standin = StandinPlatform::Create(m_context, m_clock, standin).value();
     m_writer = MakeSession();
+    for (int i = 0; i < aRestores; ++i) {
+      Write("copy");
+      m_standin->Restore(Duration(0));
+    }
     ControlSettings control;
     control.m_self.m_vm = VmId("vm-1");
     control.m_self.m_dataCentre = DataCentreId("dc");
@@ -70,6 +76,10 @@
                     });
     RunUntil([&] { return isWritten; });
   }
+  bool MayServe() const { return !m_core->Status(Now().m_wall).m_isBelowFloor; }
+  /// Delivers a peer's answer to a pull.
+  void AnswerPull() { m_core->OnPullAnswer({}, Now()); }
+  void Tick() { m_core->OnTick(Now()); }
   /// The body of the node's document, as a peer would pull it.
   std::string Held()
   {
@@ -167,4 +177,31 @@
   }
 }
 
+Test(RestoredPlatform, ANodeThatStartsServesTheCopyBeforeItHearsAPeer)
+{
+  RestoredPlatform test(2);
+  cr_assert(test.Takes("copy"));
+  cr_assert(!test.MayServe());
+  test.AnswerPull();
+  cr_assert(test.MayServe());
+}
+
+Test(RestoredPlatform, ANodeWithoutPeersWaitsForThemForever)
+{
+  RestoredPlatform test(2);
+  cr_assert(test.Takes("copy"));
+  cr_assert(test.RunUntil([&] {
+    test.Tick();
+    return test.MayServe();
+  }));
+}
+
+Test(RestoredPlatform, ANodeWaitsForPeersAlthoughThePlatformLostNothing)
+{
+  RestoredPlatform test;
+  test.Write("only");
+  cr_assert(test.Takes("only"));
+  cr_assert(test.MayServe());
+}
+
 } // namespace tarragontray
