Admission: a late call that timely ones leave no room for is refused at once

Under a rate limit that an upstream states, timely calls start before late ones, whatever their priority, but the expected wait of a late call counted only the starts of more urgent priorities. Late calls were taken in and held until their deadline, although the timely ones used the whole limit up. The starts are now counted by group, timely before late, and a call waits for all groups before its own; the refusal states the wait as before.

ObjectiveAdmission.LateCallWaitsBehindTimelyOnes... failed before.

--- a/src/request/ObjectiveAdmission.cpp
+++ b/src/request/ObjectiveAdmission.cpp
@@ -15,8 +15,8 @@
 
 /// Time constant of the rates of starts.
 constexpr Duration kRateTime = std::chrono::seconds(1);
-/// When more urgent calls leave less than this fraction of the upstream's rate
-/// limit, a call is not expected to start.
+/// When calls of earlier groups leave less than this fraction of the upstream's
+/// rate limit, a call is not expected to start.
 constexpr double kMinRateLeft = 0.05;
 constexpr Duration kNoStart = std::chrono::hours(1);
 
@@ -96,7 +96,7 @@
 }
 
 Duration
-ObjectiveAdmission::WaitForStart(const WaitingCall& aCall,
+ObjectiveAdmission::WaitForStart(const StartGroup& aGroup,
                                  int aCallsAhead,
                                  const UpstreamCapacity& aCapacity) const
 {
@@ -105,24 +105,24 @@
   if (wait <= Duration::zero()) {
     return wait;
   }
-  // More urgent calls that arrive during the wait start first.
-  double urgent = 0;
-  for (const auto& [priority, starts] : m_starts) {
-    urgent += priority < aCall.m_priority ? starts.m_perSecond : 0.0;
+  // Calls of earlier groups that arrive during the wait start first.
+  double earlier = 0;
+  for (const auto& [group, starts] : m_starts) {
+    earlier += group < aGroup ? starts.m_perSecond : 0.0;
   }
-  const double left = 1.0 - urgent * Seconds(aCapacity.m_startInterval);
+  const double left = 1.0 - earlier * Seconds(aCapacity.m_startInterval);
   return left <= kMinRateLeft ? kNoStart : Scaled(wait, 1.0 / left);
 }
 
 void
-ObjectiveAdmission::RecordStart(std::uint8_t aPriority, MonotonicTime aNow)
+ObjectiveAdmission::RecordStart(const StartGroup& aGroup, MonotonicTime aNow)
 {
   const double seconds = Seconds(kRateTime);
-  for (auto& [priority, starts] : m_starts) {
+  for (auto& [group, starts] : m_starts) {
     starts.m_perSecond *= std::exp(-Seconds(aNow - starts.m_at) / seconds);
     starts.m_at = aNow;
   }
-  StartRate& own = m_starts[aPriority];
+  StartRate& own = m_starts[aGroup];
   own.m_perSecond += 1.0 / seconds;
   own.m_at = aNow;
 }
@@ -148,7 +148,8 @@
     work += waiting.m_serviceTime;
     ++calls;
   }
-  const Duration forStart = WaitForStart(aCall, calls, aCapacity);
+  const Duration forStart =
+    WaitForStart({ aIsLate, aCall.m_priority }, calls, aCapacity);
   const std::uint32_t slots = std::max(1U, aCapacity.m_slots.Value());
   if (aCapacity.m_running < slots) {
     return forStart;
@@ -224,13 +225,14 @@
 std::optional<Ticket>
 ObjectiveAdmission::Next(const UpstreamCapacity& aCapacity, MonotonicTime aNow)
 {
-  std::vector<WaitingCall>& calls = m_timely.empty() ? m_late : m_timely;
+  const bool isLate = m_timely.empty();
+  std::vector<WaitingCall>& calls = isLate ? m_late : m_timely;
   if (calls.empty() || aCapacity.m_running >= aCapacity.m_slots.Value()) {
     return std::nullopt;
   }
   const Ticket ticket = calls.front().m_ticket;
   if (aCapacity.m_startInterval > Duration::zero()) {
-    RecordStart(calls.front().m_priority, aNow);
+    RecordStart({ isLate, calls.front().m_priority }, aNow);
   }
   calls.erase(calls.begin());
   return ticket;
--- a/src/request/ObjectiveAdmission.h
+++ b/src/request/ObjectiveAdmission.h
@@ -51,7 +51,16 @@
   {
   }
 
-  /// The calls of one priority that have started per second, smoothed, as of
+  /// What the order of starts depends on first: timely calls precede late ones,
+  /// whatever their priority.
+  struct StartGroup
+  {
+    bool m_isLate = false;
+    std::uint8_t m_priority = 0;
+
+    auto operator<=>(const StartGroup&) const = default;
+  };
+  /// The calls of one group that have started per second, smoothed, as of
   /// m_at.
   struct StartRate
   {
@@ -60,10 +69,10 @@
   };
 
   /// The wait for the upstream's rate limit, with aCallsAhead calls first.
-  Duration WaitForStart(const WaitingCall& aCall,
+  Duration WaitForStart(const StartGroup& aGroup,
                         int aCallsAhead,
                         const UpstreamCapacity& aCapacity) const;
-  void RecordStart(std::uint8_t aPriority, MonotonicTime aNow);
+  void RecordStart(const StartGroup& aGroup, MonotonicTime aNow);
   /// Expected time until the call would start in the timely or the late queue.
   Duration ExpectedWait(const WaitingCall& aCall,
                         bool aIsLate,
@@ -73,8 +82,9 @@
   /// Moves timely calls that can't meet their objective to the late queue.
   void DemoteLateCalls(MonotonicTime aNow);
 
-  /// By priority, while the upstream limits its rate of calls.
-  std::map<std::uint8_t, StartRate> m_starts;
+  /// In the order in which the groups start, while the upstream limits its rate
+  /// of calls.
+  std::map<StartGroup, StartRate> m_starts;
   AdmissionBounds m_bounds;
   /// Sorted by priority, then quick calls first, then objective.
   std::vector<WaitingCall> m_timely;
--- a/src/request/ObjectiveAdmissionTest.cpp
+++ b/src/request/ObjectiveAdmissionTest.cpp
@@ -205,19 +205,34 @@
     policy->Offer(MakeCall(4, milliseconds(900), 0), limited, kStart).empty());
 }
 
-Test(ObjectiveAdmission, CallWaitsBehindUrgentOnesThatUseUpTheRateLimit)
+namespace {
+
+/// Starts calls of this priority at a limit of ten a second, which they use up.
+/// \return the time after them.
+MonotonicTime
+UseUpLimit(AdmissionPolicy& aPolicy,
+           const UpstreamCapacity& aLimited,
+           std::uint8_t aPriority)
 {
-  const auto policy = MakePolicy();
-  UpstreamCapacity limited = kFree;
-  limited.m_startInterval = milliseconds(100);
   MonotonicTime now = kStart;
   for (std::uint64_t ticket = 1; ticket <= 50; ++ticket) {
-    WaitingCall urgent = MakeCall(ticket, std::chrono::hours(1), 0);
-    urgent.m_deadline = now + std::chrono::hours(1);
-    cr_assert(policy->Offer(urgent, limited, now).empty());
-    cr_assert(policy->Next(limited, now).has_value());
+    WaitingCall call = MakeCall(ticket, std::chrono::hours(1), aPriority);
+    call.m_deadline = now + std::chrono::hours(1);
+    cr_assert(aPolicy.Offer(call, aLimited, now).empty());
+    cr_assert(aPolicy.Next(aLimited, now).has_value());
     now += milliseconds(100);
   }
+  return now;
+}
+
+} // namespace
+
+Test(ObjectiveAdmission, CallWaitsBehindUrgentOnesThatUseUpTheRateLimit)
+{
+  const auto policy = MakePolicy();
+  UpstreamCapacity limited = kFree;
+  limited.m_startInterval = milliseconds(100);
+  const MonotonicTime now = UseUpLimit(*policy, limited, 0);
   WaitingCall call = MakeCall(51, std::chrono::hours(1));
   call.m_deadline = now + std::chrono::seconds(1);
   limited.m_startDelay = milliseconds(100);
@@ -228,4 +243,20 @@
   cr_assert(policy->Offer(call, limited, now).empty());
 }
 
+Test(ObjectiveAdmission, LateCallWaitsBehindTimelyOnesThatUseUpTheRateLimit)
+{
+  const auto policy = MakePolicy();
+  UpstreamCapacity limited = kFree;
+  limited.m_startInterval = milliseconds(100);
+  const MonotonicTime now = UseUpLimit(*policy, limited, 1);
+  WaitingCall late = MakeCall(51, milliseconds(0));
+  late.m_deadline = now + std::chrono::seconds(1);
+  limited.m_startDelay = milliseconds(100);
+  cr_assert_eq(policy->Offer(late, limited, now).size(), 1);
+  // A timely call of the same priority has to wait for the next start only.
+  WaitingCall timely = MakeCall(52, std::chrono::hours(1));
+  timely.m_deadline = now + std::chrono::seconds(1);
+  cr_assert(policy->Offer(timely, limited, now).empty());
+}
+
 } // namespace tarragontray
