--- a/src/connection/HttpClientTest.cpp
+++ b/src/connection/HttpClientTest.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/as_tuple.hpp>
@@ -60,7 +61,7 @@
 Ended
 Get(asio::io_context& aContext, HttpClientSettings aSettings, Duration aTimeout)
 {
-  const auto client = HttpClient::Create(aContext, aSettings);
+  const auto client = HttpClient::Create(aContext, std::move(aSettings));
   const auto start = std::chrono::steady_clock::now();
   std::optional<Result<HttpAnswerParts>> answer;
   HttpCall call;
--- a/src/process/Runtime.cmake
+++ b/src/process/Runtime.cmake
@@ -32,7 +32,8 @@
 tt_test(status_test SRCS StatusTest.cpp DEPS tt_status)
 tt_library(tt_node_dialects SRCS NodeDialects.cpp
   DEPS tt_configuration_json tt_http_dialect tt_platform_session tt_status)
-tt_library(tt_control_thread SRCS StateChangeLog.cpp ControlThread.cpp PlatformLoop.cpp
+tt_library(tt_control_thread SRCS StateChangeLog.cpp ControlThread.cpp PlatformEntries.cpp
+       PlatformLoop.cpp
   DEPS tt_control_core tt_datagrams tt_http_server tt_log tt_node_dialects
        tt_peer_link tt_platform_session tt_status tt_thread_loop)
 tt_test(state_change_log_test SRCS StateChangeLogTest.cpp DEPS tt_control_thread)
