Restored store: all nodes join the first creation of a version that is written again

A node that starts after a restore reads an order that was written again before it hears of its first creation. Its document has the same revision as its peers' then, so that neither supersedes the other, and the nodes kept different creations: different plans of one move, and digests that never agree. Versions with one revision join what either tells.

DocumentTable.NodesNeverAgreeOnTheCreation... failed before.

--- a/src/process/DocumentTable.cpp
+++ b/src/process/DocumentTable.cpp
@@ -11,6 +11,14 @@
 
 namespace {
 
+/// The lower one of two revisions, of which 0 is unknown.
+Revision
+EarlierKnown(Revision aLeft, Revision aRight)
+{
+  const auto [lower, higher] = std::minmax(aLeft, aRight);
+  return lower > Revision(0) ? lower : higher;
+}
+
 /// Of two versions of a document, the one that supersedes the other. Joins what
 /// either tells of the object's creation.
 Document
@@ -30,6 +38,10 @@
   if (isWrittenAgain && !joined.m_body.empty() && !other.m_body.empty()) {
     joined.m_created = std::min(joined.m_created, other.m_created);
   }
+  if (joined.m_revision == other.m_revision) {
+    joined.m_version = std::max(joined.m_version, other.m_version);
+    joined.m_created = EarlierKnown(joined.m_created, other.m_created);
+  }
   return joined;
 }
 
--- a/src/process/DocumentTableTest.cpp
+++ b/src/process/DocumentTableTest.cpp
@@ -84,6 +84,28 @@
   AssertHeldInEveryOrder({ Version(1, 25, 18, 25), again }, joined);
 }
 
+/// A node that starts after the restore reads the version before it hears of
+/// the first creation.
+Test(DocumentTable, NodesNeverAgreeOnTheCreationOfAVersion)
+{
+  const Document again = Version(2, 24, 18, 24);
+  DocumentTable running(10);
+  running.Apply(Version(1, 25, 18, 25));
+  running.Apply(again);
+  DocumentTable fresh(10);
+  fresh.Apply(again);
+  cr_assert(fresh.Apply(*running.Find(kKey)));
+  cr_assert(!running.Apply(again));
+  cr_assert(fresh.Digest() == running.Digest());
+  // Also of a deleted object, which one of them has not seen.
+  running.Apply(Deletion(2, 30));
+  DocumentTable other(10);
+  other.Apply(Deletion(2, 30));
+  other.Apply(*running.Find(kKey));
+  running.Apply(Deletion(2, 30));
+  cr_assert(other.Digest() == running.Digest());
+}
+
 Test(DocumentTable, ANewVersionWithAnOldNumberIsNotTaken)
 {
   const Document change = Version(2, 25, 22);
