--- a/src/connection/EraHeader.h
+++ b/src/connection/EraHeader.h
@@ -8,11 +8,12 @@
 
 #include <charconv>
 #include <cstdint>
+#include <string>
 #include <string_view>
 #include <vector>
 
 #include "base/PlatformEra.h"
-#include "request/Call.h"
+#include "request/HttpDialect.h"
 
 namespace tarragontray {
 
@@ -21,18 +22,15 @@
 inline PlatformEra
 EraIn(const std::vector<HttpHeader>& aHeaders, std::string_view aName)
 {
-  for (const HttpHeader& header : aHeaders) {
-    if (header.m_name != aName) {
-      continue;
-    }
-    std::uint64_t number = 0;
-    const char* const end = header.m_value.data() + header.m_value.size();
-    const auto [next, error] =
-      std::from_chars(header.m_value.data(), end, number);
-    return error == std::errc() && next == end ? PlatformEra(number)
-                                               : PlatformEra(0);
+  const std::string* text = FindHeader(aHeaders, aName);
+  std::uint64_t number = 0;
+  if (text == nullptr) {
+    return PlatformEra(0);
   }
-  return PlatformEra(0);
+  const char* const end = text->data() + text->size();
+  const auto [next, error] = std::from_chars(text->data(), end, number);
+  return error == std::errc() && next == end ? PlatformEra(number)
+                                             : PlatformEra(0);
 }
 
 } // namespace tarragontray
--- a/src/process/DocumentTable.cpp
+++ b/src/process/DocumentTable.cpp
@@ -19,23 +19,23 @@
   return lower > Revision(0) ? lower : higher;
 }
 
-/// Of two versions of a document, the one that supersedes the other. Joins what
-/// either tells of the object's creation.
-Document
-Join(const Document& aHeld, const Document& aReceived)
+/// The stamp of the version that supersedes the other, joined with what either
+/// tells of the object's creation.
+DocumentStamp
+Join(const DocumentStamp& aHeld, const DocumentStamp& aReceived)
 {
-  const bool isNewer = Supersedes(aReceived.Stamp(), aHeld.Stamp());
-  Document joined = isNewer ? aReceived : aHeld;
-  const Document& other = isNewer ? aHeld : aReceived;
+  const bool isNewer = Supersedes(aReceived, aHeld);
+  DocumentStamp joined = isNewer ? aReceived : aHeld;
+  const DocumentStamp& other = isNewer ? aHeld : aReceived;
   const bool isSameEra = EraOf(joined.m_revision) == EraOf(other.m_revision);
-  if (joined.m_body.empty() && isNewer && isSameEra) {
+  if (joined.m_isDeleted && isNewer && isSameEra) {
     joined.m_version = std::max(joined.m_version, other.m_version);
     joined.m_created = other.m_created;
   }
   const bool isWrittenAgain = !isSameEra &&
                               joined.m_version == other.m_version &&
                               joined.m_version > WriterVersion(0);
-  if (isWrittenAgain && !joined.m_body.empty() && !other.m_body.empty()) {
+  if (isWrittenAgain && !joined.m_isDeleted && !other.m_isDeleted) {
     joined.m_created = std::min(joined.m_created, other.m_created);
   }
   if (joined.m_revision == other.m_revision) {
@@ -62,18 +62,36 @@
     return true;
   }
   Document& held = found->second;
-  Document joined = Join(held, aDocument);
-  if (joined == held) {
+  const DocumentStamp former = held.Stamp();
+  const DocumentStamp joined = Join(former, aDocument.Stamp());
+  const bool isNewer = joined.m_revision != former.m_revision;
+  if (!isNewer && joined.m_version == former.m_version &&
+      joined.m_created == former.m_created) {
     return false;
   }
   Toggle(held);
-  held = std::move(joined);
+  if (isNewer) {
+    held = aDocument;
+  }
+  held.m_version = joined.m_version;
+  held.m_created = joined.m_created;
   Toggle(held);
+  UpdateHighest(former.m_revision, held.m_revision);
+  return true;
+}
+
+void
+DocumentTable::UpdateHighest(Revision aFormer, Revision aCurrent)
+{
+  if (aCurrent >= m_highest || aFormer < m_highest) {
+    m_highest = std::max(m_highest, aCurrent);
+    return;
+  }
+  // The document that had the highest revision went back to an earlier era.
   m_highest = Revision(0);
   for (const auto& [key, document] : m_documents) {
     m_highest = std::max(m_highest, document.m_revision);
   }
-  return true;
 }
 
 const Document*
--- a/src/process/DocumentTable.h
+++ b/src/process/DocumentTable.h
@@ -46,6 +46,8 @@
 
 private:
   void Toggle(const Document& aDocument);
+  /// Keeps m_highest after a document's revision has changed.
+  void UpdateHighest(Revision aFormer, Revision aCurrent);
 
   std::size_t m_maxDocuments;
   std::map<ObjectKey, Document> m_documents;
--- a/src/version/Document.h
+++ b/src/version/Document.h
@@ -13,7 +13,6 @@
 /// Thread safety: values and pure functions.
 #pragma once
 
-#include <optional>
 #include <string>
 
 #include "base/Ids.h"
