Home of an idempotency key is computed for each call, without a table

Change: Home() ranks the targets of the version for the key's bucket. The homes are the same as before.

--- a/src/request/Subset.cpp
+++ b/src/request/Subset.cpp
@@ -75,7 +75,7 @@
 Result<std::shared_ptr<const KeyPlacement>>
 KeyPlacement::Create(std::vector<Target> aTargets)
 {
-  if (aTargets.size() >= kNone) {
+  if (aTargets.size() > kMaxTargets) {
     return Error(ErrorCode::TooLarge,
                  "request.placement",
                  "",
@@ -88,37 +88,9 @@
 KeyPlacement::KeyPlacement(std::vector<Target> aTargets)
   : m_targets(std::move(aTargets))
 {
-  for (const Target& target : m_targets) {
-    const auto [found, isNew] = m_tables.try_emplace(target.m_version);
-    if (isNew) {
-      Fill(target.m_version, found->second);
-    }
-  }
-}
-
-void
-KeyPlacement::Fill(const UpstreamVersion& aVersion, Table& aTable) const
-{
-  std::vector<std::pair<std::uint64_t, std::uint16_t>> members;
   for (std::size_t i = 0; i < m_targets.size(); ++i) {
-    if (m_targets[i].m_version == aVersion) {
-      members.emplace_back(StableHash(m_targets[i].m_vm.Value()),
-                           static_cast<std::uint16_t>(i));
-    }
-  }
-  for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
-    std::array<std::uint64_t, kRanks> ranks{};
-    Homes& homes = aTable[bucket];
-    homes.fill(kNone);
-    for (auto [hash, index] : members) {
-      std::uint64_t rank = SeededRandom(hash ^ bucket).Next();
-      for (std::size_t i = 0; i < kRanks; ++i) {
-        if (homes[i] == kNone || rank > ranks[i]) {
-          std::swap(rank, ranks[i]);
-          std::swap(index, homes[i]);
-        }
-      }
-    }
+    m_members[m_targets[i].m_version].push_back(
+      { StableHash(m_targets[i].m_vm.Value()), &m_targets[i] });
   }
 }
 
@@ -127,14 +99,25 @@
                    const UpstreamVersion& aVersion,
                    std::size_t aRank) const
 {
-  const auto found = m_tables.find(aVersion);
-  if (found == m_tables.end()) {
+  const auto found = m_members.find(aVersion);
+  if (found == m_members.end()) {
     return nullptr;
   }
   const std::uint64_t bucket =
     StableHash(aOperation.Value(), kKeySeed) % kBuckets;
-  const std::uint16_t index = found->second[bucket][aRank];
-  return index == kNone ? nullptr : &m_targets[index];
+  std::array<std::uint64_t, kRanks> ranks{};
+  std::array<const Target*, kRanks> homes{};
+  for (const auto& [hash, member] : found->second) {
+    std::uint64_t rank = SeededRandom(hash ^ bucket).Next();
+    const Target* target = member;
+    for (std::size_t i = 0; i < kRanks; ++i) {
+      if (homes[i] == nullptr || rank > ranks[i]) {
+        std::swap(rank, ranks[i]);
+        std::swap(target, homes[i]);
+      }
+    }
+  }
+  return homes[aRank];
 }
 
 } // namespace tarragontray
--- a/src/request/Subset.h
+++ b/src/request/Subset.h
@@ -1,7 +1,9 @@
 /// \file
 /// Selects the subset of targets that a node uses of each service, and the home
-/// target of each idempotency key. The control thread computes both once per
-/// view, so that the cost of a call doesn't depend on the number of targets.
+/// target of each idempotency key. The control thread selects the subset once
+/// per view, so that the cost of a call doesn't depend on the number of targets;
+/// a home is computed for each call that has a key, since few calls do and a
+/// table of all homes would be rebuilt at each change of the targets.
 ///
 ///     view.m_targets = SelectSubset(settings, allTargets);
 ///     view.m_keys = KeyPlacement::Create(allTargets).value();
@@ -66,7 +68,8 @@
 
   /// Returns the target of a rank for a key, among the targets of a version:
   /// rank 0 is the home, rank 1 becomes the home when the home leaves, and so
-  /// on. Null when there is none. Valid as long as this object. Constant time.
+  /// on. Null when there is none. Valid as long as this object. Takes time in
+  /// proportion to the targets of the version.
   /// Precondition: aRank < kRanks.
   const Target* Home(const OperationId& aOperation,
                      const UpstreamVersion& aVersion,
@@ -76,17 +79,17 @@
   /// Many more than the targets of a service, so that homes are evenly
   /// distributed.
   static constexpr std::size_t kBuckets = 1024;
-  /// Marks an unused rank, when there are fewer targets than ranks.
-  static constexpr std::uint16_t kNone = 65'535;
-  /// Indices into m_targets by rank.
-  using Homes = std::array<std::uint16_t, kRanks>;
-  using Table = std::array<Homes, kBuckets>;
+  static constexpr std::size_t kMaxTargets = 65'534;
+  struct Member
+  {
+    std::uint64_t m_hash;
+    const Target* m_target;
+  };
 
   explicit KeyPlacement(std::vector<Target> aTargets);
-  void Fill(const UpstreamVersion& aVersion, Table& aTable) const;
 
   std::vector<Target> m_targets;
-  std::map<UpstreamVersion, Table> m_tables;
+  std::map<UpstreamVersion, std::vector<Member>> m_members;
 };
 
 } // namespace tarragontray
