--- a/src/connection/DatagramCodec.cpp
+++ b/src/connection/DatagramCodec.cpp
@@ -117,6 +117,28 @@
   Get(aSource.Values(), aDocument.m_body);
 }
 
+void
+Get(Source& aSource, DocumentPatch& aPatch)
+{
+  Reader& reader = aSource.Values();
+  Get(reader, aPatch.m_key);
+  Get(reader, aPatch.m_base);
+  Get(reader, aPatch.m_baseHash);
+  Get(reader, aPatch.m_revision);
+  Get(reader, aPatch.m_version);
+  Get(reader, aPatch.m_created);
+  Get(reader, aPatch.m_size);
+  Get(reader, aPatch.m_hash);
+  Get(reader, aPatch.m_bytes);
+}
+
+void
+Get(Source& aSource, HeldDocument& aHeld)
+{
+  Get(aSource.Values(), aHeld.m_key);
+  Get(aSource.Values(), aHeld.m_revision);
+}
+
 void
 Get(Source& aSource, MoveId& aMove)
 {
@@ -205,6 +227,7 @@
 {
   Get(aSource.Values(), aPath.m_root);
   Get(aSource.Values(), aPath.m_seed);
+  GetEnum(aSource.Values(), aPath.m_scope, SpreadScope::DataCentre);
 }
 
 void
@@ -248,6 +271,7 @@
   GetOptional(aSource, aDatagram.m_confirmed);
   Get(aSource, aDatagram.m_members);
   Get(aSource, aDatagram.m_documents);
+  Get(aSource, aDatagram.m_patches);
   Get(aSource, aDatagram.m_moves);
   Get(aSource, aDatagram.m_evidence);
 }
@@ -272,6 +296,7 @@
   Get(aSource.Values(), aRequest.m_from);
   GetOptional(aSource, aRequest.m_members);
   GetOptional(aSource, aRequest.m_documents);
+  Get(aSource, aRequest.m_held);
   GetOptional(aSource, aRequest.m_moves);
 }
 
@@ -282,6 +307,7 @@
   Get(aSource.Values(), aAnswer.m_floor);
   Get(aSource, aAnswer.m_members);
   Get(aSource, aAnswer.m_documents);
+  Get(aSource, aAnswer.m_patches);
   Get(aSource, aAnswer.m_moves);
 }
 
--- a/src/process/Datagram.h
+++ b/src/process/Datagram.h
@@ -20,6 +20,7 @@
 #include "base/Units.h"
 #include "process/MemberRecord.h"
 #include "version/Document.h"
+#include "version/DocumentPatch.h"
 #include "version/EvidenceReport.h"
 #include "version/MoveProgress.h"
 
@@ -29,7 +30,7 @@
 inline constexpr std::size_t kMaxDatagramBytes = 1400;
 
 /// The first byte of every datagram. Each change of the layout increments it.
-inline constexpr std::uint8_t kDatagramFormat = 3;
+inline constexpr std::uint8_t kDatagramFormat = 4;
 
 enum class DatagramKind : std::uint8_t
 {
@@ -65,12 +66,21 @@
   bool operator==(const StateDigest&) const = default;
 };
 
-/// Identifies one spanning tree over the live members of a data centre; see
-/// process/SpreadTree.h.
+/// The members that a spanning tree covers: those of its root's cell, or only
+/// those of its root's data centre.
+enum class SpreadScope : std::uint8_t
+{
+  Cell,
+  DataCentre,
+};
+
+/// Identifies one spanning tree over the live members of a cell or a data
+/// centre; see process/SpreadTree.h.
 struct SpreadPath
 {
   VmId m_root;
   std::uint32_t m_seed = 0;
+  SpreadScope m_scope = SpreadScope::Cell;
 
   bool operator==(const SpreadPath&) const = default;
 };
@@ -93,6 +103,8 @@
   std::optional<DocumentDigest> m_confirmed;
   std::vector<MemberRecord> m_members;
   std::vector<Document> m_documents;
+  /// Changes of documents that are too large for a datagram.
+  std::vector<DocumentPatch> m_patches;
   std::vector<MoveProgress> m_moves;
   std::vector<EvidenceReport> m_evidence;
 };
--- a/src/process/DatagramLayout.h
+++ b/src/process/DatagramLayout.h
@@ -79,6 +79,29 @@
   aSink.Text(aDocument.m_body);
 }
 
+template<typename Sink>
+void
+Layout(Sink& aSink, const DocumentPatch& aPatch)
+{
+  aSink.Text(aPatch.m_key.Value());
+  aSink.Number(aPatch.m_base.Value());
+  aSink.Number(aPatch.m_baseHash);
+  aSink.Number(aPatch.m_revision.Value());
+  aSink.Number(aPatch.m_version.Value());
+  aSink.Number(aPatch.m_created.Value());
+  aSink.Number(aPatch.m_size.Value());
+  aSink.Number(aPatch.m_hash);
+  aSink.Text(aPatch.m_bytes);
+}
+
+template<typename Sink>
+void
+Layout(Sink& aSink, const HeldDocument& aHeld)
+{
+  aSink.Text(aHeld.m_key.Value());
+  aSink.Number(aHeld.m_revision.Value());
+}
+
 template<typename Sink>
 void
 Layout(Sink& aSink, const MoveId& aMove)
@@ -160,6 +183,7 @@
 {
   aSink.Text(aPath.m_root.Value());
   aSink.Number(aPath.m_seed);
+  aSink.Number(static_cast<std::uint64_t>(aPath.m_scope));
 }
 
 template<typename Sink>
@@ -221,6 +245,7 @@
   LayoutOptional(aSink, aDatagram.m_confirmed);
   Layout(aSink, aDatagram.m_members);
   Layout(aSink, aDatagram.m_documents);
+  Layout(aSink, aDatagram.m_patches);
   Layout(aSink, aDatagram.m_moves);
   Layout(aSink, aDatagram.m_evidence);
 }
@@ -232,6 +257,7 @@
   aSink.Text(aRequest.m_from.Value());
   LayoutOptional(aSink, aRequest.m_members);
   LayoutOptional(aSink, aRequest.m_documents);
+  Layout(aSink, aRequest.m_held);
   LayoutOptional(aSink, aRequest.m_moves);
 }
 
@@ -243,6 +269,7 @@
   aSink.Number(aAnswer.m_floor.Value());
   Layout(aSink, aAnswer.m_members);
   Layout(aSink, aAnswer.m_documents);
+  Layout(aSink, aAnswer.m_patches);
   Layout(aSink, aAnswer.m_moves);
 }
 
--- a/src/process/DatagramMerge.cpp
+++ b/src/process/DatagramMerge.cpp
@@ -29,6 +29,7 @@
   }
   Append(merged.m_members, aRight.m_members);
   Append(merged.m_documents, aRight.m_documents);
+  Append(merged.m_patches, aRight.m_patches);
   Append(merged.m_moves, aRight.m_moves);
   Append(merged.m_evidence, aRight.m_evidence);
   return merged;
--- a/src/process/DatagramSize.cpp
+++ b/src/process/DatagramSize.cpp
@@ -70,6 +70,12 @@
   Layout(m_sink, aDocument);
 }
 
+void
+DatagramSize::Add(const DocumentPatch& aPatch)
+{
+  Layout(m_sink, aPatch);
+}
+
 void
 DatagramSize::Add(const MoveProgress& aProgress)
 {
--- a/src/process/DatagramSize.h
+++ b/src/process/DatagramSize.h
@@ -58,6 +58,7 @@
   }
   void Add(const MemberRecord& aRecord);
   void Add(const Document& aDocument);
+  void Add(const DocumentPatch& aPatch);
   void Add(const MoveProgress& aProgress);
 
 private:
--- a/src/process/Distribution.h
+++ b/src/process/Distribution.h
@@ -1,16 +1,17 @@
 /// \file
 /// Distributes documents from the platform to every node.
 ///
-/// The relays of each data centre (its top-ranked live members; a soft role
-/// that needs no agreement) watch the platform. The relay of rank 0 sends each
-/// new document along a spread tree over its data centre at once. The other
-/// relays wait, longer with each rank, and send only documents that have not
-/// arrived along a tree by then. A small document is part of the datagram; for
-/// a larger one only the digest goes along the tree, and each child pulls the
-/// document from its parent. Anti-entropy by digests on probes repairs lost
-/// datagrams within and between data centres, so that a data centre that
-/// cannot reach the platform still converges. For each key the highest
-/// revision wins, in whatever order and from whatever source documents arrive.
+/// The top-ranked live members of each data centre (a soft role that needs no
+/// agreement) watch the platform. The node of rank 0 sends each new document
+/// along a spread tree over its data centre at once. The others wait, longer
+/// with each rank, and send only documents that have not arrived along a tree
+/// by then. A small document is part of the datagram, and of a larger one the
+/// difference to the version before it. When that is too large as well, only
+/// the digest goes along the tree, and each child pulls the document from its
+/// parent. Anti-entropy by digests on probes repairs lost datagrams within and
+/// between data centres, so that a data centre that cannot reach the platform
+/// still converges. For each key the highest revision wins, in whatever order
+/// and from whatever source documents arrive.
 ///
 /// The control code calls, in addition to what process/Gossip.h describes:
 ///
@@ -32,6 +33,7 @@
 #include <cstdint>
 #include <limits>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -45,10 +47,12 @@
 #include "process/Datagram.h"
 #include "process/DocumentOrigin.h"
 #include "process/DocumentTable.h"
+#include "process/PatchHistory.h"
 #include "process/Pull.h"
 #include "process/RevisionChecks.h"
 #include "process/SpreadTree.h"
 #include "version/Document.h"
+#include "version/DocumentPatch.h"
 
 namespace tarragontray {
 
@@ -59,7 +63,14 @@
   /// along a tree. False where every node watches the platform and therefore
   /// does not depend on peers to start.
   bool m_defersUntilSpread = true;
-  /// The additional delay of each relay rank before it spreads a document.
+  /// Whether this node lists the watched prefixes at its start, whatever its
+  /// rank, so that it need not wait for its peers.
+  bool m_listsAtStart = false;
+  /// Encodes the changes of large documents; null: only whole documents are
+  /// sent.
+  std::shared_ptr<const PatchCodec> m_patches;
+  PatchHistorySettings m_history;
+  /// The additional delay of each rank before it spreads a document.
   Duration m_rankDelay = std::chrono::milliseconds(300);
   /// Platform reads of this node, per second.
   double m_platformReads = 2.0;
@@ -73,14 +84,16 @@
   RevisionCheckSettings m_checks;
 };
 
-/// A prefix of keys to watch at the platform, and how many relays of each cell
-/// watch it.
+/// A prefix of keys to watch at the platform, and how many nodes of each data
+/// centre watch it.
 struct WatchedPrefix
 {
   std::string m_keys;
-  /// The other relays list the keys once and receive changes by gossip. Use a
-  /// low number for objects so small that gossip costs less than a watch.
+  /// The other nodes receive changes by gossip.
   std::size_t m_watchers = std::numeric_limits<std::size_t>::max();
+  /// How many relays of the whole cell watch it besides, for a cell with few
+  /// data centres.
+  std::size_t m_cellWatchers = 0;
 };
 
 struct DistributionActions
@@ -96,6 +109,18 @@
   std::uint64_t m_spread = 0;
   std::uint64_t m_platformReads = 0;
   std::uint64_t m_platformReadsDeferred = 0;
+  /// Received patches that were applied, and those that did not apply to the
+  /// held version or were malformed.
+  std::uint64_t m_patched = 0;
+  std::uint64_t m_patchesRejected = 0;
+};
+
+/// The documents of an answer to a pull.
+struct PulledDocuments
+{
+  std::vector<Document> m_documents;
+  /// In the order in which they apply.
+  std::vector<DocumentPatch> m_patches;
 };
 
 /// The source of pulled documents. Determines whether they are spread.
@@ -147,7 +172,7 @@
   /// \param aPath set when a digest along a tree led to the pull; the documents
   /// are then forwarded to this node's children in that tree.
   DistributionActions OfferFromPeer(const VmId& aPeer,
-                                    const std::vector<Document>& aDocuments,
+                                    const PulledDocuments& aPulled,
                                     DocumentSource aSource,
                                     const std::optional<SpreadPath>& aPath,
                                     MonotonicTime aNow);
@@ -187,11 +212,12 @@
   /// it during a platform outage.
   std::vector<Document> TakeChanged();
   bool HasChanged() const;
-  /// The documents for the answer to a pull.
-  std::vector<Document> DocumentsFor(const BucketHashes& aTheirs) const
-  {
-    return m_table.Differing(aTheirs, m_settings.m_maxAnswer);
-  }
+  /// The documents for the answer to a pull. A document that the peer holds in
+  /// an earlier version is left out when patches lead from that to the newest.
+  /// Precondition: aRequest.m_documents is set.
+  PulledDocuments DocumentsFor(const PullRequest& aRequest) const;
+  /// The versions of large documents that this node holds, for a pull.
+  std::vector<HeldDocument> HeldLarge() const;
   const DocumentTable& Table() const { return m_table; }
   /// Whether the document is newer than this node's, or unknown to it.
   bool IsNews(const Document& aDocument) const;
@@ -215,10 +241,29 @@
                             MonotonicTime aNow);
   std::optional<Duration> PlatformAge(const ObjectKey& aKey,
                                       MonotonicTime aNow) const;
-  void SpreadLater(const std::set<ObjectKey>& aKeys, MonotonicTime aNow);
+  /// Applies patches in their order. Returns the keys that changed.
+  std::set<ObjectKey> ApplyPatches(const std::vector<DocumentPatch>& aPatches,
+                                   const DocumentOrigin& aOrigin,
+                                   MonotonicTime aNow);
+  /// Keeps the held versions of large documents that aDocuments replace, as
+  /// the bases of patches.
+  void KeepFormer(const std::vector<Document>& aDocuments);
+  void KeepFormer(const ObjectKey& aKey);
+  void SpreadLater(const std::set<ObjectKey>& aKeys,
+                   Duration aWait,
+                   MonotonicTime aNow);
+  /// The delay of this node's rank before it spreads a document that it read
+  /// from the platform.
+  Duration RankWait();
+  /// Removes a key from the documents that are still to be spread.
+  void EndSpread(const ObjectKey& aKey);
+  /// The patch from the version that peers are likely to hold, if this node
+  /// held that too.
+  std::optional<DocumentPatch> PatchFor(const Document& aDocument);
   /// Packs the documents into datagrams of at most kMaxDatagramBytes. All have
   /// the given path; without one, each gets a new path. When a document is too
-  /// large for a datagram, the last datagram carries the digest instead.
+  /// large for a datagram, its patch is packed and the last datagram carries
+  /// the digest, for those that the patch does not reach or apply to.
   std::vector<Datagram> Pack(const std::set<ObjectKey>& aKeys,
                              const std::optional<SpreadPath>& aPath);
   void ReceiveConfirmation(const DocumentDigest& aConfirmed,
@@ -241,12 +286,18 @@
   /// When to send each key along a new tree, unless it arrives along a tree
   /// before that time.
   std::map<ObjectKey, MonotonicTime> m_spreadAt;
+  /// The versions before those that are still to be spread.
+  std::map<ObjectKey, Document> m_former;
+  PatchHistory m_history;
   std::map<std::string, Revision> m_complete;
   /// When the platform last answered a read of each prefix.
   std::map<std::string, MonotonicTime> m_answeredAt;
   std::map<ObjectKey, DocumentOrigin> m_origins;
   Revision m_floor;
   std::optional<MonotonicTime> m_coldStartAt;
+  /// Whether the age of this node's documents is measured since it could
+  /// first read the platform's revision.
+  bool m_hasStartedChecks = false;
 };
 
 } // namespace tarragontray
--- a/src/process/DistributionTest.cpp
+++ b/src/process/DistributionTest.cpp
@@ -20,12 +20,16 @@
 class SingleNodeTopology final : public SpreadTopology
 {
 public:
-  SpreadPath NewPath() override { return { m_vm, 1 }; }
+  SpreadPath NewPath(SpreadScope aScope) override
+  {
+    return { m_vm, 1, aScope };
+  }
   std::vector<NetworkAddress> ChildrenOf(const SpreadPath&) const override
   {
     return {};
   }
   std::optional<std::size_t> RelayRank() const override { return m_rank; }
+  std::optional<std::size_t> WatchRank() const override { return m_rank; }
   const VmId& SelfVm() const override { return m_vm; }
 
   std::size_t m_rank = 0;
@@ -77,12 +81,14 @@
 {
   SeededRandom random(1);
   SingleNodeTopology topology;
-  auto distribution = Distribution::Create({}, topology, random).value();
+  DistributionSettings settings;
+  settings.m_listsAtStart = true;
+  auto distribution = Distribution::Create(settings, topology, random).value();
   const WatchedPrefix orders{ "orders/", 2 };
   const WatchedPrefix all{ "configurations/" };
   const MonotonicTime now{ seconds(1) };
   topology.m_rank = 2;
-  // Every relay lists each prefix once to obtain the existing objects.
+  // Every node lists each prefix once to obtain the existing objects.
   cr_assert(distribution.WantsWatch(now, orders));
   distribution.OfferFromPlatform({}, Revision(7), now, orders.m_keys);
   distribution.OfferFromPlatform({}, Revision(7), now, all.m_keys);
@@ -114,7 +120,7 @@
           break;
         case 1:
           distribution.OfferFromPeer(VmId("vm-2"),
-                                     datagram.m_documents,
+                                     { datagram.m_documents, {} },
                                      DocumentSource::Peer,
                                      std::nullopt,
                                      now);
@@ -159,7 +165,7 @@
   // it takes effect at once and is not spread again.
   distribution.OfferFromPlatform({ Version(2) }, Revision(2), start);
   Datagram datagram;
-  datagram.m_path = topology.NewPath();
+  datagram.m_path = topology.NewPath(SpreadScope::DataCentre);
   datagram.m_documents = { Version(2) };
   distribution.Receive(datagram, start);
   cr_assert_eq(distribution.TakeChanged().size(), 1);
@@ -220,12 +226,12 @@
   Result<Distribution> made = Distribution::Create({}, topology, random);
   made.value().RaiseFloor(Revision(5));
   made.value().OfferFromPeer(
-    VmId("vm-2"), { Version(4) }, DocumentSource::Peer, std::nullopt, {});
+    VmId("vm-2"), { { Version(4) }, {} }, DocumentSource::Peer, std::nullopt, {});
   cr_assert(made.value().IsBelowFloor());
   made.value().RaiseFloor(Revision(3));
   cr_assert(made.value().IsBelowFloor());
   made.value().OfferFromPeer(
-    VmId("vm-2"), { Version(5) }, DocumentSource::Peer, std::nullopt, {});
+    VmId("vm-2"), { { Version(5) }, {} }, DocumentSource::Peer, std::nullopt, {});
   cr_assert(!made.value().IsBelowFloor());
 }
 
--- a/src/process/Gossip.cpp
+++ b/src/process/Gossip.cpp
@@ -125,7 +125,9 @@
     answer.m_members = m_members->Table().Differing(*aRequest.m_members);
   }
   if (aRequest.m_documents) {
-    answer.m_documents = m_documents.DocumentsFor(*aRequest.m_documents);
+    PulledDocuments pulled = m_documents.DocumentsFor(aRequest);
+    answer.m_documents = std::move(pulled.m_documents);
+    answer.m_patches = std::move(pulled.m_patches);
   }
   if (aRequest.m_moves) {
     answer.m_moves = m_moves.MovesFor(*aRequest.m_moves);
@@ -158,18 +160,19 @@
   // pulls continue until one adds nothing.
   m_isCatchingUp =
     m_isCatchingUp && actions.m_membersChanged && !m_members->IsSettled();
-  const bool isSpread = isInOtherCell && !isJoining;
+  const bool isSpread = IsInOtherDataCentre(m_pulling.m_peer) && !isJoining;
   DistributionActions documents = m_documents.OfferFromPeer(
     m_pulling.m_peer,
-    aAnswer.m_documents,
+    { aAnswer.m_documents, aAnswer.m_patches },
     isSpread ? DocumentSource::OtherDataCentre : DocumentSource::Peer,
     m_pulling.m_path,
     aNow);
   Append(actions.m_send, std::move(documents.m_send));
   m_moves.Merge(aAnswer.m_moves,
-                isSpread ? ProgressSource::OtherDataCentre
-                         : ProgressSource::Peer,
+                isInOtherCell && !isJoining ? ProgressSource::OtherDataCentre
+                                            : ProgressSource::Peer,
                 aNow);
+  PullFromFallback(aNow);
   FinishActions(actions, aNow);
   return actions;
 }
@@ -221,6 +224,45 @@
            m_moves.Digest() };
 }
 
+void
+Gossip::PullFromFallback(MonotonicTime aNow)
+{
+  const StateDigest mine = Digest();
+  if (!m_pulling.m_fallback || !IsBehind(mine, m_pulling.m_theirs)) {
+    return;
+  }
+  PullCandidate candidate;
+  candidate.m_peer = m_pulling.m_fallback->m_vm;
+  candidate.m_address = m_pulling.m_fallback->m_address;
+  candidate.m_theirs = m_pulling.m_theirs;
+  candidate.m_isRetry = true;
+  m_pulls.Offer(candidate, mine, aNow);
+}
+
+void
+Gossip::OfferAhead(PullCandidate aCandidate, MonotonicTime aNow)
+{
+  // Only relays hear from other cells; they bring documents into their own.
+  const bool isInOwnCell = !IsInOtherCell(aCandidate.m_peer);
+  const auto neighbour = isInOwnCell && IsInOtherDataCentre(aCandidate.m_peer)
+                           ? m_members->RandomNeighbour()
+                           : std::nullopt;
+  if (neighbour) {
+    aCandidate.m_fallback = { aCandidate.m_peer, aCandidate.m_address };
+    aCandidate.m_peer = *neighbour;
+    aCandidate.m_address = m_members->Table().Find(*neighbour)->m_peerAddress;
+  }
+  m_pulls.Offer(aCandidate, Digest(), aNow);
+}
+
+bool
+Gossip::IsInOtherDataCentre(const VmId& aVm) const
+{
+  const MemberRecord* member = m_members->Table().Find(aVm);
+  return member != nullptr &&
+         member->m_dataCentre != m_members->Self().m_dataCentre;
+}
+
 bool
 Gossip::IsInOtherCell(const VmId& aVm) const
 {
@@ -234,8 +276,7 @@
                       MonotonicTime aNow)
 {
   if (aDatagram.m_confirmed) {
-    m_highestReported =
-      std::max(m_highestReported, aDatagram.m_confirmed->m_highest);
+    ReceiveConfirmation(aDatagram, aFrom, aNow);
   }
   if (!aDatagram.m_digest) {
     return;
@@ -245,13 +286,42 @@
     reported = std::max(reported, aDatagram.m_digest->m_documents.m_highest);
     m_highestReported = std::max(m_highestReported, reported);
   }
-  m_pulls.Offer({ aDatagram.m_from,
-                  aFrom,
-                  *aDatagram.m_digest,
-                  aDatagram.m_path,
-                  !m_members->IsSettled() },
-                Digest(),
-                aNow);
+  PullCandidate candidate;
+  candidate.m_peer = aDatagram.m_from;
+  candidate.m_address = aFrom;
+  candidate.m_theirs = *aDatagram.m_digest;
+  candidate.m_path = aDatagram.m_path;
+  candidate.m_isJoining = !m_members->IsSettled();
+  const StateDigest mine = Digest();
+  const bool isAhead = !candidate.m_path && !candidate.m_isJoining &&
+                       IsBehind(mine, candidate.m_theirs);
+  if (isAhead) {
+    OfferAhead(std::move(candidate), aNow);
+  } else {
+    m_pulls.Offer(candidate, mine, aNow);
+  }
+}
+
+void
+Gossip::ReceiveConfirmation(const Datagram& aDatagram,
+                            const NetworkAddress& aFrom,
+                            MonotonicTime aNow)
+{
+  m_highestReported =
+    std::max(m_highestReported, aDatagram.m_confirmed->m_highest);
+  PullCandidate candidate;
+  candidate.m_theirs = Digest();
+  if (aDatagram.m_confirmed->m_highest <=
+      candidate.m_theirs.m_documents.m_highest) {
+    return;
+  }
+  candidate.m_theirs.m_documents = *aDatagram.m_confirmed;
+  const MemberRecord* root =
+    aDatagram.m_path ? m_members->Table().Find(aDatagram.m_path->m_root)
+                     : nullptr;
+  candidate.m_peer = root != nullptr ? root->m_vm : aDatagram.m_from;
+  candidate.m_address = root != nullptr ? root->m_peerAddress : aFrom;
+  OfferAhead(std::move(candidate), aNow);
 }
 
 void
@@ -298,8 +368,12 @@
     ++unknown.m_moves;
     const NetworkAddress address =
       m_members->Table().Find(*member)->m_peerAddress;
-    m_pulls.Offer(
-      { *member, address, unknown, std::nullopt, true }, Digest(), aNow);
+    PullCandidate candidate;
+    candidate.m_peer = *member;
+    candidate.m_address = address;
+    candidate.m_theirs = unknown;
+    candidate.m_isJoining = true;
+    m_pulls.Offer(candidate, Digest(), aNow);
   }
 }
 
@@ -318,6 +392,7 @@
   }
   if (theirs.m_documents != mine.m_documents) {
     request.m_documents = m_documents.Table().Buckets();
+    request.m_held = m_documents.HeldLarge();
   }
   if (theirs.m_moves != mine.m_moves) {
     request.m_moves = mine.m_moves;
--- a/src/process/Gossip.h
+++ b/src/process/Gossip.h
@@ -52,8 +52,9 @@
   PullSettings m_pulls;
   /// Bytes of answers to pulls, per second.
   double m_answerBytesPerSecond = 10'000;
-  /// Bytes of answers to pulls that may be sent at once.
-  double m_answerBurstBytes = 300'000;
+  /// Bytes of answers to pulls that may be sent at once: a full answer to each
+  /// child in a spread tree.
+  double m_answerBurstBytes = 1'100'000;
 };
 
 /// A pull request with its destination.
@@ -141,11 +142,22 @@
 
   StateDigest Digest() const;
   bool IsInOtherCell(const VmId& aVm) const;
+  bool IsInOtherDataCentre(const VmId& aVm) const;
+  /// Schedules a pull from a peer that is ahead, or first from a neighbour in
+  /// this data centre, which is likely to have caught up already.
+  void OfferAhead(PullCandidate aCandidate, MonotonicTime aNow);
+  /// After a pull from a neighbour that did not have the documents, schedules
+  /// one from the peer that has.
+  void PullFromFallback(MonotonicTime aNow);
   /// After a failed pull, schedules one from another peer that is ahead.
   void PullFromAnother(MonotonicTime aNow);
   void ReceiveDigest(const Datagram& aDatagram,
                      const NetworkAddress& aFrom,
                      MonotonicTime aNow);
+  /// Schedules a pull when the confirmed documents are newer than this node's.
+  void ReceiveConfirmation(const Datagram& aDatagram,
+                           const NetworkAddress& aFrom,
+                           MonotonicTime aNow);
   /// Forwards a datagram along its tree, once for each path.
   void Forward(const Datagram& aDatagram, std::vector<OutgoingDatagram>& aSend);
   /// While joining, pulls from a random member without waiting for a digest.
--- a/src/process/MemberTable.cpp
+++ b/src/process/MemberTable.cpp
@@ -11,6 +11,27 @@
          std::tie(aOld.m_incarnation, aOld.m_sequence, aOld.m_state);
 }
 
+namespace {
+
+/// Whether a change of the record changes the lists of live members.
+bool
+IsSamePlace(const MemberRecord& aLeft, const MemberRecord& aRight)
+{
+  return aLeft.m_state == aRight.m_state && aLeft.m_cell == aRight.m_cell &&
+         aLeft.m_dataCentre == aRight.m_dataCentre;
+}
+
+const LiveMembers&
+FindOrEmpty(const std::map<DataCentreId, LiveMembers>& aMembers,
+            const DataCentreId& aId)
+{
+  static const LiveMembers kNone;
+  const auto found = aMembers.find(aId);
+  return found == aMembers.end() ? kNone : found->second;
+}
+
+} // namespace
+
 MemberTable::MemberTable(const MemberTableSettings& aSettings)
   : m_settings(aSettings)
 {
@@ -26,14 +47,15 @@
       return false;
     }
     m_members.emplace(aRecord.m_vm, aRecord);
+    ++m_liveGeneration;
   } else if (Supersedes(aRecord, found->second)) {
     Toggle(found->second);
+    m_liveGeneration += IsSamePlace(aRecord, found->second) ? 0 : 1;
     found->second = aRecord;
   } else {
     return false;
   }
   Toggle(aRecord);
-  m_liveIsStale = true;
   if (aRecord.m_state == NodeState::Dead) {
     m_diedAt[aRecord.m_vm] = aNow;
   } else {
@@ -62,22 +84,24 @@
   return found == m_members.end() ? nullptr : &found->second;
 }
 
-const std::vector<VmId>&
-MemberTable::Live(const DataCentreId& aDataCentre) const
+const LiveMembers&
+MemberTable::InCell(const DataCentreId& aCell) const
 {
-  static const std::vector<VmId> kNone;
-  const auto& live = LiveByDataCentre();
-  const auto found = live.find(aDataCentre);
-  return found == live.end() ? kNone : found->second;
+  return FindOrEmpty(LiveByCell(), aCell);
 }
 
-const std::map<DataCentreId, std::vector<VmId>>&
-MemberTable::LiveByDataCentre() const
+const LiveMembers&
+MemberTable::InDataCentre(const DataCentreId& aDataCentre) const
 {
-  if (m_liveIsStale) {
-    Rebuild();
-  }
-  return m_live;
+  Rebuild();
+  return FindOrEmpty(m_dataCentres, aDataCentre);
+}
+
+const std::map<DataCentreId, LiveMembers>&
+MemberTable::LiveByCell() const
+{
+  Rebuild();
+  return m_cells;
 }
 
 std::vector<VmId>
@@ -95,7 +119,7 @@
 std::size_t
 MemberTable::RecentCount(const DataCentreId& aCell, MonotonicTime aSince) const
 {
-  std::size_t count = Live(aCell).size();
+  std::size_t count = InCell(aCell).m_all.size();
   for (const auto& [vm, time] : m_diedAt) {
     count += time > aSince && m_members.at(vm).m_cell == aCell ? 1 : 0;
   }
@@ -132,13 +156,23 @@
 void
 MemberTable::Rebuild() const
 {
-  m_live.clear();
+  if (m_cachedGeneration == m_liveGeneration) {
+    return;
+  }
+  m_cells.clear();
+  m_dataCentres.clear();
   for (const auto& [vm, record] : m_members) {
-    if (record.m_state != NodeState::Dead) {
-      m_live[record.m_cell].push_back(vm);
+    if (record.m_state == NodeState::Dead) {
+      continue;
+    }
+    const bool isAlive = record.m_state == NodeState::Alive;
+    for (LiveMembers* group :
+         { &m_cells[record.m_cell], &m_dataCentres[record.m_dataCentre] }) {
+      group->m_all.push_back(vm);
+      (isAlive ? group->m_alive : group->m_suspects).push_back(vm);
     }
   }
-  m_liveIsStale = false;
+  m_cachedGeneration = m_liveGeneration;
 }
 
 } // namespace tarragontray
--- a/src/process/MemberTable.h
+++ b/src/process/MemberTable.h
@@ -36,6 +36,15 @@
 bool
 Supersedes(const MemberRecord& aNew, const MemberRecord& aOld);
 
+/// The members of a cell or a data centre that are not dead, in order of their
+/// ids.
+struct LiveMembers
+{
+  std::vector<VmId> m_all;
+  std::vector<VmId> m_alive;
+  std::vector<VmId> m_suspects;
+};
+
 /// All known members, including dead ones.
 class MemberTable
 {
@@ -51,10 +60,15 @@
   const std::map<VmId, MemberRecord>& Members() const { return m_members; }
   /// Null for an unknown VM. Valid until the record is removed.
   const MemberRecord* Find(const VmId& aVm) const;
-  /// The members of a cell that are not dead, in order of their ids.
-  const std::vector<VmId>& Live(const DataCentreId& aDataCentre) const;
+  /// The live members of a cell. Valid until the next change.
+  const LiveMembers& InCell(const DataCentreId& aCell) const;
+  /// The live members of a data centre. Valid until the next change.
+  const LiveMembers& InDataCentre(const DataCentreId& aDataCentre) const;
   /// The cells with at least one member that is not dead, in order.
-  const std::map<DataCentreId, std::vector<VmId>>& LiveByDataCentre() const;
+  const std::map<DataCentreId, LiveMembers>& LiveByCell() const;
+  /// Increases whenever a member enters or leaves any LiveMembers, or becomes
+  /// suspect or alive.
+  std::uint64_t LiveGeneration() const { return m_liveGeneration; }
   /// The dead members of a cell.
   std::vector<VmId> Dead(const DataCentreId& aDataCentre) const;
 
@@ -80,15 +94,18 @@
 private:
   void Toggle(const MemberRecord& aRecord);
   void Rebuild() const;
+  using LiveById = std::map<DataCentreId, LiveMembers>;
 
   MemberTableSettings m_settings;
   std::map<VmId, MemberRecord> m_members;
   std::map<VmId, MonotonicTime> m_diedAt;
   BucketDigest m_digest;
   std::uint64_t m_refused = 0;
-  /// Cached by cell; rebuilt on the next access after a change.
-  mutable std::map<DataCentreId, std::vector<VmId>> m_live;
-  mutable bool m_liveIsStale = false;
+  std::uint64_t m_liveGeneration = 0;
+  /// Caches of m_liveGeneration; rebuilt on the next access after a change.
+  mutable LiveById m_cells;
+  mutable LiveById m_dataCentres;
+  mutable std::uint64_t m_cachedGeneration = 0;
 };
 
 } // namespace tarragontray
--- a/src/process/Membership.cmake
+++ b/src/process/Membership.cmake
@@ -9,9 +9,9 @@
   DEPS tt_datagram_size)
 tt_decision_library(tt_gossip
   SRCS DatagramMerge.cpp Distribution.cpp DocumentTable.cpp Gossip.cpp
-       MoveGossip.cpp PullSchedule.cpp
+       MoveGossip.cpp PatchHistory.cpp PullSchedule.cpp
   HDRS DatagramMerge.h Distribution.h DocumentTable.h Gossip.h MoveGossip.h
-       PullSchedule.h RevisionChecks.h
+       PatchHistory.h PullSchedule.h RevisionChecks.h
   DEPS tt_membership)
 
 tt_library(tt_fake_network SRCS testing/FakeNetwork.cpp testing/FakeNetworkChecks.cpp DEPS tt_gossip)
@@ -24,3 +24,6 @@
 tt_test(document_table_test SRCS DocumentTableTest.cpp DEPS tt_gossip)
 tt_test(spread_tree_test SRCS SpreadTreeTest.cpp DEPS tt_membership)
 tt_test(prober_test SRCS ProberTest.cpp DEPS tt_membership)
+tt_test(patch_history_test SRCS PatchHistoryTest.cpp DEPS tt_gossip)
+tt_test(zone_distribution_test SRCS ZoneDistributionTest.cpp
+  DEPS tt_fake_network tt_node_settings tt_zstd_patches)
--- a/src/process/Membership.cpp
+++ b/src/process/Membership.cpp
@@ -300,13 +300,30 @@
 Membership::UpdateTransmissions() const
 {
   return RetransmitLimit(m_settings.m_retransmitFactor,
-                         m_table.Live(m_self.m_cell).size());
+                         m_table.InCell(m_self.m_cell).m_all.size());
 }
 
-std::vector<VmId>
-Membership::Relays() const
+const Membership::Ranks&
+Membership::CurrentRanks() const
 {
-  return TopRanked("relays", m_table.Live(m_self.m_cell), m_settings.m_relays);
+  if (m_ranks.m_generation == m_table.LiveGeneration()) {
+    return m_ranks;
+  }
+  const auto rankOf = [this](const std::vector<VmId>& aRanked) {
+    const auto found = std::find(aRanked.begin(), aRanked.end(), m_self.m_vm);
+    return found == aRanked.end()
+             ? std::optional<std::size_t>()
+             : static_cast<std::size_t>(found - aRanked.begin());
+  };
+  const auto ranked = [this](const LiveMembers& aMembers) {
+    return TopRanked("relays", aMembers.m_all, m_settings.m_relays);
+  };
+  m_ranks.m_generation = m_table.LiveGeneration();
+  m_ranks.m_relays = ranked(m_table.InCell(m_self.m_cell));
+  m_ranks.m_inCell = rankOf(m_ranks.m_relays);
+  m_ranks.m_inDataCentre =
+    rankOf(ranked(m_table.InDataCentre(m_self.m_dataCentre)));
+  return m_ranks;
 }
 
 std::optional<VmId>
@@ -320,27 +337,37 @@
   if (isLocal || others.empty()) {
     return PickFrom(peers);
   }
-  return PickFrom(m_table.Live(others[m_random->Below(others.size())]));
+  const DataCentreId& other = others[m_random->Below(others.size())];
+  return PickFrom(m_table.InCell(other).m_all);
+}
+
+std::optional<VmId>
+Membership::RandomNeighbour()
+{
+  std::vector<VmId> neighbours =
+    m_table.InDataCentre(m_self.m_dataCentre).m_alive;
+  std::erase(neighbours, m_self.m_vm);
+  return PickFrom(neighbours);
 }
 
 SpreadPath
-Membership::NewPath()
+Membership::NewPath(SpreadScope aScope)
 {
-  return { m_self.m_vm, static_cast<std::uint32_t>(m_random->Next()) };
+  return { m_self.m_vm, static_cast<std::uint32_t>(m_random->Next()), aScope };
 }
 
 std::vector<NetworkAddress>
 Membership::ChildrenOf(const SpreadPath& aPath) const
 {
-  std::vector<VmId> members;
-  std::vector<VmId> suspects;
-  for (const VmId& vm : m_table.Live(m_self.m_cell)) {
-    const bool isSuspect = m_table.Find(vm)->m_state == NodeState::Suspect;
-    (isSuspect ? suspects : members).push_back(vm);
-  }
+  const LiveMembers& members = aPath.m_scope == SpreadScope::Cell
+                                 ? m_table.InCell(m_self.m_cell)
+                                 : m_table.InDataCentre(m_self.m_dataCentre);
   std::vector<NetworkAddress> addresses;
-  for (const VmId& child : TreeChildren(
-         aPath, members, suspects, m_self.m_vm, m_settings.m_fanout)) {
+  for (const VmId& child : TreeChildren(aPath,
+                                        members.m_alive,
+                                        members.m_suspects,
+                                        m_self.m_vm,
+                                        m_settings.m_fanout)) {
     addresses.push_back(AddressOf(child));
   }
   return addresses;
@@ -349,12 +376,13 @@
 std::optional<std::size_t>
 Membership::RelayRank() const
 {
-  const std::vector<VmId> relays = Relays();
-  const auto found = std::find(relays.begin(), relays.end(), m_self.m_vm);
-  if (!m_mayRelay || found == relays.end()) {
-    return std::nullopt;
-  }
-  return static_cast<std::size_t>(found - relays.begin());
+  return m_mayRelay ? CurrentRanks().m_inCell : std::nullopt;
+}
+
+std::optional<std::size_t>
+Membership::WatchRank() const
+{
+  return m_mayRelay ? CurrentRanks().m_inDataCentre : std::nullopt;
 }
 
 NetworkAddress
@@ -367,7 +395,7 @@
 std::vector<VmId>
 Membership::Peers() const
 {
-  std::vector<VmId> peers = m_table.Live(m_self.m_cell);
+  std::vector<VmId> peers = m_table.InCell(m_self.m_cell).m_all;
   std::erase(peers, m_self.m_vm);
   return peers;
 }
@@ -385,9 +413,9 @@
 Membership::OtherDataCentres() const
 {
   std::vector<DataCentreId> others;
-  for (const auto& [dataCentre, live] : m_table.LiveByDataCentre()) {
-    if (dataCentre != m_self.m_cell) {
-      others.push_back(dataCentre);
+  for (const auto& [cell, live] : m_table.LiveByCell()) {
+    if (cell != m_self.m_cell) {
+      others.push_back(cell);
     }
   }
   return others;
--- a/src/process/Membership.h
+++ b/src/process/Membership.h
@@ -172,17 +172,21 @@
   /// received digests from several peers.
   bool IsSettled() const { return m_settled; }
   bool IsLeaving() const { return m_leaving; }
-  /// The relays of this node's cell, highest rank first.
-  std::vector<VmId> Relays() const;
+  /// The relays of this node's cell, highest rank first. Valid until the next
+  /// change.
+  const std::vector<VmId>& Relays() const { return CurrentRanks().m_relays; }
+  /// A random live member of this node's data centre other than this node.
+  std::optional<VmId> RandomNeighbour();
   /// A random live member other than this node, of any data centre.
   std::optional<VmId> RandomMember();
   const MembershipCounters& Counters() const { return m_counters; }
   std::size_t LocalHealth() const { return m_prober.LocalHealth(); }
 
-  SpreadPath NewPath() override;
+  SpreadPath NewPath(SpreadScope aScope) override;
   std::vector<NetworkAddress> ChildrenOf(
     const SpreadPath& aPath) const override;
   std::optional<std::size_t> RelayRank() const override;
+  std::optional<std::size_t> WatchRank() const override;
   const VmId& SelfVm() const override { return m_self.m_vm; }
 
 private:
@@ -249,6 +253,19 @@
   void PingSeed(Outgoing& aSend);
   /// \}
 
+  /// The ranks of one generation of live members.
+  struct Ranks
+  {
+    std::uint64_t m_generation = 0;
+    /// Of this node's cell.
+    std::vector<VmId> m_relays;
+    /// This node's places in its cell and in its data centre; empty when it is
+    /// not among the first m_settings.m_relays.
+    std::optional<std::size_t> m_inCell;
+    std::optional<std::size_t> m_inDataCentre;
+  };
+  const Ranks& CurrentRanks() const;
+
   NetworkAddress AddressOf(const VmId& aVm) const;
   std::vector<VmId> Peers() const;
   std::optional<VmId> PickFrom(const std::vector<VmId>& aVms);
@@ -264,6 +281,8 @@
   IndirectProbes m_indirectProbes;
   UpdateQueue<VmId> m_updates;
   MembershipCounters m_counters;
+  /// Ranking takes longer than any event that asks for a rank.
+  mutable Ranks m_ranks;
 
   bool m_started = false;
   bool m_joined = false;
--- a/src/process/MembershipSending.cpp
+++ b/src/process/MembershipSending.cpp
@@ -119,7 +119,7 @@
   const std::set<VmId> urgent = std::exchange(m_urgent, {});
   for (Datagram& datagram :
        Pack(urgent, SpreadPath{ m_self.m_vm, kWidestSeed })) {
-    datagram.m_path = NewPath();
+    datagram.m_path = NewPath(SpreadScope::Cell);
     for (const NetworkAddress& child : ChildrenOf(*datagram.m_path)) {
       aSend.push_back({ child, datagram });
     }
@@ -150,7 +150,7 @@
   if (!std::exchange(m_reportAt, std::nullopt)) {
     return;
   }
-  const std::vector<VmId> relays = Relays();
+  const std::vector<VmId>& relays = Relays();
   if (relays.empty() || relays.front() == m_self.m_vm) {
     MarkUrgent(m_self.m_vm, m_settings.m_reportDelay, aNow);
     return;
@@ -177,7 +177,7 @@
   const std::size_t relays = Relays().size();
   const std::vector<Datagram> datagrams = Pack(relayed, std::nullopt);
   for (std::size_t i = *rank; i < others.size(); i += relays) {
-    const std::optional<VmId> member = PickFrom(m_table.Live(others[i]));
+    const std::optional<VmId> member = PickFrom(m_table.InCell(others[i]).m_all);
     for (const Datagram& datagram : datagrams) {
       aSend.push_back({ AddressOf(*member), datagram });
     }
@@ -194,7 +194,7 @@
   m_announceAt = aNow + m_settings.m_announceInterval;
   std::vector<VmId> receivers = Peers();
   for (const DataCentreId& other : OtherDataCentres()) {
-    receivers.push_back(*PickFrom(m_table.Live(other)));
+    receivers.push_back(*PickFrom(m_table.InCell(other).m_all));
   }
   const std::vector<Datagram> datagrams = Pack({ m_self.m_vm }, std::nullopt);
   for (const VmId& vm : receivers) {
@@ -222,7 +222,7 @@
   }
   const std::size_t turn = m_contactTurn++ * m_settings.m_relays + *rank;
   const DataCentreId& other = others[turn % others.size()];
-  Ping(*PickFrom(m_table.Live(other)), m_prober.NextNumber(), aSend);
+  Ping(*PickFrom(m_table.InCell(other).m_all), m_prober.NextNumber(), aSend);
 }
 
 void
--- a/src/process/MembershipTest.cpp
+++ b/src/process/MembershipTest.cpp
@@ -113,6 +113,7 @@
   GoLive(network, "dc1-3");
   network.At("dc1-3").Members().SetUpstream(Announced(UpstreamState::Draining),
                                             network.Now());
+  network.TickNode("dc1-3");
   const Duration took = network.RunUntil(
     [&] { return !AnyNodeRoutesTo(network, "dc1-3"); }, seconds(10));
   cr_assert_lt(took.count(), Duration(milliseconds(300)).count());
--- a/src/process/MoveGossip.cpp
+++ b/src/process/MoveGossip.cpp
@@ -223,7 +223,7 @@
 {
   Datagram datagram;
   datagram.m_from = m_topology->SelfVm();
-  datagram.m_path = m_topology->NewPath();
+  datagram.m_path = m_topology->NewPath(SpreadScope::Cell);
   datagram.m_moves.push_back(aProgress);
   std::vector<OutgoingDatagram> send;
   for (const NetworkAddress& child : m_topology->ChildrenOf(*datagram.m_path)) {
--- a/src/process/Node.cpp
+++ b/src/process/Node.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/Hash.h"
+#include "connection/ZstdPatchCodec.h"
 #include "process/ControlThread.h"
 #include "process/FrontThread.h"
 #include "process/GuardThread.h"
@@ -176,6 +177,7 @@
     settings.m_watchRest = m_settings.m_watchRest;
     settings.m_core.m_announcementLapse = m_settings.m_announcementLapse;
     settings.m_core.m_gossip = m_settings.m_gossip;
+    settings.m_core.m_gossip.m_distribution.m_patches = MakeZstdPatchCodec();
     settings.m_core.m_moves = m_settings.m_moves;
     settings.m_core.m_hasBriefMoves = m_settings.m_hasBriefMoves;
     if (!m_settings.m_prefixes.empty()) {
--- a/src/process/NodeSettings.cpp
+++ b/src/process/NodeSettings.cpp
@@ -64,6 +64,21 @@
                     1'000,
                     600'000,
                     25'000 });
+  parser.Add(IntegerSetting{ "platform-history-ms",
+                             "ms",
+                             "How long the platform keeps its history; no "
+                             "watch request waits longer than three quarters "
+                             "of it. 0: not known.",
+                             0,
+                             86'400'000,
+                             0 });
+  parser.Add(TextSetting{ "bootstrap",
+                          "Whether the whole system starts for the first "
+                          "time. With --join=platform, the nodes then wait "
+                          "for the first configuration from their peers "
+                          "instead of listing the platform.",
+                          { "true", "false" },
+                          "false" });
   parser.Add(IntegerSetting{ "watch-rest-ms",
                              "ms",
                              "Delay from a change to the next watch request; "
@@ -124,39 +139,47 @@
 
 namespace {
 
-/// Settings for nodes that find each other through the platform. All nodes
-/// watch the configuration there, so changes need no distribution tree; a node
-/// that can't reach the platform learns of new revisions from the digests on
-/// probes. Orders are small; a few nodes watch them and forward them to the
-/// others.
+/// Settings for nodes that find each other through the platform. A few nodes of
+/// each data centre watch it and send changes along a tree over their data
+/// centre; a data centre without a path to the platform learns of changes from
+/// the confirmations and digests of the others.
 void
-UsePlatformDiscovery(NodeSettings& aSettings)
+UsePlatformDiscovery(NodeSettings& aSettings, bool aIsFirstStart)
 {
   constexpr std::size_t kAllNodes = 4'096;
-  // If the platform rejects 2 of 5 requests, all six watchers are rejected in 1
-  // of 250 cases.
-  constexpr std::size_t kOrderWatcherCount = 6;
+  // When the only watcher of a data centre ends, the others bring changes there
+  // until the next one takes over.
+  constexpr std::size_t kWatchersPerDataCentre = 1;
+  constexpr std::size_t kWatchersPerCell = 2;
+  // By then a node knows its peers and ranks them as they do.
+  constexpr Duration kRankedAfterFirstStart = std::chrono::milliseconds(2'500);
+  constexpr Duration kRankedAfterStart = std::chrono::seconds(1);
   aSettings.m_isRegistered = true;
   aSettings.m_hasBriefMoves = true;
   aSettings.m_moves.m_windowInterval = std::chrono::milliseconds(100);
   aSettings.m_moves.m_reportInterval = std::chrono::milliseconds(100);
   aSettings.m_moves.m_refreshInterval = std::chrono::seconds(1);
   aSettings.m_moves.m_outcomeInterval = std::chrono::milliseconds(500);
-  aSettings.m_prefixes = { { std::string(kConfigurationPrefix) },
-                           { std::string(kOrderPrefix), kOrderWatcherCount } };
+  aSettings.m_prefixes = {
+    { std::string(kConfigurationPrefix),
+      kWatchersPerDataCentre,
+      kWatchersPerCell },
+    { std::string(kOrderPrefix), kWatchersPerDataCentre, kWatchersPerCell }
+  };
   MembershipSettings& membership = aSettings.m_gossip.m_membership;
   membership.m_relays = kAllNodes;
-  membership.m_relaySettleTime = Duration(0);
+  membership.m_relaySettleTime =
+    aIsFirstStart ? kRankedAfterFirstStart : kRankedAfterStart;
   membership.m_reportDelay = membership.m_urgentDelay;
   membership.m_reconnectInterval = std::chrono::seconds(1);
-  aSettings.m_gossip.m_pulls.m_pathWait = std::chrono::milliseconds(700);
-  aSettings.m_gossip.m_pulls.m_behindWait = std::chrono::milliseconds(700);
-  // With every node watching the platform, pulls are rare, but each may
-  // transfer a large configuration.
+  // Longer than a tree takes, so that only the nodes that it missed pull.
+  aSettings.m_gossip.m_pulls.m_behindWait = std::chrono::milliseconds(300);
+  // Pulls are rare, but each may transfer a large configuration.
   aSettings.m_gossip.m_answerBytesPerSecond = 1'000'000;
   aSettings.m_gossip.m_answerBurstBytes = 4'000'000;
   DistributionSettings& distribution = aSettings.m_gossip.m_distribution;
   distribution.m_defersUntilSpread = false;
+  distribution.m_listsAtStart = !aIsFirstStart;
   distribution.m_rankDelay = std::chrono::milliseconds(100);
   distribution.m_checks.m_interval = std::chrono::milliseconds(500);
   distribution.m_checks.m_rankDelay = std::chrono::milliseconds(300);
@@ -216,9 +239,13 @@
     settings.m_retries.m_tokensPerSecond = slack / 2 / window;
   }
   if (aSettings.Text("join") == "platform") {
-    UsePlatformDiscovery(settings);
+    UsePlatformDiscovery(settings, aSettings.Text("bootstrap") == "true");
   }
   settings.m_watchWait = aSettings.Milliseconds("watch-wait-ms");
+  const Duration history = aSettings.Milliseconds("platform-history-ms");
+  if (history > Duration::zero()) {
+    settings.m_watchWait = std::min(settings.m_watchWait, history * 3 / 4);
+  }
   settings.m_watchRest = aSettings.Milliseconds("watch-rest-ms");
   settings.m_admitsByObjective = aSettings.Text("admission") == "objective";
   settings.m_logLevel = aSettings.Text("log-level");
--- a/src/process/PlatformLoop.cpp
+++ b/src/process/PlatformLoop.cpp
@@ -263,8 +263,7 @@
 {
   for (Prefix& prefix : m_prefixes) {
     const std::string& keys = prefix.m_watched.m_keys;
-    if (m_core.WatchAfter(keys) >= aRevision ||
-        !m_core.WantsWatch(m_clock.Now(), prefix.m_watched)) {
+    if (m_core.WatchAfter(keys) >= aRevision) {
       continue;
     }
     const PrefixCall call{ DocumentChannel::List,
--- a/src/process/Pull.h
+++ b/src/process/Pull.h
@@ -24,12 +24,21 @@
 /// One hash for each bucket.
 using BucketHashes = std::array<std::uint32_t, kDigestBuckets>;
 
+/// A version of a large document that the requesting node holds.
+struct HeldDocument
+{
+  ObjectKey m_key;
+  Revision m_revision;
+};
+
 /// Requests the entries that differ. Unset fields are not requested.
 struct PullRequest
 {
   VmId m_from;
   std::optional<BucketHashes> m_members;
   std::optional<BucketHashes> m_documents;
+  /// Documents that the answer may bring up to date by patches.
+  std::vector<HeldDocument> m_held;
   std::optional<std::uint32_t> m_moves;
 };
 
@@ -43,6 +52,8 @@
   Revision m_floor;
   std::vector<MemberRecord> m_members;
   std::vector<Document> m_documents;
+  /// In the order in which they apply.
+  std::vector<DocumentPatch> m_patches;
   std::vector<MoveProgress> m_moves;
 };
 
--- a/src/process/PullSchedule.h
+++ b/src/process/PullSchedule.h
@@ -55,6 +55,12 @@
   Duration m_maxBackoff = std::chrono::seconds(8);
 };
 
+struct PeerContact
+{
+  VmId m_vm;
+  NetworkAddress m_address;
+};
+
 /// A peer whose state differs from this node's.
 struct PullCandidate
 {
@@ -69,6 +75,9 @@
   bool m_isJoining = false;
   /// True when another peer failed to answer; only the backoff delays the pull.
   bool m_isRetry = false;
+  /// The peer to ask when m_peer, which costs less to reach, lacks documents of
+  /// m_theirs.
+  std::optional<PeerContact> m_fallback;
 };
 
 /// True when the peer holds a higher document revision than this node.
--- a/src/process/SpreadTree.cpp
+++ b/src/process/SpreadTree.cpp
@@ -60,6 +60,7 @@
 bool
 SeenPaths::Insert(const SpreadPath& aPath)
 {
+  // Both scopes of one root draw their seeds from the same generator.
   const std::uint64_t path = StableHash(aPath.m_root.Value(), aPath.m_seed);
   if (!m_paths.insert(path).second) {
     return false;
--- a/src/process/SpreadTree.h
+++ b/src/process/SpreadTree.h
@@ -1,5 +1,6 @@
 /// \file
-/// Spanning trees over the live members of a data centre, for urgent updates.
+/// Spanning trees over the live members of a cell or a data centre, for urgent
+/// updates.
 ///
 /// The node that starts a spread is the root and draws a random seed. Every
 /// member computes the same tree from (root, seed, members), so that trees need
@@ -58,13 +59,17 @@
 public:
   virtual ~SpreadTopology() = default;
   /// A new tree with this node as the root.
-  virtual SpreadPath NewPath() = 0;
+  virtual SpreadPath NewPath(SpreadScope aScope) = 0;
   /// The addresses to which this node forwards datagrams with this path.
   virtual std::vector<NetworkAddress> ChildrenOf(
     const SpreadPath& aPath) const = 0;
-  /// This node's rank among the relays of its data centre; empty when it is
-  /// not a relay.
+  /// This node's rank among the relays of its cell; empty when it is not a
+  /// relay.
   virtual std::optional<std::size_t> RelayRank() const = 0;
+  /// This node's rank among those nodes of its data centre that may watch the
+  /// platform; empty when it may not. The same as RelayRank() when the data
+  /// centre is a cell of its own.
+  virtual std::optional<std::size_t> WatchRank() const = 0;
   virtual const VmId& SelfVm() const = 0;
 };
 
--- a/src/process/testing/FakeNetwork.cpp
+++ b/src/process/testing/FakeNetwork.cpp
@@ -79,6 +79,7 @@
   MemberRecord self;
   self.m_vm = VmId(aVm);
   self.m_dataCentre = node->m_dataCentre;
+  self.m_cell = m_cell;
   self.m_region = RegionId("r");
   self.m_peerAddress = node->m_address;
   const Duration wall = m_clock.WallNow().time_since_epoch() + m_clockSkew;
@@ -297,7 +298,8 @@
 {
   Distribution& documents = aNode.m_gossip->Documents();
   if (aNode.m_isCalling || Now() < aNode.m_callNotBefore ||
-      !documents.WantsWatch(Now()) || !documents.TakePlatformRead(Now())) {
+      !documents.WantsWatch(Now(), m_watched) ||
+      !documents.TakePlatformRead(Now())) {
     return;
   }
   aNode.m_isCalling = true;
@@ -382,7 +384,7 @@
   const Distribution& documents = aNode.m_gossip->Documents();
   const Revision known =
     std::max(documents.Table().Digest().m_highest, documents.WatchAfter());
-  if (aNode.m_gossip->HighestReported() <= known) {
+  if (!aNode.m_isWatching || aNode.m_gossip->HighestReported() <= known) {
     aNode.m_overtakenAt.reset();
     return;
   }
--- a/src/process/testing/FakeNetwork.h
+++ b/src/process/testing/FakeNetwork.h
@@ -125,6 +125,11 @@
   /// The nodes that cannot reach the platform.
   std::function<bool(const FakeNode&)> m_isCutFromPlatform;
   GossipSettings m_settings;
+  /// The cell of nodes that are started from now on; empty: each data centre is
+  /// a cell of its own.
+  DataCentreId m_cell;
+  /// What nodes watch at the platform.
+  WatchedPrefix m_watched;
   /// The wall clock skew of processes that are started from now on.
   Duration m_clockSkew{ 0 };
   /// Whether to check that no membership record is replaced by an older one.
