Changes of the membership take effect at most five times a second

Cause: every datagram with a member's change rebuilt the known services, the roles and, after 20 ms, the view, each in time proportional to the fleet; the number of changes is proportional to it, too. Change: the first change takes effect after 20 ms as before, those that follow at least 200 ms after the last one. Test: ControlCore, two tests.

--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -81,8 +81,8 @@
   if (const auto moves = m_moves.NextTick()) {
     next = std::min(next, *moves);
   }
-  if (m_viewDue) {
-    next = std::min(next, *m_viewDue);
+  for (const auto& due : { m_viewDue, m_membersDue }) {
+    next = std::min(next, due.value_or(next));
   }
   if (m_listedAt && !m_isSynchronized) {
     next = std::min(next, *m_listedAt + kPeerWait);
@@ -278,16 +278,14 @@
   for (const EvidenceReport& report : aGossip.m_evidence) {
     m_moves.AddReport(report, aTimes.m_now);
   }
-  if (aGossip.m_membersChanged) {
-    UpdateKnownServices();
-    ScheduleView(aTimes.m_now);
+  if (aGossip.m_membersChanged && !m_membersDue) {
+    m_membersDue = std::max(aTimes.m_now + m_settings.m_viewDelay,
+                            m_membersAt + m_settings.m_memberInterval);
   }
   ProcessDocuments(aTimes);
   UpdateSynchronized(aTimes.m_now);
+  ProcessMembers(aTimes);
   Apply(std::exchange(m_changes, {}), aTimes);
-  if (aGossip.m_membersChanged) {
-    UpdateRoles();
-  }
   for (const MoveProgress& progress : m_gossip.Moves().TakeChanged()) {
     if (m_moves.MergeProgress(progress, aTimes.m_now)) {
       ScheduleView(aTimes.m_now);
@@ -404,11 +402,23 @@
 }
 
 void
-ControlCore::ScheduleView(MonotonicTime aNow)
+ControlCore::ProcessMembers(const Times& aTimes)
 {
-  if (!m_viewDue) {
-    m_viewDue = aNow + m_settings.m_viewDelay;
+  if (!m_membersDue || aTimes.m_now < *m_membersDue) {
+    return;
   }
+  m_membersDue.reset();
+  m_membersAt = aTimes.m_now;
+  m_viewDue = aTimes.m_now;
+  UpdateKnownServices();
+  UpdateRoles();
+}
+
+void
+ControlCore::ScheduleView(MonotonicTime aNow)
+{
+  const MonotonicTime due = aNow + m_settings.m_viewDelay;
+  m_viewDue = std::min(m_viewDue.value_or(due), due);
 }
 
 void
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -60,8 +60,12 @@
   Duration m_announcementLapse = std::chrono::seconds(3);
   /// Key prefixes to watch on the platform.
   std::vector<WatchedPrefix> m_prefixes{ { "configurations/" } };
-  /// Membership changes within this time are combined into one view.
+  /// Changes within this time are combined into one view.
   Duration m_viewDelay = std::chrono::milliseconds(20);
+  /// The least time between two views for changes of the membership. Each costs
+  /// time in proportion to the members, and there are more of them in a larger
+  /// fleet.
+  Duration m_memberInterval = std::chrono::milliseconds(200);
 };
 
 /// Actions that the caller carries out after an event.
@@ -225,6 +229,9 @@
   std::vector<std::shared_ptr<const Configuration>> InForce() const;
   std::optional<AdmissionBounds> OwnBounds() const;
   void ScheduleView(MonotonicTime aNow);
+  /// When it is due, uses the changed membership for the conditions of
+  /// configurations, for the roles of this node and for a view.
+  void ProcessMembers(const Times& aTimes);
 
   ControlSettings m_settings;
   Gossip m_gossip;
@@ -246,6 +253,9 @@
   /// MayServe() at the last applied change.
   bool m_mayServe = false;
   std::optional<MonotonicTime> m_viewDue;
+  /// When changes of the membership take effect, and when they did last.
+  std::optional<MonotonicTime> m_membersDue;
+  MonotonicTime m_membersAt{};
   /// The view published last.
   std::shared_ptr<const View> m_view;
   std::optional<MonotonicTime> m_announcedAt;
--- a/src/process/Runtime.cmake
+++ b/src/process/Runtime.cmake
@@ -47,6 +47,7 @@
 tt_test(evidence_routing_test SRCS EvidenceRoutingTest.cpp DEPS tt_control_core)
 tt_test(upstream_control_test
   SRCS MoveOrdersTest.cpp UpstreamRegisterTest.cpp DEPS tt_control_core)
+tt_test(control_core_test SRCS ControlCoreTest.cpp DEPS tt_control_core)
 tt_test(platform_loop_test SRCS PlatformLoopTest.cpp DEPS tt_control_thread)
 tt_test(restored_platform_test SRCS RestoredPlatformTest.cpp
   DEPS tt_control_thread tt_standin_platform)
