One node of each data centre writes the ledger

At 1,000 nodes it would be 100 writes a second (DESIGN.md). Change: nodes send their cumulative counts to the first node of their data centre, which writes those of all in pages of 256 sources. Pages belong to their writer; readers take the maximum for each source, so that a hand-over between writers neither loses nor doubles usage. A node that stops sends its last counts. The status shows the node's own usage, as OPERATIONS.md says.

--- a/src/connection/DatagramCodec.cpp
+++ b/src/connection/DatagramCodec.cpp
@@ -222,6 +222,29 @@
   Get(aSource, aReport.m_entries);
 }
 
+void
+Get(Source& aSource, UsageEntry& aEntry)
+{
+  Reader& reader = aSource.Values();
+  aSource.Shared(aEntry.m_key.m_using);
+  aSource.Shared(aEntry.m_key.m_owning);
+  Get(reader, aEntry.m_usage.m_calls);
+  const std::uint64_t slotTime = reader.GetNumber();
+  if (slotTime > static_cast<std::uint64_t>(Duration::max().count())) {
+    reader.Fail();
+    return;
+  }
+  aEntry.m_usage.m_slotTime = Duration(slotTime);
+}
+
+void
+Get(Source& aSource, UsageReport& aReport)
+{
+  aSource.Shared(aReport.m_vm);
+  Get(aSource.Values(), aReport.m_incarnation);
+  Get(aSource, aReport.m_entries);
+}
+
 void
 Get(Source& aSource, SpreadPath& aPath)
 {
@@ -274,6 +297,7 @@
   Get(aSource, aDatagram.m_patches);
   Get(aSource, aDatagram.m_moves);
   Get(aSource, aDatagram.m_evidence);
+  Get(aSource, aDatagram.m_usage);
 }
 
 void
--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -65,6 +65,7 @@
   , m_orders(aDecoder)
   , m_moves(std::move(aMoves))
   , m_ledger(std::move(aLedger))
+  , m_usagePages(aSettings.m_self.m_vm, aSettings.m_self.m_incarnation)
 {
 }
 
@@ -244,22 +245,10 @@
   return m_store.MissingTemplates();
 }
 
-void
-ControlCore::OnUsageNotWritten(const UsageReport& aReport)
-{
-  m_ledger.WriteFailed(aReport.m_vm, aReport.m_incarnation);
-}
-
-void
-ControlCore::OnPlatformRestored()
-{
-  const MemberRecord& self = m_gossip.Members().Self();
-  m_ledger.WriteFailed(self.m_vm, self.m_incarnation);
-}
-
 ControlActions
 ControlCore::Leave(const Times& aTimes)
 {
+  m_ledger.ReportNow();
   m_gossip.Members().Leave(aTimes.m_now);
   return Finish(m_gossip.Tick(aTimes.m_now), aTimes);
 }
@@ -294,7 +283,10 @@
   TickMoves(aTimes, actions);
   RecordLostOutcomes(aTimes, actions);
   PublishView(aTimes, actions);
-  actions.m_usage = m_ledger.TakeDue(aTimes.m_now);
+  for (const UsageReport& report : aGossip.m_usage) {
+    m_ledger.Merge(report);
+  }
+  ReportUsage(aTimes, actions);
   actions.m_pull = std::move(aGossip.m_pull);
   std::move(aGossip.m_send.begin(),
             aGossip.m_send.end(),
@@ -506,7 +498,7 @@
   status.m_moves = m_moves.Status(aWall);
   status.m_rejectedOrders = m_orders.Rejected();
   status.m_lastRejectedOrder = m_orders.LastRejection();
-  status.m_ledger = m_ledger.Totals();
+  status.m_ledger = m_ledger.Own().m_entries;
   status.m_membership = members.Counters();
   status.m_distribution = m_gossip.Documents().Counters();
   status.m_gossip = m_gossip.Counters();
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -39,6 +39,7 @@
 #include "process/MemberRecord.h"
 #include "process/MoveOrders.h"
 #include "process/TrafficReport.h"
+#include "process/UsagePages.h"
 #include "process/View.h"
 #include "request/AdmissionPolicy.h"
 #include "version/ConfigurationDecoder.h"
@@ -84,7 +85,7 @@
   /// object shows it.
   std::vector<MoveOutcome> m_outcomes;
   /// Usage reports to write to the platform.
-  std::vector<UsageReport> m_usage;
+  std::vector<UsagePage> m_usage;
   /// Whether the share or the state of a move changed; the status is logged
   /// before the outcome reaches the platform.
   bool m_movesChanged = false;
@@ -181,7 +182,7 @@
   /// Confirms that the platform has the move's outcome, whichever node wrote
   /// it.
   void OnOutcomeWritten(const MoveId& aMove);
-  void OnUsageNotWritten(const UsageReport& aReport);
+  void OnUsageNotWritten(UsagePageNumber aPage);
   /// The platform has lost its newest writes, this node's among them.
   void OnPlatformRestored();
   /// \}
@@ -208,6 +209,10 @@
              const Times& aTimes);
   void TickMoves(const Times& aTimes, ControlActions& aActions);
   void SendReport(const EvidenceReport& aReport, ControlActions& aActions);
+  /// Writes the usage reports that are due, or sends this node's own one to
+  /// the node that writes for the data centre.
+  void ReportUsage(const Times& aTimes, ControlActions& aActions);
+  void SendUsage(const UsageReport& aReport, ControlActions& aActions);
   void ExpireAnnouncement(const Times& aTimes, ControlActions& aActions);
   void PublishView(const Times& aTimes, ControlActions& aActions);
   void UpdateRoles();
@@ -245,6 +250,11 @@
   MonotonicTime m_recordLostAt{};
   Moves m_moves;
   Ledger m_ledger;
+  UsagePages m_usagePages;
+  /// The node that wrote the usage of this data centre in the last round, and
+  /// what this node sent to it last.
+  VmId m_usageWriter;
+  UsageReport m_usageSent;
   /// Whether a listing of a restored platform can be trusted to be no older
   /// than what peers have in force.
   bool m_isSynchronized = false;
--- a/src/process/ControlCoreTest.cpp
+++ b/src/process/ControlCoreTest.cpp
@@ -88,8 +88,135 @@
   Duration m_now = seconds(100);
 };
 
+/// Nodes of one data centre, whose datagrams arrive at once.
+class DataCentre
+{
+public:
+  explicit DataCentre(std::uint16_t aNodes)
+    : m_random(1)
+  {
+    for (std::uint16_t i = 0; i < aNodes; ++i) {
+      ControlSettings settings;
+      settings.m_self.m_vm = VmId("vm-" + std::to_string(i));
+      settings.m_self.m_dataCentre = DataCentreId("dc");
+      settings.m_self.m_peerAddress = AddressOf(i);
+      settings.m_self.m_incarnation = Incarnation(1);
+      settings.m_seeds = { AddressOf(0) };
+      m_cores.push_back(
+        ControlCore::Create(settings, m_decoder, m_random).value());
+    }
+    Run(seconds(10));
+  }
+
+  static NetworkAddress AddressOf(std::size_t aNode)
+  {
+    return { 0x7F000001, static_cast<std::uint16_t>(7000 + aNode) };
+  }
+  Times Now() const { return { MonotonicTime(m_now), WallTime(m_now) }; }
+  void Run(Duration aTime)
+  {
+    for (const Duration end = m_now + aTime; m_now < end;
+         m_now += milliseconds(10)) {
+      for (std::size_t i = 0; i < m_cores.size(); ++i) {
+        Handle(i, m_cores[i]->OnTick(Now()));
+      }
+    }
+  }
+  void Handle(std::size_t aNode, const ControlActions& aActions)
+  {
+    for (const UsagePage& page : aActions.m_usage) {
+      ++m_writes;
+      for (const UsageReport& report : page.m_reports) {
+        CallCount& calls = m_written[report.m_vm];
+        for (const UsageEntry& entry : report.m_entries) {
+          calls = std::max(calls, entry.m_usage.m_calls);
+        }
+      }
+    }
+    if (aActions.m_pull) {
+      const std::size_t peer = aActions.m_pull->m_peer.Port() - 7000U;
+      Handle(aNode,
+             m_cores[aNode]->OnPullAnswer(
+               m_cores[peer]->OnPull(aActions.m_pull->m_request, Now()),
+               Now()));
+    }
+    for (const OutgoingDatagram& outgoing : aActions.m_send) {
+      const std::size_t to = outgoing.m_to.Port() - 7000U;
+      if (to != m_lost) {
+        Handle(to,
+               m_cores[to]->OnDatagram(
+                 outgoing.m_datagram, AddressOf(aNode), Now()));
+      }
+    }
+  }
+  void Use(std::size_t aNode, std::uint64_t aCalls)
+  {
+    UsageBatch batch;
+    batch.m_usage[{ kAccount, kAccount }].m_calls = CallCount(aCalls);
+    m_cores[aNode]->OnUsage(batch);
+    m_used[VmId("vm-" + std::to_string(aNode))] += CallCount(aCalls);
+  }
+
+  std::map<VmId, CallCount> m_used;
+  std::map<VmId, CallCount> m_written;
+  std::size_t m_writes = 0;
+  /// Datagrams to this node are lost.
+  std::optional<std::size_t> m_lost;
+  OneRouteDecoder m_decoder;
+  SeededRandom m_random;
+  std::vector<std::unique_ptr<ControlCore>> m_cores;
+
+private:
+  Duration m_now = seconds(100);
+};
+
 } // namespace
 
+/// The platform's rates grow more slowly than the fleet.
+Test(ControlCore, EveryNodeWritesItsUsageToThePlatform)
+{
+  DataCentre nodes(8);
+  for (int round = 0; round < 6; ++round) {
+    for (std::size_t node = 0; node < nodes.m_cores.size(); ++node) {
+      nodes.Use(node, node + 1);
+    }
+    nodes.Run(seconds(10));
+  }
+  nodes.Run(seconds(25));
+  cr_assert(nodes.m_written == nodes.m_used);
+  // One write in each round, and one by a node that takes over.
+  cr_assert_leq(nodes.m_writes, 12, "%zu", nodes.m_writes);
+}
+
+Test(ControlCore, UsageIsLostWithTheDatagramOfANodeThatStaysIdle)
+{
+  DataCentre nodes(3);
+  for (std::size_t lost = 0; lost < 3; ++lost) {
+    for (std::size_t node = 0; node < 3; ++node) {
+      nodes.Use(node, 5);
+    }
+    // Shorter than the time after which peers declare the node dead.
+    nodes.m_lost = lost;
+    nodes.Run(milliseconds(1'500));
+    nodes.m_lost.reset();
+    nodes.Run(seconds(30));
+    cr_assert(nodes.m_written == nodes.m_used);
+  }
+}
+
+Test(ControlCore, UsageSinceTheLastReportIsLostInAPlannedStop)
+{
+  DataCentre nodes(3);
+  for (std::size_t node = 0; node < 3; ++node) {
+    nodes.Use(node, 5);
+  }
+  for (std::size_t node = 0; node < 3; ++node) {
+    nodes.Handle(node, nodes.m_cores[node]->Leave(nodes.Now()));
+  }
+  nodes.Run(seconds(1));
+  cr_assert(nodes.m_written == nodes.m_used);
+}
+
 /// The view for the configuration is due at once, the one for the service that
 /// it waits for only later.
 Test(ControlCore, ConfigurationReadTogetherWithItsServiceIsNeverInForce)
--- a/src/process/Datagram.h
+++ b/src/process/Datagram.h
@@ -19,6 +19,7 @@
 #include "base/NetworkAddress.h"
 #include "base/Units.h"
 #include "process/MemberRecord.h"
+#include "process/UsageReport.h"
 #include "version/Document.h"
 #include "version/DocumentPatch.h"
 #include "version/EvidenceReport.h"
@@ -107,6 +108,9 @@
   std::vector<DocumentPatch> m_patches;
   std::vector<MoveProgress> m_moves;
   std::vector<EvidenceReport> m_evidence;
+  /// For the node that writes the ledger of the sender's data centre. May hold
+  /// a part of the sender's pairs of accounts.
+  std::vector<UsageReport> m_usage;
 };
 
 /// A datagram with its destination.
--- a/src/process/DatagramLayout.h
+++ b/src/process/DatagramLayout.h
@@ -177,6 +177,25 @@
   Layout(aSink, aReport.m_entries);
 }
 
+template<typename Sink>
+void
+Layout(Sink& aSink, const UsageEntry& aEntry)
+{
+  aSink.Shared(aEntry.m_key.m_using.Value());
+  aSink.Shared(aEntry.m_key.m_owning.Value());
+  aSink.Number(aEntry.m_usage.m_calls.Value());
+  aSink.Number(static_cast<std::uint64_t>(aEntry.m_usage.m_slotTime.count()));
+}
+
+template<typename Sink>
+void
+Layout(Sink& aSink, const UsageReport& aReport)
+{
+  aSink.Shared(aReport.m_vm.Value());
+  aSink.Number(aReport.m_incarnation.Value());
+  Layout(aSink, aReport.m_entries);
+}
+
 template<typename Sink>
 void
 Layout(Sink& aSink, const SpreadPath& aPath)
@@ -248,6 +267,7 @@
   Layout(aSink, aDatagram.m_patches);
   Layout(aSink, aDatagram.m_moves);
   Layout(aSink, aDatagram.m_evidence);
+  Layout(aSink, aDatagram.m_usage);
 }
 
 template<typename Sink>
--- a/src/process/DatagramMerge.cpp
+++ b/src/process/DatagramMerge.cpp
@@ -32,6 +32,7 @@
   Append(merged.m_patches, aRight.m_patches);
   Append(merged.m_moves, aRight.m_moves);
   Append(merged.m_evidence, aRight.m_evidence);
+  Append(merged.m_usage, aRight.m_usage);
   return merged;
 }
 
--- a/src/process/Gossip.cpp
+++ b/src/process/Gossip.cpp
@@ -79,6 +79,7 @@
   m_documents.Receive(aDatagram, aNow);
   m_moves.Merge(aDatagram.m_moves, source, aNow);
   actions.m_evidence = aDatagram.m_evidence;
+  actions.m_usage = aDatagram.m_usage;
   Forward(aDatagram, actions.m_send);
   ReceiveDigest(aDatagram, aFrom, aNow);
   FinishActions(actions, aNow);
--- a/src/process/Gossip.h
+++ b/src/process/Gossip.h
@@ -71,6 +71,8 @@
   std::optional<OutgoingPull> m_pull;
   /// Received evidence, for the coordinator.
   std::vector<EvidenceReport> m_evidence;
+  /// Received usage reports, for the ledger of this data centre.
+  std::vector<UsageReport> m_usage;
   bool m_membersChanged = false;
   bool m_documentsChanged = false;
   bool m_movesChanged = false;
--- a/src/process/Ledger.h
+++ b/src/process/Ledger.h
@@ -7,7 +7,7 @@
 ///     Result<Ledger> ledger = Ledger::Create({ vm, incarnation });
 ///     ledger.value().Add({ caller, owner }, { CallCount(1), slotTime });
 ///     for (const UsageReport& report : ledger.value().TakeDue(now)) {
-///       // write it as the object of (report.m_vm, report.m_incarnation)
+///       // send it to the node that writes for this data centre, or write it
 ///     }
 ///
 /// Each (VM, incarnation) is a source of a grow-only counter (Shapiro et al.,
@@ -27,55 +27,18 @@
 #include "base/Ids.h"
 #include "base/Result.h"
 #include "base/Units.h"
+#include "process/UsageReport.h"
 
 namespace tarragontray {
 
-/// A pair of accounts: the one that used capacity and the one that owns it.
-struct UsageKey
-{
-  ClientAccountId m_using;
-  ClientAccountId m_owning;
-
-  auto operator<=>(const UsageKey&) const = default;
-};
-
-/// Cumulative usage; both fields are monotonic.
-struct Usage
-{
-  CallCount m_calls;
-  /// Total time for which slots were occupied.
-  Duration m_slotTime{ 0 };
-
-  bool operator==(const Usage&) const = default;
-};
-
-struct UsageEntry
-{
-  UsageKey m_key;
-  Usage m_usage;
-
-  bool operator==(const UsageEntry&) const = default;
-};
-
-/// All counts of one incarnation of one node.
-struct UsageReport
-{
-  VmId m_vm;
-  Incarnation m_incarnation;
-  /// Sorted by key.
-  std::vector<UsageEntry> m_entries;
-
-  bool operator==(const UsageReport&) const = default;
-};
-
 struct LedgerSettings
 {
   VmId m_vm;
   Incarnation m_incarnation;
   /// Time between two rounds of reports.
   Duration m_reportInterval = std::chrono::seconds(10);
-  /// Maximum number of reports in one round.
-  std::size_t m_reportsPerRound = 16;
+  /// Maximum number of reports in one round: those of a large data centre.
+  std::size_t m_reportsPerRound = 512;
   /// Maximum number of account pairs for each source; usage of further pairs is
   /// dropped and counted by TurnedAway().
   std::size_t m_maxKeys = 1024;
@@ -97,6 +60,8 @@
   /// Returns the reports that are due to be written, those that changed longest
   /// ago first. They count as written unless WriteFailed() is called.
   std::vector<UsageReport> TakeDue(MonotonicTime aNow);
+  /// Makes the next reports due at once.
+  void ReportNow() { m_nextRound = {}; }
   /// The earliest time at which TakeDue can return reports.
   MonotonicTime NextDue() const { return m_nextRound; }
   /// Schedules a report from TakeDue() again because its write failed or its
--- a/src/process/Membership.cpp
+++ b/src/process/Membership.cpp
@@ -321,8 +321,11 @@
   m_ranks.m_generation = m_table.LiveGeneration();
   m_ranks.m_relays = ranked(m_table.InCell(m_self.m_cell));
   m_ranks.m_inCell = rankOf(m_ranks.m_relays);
-  m_ranks.m_inDataCentre =
-    rankOf(ranked(m_table.InDataCentre(m_self.m_dataCentre)));
+  const std::vector<VmId> neighbours =
+    ranked(m_table.InDataCentre(m_self.m_dataCentre));
+  m_ranks.m_inDataCentre = rankOf(neighbours);
+  m_ranks.m_firstInDataCentre =
+    neighbours.empty() ? m_self.m_vm : neighbours.front();
   return m_ranks;
 }
 
--- a/src/process/Membership.h
+++ b/src/process/Membership.h
@@ -175,6 +175,11 @@
   /// The relays of this node's cell, highest rank first. Valid until the next
   /// change.
   const std::vector<VmId>& Relays() const { return CurrentRanks().m_relays; }
+  /// The first by rank of the nodes of this data centre.
+  const VmId& FirstInDataCentre() const
+  {
+    return CurrentRanks().m_firstInDataCentre;
+  }
   /// A random live member of this node's data centre other than this node.
   std::optional<VmId> RandomNeighbour();
   /// A random live member other than this node, of any data centre.
@@ -263,6 +268,7 @@
     /// not among the first m_settings.m_relays.
     std::optional<std::size_t> m_inCell;
     std::optional<std::size_t> m_inDataCentre;
+    VmId m_firstInDataCentre;
   };
   const Ranks& CurrentRanks() const;
 
--- a/src/process/PlatformLoop.cpp
+++ b/src/process/PlatformLoop.cpp
@@ -251,6 +251,10 @@
   m_checkCalls = 1;
   Current().ReadRevision([this, aNow](const Result<Revision>& aRevision) {
     if (aRevision) {
+      Log(LogLevel::Debug,
+          kPart,
+          "Revision read.",
+          { { "revision", std::to_string(aRevision.value().Value()) } });
       ListBehind(aRevision.value(), aNow);
     }
     EndCheckCall(aRevision ? std::nullopt : std::optional(aRevision.error()),
@@ -438,13 +442,13 @@
 
 void
 PlatformLoop::Write(const std::vector<MoveOutcome>& aOutcomes,
-                    const std::vector<UsageReport>& aUsage)
+                    const std::vector<UsagePage>& aUsage)
 {
   for (const MoveOutcome& outcome : aOutcomes) {
     WriteOutcome(outcome);
   }
-  for (const UsageReport& report : aUsage) {
-    WriteUsage(report);
+  for (const UsagePage& page : aUsage) {
+    WriteUsage(page);
   }
 }
 
@@ -489,17 +493,19 @@
 }
 
 void
-PlatformLoop::WriteUsage(const UsageReport& aReport)
+PlatformLoop::WriteUsage(const UsagePage& aPage)
 {
   PlatformWrite write;
-  write.m_key = ObjectKey("ledger/" + aReport.m_vm.Value() + "/" +
-                          std::to_string(aReport.m_incarnation.Value()));
-  write.m_body = UsageJson(aReport);
+  write.m_key = ObjectKey("ledger/" + aPage.m_vm.Value() + "/" +
+                          std::to_string(aPage.m_incarnation.Value()) + "/" +
+                          std::to_string(aPage.m_number.Value()));
+  write.m_body = UsageJson(aPage);
   write.m_operation = OperationId("ledger-" + std::to_string(++m_operations));
   Current().Write(std::move(write),
-                  [this, aReport](const Result<Revision>& aRevision) {
+                  [this, page = aPage.m_number](
+                    const Result<Revision>& aRevision) {
                     if (!aRevision) {
-                      m_core.OnUsageNotWritten(aReport);
+                      m_core.OnUsageNotWritten(page);
                     }
                   });
 }
--- a/src/process/PlatformLoop.h
+++ b/src/process/PlatformLoop.h
@@ -92,7 +92,7 @@
   /// already or nodes do not register.
   void RecordUpstreamLeave(const UpstreamProcess& aLeft);
   void Write(const std::vector<MoveOutcome>& aOutcomes,
-             const std::vector<UsageReport>& aUsage);
+             const std::vector<UsagePage>& aUsage);
 
 private:
   /// Bounds of Prefix::m_stallTimeout.
@@ -171,7 +171,7 @@
   void CheckAt(MonotonicTime aTime);
   void OnFailure(const Error& aError);
   void WriteOutcome(const MoveOutcome& aOutcome);
-  void WriteUsage(const UsageReport& aReport);
+  void WriteUsage(const UsagePage& aPage);
 
   const Clock& m_clock;
   ControlCore& m_core;
--- a/src/process/Runtime.cmake
+++ b/src/process/Runtime.cmake
@@ -22,7 +22,7 @@
 tt_library(tt_node_settings SRCS NodeSettings.cpp DEPS tt_gossip tt_settings)
 
 tt_decision_library(tt_control_core
-  SRCS ControlCore.cpp ControlMoves.cpp EvidenceRouting.cpp MoveOrders.cpp UpstreamRegister.cpp
+  SRCS ControlCore.cpp ControlMoves.cpp ControlUsage.cpp EvidenceRouting.cpp MoveOrders.cpp UpstreamRegister.cpp
   HDRS ControlCore.h ControlDialect.h EvidenceRouting.h MoveOrders.h
        TrafficReport.h UpstreamRegister.h
   DEPS tt_call_plan tt_http_dialect tt_configuration_store tt_gossip tt_ledger tt_moves
--- a/src/process/StatusJson.cpp
+++ b/src/process/StatusJson.cpp
@@ -310,12 +310,16 @@
 }
 
 std::string
-UsageJson(const UsageReport& aReport)
+UsageJson(const UsagePage& aPage)
 {
-  return json::serialize(
-    json::object{ { "vm", aReport.m_vm.Value() },
-                  { "incarnation", aReport.m_incarnation.Value() },
-                  { "usage", ToJson(aReport.m_entries) } });
+  json::array reports;
+  for (const UsageReport& report : aPage.m_reports) {
+    reports.push_back(
+      json::object{ { "vm", report.m_vm.Value() },
+                    { "incarnation", report.m_incarnation.Value() },
+                    { "usage", ToJson(report.m_entries) } });
+  }
+  return json::serialize(json::object{ { "reports", std::move(reports) } });
 }
 
 } // namespace tarragontray
--- a/src/process/StatusJson.h
+++ b/src/process/StatusJson.h
@@ -64,6 +64,6 @@
 
 /// Returns the platform object of a ledger report.
 std::string
-UsageJson(const UsageReport& aReport);
+UsageJson(const UsagePage& aPage);
 
 } // namespace tarragontray
--- a/src/programs/CtlMovesTest.cpp
+++ b/src/programs/CtlMovesTest.cpp
@@ -87,6 +87,33 @@
   cr_assert(Contains(ledger.m_text, "vanua-voice  mesqel-gate  42     3.0"));
 }
 
+// After a hand-over between writers, the objects of both hold the counts of one
+// node process.
+Test(Ctl, TheLedgerCountsOneSourceOfTwoWritersOnce)
+{
+  const CtlTestEnvironment environment;
+  const CommandLine ctl(environment);
+  const auto session =
+    CtlSession::Create({ .m_platform = environment.Platform() });
+  const auto write = [&](const char* aWriter, const char* aCalls) {
+    session.value()->Write(
+      { ObjectKey(std::string("ledger/") + aWriter + "/1/0"),
+        R"({"reports": [{"vm": "a", "incarnation": 1, "usage": [{"using":)"
+        R"( "vanua-voice", "owning": "mesqel-gate", "calls": )" +
+          std::string(aCalls) + R"(, "slot_ms": 1500.0}]}, {"vm": "b"}]})",
+        Revision{ 0 },
+        OperationId(aWriter) });
+  };
+  write("first", "21");
+  write("second", "30");
+  const auto ledger = ctl.Run({ "ledger" });
+  cr_assert(ledger.has_value());
+  cr_assert(
+    Contains(ledger.value().m_text, "vanua-voice  mesqel-gate  30     1.5"));
+  // Each object holds one report without usage.
+  cr_assert(Contains(ledger.value().m_text, "2 reports could not be read"));
+}
+
 // Mutated status texts must either decode or give an error, without a crash.
 // The assertion checks that the mutations produce both results.
 Test(Ctl, AMutatedStatusIsDecodedOrRejected)
--- a/src/programs/CtlNodes.cpp
+++ b/src/programs/CtlNodes.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -145,15 +146,17 @@
 /// The using account and the owning account.
 using AccountPair = std::pair<std::string, std::string>;
 
-/// Adds the entries of one report. Returns false if the report is malformed;
-/// the entries before the fault stay added.
+/// The node process, or the object of a single report, that counted the usage.
+using UsageSource = std::string;
+using UsesBySource = std::map<UsageSource, std::map<AccountPair, CapacityUse>>;
+
+/// Raises the uses of one source to those of a report. Returns false if the
+/// report is malformed; the entries before the fault stay added.
 bool
-AddReport(const std::string& aBody, std::map<AccountPair, CapacityUse>& aUses)
+AddReport(const json::object& aReport, std::map<AccountPair, CapacityUse>& aUses)
 {
   json::error_code code;
-  const json::value root = json::parse(aBody, code);
-  const json::object* report = code ? nullptr : root.if_object();
-  const json::value* usage = report ? report->if_contains("usage") : nullptr;
+  const json::value* usage = aReport.if_contains("usage");
   const json::array* entries = usage ? usage->if_array() : nullptr;
   if (!entries) {
     return false;
@@ -169,15 +172,49 @@
     const json::value* calls = entry->if_contains("calls");
     const json::value* slots = entry->if_contains("slot_ms");
     if (calls && calls->is_number()) {
-      use.m_calls += calls->to_number<std::uint64_t>(code);
+      use.m_calls =
+        std::max(use.m_calls, calls->to_number<std::uint64_t>(code));
     }
     if (slots && slots->is_number()) {
-      use.m_slotMs += slots->to_number<double>(code);
+      use.m_slotMs = std::max(use.m_slotMs, slots->to_number<double>(code));
     }
   }
   return true;
 }
 
+/// Adds the reports of one object: those of many sources, which other objects
+/// may hold as well, or one of its own. Returns the number of malformed ones.
+std::size_t
+AddObject(const Document& aObject, UsesBySource& aUses)
+{
+  json::error_code code;
+  const json::value root = json::parse(aObject.m_body, code);
+  const json::object* object = code ? nullptr : root.if_object();
+  if (!object) {
+    return 1;
+  }
+  const json::value* list = object->if_contains("reports");
+  const json::array* reports = list ? list->if_array() : nullptr;
+  if (!reports) {
+    return AddReport(*object, aUses[aObject.m_key.Value()]) ? 0 : 1;
+  }
+  std::size_t malformed = 0;
+  for (const json::value& element : *reports) {
+    const json::object* report = element.if_object();
+    const json::value* vm = report ? report->if_contains("vm") : nullptr;
+    const json::value* life =
+      report ? report->if_contains("incarnation") : nullptr;
+    if (!vm || !vm->is_string() || !life) {
+      ++malformed;
+      continue;
+    }
+    const UsageSource source =
+      std::string(vm->get_string()) + "/" + json::serialize(*life);
+    malformed += AddReport(*report, aUses[source]) ? 0 : 1;
+  }
+  return malformed;
+}
+
 class LedgerShow final : public CtlCommand
 {
 public:
@@ -192,10 +229,17 @@
   {
     BOOST_OUTCOME_TRY(const PlatformListing listing,
                       aContext.m_session.List(std::string(kLedgerPrefix)));
-    std::map<AccountPair, CapacityUse> uses;
+    UsesBySource sources;
     std::size_t unreadable = 0;
     for (const PlatformObject& object : listing.m_objects) {
-      unreadable += AddReport(object.m_document.m_body, uses) ? 0 : 1;
+      unreadable += AddObject(object.m_document, sources);
+    }
+    std::map<AccountPair, CapacityUse> uses;
+    for (const auto& [source, counted] : sources) {
+      for (const auto& [accounts, use] : counted) {
+        uses[accounts].m_calls += use.m_calls;
+        uses[accounts].m_slotMs += use.m_slotMs;
+      }
     }
     TextTable table({ "USING", "OWNING", "CALLS", "SLOT SECONDS" });
     json::array list;
@@ -212,7 +256,7 @@
     CtlOutput output{ table.ToString(),
                       json::serialize(
                         json::object{ { "usage", std::move(list) },
-                                      { "reports", listing.m_objects.size() },
+                                      { "reports", sources.size() },
                                       { "unreadable_reports", unreadable } }) };
     if (unreadable > 0) {
       output.m_text +=
