--- a/src/connection/DocumentPatchTest.cpp
+++ b/src/connection/DocumentPatchTest.cpp
@@ -19,9 +19,9 @@
   SeededRandom random(aSeed);
   std::string body = "[";
   for (std::size_t i = 0; i < aRoutes; ++i) {
-    body += R"({"Name":"route-)" + std::to_string(random.Next()) +
-            R"(","Path":"/)" + std::to_string(random.Below(1'000'000)) +
-            R"(","Service":"box-office","Timeout":"1200ms","MaxAttempts":3},)";
+    body += R"({"id":"route-)" + std::to_string(random.Next()) +
+            R"(","prefix":"/)" + std::to_string(random.Below(1'000'000)) +
+            R"(","to":"box-office","limit":"1200ms","attempts":3},)";
   }
   return body + "]";
 }
@@ -44,7 +44,7 @@
   const Document base = Version(7, Body(1'500, 1));
   Document target = Version(9, base.m_body);
   target.m_body.replace(target.m_body.size() / 2, 4, "9999");
-  target.m_body.insert(2'000, R"({"Name":"new","Path":"/new"},)");
+  target.m_body.insert(2'000, R"({"id":"new","prefix":"/new"},)");
   const auto patch = MakePatch(*codec, base, target);
   cr_assert(patch.has_value());
   cr_assert_lt(patch.value().m_bytes.size(), kMaxDatagramBytes / 2);
--- a/src/connection/ZstdPatchCodec.cpp
+++ b/src/connection/ZstdPatchCodec.cpp
@@ -38,17 +38,19 @@
                              std::string_view aTarget) const override
   {
     const std::unique_ptr<ZSTD_CCtx, FreeContext> context(ZSTD_createCCtx());
+    if (!context) {
+      return Error(ErrorCode::Internal, kEncodeStep, "", "no memory");
+    }
     std::string patch(ZSTD_compressBound(aTarget.size()), '\0');
-    std::size_t status = ZSTD_CCtx_setParameter(
-      context.get(), ZSTD_c_compressionLevel, kLevel);
+    std::size_t status =
+      ZSTD_CCtx_setParameter(context.get(), ZSTD_c_compressionLevel, kLevel);
     if (ZSTD_isError(status) == 0) {
       status = ZSTD_CCtx_setParameter(context.get(),
                                       ZSTD_c_windowLog,
                                       WindowLog(aBase.size() + aTarget.size()));
     }
     if (ZSTD_isError(status) == 0) {
-      status =
-        ZSTD_CCtx_refPrefix(context.get(), aBase.data(), aBase.size());
+      status = ZSTD_CCtx_refPrefix(context.get(), aBase.data(), aBase.size());
     }
     if (ZSTD_isError(status) == 0) {
       status = ZSTD_compress2(context.get(),
@@ -70,6 +72,9 @@
                              ByteCount aSize) const override
   {
     const std::unique_ptr<ZSTD_DCtx, FreeContext> context(ZSTD_createDCtx());
+    if (!context) {
+      return Error(ErrorCode::Internal, kDecodeStep, "", "no memory");
+    }
     std::string target(aSize.Value(), '\0');
     std::size_t status =
       ZSTD_DCtx_refPrefix(context.get(), aBase.data(), aBase.size());
--- a/src/process/ControlCoreTest.cpp
+++ b/src/process/ControlCoreTest.cpp
@@ -67,19 +67,17 @@
   }
   void ReadFromPlatform()
   {
-    m_core->OnListing(
-      { { ConfigurationKey(kAccount), Revision(7), "{}" } },
-      Revision(7),
-      Now(),
-      "configurations/",
-      DocumentChannel::List);
+    m_core->OnListing({ { ConfigurationKey(kAccount), Revision(7), "{}" } },
+                      Revision(7),
+                      Now(),
+                      "configurations/",
+                      DocumentChannel::List);
   }
   UpstreamAnnouncement Announced(std::uint32_t aSlots) const
   {
-    return { kService,
-             UpstreamVersion("v1"),
-             UpstreamState::Live,
-             SlotCount(aSlots) };
+    return {
+      kService, UpstreamVersion("v1"), UpstreamState::Live, SlotCount(aSlots)
+    };
   }
 
   OneRouteDecoder m_decoder;
@@ -135,10 +133,10 @@
     }
     if (aActions.m_pull) {
       const std::size_t peer = aActions.m_pull->m_peer.Port() - 7000U;
-      Handle(aNode,
-             m_cores[aNode]->OnPullAnswer(
-               m_cores[peer]->OnPull(aActions.m_pull->m_request, Now()),
-               Now()));
+      Handle(
+        aNode,
+        m_cores[aNode]->OnPullAnswer(
+          m_cores[peer]->OnPull(aActions.m_pull->m_request, Now()), Now()));
     }
     for (const OutgoingDatagram& outgoing : aActions.m_send) {
       const std::size_t to = outgoing.m_to.Port() - 7000U;
--- a/src/process/ControlUsage.cpp
+++ b/src/process/ControlUsage.cpp
@@ -38,8 +38,7 @@
 void
 ControlCore::SendUsage(const UsageReport& aReport, ControlActions& aActions)
 {
-  const MemberRecord* writer =
-    m_gossip.Members().Table().Find(m_usageWriter);
+  const MemberRecord* writer = m_gossip.Members().Table().Find(m_usageWriter);
   if (writer == nullptr) {
     return;
   }
--- a/src/process/Distribution.cpp
+++ b/src/process/Distribution.cpp
@@ -134,8 +134,7 @@
   Revision& complete = m_complete[aPrefix];
   complete = std::max(complete, aComplete);
   KeepFormer(aDocuments);
-  SpreadLater(
-    Apply(aDocuments, { aChannel, {}, {} }, aNow), RankWait(), aNow);
+  SpreadLater(Apply(aDocuments, { aChannel, {}, {} }, aNow), RankWait(), aNow);
   m_answeredAt[aPrefix] = aNow;
 }
 
@@ -225,9 +224,7 @@
     const auto held = std::find_if(
       aRequest.m_held.begin(),
       aRequest.m_held.end(),
-      [&](const HeldDocument& aHeld) {
-        return aHeld.m_key == document.m_key;
-      });
+      [&](const HeldDocument& aHeld) { return aHeld.m_key == document.m_key; });
     std::vector<DocumentPatch> patches;
     if (held != aRequest.m_held.end()) {
       patches = m_history.Between(
@@ -236,9 +233,8 @@
     if (patches.empty()) {
       pulled.m_documents.push_back(std::move(document));
     } else {
-      std::move(patches.begin(),
-                patches.end(),
-                std::back_inserter(pulled.m_patches));
+      std::move(
+        patches.begin(), patches.end(), std::back_inserter(pulled.m_patches));
     }
   }
   return pulled;
@@ -467,9 +463,8 @@
 {
   Datagram empty;
   empty.m_from = m_topology->SelfVm();
-  empty.m_path =
-    aPath.value_or(SpreadPath{
-      m_topology->SelfVm(), kWidestSeed, SpreadScope::DataCentre });
+  empty.m_path = aPath.value_or(
+    SpreadPath{ m_topology->SelfVm(), kWidestSeed, SpreadScope::DataCentre });
   std::vector<Datagram> datagrams{ empty };
   bool isAnyLarge = false;
   // Reserves space for the digest in each datagram, since any of them may be
--- a/src/process/DistributionTest.cpp
+++ b/src/process/DistributionTest.cpp
@@ -225,13 +225,19 @@
   SingleNodeTopology topology;
   Result<Distribution> made = Distribution::Create({}, topology, random);
   made.value().RaiseFloor(Revision(5));
-  made.value().OfferFromPeer(
-    VmId("vm-2"), { { Version(4) }, {} }, DocumentSource::Peer, std::nullopt, {});
+  made.value().OfferFromPeer(VmId("vm-2"),
+                             { { Version(4) }, {} },
+                             DocumentSource::Peer,
+                             std::nullopt,
+                             {});
   cr_assert(made.value().IsBelowFloor());
   made.value().RaiseFloor(Revision(3));
   cr_assert(made.value().IsBelowFloor());
-  made.value().OfferFromPeer(
-    VmId("vm-2"), { { Version(5) }, {} }, DocumentSource::Peer, std::nullopt, {});
+  made.value().OfferFromPeer(VmId("vm-2"),
+                             { { Version(5) }, {} },
+                             DocumentSource::Peer,
+                             std::nullopt,
+                             {});
   cr_assert(!made.value().IsBelowFloor());
 }
 
--- a/src/process/MembershipSending.cpp
+++ b/src/process/MembershipSending.cpp
@@ -177,7 +177,8 @@
   const std::size_t relays = Relays().size();
   const std::vector<Datagram> datagrams = Pack(relayed, std::nullopt);
   for (std::size_t i = *rank; i < others.size(); i += relays) {
-    const std::optional<VmId> member = PickFrom(m_table.InCell(others[i]).m_all);
+    const std::optional<VmId> member =
+      PickFrom(m_table.InCell(others[i]).m_all);
     for (const Datagram& datagram : datagrams) {
       aSend.push_back({ AddressOf(*member), datagram });
     }
--- a/src/process/PatchHistory.cpp
+++ b/src/process/PatchHistory.cpp
@@ -12,13 +12,13 @@
     return;
   }
   Patches& document = m_documents[aPatch.m_key];
-  const bool isKnown = std::any_of(
-    document.m_patches.begin(),
-    document.m_patches.end(),
-    [&](const DocumentPatch& aHeld) {
-      return aHeld.m_base == aPatch.m_base &&
-             aHeld.m_revision == aPatch.m_revision;
-    });
+  const bool isKnown =
+    std::any_of(document.m_patches.begin(),
+                document.m_patches.end(),
+                [&](const DocumentPatch& aHeld) {
+                  return aHeld.m_base == aPatch.m_base &&
+                         aHeld.m_revision == aPatch.m_revision;
+                });
   if (isKnown) {
     return;
   }
@@ -26,9 +26,8 @@
   document.m_bytes += size;
   while (document.m_patches.size() > m_settings.m_maxPatches ||
          document.m_bytes > m_settings.m_maxBytes) {
-    document.m_bytes =
-      ByteCount(document.m_bytes.Value() -
-                document.m_patches.front().m_bytes.size());
+    document.m_bytes = ByteCount(document.m_bytes.Value() -
+                                 document.m_patches.front().m_bytes.size());
     document.m_patches.pop_front();
   }
 }
--- a/src/process/PatchHistory.h
+++ b/src/process/PatchHistory.h
@@ -4,7 +4,8 @@
 ///
 ///     history.Add(patch);
 ///     // Empty when the history does not lead from one version to the other.
-///     for (const DocumentPatch& patch : history.Between(key, from, to)) { ... }
+///     for (const DocumentPatch& patch : history.Between(key, from, to)) { ...
+///     }
 ///
 /// Thread safety: one thread for each instance.
 #pragma once
--- a/src/process/PlatformLoop.cpp
+++ b/src/process/PlatformLoop.cpp
@@ -501,13 +501,13 @@
                           std::to_string(aPage.m_number.Value()));
   write.m_body = UsageJson(aPage);
   write.m_operation = OperationId("ledger-" + std::to_string(++m_operations));
-  Current().Write(std::move(write),
-                  [this, page = aPage.m_number](
-                    const Result<Revision>& aRevision) {
-                    if (!aRevision) {
-                      m_core.OnUsageNotWritten(page);
-                    }
-                  });
+  Current().Write(
+    std::move(write),
+    [this, page = aPage.m_number](const Result<Revision>& aRevision) {
+      if (!aRevision) {
+        m_core.OnUsageNotWritten(page);
+      }
+    });
 }
 
 } // namespace tarragontray
--- a/src/process/ZoneDistributionTest.cpp
+++ b/src/process/ZoneDistributionTest.cpp
@@ -25,19 +25,18 @@
 NodeSettings
 PlatformSettingsOf(bool aIsFirstStart)
 {
-  const std::array<const char*, 9> flags{
-    "node",
-    "--vm=vm",
-    "--data-centre=dc",
-    "--front-address=127.0.0.1:1",
-    "--peer-address=127.0.0.1:2",
-    "--admin-address=127.0.0.1:3",
-    "--platform=127.0.0.1:4",
-    "--join=platform",
-    aIsFirstStart ? "--bootstrap=true" : "--bootstrap=false"
-  };
-  const ParsedCommand parsed = NodeSettingsParser().Parse(
-    static_cast<int>(flags.size()), flags.data());
+  const std::array<const char*, 9> flags{ "node",
+                                          "--vm=vm",
+                                          "--data-centre=dc",
+                                          "--front-address=127.0.0.1:1",
+                                          "--peer-address=127.0.0.1:2",
+                                          "--admin-address=127.0.0.1:3",
+                                          "--platform=127.0.0.1:4",
+                                          "--join=platform",
+                                          aIsFirstStart ? "--bootstrap=true"
+                                                        : "--bootstrap=false" };
+  const ParsedCommand parsed =
+    NodeSettingsParser().Parse(static_cast<int>(flags.size()), flags.data());
   cr_assert(!parsed.m_exitStatus);
   return ReadNodeSettings(parsed.m_settings);
 }
@@ -49,8 +48,8 @@
   SeededRandom random(1);
   std::string body;
   while (body.size() < 150'000) {
-    body += R"({"Name":"route-)" + std::to_string(random.Next()) +
-            R"(","Service":"box-office","Timeout":"1200ms"},)";
+    body += R"({"id":"route-)" + std::to_string(random.Next()) +
+            R"(","to":"box-office","limit":"1200ms"},)";
   }
   return body;
 }
@@ -182,12 +181,12 @@
     ZonedNetwork network(1, nodes);
     // A list and a watch of each watcher, and two checks a second. Nodes that
     // know few of their peers yet may rank themselves among the watchers.
-    cr_assert_leq(network.m_network.ThePlatform().m_calls,
-                  8 * kDataCentres + 20,
-                  "%zu nodes: %llu calls",
-                  nodes,
-                  static_cast<unsigned long long>(
-                    network.m_network.ThePlatform().m_calls));
+    cr_assert_leq(
+      network.m_network.ThePlatform().m_calls,
+      8 * kDataCentres + 20,
+      "%zu nodes: %llu calls",
+      nodes,
+      static_cast<unsigned long long>(network.m_network.ThePlatform().m_calls));
   }
 }
 
@@ -216,12 +215,12 @@
   // child in the tree.
   constexpr std::uint64_t kMaxBytes = 8'000;
   for (const auto& [vm, node] : nodes.m_network.Nodes()) {
-    cr_assert_lt((node->m_bytesSent - before[vm]) / kChanges,
-                 kMaxBytes,
-                 "%s sent %llu bytes",
-                 vm.Value().c_str(),
-                 static_cast<unsigned long long>(node->m_bytesSent -
-                                                 before[vm]));
+    cr_assert_lt(
+      (node->m_bytesSent - before[vm]) / kChanges,
+      kMaxBytes,
+      "%s sent %llu bytes",
+      vm.Value().c_str(),
+      static_cast<unsigned long long>(node->m_bytesSent - before[vm]));
   }
 }
 
@@ -301,8 +300,9 @@
 {
   ZonedNetwork nodes(1, 60);
   nodes.m_network.Run(seconds(2));
-  nodes.m_network.Write(kKey, LargeBody() + LargeBody().substr(0, 90'000) +
-                                std::string(2'000, 'x') + "changed");
+  nodes.m_network.Write(kKey,
+                        LargeBody() + LargeBody().substr(0, 90'000) +
+                          std::string(2'000, 'x') + "changed");
   AssertWithinBound(nodes.Propagate(nodes.m_network.ThePlatform().Latest()));
   AssertWithinBound(nodes.LongestPropagation(3));
 }
--- a/src/programs/CtlNodes.cpp
+++ b/src/programs/CtlNodes.cpp
@@ -153,7 +153,8 @@
 /// Raises the uses of one source to those of a report. Returns false if the
 /// report is malformed; the entries before the fault stay added.
 bool
-AddReport(const json::object& aReport, std::map<AccountPair, CapacityUse>& aUses)
+AddReport(const json::object& aReport,
+          std::map<AccountPair, CapacityUse>& aUses)
 {
   json::error_code code;
   const json::value* usage = aReport.if_contains("usage");
--- a/src/request/Subset.h
+++ b/src/request/Subset.h
@@ -1,9 +1,9 @@
 /// \file
 /// Selects the subset of targets that a node uses of each service, and the home
 /// target of each idempotency key. The control thread selects the subset once
-/// per view, so that the cost of a call doesn't depend on the number of targets;
-/// a home is computed for each call that has a key, since few calls do and a
-/// table of all homes would be rebuilt at each change of the targets.
+/// per view, so that the cost of a call doesn't depend on the number of
+/// targets; a home is computed for each call that has a key, since few calls do
+/// and a table of all homes would be rebuilt at each change of the targets.
 ///
 ///     view.m_targets = SelectSubset(settings, allTargets);
 ///     view.m_keys = KeyPlacement::Create(allTargets).value();
--- a/src/version/DocumentPatch.cpp
+++ b/src/version/DocumentPatch.cpp
@@ -41,8 +41,9 @@
     return Error(ErrorCode::Conflict,
                  kStep,
                  aPatch.m_key.Value(),
-                 "applies to revision " + std::to_string(aPatch.m_base.Value()) +
-                   ", held is " + std::to_string(aBase.m_revision.Value()));
+                 "applies to revision " +
+                   std::to_string(aPatch.m_base.Value()) + ", held is " +
+                   std::to_string(aBase.m_revision.Value()));
   }
   if (aPatch.m_size > kMaxPatchedBytes) {
     return Error(ErrorCode::Malformed,
@@ -51,8 +52,8 @@
                  std::to_string(aPatch.m_size.Value()) + " bytes, at most " +
                    std::to_string(kMaxPatchedBytes.Value()));
   }
-  BOOST_OUTCOME_TRY(
-    auto body, aCodec.Decode(aBase.m_body, aPatch.m_bytes, aPatch.m_size));
+  BOOST_OUTCOME_TRY(auto body,
+                    aCodec.Decode(aBase.m_body, aPatch.m_bytes, aPatch.m_size));
   if (body.size() != aPatch.m_size.Value() ||
       StableHash(body) != aPatch.m_hash) {
     return Error(ErrorCode::Malformed,
