A coordinator that takes over asks for a trial of its own before the full share

Cause: a coordinator without evidence of its own took any lowered share of a predecessor for a trial that had passed. A suspect version is lowered as well. Of the class of hand-overs: what one process knows against an order was not known to the next, which acted on the order's state alone. Change: only the full share shows that a predecessor's trial passed; else the successor runs one. Test: BriefMovePolicy.ASuccessorTakesASuspectVersionForOneThatPassedItsTrial failed before.

--- a/src/version/BriefMovePolicyTest.cpp
+++ b/src/version/BriefMovePolicyTest.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include "version/MoveCoordinator.h"
+
 namespace tarragontray {
 
 namespace {
@@ -182,4 +184,33 @@
   cr_assert(!BriefMovePolicy::Create(settings).has_value());
 }
 
+/// A coordinator whose data centre is cut off from the others leaves a share
+/// that it lowered for evidence that its successor does not have.
+Test(BriefMovePolicy, ASuccessorTakesASuspectVersionForOneThatPassedItsTrial)
+{
+  const auto policy = BriefMovePolicy::Create({}).value();
+  const DataCentreId dataCentre("dc");
+  const WallTime start{ std::chrono::hours(1) };
+  MovePlan plan;
+  plan.m_start = start;
+  plan.m_deadline = start + std::chrono::seconds(16);
+  MoveCoordinator successor(plan, dataCentre, *policy, std::chrono::seconds(1));
+  MoveProgress progress;
+  DataCentreProgress& own = progress.m_dataCentres[dataCentre];
+  own.m_epoch = ProgressEpoch(1);
+  own.m_share = Share::FromFraction(0.07);
+  bool hasTried = false;
+  for (Duration elapsed = std::chrono::milliseconds(8'000);
+       elapsed < std::chrono::seconds(16);
+       elapsed += std::chrono::milliseconds(100)) {
+    const Times times{ MonotonicTime(std::chrono::hours(1) + elapsed),
+                       start + elapsed };
+    successor.Advance({}, 0, own.m_share, times, progress);
+    hasTried |=
+      own.m_share < Share::All() && own.m_share > Share::FromFraction(0.5);
+    cr_assert(own.m_share < Share::All() || hasTried);
+  }
+  cr_assert(own.m_share == Share::All());
+}
+
 } // namespace tarragontray
--- a/src/version/MoveCoordinator.cpp
+++ b/src/version/MoveCoordinator.cpp
@@ -132,10 +132,11 @@
   if (!m_hasBegun) {
     m_hasBegun = true;
     Begin(aTimes.m_now);
-    // A predecessor lowered the share, which usually ended a trial.
+    // Only the full share shows that a predecessor's trial passed. After a
+    // trial or for a suspect version the predecessor lowered the share alike.
     const auto own = aProgress.m_dataCentres.find(m_dataCentre);
     m_hasPassedTrial = own != aProgress.m_dataCentres.end() &&
-                       own->second.m_epoch != ProgressEpoch();
+                       own->second.m_share == Share::All();
   }
   EvidenceWindow window = m_table.TakeWindow(aTimes.m_now);
   window.m_oldSlots = aSlots.m_old;
