--- a/src/request/Subset.cpp
+++ b/src/request/Subset.cpp
@@ -88,9 +88,9 @@
 KeyPlacement::KeyPlacement(std::vector<Target> aTargets)
   : m_targets(std::move(aTargets))
 {
-  for (std::size_t i = 0; i < m_targets.size(); ++i) {
-    m_members[m_targets[i].m_version].push_back(
-      { StableHash(m_targets[i].m_vm.Value()), &m_targets[i] });
+  for (const Target& target : m_targets) {
+    m_members[target.m_version].push_back(
+      { StableHash(target.m_vm.Value()), &target });
   }
 }
 
