The wait between views for the membership grows with the fleet

Suspected cause: in a fleet of four the view with a target that had come back waited 200 ms after the one before, and by then the next target was leaving. Change: 0.5 ms for each member, so that a small fleet publishes each change after 20 ms as before, and one of 400 waits the 200 ms. Test: ControlCore.AChangeInASmallFleetWaitsForTheViewOfTheOneBefore; the test of the interval now has the 400 members that it speaks of.

--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -268,8 +268,11 @@
     m_moves.AddReport(report, aTimes.m_now);
   }
   if (aGossip.m_membersChanged && !m_membersDue) {
-    m_membersDue = std::max(aTimes.m_now + m_settings.m_viewDelay,
-                            m_membersAt + m_settings.m_memberInterval);
+    const auto members =
+      static_cast<std::int64_t>(m_gossip.Members().Members().size());
+    m_membersDue =
+      std::max(aTimes.m_now + m_settings.m_viewDelay,
+               m_membersAt + m_settings.m_intervalPerMember * members);
   }
   ProcessDocuments(aTimes);
   UpdateSynchronized(aTimes.m_now);
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -63,10 +63,10 @@
   std::vector<WatchedPrefix> m_prefixes{ { "configurations/" } };
   /// Changes within this time are combined into one view.
   Duration m_viewDelay = std::chrono::milliseconds(20);
-  /// The least time between two views for changes of the membership. Each costs
-  /// time in proportion to the members, and there are more of them in a larger
-  /// fleet.
-  Duration m_memberInterval = std::chrono::milliseconds(200);
+  /// The least time between two views for changes of the membership, for each
+  /// member. A view costs time in proportion to the members, and there are more
+  /// changes in a larger fleet; in a small one, each change matters at once.
+  Duration m_intervalPerMember = std::chrono::microseconds(500);
 };
 
 /// Actions that the caller carries out after an event.
--- a/src/process/ControlCoreTest.cpp
+++ b/src/process/ControlCoreTest.cpp
@@ -186,6 +186,19 @@
   cr_assert_leq(nodes.m_writes, 12, "%zu", nodes.m_writes);
 }
 
+/// A call that finds only the target that has just left is refused.
+Test(ControlCore, AChangeInASmallFleetWaitsForTheViewOfTheOneBefore)
+{
+  OneNode node;
+  node.m_core->OnUpstreamAnnouncement(node.Announced(8), node.Now());
+  node.ReadFromPlatform();
+  node.Tick(seconds(1));
+  for (std::uint32_t slots = 9; slots < 19; ++slots) {
+    node.m_core->OnUpstreamAnnouncement(node.Announced(slots), node.Now());
+    cr_assert_eq(node.Tick(milliseconds(30)), 1);
+  }
+}
+
 Test(ControlCore, UsageIsLostWithTheDatagramOfANodeThatStaysIdle)
 {
   DataCentre nodes(3);
@@ -226,13 +239,24 @@
   cr_assert(node.m_core->IsReady());
 }
 
-/// Each view costs time in proportion to the fleet, whose changes are
-/// proportional to it, too.
+/// In a fleet of 400 members. Each view costs time in proportion to the fleet,
+/// whose changes are proportional to it, too.
 Test(ControlCore, EveryChangeOfTheMembershipCausesAView)
 {
   OneNode node;
   node.m_core->OnUpstreamAnnouncement(node.Announced(8), node.Now());
   node.ReadFromPlatform();
+  Datagram others;
+  others.m_from = VmId("peer-1");
+  for (int i = 1; i < 400; ++i) {
+    MemberRecord& record = others.m_members.emplace_back();
+    record.m_vm = VmId("peer-" + std::to_string(i));
+    record.m_dataCentre = DataCentreId("dc");
+    record.m_cell = record.m_dataCentre;
+    record.m_incarnation = Incarnation(1);
+    record.m_state = NodeState::Dead;
+  }
+  node.m_core->OnDatagram(others, { 0x7F000001, 7001 }, node.Now());
   node.Tick(seconds(1));
   std::size_t views = 0;
   for (std::uint32_t slots = 9; slots < 109; ++slots) {
