--- a/src/process/ControlUsage.cpp
+++ b/src/process/ControlUsage.cpp
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "process/ControlCore.h"
-#include "process/DatagramSize.h"
+#include "process/EvidenceRouting.h"
 
 namespace tarragontray {
 
@@ -42,21 +42,8 @@
   if (writer == nullptr) {
     return;
   }
-  Datagram empty;
-  empty.m_from = m_gossip.Members().SelfVm();
-  empty.m_usage.push_back({ aReport.m_vm, aReport.m_incarnation, {} });
-  std::vector<Datagram> datagrams{ empty };
-  for (const UsageEntry& entry : aReport.m_entries) {
-    auto& entries = datagrams.back().m_usage.front().m_entries;
-    entries.push_back(entry);
-    if (entries.size() > 1 &&
-        EncodedSize(datagrams.back()) > kMaxDatagramBytes) {
-      entries.pop_back();
-      datagrams.push_back(empty);
-      datagrams.back().m_usage.front().m_entries.push_back(entry);
-    }
-  }
-  for (Datagram& datagram : datagrams) {
+  for (Datagram& datagram :
+       PackReport(m_gossip.Members().SelfVm(), aReport, &Datagram::m_usage)) {
     aActions.m_send.push_back({ writer->m_peerAddress, std::move(datagram) });
   }
 }
--- a/src/process/EvidenceRouting.cpp
+++ b/src/process/EvidenceRouting.cpp
@@ -1,7 +1,5 @@
 #include "process/EvidenceRouting.h"
 
-#include "process/DatagramSize.h"
-
 namespace tarragontray {
 
 std::vector<VmId>
@@ -31,25 +29,7 @@
 std::vector<Datagram>
 PackEvidence(const VmId& aFrom, const EvidenceReport& aReport)
 {
-  EvidenceReport head = aReport;
-  head.m_entries.clear();
-  Datagram empty;
-  empty.m_kind = DatagramKind::Update;
-  empty.m_from = aFrom;
-  empty.m_evidence.push_back(head);
-  // A report without entries still shows that the node is reachable.
-  std::vector<Datagram> datagrams{ empty };
-  for (const EvidenceEntry& entry : aReport.m_entries) {
-    auto& entries = datagrams.back().m_evidence.front().m_entries;
-    entries.push_back(entry);
-    if (entries.size() > 1 &&
-        EncodedSize(datagrams.back()) > kMaxDatagramBytes) {
-      entries.pop_back();
-      datagrams.push_back(empty);
-      datagrams.back().m_evidence.front().m_entries.push_back(entry);
-    }
-  }
-  return datagrams;
+  return PackReport(aFrom, aReport, &Datagram::m_evidence);
 }
 
 LocalObservation
--- a/src/process/EvidenceRouting.h
+++ b/src/process/EvidenceRouting.h
@@ -11,10 +11,12 @@
 
 #include <map>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "base/Ids.h"
 #include "process/Datagram.h"
+#include "process/DatagramSize.h"
 #include "process/MemberRecord.h"
 #include "request/CallPlan.h"
 #include "version/LocalEvidence.h"
@@ -31,7 +33,37 @@
 std::set<DataCentreId>
 ReachableDataCentres(const MembersByVm& aMembers);
 
-/// Splits a report into datagrams of at most kMaxDatagramBytes each.
+/// Splits the entries of a report into datagrams of at most kMaxDatagramBytes
+/// each. A report without entries takes one datagram.
+/// \param aReports the member of Datagram that holds reports of this type.
+template<typename Report>
+std::vector<Datagram>
+PackReport(const VmId& aFrom,
+           const Report& aReport,
+           std::vector<Report> Datagram::*aReports)
+{
+  Report head = aReport;
+  head.m_entries.clear();
+  Datagram empty;
+  empty.m_kind = DatagramKind::Update;
+  empty.m_from = aFrom;
+  (empty.*aReports).push_back(std::move(head));
+  std::vector<Datagram> datagrams{ empty };
+  for (const auto& entry : aReport.m_entries) {
+    auto& entries = (datagrams.back().*aReports).front().m_entries;
+    entries.push_back(entry);
+    if (entries.size() > 1 &&
+        EncodedSize(datagrams.back()) > kMaxDatagramBytes) {
+      entries.pop_back();
+      datagrams.push_back(empty);
+      (datagrams.back().*aReports).front().m_entries.push_back(entry);
+    }
+  }
+  return datagrams;
+}
+
+/// PackReport() for evidence. A report without entries still shows that the
+/// node is reachable.
 std::vector<Datagram>
 PackEvidence(const VmId& aFrom, const EvidenceReport& aReport);
 
