--- a/review/build.sh
+++ b/review/build.sh
@@ -7,7 +7,7 @@
   echo "review: Python 3.11 or later is needed" >&2
   exit 1
 }
-for source in common/world.py [1-5]/case.py; do
+for source in common/*.py [1-5]/*.py; do
   [ -e "$source" ] || continue
   python3 -B -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$source"
 done
