--- a/review/1/back.py
+++ b/review/1/back.py
@@ -11,7 +11,7 @@
 HOST = "gate.example"
 DURATION = 12.0
 RATE = 60.0
-BAD_SHARE = 0.5
+BAD_SHARE = 0.42
 EXPOSE_SHARE = 0.1
 EXPOSE_SLACK = 50
 GO_BACK_AFTER = 2.5
