--- a/src/connection/DatagramCodec.cpp
+++ b/src/connection/DatagramCodec.cpp
@@ -89,6 +89,34 @@
   aSource.Shared(aService.m_name);
 }
 
+bool
+GetFlag(Reader& aReader)
+{
+  const std::uint64_t flag = aReader.GetNumber();
+  if (flag > 1) {
+    aReader.Fail();
+  }
+  return flag == 1;
+}
+
+void
+Get(Reader& aReader, DepartedUpstreams& aDeparted)
+{
+  const std::size_t count = aReader.GetCount();
+  if (count > DepartedUpstreams::kMaxProcesses) {
+    aReader.Fail();
+    return;
+  }
+  for (std::size_t i = 0; i < count && !aReader.IsFailed(); ++i) {
+    UpstreamProcess process;
+    Get(aReader, process.m_instance);
+    if (GetFlag(aReader)) {
+      Get(aReader, process.m_birth.emplace());
+    }
+    aDeparted.Add(process);
+  }
+}
+
 void
 Get(Source& aSource, MemberRecord& aRecord)
 {
@@ -105,6 +133,7 @@
   aSource.Shared(aRecord.m_upstream.m_version);
   GetEnum(reader, aRecord.m_upstream.m_state, UpstreamState::Draining);
   Get(reader, aRecord.m_upstream.m_slots);
+  Get(reader, aRecord.m_departed);
 }
 
 void
@@ -146,16 +175,6 @@
   Get(aSource.Values(), aMove.m_plan);
 }
 
-bool
-GetFlag(Reader& aReader)
-{
-  const std::uint64_t flag = aReader.GetNumber();
-  if (flag > 1) {
-    aReader.Fail();
-  }
-  return flag == 1;
-}
-
 void
 Get(Source& aSource, Veto& aVeto)
 {
--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -67,6 +67,9 @@
   , m_ledger(std::move(aLedger))
   , m_usagePages(aSettings.m_self.m_vm, aSettings.m_self.m_incarnation)
 {
+  if (aSettings.m_departureHistory != DepartureHistory::None) {
+    m_upstreams.AwaitHistory();
+  }
 }
 
 ControlActions
@@ -122,18 +125,95 @@
 }
 
 ControlActions
-ControlCore::OnUpstreamAnnouncement(const UpstreamAnnouncement& aUpstream,
-                                    const Times& aTimes)
+ControlCore::OnUpstreamReport(const UpstreamReport& aReport,
+                              const Times& aTimes)
 {
   m_announcedAt = aTimes.m_now;
-  if (aUpstream == m_upstream) {
+  const bool isChanged = m_upstreams.Offer(aReport);
+  const bool hasDeparture =
+    m_upstreams.Departed() != m_gossip.Members().Self().m_departed;
+  if (!isChanged && !hasDeparture) {
     return {};
   }
-  m_upstream = aUpstream;
-  m_gossip.Members().SetUpstream(aUpstream, aTimes.m_now);
-  GossipActions changed;
-  changed.m_membersChanged = true;
-  return Finish(std::move(changed), aTimes);
+  return Finish({}, aTimes);
+}
+
+bool
+ControlCore::IsDepartureRecorded(const UpstreamProcess& aProcess) const
+{
+  const Membership& members = m_gossip.Members();
+  if (m_storedDepartures.Covers(aProcess)) {
+    return true;
+  }
+  if (members.IsConfirmed()) {
+    return members.Self().m_departed.Covers(aProcess);
+  }
+  return m_settings.m_departureHistory != DepartureHistory::PlatformOrPeers &&
+         !members.HasPeers();
+}
+
+bool
+ControlCore::AreDeparturesRecorded() const
+{
+  const auto& processes = m_upstreams.Departed().Processes();
+  return std::all_of(
+    processes.begin(), processes.end(), [this](const auto& aProcess) {
+      return IsDepartureRecorded(aProcess);
+    });
+}
+
+bool
+ControlCore::HasReceivedHistory() const
+{
+  switch (m_settings.m_departureHistory) {
+    case DepartureHistory::None:
+      return true;
+    case DepartureHistory::Peers:
+      return m_gossip.Members().IsJoined();
+    case DepartureHistory::PlatformOrPeers:
+      break;
+  }
+  // The entry in a copy from which the platform was restored may lack what
+  // peers know.
+  const bool isEntryCurrent =
+    m_entryEra && (*m_entryEra <= kFirstEra || m_isSynchronized);
+  return isEntryCurrent || m_gossip.Members().IsConfirmed();
+}
+
+ControlActions
+ControlCore::OnOwnEntry(const DepartedUpstreams& aDeparted,
+                        Revision aRevision,
+                        const Times& aTimes)
+{
+  m_storedDepartures = aDeparted;
+  m_entryEra = EraOf(aRevision);
+  m_upstreams.Adopt(aDeparted);
+  return Finish({}, aTimes);
+}
+
+bool
+ControlCore::UpdateUpstream(const Times& aTimes, ControlActions& aActions)
+{
+  Membership& members = m_gossip.Members();
+  m_upstreams.Adopt(members.Self().m_departed);
+  members.AddDeparted(m_upstreams.Departed(), aTimes.m_now);
+  if (!m_upstreams.IsHistoryKnown() && HasReceivedHistory()) {
+    m_upstreams.SetHistoryKnown();
+  }
+  members.WantConfirmations(
+    !m_upstreams.IsHistoryKnown() || !AreDeparturesRecorded(), aTimes.m_now);
+  const UpstreamAnnouncement announcement = m_upstreams.Announcement();
+  const bool hasLapsed = std::exchange(m_hasLapsed, false);
+  if (announcement == m_upstream && m_upstreams.Place() == m_upstreamPlace) {
+    return false;
+  }
+  m_upstream = announcement;
+  m_upstreamPlace = m_upstreams.Place();
+  members.SetUpstream(m_upstream, aTimes.m_now);
+  aActions.m_upstream = UpstreamChange{
+    m_upstream, m_upstreamPlace, m_upstreams.Number(), hasLapsed
+  };
+  return true;
 }
 
 void
@@ -263,7 +343,8 @@
 ControlCore::Finish(GossipActions aGossip, const Times& aTimes)
 {
   ControlActions actions;
-  ExpireAnnouncement(aTimes, actions);
+  ExpireAnnouncement(aTimes);
+  aGossip.m_membersChanged |= UpdateUpstream(aTimes, actions);
   for (const EvidenceReport& report : aGossip.m_evidence) {
     m_moves.AddReport(report, aTimes.m_now);
   }
@@ -298,17 +379,15 @@
 }
 
 void
-ControlCore::ExpireAnnouncement(const Times& aTimes, ControlActions& aActions)
+ControlCore::ExpireAnnouncement(const Times& aTimes)
 {
   if (!m_announcedAt ||
       aTimes.m_now < *m_announcedAt + m_settings.m_announcementLapse) {
     return;
   }
   m_announcedAt.reset();
-  m_upstream.m_state = UpstreamState::Absent;
-  m_gossip.Members().SetUpstream(m_upstream, aTimes.m_now);
-  aActions.m_upstream = m_upstream;
-  ScheduleView(aTimes.m_now);
+  m_upstreams.Lapse();
+  m_hasLapsed = true;
 }
 
 void
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -39,6 +39,7 @@
 #include "process/MemberRecord.h"
 #include "process/MoveOrders.h"
 #include "process/TrafficReport.h"
+#include "process/UpstreamRegister.h"
 #include "process/UsagePages.h"
 #include "process/View.h"
 #include "request/AdmissionPolicy.h"
@@ -57,6 +58,7 @@
   MovesSettings m_moves;
   /// Selects BriefMovePolicy, for moves that take seconds rather than minutes.
   bool m_hasBriefMoves = false;
+  DepartureHistory m_departureHistory = DepartureHistory::None;
   /// An upstream that has not announced itself for this long becomes absent.
   Duration m_announcementLapse = std::chrono::seconds(3);
   /// Key prefixes to watch on the platform.
@@ -69,6 +71,16 @@
   Duration m_intervalPerMember = std::chrono::microseconds(500);
 };
 
+/// What the guard has to know about this VM's upstream.
+struct UpstreamChange
+{
+  UpstreamAnnouncement m_announcement;
+  UpstreamEndpoint m_place;
+  AnnouncementNumber m_number;
+  /// Whether the upstream became absent because its announcements stopped.
+  bool m_hasLapsed = false;
+};
+
 /// Actions that the caller carries out after an event.
 struct ControlActions
 {
@@ -78,8 +90,8 @@
   std::shared_ptr<const View> m_view;
   /// Set when the guard's admission bounds changed.
   std::optional<AdmissionBounds> m_bounds;
-  /// Set when the upstream became absent because its announcement expired.
-  std::optional<UpstreamAnnouncement> m_upstream;
+  /// Set when the upstream, its state or its place changed.
+  std::optional<UpstreamChange> m_upstream;
   /// Move outcomes to write to the platform. Returned again until
   /// OnOutcomeWritten() or, for a move that has started, until the order's
   /// object shows it.
@@ -134,9 +146,18 @@
   ControlActions OnPullAnswer(const PullAnswer& aAnswer, const Times& aTimes);
   ControlActions OnPullFailed(const Times& aTimes);
 
-  /// Handles an announcement from this VM's upstream.
-  ControlActions OnUpstreamAnnouncement(const UpstreamAnnouncement& aUpstream,
-                                        const Times& aTimes);
+  /// Handles an announcement or a leave notice of this VM's upstream.
+  ControlActions OnUpstreamReport(const UpstreamReport& aReport,
+                                  const Times& aTimes);
+  /// Whether it is known on the platform or by a majority of the peers that the
+  /// upstream process has departed, so that the node may acknowledge it. Also
+  /// true when nobody else could know it: without a platform and peers.
+  bool IsDepartureRecorded(const UpstreamProcess& aProcess) const;
+  /// The upstream processes of this VM that have announced their end.
+  const DepartedUpstreams& Departed() const { return m_upstreams.Departed(); }
+  /// Whether Departed() holds what an earlier process of this node had
+  /// acknowledged. Until then no upstream is used.
+  bool IsDepartureHistoryKnown() const { return m_upstreams.IsHistoryKnown(); }
   /// Adds a front thread's observations of services with a move.
   void OnObservations(const ObservationBatch& aBatch);
   void OnUsage(const UsageBatch& aBatch);
@@ -183,6 +204,12 @@
   /// it.
   void OnOutcomeWritten(const MoveId& aMove);
   void OnUsageNotWritten(UsagePageNumber aPage);
+  /// This VM's entry on the platform has been read or written.
+  /// \param aDeparted the departed upstreams in the entry.
+  /// \param aRevision the platform's revision at that time.
+  ControlActions OnOwnEntry(const DepartedUpstreams& aDeparted,
+                            Revision aRevision,
+                            const Times& aTimes);
   /// The platform has lost its newest writes, this node's among them.
   void OnPlatformRestored();
   /// \}
@@ -213,7 +240,13 @@
   /// the node that writes for the data centre.
   void ReportUsage(const Times& aTimes, ControlActions& aActions);
   void SendUsage(const UsageReport& aReport, ControlActions& aActions);
-  void ExpireAnnouncement(const Times& aTimes, ControlActions& aActions);
+  void ExpireAnnouncement(const Times& aTimes);
+  /// Exchanges departed upstreams with the membership record, and publishes the
+  /// upstream when it has changed. \return whether it has.
+  bool UpdateUpstream(const Times& aTimes, ControlActions& aActions);
+  /// Whether an earlier process's departed upstreams have all been received.
+  bool HasReceivedHistory() const;
+  bool AreDeparturesRecorded() const;
   void PublishView(const Times& aTimes, ControlActions& aActions);
   void UpdateRoles();
   void RecordOrders(const Times& aTimes, ControlActions& aActions);
@@ -269,7 +302,15 @@
   /// The view published last.
   std::shared_ptr<const View> m_view;
   std::optional<MonotonicTime> m_announcedAt;
+  UpstreamRegister m_upstreams;
+  /// The upstream and its place as published last.
   UpstreamAnnouncement m_upstream;
+  UpstreamEndpoint m_upstreamPlace;
+  bool m_hasLapsed = false;
+  /// The departed upstreams in this VM's entry on the platform.
+  DepartedUpstreams m_storedDepartures;
+  /// The platform's era when the entry was read or written; not set before.
+  std::optional<PlatformEra> m_entryEra;
   std::optional<AdmissionBounds> m_bounds;
   std::vector<ConfigurationChange> m_changes;
 };
--- a/src/process/ControlCoreTest.cpp
+++ b/src/process/ControlCoreTest.cpp
@@ -40,10 +40,11 @@
 class OneNode
 {
 public:
-  OneNode()
+  explicit OneNode(DepartureHistory aHistory = DepartureHistory::None)
     : m_random(1)
   {
     ControlSettings settings;
+    settings.m_departureHistory = aHistory;
     settings.m_self.m_vm = VmId("vm-1");
     settings.m_self.m_dataCentre = DataCentreId("dc");
     settings.m_self.m_peerAddress = NetworkAddress(0x7F000001, 7000);
@@ -73,11 +74,13 @@
                       "configurations/",
                       DocumentChannel::List);
   }
-  UpstreamAnnouncement Announced(std::uint32_t aSlots) const
+  UpstreamReport Announced(std::uint32_t aSlots) const
   {
-    return {
+    UpstreamReport report;
+    report.m_announcement = {
       kService, UpstreamVersion("v1"), UpstreamState::Live, SlotCount(aSlots)
     };
+    return report;
   }
 
   OneRouteDecoder m_decoder;
@@ -94,11 +97,7 @@
     : m_random(1)
   {
     for (std::uint16_t i = 0; i < aNodes; ++i) {
-      ControlSettings settings;
-      settings.m_self.m_vm = VmId("vm-" + std::to_string(i));
-      settings.m_self.m_dataCentre = DataCentreId("dc");
-      settings.m_self.m_peerAddress = AddressOf(i);
-      settings.m_self.m_incarnation = Incarnation(1);
+      ControlSettings settings = SettingsOf(i);
       settings.m_seeds = { AddressOf(0) };
       m_cores.push_back(
         ControlCore::Create(settings, m_decoder, m_random).value());
@@ -106,6 +105,40 @@
     Run(seconds(10));
   }
 
+  static ControlSettings SettingsOf(std::size_t aNode)
+  {
+    ControlSettings settings;
+    settings.m_self.m_vm = VmId("vm-" + std::to_string(aNode));
+    settings.m_self.m_dataCentre = DataCentreId("dc");
+    settings.m_self.m_peerAddress = AddressOf(aNode);
+    settings.m_self.m_incarnation = Incarnation(1);
+    return settings;
+  }
+  /// Replaces a node's process while the platform is away, so that it knows
+  /// nobody until a peer probes it.
+  void RestartWithoutPlatform(std::size_t aNode)
+  {
+    ControlSettings settings = SettingsOf(aNode);
+    settings.m_self.m_incarnation = Incarnation(2);
+    settings.m_departureHistory = DepartureHistory::PlatformOrPeers;
+    m_cores[aNode] = ControlCore::Create(settings, m_decoder, m_random).value();
+  }
+  void Report(std::size_t aNode, const UpstreamReport& aReport)
+  {
+    Handle(aNode, m_cores[aNode]->OnUpstreamReport(aReport, Now()));
+  }
+  /// The state of a node's upstream as another one sees it.
+  UpstreamState StateAt(std::size_t aObserver, std::size_t aNode) const
+  {
+    for (const MemberRecord& member :
+         m_cores[aObserver]->Status(Now().m_wall).m_members) {
+      if (member.m_vm == SettingsOf(aNode).m_self.m_vm) {
+        return member.m_upstream.m_state;
+      }
+    }
+    return UpstreamState::Absent;
+  }
+
   static NetworkAddress AddressOf(std::size_t aNode)
   {
     return { 0x7F000001, static_cast<std::uint16_t>(7000 + aNode) };
@@ -168,8 +201,100 @@
   Duration m_now = seconds(100);
 };
 
+const UpstreamProcess kProcess{ UpstreamInstanceId("i-1"), UpstreamBirth(100) };
+
+UpstreamReport
+Heartbeat(std::uint64_t aBirth, std::uint64_t aNumber)
+{
+  UpstreamReport report;
+  report.m_announcement = {
+    kService, UpstreamVersion("v1"), UpstreamState::Live, SlotCount(8)
+  };
+  report.m_place.m_instance = kProcess.m_instance;
+  report.m_birth = UpstreamBirth(aBirth);
+  report.m_number = AnnouncementNumber(aNumber);
+  return report;
+}
+
+UpstreamReport
+LeaveNotice()
+{
+  UpstreamReport report;
+  report.m_isLeave = true;
+  report.m_place.m_instance = kProcess.m_instance;
+  report.m_birth = kProcess.m_birth;
+  return report;
+}
+
 } // namespace
 
+/// A heartbeat that was held up on its way reaches the next process of the
+/// node, which no longer knows that its upstream has left.
+Test(ControlCore, ADepartedUpstreamIsUsedAgainAfterAKillWithThePlatformAway)
+{
+  DataCentre nodes(6);
+  nodes.Report(2, Heartbeat(100, 4));
+  nodes.Run(seconds(2));
+  cr_assert(nodes.StateAt(0, 2) == UpstreamState::Live);
+  nodes.Report(2, LeaveNotice());
+  cr_assert(!nodes.m_cores[2]->IsDepartureRecorded(kProcess));
+  nodes.Run(milliseconds(500));
+  cr_assert(nodes.m_cores[2]->IsDepartureRecorded(kProcess));
+  nodes.RestartWithoutPlatform(2);
+  nodes.Report(2, Heartbeat(100, 3));
+  for (int step = 0; step < 100; ++step) {
+    nodes.Run(milliseconds(100));
+    for (std::size_t observer = 0; observer < 6; ++observer) {
+      cr_assert(nodes.StateAt(observer, 2) != UpstreamState::Live);
+    }
+  }
+  cr_assert(nodes.m_cores[2]->IsDepartureHistoryKnown());
+  cr_assert(nodes.m_cores[2]->Departed().Covers(kProcess));
+  // Another process of the upstream is used.
+  nodes.Report(2, Heartbeat(200, 1));
+  nodes.Run(seconds(2));
+  cr_assert(nodes.StateAt(0, 2) == UpstreamState::Live);
+}
+
+Test(ControlCore, ADepartureThatOnlyThisProcessKnowsIsAcknowledged)
+{
+  OneNode node(DepartureHistory::PlatformOrPeers);
+  node.m_core->OnUpstreamReport(Heartbeat(100, 1), node.Now());
+  node.m_core->OnUpstreamReport(LeaveNotice(), node.Now());
+  node.Tick(seconds(30));
+  cr_assert(!node.m_core->IsDepartureRecorded(kProcess));
+  node.m_core->OnOwnEntry({}, Revision(7), node.Now());
+  cr_assert(!node.m_core->IsDepartureRecorded(kProcess));
+  node.m_core->OnOwnEntry(node.m_core->Departed(), Revision(8), node.Now());
+  cr_assert(node.m_core->IsDepartureRecorded(kProcess));
+}
+
+Test(ControlCore, AnUpstreamIsUsedBeforeTheNodeKnowsWhichHaveLeft)
+{
+  OneNode node(DepartureHistory::PlatformOrPeers);
+  node.m_core->OnUpstreamReport(Heartbeat(100, 1), node.Now());
+  node.Tick(seconds(1));
+  const auto state = [&] {
+    return node.m_core->Status(node.Now().m_wall).m_self.m_upstream.m_state;
+  };
+  cr_assert(state() == UpstreamState::Absent);
+  const ControlActions actions =
+    node.m_core->OnOwnEntry({}, Revision(7), node.Now());
+  cr_assert(actions.m_upstream.has_value());
+  cr_assert(state() == UpstreamState::Live);
+}
+
+/// The copy from which the platform was restored may lack the newest entries.
+Test(ControlCore, AnEntryOfARestoredPlatformIsTakenForComplete)
+{
+  OneNode node(DepartureHistory::PlatformOrPeers);
+  node.m_core->OnOwnEntry({}, *RevisionIn(PlatformEra(2), 7), node.Now());
+  cr_assert(!node.m_core->IsDepartureHistoryKnown());
+  node.m_core->OnPullAnswer({}, node.Now());
+  node.Tick(milliseconds(500));
+  cr_assert(node.m_core->IsDepartureHistoryKnown());
+}
+
 /// The platform's rates grow more slowly than the fleet.
 Test(ControlCore, EveryNodeWritesItsUsageToThePlatform)
 {
@@ -190,11 +315,11 @@
 Test(ControlCore, AChangeInASmallFleetWaitsForTheViewOfTheOneBefore)
 {
   OneNode node;
-  node.m_core->OnUpstreamAnnouncement(node.Announced(8), node.Now());
+  node.m_core->OnUpstreamReport(node.Announced(8), node.Now());
   node.ReadFromPlatform();
   node.Tick(seconds(1));
   for (std::uint32_t slots = 9; slots < 19; ++slots) {
-    node.m_core->OnUpstreamAnnouncement(node.Announced(slots), node.Now());
+    node.m_core->OnUpstreamReport(node.Announced(slots), node.Now());
     cr_assert_eq(node.Tick(milliseconds(30)), 1);
   }
 }
@@ -233,7 +358,7 @@
 Test(ControlCore, ConfigurationReadTogetherWithItsServiceIsNeverInForce)
 {
   OneNode node;
-  node.m_core->OnUpstreamAnnouncement(node.Announced(8), node.Now());
+  node.m_core->OnUpstreamReport(node.Announced(8), node.Now());
   node.ReadFromPlatform();
   node.Tick(seconds(1));
   cr_assert(node.m_core->IsReady());
@@ -244,7 +369,7 @@
 Test(ControlCore, EveryChangeOfTheMembershipCausesAView)
 {
   OneNode node;
-  node.m_core->OnUpstreamAnnouncement(node.Announced(8), node.Now());
+  node.m_core->OnUpstreamReport(node.Announced(8), node.Now());
   node.ReadFromPlatform();
   Datagram others;
   others.m_from = VmId("peer-1");
@@ -261,14 +386,14 @@
   std::size_t views = 0;
   for (std::uint32_t slots = 9; slots < 109; ++slots) {
     const ControlActions actions =
-      node.m_core->OnUpstreamAnnouncement(node.Announced(slots), node.Now());
+      node.m_core->OnUpstreamReport(node.Announced(slots), node.Now());
     views += (actions.m_view ? 1 : 0) + node.Tick(milliseconds(10));
   }
   cr_assert_geq(views, 4);
   cr_assert_leq(views, 6, "%zu", views);
   // A single change after that takes effect without the interval.
   node.Tick(seconds(1));
-  node.m_core->OnUpstreamAnnouncement(node.Announced(8), node.Now());
+  node.m_core->OnUpstreamReport(node.Announced(8), node.Now());
   cr_assert_eq(node.Tick(milliseconds(30)), 1);
 }
 
--- a/src/process/ControlThread.cpp
+++ b/src/process/ControlThread.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <optional>
+#include <set>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -42,8 +43,29 @@
 /// Delay after a socket error, so that a persistent error does not make the
 /// thread spin.
 constexpr Duration kReceiveErrorDelay = std::chrono::milliseconds(10);
+/// An upstream discards an acknowledgement that takes longer than 1 s.
+constexpr Duration kAcknowledgementLimit = std::chrono::milliseconds(900);
 constexpr char kPart[] = "control";
 
+/// Keeps a timer in a set while a coroutine waits for it.
+class Waiting
+{
+public:
+  Waiting(std::set<asio::steady_timer*>& aSet, asio::steady_timer& aTimer)
+    : m_set(aSet)
+    , m_timer(aTimer)
+  {
+    m_set.insert(&m_timer);
+  }
+  Waiting(const Waiting&) = delete;
+  Waiting& operator=(const Waiting&) = delete;
+  ~Waiting() { m_set.erase(&m_timer); }
+
+private:
+  std::set<asio::steady_timer*>& m_set;
+  asio::steady_timer& m_timer;
+};
+
 class ControlLoop final : public ControlThread
 {
 public:
@@ -106,7 +128,7 @@
       UpstreamReport report;
       report.m_place.m_instance = instance;
       report.m_isLeave = true;
-      ApplyUpstreamReport(report);
+      Handle(m_core->OnUpstreamReport(report, Now()));
     });
   }
 
@@ -179,17 +201,6 @@
     settings.m_watchRest = m_settings.m_watchRest;
     if (m_settings.m_isRegistered) {
       settings.m_registered = m_settings.m_core.m_self;
-      settings.m_onPreviousLeave = [this](const UpstreamProcess& aLife) {
-        UpstreamReport report;
-        report.m_isLeave = true;
-        report.m_place.m_instance = aLife.m_instance;
-        report.m_birth = aLife.m_birth;
-        if (m_upstreams.Offer(report)) {
-          PublishUpstream(AnnouncementNumber(0));
-          Handle(
-            m_core->OnUpstreamAnnouncement(m_upstreams.Announcement(), Now()));
-        }
-      };
     }
     return settings;
   }
@@ -249,6 +260,10 @@
 
   void Handle(ControlActions aActions)
   {
+    // Before anything else, since an upstream that leaves gets no further call.
+    if (aActions.m_upstream) {
+      PublishUpstream(*aActions.m_upstream);
+    }
     for (const OutgoingDatagram& outgoing : aActions.m_send) {
       Send(outgoing);
     }
@@ -265,16 +280,33 @@
     if (aActions.m_bounds) {
       m_traffic.m_setBounds(*aActions.m_bounds);
     }
-    if (aActions.m_upstream) {
-      Log(LogLevel::Warning, kPart, "Upstream announcement expired.");
-      m_upstreams.Lapse();
-      m_traffic.m_setUpstream(m_upstreams.Announcement(), m_upstreams.Place());
-    }
     m_platform->Write(aActions.m_outcomes, aActions.m_usage);
     m_platform->Check();
+    LogHistory();
+    WakeWaiting();
     Schedule();
   }
 
+  void LogHistory()
+  {
+    if (m_core->IsDepartureHistoryKnown() &&
+        !std::exchange(m_isHistoryLogged, true)) {
+      Log(LogLevel::Info,
+          kPart,
+          "Departed upstreams known.",
+          { { "departed",
+              std::to_string(m_core->Departed().Processes().size()) } });
+    }
+  }
+
+  /// Ends the waits of WaitUntilRecorded(), which check their condition again.
+  void WakeWaiting()
+  {
+    for (asio::steady_timer* waiting : m_waiting) {
+      waiting->cancel();
+    }
+  }
+
   void Send(const OutgoingDatagram& aOutgoing)
   {
     const std::string bytes = EncodeDatagram(aOutgoing.m_datagram);
@@ -356,14 +388,57 @@
 
   asio::awaitable<HttpAnswerParts> ServeAdmin(HttpRequestParts aRequest)
   {
-    co_return Answer(aRequest);
+    const auto request = m_settings.m_dialects.m_control->Read(aRequest);
+    if (!request) {
+      co_return Answer(aRequest);
+    }
+    if (!*request) {
+      Log(LogLevel::Warning, kPart, "Announcement refused.", request->error());
+      co_return TextAnswer(400, request->error().Message() + "\n");
+    }
+    if (const auto* report = std::get_if<UpstreamReport>(&request->value())) {
+      co_return co_await Acknowledge(*report);
+    }
+    const bool isReady = m_core->IsReady() && !m_isDraining;
+    co_return TextAnswer(isReady ? 200 : 503,
+                         isReady ? "ready\n" : "not ready\n");
+  }
+
+  /// Acknowledges a report once what it announces is recorded outside of this
+  /// process. An upstream that leaves gets no further call in any case.
+  asio::awaitable<HttpAnswerParts> Acknowledge(UpstreamReport aReport)
+  {
+    Handle(m_core->OnUpstreamReport(aReport, Now()));
+    const std::optional<UpstreamProcess> departure = DepartureIn(aReport);
+    if (departure && !co_await WaitUntilRecorded(*departure)) {
+      Log(LogLevel::Warning,
+          kPart,
+          "Departure not recorded.",
+          { { "instance", departure->m_instance.Value() },
+            { "waited_ms", Milliseconds(kAcknowledgementLimit) } });
+      co_return TextAnswer(503, "the departure is not recorded yet\n");
+    }
+    co_return m_settings.m_dialects.m_control->Acknowledge();
   }
 
-  HttpAnswerParts Answer(const HttpRequestParts& aRequest)
+  /// \return whether the departure was recorded within kAcknowledgementLimit.
+  asio::awaitable<bool> WaitUntilRecorded(UpstreamProcess aProcess)
   {
-    if (auto request = m_settings.m_dialects.m_control->Read(aRequest)) {
-      return Answer(*request);
+    const MonotonicTime end = m_clock.Now() + kAcknowledgementLimit;
+    while (!m_core->IsDepartureRecorded(aProcess)) {
+      const Duration left = end - m_clock.Now();
+      if (left <= Duration::zero()) {
+        co_return false;
+      }
+      asio::steady_timer changed(m_loop.Context(), left);
+      const Waiting waiting(m_waiting, changed);
+      co_await changed.async_wait(kAwait);
     }
+    co_return true;
+  }
+
+  HttpAnswerParts Answer(const HttpRequestParts& aRequest)
+  {
     if (aRequest.m_method != "GET") {
       return TextAnswer(405, "method not allowed\n");
     }
@@ -392,43 +467,22 @@
     return TextAnswer(404, "not found\n");
   }
 
-  HttpAnswerParts Answer(const Result<ControlRequest>& aRequest)
-  {
-    if (!aRequest) {
-      Log(LogLevel::Warning, kPart, "Announcement refused.", aRequest.error());
-      return TextAnswer(400, aRequest.error().Message() + "\n");
-    }
-    if (const auto* report = std::get_if<UpstreamReport>(&aRequest.value())) {
-      ApplyUpstreamReport(*report);
-      return m_settings.m_dialects.m_control->Acknowledge();
-    }
-    const bool isReady = m_core->IsReady() && !m_isDraining;
-    return TextAnswer(isReady ? 200 : 503, isReady ? "ready\n" : "not ready\n");
-  }
-
-  void ApplyUpstreamReport(const UpstreamReport& aReport)
+  void PublishUpstream(const UpstreamChange& aChange)
   {
-    if (m_upstreams.Offer(aReport)) {
-      PublishUpstream(aReport.m_number);
-    }
-    if (m_upstreams.LastLeavingProcess()) {
-      m_platform->RecordUpstreamLeave(*m_upstreams.LastLeavingProcess());
+    const UpstreamAnnouncement& announcement = aChange.m_announcement;
+    if (aChange.m_hasLapsed) {
+      Log(LogLevel::Warning, kPart, "Upstream announcement expired.");
+    } else {
+      Log(LogLevel::Info,
+          kPart,
+          "Upstream announced.",
+          { { "service", announcement.m_service.m_name.Value() },
+            { "version", announcement.m_version.Value() },
+            { "instance", aChange.m_place.m_instance.Value() },
+            { "number", std::to_string(aChange.m_number.Value()) },
+            { "state", std::string(Name(announcement.m_state)) } });
     }
-    Handle(m_core->OnUpstreamAnnouncement(m_upstreams.Announcement(), Now()));
-  }
-
-  void PublishUpstream(AnnouncementNumber aNumber)
-  {
-    const UpstreamAnnouncement& announcement = m_upstreams.Announcement();
-    Log(LogLevel::Info,
-        kPart,
-        "Upstream announced.",
-        { { "service", announcement.m_service.m_name.Value() },
-          { "version", announcement.m_version.Value() },
-          { "instance", m_upstreams.Place().m_instance.Value() },
-          { "number", std::to_string(aNumber.Value()) },
-          { "state", std::string(Name(announcement.m_state)) } });
-    m_traffic.m_setUpstream(announcement, m_upstreams.Place());
+    m_traffic.m_setUpstream(announcement, aChange.m_place);
   }
 
   ControlStats ControlStatsOf(const ControlStatus& aStatus) const
@@ -462,6 +516,9 @@
   const std::shared_ptr<PlatformCounters> m_platformCounters =
     std::make_shared<PlatformCounters>();
   SeededRandom m_random;
+  /// The waits that end early when a departure may have been recorded. Outlives
+  /// the coroutines of m_loop.
+  std::set<asio::steady_timer*> m_waiting;
   ThreadLoop m_loop;
 
   // After Start, accessed on the loop's thread only.
@@ -473,7 +530,7 @@
   asio::steady_timer m_timer;
   std::optional<MonotonicTime> m_scheduled;
   PeerLinks m_links;
-  UpstreamRegister m_upstreams;
+  bool m_isHistoryLogged = false;
   bool m_isDraining = false;
   std::uint64_t m_sent = 0;
   std::uint64_t m_received = 0;
--- a/src/process/ControlUsage.cpp
+++ b/src/process/ControlUsage.cpp
@@ -58,6 +58,7 @@
 ControlCore::OnPlatformRestored()
 {
   m_usagePages.WriteAll();
+  m_storedDepartures = {};
 }
 
 } // namespace tarragontray
--- a/src/process/Datagram.h
+++ b/src/process/Datagram.h
@@ -31,7 +31,7 @@
 inline constexpr std::size_t kMaxDatagramBytes = 1400;
 
 /// The first byte of every datagram. Each change of the layout increments it.
-inline constexpr std::uint8_t kDatagramFormat = 4;
+inline constexpr std::uint8_t kDatagramFormat = 5;
 
 enum class DatagramKind : std::uint8_t
 {
--- a/src/process/DatagramLayout.h
+++ b/src/process/DatagramLayout.h
@@ -50,6 +50,20 @@
   aSink.Shared(aService.m_name.Value());
 }
 
+template<typename Sink>
+void
+Layout(Sink& aSink, const DepartedUpstreams& aDeparted)
+{
+  aSink.Number(aDeparted.Processes().size());
+  for (const UpstreamProcess& process : aDeparted.Processes()) {
+    aSink.Text(process.m_instance.Value());
+    aSink.Number(process.m_birth ? 1 : 0);
+    if (process.m_birth) {
+      aSink.Number(process.m_birth->Value());
+    }
+  }
+}
+
 template<typename Sink>
 void
 Layout(Sink& aSink, const MemberRecord& aRecord)
@@ -66,6 +80,7 @@
   aSink.Shared(aRecord.m_upstream.m_version.Value());
   aSink.Number(static_cast<std::uint64_t>(aRecord.m_upstream.m_state));
   aSink.Number(aRecord.m_upstream.m_slots.Value());
+  Layout(aSink, aRecord.m_departed);
 }
 
 template<typename Sink>
--- a/src/process/Gossip.cpp
+++ b/src/process/Gossip.cpp
@@ -122,8 +122,14 @@
   if (reported != m_reportedRevisions.end()) {
     answer.m_floor = reported->second;
   }
+  if (m_members->Table().HasInherited(aRequest.m_from)) {
+    answer.m_members.push_back(*m_members->Table().Find(aRequest.m_from));
+  }
   if (aRequest.m_members) {
-    answer.m_members = m_members->Table().Differing(*aRequest.m_members);
+    std::vector<MemberRecord> differing =
+      m_members->Table().Differing(*aRequest.m_members);
+    std::move(
+      differing.begin(), differing.end(), std::back_inserter(answer.m_members));
   }
   if (aRequest.m_documents) {
     PulledDocuments pulled = m_documents.DocumentsFor(aRequest);
--- a/src/process/MemberRecord.h
+++ b/src/process/MemberRecord.h
@@ -10,6 +10,7 @@
 #include "base/Ids.h"
 #include "base/NetworkAddress.h"
 #include "base/Units.h"
+#include "process/DepartedUpstreams.h"
 
 namespace tarragontray {
 
@@ -69,6 +70,9 @@
   std::uint32_t m_sequence = 0;
   NodeState m_state = NodeState::Alive;
   UpstreamAnnouncement m_upstream;
+  /// Survives the node that acknowledged them: a table that replaces a record
+  /// keeps its entries; see MemberTable.
+  DepartedUpstreams m_departed;
 
   bool operator==(const MemberRecord&) const = default;
 };
--- a/src/process/MemberTable.cpp
+++ b/src/process/MemberTable.cpp
@@ -51,7 +51,7 @@
   } else if (Supersedes(aRecord, found->second)) {
     Toggle(found->second);
     m_liveGeneration += IsSamePlace(aRecord, found->second) ? 0 : 1;
-    found->second = aRecord;
+    Replace(found->second, aRecord);
   } else {
     return false;
   }
@@ -64,6 +64,18 @@
   return true;
 }
 
+void
+MemberTable::Replace(MemberRecord& aHeld, const MemberRecord& aNew)
+{
+  const DepartedUpstreams known = aHeld.m_departed;
+  aHeld = aNew;
+  if (aHeld.m_departed.Merge(known)) {
+    m_inherited.insert(aHeld.m_vm);
+  } else {
+    m_inherited.erase(aHeld.m_vm);
+  }
+}
+
 void
 MemberTable::ExpireDead(MonotonicTime aNow)
 {
@@ -73,6 +85,7 @@
       continue;
     }
     m_members.erase(dead->first);
+    m_inherited.erase(dead->first);
     dead = m_diedAt.erase(dead);
   }
 }
--- a/src/process/MemberTable.h
+++ b/src/process/MemberTable.h
@@ -6,7 +6,8 @@
 ///
 /// A record is replaced only by one that supersedes it (see Supersedes()).
 /// Dead records stay for m_deadRetention, so that outdated records cannot
-/// bring a dead member back.
+/// bring a dead member back. What a record lists as departed upstreams stays
+/// with the VM: a record that replaces it inherits the entries that it lacks.
 ///
 /// Thread safety: one thread for each instance.
 #pragma once
@@ -14,6 +15,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "base/Ids.h"
@@ -60,6 +62,9 @@
   const std::map<VmId, MemberRecord>& Members() const { return m_members; }
   /// Null for an unknown VM. Valid until the record is removed.
   const MemberRecord* Find(const VmId& aVm) const;
+  /// Whether the VM's newest record lacked departed upstreams that this table
+  /// knew from an earlier one, so that its node has to be told.
+  bool HasInherited(const VmId& aVm) const { return m_inherited.contains(aVm); }
   /// The live members of a cell. Valid until the next change.
   const LiveMembers& InCell(const DataCentreId& aCell) const;
   /// The live members of a data centre. Valid until the next change.
@@ -93,12 +98,15 @@
 
 private:
   void Toggle(const MemberRecord& aRecord);
+  /// Replaces a record, except for the departed upstreams that it lists.
+  void Replace(MemberRecord& aHeld, const MemberRecord& aNew);
   void Rebuild() const;
   using LiveById = std::map<DataCentreId, LiveMembers>;
 
   MemberTableSettings m_settings;
   std::map<VmId, MemberRecord> m_members;
   std::map<VmId, MonotonicTime> m_diedAt;
+  std::set<VmId> m_inherited;
   BucketDigest m_digest;
   std::uint64_t m_refused = 0;
   std::uint64_t m_liveGeneration = 0;
--- a/src/process/Membership.cpp
+++ b/src/process/Membership.cpp
@@ -69,6 +69,16 @@
   }
 }
 
+void
+Membership::AddDeparted(const DepartedUpstreams& aDeparted, MonotonicTime aNow)
+{
+  if (!m_self.m_departed.Merge(aDeparted)) {
+    return;
+  }
+  m_confirmations.Reset();
+  ChangeSelf(aNow);
+}
+
 void
 Membership::Leave(MonotonicTime aNow)
 {
@@ -194,6 +204,7 @@
 bool
 Membership::ReceiveSelfRecord(const MemberRecord& aRecord, MonotonicTime aNow)
 {
+  AddDeparted(aRecord.m_departed, aNow);
   if (m_leaving || !Supersedes(aRecord, m_self)) {
     return false;
   }
--- a/src/process/Membership.h
+++ b/src/process/Membership.h
@@ -43,6 +43,7 @@
 #include "process/IndirectProbes.h"
 #include "process/MemberTable.h"
 #include "process/Prober.h"
+#include "process/RecordConfirmations.h"
 #include "process/SpreadTree.h"
 #include "process/Suspicions.h"
 #include "process/UpdateQueue.h"
@@ -142,6 +143,21 @@
   /// Publishes the announcement of this VM's upstream. A drain is sent to all
   /// peers directly.
   void SetUpstream(const UpstreamAnnouncement& aUpstream, MonotonicTime aNow);
+  /// Adds upstream processes of this VM that have announced their end to this
+  /// node's record. Those that peers know in addition, from an earlier process
+  /// of this node, appear in Self().m_departed.
+  void AddDeparted(const DepartedUpstreams& aDeparted, MonotonicTime aNow);
+  /// While wanted, peers are asked to confirm that they hold this node's record
+  /// with its departed upstreams.
+  void WantConfirmations(bool aIsWanted, MonotonicTime aNow)
+  {
+    m_confirmations.SetWanted(aIsWanted, aNow);
+  }
+  /// Whether a majority of the live peers of the cell has confirmed the record,
+  /// and has thereby told this node what its predecessor knew.
+  bool IsConfirmed() const { return m_confirmations.HasMajority(Peers()); }
+  /// Whether another live node of the cell is known.
+  bool HasPeers() const { return !Peers().empty(); }
   /// Replaces the seeds, the addresses of nodes through which to join.
   void SetSeeds(std::vector<NetworkAddress> aSeeds, MonotonicTime aNow);
   /// Announces that this node is shutting down, and stops probing.
@@ -232,6 +248,8 @@
                      const NetworkAddress& aFrom,
                      Outgoing& aSend);
   void OnAck(const Datagram& aDatagram, Outgoing& aSend);
+  /// Pings the peers that have not confirmed this node's record.
+  void TickConfirmations(MonotonicTime aNow, Outgoing& aSend);
   void RequestIndirectProbes(const VmId& aVm,
                              std::uint32_t aNumber,
                              Outgoing& aSend);
@@ -285,6 +303,7 @@
   Prober m_prober;
   Suspicions m_suspicions;
   IndirectProbes m_indirectProbes;
+  RecordConfirmations m_confirmations;
   UpdateQueue<VmId> m_updates;
   MembershipCounters m_counters;
   /// Ranking takes longer than any event that asks for a rank.
--- a/src/process/MembershipSending.cpp
+++ b/src/process/MembershipSending.cpp
@@ -34,6 +34,7 @@
     TickSuspicions(aNow, actions.m_send);
     TickContact(aNow, actions.m_send);
   }
+  TickConfirmations(aNow, actions.m_send);
   actions.m_changed = std::exchange(m_changed, false);
   return actions;
 }
@@ -41,9 +42,10 @@
 MonotonicTime
 Membership::NextTick() const
 {
-  MonotonicTime next = MonotonicTime::max();
+  MonotonicTime next = m_confirmations.NextTick();
   if (!m_leaving) {
-    next = std::min({ m_prober.NextTick(),
+    next = std::min({ next,
+                      m_prober.NextTick(),
                       m_suspicions.NextTick(),
                       m_contactAt,
                       m_joined ? next : m_joinAt });
@@ -310,7 +312,8 @@
 {
   Datagram ack = MakeDatagram(DatagramKind::Ack, aDatagram.m_probe);
   const MemberRecord* sender = m_table.Find(aDatagram.m_from);
-  if (sender != nullptr && sender->m_state != NodeState::Alive) {
+  if (sender != nullptr && (sender->m_state != NodeState::Alive ||
+                            m_table.HasInherited(sender->m_vm))) {
     ack.m_members.push_back(*sender);
   }
   AddUpdates(ack);
@@ -320,6 +323,7 @@
 void
 Membership::OnAck(const Datagram& aDatagram, Outgoing& aSend)
 {
+  m_confirmations.OnAck(aDatagram.m_probe, aDatagram.m_from);
   if (m_prober.OnAck(aDatagram.m_probe)) {
     return;
   }
@@ -329,6 +333,20 @@
   }
 }
 
+void
+Membership::TickConfirmations(MonotonicTime aNow, Outgoing& aSend)
+{
+  if (!m_confirmations.TakeRound(aNow)) {
+    return;
+  }
+  for (const VmId& peer : m_confirmations.Missing(Peers())) {
+    Datagram ping = MakeDatagram(DatagramKind::Ping, m_prober.NextNumber());
+    ping.m_members.push_back(m_self);
+    m_confirmations.OnSent(ping.m_probe, peer);
+    aSend.push_back({ AddressOf(peer), std::move(ping) });
+  }
+}
+
 void
 Membership::ProbeOnBehalf(const Datagram& aDatagram,
                           const NetworkAddress& aFrom,
--- a/src/process/Node.cpp
+++ b/src/process/Node.cpp
@@ -175,6 +175,7 @@
     settings.m_isRegistered = m_settings.m_isRegistered;
     settings.m_watchWait = m_settings.m_watchWait;
     settings.m_watchRest = m_settings.m_watchRest;
+    settings.m_core.m_departureHistory = m_settings.m_departureHistory;
     settings.m_core.m_announcementLapse = m_settings.m_announcementLapse;
     settings.m_core.m_gossip = m_settings.m_gossip;
     settings.m_core.m_gossip.m_distribution.m_patches = MakeZstdPatchCodec();
--- a/src/process/NodeSettings.cpp
+++ b/src/process/NodeSettings.cpp
@@ -76,7 +76,9 @@
                           "Whether the whole system starts for the first "
                           "time. With --join=platform, the nodes then wait "
                           "for the first configuration from their peers "
-                          "instead of listing the platform.",
+                          "instead of listing the platform. Otherwise a node "
+                          "uses no upstream before it knows, from the platform "
+                          "or its peers, which processes of it have left.",
                           { "true", "false" },
                           "false" });
   parser.Add(IntegerSetting{ "watch-rest-ms",
@@ -155,6 +157,8 @@
   constexpr Duration kRankedAfterFirstStart = std::chrono::milliseconds(2'500);
   constexpr Duration kRankedAfterStart = std::chrono::seconds(1);
   aSettings.m_isRegistered = true;
+  aSettings.m_departureHistory =
+    aIsFirstStart ? DepartureHistory::None : DepartureHistory::PlatformOrPeers;
   aSettings.m_hasBriefMoves = true;
   aSettings.m_moves.m_windowInterval = std::chrono::milliseconds(100);
   aSettings.m_moves.m_reportInterval = std::chrono::milliseconds(100);
--- a/src/process/NodeSettings.h
+++ b/src/process/NodeSettings.h
@@ -49,6 +49,7 @@
   Duration m_announcementLapse{ 0 };
   /// Whether nodes find each other by registering with the platform.
   bool m_isRegistered = false;
+  DepartureHistory m_departureHistory = DepartureHistory::Peers;
   /// How long one watch request to the platform waits for a change.
   Duration m_watchWait{ 0 };
   /// Delay from a change to the next watch request.
--- a/src/process/PlatformEntries.cpp
+++ b/src/process/PlatformEntries.cpp
@@ -46,43 +46,63 @@
   if (!m_settings.m_registered || m_isNodeCallRunning) {
     return;
   }
-  if (m_isRegistered) {
+  if (m_mustReadEntry || IsEntryCurrent()) {
     ReadNodes();
-    return;
+  } else {
+    WriteEntry();
   }
+}
+
+bool
+PlatformLoop::IsEntryCurrent() const
+{
+  return m_entry &&
+         m_entry->m_content.m_peerAddress ==
+           m_settings.m_registered->m_peerAddress &&
+         m_entry->m_content.m_departed == m_core.Departed();
+}
+
+void
+PlatformLoop::WriteEntry()
+{
   m_isNodeCallRunning = true;
+  const DepartedUpstreams departed = m_core.Departed();
   PlatformWrite write;
   write.m_key = NodeKey(m_settings.m_registered->m_vm);
-  if (!m_hasEntry) {
-    write.m_expected = Revision(0);
-  }
-  write.m_body = NodeJson(*m_settings.m_registered, m_left);
+  write.m_expected = m_entry ? m_entry->m_revision : Revision(0);
+  write.m_body = NodeJson(*m_settings.m_registered, departed);
   write.m_operation = OperationId(
     "node-" + std::to_string(m_settings.m_registered->m_incarnation.Value()) +
     "-" + std::to_string(++m_operations));
-  const std::optional<UpstreamProcess> written = m_left;
-  Current().Write(
-    std::move(write), [this, written](const Result<Revision>& aRevision) {
-      m_isNodeCallRunning = false;
-      if (!aRevision && aRevision.error().Code() == ErrorCode::Conflict) {
-        // A previous process of this VM wrote the entry; ReadNodes() reads it
-        // together with the other nodes' entries.
-        m_hasEntry = true;
-        m_isRegistered = true;
-        m_mustReadPreviousEntry = true;
-        Check();
-        return;
-      }
-      if (!aRevision) {
-        OnFailure(aRevision.error());
-        return;
-      }
-      OnSuccess();
-      m_hasEntry = true;
-      m_isRegistered = m_left == written;
-      Log(LogLevel::Info, kPart, "Registered.");
-      Check();
-    });
+  Current().Write(std::move(write),
+                  [this, departed](const Result<Revision>& aRevision) {
+                    m_isNodeCallRunning = false;
+                    OnEntryWritten(departed, aRevision);
+                  });
+}
+
+void
+PlatformLoop::OnEntryWritten(const DepartedUpstreams& aDeparted,
+                             const Result<Revision>& aRevision)
+{
+  if (!aRevision && aRevision.error().Code() == ErrorCode::Conflict) {
+    // Another process of this VM wrote the entry, or an earlier write of this
+    // one whose answer was lost.
+    m_mustReadEntry = true;
+    m_readNodesAt = MonotonicTime{};
+    Check();
+    return;
+  }
+  if (!aRevision) {
+    OnFailure(aRevision.error());
+    return;
+  }
+  OnSuccess();
+  m_entry = OwnEntry{ aRevision.value(),
+                      { m_settings.m_registered->m_peerAddress, aDeparted } };
+  Log(LogLevel::Info, kPart, "Registered.");
+  m_handle(m_core.OnOwnEntry(aDeparted, aRevision.value(), Now()));
+  Check();
 }
 
 void
@@ -101,7 +121,7 @@
         return;
       }
       OnSuccess();
-      AdoptPreviousEntry(aListing.value());
+      AdoptEntry(aListing.value());
       const MonotonicTime now = m_clock.Now();
       m_readNodesAt =
         now + (m_core.IsAlone() ? kNodeReadIntervalAlone : kNodeReadInterval);
@@ -111,46 +131,26 @@
 }
 
 void
-PlatformLoop::AdoptPreviousEntry(const PlatformListing& aNodes)
+PlatformLoop::AdoptEntry(const PlatformListing& aNodes)
 {
-  if (!std::exchange(m_mustReadPreviousEntry, false)) {
+  if (!std::exchange(m_mustReadEntry, false)) {
     return;
   }
-  // This node rewrites the entry unless it is valid and has the right address.
-  m_isRegistered = false;
+  m_entry.reset();
   const ObjectKey own = NodeKey(m_settings.m_registered->m_vm);
   for (const PlatformObject& object : aNodes.m_objects) {
-    const auto entry = object.m_document.m_key == own
-                         ? std::optional(ParseNode(object.m_document.m_body))
-                         : std::nullopt;
-    if (!entry || !*entry) {
-      continue;
-    }
-    const NodeEntry& previous = entry->value();
-    const bool hasNewLeave = m_left && m_left != previous.m_left;
-    m_isRegistered =
-      previous.m_peerAddress == m_settings.m_registered->m_peerAddress &&
-      !hasNewLeave;
-    if (previous.m_left) {
-      m_left = m_left.value_or(*previous.m_left);
-      m_settings.m_onPreviousLeave(*previous.m_left);
+    if (object.m_document.m_key == own) {
+      m_entry.emplace().m_revision = object.m_document.m_revision;
+      // An entry that does not parse is written again.
+      if (auto content = ParseNode(object.m_document.m_body)) {
+        m_entry->m_content = std::move(content.value());
+      }
     }
   }
-}
-
-void
-PlatformLoop::RecordUpstreamLeave(const UpstreamProcess& aLeft)
-{
-  if (!m_settings.m_registered || m_left == aLeft) {
-    return;
-  }
-  m_left = aLeft;
-  // While the entry is being written or still to be read, the end of that call
-  // triggers another write.
-  if (m_isRegistered && !m_mustReadPreviousEntry) {
-    m_isRegistered = false;
-    Check();
-  }
+  m_handle(m_core.OnOwnEntry(m_entry ? m_entry->m_content.m_departed
+                                     : DepartedUpstreams(),
+                             aNodes.m_revision,
+                             Now()));
 }
 
 void
@@ -169,7 +169,7 @@
         { "was", std::to_string(former->Value()) } });
   m_core.OnPlatformRestored();
   if (m_settings.m_registered) {
-    m_mustReadPreviousEntry = true;
+    m_mustReadEntry = true;
     m_readNodesAt =
       m_clock.Now() +
       Duration(m_random.Below(
--- a/src/process/PlatformLoop.h
+++ b/src/process/PlatformLoop.h
@@ -17,11 +17,16 @@
 /// A watch that is silent on every node is found by a read of the platform's
 /// revision; process/RevisionChecks.h says which node makes it, and when.
 ///
-/// When nodes register with the platform, the loop writes this node's entry
-/// once per process and reads the other nodes' entries. After a restore of the
-/// platform it reads its own entry back, and writes it again when it is lost or
-/// out of date. On an error it moves to
-/// the next platform address after a back-off with jitter.
+/// When nodes register with the platform, the loop keeps this node's entry
+/// there and reads the other nodes' entries. The entry also holds the upstream
+/// processes of the VM that have departed, which a later process of this node
+/// has to know. Writes are conditional on the entry's revision, since a write
+/// of an ended process may be executed late. After a restore of the platform
+/// the loop reads its own entry back, and writes it again when it is lost or
+/// out of date.
+///
+/// On an error it moves to the next platform address after a back-off with
+/// jitter.
 ///
 /// Thread safety: not thread-safe; belongs to the control thread.
 #pragma once
@@ -43,7 +48,7 @@
 #include "connection/Platform.h"
 #include "connection/PlatformSession.h"
 #include "process/ControlCore.h"
-#include "process/UpstreamRegister.h"
+#include "process/StatusJson.h"
 
 namespace tarragontray {
 
@@ -62,10 +67,6 @@
   /// This node's entry, by which other nodes discover it. Not set: nodes
   /// discover each other by seeds only, and nothing is registered.
   std::optional<MemberRecord> m_registered;
-  /// Called with the upstream process that this VM's previous node recorded as
-  /// leaving.
-  std::function<void(const UpstreamProcess&)> m_onPreviousLeave =
-    [](const UpstreamProcess&) {};
 };
 
 /// See the file comment.
@@ -87,10 +88,6 @@
 
   /// Starts the platform calls that are due and not already running.
   void Check();
-  /// Records in this node's entry that an upstream process is leaving, so that
-  /// a restarted node still knows it. Does nothing when that is recorded
-  /// already or nodes do not register.
-  void RecordUpstreamLeave(const UpstreamProcess& aLeft);
   void Write(const std::vector<MoveOutcome>& aOutcomes,
              const std::vector<UsagePage>& aUsage);
 
@@ -119,6 +116,13 @@
     bool m_mustList = false;
   };
 
+  /// This VM's entry as last read or written.
+  struct OwnEntry
+  {
+    Revision m_revision;
+    NodeEntry m_content;
+  };
+
   /// The request that a result of List or Watch belongs to.
   struct PrefixCall
   {
@@ -163,10 +167,15 @@
   /// for m_stallTimeout.
   void CheckForStall(Prefix& aPrefix, MonotonicTime aNow);
   void OnSuccess();
+  /// Keeps this VM's entry up to date, and reads the other nodes' entries.
   void Register();
+  bool IsEntryCurrent() const;
+  void WriteEntry();
+  void OnEntryWritten(const DepartedUpstreams& aDeparted,
+                      const Result<Revision>& aRevision);
   void ReadNodes();
-  /// Adopts the entry that a previous process of this VM wrote, once.
-  void AdoptPreviousEntry(const PlatformListing& aNodes);
+  /// Adopts the entry that a previous process of this VM wrote.
+  void AdoptEntry(const PlatformListing& aNodes);
   void ReadTemplates();
   void CheckAt(MonotonicTime aTime);
   void OnFailure(const Error& aError);
@@ -193,15 +202,11 @@
   std::optional<PlatformEra> m_era;
   /// Whether this node's entry is being written or all entries are being read.
   bool m_isNodeCallRunning = false;
-  /// Whether the platform's entry for this VM is up to date.
-  bool m_isRegistered = false;
-  /// Whether the platform has an entry for this VM, up to date or not.
-  bool m_hasEntry = false;
-  /// Whether this VM's entry has still to be read: a previous process wrote it,
-  /// or the platform was restored.
-  bool m_mustReadPreviousEntry = false;
-  /// The leaving upstream process to record in the entry.
-  std::optional<UpstreamProcess> m_left;
+  /// Not set when the platform has no entry of this VM, or none is known.
+  std::optional<OwnEntry> m_entry;
+  /// Whether the entry has still to be read: another process wrote it, or the
+  /// platform was restored.
+  bool m_mustReadEntry = false;
   /// When the other nodes' entries are read next.
   MonotonicTime m_readNodesAt{};
   /// When the timer runs Check; not set when the timer is not armed.
--- a/src/process/PlatformLoopTest.cpp
+++ b/src/process/PlatformLoopTest.cpp
@@ -18,6 +18,9 @@
 /// How long a watch may be behind peers without a byte.
 constexpr Duration kStallTime = 500ms;
 
+/// The revision of this node's entry when nodes are listed.
+constexpr Revision kEntryRevision{ 8 };
+
 /// Time from a change at the platform until it is in force on every node.
 constexpr Duration kPropagationBound = 2s;
 
@@ -108,9 +111,6 @@
     if (aIsRegistered) {
       settings.m_registered = control.m_self;
     }
-    settings.m_onPreviousLeave = [this](const UpstreamProcess& aProcess) {
-      m_previousLeaves.push_back(aProcess);
-    };
     std::vector<std::unique_ptr<Platform>> platforms;
     platforms.push_back(std::make_unique<ScriptedPlatform>(m_script));
     m_loop = PlatformLoop::Create(m_context,
@@ -207,18 +207,24 @@
     m_script.m_lists.pop_back();
     PlatformObject own;
     own.m_document.m_key = NodeKey(VmId("vm-1"));
+    own.m_document.m_revision = kEntryRevision;
     own.m_document.m_body =
       R"({"vm": "vm-1", "peer_address": ")" + aAddress + R"(")" + aMore + "}";
     done(PlatformListing{ { own }, Revision(9) });
     Check();
   }
-  void RecordUpstreamLeave(const UpstreamProcess& aProcess)
+  void Depart(const UpstreamProcess& aProcess)
   {
-    m_loop->RecordUpstreamLeave(aProcess);
+    UpstreamReport report;
+    report.m_isLeave = true;
+    report.m_place.m_instance = aProcess.m_instance;
+    report.m_birth = aProcess.m_birth;
+    m_core->OnUpstreamReport(report, Now());
+    Check();
   }
+  const DepartedUpstreams& Departed() const { return m_core->Departed(); }
 
   PlatformScript m_script;
-  std::vector<UpstreamProcess> m_previousLeaves;
 
 private:
   template<typename T>
@@ -408,7 +414,8 @@
   node.RejectRegistration();
   node.AnswerNodes("10.0.0.1:7000", "");
   cr_assert_eq(node.m_script.m_writes.size(), 2);
-  cr_assert(!node.m_script.m_writes.back().m_expected);
+  // An unconditional write could replace the entry of a later process.
+  cr_assert(node.m_script.m_writes.back().m_expected == kEntryRevision);
 }
 
 Test(PlatformLoop, KeepsAPreviousEntryThatIsUpToDate)
@@ -425,8 +432,8 @@
   node.RejectRegistration();
   node.AnswerNodes("127.0.0.1:7000",
                    R"(, "left": {"instance": "i-1", "birth": 100})");
-  cr_assert_eq(node.m_previousLeaves.size(), 1);
-  cr_assert(node.m_previousLeaves.front() ==
+  cr_assert_eq(node.Departed().Processes().size(), 1);
+  cr_assert(node.Departed().Processes().front() ==
             (UpstreamProcess{ UpstreamInstanceId("i-1"), UpstreamBirth(100) }));
   cr_assert_eq(node.m_script.m_writes.size(), 1);
 }
@@ -436,15 +443,15 @@
   WatchingNode node(true);
   node.m_script.m_written.back()(Revision(3));
   const UpstreamProcess life{ UpstreamInstanceId("i-1"), UpstreamBirth(100) };
-  node.RecordUpstreamLeave(life);
+  node.Depart(life);
   // The write starts after the pending list of nodes.
   node.AnswerNodes("127.0.0.1:7000", "");
-  node.RecordUpstreamLeave(life);
+  node.Depart(life);
   cr_assert_eq(node.m_script.m_writes.size(), 2);
   const auto entry = ParseNode(node.m_script.m_writes.back().m_body);
-  cr_assert(entry.value().m_left == life);
+  cr_assert(entry.value().m_departed.Covers(life));
   node.m_script.m_written.back()(Revision(4));
-  node.RecordUpstreamLeave(life);
+  node.Depart(life);
   cr_assert_eq(node.m_script.m_writes.size(), 2);
 }
 
@@ -453,12 +460,12 @@
   WatchingNode node(true);
   node.RejectRegistration();
   const UpstreamProcess life{ UpstreamInstanceId("i-2"), UpstreamBirth(200) };
-  node.RecordUpstreamLeave(life);
+  node.Depart(life);
   node.AnswerNodes("127.0.0.1:7000",
                    R"(, "left": {"instance": "i-1", "birth": 100})");
   cr_assert_eq(node.m_script.m_writes.size(), 2);
   const auto entry = ParseNode(node.m_script.m_writes.back().m_body);
-  cr_assert(entry.value().m_left == life);
+  cr_assert(entry.value().m_departed.Covers(life));
 }
 
 Test(PlatformLoop, TheEntryOfANodeStaysLostAfterARestore)
@@ -467,7 +474,7 @@
   node.m_script.m_written.back()(Revision(3));
   const UpstreamProcess left{ UpstreamInstanceId("i-1"), UpstreamBirth(100) };
   node.AnswerNodes("127.0.0.1:7000", "");
-  node.RecordUpstreamLeave(left);
+  node.Depart(left);
   node.m_script.m_written.back()(Revision(4));
   node.AnswerList(5);
   node.AnswerWatch(RevisionIn(PlatformEra(1), 4)->Value());
@@ -477,7 +484,7 @@
   node.AnswerNodes("127.0.0.1:7000", "");
   cr_assert_eq(node.m_script.m_writes.size(), 3);
   const auto entry = ParseNode(node.m_script.m_writes.back().m_body);
-  cr_assert(entry.value().m_left == left);
+  cr_assert(entry.value().m_departed.Covers(left));
   node.m_script.m_written.back()(*RevisionIn(PlatformEra(1), 5));
   node.RunFor(700ms);
   cr_assert_eq(node.m_script.m_writes.size(), 3);
--- a/src/process/StatusJson.cpp
+++ b/src/process/StatusJson.cpp
@@ -273,21 +273,47 @@
 }
 
 std::string
-NodeJson(const MemberRecord& aNode, const std::optional<UpstreamProcess>& aLeft)
+NodeJson(const MemberRecord& aNode, const DepartedUpstreams& aDeparted)
 {
   json::object node{ { "vm", aNode.m_vm.Value() },
                      { "peer_address", aNode.m_peerAddress.ToString() },
                      { "incarnation", aNode.m_incarnation.Value() } };
-  if (aLeft) {
-    json::object left{ { "instance", aLeft->m_instance.Value() } };
-    if (aLeft->m_birth) {
-      left["birth"] = aLeft->m_birth->Value();
+  json::array departed;
+  for (const UpstreamProcess& process : aDeparted.Processes()) {
+    json::object entry{ { "instance", process.m_instance.Value() } };
+    if (process.m_birth) {
+      entry["birth"] = process.m_birth->Value();
     }
-    node["left"] = std::move(left);
+    departed.push_back(std::move(entry));
+  }
+  if (!departed.empty()) {
+    node["left"] = std::move(departed);
   }
   return json::serialize(node);
 }
 
+namespace {
+
+Result<UpstreamProcess>
+ParseDeparted(const json::value& aValue)
+{
+  if (!aValue.is_object()) {
+    return Error(
+      ErrorCode::InvalidArgument, "node.read", "", "left: not an object");
+  }
+  const json::object& fields = aValue.as_object();
+  BOOST_OUTCOME_TRY(auto instance, TextField(fields, "instance"));
+  UpstreamProcess process{ UpstreamInstanceId(std::move(instance)), {} };
+  const json::value* birth = fields.if_contains("birth");
+  if (birth != nullptr && birth->is_int64() && birth->as_int64() >= 0) {
+    process.m_birth =
+      UpstreamBirth(static_cast<std::uint64_t>(birth->as_int64()));
+  }
+  return process;
+}
+
+} // namespace
+
 Result<NodeEntry>
 ParseNode(const std::string& aText)
 {
@@ -296,15 +322,15 @@
   BOOST_OUTCOME_TRY(const auto address, TextField(node, "peer_address"));
   BOOST_OUTCOME_TRY(entry.m_peerAddress, NetworkAddress::Parse(address));
   const json::value* left = node.if_contains("left");
-  if (left != nullptr && left->is_object()) {
-    BOOST_OUTCOME_TRY(auto instance, TextField(left->as_object(), "instance"));
-    entry.m_left =
-      UpstreamProcess{ UpstreamInstanceId(std::move(instance)), {} };
-    const json::value* birth = left->as_object().if_contains("birth");
-    if (birth != nullptr && birth->is_int64() && birth->as_int64() >= 0) {
-      entry.m_left->m_birth =
-        UpstreamBirth(static_cast<std::uint64_t>(birth->as_int64()));
-    }
+  if (left == nullptr) {
+    return entry;
+  }
+  // Entries of earlier releases hold one process instead of a list.
+  const json::array processes =
+    left->is_array() ? left->as_array() : json::array{ *left };
+  for (const json::value& value : processes) {
+    BOOST_OUTCOME_TRY(const auto process, ParseDeparted(value));
+    entry.m_departed.Add(process);
   }
   return entry;
 }
--- a/src/process/StatusJson.h
+++ b/src/process/StatusJson.h
@@ -49,14 +49,13 @@
 struct NodeEntry
 {
   NetworkAddress m_peerAddress;
-  /// The upstream life that most recently announced its end.
-  std::optional<UpstreamProcess> m_left;
+  /// The upstream processes that have announced their end.
+  DepartedUpstreams m_departed;
 };
 
 /// Returns the platform object of a node's registration.
 std::string
-NodeJson(const MemberRecord& aNode,
-         const std::optional<UpstreamProcess>& aLeft = std::nullopt);
+NodeJson(const MemberRecord& aNode, const DepartedUpstreams& aDeparted = {});
 
 /// Parses a node's registration. Errors: Malformed, InvalidArgument.
 Result<NodeEntry>
--- a/src/process/UpstreamRegister.cpp
+++ b/src/process/UpstreamRegister.cpp
@@ -1,9 +1,20 @@
 #include "process/UpstreamRegister.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace tarragontray {
 
+std::optional<UpstreamProcess>
+DepartureIn(const UpstreamReport& aReport)
+{
+  const bool isDraining = aReport.m_birth && aReport.m_announcement.m_state ==
+                                               UpstreamState::Draining;
+  if (!aReport.m_isLeave && !isDraining) {
+    return std::nullopt;
+  }
+  return UpstreamProcess{ aReport.m_place.m_instance, aReport.m_birth };
+}
+
 bool
 UpstreamRegister::IsFromCurrentProcess(const UpstreamReport& aReport) const
 {
@@ -24,76 +35,63 @@
 }
 
 bool
-UpstreamRegister::Leave(const UpstreamReport& aReport)
+UpstreamRegister::Offer(const UpstreamReport& aReport)
 {
-  const bool isCurrent =
-    aReport.m_place.m_instance == m_place.m_instance &&
-    (!aReport.m_birth || !m_birth || *aReport.m_birth >= *m_birth);
-  if (!isCurrent) {
-    RecordLeave(aReport);
-    return false;
+  const UpstreamAnnouncement before = Announcement();
+  const UpstreamEndpoint placeBefore = m_place;
+  if (!aReport.m_isLeave && !IsOutdated(aReport)) {
+    Announce(aReport);
   }
-  if (m_isLeaving) {
-    return false;
+  if (const auto departure = DepartureIn(aReport)) {
+    Depart(*departure);
   }
-  m_isLeaving = true;
-  m_lastLeavingProcess =
-    UpstreamProcess{ m_place.m_instance,
-                     aReport.m_birth ? aReport.m_birth : m_birth };
-  m_announcement.m_state = UpstreamState::Draining;
-  return true;
+  UpdateState();
+  return before != Announcement() || placeBefore != m_place;
+}
+
+void
+UpstreamRegister::Announce(const UpstreamReport& aReport)
+{
+  m_announcement = aReport.m_announcement;
+  m_place = aReport.m_place;
+  m_birth = aReport.m_birth;
+  m_number = aReport.m_number;
+}
+
+void
+UpstreamRegister::Depart(const UpstreamProcess& aProcess)
+{
+  const bool isCurrent = aProcess.m_instance == m_place.m_instance;
+  // Without a birth the notice would also end later processes of the instance.
+  m_departed.Add(
+    { aProcess.m_instance,
+      isCurrent && !aProcess.m_birth ? m_birth : aProcess.m_birth });
 }
 
 void
-UpstreamRegister::RecordLeave(const UpstreamReport& aReport)
+UpstreamRegister::UpdateState()
 {
-  if (m_leftProcesses.size() >= kMaxLeftProcesses) {
-    m_leftProcesses.pop_front();
+  const bool isPresent = m_announcement.m_state != UpstreamState::Absent;
+  if (isPresent && m_departed.Covers({ m_place.m_instance, m_birth })) {
+    m_announcement.m_state = UpstreamState::Draining;
   }
-  m_leftProcesses.push_back({ aReport.m_place.m_instance, aReport.m_birth });
-  m_lastLeavingProcess = m_leftProcesses.back();
 }
 
 bool
-UpstreamRegister::HasLeft(const UpstreamReport& aReport) const
+UpstreamRegister::Adopt(const DepartedUpstreams& aDeparted)
 {
-  return std::any_of(m_leftProcesses.begin(),
-                     m_leftProcesses.end(),
-                     [&](const UpstreamProcess& aProcess) {
-                       return aProcess.m_instance ==
-                                aReport.m_place.m_instance &&
-                              (!aProcess.m_birth || !aReport.m_birth ||
-                               *aReport.m_birth <= *aProcess.m_birth);
-                     });
+  const UpstreamAnnouncement before = Announcement();
+  m_departed.Merge(aDeparted);
+  UpdateState();
+  return before != Announcement();
 }
 
 bool
-UpstreamRegister::Offer(const UpstreamReport& aReport)
+UpstreamRegister::SetHistoryKnown()
 {
-  if (aReport.m_isLeave) {
-    return Leave(aReport);
-  }
-  if (IsOutdated(aReport)) {
-    return false;
-  }
-  UpstreamAnnouncement announcement = aReport.m_announcement;
-  if (aReport.m_birth) {
-    m_isLeaving = m_isLeaving && IsFromCurrentProcess(aReport);
-    m_isLeaving |=
-      announcement.m_state == UpstreamState::Draining || HasLeft(aReport);
-    if (m_isLeaving) {
-      announcement.m_state = UpstreamState::Draining;
-      m_lastLeavingProcess =
-        UpstreamProcess{ aReport.m_place.m_instance, aReport.m_birth };
-    }
-  }
-  const bool isChanged =
-    announcement != m_announcement || aReport.m_place != m_place;
-  m_announcement = std::move(announcement);
-  m_place = aReport.m_place;
-  m_birth = aReport.m_birth;
-  m_number = aReport.m_number;
-  return isChanged;
+  const UpstreamAnnouncement before = Announcement();
+  m_isHistoryKnown = true;
+  return before != Announcement();
 }
 
 void
@@ -102,4 +100,14 @@
   m_announcement.m_state = UpstreamState::Absent;
 }
 
+UpstreamAnnouncement
+UpstreamRegister::Announcement() const
+{
+  UpstreamAnnouncement announcement = m_announcement;
+  if (!m_isHistoryKnown && announcement.m_state != UpstreamState::Draining) {
+    announcement.m_state = UpstreamState::Absent;
+  }
+  return announcement;
+}
+
 } // namespace tarragontray
--- a/src/process/UpstreamRegister.h
+++ b/src/process/UpstreamRegister.h
@@ -7,38 +7,35 @@
 ///       guard.SetUpstream(upstreams.Announcement(), upstreams.Place());
 ///     }
 ///
+/// An upstream process that has announced its end stays draining, also across
+/// a restart of the node: see process/DepartedUpstreams.h. A node that starts
+/// does not know at first which processes those are. Until SetHistoryKnown() no
+/// upstream is announced as running:
+///
+///     upstreams.AwaitHistory();
+///     upstreams.Offer(heartbeat);     // Announcement() is Absent
+///     upstreams.Adopt(departed);
+///     upstreams.SetHistoryKnown();    // Live, or Draining if it had left
+///
 /// Thread safety: not thread-safe; belongs to the control thread.
 #pragma once
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <optional>
 
 #include "base/Ids.h"
 #include "base/StrongType.h"
 #include "base/Units.h"
+#include "process/DepartedUpstreams.h"
 #include "process/MemberRecord.h"
 #include "request/HttpDialect.h"
 
 namespace tarragontray {
 
-/// Distinguishes successive upstream processes at one address; a later process
-/// has a higher number.
-using UpstreamBirth = Amount<struct UpstreamBirthTag>;
 /// Sequence number of an announcement within one upstream process.
 using AnnouncementNumber = Amount<struct AnnouncementNumberTag>;
 
-/// Identifies one process of an upstream, from its start to its end.
-struct UpstreamProcess
-{
-  UpstreamInstanceId m_instance;
-  /// Not set: all processes with this instance name.
-  std::optional<UpstreamBirth> m_birth;
-
-  bool operator==(const UpstreamProcess&) const = default;
-};
-
 /// One announcement, or one notice that the upstream is leaving.
 struct UpstreamReport
 {
@@ -53,46 +50,53 @@
   bool m_isLeave = false;
 };
 
+/// The upstream process whose end a report announces, by a leave notice or by
+/// a numbered announcement as draining; not set when it announces none. Any
+/// thread.
+std::optional<UpstreamProcess>
+DepartureIn(const UpstreamReport& aReport);
+
 /// See the file comment.
 class UpstreamRegister
 {
 public:
   /// \return whether the upstream, its state or its place changed.
   bool Offer(const UpstreamReport& aReport);
+  /// Adds processes that announced their end to an earlier process of this
+  /// node. \return whether the state of the upstream changed.
+  bool Adopt(const DepartedUpstreams& aDeparted);
+  /// Announces no upstream as running until SetHistoryKnown(). Precondition:
+  /// nothing has been offered.
+  void AwaitHistory() { m_isHistoryKnown = false; }
+  /// All departed processes have been adopted. \return whether the state of the
+  /// upstream changed.
+  bool SetHistoryKnown();
+  bool IsHistoryKnown() const { return m_isHistoryKnown; }
   /// Marks the upstream absent because its announcements stopped. A leave
   /// notice stays in effect for the process that sent it.
   void Lapse();
 
-  const UpstreamAnnouncement& Announcement() const { return m_announcement; }
+  UpstreamAnnouncement Announcement() const;
   const UpstreamEndpoint& Place() const { return m_place; }
-  /// The upstream process that last announced that it is leaving or draining.
-  const std::optional<UpstreamProcess>& LastLeavingProcess() const
-  {
-    return m_lastLeavingProcess;
-  }
+  /// The number of the newest announcement.
+  AnnouncementNumber Number() const { return m_number; }
+  /// The upstream processes that have announced their end.
+  const DepartedUpstreams& Departed() const { return m_departed; }
 
 private:
   bool IsOutdated(const UpstreamReport& aReport) const;
   bool IsFromCurrentProcess(const UpstreamReport& aReport) const;
-  bool Leave(const UpstreamReport& aReport);
-  /// Records a leave notice of a process other than the current one.
-  void RecordLeave(const UpstreamReport& aReport);
-  bool HasLeft(const UpstreamReport& aReport) const;
-
-  /// Bound on m_leftProcesses. More than one entry occurs only while upstream
-  /// processes replace each other.
-  static constexpr std::size_t kMaxLeftProcesses = 8;
+  void Announce(const UpstreamReport& aReport);
+  void Depart(const UpstreamProcess& aProcess);
+  /// Applies m_departed to the current process.
+  void UpdateState();
 
   UpstreamAnnouncement m_announcement;
   UpstreamEndpoint m_place;
   std::optional<UpstreamBirth> m_birth;
   AnnouncementNumber m_number;
-  /// Whether the current process is leaving; no later announcement of the same
-  /// process revokes that.
-  bool m_isLeaving = false;
-  /// Processes that sent a leave notice while they were not the current one.
-  std::deque<UpstreamProcess> m_leftProcesses;
-  std::optional<UpstreamProcess> m_lastLeavingProcess;
+  DepartedUpstreams m_departed;
+  bool m_isHistoryKnown = true;
 };
 
 } // namespace tarragontray
