An order is identified by the revision at which it was written (EXPOSURE)

What callers saw: v2 was ordered, left and ordered again, bad this time. The last order was completed within a second, and 741 of 753 calls reached v2 (125 allowed).

Cause: the plan number was made from the object's creation and the rank of the version. Both are the same for two orders of one version, and a rank stops at 1,023, so that the progress kept for 48 h of an earlier order decided a new one.

Change: the plan number is the revision at which the operator wrote the order. The status repeats it, with a hash of the request, since writing a status changes the object's revision. It also tells what the service ran on before the order. Of more than 256 moves those that ended first are forgotten, as each order now has a number of its own.

--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -199,6 +199,12 @@
   /// The revision of the order's object, for the conditional write of the
   /// move's outcome; not set when a configuration declares the move.
   std::optional<Revision> OrderRevision(const MoveId& aMove) const;
+  /// The order, to be recorded with the outcome; null when a configuration
+  /// declares the move. Valid until the next event.
+  const MoveOrder* OrderOf(const MoveId& aMove) const
+  {
+    return m_orders.OrderOf(aMove);
+  }
   std::vector<ObjectKey> MissingTemplates() const;
   /// Confirms that the platform has the move's outcome, whichever node wrote
   /// it.
--- a/src/process/MoveOrders.cpp
+++ b/src/process/MoveOrders.cpp
@@ -1,5 +1,7 @@
 #include "process/MoveOrders.h"
 
+#include <utility>
+
 #include "version/ObjectKeys.h"
 
 namespace tarragontray {
@@ -15,6 +17,28 @@
 
 } // namespace
 
+void
+MoveOrders::Complete(MoveOrder& aOrder,
+                     const OrderEntry& aFormer,
+                     Revision aRevision)
+{
+  const MoveOrder& former = aFormer.m_order;
+  if (aOrder.HasRecord()) {
+    return;
+  }
+  const bool wasRestored = EraOf(aFormer.m_revision) != EraOf(aRevision);
+  if (wasRestored && aOrder.m_to == former.m_to &&
+      aOrder.m_request == former.m_request) {
+    // A copy of the order, or the order written again.
+    aOrder.m_id = former.m_id;
+  }
+  if (aOrder.m_id == former.m_id) {
+    aOrder.m_base = former.m_base;
+  } else if (!aOrder.m_recordOf || *aOrder.m_recordOf < former.m_id.m_plan) {
+    aOrder.m_base = NextBase(former.m_base, former.m_to, former.m_recorded);
+  }
+}
+
 bool
 MoveOrders::Offer(const std::vector<Document>& aDocuments, WallTime aWall)
 {
@@ -28,25 +52,30 @@
       isChanged |= m_orders.erase(*service) > 0;
       continue;
     }
-    const Result<MoveOrder> order = m_decoder.DecodeOrder(document);
-    if (!order) {
+    Result<MoveOrder> decoded = m_decoder.DecodeOrder(document);
+    if (!decoded) {
       ++m_rejected;
-      m_lastRejection = order.error();
+      m_lastRejection = decoded.error();
       continue;
     }
+    MoveOrder& order = decoded.value();
     OrderEntry& entry = m_orders[*service];
-    const bool isSame = entry.m_order.m_id == order.value().m_id;
+    const bool isFirst = entry.m_revision == Revision(0);
+    if (!isFirst) {
+      Complete(order, entry, document.m_revision);
+    }
+    const bool isSame = !isFirst && entry.m_order.m_id == order.m_id;
     const bool wasRestored =
       entry.m_isOutcomeLost ||
       EraOf(entry.m_revision) != EraOf(document.m_revision);
-    entry.m_isOutcomeLost = isSame && wasRestored && HasEnded(entry.m_order) &&
-                            !HasEnded(order.value());
+    entry.m_isOutcomeLost =
+      isSame && wasRestored && HasEnded(entry.m_order) && !HasEnded(order);
     const std::optional<MoveState> ended = entry.m_order.m_recorded;
-    if (!isSame || !entry.m_revision.Value()) {
-      entry.m_start = order.value().m_start.value_or(aWall);
+    if (!isSame) {
+      entry.m_start = order.m_start.value_or(aWall);
     }
     entry.m_revision = document.m_revision;
-    entry.m_order = order.value();
+    entry.m_order = std::move(order);
     if (entry.m_isOutcomeLost) {
       entry.m_order.m_recorded = ended;
     }
@@ -92,6 +121,13 @@
   return lost;
 }
 
+const MoveOrder*
+MoveOrders::OrderOf(const MoveId& aMove) const
+{
+  const OrderEntry* entry = Find(aMove);
+  return entry == nullptr ? nullptr : &entry->m_order;
+}
+
 std::optional<VersionSplit>
 MoveOrders::EndedSplit(const ServiceId& aService) const
 {
--- a/src/process/MoveOrders.h
+++ b/src/process/MoveOrders.h
@@ -64,6 +64,9 @@
   /// The moves that had ended before the platform was restored, and whose
   /// orders it shows without the end. Their outcomes are to be written again.
   std::vector<LostOutcome> LostOutcomes() const;
+  /// The order of a move, to be recorded with its outcome; null when there is
+  /// no such order. Valid until the next call of Offer().
+  const MoveOrder* OrderOf(const MoveId& aMove) const;
   /// The number of documents that did not decode.
   std::uint64_t Rejected() const { return m_rejected; }
   /// The decoding error of the last rejected document.
@@ -83,6 +86,11 @@
   static constexpr int kHoldDivisor = 8;
 
   static MovePlan PlanOf(const OrderEntry& aEntry);
+  /// Completes what the document alone does not tell about an order from the
+  /// order that was known before it.
+  static void Complete(MoveOrder& aOrder,
+                       const OrderEntry& aFormer,
+                       Revision aRevision);
   const OrderEntry* Find(const MoveId& aMove) const;
 
   const ConfigurationDecoder& m_decoder;
--- a/src/process/PlatformLoop.cpp
+++ b/src/process/PlatformLoop.cpp
@@ -459,7 +459,7 @@
   const auto order = m_core.OrderRevision(move);
   PlatformWrite write;
   write.m_key = order ? OrderKey(move.m_service) : MoveKey(move);
-  write.m_body = OutcomeJson(aOutcome);
+  write.m_body = OutcomeJson(aOutcome, m_core.OrderOf(move));
   write.m_expected = order.value_or(Revision(0));
   write.m_operation = OperationId("outcome-" + std::to_string(++m_operations));
   const bool isEnd = aOutcome.m_state == MoveState::Done ||
--- a/src/process/StatusJson.cpp
+++ b/src/process/StatusJson.cpp
@@ -255,21 +255,31 @@
 }
 
 std::string
-OutcomeJson(const MoveOutcome& aOutcome)
+OutcomeJson(const MoveOutcome& aOutcome, const MoveOrder* aOrder)
 {
-  return json::serialize(
-    json::object{ { "account", aOutcome.m_move.m_service.m_owner.Value() },
-                  { "service", aOutcome.m_move.m_service.m_name.Value() },
-                  { "plan", aOutcome.m_move.m_plan.Value() },
-                  { "version", aOutcome.m_to.Value() },
-                  { "started_ms",
-                    std::chrono::duration_cast<std::chrono::milliseconds>(
-                      aOutcome.m_started.time_since_epoch())
-                      .count() },
-                  { "state", std::string(Name(aOutcome.m_state)) },
-                  { "time", FormatWallTime(aOutcome.m_time) },
-                  { "route", aOutcome.m_route.Value() },
-                  { "reason", aOutcome.m_reason } });
+  json::object outcome{ { "account",
+                          aOutcome.m_move.m_service.m_owner.Value() },
+                        { "service", aOutcome.m_move.m_service.m_name.Value() },
+                        { "plan", aOutcome.m_move.m_plan.Value() },
+                        { "version", aOutcome.m_to.Value() },
+                        { "started_ms",
+                          std::chrono::duration_cast<std::chrono::milliseconds>(
+                            aOutcome.m_started.time_since_epoch())
+                            .count() },
+                        { "state", std::string(Name(aOutcome.m_state)) },
+                        { "time", FormatWallTime(aOutcome.m_time) },
+                        { "route", aOutcome.m_route.Value() },
+                        { "reason", aOutcome.m_reason } };
+  if (aOrder != nullptr) {
+    json::array unproven;
+    for (const UpstreamVersion& version : aOrder->m_base.m_unproven) {
+      unproven.emplace_back(version.Value());
+    }
+    outcome["request"] = aOrder->m_request.Value();
+    outcome["from"] = aOrder->m_base.m_from.Value();
+    outcome["unproven"] = std::move(unproven);
+  }
+  return json::serialize(outcome);
 }
 
 std::string
--- a/src/process/StatusJson.h
+++ b/src/process/StatusJson.h
@@ -41,8 +41,9 @@
 };
 
 /// Returns the platform object of a move's outcome.
+/// \param aOrder the order that the outcome is recorded with, if any.
 std::string
-OutcomeJson(const MoveOutcome& aOutcome);
+OutcomeJson(const MoveOutcome& aOutcome, const MoveOrder* aOrder = nullptr);
 
 /// A node's registration in the platform: its address for other nodes, and
 /// state that must survive a restart of its process.
--- a/src/version/Move.h
+++ b/src/version/Move.h
@@ -42,7 +42,8 @@
   Duration m_outcomeInterval = std::chrono::seconds(5);
   /// How long outcomes and vetoes are retained after the plan is removed.
   Duration m_retention = std::chrono::hours(48);
-  /// The maximum number of moves; further plans are rejected.
+  /// The maximum number of moves. Beyond it those that ended first are
+  /// forgotten; plans are rejected when all are in force.
   std::size_t m_maxMoves = 256;
 };
 
--- a/src/version/Moves.cpp
+++ b/src/version/Moves.cpp
@@ -48,7 +48,7 @@
   if (found != m_records.end()) {
     return &found->second;
   }
-  if (m_records.size() >= m_settings->m_maxMoves) {
+  if (m_records.size() >= m_settings->m_maxMoves && !EvictEnded()) {
     ++m_rejectedCount;
     return nullptr;
   }
@@ -58,6 +58,25 @@
   return &record;
 }
 
+bool
+Moves::EvictEnded()
+{
+  auto oldest = m_records.end();
+  for (auto it = m_records.begin(); it != m_records.end(); ++it) {
+    const Record& record = it->second;
+    if (!record.m_isInForce &&
+        (oldest == m_records.end() ||
+         record.m_lastInForce < oldest->second.m_lastInForce)) {
+      oldest = it;
+    }
+  }
+  if (oldest == m_records.end()) {
+    return false;
+  }
+  m_records.erase(oldest);
+  return true;
+}
+
 Move*
 Moves::FindInForce(const MoveId& aMove)
 {
--- a/src/version/Moves.h
+++ b/src/version/Moves.h
@@ -94,7 +94,7 @@
   /// The progress of all moves, for a full state transfer to another node.
   std::vector<MoveProgress> AllProgress() const;
   /// The number of plans and progress messages rejected because
-  /// MovesSettings::m_maxMoves was reached.
+  /// MovesSettings::m_maxMoves moves were in force.
   std::uint64_t RejectedCount() const { return m_rejectedCount; }
 
 private:
@@ -110,6 +110,8 @@
 
   Moves(MovesSettings aSettings, std::unique_ptr<MovePolicy> aPolicy);
   Record* FindOrCreate(const MoveId& aMove, MonotonicTime aNow);
+  /// Removes the move that ended first. \return false when all are in force.
+  bool EvictEnded();
   Move* FindInForce(const MoveId& aMove);
   void PutInForce(const MovePlan& aPlan, MonotonicTime aNow);
   void Expire(MonotonicTime aNow);
--- a/src/version/MovesTest.cpp
+++ b/src/version/MovesTest.cpp
@@ -100,6 +100,26 @@
             MoveState::TakenBack);
 }
 
+/// Each order has a plan number of its own, and ended moves are retained.
+Test(Moves, EndedMovesKeepANewOneFromStarting)
+{
+  MovesSettings settings = OwnSettings();
+  settings.m_maxMoves = 4;
+  Moves moves = Moves::Create(settings, MakeSequential()).value();
+  for (std::uint64_t number = 1; number <= 10; ++number) {
+    moves.SetPlans({ PlanNumbered(number) }, MonotonicTime(number * 1s));
+    cr_assert(moves.SplitOf(PlanNumbered(number).m_id.m_service).has_value());
+  }
+  cr_assert_eq(moves.RejectedCount(), 0);
+  // The move in force is not forgotten.
+  for (std::uint64_t number = 11; number <= 20; ++number) {
+    moves.MergeProgress(FullShareProgress(PlanNumbered(number)),
+                        MonotonicTime(20s));
+  }
+  cr_assert(moves.SplitOf(PlanNumbered(10).m_id.m_service)->m_move ==
+            PlanNumbered(10).m_id);
+}
+
 Test(Moves, HigherPlanNumberWins)
 {
   Moves moves = Moves::Create(OwnSettings(), MakeSequential()).value();
