--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -365,7 +365,7 @@
     }
   }
   TickMoves(aTimes, actions);
-  RecordLostOutcomes(aTimes, actions);
+  RecordEnds(aTimes, actions);
   PublishView(aTimes, actions);
   for (const UsageReport& report : aGossip.m_usage) {
     m_ledger.Merge(report);
@@ -423,6 +423,7 @@
   }
   m_mayServe = mayServe;
   if (ordersChanged) {
+    NameBases();
     for (const MovePlan& plan : m_orders.Plans()) {
       m_gossip.Moves().SetCurrent(plan.m_id);
     }
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -256,9 +256,12 @@
   void PublishView(const Times& aTimes, ControlActions& aActions);
   void UpdateRoles();
   void RecordOrders(const Times& aTimes, ControlActions& aActions);
-  /// Writes outcomes again that the platform has lost in a restore; only the
-  /// coordinator of each move does.
-  void RecordLostOutcomes(const Times& aTimes, ControlActions& aActions);
+  /// Writes outcomes that the platform does not show although the moves have
+  /// ended; only the coordinator of each move does.
+  void RecordEnds(const Times& aTimes, ControlActions& aActions);
+  /// Names the version that each ordered service runs on, unless a record tells
+  /// it.
+  void NameBases();
   bool MayServe() const;
   /// Whether every watched prefix has been listed.
   bool IsListed() const;
@@ -285,8 +288,8 @@
   /// The earliest time of the next attempt to record that orders' moves have
   /// started.
   MonotonicTime m_recordAt{};
-  /// The earliest time of the next attempt to write lost outcomes.
-  MonotonicTime m_recordLostAt{};
+  /// The earliest time of the next attempt to write unrecorded outcomes.
+  MonotonicTime m_recordEndsAt{};
   Moves m_moves;
   Ledger m_ledger;
   UsagePages m_usagePages;
--- a/src/process/ControlMoves.cpp
+++ b/src/process/ControlMoves.cpp
@@ -1,6 +1,8 @@
 /// The part of ControlCore that runs traffic moves: it selects the coordinator
 /// of each move, sends evidence to coordinators, spreads progress to peers and
 /// records outcomes on the platform.
+#include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "process/ControlCore.h"
@@ -17,6 +19,34 @@
 /// coordinator needs a majority.
 constexpr Duration kRecentlyLive = std::chrono::minutes(1);
 
+/// The version that all upstreams of the service have which an order neither
+/// names now nor named before without success; not set when there are several.
+std::optional<UpstreamVersion>
+OnlyOtherVersion(const MembersByVm& aMembers,
+                 const ServiceId& aService,
+                 const UpstreamVersion& aTo,
+                 const MoveBase& aBase)
+{
+  std::optional<UpstreamVersion> only;
+  for (const auto& [vm, member] : aMembers) {
+    const UpstreamAnnouncement& upstream = member.m_upstream;
+    const auto& unproven = aBase.m_unproven;
+    const bool isCandidate =
+      member.m_state != NodeState::Dead && upstream.m_service == aService &&
+      upstream.m_state != UpstreamState::Absent && upstream.m_version != aTo &&
+      std::find(unproven.begin(), unproven.end(), upstream.m_version) ==
+        unproven.end();
+    if (!isCandidate) {
+      continue;
+    }
+    if (only && *only != upstream.m_version) {
+      return std::nullopt;
+    }
+    only = upstream.m_version;
+  }
+  return only;
+}
+
 } // namespace
 
 std::optional<Revision>
@@ -95,22 +125,37 @@
 }
 
 void
-ControlCore::RecordLostOutcomes(const Times& aTimes, ControlActions& aActions)
+ControlCore::RecordEnds(const Times& aTimes, ControlActions& aActions)
 {
-  if (aTimes.m_now < m_recordLostAt) {
+  if (aTimes.m_now < m_recordEndsAt) {
     return;
   }
   const VmId& self = m_gossip.Members().Self().m_vm;
-  for (const LostOutcome& lost : m_orders.LostOutcomes()) {
-    if (CoordinatorOf(lost.m_plan.m_id) == self) {
-      m_recordLostAt = aTimes.m_now + kRecordInterval;
-      MoveOutcome outcome = OutcomeOf(lost.m_plan, lost.m_state);
+  for (const UnrecordedEnd& end : m_orders.UnrecordedEnds()) {
+    if (CoordinatorOf(end.m_plan.m_id) == self) {
+      m_recordEndsAt = aTimes.m_now + kRecordInterval;
+      MoveOutcome outcome = OutcomeOf(end.m_plan, end.m_state);
       outcome.m_time = aTimes.m_wall;
+      outcome.m_reason = end.m_reason;
       aActions.m_outcomes.push_back(std::move(outcome));
     }
   }
 }
 
+void
+ControlCore::NameBases()
+{
+  const auto& members = m_gossip.Members().Members();
+  for (const MovePlan& plan : m_orders.Plans()) {
+    const MoveBase& base = m_orders.OrderOf(plan.m_id)->m_base;
+    const auto from =
+      OnlyOtherVersion(members, plan.m_id.m_service, plan.m_to, base);
+    if (base.m_from.IsEmpty() && from) {
+      m_orders.NameBase(plan.m_id, *from);
+    }
+  }
+}
+
 void
 ControlCore::TickMoves(const Times& aTimes, ControlActions& aActions)
 {
--- a/src/process/MoveOrders.cpp
+++ b/src/process/MoveOrders.cpp
@@ -15,6 +15,24 @@
          aOrder.m_recorded == MoveState::TakenBack;
 }
 
+/// Whether the order goes back to the version that carried all calls before it.
+bool
+IsReturn(const MoveOrder& aOrder)
+{
+  return !aOrder.m_base.m_from.IsEmpty() &&
+         aOrder.m_to == aOrder.m_base.m_from && !HasEnded(aOrder);
+}
+
+/// The version that carries the calls that don't go to the order's version.
+/// Only when other versions must be kept from them; otherwise every version may
+/// carry them.
+UpstreamVersion
+FromVersionOf(const MoveOrder& aOrder)
+{
+  return aOrder.m_base.m_unproven.empty() ? UpstreamVersion()
+                                          : aOrder.m_base.m_from;
+}
+
 } // namespace
 
 void
@@ -89,7 +107,7 @@
 {
   std::vector<MovePlan> plans;
   for (const auto& [service, entry] : m_orders) {
-    if (HasEnded(entry.m_order)) {
+    if (HasEnded(entry.m_order) || IsReturn(entry.m_order)) {
       continue;
     }
     plans.push_back(PlanOf(entry));
@@ -102,6 +120,7 @@
 {
   MovePlan plan;
   plan.m_id = aEntry.m_order.m_id;
+  plan.m_from = FromVersionOf(aEntry.m_order);
   plan.m_to = aEntry.m_order.m_to;
   plan.m_start = aEntry.m_start;
   plan.m_deadline = aEntry.m_start + aEntry.m_order.m_duration;
@@ -109,16 +128,20 @@
   return plan;
 }
 
-std::vector<LostOutcome>
-MoveOrders::LostOutcomes() const
+std::vector<UnrecordedEnd>
+MoveOrders::UnrecordedEnds() const
 {
-  std::vector<LostOutcome> lost;
+  std::vector<UnrecordedEnd> ends;
   for (const auto& [service, entry] : m_orders) {
     if (entry.m_isOutcomeLost) {
-      lost.push_back({ PlanOf(entry), *entry.m_order.m_recorded });
+      ends.push_back({ PlanOf(entry), *entry.m_order.m_recorded, "" });
+    } else if (IsReturn(entry.m_order)) {
+      ends.push_back({ PlanOf(entry),
+                       MoveState::Done,
+                       "the version carried all calls before" });
     }
   }
-  return lost;
+  return ends;
 }
 
 const MoveOrder*
@@ -128,19 +151,32 @@
   return entry == nullptr ? nullptr : &entry->m_order;
 }
 
+void
+MoveOrders::NameBase(const MoveId& aMove, const UpstreamVersion& aFrom)
+{
+  const auto found = m_orders.find(aMove.m_service);
+  if (found != m_orders.end() && found->second.m_order.m_id == aMove &&
+      found->second.m_order.m_base.m_from.IsEmpty()) {
+    found->second.m_order.m_base.m_from = aFrom;
+  }
+}
+
 std::optional<VersionSplit>
 MoveOrders::EndedSplit(const ServiceId& aService) const
 {
   const auto found = m_orders.find(aService);
-  if (found == m_orders.end() || !HasEnded(found->second.m_order)) {
+  if (found == m_orders.end()) {
     return std::nullopt;
   }
   VersionSplit split;
   const MoveOrder& order = found->second.m_order;
-  if (order.m_recorded == MoveState::Done) {
+  if (order.m_recorded == MoveState::Done || IsReturn(order)) {
     split.m_from = order.m_to;
-  } else {
+  } else if (order.m_recorded == MoveState::TakenBack) {
+    split.m_from = FromVersionOf(order);
     split.m_to = order.m_to;
+  } else {
+    return std::nullopt;
   }
   return split;
 }
--- a/src/process/MoveOrders.h
+++ b/src/process/MoveOrders.h
@@ -2,7 +2,9 @@
 /// The newest order of each service to move its traffic to another version.
 ///
 /// An order yields a move plan until its outcome is recorded in the order's
-/// object, and a fixed version split from then on.
+/// object, and a fixed version split from then on. An order to go back to the
+/// version that carried all calls before an order that has not ended needs no
+/// move: that version gets all calls at once, and the others none.
 ///
 ///     MoveOrders orders(decoder);
 ///     if (orders.Offer(documents, wall)) {
@@ -15,6 +17,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "base/Ids.h"
@@ -27,11 +30,12 @@
 
 namespace tarragontray {
 
-/// The end of a move whose record the platform has lost.
-struct LostOutcome
+/// The end of a move that the platform does not show.
+struct UnrecordedEnd
 {
   MovePlan m_plan;
   MoveState m_state = MoveState::Done;
+  std::string m_reason;
 };
 
 class MoveOrders
@@ -61,12 +65,16 @@
   std::optional<Revision> RevisionOf(const MoveId& aMove) const;
   /// The state of the move that the order's object records, if any.
   std::optional<MoveState> Recorded(const MoveId& aMove) const;
-  /// The moves that had ended before the platform was restored, and whose
-  /// orders it shows without the end. Their outcomes are to be written again.
-  std::vector<LostOutcome> LostOutcomes() const;
+  /// The moves that have ended although the platform shows their orders without
+  /// the end: it was restored from a copy, or the order needs no move. Their
+  /// outcomes are to be written.
+  std::vector<UnrecordedEnd> UnrecordedEnds() const;
   /// The order of a move, to be recorded with its outcome; null when there is
   /// no such order. Valid until the next call of Offer().
   const MoveOrder* OrderOf(const MoveId& aMove) const;
+  /// Names the version that carried all calls before the order, when nothing
+  /// else tells it.
+  void NameBase(const MoveId& aMove, const UpstreamVersion& aFrom);
   /// The number of documents that did not decode.
   std::uint64_t Rejected() const { return m_rejected; }
   /// The decoding error of the last rejected document.
--- a/src/process/MoveOrdersTest.cpp
+++ b/src/process/MoveOrdersTest.cpp
@@ -117,13 +117,13 @@
     };
   orders.Offer({ inEra(1, 5, "v2") }, kWall);
   orders.Offer({ inEra(1, 6, "v2 taken-back") }, kWall);
-  cr_assert(orders.LostOutcomes().empty());
+  cr_assert(orders.UnrecordedEnds().empty());
   for (const std::uint64_t number : { 4, 5 }) {
     orders.Offer({ inEra(2, number, "v2") }, kWall + 9s);
     cr_assert(orders.Plans().empty());
     const VersionSplit split = orders.EndedSplit(kService).value();
     cr_assert(!split.Fits(split.m_from, UpstreamVersion("v2")));
-    const auto lost = orders.LostOutcomes();
+    const auto lost = orders.UnrecordedEnds();
     cr_assert_eq(lost.size(), 1);
     cr_assert(lost.front().m_state == MoveState::TakenBack);
     cr_assert(lost.front().m_plan.m_start == kWall);
@@ -131,10 +131,65 @@
               RevisionIn(PlatformEra(2), number));
   }
   orders.Offer({ inEra(2, 6, "v2 taken-back") }, kWall + 10s);
-  cr_assert(orders.LostOutcomes().empty());
+  cr_assert(orders.UnrecordedEnds().empty());
   // Another order is not the lost one.
   orders.Offer({ inEra(3, 2, "v3") }, kWall + 20s);
   cr_assert_eq(orders.Plans().size(), 1);
 }
 
+/// Every version but the ordered one got the other calls, among them the
+/// version that was to be left.
+Test(MoveOrders, GoingBackDuringAMoveSendsAllCallsToTheVersionThatIsLeft)
+{
+  const FakeDecoder decoder;
+  MoveOrders orders(decoder);
+  orders.Offer({ Order("v2", 5) }, kWall);
+  orders.NameBase(orders.Plans().front().m_id, UpstreamVersion("v1"));
+  orders.Offer({ Order("v1", 8) }, kWall + 3s);
+  cr_assert(orders.Plans().empty());
+  const VersionSplit split = orders.EndedSplit(kService).value();
+  cr_assert(split.Fits(split.m_from, UpstreamVersion("v1")));
+  cr_assert(!split.Fits(split.m_from, UpstreamVersion("v2")));
+  const auto ends = orders.UnrecordedEnds();
+  cr_assert_eq(ends.size(), 1);
+  cr_assert(ends.front().m_state == MoveState::Done);
+  cr_assert(orders.RevisionOf(ends.front().m_plan.m_id) == Revision(8));
+  orders.Offer({ Order("v1 done", 9) }, kWall + 3s);
+  cr_assert(orders.UnrecordedEnds().empty());
+  // The version may be ordered again.
+  orders.Offer({ Order("v2", 12) }, kWall + 9s);
+  cr_assert_eq(orders.Plans().size(), 1);
+}
+
+Test(MoveOrders, AnOrderThatReplacesARunningOneTakesItsVersionForTheBase)
+{
+  const FakeDecoder decoder;
+  MoveOrders orders(decoder);
+  orders.Offer({ Order("v2", 5) }, kWall);
+  orders.NameBase(orders.Plans().front().m_id, UpstreamVersion("v1"));
+  orders.Offer({ Order("v3", 8) }, kWall + 3s);
+  const MovePlan plan = orders.Plans().front();
+  cr_assert(plan.m_to == UpstreamVersion("v3"));
+  cr_assert(plan.m_from == UpstreamVersion("v1"));
+  cr_assert(plan.m_start == kWall + 3s);
+  orders.Offer({ Order("v3 taken-back", 9) }, kWall + 5s);
+  const VersionSplit split = orders.EndedSplit(kService).value();
+  cr_assert(split.Fits(split.m_from, UpstreamVersion("v1")));
+  cr_assert(!split.Fits(split.m_from, UpstreamVersion("v2")));
+  cr_assert(!split.Fits(split.m_from, UpstreamVersion("v3")));
+}
+
+Test(MoveOrders, AVersionThatWasTakenBackCanNotBeOrderedAgain)
+{
+  const FakeDecoder decoder;
+  MoveOrders orders(decoder);
+  orders.Offer({ Order("v2", 5) }, kWall);
+  orders.NameBase(orders.Plans().front().m_id, UpstreamVersion("v1"));
+  orders.Offer({ Order("v2 taken-back", 6) }, kWall + 2s);
+  orders.Offer({ Order("v3", 8) }, kWall + 3s);
+  orders.Offer({ Order("v2", 12) }, kWall + 9s);
+  cr_assert_eq(orders.Plans().size(), 1);
+  cr_assert(orders.Plans().front().m_from == UpstreamVersion("v1"));
+}
+
 } // namespace tarragontray
