Test: many upstreams that answer without end stay within the memory of a VM

Another operator reported that a faulty target's endless bytes ended a machine and with it the calls of other clients.

--- a/src/connection/EndlessAnswerTest.cpp
+++ b/src/connection/EndlessAnswerTest.cpp
@@ -2,10 +2,15 @@
 /// UpstreamPool with upstreams that send an endless response: the call must
 /// fail in time, after a bounded number of bytes, with its connection closed.
 
+#include <algorithm>
 #include <array>
 #include <chrono>
+#include <fstream>
+#include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
+#include <vector>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -15,6 +20,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
+#include <unistd.h>
 
 #include "connection/UpstreamPool.h"
 
@@ -167,6 +173,109 @@
             upstream.Sent());
 }
 
+/// The memory of this process in use.
+ByteCount
+ResidentBytes()
+{
+  std::ifstream statm("/proc/self/statm");
+  std::uint64_t total = 0;
+  std::uint64_t resident = 0;
+  statm >> total >> resident;
+  return ByteCount(resident *
+                   static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE)));
+}
+
+/// Keeps as many calls running as an upstream has slots, all answered without
+/// end.
+class EndlessUpstreams
+{
+public:
+  explicit EndlessUpstreams(EndlessAnswer aAnswer)
+    : m_answer(std::move(aAnswer))
+    , m_acceptor(m_context, { asio::ip::address_v4::loopback(), 0 })
+    , m_pool(UpstreamPool::Create(m_context, m_clock))
+  {
+    while (m_answer.m_repeated.size() < kWriteBytes) {
+      m_answer.m_repeated += m_answer.m_repeated;
+    }
+    m_pool->SetAddress(
+      NetworkAddress(0x7F000001, m_acceptor.local_endpoint().port()));
+    asio::co_spawn(
+      m_context, [this] { return Accept(); }, asio::detached);
+  }
+
+  /// \return the most memory that was in use beyond that at the start.
+  ByteCount Run(std::size_t aSlots, Duration aTime)
+  {
+    const ByteCount before = ResidentBytes();
+    ByteCount most = before;
+    for (std::size_t slot = 0; slot < aSlots; ++slot) {
+      StartCall();
+    }
+    const auto end = std::chrono::steady_clock::now() + aTime;
+    while (std::chrono::steady_clock::now() < end) {
+      m_context.run_one_for(1ms);
+      most = std::max(most, ResidentBytes());
+    }
+    return most - before;
+  }
+
+  std::size_t Ended() const { return m_ended; }
+
+private:
+  static constexpr std::size_t kWriteBytes = 64U << 10U;
+
+  void StartCall()
+  {
+    Call call;
+    call.m_id = CallId(++m_started);
+    call.m_idempotent = true;
+    call.m_http.m_method = "GET";
+    call.m_http.m_target = "/";
+    call.m_timeRemaining = kTimeRemaining;
+    m_runs.push_back(m_pool->Start(call, [this](const Answer& aAnswer) {
+      cr_expect(aAnswer.m_outcome != CallOutcome::Done);
+      ++m_ended;
+      StartCall();
+    }));
+    std::erase_if(m_runs,
+                  [](const auto& aRun) { return aRun.use_count() == 1; });
+  }
+
+  asio::awaitable<void> Accept()
+  {
+    while (true) {
+      asio::ip::tcp::socket socket =
+        co_await m_acceptor.async_accept(asio::use_awaitable);
+      asio::co_spawn(
+        m_context,
+        [this, client = std::move(socket)]() mutable {
+          return Serve(std::move(client));
+        },
+        asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Serve(asio::ip::tcp::socket aSocket)
+  {
+    auto [error, size] = co_await asio::async_write(
+      aSocket, asio::buffer(m_answer.m_prefix), kAwait);
+    while (!error) {
+      std::tie(error, size) = co_await asio::async_write(
+        aSocket, asio::buffer(m_answer.m_repeated), kAwait);
+    }
+  }
+
+  const SystemClock m_clock;
+  asio::io_context m_context{ 1 };
+  EndlessAnswer m_answer;
+  asio::ip::tcp::acceptor m_acceptor;
+  std::unique_ptr<UpstreamPool> m_pool;
+  std::vector<std::shared_ptr<UpstreamRun>> m_runs;
+  std::uint64_t m_started = 0;
+  std::size_t m_ended = 0;
+};
+
 } // namespace
 
 Test(EndlessAnswer, FailsAtItsBoundAndItsConnectionIsClosed)
@@ -184,4 +293,20 @@
   }
 }
 
+/// The calls of all clients end with a process that runs out of memory.
+Test(EndlessAnswer, ManyAtOnceTakeTheMemoryOfTheSmallestVm)
+{
+  constexpr std::size_t kSlots = 12;
+  constexpr ByteCount kMemory{ 88'000'000 };
+  for (const EndlessAnswer& answer : kAnswers) {
+    EndlessUpstreams upstreams(answer);
+    const ByteCount used = upstreams.Run(kSlots, 300ms);
+    cr_expect(upstreams.Ended() > 0, "%s: no call ended", answer.m_name);
+    cr_expect(used < kMemory,
+              "%s: %lu bytes in use",
+              answer.m_name,
+              static_cast<unsigned long>(used.Value()));
+  }
+}
+
 } // namespace tarragontray
