Links that were replaced close after their last exchange (RECOVER)

What callers saw: after about 40 short freezes of a VM its node took no new connection, with 4,100 of 4,100 descriptors open, and was ready.

Cause: a query about a lost call opens a new link to the peer and drops the former one from the table without closing it; its receive loop kept it alive.

Change: the former link closes after its last exchange, also one that waits for the connection.

Evidence: PeerLink.LinksThatWereReplacedForAQueryStayOpen failed before with 20 connections open, 1 now.

--- a/src/connection/PeerLink.cpp
+++ b/src/connection/PeerLink.cpp
@@ -90,11 +90,34 @@
                                aTimeout);
 }
 
+/// Counts an exchange while it runs, and closes the link after the last one if
+/// it will not be used again.
+class PeerLink::ExchangeCount
+{
+public:
+  explicit ExchangeCount(PeerLink& aLink)
+    : m_link(aLink)
+  {
+    ++m_link.m_exchanges;
+  }
+  ExchangeCount(const ExchangeCount&) = delete;
+  ExchangeCount& operator=(const ExchangeCount&) = delete;
+  ~ExchangeCount()
+  {
+    --m_link.m_exchanges;
+    m_link.CloseIfUnused();
+  }
+
+private:
+  PeerLink& m_link;
+};
+
 template<typename Reply, typename Request>
 asio::awaitable<Exchange<Reply>>
 PeerLink::RoundTrip(Request aRequest, Duration aTimeout)
 {
   const auto self = shared_from_this();
+  const ExchangeCount count(*this);
   const MonotonicTime deadline = m_clock.Now() + aTimeout;
   if constexpr (std::is_same_v<Reply, Answer>) {
     if (m_isLeaving) {
@@ -121,7 +144,6 @@
     std::max(deadline - m_clock.Now(), Duration(0)));
   co_await pending->m_timer.async_wait(kAwait);
   m_pending.erase(id);
-  CloseIfLeavingAndIdle();
   if (pending->m_reply) {
     if (Reply* reply = std::get_if<Reply>(&*pending->m_reply)) {
       co_return std::move(*reply);
@@ -228,7 +250,7 @@
   if (std::holds_alternative<LinkLeaving>(aMessage)) {
     m_isLeaving = true;
     m_leavingSince = m_clock.Now();
-    CloseIfLeavingAndIdle();
+    CloseIfUnused();
     return;
   }
   const CallId id = IdOf(aMessage);
@@ -236,13 +258,21 @@
 }
 
 void
-PeerLink::CloseIfLeavingAndIdle()
+PeerLink::CloseIfUnused()
 {
-  if (m_isLeaving && m_pending.empty()) {
+  const bool isRetired = m_closesWhenUnused && m_exchanges == 0;
+  if ((m_isLeaving || isRetired) && m_pending.empty()) {
     Close();
   }
 }
 
+void
+PeerLink::CloseWhenUnused()
+{
+  m_closesWhenUnused = true;
+  CloseIfUnused();
+}
+
 void
 PeerLink::Complete(CallId aId, PeerMessage aMessage)
 {
@@ -404,6 +434,9 @@
 PeerLinks::GetFresh(const NetworkAddress& aPeer)
 {
   std::shared_ptr<PeerLink>& link = m_links[aPeer];
+  if (link) {
+    link->CloseWhenUnused();
+  }
   link = PeerLink::Create(m_context, m_clock, aPeer, m_settings);
   return link;
 }
--- a/src/connection/PeerLink.h
+++ b/src/connection/PeerLink.h
@@ -84,6 +84,9 @@
   MonotonicTime LeavingSince() const { return m_leavingSince; }
   /// Closes the connection; pending exchanges fail.
   void Close();
+  /// Closes the connection once no exchange is pending. Precondition: no
+  /// further exchange is started.
+  void CloseWhenUnused();
   /// True once the link is closed; it is never reopened.
   bool IsClosed() const { return m_state == State::Closed; }
   /// True when the link is open and has no pending exchange.
@@ -112,6 +115,7 @@
     /// FrameStream::BytesQueued after its request was queued.
     std::uint64_t m_queuedBytes = 0;
   };
+  class ExchangeCount;
   /// An unanswered ping. Its pong acknowledges all bytes queued up to it.
   struct SentPing
   {
@@ -140,7 +144,8 @@
   void Dispatch(PeerMessage aMessage);
   void Complete(CallId aId, PeerMessage aMessage);
   void RestartReceiveTimeout();
-  void CloseIfLeavingAndIdle();
+  /// Closes a link that will not be used again and has no exchange.
+  void CloseIfUnused();
 
   boost::asio::io_context& m_context;
   const Clock& m_clock;
@@ -156,6 +161,9 @@
   std::uint64_t m_nextId = 1;
   std::uint32_t m_pingNumber = 0;
   bool m_isLeaving = false;
+  bool m_closesWhenUnused = false;
+  /// Running exchanges, including those that wait for the connection.
+  std::size_t m_exchanges = 0;
   MonotonicTime m_lastReceive{};
   /// FrameStream::BytesReceived at that time.
   std::uint64_t m_lastReceivedBytes = 0;
@@ -181,7 +189,7 @@
   /// kNoReconnectTime.
   std::shared_ptr<PeerLink> Get(const NetworkAddress& aPeer);
   /// Replaces the link to a peer by one with a new connection. The former link
-  /// keeps its pending calls.
+  /// keeps its pending calls, and closes after the last of them.
   std::shared_ptr<PeerLink> GetFresh(const NetworkAddress& aPeer);
   /// Closes all links.
   void CloseAll();
--- a/src/connection/PeerLinkTest.cpp
+++ b/src/connection/PeerLinkTest.cpp
@@ -40,6 +40,7 @@
   }
   int Calls() const { return m_calls; }
   int Connections() const { return m_connections; }
+  int OpenConnections() const { return m_openConnections; }
 
 private:
   asio::awaitable<void> Serve()
@@ -47,6 +48,7 @@
     while (true) {
       tcp::socket socket = co_await Accept(m_acceptor);
       ++m_connections;
+      ++m_openConnections;
       auto stream = FrameStream::Create(std::move(socket), "caller");
       asio::co_spawn(
         m_acceptor.get_executor(), Receive(std::move(stream)), asio::detached);
@@ -58,6 +60,7 @@
     while (true) {
       const auto message = co_await aStream->Receive();
       if (!message) {
+        --m_openConnections;
         co_return;
       }
       m_calls += std::holds_alternative<Call>(message.value()) ? 1 : 0;
@@ -69,6 +72,7 @@
   React m_react;
   int m_calls = 0;
   int m_connections = 0;
+  int m_openConnections = 0;
 };
 
 /// Runs one call until it ends.
@@ -98,6 +102,14 @@
   ++aEnded;
 }
 
+asio::awaitable<void>
+RunInto(std::shared_ptr<PeerLink> aLink,
+        std::optional<Exchange<Answer>>& aResult)
+{
+  Call call;
+  aResult = co_await aLink->Run(std::move(call), std::chrono::seconds(5));
+}
+
 void
 SendDone(FrameStream& aStream, CallId aCall)
 {
@@ -262,4 +274,52 @@
   cr_assert_eq(peer.Connections(), 1);
 }
 
+/// Each of these connections was open for good, on both sides, until a process
+/// had no descriptor left.
+Test(PeerLink, LinksThatWereReplacedForAQueryStayOpen)
+{
+  asio::io_context context(1);
+  const SystemClock clock;
+  const FakePeer peer(context, AnswerCall);
+  PeerLinks links(context, clock, LinkSettings{});
+  for (int i = 0; i < 20; ++i) {
+    links.GetFresh(peer.Address());
+    RunOne(context, links, peer);
+  }
+  context.restart();
+  context.run_for(std::chrono::milliseconds(50));
+  cr_assert_eq(peer.Connections(), 20);
+  cr_assert_eq(peer.OpenConnections(), 1);
+}
+
+Test(PeerLink, AReplacedLinkLosesItsPendingCall)
+{
+  asio::io_context context(1);
+  const SystemClock clock;
+  std::vector<std::pair<FrameStream*, CallId>> waiting;
+  const FakePeer peer(
+    context, [&](FrameStream& aStream, const PeerMessage& aMessage) {
+      if (const Call* call = std::get_if<Call>(&aMessage)) {
+        waiting.emplace_back(&aStream, call->m_id);
+      } else if (const LinkPing* ping = std::get_if<LinkPing>(&aMessage)) {
+        aStream.Send(LinkPong{ ping->m_number });
+      }
+    });
+  PeerLinks links(context, clock, LinkSettings{});
+  const auto link = links.Get(peer.Address());
+  std::optional<Exchange<Answer>> result;
+  asio::co_spawn(context, RunInto(link, result), asio::detached);
+  context.poll();
+  links.GetFresh(peer.Address());
+  context.restart();
+  context.run_for(std::chrono::milliseconds(50));
+  cr_assert(!result && !link->IsClosed());
+  cr_assert_eq(waiting.size(), 1);
+  SendDone(*waiting.front().first, waiting.front().second);
+  context.restart();
+  context.run_for(std::chrono::milliseconds(50));
+  cr_assert(result && std::holds_alternative<Answer>(*result));
+  cr_assert(link->IsClosed());
+}
+
 } // namespace tarragontray
