A heartbeat without a birth is refused (DRAIN)

Cause: the dialect took a missing birth for an upstream that numbers no processes, and the register then forgot the birth that it knew.

--- a/src/process/UpstreamRegister.cpp
+++ b/src/process/UpstreamRegister.cpp
@@ -25,7 +25,11 @@
 bool
 UpstreamRegister::IsOutdated(const UpstreamReport& aReport) const
 {
-  if (!aReport.m_birth || !m_birth) {
+  if (!aReport.m_birth) {
+    // It would erase the birth by which earlier processes are told.
+    return m_birth && m_announcement.m_state != UpstreamState::Absent;
+  }
+  if (!m_birth) {
     return false;
   }
   if (!IsFromCurrentProcess(aReport)) {
--- a/src/process/UpstreamRegister.h
+++ b/src/process/UpstreamRegister.h
@@ -42,7 +42,8 @@
   UpstreamAnnouncement m_announcement;
   UpstreamEndpoint m_place;
   /// Not set when the upstream does not number its processes; each of its
-  /// announcements then counts as the newest.
+  /// announcements then counts as the newest. Ignored while a process with a
+  /// birth announces itself.
   std::optional<UpstreamBirth> m_birth;
   AnnouncementNumber m_number;
   /// A leave notice: the upstream process m_place.m_instance is ending. Only
--- a/src/process/UpstreamRegisterTest.cpp
+++ b/src/process/UpstreamRegisterTest.cpp
@@ -133,4 +133,32 @@
   cr_assert(upstreams.Offer(report));
 }
 
+/// Another writer's report names a process that has left, without its birth.
+Test(UpstreamRegister, AReportWithoutABirthBringsBackAProcessThatHasLeft)
+{
+  UpstreamRegister upstreams;
+  upstreams.Offer(MakeAnnouncement("i-1", 100, 3));
+  upstreams.Offer(MakeLeave("i-1", 100));
+  UpstreamReport report = MakeAnnouncement("i-1", 0, 9);
+  report.m_birth.reset();
+  cr_assert(!upstreams.Offer(report));
+  cr_assert(StateOf(upstreams) == UpstreamState::Draining);
+  upstreams.Lapse();
+  upstreams.Offer(report);
+  cr_assert(StateOf(upstreams) == UpstreamState::Draining);
+}
+
+Test(UpstreamRegister, AReportWithoutABirthErasesTheOneThatIsKnown)
+{
+  UpstreamRegister upstreams;
+  upstreams.Offer(MakeAnnouncement("i-2", 200, 1));
+  UpstreamReport report = MakeAnnouncement("i-2", 0, 2);
+  report.m_birth.reset();
+  report.m_announcement.m_service.m_name = ServiceName("other");
+  cr_assert(!upstreams.Offer(report));
+  // A heartbeat of the process before, held up on its way.
+  cr_assert(!upstreams.Offer(MakeAnnouncement("i-1", 100, 50)));
+  cr_assert_str_eq(upstreams.Place().m_instance.Value().c_str(), "i-2");
+}
+
 } // namespace tarragontray
