--- a/src/version/BriefMovePolicyTest.cpp
+++ b/src/version/BriefMovePolicyTest.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include "version/MoveCoordinator.h"
+#include "version/Moves.h"
 
 namespace tarragontray {
 
@@ -213,4 +214,72 @@
   cr_assert(own.m_share == Share::All());
 }
 
+/// The predecessor began the trial and is cut off; its successor ends it
+/// without the evidence from before.
+Test(BriefMovePolicy,
+     ASuccessorTakesTheEndOfATrialThatItDidNotBeginForAPassedOne)
+{
+  const auto policy = BriefMovePolicy::Create({}).value();
+  const DataCentreId dataCentre("dc");
+  const WallTime start{ std::chrono::hours(1) };
+  MovePlan plan;
+  plan.m_start = start;
+  plan.m_deadline = start + std::chrono::seconds(16);
+  MoveCoordinator successor(plan, dataCentre, *policy, std::chrono::seconds(1));
+  MoveProgress progress;
+  DataCentreProgress& own = progress.m_dataCentres[dataCentre];
+  own.m_share = Share::FromFraction(0.9);
+  std::size_t trials = 0;
+  Share before = own.m_share;
+  for (Duration elapsed = std::chrono::milliseconds(7'000);
+       elapsed < std::chrono::seconds(16);
+       elapsed += std::chrono::milliseconds(100)) {
+    const Times times{ MonotonicTime(std::chrono::hours(1) + elapsed),
+                       start + elapsed };
+    successor.Advance({}, 0, own.m_share, times, progress);
+    trials += own.m_share > before && own.m_share < Share::All() ? 1 : 0;
+    before = own.m_share;
+    cr_assert(own.m_share < Share::All() || trials > 0);
+  }
+  cr_assert(own.m_share == Share::All());
+}
+
+/// Nobody who sees the evidence can take the share back on this node.
+Test(BriefMovePolicy, TheShareOfATrialStaysInForceWithoutItsCoordinator)
+{
+  MovesSettings settings;
+  settings.m_vm = VmId("n-1");
+  settings.m_dataCentre = DataCentreId("dc");
+  settings.m_windowInterval = std::chrono::milliseconds(100);
+  Moves moves =
+    Moves::Create(settings, BriefMovePolicy::Create({}).value()).value();
+  const MonotonicTime now{ std::chrono::hours(1) };
+  const WallTime wall{ std::chrono::hours(1) };
+  MovePlan plan;
+  plan.m_id = { { ClientAccountId("a"), ServiceName("s") }, PlanNumber(1) };
+  plan.m_to = UpstreamVersion("v2");
+  plan.m_start = wall;
+  plan.m_deadline = wall + std::chrono::seconds(16);
+  moves.SetPlans({ plan }, now);
+  MoveProgress progress;
+  progress.m_move = plan.m_id;
+  DataCentreProgress& own = progress.m_dataCentres[settings.m_dataCentre];
+  const auto appliedAt = [&](Duration aElapsed) {
+    moves.Tick(now + aElapsed, wall + aElapsed);
+    return moves.SplitOf(plan.m_id.m_service)->m_toShare;
+  };
+  own.m_share = Share::FromFraction(0.9);
+  moves.MergeProgress(progress, now);
+  cr_assert(appliedAt(std::chrono::milliseconds(100)) == own.m_share);
+  cr_assert(appliedAt(std::chrono::milliseconds(900)) == own.m_share);
+  cr_assert(appliedAt(std::chrono::milliseconds(1'600)) <=
+            Share::FromFraction(0.07));
+  // The full share does not expire.
+  own.m_share = Share::All();
+  moves.MergeProgress(progress, now + std::chrono::seconds(2));
+  for (int elapsed = 2; elapsed < 10; ++elapsed) {
+    cr_assert(appliedAt(std::chrono::seconds(elapsed)) == Share::All());
+  }
+}
+
 } // namespace tarragontray
--- a/src/version/Move.cpp
+++ b/src/version/Move.cpp
@@ -29,6 +29,9 @@
 /// A node reports for this long after the move was done there, since the
 /// coordinator may still be collecting evidence.
 constexpr Duration kReportsAfterDone = std::chrono::seconds(10);
+/// How much longer than planned a node applies the share of a trial. The end of
+/// the trial is spread at most 0.5 s after its beginning, and takes its time.
+constexpr Duration kTrialGrace = std::chrono::milliseconds(500);
 
 bool
 IsDue(const std::optional<MonotonicTime>& aLast,
@@ -266,6 +269,7 @@
 Move::Tick(const Times& aTimes, MoveActions& aActions)
 {
   CheckPause(aTimes.m_now);
+  UpdateShareAge(aTimes.m_now);
   if (IsUndecided() &&
       IsDue(m_lastWindow, aTimes.m_now, m_settings->m_windowInterval)) {
     m_lastWindow = aTimes.m_now;
@@ -306,6 +310,31 @@
   return EffectiveShare(m_progress, m_settings->m_dataCentre);
 }
 
+void
+Move::UpdateShareAge(MonotonicTime aNow)
+{
+  if (DataCentreShare() != m_heldShare) {
+    m_heldShare = DataCentreShare();
+    m_heldSince = aNow;
+  }
+}
+
+Share
+Move::UnexpiredShare() const
+{
+  const Share share = DataCentreShare();
+  if (share != m_heldShare || !m_lastTick) {
+    return share;
+  }
+  PaceInput pace;
+  pace.m_plan = m_plan;
+  pace.m_share = share;
+  pace.m_sinceChange = *m_lastTick - m_heldSince - kTrialGrace;
+  // Only a version that has passed its trial gets the full share.
+  pace.m_hasPassedTrial = share == Share::All();
+  return m_policy->ShareAfterTrial(pace);
+}
+
 Share
 Move::AppliedShare() const
 {
@@ -316,7 +345,7 @@
     return Share::None();
   }
   return std::min(
-    { DataCentreShare(), m_monitor.ShareLimit(), WarmSlotLimit() });
+    { UnexpiredShare(), m_monitor.ShareLimit(), WarmSlotLimit() });
 }
 
 VersionSplit
--- a/src/version/Move.h
+++ b/src/version/Move.h
@@ -112,6 +112,12 @@
   bool IsStale() const;
   /// The share recorded in the data centre's progress.
   Share DataCentreShare() const;
+  /// The data centre's share, unless it is that of a trial which this node has
+  /// applied for longer than trials last: then its end has not arrived, and the
+  /// share after it applies.
+  Share UnexpiredShare() const;
+  /// Records since when the data centre's share has been as it is.
+  void UpdateShareAge(MonotonicTime aNow);
   /// The share that this node applies: the data centre's, limited by the
   /// node monitor, the warm slots and staleness.
   Share AppliedShare() const;
@@ -142,6 +148,9 @@
   std::optional<MonotonicTime> m_resumedAt;
   bool m_hasMergedSinceResume = false;
   std::optional<MonotonicTime> m_lastTick;
+  /// The data centre's share at the last tick, and since when it was that.
+  Share m_heldShare = Share::None();
+  MonotonicTime m_heldSince{};
   std::optional<MonotonicTime> m_lastWindow;
   /// The data centre's highest share since m_lastWindow.
   Share m_windowShare = Share::None();
--- a/src/version/MoveCoordinator.cpp
+++ b/src/version/MoveCoordinator.cpp
@@ -104,6 +104,7 @@
     return false;
   }
   aProgress.m_share = next;
+  m_hasRaised = true;
   if (next == Share::All()) {
     aProgress.m_fullShareSince = aTimes.m_wall;
   }
@@ -157,7 +158,8 @@
     m_lastChange = aTimes.m_now;
   }
   bool changed = Lower(m_policy->ShareAfterTrial(Pace(aTimes, own)), own);
-  m_hasPassedTrial |= changed;
+  // The evidence of a trial that a predecessor began may be incomplete here.
+  m_hasPassedTrial |= changed && m_hasRaised;
   m_hasPassedTrial &= m_verdict.m_kind == VerdictKind::Clear;
   if (m_verdict.m_kind == VerdictKind::NeedsComparison) {
     changed |= Lower(
--- a/src/version/MoveCoordinator.h
+++ b/src/version/MoveCoordinator.h
@@ -97,6 +97,8 @@
   Duration m_reportLapse;
   /// See PaceInput.
   bool m_hasPassedTrial = false;
+  /// Whether this coordinator has raised the share.
+  bool m_hasRaised = false;
   /// When each node reported last.
   std::map<VmId, MonotonicTime> m_reportedAt;
   bool m_hasBegun = false;
