A record without the proven version leaves what is known (EXPOSURE)

A node that has just started may be the one that records an order, and knows only the upstreams of the new version; its record then named no version to go back to, and replaced what the other nodes knew.

Change: such a record leaves what is known; an order is recorded when the version can be named, or after 1 s.

Evidence: MoveOrders.ARecordThatNamesNoBaseErasesTheOneThatIsKnown failed before.

--- a/src/process/ControlMoves.cpp
+++ b/src/process/ControlMoves.cpp
@@ -18,6 +18,9 @@
 /// A node that was live within this time counts among the nodes of which a
 /// coordinator needs a majority.
 constexpr Duration kRecentlyLive = std::chrono::minutes(1);
+/// How long the record of an order waits for the version that the service runs
+/// on. A node that has just started knows all members by then.
+constexpr Duration kNameBaseWait = std::chrono::seconds(1);
 
 /// The version that all upstreams of the service have which an order neither
 /// names now nor named before without success; not set when there are several.
@@ -114,8 +117,13 @@
     return;
   }
   const VmId& self = m_gossip.Members().Self().m_vm;
+  NameBases();
   for (const MovePlan& plan : m_orders.Plans()) {
-    if (!m_orders.Recorded(plan.m_id) && CoordinatorOf(plan.m_id) == self) {
+    const bool isComplete =
+      !m_orders.OrderOf(plan.m_id)->m_base.m_from.IsEmpty() ||
+      aTimes.m_wall >= plan.m_start + kNameBaseWait;
+    if (isComplete && !m_orders.Recorded(plan.m_id) &&
+        CoordinatorOf(plan.m_id) == self) {
       m_recordAt = aTimes.m_now + kRecordInterval;
       MoveOutcome outcome = OutcomeOf(plan, MoveState::Moving);
       outcome.m_time = plan.m_start;
@@ -148,9 +156,12 @@
   const auto& members = m_gossip.Members().Members();
   for (const MovePlan& plan : m_orders.Plans()) {
     const MoveBase& base = m_orders.OrderOf(plan.m_id)->m_base;
+    if (!base.m_from.IsEmpty()) {
+      continue;
+    }
     const auto from =
       OnlyOtherVersion(members, plan.m_id.m_service, plan.m_to, base);
-    if (base.m_from.IsEmpty() && from) {
+    if (from) {
       m_orders.NameBase(plan.m_id, *from);
     }
   }
--- a/src/process/MoveOrders.cpp
+++ b/src/process/MoveOrders.cpp
@@ -42,6 +42,10 @@
 {
   const MoveOrder& former = aFormer.m_order;
   if (aOrder.HasRecord()) {
+    // The recording node may not have known the version.
+    if (aOrder.m_id == former.m_id && aOrder.m_base.m_from.IsEmpty()) {
+      aOrder.m_base.m_from = former.m_base.m_from;
+    }
     return;
   }
   const bool wasRestored = EraOf(aFormer.m_revision) != EraOf(aRevision);
@@ -52,7 +56,9 @@
   }
   if (aOrder.m_id == former.m_id) {
     aOrder.m_base = former.m_base;
-  } else if (!aOrder.m_recordOf || *aOrder.m_recordOf < former.m_id.m_plan) {
+  } else if (!aOrder.m_recordOf || *aOrder.m_recordOf < former.m_id.m_plan ||
+             (aOrder.m_recordOf == former.m_id.m_plan &&
+              aOrder.m_base.m_from.IsEmpty())) {
     aOrder.m_base = NextBase(former.m_base, former.m_to, former.m_recorded);
   }
 }
--- a/src/process/MoveOrdersTest.cpp
+++ b/src/process/MoveOrdersTest.cpp
@@ -16,7 +16,8 @@
 const ServiceId kService{ ClientAccountId("a"), ServiceName("s") };
 
 /// Decodes orders of the form "VERSION STATE", for example "v2 done"; "bad"
-/// does not decode.
+/// does not decode. "VERSION recorded" has a record that names no base, and
+/// "VERSION after VERSION" the record of the order before.
 class FakeDecoder final : public ConfigurationDecoder
 {
 public:
@@ -39,6 +40,14 @@
     order.m_to = UpstreamVersion(text.substr(0, 2));
     order.m_id = { kService, PlanNumber(text[1] - '0') };
     order.m_duration = 16s;
+    if (text.ends_with("recorded")) {
+      order.m_recorded = MoveState::Moving;
+      order.m_recordOf = order.m_id.m_plan;
+    } else if (text.find(" after ") != std::string::npos) {
+      const UpstreamVersion former(text.substr(text.size() - 2));
+      order.m_recordOf = PlanNumber(former.Value()[1] - '0');
+      order.m_base = NextBase({}, former, MoveState::Moving);
+    }
     if (text.ends_with("done")) {
       order.m_recorded = MoveState::Done;
     } else if (text.ends_with("taken-back")) {
@@ -161,6 +170,22 @@
   cr_assert_eq(orders.Plans().size(), 1);
 }
 
+/// The coordinator that recorded the order had just started and knew only the
+/// upstreams of the new version.
+Test(MoveOrders, ARecordThatNamesNoBaseErasesTheOneThatIsKnown)
+{
+  const FakeDecoder decoder;
+  MoveOrders orders(decoder);
+  orders.Offer({ Order("v2", 5) }, kWall);
+  orders.NameBase(orders.Plans().front().m_id, UpstreamVersion("v1"));
+  orders.Offer({ Order("v2 recorded", 6) }, kWall);
+  orders.Offer({ Order("v1 after v2", 8) }, kWall + 3s);
+  cr_assert(orders.Plans().empty());
+  const VersionSplit split = orders.EndedSplit(kService).value();
+  cr_assert(split.Fits(split.m_from, UpstreamVersion("v1")));
+  cr_assert(!split.Fits(split.m_from, UpstreamVersion("v2")));
+}
+
 Test(MoveOrders, AnOrderThatReplacesARunningOneTakesItsVersionForTheBase)
 {
   const FakeDecoder decoder;
