A fleet that starts together does not ping itself whole

Cause, suspected: a node that started asked every peer after 0.1 s and every 0.15 s, unless the platform had told it before. When all of 295 start at once, that is 87,000 pings a round.

A leave notice keeps its quick rounds.

Evidence: RecordConfirmations.EveryNodeThatStartsPingsTheWholeFleetAtOnce bounds a round.

--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -162,6 +162,16 @@
     });
 }
 
+ConfirmationNeed
+ControlCore::NeededConfirmations() const
+{
+  if (!AreDeparturesRecorded()) {
+    return ConfirmationNeed::Departure;
+  }
+  return m_upstreams.IsHistoryKnown() ? ConfirmationNeed::None
+                                      : ConfirmationNeed::History;
+}
+
 bool
 ControlCore::HasReceivedHistory() const
 {
@@ -200,8 +210,7 @@
   if (!m_upstreams.IsHistoryKnown() && HasReceivedHistory()) {
     m_upstreams.SetHistoryKnown();
   }
-  members.WantConfirmations(
-    !m_upstreams.IsHistoryKnown() || !AreDeparturesRecorded(), aTimes.m_now);
+  members.NeedConfirmations(NeededConfirmations(), aTimes.m_now);
   const UpstreamAnnouncement announcement = m_upstreams.Announcement();
   const bool hasLapsed = std::exchange(m_hasLapsed, false);
   if (announcement == m_upstream && m_upstreams.Place() == m_upstreamPlace) {
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -253,6 +253,7 @@
   /// Whether an earlier process's departed upstreams have all been received.
   bool HasReceivedHistory() const;
   bool AreDeparturesRecorded() const;
+  ConfirmationNeed NeededConfirmations() const;
   void PublishView(const Times& aTimes, ControlActions& aActions);
   void UpdateRoles();
   void RecordOrders(const Times& aTimes, ControlActions& aActions);
--- a/src/process/Membership.h
+++ b/src/process/Membership.h
@@ -147,11 +147,11 @@
   /// node's record. Those that peers know in addition, from an earlier process
   /// of this node, appear in Self().m_departed.
   void AddDeparted(const DepartedUpstreams& aDeparted, MonotonicTime aNow);
-  /// While wanted, peers are asked to confirm that they hold this node's record
+  /// While needed, peers are asked to confirm that they hold this node's record
   /// with its departed upstreams.
-  void WantConfirmations(bool aIsWanted, MonotonicTime aNow)
+  void NeedConfirmations(ConfirmationNeed aNeed, MonotonicTime aNow)
   {
-    m_confirmations.SetWanted(aIsWanted, aNow);
+    m_confirmations.SetNeed(aNeed, aNow);
   }
   /// Whether a majority of the live peers of the cell has confirmed the record,
   /// and has thereby told this node what its predecessor knew.
--- a/src/process/MembershipSending.cpp
+++ b/src/process/MembershipSending.cpp
@@ -336,10 +336,10 @@
 void
 Membership::TickConfirmations(MonotonicTime aNow, Outgoing& aSend)
 {
-  if (!m_confirmations.TakeRound(aNow)) {
+  if (aNow < m_confirmations.NextTick()) {
     return;
   }
-  for (const VmId& peer : m_confirmations.Missing(Peers())) {
+  for (const VmId& peer : m_confirmations.TakeRound(Peers(), aNow)) {
     Datagram ping = MakeDatagram(DatagramKind::Ping, m_prober.NextNumber());
     ping.m_members.push_back(m_self);
     m_confirmations.OnSent(ping.m_probe, peer);
--- a/src/process/RecordConfirmations.cpp
+++ b/src/process/RecordConfirmations.cpp
@@ -1,15 +1,15 @@
 #include "process/RecordConfirmations.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace tarragontray {
 
 namespace {
 
-/// Until then the platform has usually stored what is to be confirmed, which
+/// Until then the platform has usually stored or told what is needed, which
 /// makes the rounds unnecessary.
-constexpr Duration kFirstRound = std::chrono::milliseconds(100);
+constexpr Duration kFirstDepartureRound = std::chrono::milliseconds(100);
+constexpr Duration kFirstHistoryRound = std::chrono::seconds(1);
 /// An upstream waits 1 s for its acknowledgement; the quick rounds make up for
 /// lost datagrams within that time.
 constexpr Duration kQuickInterval = std::chrono::milliseconds(150);
@@ -21,13 +21,20 @@
 } // namespace
 
 void
-RecordConfirmations::SetWanted(bool aIsWanted, MonotonicTime aNow)
+RecordConfirmations::SetNeed(ConfirmationNeed aNeed, MonotonicTime aNow)
 {
-  if (aIsWanted && !m_isWanted) {
-    m_next = aNow + kFirstRound;
+  if (aNeed == m_need) {
+    return;
+  }
+  const bool isRunning = m_need != ConfirmationNeed::None;
+  if (aNeed == ConfirmationNeed::Departure) {
+    const MonotonicTime first = aNow + kFirstDepartureRound;
+    m_next = isRunning ? std::min(m_next, first) : first;
     m_rounds = 0;
+  } else if (!isRunning) {
+    m_next = aNow + kFirstHistoryRound;
   }
-  m_isWanted = aIsWanted;
+  m_need = aNeed;
 }
 
 void
@@ -41,29 +48,34 @@
 MonotonicTime
 RecordConfirmations::NextTick() const
 {
-  return m_isWanted ? m_next : MonotonicTime::max();
+  return m_need == ConfirmationNeed::None ? MonotonicTime::max() : m_next;
 }
 
-bool
-RecordConfirmations::TakeRound(MonotonicTime aNow)
+std::vector<VmId>
+RecordConfirmations::TakeRound(const std::vector<VmId>& aPeers,
+                               MonotonicTime aNow)
 {
+  std::vector<VmId> missing;
   if (aNow < NextTick()) {
-    return false;
+    return missing;
   }
-  m_next = aNow + (m_rounds < kQuickRounds ? kQuickInterval : kInterval);
+  const bool isQuick =
+    m_need == ConfirmationNeed::Departure && m_rounds < kQuickRounds;
+  m_next = aNow + (isQuick ? kQuickInterval : kInterval);
   ++m_rounds;
-  return true;
-}
-
-std::vector<VmId>
-RecordConfirmations::Missing(const std::vector<VmId>& aPeers) const
-{
-  std::vector<VmId> missing;
-  std::copy_if(
-    aPeers.begin(),
-    aPeers.end(),
-    std::back_inserter(missing),
-    [this](const VmId& aPeer) { return !m_confirmed.contains(aPeer); });
+  const auto first = static_cast<std::size_t>(
+    std::upper_bound(aPeers.begin(), aPeers.end(), m_lastAsked) -
+    aPeers.begin());
+  for (std::size_t i = 0; i < aPeers.size() && missing.size() < kMaxPings;
+       ++i) {
+    const VmId& peer = aPeers[(first + i) % aPeers.size()];
+    if (!m_confirmed.contains(peer)) {
+      missing.push_back(peer);
+    }
+  }
+  if (!missing.empty()) {
+    m_lastAsked = missing.back();
+  }
   return missing;
 }
 
--- a/src/process/RecordConfirmationsTest.cpp
+++ b/src/process/RecordConfirmationsTest.cpp
@@ -39,7 +39,7 @@
 {
   Membership& members = aNetwork.At(kLeaving.Value()).Members();
   members.AddDeparted(Departed(), aNetwork.Now());
-  members.WantConfirmations(true, aNetwork.Now());
+  members.NeedConfirmations(ConfirmationNeed::Departure, aNetwork.Now());
   aNetwork.TickNode(kLeaving.Value());
   return aNetwork.RunUntil([&] { return members.IsConfirmed(); }, aLimit);
 }
@@ -50,9 +50,9 @@
 {
   const std::vector<VmId> peers{ VmId("a"), VmId("b"), VmId("c"), VmId("d") };
   RecordConfirmations confirmations;
-  confirmations.SetWanted(true, kStart - seconds(1));
-  cr_assert(confirmations.TakeRound(kStart));
-  cr_assert(!confirmations.TakeRound(kStart));
+  confirmations.SetNeed(ConfirmationNeed::Departure, kStart - seconds(1));
+  cr_assert_eq(confirmations.TakeRound(peers, kStart).size(), 4);
+  cr_assert(confirmations.TakeRound(peers, kStart).empty());
   for (std::uint32_t i = 0; i < peers.size(); ++i) {
     confirmations.OnSent(i, peers[i]);
   }
@@ -64,7 +64,7 @@
   cr_assert(!confirmations.HasMajority(peers));
   confirmations.OnAck(3, peers[3]);
   cr_assert(confirmations.HasMajority(peers));
-  cr_assert_eq(confirmations.Missing(peers).size(), 1);
+  cr_assert_eq(confirmations.TakeRound(peers, kStart + seconds(1)).size(), 1);
   cr_assert(!confirmations.HasMajority({}));
 }
 
@@ -73,13 +73,40 @@
 {
   const std::vector<VmId> peers{ VmId("a") };
   RecordConfirmations confirmations;
-  confirmations.SetWanted(true, kStart - seconds(1));
+  confirmations.SetNeed(ConfirmationNeed::Departure, kStart - seconds(1));
   confirmations.OnSent(1, peers[0]);
   confirmations.Reset();
   confirmations.OnAck(1, peers[0]);
   cr_assert(!confirmations.HasMajority(peers));
 }
 
+/// All nodes of a fleet start together, and the platform tells them late.
+Test(RecordConfirmations, EveryNodeThatStartsPingsTheWholeFleetAtOnce)
+{
+  std::vector<VmId> peers;
+  for (int i = 0; i < 294; ++i) {
+    peers.emplace_back("vm-" + std::to_string(1000 + i));
+  }
+  RecordConfirmations confirmations;
+  confirmations.SetNeed(ConfirmationNeed::History, kStart);
+  cr_assert(confirmations.NextTick() >= kStart + seconds(1));
+  std::uint32_t number = 0;
+  MonotonicTime now = kStart;
+  while (!confirmations.HasMajority(peers) && now < kStart + seconds(10)) {
+    now = confirmations.NextTick();
+    const auto asked = confirmations.TakeRound(peers, now);
+    cr_assert_leq(asked.size(), RecordConfirmations::kMaxPings);
+    // Every third peer is down.
+    for (std::size_t i = 0; i < asked.size(); ++i) {
+      confirmations.OnSent(++number, asked[i]);
+      if (i % 3 != 0) {
+        confirmations.OnAck(number, asked[i]);
+      }
+    }
+  }
+  cr_assert(confirmations.HasMajority(peers));
+}
+
 /// The upstream discards an acknowledgement after 1 s.
 Test(RecordConfirmations, ADepartureIsNotConfirmedInTimeUnderPacketLoss)
 {
@@ -114,7 +141,7 @@
     network.Run(milliseconds(500));
     network.Start(kLeaving.Value(), "dc1");
     Membership& members = network.At(kLeaving.Value()).Members();
-    members.WantConfirmations(true, network.Now());
+    members.NeedConfirmations(ConfirmationNeed::History, network.Now());
     network.TickNode(kLeaving.Value());
     const Duration took =
       network.RunUntil([&] { return members.IsConfirmed(); }, seconds(20));
