Accounts of callers by API key; core types of the work on hard load

A configuration may list accounts with keys, a priority and a rate. The entry node finds the account by a keyed digest of the key, refuses unknown keys with 401, removes the key from the request and names the account to the upstream. Also the types that the other parts share: the upstream's own load report and cold time, the pace of a VM, reasons of refusal, the cold rate of a service.

Lint: a test's char arithmetic was reported on x86-64 only, where char is signed.

--- a/src/connection/DocumentPatchTest.cpp
+++ b/src/connection/DocumentPatchTest.cpp
@@ -78,10 +78,12 @@
   for (int i = 0; i < 2'000; ++i) {
     DocumentPatch damaged = patch;
     switch (random.Below(4)) {
-      case 0:
-        damaged.m_bytes[random.Below(damaged.m_bytes.size())] ^=
-          static_cast<char>(1 + random.Below(255));
+      case 0: {
+        char& byte = damaged.m_bytes[random.Below(damaged.m_bytes.size())];
+        byte = static_cast<char>(static_cast<unsigned>(byte) ^
+                                 (1U + random.Below(255)));
         break;
+      }
       case 1:
         damaged.m_bytes.resize(random.Below(damaged.m_bytes.size()));
         break;
--- a/src/connection/FrameCodec.cpp
+++ b/src/connection/FrameCodec.cpp
@@ -137,6 +137,7 @@
   aCoder(aAnswer.m_load.m_running,
          aAnswer.m_load.m_queued,
          aAnswer.m_load.m_slots,
+         aAnswer.m_load.m_pace,
          aAnswer.m_serviceTime,
          aAnswer.m_retryAfter,
          aAnswer.m_http.m_status);
--- a/src/process/FrontThread.cpp
+++ b/src/process/FrontThread.cpp
@@ -42,6 +42,34 @@
 /// received by then.
 constexpr Duration kAbsenceRetryAfter = std::chrono::milliseconds(400);
 
+/// The account of a call and whether the call may be made.
+struct Identification
+{
+  /// Null for an anonymous call.
+  const CallerAccount* m_account = nullptr;
+  bool m_isAccepted = true;
+};
+
+/// A presented API key must be valid, also on a route that needs none.
+Identification
+IdentifyCaller(const Configuration& aConfiguration,
+               const RouteSpec& aRoute,
+               const CallerCredential& aCredential)
+{
+  Identification result;
+  if (aConfiguration.m_callers.empty()) {
+    return result;
+  }
+  if (aCredential.m_kind == CallerCredential::Kind::ApiKey) {
+    result.m_account = FindCaller(aConfiguration, aCredential.m_key);
+  }
+  const bool isAnonymous =
+    aCredential.m_kind == CallerCredential::Kind::Absent &&
+    aRoute.m_allowsAnonymous;
+  result.m_isAccepted = result.m_account != nullptr || isAnonymous;
+  return result;
+}
+
 Answer
 Refusal(RefusalReason aReason)
 {
@@ -60,6 +88,7 @@
     case RefusalReason::UpstreamGone:
       return kAbsenceRetryAfter;
     case RefusalReason::NoRoute:
+    case RefusalReason::UnknownCaller:
       return Duration(0);
     default:
       return kLoadRetryAfter;
@@ -77,6 +106,26 @@
   return 0;
 }
 
+/// What the configuration says about one call; valid while its view is held.
+struct CallContext
+{
+  const Configuration& m_configuration;
+  const RouteSpec& m_route;
+  /// Null for an anonymous call.
+  const CallerAccount* m_account = nullptr;
+
+  const ClientAccountId& Account() const
+  {
+    return m_account == nullptr ? m_configuration.m_account : m_account->m_id;
+  }
+  std::uint8_t Priority() const
+  {
+    return m_account != nullptr && m_account->m_priority
+             ? *m_account->m_priority
+             : PriorityOf(m_configuration, m_route.m_class);
+  }
+};
+
 class Front final : public FrontThread
 {
 public:
@@ -174,13 +223,20 @@
                                 ? RefusalReason::NoConfiguration
                                 : RefusalReason::NoRoute));
     }
-    Answer answer = co_await ServeRoute(std::move(aRequest),
-                                        caller.value(),
-                                        *view,
-                                        *configuration,
-                                        *route,
-                                        start);
-    SeriesOf(configuration->m_account, route->m_class)
+    const Identification identity =
+      IdentifyCaller(*configuration, *route, caller.value().m_credential);
+    if (!identity.m_isAccepted) {
+      co_return Write(caller.value(), Refusal(RefusalReason::UnknownCaller));
+    }
+    if (!configuration->m_callers.empty()) {
+      dialect.Identify(identity.m_account == nullptr ? ClientAccountId()
+                                                     : identity.m_account->m_id,
+                       aRequest);
+    }
+    const CallContext context{ *configuration, *route, identity.m_account };
+    Answer answer = co_await ServeRoute(
+      std::move(aRequest), caller.value(), *view, context, start);
+    SeriesOf(context.Account(), route->m_class)
       .Observe(answer.m_outcome, m_clock.Now() - start);
     co_return Write(caller.value(), std::move(answer));
   }
@@ -188,12 +244,11 @@
   asio::awaitable<Answer> ServeRoute(HttpRequestParts aRequest,
                                      const CallerRequest& aCaller,
                                      const View& aView,
-                                     const Configuration& aConfiguration,
-                                     const RouteSpec& aRoute,
+                                     const CallContext& aContext,
                                      MonotonicTime aStart)
   {
-    const auto service =
-      aView.m_services.find(m_serviceSplitter.Choose(aRoute));
+    const RouteSpec& route = aContext.m_route;
+    const auto service = aView.m_services.find(m_serviceSplitter.Choose(route));
     if (service == aView.m_services.end()) {
       co_return Refusal(RefusalReason::NoTarget);
     }
@@ -201,23 +256,23 @@
       m_balancing, m_versionSplitter, m_retries, m_random
     };
     const Duration timeout = std::min(
-      aCaller.m_timeRemaining.value_or(aRoute.m_timeout), aRoute.m_timeout);
+      aCaller.m_timeRemaining.value_or(route.m_timeout), route.m_timeout);
     if (m_isDraining && aStart + timeout > m_end) {
       // Its target might still be at work when this process ends.
       co_return Refusal(RefusalReason::Draining);
     }
-    CallSetup setup{ .m_route = aRoute,
+    CallSetup setup{ .m_route = route,
                      .m_service = service->second,
                      .m_operation = aCaller.m_operation.IsEmpty()
                                       ? NewOperation()
                                       : aCaller.m_operation,
                      .m_isCallerKey = aCaller.m_isCallerKey,
-                     .m_caller = aConfiguration.m_account,
-                     .m_priority = PriorityOf(aConfiguration, aRoute.m_class),
+                     .m_caller = aContext.Account(),
+                     .m_priority = aContext.Priority(),
                      .m_deadline = std::min(aStart + timeout, m_end),
                      .m_dataCentre = m_settings.m_dataCentre,
                      .m_policies = policies,
-                     .m_objective = Objective(aCaller, aRoute, aStart) };
+                     .m_objective = Objective(aCaller, route, aStart) };
     Call call = MakeCall(setup);
     call.m_origin = m_settings.m_origin;
     call.m_http = std::move(aRequest);
@@ -236,7 +291,8 @@
       aAnswer.m_retryAfter =
         std::max(aAnswer.m_retryAfter, RetryAfter(aAnswer.m_refusal));
       if (aAnswer.m_refusal == RefusalReason::NoConfiguration ||
-          aAnswer.m_refusal == RefusalReason::NoRoute) {
+          aAnswer.m_refusal == RefusalReason::NoRoute ||
+          aAnswer.m_refusal == RefusalReason::UnknownCaller) {
         Log(LogLevel::Info,
             kPart,
             "Call refused.",
--- a/src/request/Call.cpp
+++ b/src/request/Call.cpp
@@ -50,6 +50,14 @@
       return "upstream-shed";
     case RefusalReason::OperationTableFull:
       return "operation-table-full";
+    case RefusalReason::UnknownCaller:
+      return "unknown-caller";
+    case RefusalReason::StaleConfiguration:
+      return "stale-configuration";
+    case RefusalReason::AccountRate:
+      return "account-rate";
+    case RefusalReason::Evacuated:
+      return "evacuated";
   }
   return "none";
 }
--- a/src/request/Call.h
+++ b/src/request/Call.h
@@ -57,8 +57,16 @@
   OperationTableFull,
   /// The upstream shed the call although a slot was free.
   UpstreamShed,
+  /// The call carries no API key that the configuration knows.
+  UnknownCaller,
+  /// The node can't tell whether the caller's API key is still valid.
+  StaleConfiguration,
+  /// The caller's account has used up its rate.
+  AccountRate,
+  /// The upstream's data centre is being evacuated.
+  Evacuated,
 };
-inline constexpr RefusalReason kLastRefusalReason = RefusalReason::UpstreamShed;
+inline constexpr RefusalReason kLastRefusalReason = RefusalReason::Evacuated;
 inline constexpr std::size_t kRefusalReasons =
   static_cast<std::size_t>(kLastRefusalReason) + 1;
 
@@ -90,6 +98,10 @@
   std::string m_body;
 };
 
+/// The duration of work at this moment, in per cent of its usual duration.
+using PacePercent = Amount<struct PacePercentTag, std::uint32_t>;
+inline constexpr PacePercent kUsualPace{ 100 };
+
 /// The load of a node's own upstream; sent with every answer.
 struct LoadReport
 {
@@ -100,6 +112,11 @@
   /// The slots that calls can use; fewer than the upstream has while it limits
   /// its rate of calls.
   SlotCount m_slots{ 0 };
+  /// How long work takes on the upstream's VM at this moment, in per cent of
+  /// the usual time.
+  PacePercent m_pace = kUsualPace;
+
+  bool operator==(const LoadReport&) const = default;
 };
 
 /// How long guards keep completed operations.
@@ -120,7 +137,8 @@
   CallId m_id;
   /// The same for all attempts of one operation.
   OperationId m_operation;
-  /// The calling account, for fair shares and the ledger.
+  /// The calling account, for fair shares and the ledger. For a call without an
+  /// API key, the owner of m_service.
   ClientAccountId m_caller;
   ServiceId m_service;
   RouteName m_route;
@@ -149,6 +167,10 @@
   std::optional<CallRate> m_rateLimit;
   /// It is about to end. Not revoked by later answers.
   bool m_isLeaving = false;
+  /// Its own report of its load. Not set without one.
+  std::optional<LoadReport> m_load{};
+  /// How long it will stay cold. Not set when it doesn't say.
+  std::optional<Duration> m_coldRemaining{};
 
   bool operator==(const UpstreamNotice&) const = default;
 };
--- a/src/request/HttpDialect.h
+++ b/src/request/HttpDialect.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 
+#include "base/ApiKey.h"
 #include "base/Ids.h"
 #include "base/NetworkAddress.h"
 #include "base/Result.h"
@@ -24,6 +25,22 @@
 
 namespace tarragontray {
 
+/// How a caller identifies itself.
+struct CallerCredential
+{
+  enum class Kind : std::uint8_t
+  {
+    Absent,
+    /// Several credentials, another scheme, or one that is too long.
+    Unusable,
+    ApiKey,
+  };
+
+  Kind m_kind = Kind::Absent;
+  /// With ApiKey.
+  ApiKeyDigest m_key{};
+};
+
 /// Routing and delivery fields read from a caller's request.
 struct CallerRequest
 {
@@ -38,6 +55,7 @@
   bool m_isCallerKey = false;
   /// How long the caller will wait; when not set, the route's timeout applies.
   std::optional<Duration> m_timeRemaining;
+  CallerCredential m_credential;
 };
 
 /// Reads the requests of callers and writes their answers.
@@ -49,6 +67,13 @@
   /// Errors: InvalidArgument for a request that must not be run.
   virtual Result<CallerRequest> Read(
     const HttpRequestParts& aRequest) const = 0;
+  /// Replaces the caller's credential in a request by the name of its account,
+  /// for the upstream. Called when the configuration identifies its callers.
+  /// \param aAccount empty for an anonymous call.
+  virtual void Identify(const ClientAccountId& /*aAccount*/,
+                        HttpRequestParts& /*aRequest*/) const
+  {
+  }
   /// The answer to a request that Read rejected.
   virtual HttpAnswerParts Reject(const Error& aError) const = 0;
   /// The answer to a completed call.
--- a/src/version/Configuration.cpp
+++ b/src/version/Configuration.cpp
@@ -33,4 +33,20 @@
   return found == routes.end() ? nullptr : &*found;
 }
 
+const CallerAccount*
+FindCaller(const Configuration& aConfiguration, const ApiKeyDigest& aKey)
+{
+  const auto& keys = aConfiguration.m_callerKeys;
+  const auto found =
+    std::lower_bound(keys.begin(),
+                     keys.end(),
+                     aKey,
+                     [](const CallerKey& aEntry, const ApiKeyDigest& aDigest) {
+                       return aEntry.m_digest < aDigest;
+                     });
+  return found == keys.end() || found->m_digest != aKey
+           ? nullptr
+           : &aConfiguration.m_callers[found->m_caller];
+}
+
 } // namespace tarragontray
--- a/src/version/Configuration.h
+++ b/src/version/Configuration.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "base/ApiKey.h"
 #include "base/Ids.h"
 #include "base/Units.h"
 #include "version/MovePlan.h"
@@ -46,6 +47,13 @@
   std::uint32_t m_queueLimit = 64;
   /// The share of a guard's slots that all other accounts together may hold.
   Share m_foreignShare = Share::FromFraction(0.5);
+  /// The calls per second that an upstream tolerates while it is cold; not set
+  /// when the service states none.
+  std::optional<CallRate> m_coldRate;
+  /// How long an upstream is cold after its start; 0 when not stated.
+  Duration m_warmUp{ 0 };
+  /// The HTTP target of health requests; empty when the service states none.
+  std::string m_healthTarget;
 
   bool operator==(const ServiceSpec&) const = default;
 };
@@ -75,6 +83,9 @@
   std::string m_pathPrefix;
   ClassName m_class;
   bool m_idempotent = false;
+  /// Whether calls without an API key are accepted although the configuration
+  /// identifies its callers.
+  bool m_allowsAnonymous = false;
   Duration m_timeout{ 0 };
   /// The latency objective: a response within this time has the most value.
   /// Zero if there is none.
@@ -108,6 +119,37 @@
   bool operator==(const CallerLimits&) const = default;
 };
 
+/// The rate of calls that an account may make, over all nodes together.
+struct AccountRate
+{
+  CallRate m_rate;
+  CallCount m_burst;
+
+  bool operator==(const AccountRate&) const = default;
+};
+
+/// A client account whose callers identify themselves by an API key.
+struct CallerAccount
+{
+  ClientAccountId m_id;
+  /// Replaces the priority of the route's class.
+  std::optional<std::uint8_t> m_priority;
+  /// Not set without a limit.
+  std::optional<AccountRate> m_rate;
+
+  bool operator==(const CallerAccount&) const = default;
+};
+
+/// An API key and its account.
+struct CallerKey
+{
+  ApiKeyDigest m_digest;
+  /// Index into Configuration::m_callers.
+  std::uint32_t m_caller = 0;
+
+  bool operator==(const CallerKey&) const = default;
+};
+
 /// See the file comment.
 struct Configuration
 {
@@ -127,6 +169,11 @@
   /// Whether m_services lists every service that the routes name. The version
   /// can then take effect before any upstream has been announced.
   bool m_declaresServices = false;
+  /// The accounts of callers. If there are any, a call needs an API key unless
+  /// its route allows anonymous calls.
+  std::vector<CallerAccount> m_callers;
+  /// Sorted by digest; no digest occurs twice.
+  std::vector<CallerKey> m_callerKeys;
 
   bool operator==(const Configuration&) const = default;
 };
@@ -139,4 +186,8 @@
           std::string_view aTarget,
           std::string_view aHost = {});
 
+/// The account that holds the key, or null. Thread safety: any thread.
+const CallerAccount*
+FindCaller(const Configuration& aConfiguration, const ApiKeyDigest& aKey);
+
 } // namespace tarragontray
