Evacuation of a data centre

While an object evacuations/DATA-CENTRE exists, views leave out the upstreams of that data centre, and the guards there refuse waiting and new calls as "evacuated", which is not run and costs no retry budget. Nodes keep what they know while the platform is away and get it from their peers after a restart; a guard that has just started refuses calls until it can know.

A listing of this prefix that lacks an object counts as its deletion, since a watch that was lost over an outage reports the deletion to nobody. A listing of another era, or one of which an object could not be read, deletes nothing.

--- a/src/connection/Platform.h
+++ b/src/connection/Platform.h
@@ -49,6 +49,8 @@
 {
   std::vector<PlatformObject> m_objects;
   Revision m_revision;
+  /// Whether an object is missing because it could not be read.
+  bool m_isPartial = false;
 };
 
 /// See the file comment.
--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -321,13 +321,33 @@
                        Revision aComplete,
                        const Times& aTimes,
                        const std::string& aPrefix,
-                       DocumentChannel aChannel)
+                       DocumentChannel aChannel,
+                       ListingExtent aExtent)
 {
+  std::vector<Document> documents = aDocuments;
+  if (aChannel == DocumentChannel::List && aExtent == ListingExtent::Whole &&
+      IsDeletedByAbsence(aPrefix)) {
+    auto deletions =
+      m_gossip.Documents().DeletionsIn(aDocuments, aComplete, aPrefix);
+    std::move(
+      deletions.begin(), deletions.end(), std::back_inserter(documents));
+  }
   m_gossip.Documents().OfferFromPlatform(
-    aDocuments, aComplete, aTimes.m_now, aPrefix, aChannel);
+    documents, aComplete, aTimes.m_now, aPrefix, aChannel);
   return Finish(m_gossip.Tick(aTimes.m_now), aTimes);
 }
 
+bool
+ControlCore::IsDeletedByAbsence(const std::string& aPrefix) const
+{
+  return std::any_of(m_settings.m_prefixes.begin(),
+                     m_settings.m_prefixes.end(),
+                     [&](const WatchedPrefix& aWatched) {
+                       return aWatched.m_keys == aPrefix &&
+                              aWatched.m_isDeletedByAbsence;
+                     });
+}
+
 std::vector<ObjectKey>
 ControlCore::MissingTemplates() const
 {
@@ -366,6 +386,7 @@
   }
   ProcessDocuments(aTimes);
   UpdateSynchronized(aTimes.m_now);
+  UpdateEvacuation(actions);
   ProcessMembers(aTimes);
   Apply(std::exchange(m_changes, {}), aTimes);
   for (const MoveProgress& progress : m_gossip.Moves().TakeChanged()) {
@@ -416,18 +437,48 @@
     m_ordersChanged |= m_orders.Offer(documents, aTimes.m_wall);
     // A rejected order counts as a change, too.
     m_ordersChanged |= m_orders.Rejected() != rejected;
+    m_evacuationsChanged |= m_evacuations.Offer(documents);
     auto changes = m_store.Offer(documents);
     std::move(changes.begin(), changes.end(), std::back_inserter(m_changes));
   }
 }
 
+bool
+ControlCore::AwaitsEvacuations() const
+{
+  const std::string prefix(kEvacuationPrefix);
+  const bool isWatched = std::any_of(
+    m_settings.m_prefixes.begin(),
+    m_settings.m_prefixes.end(),
+    [&](const WatchedPrefix& aWatched) { return aWatched.m_keys == prefix; });
+  return isWatched && !m_hasHeardEvacuations &&
+         WatchAfter(prefix) == Revision(0) && !m_gossip.MayServe();
+}
+
+void
+ControlCore::UpdateEvacuation(ControlActions& aActions)
+{
+  // A process of this node that ran before may have known of the evacuation.
+  const bool awaitsEvacuations = AwaitsEvacuations();
+  m_hasHeardEvacuations |= !awaitsEvacuations;
+  const bool isEvacuated =
+    awaitsEvacuations ||
+    m_evacuations.Contains(m_gossip.Members().Self().m_dataCentre);
+  if (isEvacuated != m_isEvacuated) {
+    m_isEvacuated = isEvacuated;
+    aActions.m_isEvacuated = isEvacuated;
+  }
+}
+
 void
 ControlCore::Apply(const std::vector<ConfigurationChange>& aChanges,
                    const Times& aTimes)
 {
   const bool mayServe = MayServe();
   const bool ordersChanged = std::exchange(m_ordersChanged, false);
-  if (aChanges.empty() && !ordersChanged && mayServe == m_mayServe) {
+  const bool evacuationsChanged = std::exchange(m_evacuationsChanged, false);
+  if (aChanges.empty() && !ordersChanged && !evacuationsChanged &&
+      mayServe == m_mayServe) {
     return;
   }
   m_mayServe = mayServe;
@@ -518,7 +569,8 @@
     ViewInputs{ m_gossip.Members().Members(),
                 configurations,
                 [this](const ServiceId& aService) { return SplitOf(aService); },
-                m_view.get() });
+                m_view.get(),
+                &m_evacuations.DataCentres() });
   m_view = aActions.m_view;
   const auto bounds = OwnBounds();
   if (bounds != m_bounds) {
@@ -588,6 +640,7 @@
     }
   }
   status.m_moves = m_moves.Status(aWall);
+  status.m_evacuated = m_evacuations.DataCentres();
   status.m_rejectedOrders = m_orders.Rejected();
   status.m_lastRejectedOrder = m_orders.LastRejection();
   status.m_ledger = m_ledger.Own().m_entries;
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -25,6 +25,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,7 @@
 #include "base/Result.h"
 #include "base/Units.h"
 #include "process/ConfigurationStore.h"
+#include "process/Evacuations.h"
 #include "process/Gossip.h"
 #include "process/Ledger.h"
 #include "process/MemberRecord.h"
@@ -92,6 +94,9 @@
   std::optional<AdmissionBounds> m_bounds;
   /// Set when the upstream, its state or its place changed.
   std::optional<UpstreamChange> m_upstream;
+  /// Set when the guard has to begin or to stop refusing all calls because of
+  /// the evacuation of this data centre.
+  std::optional<bool> m_isEvacuated;
   /// Move outcomes to write to the platform. Returned again until
   /// OnOutcomeWritten() or, for a move that has started, until the order's
   /// object shows it.
@@ -115,6 +120,8 @@
   /// The origin of each account's newest configuration document.
   std::map<ClientAccountId, DocumentOrigin> m_origins;
   std::vector<MoveStatus> m_moves;
+  /// The data centres that are being evacuated.
+  std::set<DataCentreId> m_evacuated;
   std::uint64_t m_rejectedOrders = 0;
   std::optional<Error> m_lastRejectedOrder;
   std::vector<UsageEntry> m_ledger;
@@ -123,6 +130,14 @@
   GossipCounters m_gossip;
 };
 
+/// Whether a listing holds every object of its prefix.
+enum class ListingExtent : std::uint8_t
+{
+  Whole,
+  /// An object could not be read.
+  Partial,
+};
+
 /// See the file comment.
 class ControlCore
 {
@@ -183,7 +198,8 @@
                            Revision aComplete,
                            const Times& aTimes,
                            const std::string& aPrefix,
-                           DocumentChannel aChannel);
+                           DocumentChannel aChannel,
+                           ListingExtent aExtent = ListingExtent::Whole);
   /// Whether a peer has delivered a newer document of the prefix than its watch
   /// did, or has reported a revision that neither the watch nor this node's
   /// documents cover.
@@ -254,6 +270,12 @@
   bool HasReceivedHistory() const;
   bool AreDeparturesRecorded() const;
   ConfirmationNeed NeededConfirmations() const;
+  /// Whether the listings of a watched prefix show deletions.
+  bool IsDeletedByAbsence(const std::string& aPrefix) const;
+  /// Whether this node watches evacuations and can't know yet whether its data
+  /// centre is one of them.
+  bool AwaitsEvacuations() const;
+  void UpdateEvacuation(ControlActions& aActions);
   void PublishView(const Times& aTimes, ControlActions& aActions);
   void UpdateRoles();
   void RecordOrders(const Times& aTimes, ControlActions& aActions);
@@ -286,6 +308,12 @@
   ConfigurationStore m_store;
   MoveOrders m_orders;
   bool m_ordersChanged = false;
+  Evacuations m_evacuations;
+  bool m_evacuationsChanged = false;
+  /// Whether evacuations were listed, or peers were heard, since the start.
+  bool m_hasHeardEvacuations = false;
+  /// Whether the guard refuses all calls, as published last.
+  bool m_isEvacuated = false;
   /// The earliest time of the next attempt to record that orders' moves have
   /// started.
   MonotonicTime m_recordAt{};
--- a/src/process/ControlMoves.cpp
+++ b/src/process/ControlMoves.cpp
@@ -75,9 +75,10 @@
     const auto coordinator =
       PickCoordinator(plan.m_id, self.m_cell, neighbours);
     m_moves.SetIsCoordinator(plan.m_id, coordinator == self.m_vm);
+    const auto& evacuated = m_evacuations.DataCentres();
     m_moves.SetWarmSlots(plan.m_id,
-                         WarmSlots(members, plan, plan.m_from),
-                         WarmSlots(members, plan, plan.m_to));
+                         WarmSlots(members, plan, plan.m_from, evacuated),
+                         WarmSlots(members, plan, plan.m_to, evacuated));
   }
 }
 
--- a/src/process/ControlThread.cpp
+++ b/src/process/ControlThread.cpp
@@ -260,7 +260,11 @@
 
   void Handle(ControlActions aActions)
   {
-    // Before anything else, since an upstream that leaves gets no further call.
+    // Before anything else, since an upstream that leaves or is evacuated gets
+    // no further call.
+    if (aActions.m_isEvacuated) {
+      m_traffic.m_setEvacuated(*aActions.m_isEvacuated);
+    }
     if (aActions.m_upstream) {
       PublishUpstream(*aActions.m_upstream);
     }
@@ -496,6 +500,7 @@
                 m_platformCounters->m_writes + m_platformCounters->m_watches);
     stats.m_platformResent = CallCount(m_platformCounters->m_resent);
     stats.m_badDatagrams = CallCount(m_badDatagrams);
+    stats.m_evacuated = aStatus.m_evacuated.size();
     for (const MemberRecord& member : aStatus.m_members) {
       stats.m_membersAlive += member.m_state == NodeState::Alive ? 1 : 0;
     }
--- a/src/process/ControlThread.h
+++ b/src/process/ControlThread.h
@@ -53,6 +53,8 @@
   std::function<void(const UpstreamAnnouncement&, const UpstreamEndpoint&)>
     m_setUpstream;
   std::function<void(const AdmissionBounds&)> m_setBounds;
+  /// Whether the guard refuses all calls because of an evacuation.
+  std::function<void(bool)> m_setEvacuated;
   std::function<GuardStats()> m_guardStats;
 };
 
--- a/src/process/Distribution.cpp
+++ b/src/process/Distribution.cpp
@@ -138,6 +138,30 @@
   m_answeredAt[aPrefix] = aNow;
 }
 
+std::vector<Document>
+Distribution::DeletionsIn(const std::vector<Document>& aListed,
+                          Revision aComplete,
+                          const std::string& aPrefix) const
+{
+  std::vector<Document> deletions;
+  for (const auto& [key, held] : m_table.Documents()) {
+    const bool isCovered =
+      key.Value().starts_with(aPrefix) && !held.m_body.empty() &&
+      held.m_revision < aComplete && EraOf(held.m_revision) == EraOf(aComplete);
+    const bool isListed = std::any_of(
+      aListed.begin(), aListed.end(), [&key = key](const Document& aDocument) {
+        return aDocument.m_key == key;
+      });
+    if (isCovered && !isListed) {
+      Document deletion;
+      deletion.m_key = key;
+      deletion.m_revision = aComplete;
+      deletions.push_back(std::move(deletion));
+    }
+  }
+  return deletions;
+}
+
 MonotonicTime
 Distribution::NextRevisionCheck(MonotonicTime aNow) const
 {
--- a/src/process/Distribution.h
+++ b/src/process/Distribution.h
@@ -94,6 +94,9 @@
   /// How many relays of the whole cell watch it besides, for a cell with few
   /// data centres.
   std::size_t m_cellWatchers = 0;
+  /// Whether an object that a listing lacks counts as deleted. Otherwise only a
+  /// watch tells that.
+  bool m_isDeletedByAbsence = false;
 };
 
 struct DistributionActions
@@ -158,6 +161,14 @@
                          MonotonicTime aNow,
                          const std::string& aPrefix = {},
                          DocumentChannel aChannel = DocumentChannel::Watch);
+  /// The deletions that a listing of a prefix shows by the absence of objects:
+  /// of each document that this node holds, that the listing covers and that it
+  /// lacks. A listing in another era of the platform than a document's shows
+  /// none, since the platform may have lost the object instead of deleting it.
+  /// \param aComplete the revision of the listing, which the deletions get.
+  std::vector<Document> DeletionsIn(const std::vector<Document>& aListed,
+                                    Revision aComplete,
+                                    const std::string& aPrefix) const;
   /// Call when the platform no longer has the history after WatchAfter(), so
   /// that the next read is a listing.
   void ResetWatch(const std::string& aPrefix) { m_complete.erase(aPrefix); }
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -82,6 +82,13 @@
     m_loop.Post([this, aBounds] { m_guard.SetBounds(aBounds); });
   }
 
+  void SetEvacuated(bool aIsEvacuated) override
+  {
+    m_loop.Post([this, aIsEvacuated] {
+      Execute(m_guard.SetEvacuated(aIsEvacuated, m_clock.Now()));
+    });
+  }
+
   void Drain() override
   {
     m_loop.Post([this] {
@@ -316,7 +323,11 @@
   {
     UpdateBusy();
     const std::lock_guard lock(m_statsMutex);
-    m_stats = { m_guard.Load(), CallCount(m_refused), CallCount(m_ran) };
+    m_stats.m_load = m_guard.Load();
+    m_stats.m_refused = CallCount(m_refused);
+    m_stats.m_refusedEvacuated =
+      CallCount(m_guard.RefusedFor(RefusalReason::Evacuated));
+    m_stats.m_ran = CallCount(m_ran);
   }
 
   /// The guard counts as busy until all answers have been written.
--- a/src/process/GuardThread.h
+++ b/src/process/GuardThread.h
@@ -75,6 +75,9 @@
                            const UpstreamEndpoint& aPlace) = 0;
   /// Sets the admission bounds of the service owner's configuration.
   virtual void SetBounds(const AdmissionBounds& aBounds) = 0;
+  /// While true, refuses waiting and new calls because this data centre is
+  /// being evacuated; running calls continue.
+  virtual void SetEvacuated(bool aIsEvacuated) = 0;
   /// Refuses waiting and new calls with NotRun; running calls continue. Asks
   /// all peers to send no further calls and to close their links.
   virtual void Drain() = 0;
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -119,6 +119,8 @@
     Gauge("configurations_in_force", "Account configurations in force.");
   prometheus::Gauge& m_rejected =
     Gauge("configurations_rejected", "Newest versions that were rejected.");
+  prometheus::Gauge& m_evacuated =
+    Gauge("data_centres_evacuated", "Data centres that are being evacuated.");
   prometheus::Gauge& m_platformCalls =
     Gauge("platform_calls", "Calls to the platform since the start.");
   prometheus::Gauge& m_platformResent =
@@ -131,6 +133,9 @@
     Gauge("guard_queued", "Calls that wait for a slot.");
   prometheus::Gauge& m_refused =
     Gauge("guard_refused", "Calls that the guard refused since the start.");
+  prometheus::Gauge& m_refusedEvacuated =
+    Gauge("guard_refused_evacuated",
+          "Calls that the guard refused because of an evacuation.");
   prometheus::Gauge& m_ran =
     Gauge("guard_ran", "Calls that the upstream ended since the start.");
 };
@@ -167,6 +172,7 @@
   m_state->m_members.Set(static_cast<double>(aStats.m_membersAlive));
   m_state->m_configurations.Set(static_cast<double>(aStats.m_configurations));
   m_state->m_rejected.Set(static_cast<double>(aStats.m_rejected));
+  m_state->m_evacuated.Set(static_cast<double>(aStats.m_evacuated));
   m_state->m_platformCalls.Set(
     static_cast<double>(aStats.m_platformCalls.Value()));
   m_state->m_platformResent.Set(
@@ -181,6 +187,8 @@
   m_state->m_running.Set(aStats.m_load.m_running);
   m_state->m_queued.Set(aStats.m_load.m_queued);
   m_state->m_refused.Set(static_cast<double>(aStats.m_refused.Value()));
+  m_state->m_refusedEvacuated.Set(
+    static_cast<double>(aStats.m_refusedEvacuated.Value()));
   m_state->m_ran.Set(static_cast<double>(aStats.m_ran.Value()));
 }
 
--- a/src/process/Metrics.h
+++ b/src/process/Metrics.h
@@ -41,6 +41,7 @@
   std::size_t m_membersAlive = 0;
   std::size_t m_configurations = 0;
   std::size_t m_rejected = 0;
+  std::size_t m_evacuated = 0;
   CallCount m_platformCalls;
   /// Requests to the platform that were sent again on another connection.
   CallCount m_platformResent;
@@ -52,6 +53,8 @@
 {
   LoadReport m_load;
   CallCount m_refused;
+  /// Those of m_refused that were refused because of an evacuation.
+  CallCount m_refusedEvacuated;
   CallCount m_ran;
 };
 
--- a/src/process/Node.cpp
+++ b/src/process/Node.cpp
@@ -207,6 +207,9 @@
     ports.m_setBounds = [this](const AdmissionBounds& aBounds) {
       m_guard->SetBounds(aBounds);
     };
+    ports.m_setEvacuated = [this](bool aIsEvacuated) {
+      m_guard->SetEvacuated(aIsEvacuated);
+    };
     ports.m_guardStats = [this] { return m_guard->Stats(); };
     return ports;
   }
--- a/src/process/NodeSettings.cpp
+++ b/src/process/NodeSettings.cpp
@@ -94,6 +94,10 @@
                           "objective first.",
                           { "fair", "objective" },
                           "fair" });
+  parser.Add(SwitchSetting{ "evacuations",
+                            "Watches evacuations/ at the platform: the "
+                            "upstreams of a data centre named there receive no "
+                            "calls." });
   parser.Add(TextSetting{ "join",
                           "How nodes find each other: by --seeds, or through "
                           "the platform; every node then registers there and "
@@ -191,9 +195,19 @@
   distribution.m_platformBurst = 20;
 }
 
-} // namespace
-
-namespace {
+/// Adds the evacuations to what is watched, by as many nodes as watch the
+/// configurations.
+void
+WatchEvacuations(NodeSettings& aSettings)
+{
+  if (aSettings.m_prefixes.empty()) {
+    aSettings.m_prefixes.push_back({ std::string(kConfigurationPrefix) });
+  }
+  WatchedPrefix evacuations = aSettings.m_prefixes.front();
+  evacuations.m_keys = kEvacuationPrefix;
+  evacuations.m_isDeletedByAbsence = true;
+  aSettings.m_prefixes.push_back(std::move(evacuations));
+}
 
 /// Splits the stop limit: one half for callers to switch to other nodes, five
 /// twelfths to drain, and one twelfth for the process to exit.
@@ -245,6 +259,9 @@
   if (aSettings.Text("join") == "platform") {
     UsePlatformDiscovery(settings, aSettings.Text("bootstrap") == "true");
   }
+  if (aSettings.IsOn("evacuations")) {
+    WatchEvacuations(settings);
+  }
   settings.m_watchWait = aSettings.Milliseconds("watch-wait-ms");
   const Duration history = aSettings.Milliseconds("platform-history-ms");
   if (history > Duration::zero()) {
--- a/src/process/PlatformLoop.cpp
+++ b/src/process/PlatformLoop.cpp
@@ -35,6 +35,12 @@
   return documents;
 }
 
+ListingExtent
+ExtentOf(const PlatformListing& aListing)
+{
+  return aListing.m_isPartial ? ListingExtent::Partial : ListingExtent::Whole;
+}
+
 /// Whether a watch's answer holds more than kMaxReplacedBytes of bodies that
 /// later versions in the same answer replace, which means that changes come
 /// faster than this node receives them.
@@ -185,7 +191,8 @@
                             aListing.value().m_revision,
                             Now(),
                             keys,
-                            aCall.m_channel));
+                            aCall.m_channel,
+                            ExtentOf(aListing.value())));
 }
 
 void
@@ -310,7 +317,8 @@
                             aListing.m_revision,
                             Now(),
                             aPrefix.m_watched.m_keys,
-                            aCall.m_channel));
+                            aCall.m_channel,
+                            ExtentOf(aListing)));
 }
 
 void
--- a/src/process/Runtime.cmake
+++ b/src/process/Runtime.cmake
@@ -22,8 +22,8 @@
 tt_library(tt_node_settings SRCS NodeSettings.cpp DEPS tt_gossip tt_settings)
 
 tt_decision_library(tt_control_core
-  SRCS ControlCore.cpp ControlMoves.cpp ControlUsage.cpp EvidenceRouting.cpp MoveOrders.cpp UpstreamRegister.cpp
-  HDRS ControlCore.h ControlDialect.h EvidenceRouting.h MoveOrders.h
+  SRCS ControlCore.cpp ControlMoves.cpp ControlUsage.cpp Evacuations.cpp EvidenceRouting.cpp MoveOrders.cpp UpstreamRegister.cpp
+  HDRS ControlCore.h ControlDialect.h Evacuations.h EvidenceRouting.h MoveOrders.h
        TrafficReport.h UpstreamRegister.h
   DEPS tt_call_plan tt_http_dialect tt_configuration_store tt_gossip tt_ledger tt_moves
        tt_view_builder)
@@ -48,6 +48,8 @@
 tt_test(upstream_control_test
   SRCS MoveOrdersTest.cpp UpstreamRegisterTest.cpp DEPS tt_control_core)
 tt_test(control_core_test SRCS ControlCoreTest.cpp DEPS tt_control_core)
+tt_test(node_settings_test SRCS NodeSettingsTest.cpp DEPS tt_node_settings)
+tt_test(evacuations_test SRCS EvacuationsTest.cpp DEPS tt_control_core)
 tt_test(platform_loop_test SRCS PlatformLoopTest.cpp DEPS tt_control_thread)
 tt_test(restored_platform_test SRCS RestoredPlatformTest.cpp
   DEPS tt_control_thread tt_standin_platform)
--- a/src/process/StateChangeLog.cpp
+++ b/src/process/StateChangeLog.cpp
@@ -56,6 +56,7 @@
     LogMove(move);
   }
   LogOrders(aStatus);
+  LogEvacuations(aStatus.m_evacuated);
   RemoveAbsent(m_members, aStatus.m_members, [](const MemberRecord& aMember) {
     return aMember.m_vm;
   });
@@ -166,6 +167,28 @@
   m_rejectedOrders = aStatus.m_rejectedOrders;
 }
 
+void
+StateChangeLog::LogEvacuations(const std::set<DataCentreId>& aEvacuated)
+{
+  for (const DataCentreId& dataCentre : aEvacuated) {
+    if (!m_evacuated.contains(dataCentre)) {
+      Log(LogLevel::Warning,
+          "control",
+          "Evacuation began.",
+          { { "data_centre", dataCentre.Value() } });
+    }
+  }
+  for (const DataCentreId& dataCentre : m_evacuated) {
+    if (!aEvacuated.contains(dataCentre)) {
+      Log(LogLevel::Info,
+          "control",
+          "Evacuation ended.",
+          { { "data_centre", dataCentre.Value() } });
+    }
+  }
+  m_evacuated = aEvacuated;
+}
+
 void
 StateChangeLog::LogDroppedLines()
 {
--- a/src/process/StateChangeLog.h
+++ b/src/process/StateChangeLog.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 #include "process/ControlCore.h"
@@ -32,6 +33,7 @@
   void LogMember(const MemberRecord& aMember);
   void LogMove(const MoveStatus& aMove);
   void LogOrders(const ControlStatus& aStatus);
+  void LogEvacuations(const std::set<DataCentreId>& aEvacuated);
   /// Logs how many lines the log has dropped since the previous report.
   void LogDroppedLines();
 
@@ -39,6 +41,7 @@
   std::map<VmId, MemberRecord> m_members;
   /// Summary of each move as it was last logged.
   std::map<MoveId, std::string> m_moves;
+  std::set<DataCentreId> m_evacuated;
   std::uint64_t m_rejectedOrders = 0;
   std::uint64_t m_dropped = 0;
 };
--- a/src/process/StatusJson.cpp
+++ b/src/process/StatusJson.cpp
@@ -1,6 +1,7 @@
 #include "process/StatusJson.h"
 
 #include <limits>
+#include <set>
 #include <string_view>
 
 #include <boost/json.hpp>
@@ -102,6 +103,16 @@
   return array;
 }
 
+json::array
+Names(const std::set<DataCentreId>& aDataCentres)
+{
+  json::array array;
+  for (const DataCentreId& dataCentre : aDataCentres) {
+    array.emplace_back(dataCentre.Value());
+  }
+  return array;
+}
+
 json::object
 ToJson(const ControlStats& aStats)
 {
@@ -120,6 +131,7 @@
            { "queued", aStats.m_load.m_queued },
            { "slots", aStats.m_load.m_slots.Value() },
            { "refused", aStats.m_refused.Value() },
+           { "refused_evacuated", aStats.m_refusedEvacuated.Value() },
            { "ran", aStats.m_ran.Value() } };
 }
 
@@ -188,6 +200,7 @@
     { "members", ToJson(aStatus.m_members) },
     { "configurations", ToJson(aStatus.m_accounts) },
     { "moves", ToJson(aStatus.m_moves) },
+    { "evacuations", Names(aStatus.m_evacuated) },
     { "ledger", ToJson(aStatus.m_ledger) },
     { "control", ToJson(aControl) },
     { "guard", ToJson(aGuard) },
--- a/src/process/ViewBuilder.cpp
+++ b/src/process/ViewBuilder.cpp
@@ -56,7 +56,9 @@
 {
   TargetsByService groups;
   for (const auto& [vm, member] : aInputs.m_members) {
-    if (!MayReceiveCalls(member)) {
+    const bool isEvacuated = aInputs.m_evacuated != nullptr &&
+                             aInputs.m_evacuated->contains(member.m_dataCentre);
+    if (isEvacuated || !MayReceiveCalls(member)) {
       continue;
     }
     groups[member.m_upstream.m_service].push_back(TargetOf(member));
@@ -151,7 +153,8 @@
 SlotCount
 WarmSlots(const std::map<VmId, MemberRecord>& aMembers,
           const MovePlan& aPlan,
-          const UpstreamVersion& aSide)
+          const UpstreamVersion& aSide,
+          const std::set<DataCentreId>& aEvacuated)
 {
   SlotCount slots(0);
   for (const auto& [vm, member] : aMembers) {
@@ -159,6 +162,7 @@
     if (member.m_state == NodeState::Alive &&
         upstream.m_state == UpstreamState::Live &&
         upstream.m_service == aPlan.m_id.m_service &&
+        !aEvacuated.contains(member.m_dataCentre) &&
         MatchesVersion(aSide, aPlan.m_to, upstream.m_version)) {
       slots += upstream.m_slots;
     }
--- a/src/process/ViewBuilder.h
+++ b/src/process/ViewBuilder.h
@@ -6,7 +6,8 @@
 ///     std::shared_ptr<const View> view = BuildView(self, inputs);
 ///
 /// A service's targets are the members whose upstream announced the service, is
-/// starting or live, and has a version that the current split sends traffic to.
+/// starting or live, has a version that the current split sends traffic to, and
+/// is not in a data centre that is being evacuated.
 /// A suspected member stays a target until it is declared dead; until then load
 /// balancing avoids it if its calls fail.
 ///
@@ -37,6 +38,8 @@
   /// The previous view, or null. Key placements are reused from it for services
   /// with unchanged targets.
   const View* m_previous = nullptr;
+  /// The data centres whose upstreams must not receive calls; null: none.
+  const std::set<DataCentreId>* m_evacuated = nullptr;
 };
 
 /// Builds the view of the node described by aSelf.
@@ -48,10 +51,11 @@
 AnnouncedServices(const std::map<VmId, MemberRecord>& aMembers);
 
 /// The total slots of live upstreams on one side of a move. aSide is m_from or
-/// m_to of aPlan.
+/// m_to of aPlan. Upstreams in the data centres of aEvacuated do not count.
 SlotCount
 WarmSlots(const std::map<VmId, MemberRecord>& aMembers,
           const MovePlan& aPlan,
-          const UpstreamVersion& aSide);
+          const UpstreamVersion& aSide,
+          const std::set<DataCentreId>& aEvacuated);
 
 } // namespace tarragontray
--- a/src/process/ViewBuilderTest.cpp
+++ b/src/process/ViewBuilderTest.cpp
@@ -1,5 +1,5 @@
 // Tests that key placements are reused from the previous view only while they
-// are valid.
+// are valid, and that evacuated data centres receive no calls.
 #include "process/ViewBuilder.h"
 
 #include <criterion/criterion.h>
@@ -39,7 +39,9 @@
 }
 
 std::shared_ptr<const View>
-Build(const std::map<VmId, MemberRecord>& aMembers, const View* aPrevious)
+Build(const std::map<VmId, MemberRecord>& aMembers,
+      const View* aPrevious,
+      const std::set<DataCentreId>* aEvacuated = nullptr)
 {
   Configuration configuration;
   configuration.m_account = kAccount;
@@ -55,8 +57,9 @@
   const auto noMove = [](const ServiceId&) {
     return std::optional<VersionSplit>();
   };
-  return BuildView(aMembers.at(VmId("a")),
-                   ViewInputs{ aMembers, configurations, noMove, aPrevious });
+  return BuildView(
+    aMembers.at(VmId("a")),
+    ViewInputs{ aMembers, configurations, noMove, aPrevious, aEvacuated });
 }
 
 const KeyPlacement*
@@ -103,6 +106,28 @@
   }
 }
 
+/// A call, or a repeat of a caller's key, goes to an upstream that must not
+/// receive any, or to none although there are others.
+Test(ViewBuilder, SendsCallsToAnEvacuatedDataCentre)
+{
+  auto members = Members();
+  members.at(VmId("b")).m_dataCentre = DataCentreId("addis-2");
+  const std::set evacuated{ DataCentreId("addis-1") };
+  const auto view = Build(members, nullptr, &evacuated);
+  const ServiceView& boxOffice = view->m_services.at(kBoxOffice);
+  cr_assert_eq(boxOffice.m_targets.size(), 1);
+  cr_assert(boxOffice.m_targets[0].m_vm == VmId("b"));
+  const OperationId operation("purchase-1");
+  cr_assert(Keys(*view, kBoxOffice)->Home(operation, kVersion)->m_vm ==
+            VmId("b"));
+  cr_assert(view->m_services.at(kCatalogue).m_targets.empty());
+  cr_assert_eq(view->m_nodes, 3);
+  MovePlan plan;
+  plan.m_id.m_service = kBoxOffice;
+  plan.m_to = kVersion;
+  cr_assert(WarmSlots(members, plan, kVersion, evacuated) == SlotCount(12));
+}
+
 Test(ViewBuilder, AReusedPlacementMatchesANewOne)
 {
   const auto members = Members();
--- a/src/request/CallPlan.cpp
+++ b/src/request/CallPlan.cpp
@@ -45,6 +45,7 @@
 {
   switch (aRefusal) {
     case RefusalReason::Draining:
+    case RefusalReason::Evacuated:
       return RetryReason::Draining;
     case RefusalReason::UpstreamGone:
     case RefusalReason::NoConfiguration:
--- a/src/request/ExchangeTest.cpp
+++ b/src/request/ExchangeTest.cpp
@@ -267,6 +267,27 @@
   AssertGuaranteesHold(exchange, 0);
 }
 
+/// Entry nodes that learn of an evacuation late use up their retry budget, or
+/// answer callers with the refusal.
+Test(Exchange, RefusalsOfAnEvacuatedGuardCostRetries)
+{
+  FixedFaults faults{ AttemptFault::None, AskFault::None };
+  FakeExchange exchange(FakeExchangeSettings{}, faults);
+  exchange.Evacuate(0);
+  exchange.Evacuate(1);
+  // More calls than the budget has retries.
+  for (int i = 0; i < 60; ++i) {
+    exchange.Start({ Operation(i) });
+    exchange.RunFor(std::chrono::milliseconds(100));
+    cr_assert(exchange.Answers()[i].has_value());
+    cr_assert(exchange.Answers()[i]->m_outcome == CallOutcome::Done);
+  }
+  for (const char* evacuated : { "at vm-0", "at vm-1" }) {
+    cr_assert(exchange.Log().find(evacuated) == std::string::npos);
+  }
+  AssertGuaranteesHold(exchange, 0);
+}
+
 Test(Exchange, RecordedSessionStaysTheSame)
 {
   DrawnFaults faults(20261204);
--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -134,6 +134,9 @@
 RefusalReason
 Guard::CheckUpstream(const Call& aCall) const
 {
+  if (m_isEvacuated) {
+    return RefusalReason::Evacuated;
+  }
   if (IsDraining()) {
     return RefusalReason::Draining;
   }
@@ -381,6 +384,17 @@
   return actions;
 }
 
+GuardActions
+Guard::SetEvacuated(bool aIsEvacuated, MonotonicTime aNow)
+{
+  GuardActions actions;
+  m_isEvacuated = aIsEvacuated;
+  if (m_isEvacuated) {
+    RefuseWaiting(RefusalReason::Evacuated, aNow, actions);
+  }
+  return actions;
+}
+
 GuardActions
 Guard::Drain(MonotonicTime aNow)
 {
--- a/src/request/Guard.h
+++ b/src/request/Guard.h
@@ -150,6 +150,9 @@
   /// Forgets what the upstream has stated about itself. Call when another
   /// process serves.
   void ResetNotice();
+  /// While true, refuses waiting and new calls as Evacuated; running calls
+  /// complete.
+  GuardActions SetEvacuated(bool aIsEvacuated, MonotonicTime aNow);
   /// Refuses waiting and new calls from now on; running calls complete.
   GuardActions Drain(MonotonicTime aNow);
   /// True when no call is waiting or running.
@@ -228,7 +231,7 @@
                    GuardActions& aActions);
   bool IsDraining() const
   {
-    return m_isDraining || m_notice.m_isLeaving ||
+    return m_isDraining || m_isEvacuated || m_notice.m_isLeaving ||
            m_upstream.m_state == UpstreamState::Draining;
   }
 
@@ -237,6 +240,7 @@
   OperationTable m_operations;
   UpstreamAnnouncement m_upstream;
   bool m_isDraining = false;
+  bool m_isEvacuated = false;
   UpstreamNotice m_notice;
   StartLimiter m_starts;
   /// Set while waiting calls can't start because of the rate limit.
--- a/src/request/GuardTest.cpp
+++ b/src/request/GuardTest.cpp
@@ -426,4 +426,33 @@
   cr_assert_eq(guard.Submit(MakeCall(5), kLink, kStart).m_runs.size(), 1);
 }
 
+/// Calls reach the upstreams of an evacuated data centre, or the end of the
+/// evacuation is missed.
+Test(Guard, EvacuatedGuardStartsCalls)
+{
+  Guard guard = MakeGuard(1);
+  const Ticket running =
+    guard.Submit(MakeCall(1, "a", "k"), kLink, kStart).m_runs.at(0).m_ticket;
+  guard.Submit(MakeCall(2), kLink, kStart);
+  const GuardActions begun = guard.SetEvacuated(true, kStart);
+  cr_assert(begun.m_aborts.empty());
+  cr_assert(begun.m_replies.at(0).m_answer.m_refusal ==
+            RefusalReason::Evacuated);
+  const GuardActions late = guard.Submit(MakeCall(3), kLink, kStart);
+  cr_assert(late.m_runs.empty());
+  cr_assert(late.m_replies.at(0).m_answer.m_outcome == CallOutcome::NotRun);
+  cr_assert_eq(guard.RefusedFor(RefusalReason::Evacuated), 2);
+  const GuardActions ended = guard.Finished(running, Done("x"), kStart);
+  cr_assert(ended.m_replies.at(0).m_answer.m_http.m_body == "x");
+  // What has run is still told, and what never came may have run elsewhere.
+  const GuardActions repeated =
+    guard.Submit(MakeCall(4, "a", "k"), kLink, kStart);
+  cr_assert(repeated.m_replies.at(0).m_answer.m_http.m_body == "x");
+  Question never = Ask("a", "other");
+  never.m_attempt = kAllAttempts;
+  cr_assert(guard.Ask(never, kStart).m_status == OperationStatus::Forgotten);
+  guard.SetEvacuated(false, kStart);
+  cr_assert_eq(guard.Submit(MakeCall(5), kLink, kStart).m_runs.size(), 1);
+}
+
 } // namespace tarragontray
--- a/src/request/testing/FakeExchange.cpp
+++ b/src/request/testing/FakeExchange.cpp
@@ -165,6 +165,12 @@
   }
 }
 
+void
+FakeExchange::Evacuate(std::size_t aTarget)
+{
+  Apply(aTarget, m_nodes[aTarget].m_guard->SetEvacuated(true, m_now));
+}
+
 void
 FakeExchange::Drain(std::size_t aTarget)
 {
--- a/src/request/testing/FakeExchange.h
+++ b/src/request/testing/FakeExchange.h
@@ -99,6 +99,9 @@
   /// Replaces a target's node with a new incarnation that has no records.
   void Restart(std::size_t aTarget);
   void Drain(std::size_t aTarget);
+  /// The guard refuses all calls because of an evacuation, of which the entry
+  /// node does not know.
+  void Evacuate(std::size_t aTarget);
   /// Adds a target to the view of later calls.
   void Join();
   void RunFor(Duration aSpan);
--- a/src/version/Document.h
+++ b/src/version/Document.h
@@ -2,7 +2,8 @@
 /// An object of the platform's object store, as nodes store and distribute it.
 ///
 /// Keys: "templates/NAME/VERSION", "configurations/ACCOUNT",
-/// "moves/ACCOUNT/SERVICE/PLAN" (outcomes), "ledger/VM".
+/// "moves/ACCOUNT/SERVICE/PLAN" (outcomes), "evacuations/DATA-CENTRE",
+/// "ledger/VM".
 ///
 /// Revisions order the versions of one key within an era of the platform. A
 /// platform that was restored from a copy shows older versions under a later
--- a/src/version/ObjectKeys.cpp
+++ b/src/version/ObjectKeys.cpp
@@ -51,6 +51,21 @@
                     ServiceName(text.substr(slash + 1)) };
 }
 
+ObjectKey
+EvacuationKey(const DataCentreId& aDataCentre)
+{
+  return ObjectKey(std::string(kEvacuationPrefix) + aDataCentre.Value());
+}
+
+std::optional<DataCentreId>
+DataCentreOfEvacuationKey(const ObjectKey& aKey)
+{
+  if (!aKey.Value().starts_with(kEvacuationPrefix)) {
+    return std::nullopt;
+  }
+  return DataCentreId(aKey.Value().substr(kEvacuationPrefix.size()));
+}
+
 bool
 IsTemplateKey(const ObjectKey& aKey)
 {
--- a/src/version/ObjectKeys.h
+++ b/src/version/ObjectKeys.h
@@ -21,6 +21,7 @@
 inline constexpr std::string_view kMovePrefix = "moves/";
 inline constexpr std::string_view kOrderPrefix = "orders/";
 inline constexpr std::string_view kNodePrefix = "nodes/";
+inline constexpr std::string_view kEvacuationPrefix = "evacuations/";
 
 /// "templates/NAME/VERSION".
 ObjectKey
@@ -47,6 +48,15 @@
 std::optional<ServiceId>
 ServiceOfOrderKey(const ObjectKey& aKey);
 
+/// "evacuations/DATA-CENTRE", which exists while the data centre is to be
+/// evacuated.
+ObjectKey
+EvacuationKey(const DataCentreId& aDataCentre);
+
+/// The data centre of an "evacuations/DATA-CENTRE" key; nothing for other keys.
+std::optional<DataCentreId>
+DataCentreOfEvacuationKey(const ObjectKey& aKey);
+
 /// Whether the key begins with kTemplatePrefix.
 bool
 IsTemplateKey(const ObjectKey& aKey);
