The rate for a cold upstream

Only a report that is newer than the event ends the limit: a heartbeat, or the answer to a health request, which is made in these cases only. When the limit begins, waiting calls are admitted anew, so that those that can't start in time are refused at once with a time to retry.

Heartbeats now tell the guard how long the upstream stays cold. Settings may be decimal numbers (NumberSetting).

--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -129,13 +129,20 @@
                               const Times& aTimes)
 {
   m_announcedAt = aTimes.m_now;
+  std::optional<UpstreamHeartbeat> heartbeat;
+  if (m_upstreams.IsNews(aReport)) {
+    heartbeat = { { aReport.m_place.m_instance, aReport.m_birth },
+                  aReport.m_coldRemaining };
+  }
   const bool isChanged = m_upstreams.Offer(aReport);
   const bool hasDeparture =
     m_upstreams.Departed() != m_gossip.Members().Self().m_departed;
-  if (!isChanged && !hasDeparture) {
-    return {};
+  ControlActions actions;
+  if (isChanged || hasDeparture) {
+    actions = Finish({}, aTimes);
   }
-  return Finish({}, aTimes);
+  actions.m_heartbeat = std::move(heartbeat);
+  return actions;
 }
 
 bool
@@ -577,6 +584,13 @@
     m_bounds = bounds;
     aActions.m_bounds = bounds;
   }
+  if (const ServiceSpec* service = OwnService()) {
+    ColdBounds cold{ service->m_coldRate, service->m_healthTarget };
+    if (cold != m_coldBounds) {
+      m_coldBounds = cold;
+      aActions.m_coldBounds = std::move(cold);
+    }
+  }
 }
 
 std::vector<std::shared_ptr<const Configuration>>
@@ -596,22 +610,32 @@
   return configurations;
 }
 
-std::optional<AdmissionBounds>
-ControlCore::OwnBounds() const
+const ServiceSpec*
+ControlCore::OwnService() const
 {
   const ServiceId& own = m_upstream.m_service;
   const auto configuration = m_store.InForce(own.m_owner);
   if (!configuration) {
-    return std::nullopt;
+    return nullptr;
   }
-  for (const ServiceSpec& service : configuration->m_services) {
-    if (service.m_id == own) {
-      return AdmissionBounds{ .m_owner = own.m_owner,
-                              .m_limit = service.m_queueLimit,
-                              .m_foreignShare = service.m_foreignShare };
-    }
+  const auto& services = configuration->m_services;
+  const auto found = std::find_if(
+    services.begin(), services.end(), [&](const ServiceSpec& aService) {
+      return aService.m_id == own;
+    });
+  return found == services.end() ? nullptr : &*found;
+}
+
+std::optional<AdmissionBounds>
+ControlCore::OwnBounds() const
+{
+  const ServiceSpec* service = OwnService();
+  if (service == nullptr) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  return AdmissionBounds{ .m_owner = service->m_id.m_owner,
+                          .m_limit = service->m_queueLimit,
+                          .m_foreignShare = service->m_foreignShare };
 }
 
 ControlStatus
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -45,6 +45,7 @@
 #include "process/UsagePages.h"
 #include "process/View.h"
 #include "request/AdmissionPolicy.h"
+#include "request/ColdUpstream.h"
 #include "version/ConfigurationDecoder.h"
 #include "version/MoveCoordinator.h"
 #include "version/Moves.h"
@@ -94,6 +95,12 @@
   std::optional<AdmissionBounds> m_bounds;
   /// Set when the upstream, its state or its place changed.
   std::optional<UpstreamChange> m_upstream;
+  /// Set when what the configuration states about the own service's cold
+  /// upstreams changed.
+  std::optional<ColdBounds> m_coldBounds;
+  /// Set for each announcement of the upstream that is newer than the ones
+  /// before.
+  std::optional<UpstreamHeartbeat> m_heartbeat;
   /// Set when the guard has to begin or to stop refusing all calls because of
   /// the evacuation of this data centre.
   std::optional<bool> m_isEvacuated;
@@ -297,6 +304,9 @@
   std::vector<MovePlan> Plans() const;
   std::optional<VmId> CoordinatorOf(const MoveId& aMove) const;
   std::vector<std::shared_ptr<const Configuration>> InForce() const;
+  /// This VM's service in the configuration in force; null: none. Valid until
+  /// the next change of the store.
+  const ServiceSpec* OwnService() const;
   std::optional<AdmissionBounds> OwnBounds() const;
   void ScheduleView(MonotonicTime aNow);
   /// When it is due, uses the changed membership for the conditions of
@@ -350,6 +360,7 @@
   /// The platform's era when the entry was read or written; not set before.
   std::optional<PlatformEra> m_entryEra;
   std::optional<AdmissionBounds> m_bounds;
+  std::optional<ColdBounds> m_coldBounds;
   std::vector<ConfigurationChange> m_changes;
 };
 
--- a/src/process/ControlCoreTest.cpp
+++ b/src/process/ControlCoreTest.cpp
@@ -397,4 +397,25 @@
   cr_assert_eq(node.Tick(milliseconds(30)), 1);
 }
 
+/// The guard takes an announcement that was held up for a new one, or misses
+/// those that change nothing else.
+Test(ControlCore, HeartbeatsReachTheGuardMoreOrLessThanOnce)
+{
+  OneNode node;
+  const auto hear = [&](std::uint64_t aNumber, Duration aColdRemaining) {
+    UpstreamReport report = Heartbeat(100, aNumber);
+    report.m_coldRemaining = aColdRemaining;
+    return node.m_core->OnUpstreamReport(report, node.Now()).m_heartbeat;
+  };
+  const auto first = hear(1, seconds(3));
+  cr_assert(first && first->m_process == kProcess);
+  cr_assert(first->m_coldRemaining == seconds(3));
+  cr_assert(hear(3, Duration(0)).has_value());
+  cr_assert(!hear(2, seconds(1)).has_value());
+  cr_assert(!hear(3, Duration(0)).has_value());
+  cr_assert(hear(4, Duration(0)).has_value());
+  cr_assert(!node.m_core->OnUpstreamReport(LeaveNotice(), node.Now())
+               .m_heartbeat.has_value());
+}
+
 } // namespace tarragontray
--- a/src/process/ControlThread.cpp
+++ b/src/process/ControlThread.cpp
@@ -265,6 +265,11 @@
     if (aActions.m_isEvacuated) {
       m_traffic.m_setEvacuated(*aActions.m_isEvacuated);
     }
+    // Before the upstream, so that calls to another process are limited from
+    // the first one on.
+    if (aActions.m_heartbeat) {
+      m_traffic.m_heartbeat(*aActions.m_heartbeat);
+    }
     if (aActions.m_upstream) {
       PublishUpstream(*aActions.m_upstream);
     }
@@ -284,6 +289,9 @@
     if (aActions.m_bounds) {
       m_traffic.m_setBounds(*aActions.m_bounds);
     }
+    if (aActions.m_coldBounds) {
+      m_traffic.m_setColdBounds(*aActions.m_coldBounds);
+    }
     m_platform->Write(aActions.m_outcomes, aActions.m_usage);
     m_platform->Check();
     LogHistory();
--- a/src/process/ControlThread.h
+++ b/src/process/ControlThread.h
@@ -53,6 +53,8 @@
   std::function<void(const UpstreamAnnouncement&, const UpstreamEndpoint&)>
     m_setUpstream;
   std::function<void(const AdmissionBounds&)> m_setBounds;
+  std::function<void(const ColdBounds&)> m_setColdBounds;
+  std::function<void(const UpstreamHeartbeat&)> m_heartbeat;
   /// Whether the guard refuses all calls because of an evacuation.
   std::function<void(bool)> m_setEvacuated;
   std::function<GuardStats()> m_guardStats;
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "connection/FrameStream.h"
+#include "connection/HttpClient.h"
 #include "connection/Sockets.h"
 #include "connection/UpstreamPool.h"
 #include "process/Log.h"
@@ -27,6 +28,11 @@
 namespace {
 
 constexpr Duration kUsageInterval = std::chrono::seconds(1);
+/// An upstream answers within milliseconds unless it is away.
+constexpr Duration kHealthTimeout = std::chrono::seconds(1);
+constexpr ByteCount kMaxHealthBody{ 64U << 10U };
+constexpr std::uint16_t kFirstSuccess = 200;
+constexpr std::uint16_t kLastSuccess = 299;
 constexpr char kPart[] = "guard";
 
 class GuardLoop final : public GuardThread
@@ -82,6 +88,20 @@
     m_loop.Post([this, aBounds] { m_guard.SetBounds(aBounds); });
   }
 
+  void SetColdBounds(const ColdBounds& aBounds) override
+  {
+    m_loop.Post([this, aBounds] {
+      Execute(m_guard.SetColdBounds(aBounds, m_clock.Now()));
+    });
+  }
+
+  void OnHeartbeat(const UpstreamHeartbeat& aHeartbeat) override
+  {
+    m_loop.Post([this, aHeartbeat] {
+      Execute(m_guard.OnHeartbeat(aHeartbeat, m_clock.Now()));
+    });
+  }
+
   void SetEvacuated(bool aIsEvacuated) override
   {
     m_loop.Post([this, aIsEvacuated] {
@@ -223,6 +243,9 @@
     if (aActions.m_notice) {
       HandleNotice(*aActions.m_notice);
     }
+    if (aActions.m_coldChange) {
+      LogColdChange(*aActions.m_coldChange);
+    }
     for (const RefusedCall& refused : aActions.m_refused) {
       LogRefusal(refused);
     }
@@ -232,10 +255,64 @@
     for (Run& run : aActions.m_runs) {
       Start(std::move(run));
     }
+    if (aActions.m_healthTarget) {
+      AskHealth(std::move(*aActions.m_healthTarget));
+    }
     UpdateStats();
     ScheduleTick();
   }
 
+  static void LogColdChange(const ColdChange& aChange)
+  {
+    if (aChange.m_isLimited) {
+      Log(LogLevel::Info,
+          kPart,
+          "Upstream may be cold.",
+          { { "reason", std::string(Name(aChange.m_reason)) } });
+    } else {
+      Log(LogLevel::Info, kPart, "Upstream is warm.");
+    }
+  }
+
+  /// Sends a health request to the upstream on a connection of its own, so that
+  /// the answer is not one of an earlier process.
+  void AskHealth(std::string aTarget)
+  {
+    HttpCall call;
+    call.m_request.m_method = "GET";
+    call.m_request.m_target = std::move(aTarget);
+    call.m_step = "upstream.health";
+    call.m_timeout = kHealthTimeout;
+    HttpClientSettings settings;
+    settings.m_peer = m_place.m_address;
+    settings.m_maxBody = kMaxHealthBody;
+    settings.m_resendsGet = false;
+    m_health = HttpClient::Create(m_loop.Context(), std::move(settings));
+    m_health->Send(
+      std::move(call), [this](const Result<HttpAnswerParts>& aAnswer) {
+        // The client must not be replaced within its own callback.
+        m_loop.Post([this, remaining = ColdRemainingIn(aAnswer)] {
+          m_health.reset();
+          Execute(m_guard.OnHealthAnswer(remaining, m_clock.Now()));
+        });
+      });
+  }
+
+  /// What a successful answer to a health request tells; not set otherwise.
+  std::optional<Duration> ColdRemainingIn(
+    const Result<HttpAnswerParts>& aAnswer) const
+  {
+    if (!aAnswer) {
+      Log(LogLevel::Info, kPart, "Health request failed.", aAnswer.error());
+      return std::nullopt;
+    }
+    const std::uint16_t status = aAnswer.value().m_status;
+    if (status < kFirstSuccess || status > kLastSuccess) {
+      return std::nullopt;
+    }
+    return m_settings.m_dialect->ReadNotice(aAnswer.value()).m_coldRemaining;
+  }
+
   void HandleNotice(const UpstreamNotice& aNotice)
   {
     Log(LogLevel::Info,
@@ -328,6 +405,11 @@
     m_stats.m_refusedEvacuated =
       CallCount(m_guard.RefusedFor(RefusalReason::Evacuated));
     m_stats.m_ran = CallCount(m_ran);
+    const ColdCounters& cold = m_guard.Cold();
+    m_stats.m_isLimitedAsCold = m_guard.IsLimitedAsCold();
+    m_stats.m_delayedAsCold = CallCount(cold.m_delayed);
+    m_stats.m_refusedAsCold = CallCount(cold.m_refused);
+    m_stats.m_healthRequests = CallCount(cold.m_healthRequests);
   }
 
   /// The guard counts as busy until all answers have been written.
@@ -375,6 +457,7 @@
   UpstreamVersion m_version;
   UpstreamEndpoint m_place;
   std::unique_ptr<UpstreamPool> m_pool;
+  std::unique_ptr<HttpClient> m_health;
   std::unordered_map<CallerLink, std::shared_ptr<FrameStream>> m_links;
   std::unordered_map<Ticket, std::shared_ptr<UpstreamRun>> m_runs;
   bool m_isLeaving = false;
@@ -396,6 +479,7 @@
 {
   GuardSettings settings;
   settings.m_incarnation = aSettings.m_incarnation;
+  settings.m_cold = aSettings.m_cold;
   BOOST_OUTCOME_TRY(auto policy,
                     aSettings.m_admitsByObjective
                       ? ObjectiveAdmission::Create({})
--- a/src/process/GuardThread.h
+++ b/src/process/GuardThread.h
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/Clock.h"
@@ -22,6 +23,7 @@
 #include "process/Metrics.h"
 #include "process/TrafficReport.h"
 #include "request/AdmissionPolicy.h"
+#include "request/ColdUpstream.h"
 #include "request/HttpDialect.h"
 
 namespace tarragontray {
@@ -37,6 +39,9 @@
   std::shared_ptr<const UpstreamDialect> m_dialect;
   /// Admits calls by their objectives instead of by fair shares of accounts.
   bool m_admitsByObjective = false;
+  /// Limits the starts of calls to an upstream that is or may be cold; not set:
+  /// no limit, and no health requests.
+  std::optional<ColdAllowance> m_cold{};
   /// Maximum number of open peer links; further connections are closed.
   std::size_t m_maxLinks = 4096;
 };
@@ -75,6 +80,10 @@
                            const UpstreamEndpoint& aPlace) = 0;
   /// Sets the admission bounds of the service owner's configuration.
   virtual void SetBounds(const AdmissionBounds& aBounds) = 0;
+  /// Sets what the service states about its cold upstreams.
+  virtual void SetColdBounds(const ColdBounds& aBounds) = 0;
+  /// An announcement of the upstream that is newer than the ones before.
+  virtual void OnHeartbeat(const UpstreamHeartbeat& aHeartbeat) = 0;
   /// While true, refuses waiting and new calls because this data centre is
   /// being evacuated; running calls continue.
   virtual void SetEvacuated(bool aIsEvacuated) = 0;
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -138,6 +138,16 @@
           "Calls that the guard refused because of an evacuation.");
   prometheus::Gauge& m_ran =
     Gauge("guard_ran", "Calls that the upstream ended since the start.");
+  prometheus::Gauge& m_isLimitedAsCold =
+    Gauge("guard_cold", "1 while the upstream is or may be cold.");
+  prometheus::Gauge& m_delayedAsCold =
+    Gauge("guard_cold_delayed",
+          "Calls that waited while the upstream was or might have been cold.");
+  prometheus::Gauge& m_refusedAsCold =
+    Gauge("guard_cold_refused",
+          "Calls refused while the upstream was or might have been cold.");
+  prometheus::Gauge& m_healthRequests =
+    Gauge("guard_health_requests", "Health requests since the start.");
 };
 
 Metrics::Metrics(const VmId& aVm, const DataCentreId& aDataCentre)
@@ -190,6 +200,13 @@
   m_state->m_refusedEvacuated.Set(
     static_cast<double>(aStats.m_refusedEvacuated.Value()));
   m_state->m_ran.Set(static_cast<double>(aStats.m_ran.Value()));
+  m_state->m_isLimitedAsCold.Set(aStats.m_isLimitedAsCold ? 1 : 0);
+  m_state->m_delayedAsCold.Set(
+    static_cast<double>(aStats.m_delayedAsCold.Value()));
+  m_state->m_refusedAsCold.Set(
+    static_cast<double>(aStats.m_refusedAsCold.Value()));
+  m_state->m_healthRequests.Set(
+    static_cast<double>(aStats.m_healthRequests.Value()));
 }
 
 std::string
--- a/src/process/Metrics.h
+++ b/src/process/Metrics.h
@@ -56,6 +56,12 @@
   /// Those of m_refused that were refused because of an evacuation.
   CallCount m_refusedEvacuated;
   CallCount m_ran;
+  /// Whether starts are limited because the upstream is or may be cold.
+  bool m_isLimitedAsCold = false;
+  /// Calls that waited, and that were refused, under that limit.
+  CallCount m_delayedAsCold;
+  CallCount m_refusedAsCold;
+  CallCount m_healthRequests;
 };
 
 /// See the file comment.
--- a/src/process/Node.cpp
+++ b/src/process/Node.cpp
@@ -108,6 +108,7 @@
     settings.m_address = m_settings.m_peerAddress;
     settings.m_dialect = m_dialects.m_upstreams;
     settings.m_admitsByObjective = m_settings.m_admitsByObjective;
+    settings.m_cold = m_settings.m_cold;
     settings.m_vm = m_settings.m_vm;
     settings.m_incarnation = m_incarnation;
     GuardEvents events;
@@ -207,6 +208,12 @@
     ports.m_setBounds = [this](const AdmissionBounds& aBounds) {
       m_guard->SetBounds(aBounds);
     };
+    ports.m_setColdBounds = [this](const ColdBounds& aBounds) {
+      m_guard->SetColdBounds(aBounds);
+    };
+    ports.m_heartbeat = [this](const UpstreamHeartbeat& aHeartbeat) {
+      m_guard->OnHeartbeat(aHeartbeat);
+    };
     ports.m_setEvacuated = [this](bool aIsEvacuated) {
       m_guard->SetEvacuated(aIsEvacuated);
     };
--- a/src/process/NodeSettings.cpp
+++ b/src/process/NodeSettings.cpp
@@ -98,6 +98,21 @@
                             "Watches evacuations/ at the platform: the "
                             "upstreams of a data centre named there receive no "
                             "calls." });
+  parser.Add(
+    NumberSetting{ "cold-excess",
+                   "Limits the calls to an upstream that is or may be cold: "
+                   "how often its service's stated rate it tolerates; 0: no "
+                   "limit.",
+                   0,
+                   1'000,
+                   0 });
+  parser.Add(IntegerSetting{ "cold-slack",
+                             "calls",
+                             "Calls that a cold upstream tolerates beyond "
+                             "--cold-excess, in any second.",
+                             0,
+                             1'000'000,
+                             0 });
   parser.Add(TextSetting{ "join",
                           "How nodes find each other: by --seeds, or through "
                           "the platform; every node then registers there and "
@@ -259,6 +274,11 @@
   if (aSettings.Text("join") == "platform") {
     UsePlatformDiscovery(settings, aSettings.Text("bootstrap") == "true");
   }
+  if (const double excess = aSettings.Number("cold-excess"); excess > 0) {
+    settings.m_cold =
+      ColdAllowance{ excess,
+                     static_cast<double>(aSettings.Integer("cold-slack")) };
+  }
   if (aSettings.IsOn("evacuations")) {
     WatchEvacuations(settings);
   }
--- a/src/process/NodeSettings.h
+++ b/src/process/NodeSettings.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include "base/Units.h"
 #include "process/Gossip.h"
 #include "process/Settings.h"
+#include "request/ColdUpstream.h"
 #include "request/RetryBudget.h"
 #include "version/Moves.h"
 
@@ -63,6 +65,8 @@
   /// Admits calls by their objectives instead of by fair shares of accounts.
   bool m_admitsByObjective = false;
   RetryBudgetSettings m_retries;
+  /// Limits the calls to an upstream that is or may be cold; not set: no limit.
+  std::optional<ColdAllowance> m_cold;
   /// "debug", "info", "warning" or "error".
   std::string m_logLevel;
 };
--- a/src/process/NodeSettingsTest.cpp
+++ b/src/process/NodeSettingsTest.cpp
@@ -54,4 +54,14 @@
   cr_assert(!settings.m_prefixes.front().m_isDeletedByAbsence);
 }
 
+/// Starts of calls are limited where no setting asks for it.
+Test(NodeSettings, ColdUpstreamsAreLimitedWithoutTheSetting)
+{
+  cr_assert(!SettingsWith({ "--cold-slack=8" }).m_cold);
+  const auto cold =
+    SettingsWith({ "--cold-excess=1.5", "--cold-slack=8" }).m_cold;
+  cr_assert(cold.has_value());
+  cr_assert(cold->m_excess == 1.5 && cold->m_slack == 8);
+}
+
 } // namespace tarragontray
--- a/src/process/Runtime.cmake
+++ b/src/process/Runtime.cmake
@@ -14,7 +14,7 @@
   DEPS tt_call_runner tt_http_server tt_ledger tt_log tt_metrics tt_thread_loop)
 tt_test(front_thread_test SRCS FrontThreadTest.cpp DEPS tt_front_thread)
 tt_library(tt_guard_thread SRCS GuardThread.cpp
-  DEPS tt_frame_codec tt_guard tt_ledger tt_log tt_metrics tt_peer_link
+  DEPS tt_frame_codec tt_guard tt_http_client tt_ledger tt_log tt_metrics tt_peer_link
        tt_thread_loop tt_upstream_pool)
 
 tt_decision_library(tt_view_builder
--- a/src/process/Settings.cpp
+++ b/src/process/Settings.cpp
@@ -1,6 +1,7 @@
 #include "process/Settings.h"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <charconv>
 #include <cstdio>
@@ -45,9 +46,23 @@
   return aSetting.m_unit.empty() ? text : text + " " + aSetting.m_unit;
 }
 
+/// The shortest text that reads as the same number.
+std::string
+NumberText(double aNumber)
+{
+  std::array<char, 32> text{};
+  const auto [end, error] =
+    std::to_chars(text.data(), text.data() + text.size(), aNumber);
+  return std::string(text.data(), end);
+}
+
 std::string
 DefaultText(const Setting& aSetting)
 {
+  if (const auto* number = std::get_if<NumberSetting>(&aSetting)) {
+    return number->m_default ? "default " + NumberText(*number->m_default)
+                             : "required";
+  }
   if (const auto* integer = std::get_if<IntegerSetting>(&aSetting)) {
     return integer->m_default ? "default " + std::to_string(*integer->m_default)
                               : "required";
@@ -65,6 +80,9 @@
 std::string
 AllowedText(const Setting& aSetting)
 {
+  if (const auto* number = std::get_if<NumberSetting>(&aSetting)) {
+    return NumberText(number->m_min) + " to " + NumberText(number->m_max);
+  }
   if (const auto* integer = std::get_if<IntegerSetting>(&aSetting)) {
     return Range(*integer);
   }
@@ -172,8 +190,8 @@
   return value != nullptr ? std::optional<std::string>(value) : std::nullopt;
 }
 
-using Value =
-  std::variant<std::int64_t, std::string, std::vector<NetworkAddress>, bool>;
+using Value = std::
+  variant<std::int64_t, double, std::string, std::vector<NetworkAddress>, bool>;
 
 Result<Value>
 Read(const IntegerSetting& aSetting, const std::optional<std::string>& aText)
@@ -186,6 +204,23 @@
   return Value(number);
 }
 
+Result<Value>
+Read(const NumberSetting& aSetting, const std::optional<std::string>& aText)
+{
+  if (!aText && aSetting.m_default) {
+    return Value(*aSetting.m_default);
+  }
+  const std::string text = aText.value_or("");
+  const char* const end = text.data() + text.size();
+  double number = 0;
+  const auto [next, error] = std::from_chars(text.data(), end, number);
+  const bool isInRange = number >= aSetting.m_min && number <= aSetting.m_max;
+  if (error != std::errc() || next != end || !isInRange) {
+    return InvalidSetting(aSetting, text);
+  }
+  return Value(number);
+}
+
 Result<Value>
 Read(const TextSetting& aSetting, const std::optional<std::string>& aText)
 {
@@ -232,6 +267,9 @@
   if (const auto* integer = std::get_if<std::int64_t>(&aValue)) {
     return std::to_string(*integer);
   }
+  if (const auto* number = std::get_if<double>(&aValue)) {
+    return NumberText(*number);
+  }
   if (const auto* text = std::get_if<std::string>(&aValue)) {
     return *text;
   }
@@ -272,6 +310,12 @@
   return std::get<std::int64_t>(m_values.at(aName));
 }
 
+double
+Settings::Number(const std::string& aName) const
+{
+  return std::get<double>(m_values.at(aName));
+}
+
 Duration
 Settings::Milliseconds(const std::string& aName) const
 {
--- a/src/process/Settings.h
+++ b/src/process/Settings.h
@@ -50,6 +50,17 @@
   std::optional<std::int64_t> m_default;
 };
 
+/// A decimal number with its range.
+struct NumberSetting
+{
+  std::string m_name;
+  std::string m_help;
+  double m_min = 0;
+  double m_max = 0;
+  /// The setting is required when this is not set.
+  std::optional<double> m_default;
+};
+
 /// Text; a given value must not be empty. m_allowed, when not empty, lists all
 /// allowed values.
 struct TextSetting
@@ -78,8 +89,11 @@
   std::string m_help;
 };
 
-using Setting =
-  std::variant<IntegerSetting, TextSetting, AddressSetting, SwitchSetting>;
+using Setting = std::variant<IntegerSetting,
+                             NumberSetting,
+                             TextSetting,
+                             AddressSetting,
+                             SwitchSetting>;
 
 /// The validated values. Precondition of each getter: aName is a declared
 /// setting of the getter's type. Thread safety: immutable once parsed.
@@ -87,6 +101,7 @@
 {
 public:
   std::int64_t Integer(const std::string& aName) const;
+  double Number(const std::string& aName) const;
   Duration Milliseconds(const std::string& aName) const;
   const std::string& Text(const std::string& aName) const;
   /// The first address, or the zero address when none was given.
@@ -101,8 +116,11 @@
 
 private:
   friend class SettingsParser;
-  using Value =
-    std::variant<std::int64_t, std::string, std::vector<NetworkAddress>, bool>;
+  using Value = std::variant<std::int64_t,
+                             double,
+                             std::string,
+                             std::vector<NetworkAddress>,
+                             bool>;
   std::map<std::string, Value> m_values;
   std::vector<std::string> m_positional;
 };
--- a/src/process/SettingsTest.cpp
+++ b/src/process/SettingsTest.cpp
@@ -16,6 +16,7 @@
   parser.Add(TextSetting{ "mode", "How.", { "fast", "slow" }, "fast" });
   parser.Add(AddressSetting{ "seeds", "Peers.", true, false });
   parser.Add(SwitchSetting{ "quiet", "Says less." });
+  parser.Add(NumberSetting{ "factor", "How much.", 0, 2.5, 1 });
   parser.Add(IntegerSetting{ "limit", "ms", "How long.", 100, 600'000, 1'000 });
   return parser;
 }
@@ -74,6 +75,15 @@
   cr_assert_eq(settings.value().Addresses("seeds").size(), 3);
 }
 
+Test(Settings, ReadsDecimalNumbers)
+{
+  cr_assert_eq(Check({}).value().Number("factor"), 1.0);
+  cr_assert_eq(Check({ "--factor=1.5" }).value().Number("factor"), 1.5);
+  const auto settings = Check({ "--factor=2.6" });
+  cr_assert(settings.error().Detail() ==
+            "--factor is '2.6', allowed: 0 to 2.5");
+}
+
 Test(Settings, ErrorNamesFlagValueAndAllowedRange)
 {
   const auto settings = Check({ "--count=11" });
@@ -84,10 +94,11 @@
 
 Test(Settings, RejectsInvalidInput)
 {
-  const char* const kBad[] = { "--count=x",   "--count=0",
-                               "--mode=odd",  "--seeds=a:1",
-                               "--unknown=1", "word",
-                               "--quiet=no",  "--seeds=127.0.0.1:1," };
+  const char* const kBad[] = {
+    "--count=x",   "--count=0",   "--mode=odd", "--seeds=a:1",
+    "--unknown=1", "word",        "--factor=x", "--factor=nan",
+    "--factor=1x", "--factor=-1", "--quiet=no", "--seeds=127.0.0.1:1,"
+  };
   for (const char* argument : kBad) {
     cr_assert(!Check({ argument }).has_value(), "accepted %s", argument);
   }
--- a/src/process/StatusJson.cpp
+++ b/src/process/StatusJson.cpp
@@ -132,7 +132,11 @@
            { "slots", aStats.m_load.m_slots.Value() },
            { "refused", aStats.m_refused.Value() },
            { "refused_evacuated", aStats.m_refusedEvacuated.Value() },
-           { "ran", aStats.m_ran.Value() } };
+           { "ran", aStats.m_ran.Value() },
+           { "cold", aStats.m_isLimitedAsCold },
+           { "cold_delayed", aStats.m_delayedAsCold.Value() },
+           { "cold_refused", aStats.m_refusedAsCold.Value() },
+           { "health_requests", aStats.m_healthRequests.Value() } };
 }
 
 Error
--- a/src/process/UpstreamRegister.cpp
+++ b/src/process/UpstreamRegister.cpp
@@ -43,7 +43,7 @@
 {
   const UpstreamAnnouncement before = Announcement();
   const UpstreamEndpoint placeBefore = m_place;
-  if (!aReport.m_isLeave && !IsOutdated(aReport)) {
+  if (IsNews(aReport)) {
     Announce(aReport);
   }
   if (const auto departure = DepartureIn(aReport)) {
--- a/src/process/UpstreamRegister.h
+++ b/src/process/UpstreamRegister.h
@@ -46,6 +46,9 @@
   /// birth announces itself.
   std::optional<UpstreamBirth> m_birth;
   AnnouncementNumber m_number;
+  /// How long the upstream will stay cold; zero when it is warm or does not
+  /// tell.
+  Duration m_coldRemaining{ 0 };
   /// A leave notice: the upstream process m_place.m_instance is ending. Only
   /// m_place.m_instance and m_birth are used.
   bool m_isLeave = false;
@@ -61,6 +64,11 @@
 class UpstreamRegister
 {
 public:
+  /// Whether a report is an announcement that is newer than the ones before.
+  bool IsNews(const UpstreamReport& aReport) const
+  {
+    return !aReport.m_isLeave && !IsOutdated(aReport);
+  }
   /// \return whether the upstream, its state or its place changed.
   bool Offer(const UpstreamReport& aReport);
   /// Adds processes that announced their end to an earlier process of this
--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -146,6 +146,20 @@
   return isServing ? RefusalReason::None : RefusalReason::UpstreamGone;
 }
 
+WaitingCall
+Guard::WaitingCallOf(Ticket aTicket,
+                     const Call& aCall,
+                     MonotonicTime aArrived) const
+{
+  return { .m_ticket = aTicket,
+           .m_caller = aCall.m_caller,
+           .m_priority = aCall.m_priority,
+           .m_deadline = aArrived + aCall.m_timeRemaining,
+           .m_objective = aArrived + aCall.m_objectiveRemaining,
+           .m_serviceTime = m_serviceTimes.MeanOf(aCall.m_route),
+           .m_isQuick = m_serviceTimes.IsQuick(aCall.m_route) };
+}
+
 void
 Guard::Admit(Call aCall,
              CallerLink aFrom,
@@ -153,15 +167,7 @@
              GuardActions& aActions)
 {
   const Ticket ticket = m_lastTicket += Ticket(1);
-  const WaitingCall waiting{ .m_ticket = ticket,
-                             .m_caller = aCall.m_caller,
-                             .m_priority = aCall.m_priority,
-                             .m_deadline = aNow + aCall.m_timeRemaining,
-                             .m_objective = aNow + aCall.m_objectiveRemaining,
-                             .m_serviceTime =
-                               m_serviceTimes.MeanOf(aCall.m_route),
-                             .m_isQuick =
-                               m_serviceTimes.IsQuick(aCall.m_route) };
+  const WaitingCall waiting = WaitingCallOf(ticket, aCall, aNow);
   m_links.Add({ aFrom, aCall.m_id }, ticket);
   Entry& entry = m_entries[ticket];
   entry.m_waiters.push_back({ aFrom, aCall.m_id });
@@ -177,6 +183,7 @@
 void
 Guard::RunNext(MonotonicTime aNow, GuardActions& aActions)
 {
+  UpdateCold(aNow, aActions);
   for (const Refused& refused : m_policy->TakeExpired(aNow)) {
     Refuse(refused.m_ticket, refused.m_reason, aNow, aActions);
   }
@@ -192,7 +199,9 @@
       break;
     }
     m_starts.OnStart();
+    m_coldStarts.OnStart();
     Entry& entry = m_entries.at(*next);
+    m_coldCounters.m_delayed += m_coldRate && entry.m_arrived < aNow ? 1 : 0;
     entry.m_isRunning = true;
     entry.m_started = aNow;
     ++m_running;
@@ -203,6 +212,87 @@
   }
 }
 
+void
+Guard::UpdateCold(MonotonicTime aNow, GuardActions& aActions)
+{
+  if (!m_settings.m_cold) {
+    return;
+  }
+  m_cold.SetInUse(IsServing() && !IsDraining());
+  m_cold.Tick(aNow);
+  if (const auto rate = m_cold.Rate(); rate != m_coldRate) {
+    if (rate.has_value() != m_coldRate.has_value()) {
+      aActions.m_coldChange = ColdChange{ rate.has_value(), m_cold.Reason() };
+    }
+    m_coldRate = rate;
+    // The stated rate and half of the slack as a burst: together well below
+    // what is allowed, since a call may be counted in the second in which it
+    // arrives.
+    const ColdAllowance& allowed = *m_settings.m_cold;
+    const double share = std::min(1.0, allowed.m_excess);
+    m_coldStarts.SetLimit(rate ? std::optional(CallRate(rate->Value() * share))
+                               : std::nullopt,
+                          aNow,
+                          std::max(1.0, allowed.m_slack / 2));
+    if (rate) {
+      OfferAgain(aNow, aActions);
+    }
+  }
+  if (m_cold.TakeHealthRequest(aNow)) {
+    ++m_coldCounters.m_healthRequests;
+    aActions.m_healthTarget = m_cold.HealthTarget();
+  }
+}
+
+void
+Guard::OfferAgain(MonotonicTime aNow, GuardActions& aActions)
+{
+  const std::vector<Ticket> waiting = WaitingTickets();
+  for (const Ticket ticket : waiting) {
+    m_policy->Remove(ticket);
+  }
+  for (const Ticket ticket : waiting) {
+    const auto found = m_entries.find(ticket);
+    if (found == m_entries.end()) {
+      continue;
+    }
+    const Entry& entry = found->second;
+    const WaitingCall call =
+      WaitingCallOf(ticket, entry.m_call, entry.m_arrived);
+    for (const Refused& refused : m_policy->Offer(call, Capacity(aNow), aNow)) {
+      Refuse(refused.m_ticket, refused.m_reason, aNow, aActions);
+    }
+  }
+}
+
+GuardActions
+Guard::SetColdBounds(const ColdBounds& aBounds, MonotonicTime aNow)
+{
+  GuardActions actions;
+  m_cold.SetBounds(aBounds);
+  RunNext(aNow, actions);
+  return actions;
+}
+
+GuardActions
+Guard::OnHeartbeat(const UpstreamHeartbeat& aHeartbeat, MonotonicTime aNow)
+{
+  GuardActions actions;
+  m_cold.OnHeartbeat(aHeartbeat, aNow);
+  RunNext(aNow, actions);
+  return actions;
+}
+
+GuardActions
+Guard::OnHealthAnswer(std::optional<Duration> aColdRemaining,
+                      MonotonicTime aNow)
+{
+  GuardActions actions;
+  m_cold.OnHealthAnswer(aColdRemaining, aNow);
+  RunNext(aNow, actions);
+  return actions;
+}
+
 GuardActions
 Guard::Finished(Ticket aTicket, Answer aAnswer, MonotonicTime aNow)
 {
@@ -215,6 +305,9 @@
   m_entries.erase(found);
   --m_running;
   m_policy->Released(entry.m_call.m_caller);
+  if (!entry.m_isAborted) {
+    m_cold.OnCallEnded(aAnswer, aNow);
+  }
   aAnswer.m_serviceTime = aNow - entry.m_started;
   if (aAnswer.m_outcome == CallOutcome::Done) {
     m_serviceTimes.Record(entry.m_call.m_route, aAnswer.m_serviceTime);
@@ -244,6 +337,8 @@
 {
   UpstreamNotice notice = aNotice;
   notice.m_isLeaving |= m_notice.m_isLeaving;
+  // It differs in each answer; ColdUpstream reads it.
+  notice.m_coldRemaining.reset();
   if (notice == m_notice) {
     return;
   }
@@ -308,6 +403,7 @@
     m_policy->Remove(aTicket);
     Refuse(aTicket, RefusalReason::Cancelled, aNow, aActions);
   } else if (entry.m_call.m_idempotent) {
+    entry.m_isAborted = true;
     aActions.m_aborts.push_back({ aTicket });
   }
 }
@@ -357,6 +453,10 @@
   if (m_nextStart && (!next || *m_nextStart < *next)) {
     next = m_nextStart;
   }
+  const auto cold = m_settings.m_cold ? m_cold.NextTick() : std::nullopt;
+  if (cold && (!next || *cold < *next)) {
+    next = cold;
+  }
   return next;
 }
 
@@ -364,6 +464,7 @@
 Guard::SetUpstream(const UpstreamAnnouncement& aUpstream, MonotonicTime aNow)
 {
   GuardActions actions;
+  const bool wasServing = IsServing();
   const bool isReplaced = aUpstream.m_service != m_upstream.m_service ||
                           aUpstream.m_version != m_upstream.m_version;
   m_upstream = aUpstream;
@@ -373,6 +474,10 @@
     m_notice.m_isLeaving = false;
   }
   const bool isGone = aUpstream.m_state == UpstreamState::Absent || isReplaced;
+  if (wasServing && aUpstream.m_state == UpstreamState::Absent) {
+    m_cold.Doubt(DoubtReason::Silent, aNow);
+  }
+  UpdateCold(aNow, actions);
   if (isGone || aUpstream.m_state == UpstreamState::Draining) {
     RefuseWaiting(isGone ? RefusalReason::UpstreamGone
                          : RefusalReason::Draining,
@@ -388,10 +493,13 @@
 Guard::SetEvacuated(bool aIsEvacuated, MonotonicTime aNow)
 {
   GuardActions actions;
-  m_isEvacuated = aIsEvacuated;
+  const bool wasEvacuated = std::exchange(m_isEvacuated, aIsEvacuated);
   if (m_isEvacuated) {
     RefuseWaiting(RefusalReason::Evacuated, aNow, actions);
+  } else if (wasEvacuated) {
+    m_cold.Doubt(DoubtReason::Evacuated, aNow);
   }
+  UpdateCold(aNow, actions);
   return actions;
 }
 
@@ -408,6 +516,15 @@
 Guard::RefuseWaiting(RefusalReason aReason,
                      MonotonicTime aNow,
                      GuardActions& aActions)
+{
+  for (const Ticket ticket : WaitingTickets()) {
+    m_policy->Remove(ticket);
+    Refuse(ticket, aReason, aNow, aActions);
+  }
+}
+
+std::vector<Ticket>
+Guard::WaitingTickets() const
 {
   std::vector<Ticket> waiting;
   for (const auto& [ticket, entry] : m_entries) {
@@ -416,10 +533,7 @@
     }
   }
   std::sort(waiting.begin(), waiting.end());
-  for (const Ticket ticket : waiting) {
-    m_policy->Remove(ticket);
-    Refuse(ticket, aReason, aNow, aActions);
-  }
+  return waiting;
 }
 
 void
@@ -434,6 +548,9 @@
   if (RunsAtMostOnce(entry.m_call)) {
     m_operations.Release(KeyOf(entry.m_call), aNow);
   }
+  const bool isForCapacity = aReason == RefusalReason::DeadlineTooShort ||
+                             aReason == RefusalReason::QueueFull;
+  m_coldCounters.m_refused += m_coldRate && isForCapacity ? 1 : 0;
   RecordRefusal(entry.m_call, aReason, aActions);
   RefusedCall& refused = aActions.m_refused.back();
   refused.m_waited = aNow - entry.m_arrived;
@@ -484,7 +601,8 @@
   answer.m_refusal = aReason;
   if (aReason == RefusalReason::QueueFull ||
       aReason == RefusalReason::DeadlineTooShort) {
-    answer.m_retryAfter = m_starts.RetryAfter(m_policy->Size());
+    answer.m_retryAfter = std::max(m_starts.RetryAfter(m_policy->Size()),
+                                   m_coldStarts.RetryAfter(m_policy->Size()));
   }
   ReplyTo(aWaiter, std::move(answer), aActions);
 }
@@ -495,16 +613,18 @@
   return { m_upstream.m_slots,
            m_running,
            m_serviceTimes.Mean(),
-           m_starts.Interval(),
-           m_starts.Delay(aNow) };
+           std::max(m_starts.Interval(), m_coldStarts.Interval()),
+           std::max(m_starts.Delay(aNow), m_coldStarts.Delay(aNow)) };
 }
 
 LoadReport
 Guard::Load() const
 {
+  const Duration mean = m_serviceTimes.Mean();
   return { m_running,
            static_cast<std::uint32_t>(m_policy->Size()),
-           m_starts.UsableSlots(m_upstream.m_slots, m_serviceTimes.Mean()) };
+           std::min(m_starts.UsableSlots(m_upstream.m_slots, mean),
+                    m_coldStarts.UsableSlots(m_upstream.m_slots, mean)) };
 }
 
 } // namespace tarragontray
--- a/src/request/Guard.h
+++ b/src/request/Guard.h
@@ -23,6 +23,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -33,6 +34,7 @@
 #include "request/AdmissionPolicy.h"
 #include "request/Call.h"
 #include "request/CallerLinks.h"
+#include "request/ColdUpstream.h"
 #include "request/OperationTable.h"
 #include "request/ServiceTimes.h"
 #include "request/StartLimiter.h"
@@ -47,6 +49,9 @@
   OperationTableSettings m_operations;
   /// Maximum number of calls that may wait for one operation.
   std::size_t m_maxWaiters = 16;
+  /// Limits the starts of calls while the upstream is or may be cold; not set:
+  /// they are not limited.
+  std::optional<ColdAllowance> m_cold{};
 };
 
 /// Hand the call to the upstream.
@@ -80,6 +85,25 @@
   Ticket m_ticket;
 };
 
+/// The limit for a cold upstream has begun or ended.
+struct ColdChange
+{
+  bool m_isLimited = false;
+  /// Why it began.
+  DoubtReason m_reason = DoubtReason::Start;
+};
+
+/// Counts calls and health requests while the upstream was or might have been
+/// cold.
+struct ColdCounters
+{
+  /// Calls that waited before they started.
+  std::uint64_t m_delayed = 0;
+  /// Calls that were refused because they could not start in time.
+  std::uint64_t m_refused = 0;
+  std::uint64_t m_healthRequests = 0;
+};
+
 /// The actions that the driver must carry out, in this order.
 struct GuardActions
 {
@@ -89,6 +113,10 @@
   std::vector<RefusedCall> m_refused;
   /// Set when the upstream has stated something else about itself than before.
   std::optional<UpstreamNotice> m_notice;
+  std::optional<ColdChange> m_coldChange{};
+  /// The target of a health request to send to the upstream; its outcome is
+  /// passed to OnHealthAnswer.
+  std::optional<std::string> m_healthTarget{};
 };
 
 /// The answer to a query about an operation.
@@ -135,7 +163,7 @@
   /// Refuses the waiting calls that can't be answered before their deadline,
   /// and runs calls for which a slot is free.
   GuardActions Tick(MonotonicTime aNow);
-  /// When Tick is due; not set when no call is waiting.
+  /// When Tick is due; not set when nothing is.
   std::optional<MonotonicTime> NextTick() const;
 
   /// Applies an announcement of the upstream; Absent when the announcement
@@ -147,6 +175,21 @@
   {
     m_policy->SetBounds(aBounds);
   }
+  /// \name Whether the upstream is cold; without GuardSettings::m_cold these
+  /// have no effect
+  /// \{
+  GuardActions SetColdBounds(const ColdBounds& aBounds, MonotonicTime aNow);
+  /// Precondition: aHeartbeat is newer than the ones before.
+  GuardActions OnHeartbeat(const UpstreamHeartbeat& aHeartbeat,
+                           MonotonicTime aNow);
+  /// The health request that was sent last has ended.
+  /// \param aColdRemaining not set when it failed or told nothing.
+  GuardActions OnHealthAnswer(std::optional<Duration> aColdRemaining,
+                              MonotonicTime aNow);
+  const ColdCounters& Cold() const { return m_coldCounters; }
+  /// Whether starts are limited because the upstream is or may be cold.
+  bool IsLimitedAsCold() const { return m_coldRate.has_value(); }
+  /// \}
   /// Forgets what the upstream has stated about itself. Call when another
   /// process serves.
   void ResetNotice();
@@ -177,6 +220,7 @@
     Call m_call;
     std::vector<Waiter> m_waiters;
     bool m_isRunning = false;
+    bool m_isAborted = false;
     MonotonicTime m_arrived{};
     MonotonicTime m_started{};
     MonotonicTime m_deadline{};
@@ -198,7 +242,16 @@
                     GuardActions& aActions);
   RefusalReason CheckUpstream(const Call& aCall) const;
   void Admit(Call aCall, CallerLink aFrom, MonotonicTime aNow, GuardActions&);
+  WaitingCall WaitingCallOf(Ticket aTicket,
+                            const Call& aCall,
+                            MonotonicTime aArrived) const;
   void RunNext(MonotonicTime aNow, GuardActions& aActions);
+  /// Applies what is known about the upstream's warmth to the limit of starts.
+  void UpdateCold(MonotonicTime aNow, GuardActions& aActions);
+  /// Admits the waiting calls anew, after the capacity has shrunk.
+  void OfferAgain(MonotonicTime aNow, GuardActions& aActions);
+  /// The tickets of the waiting calls, in the order of their arrival.
+  std::vector<Ticket> WaitingTickets() const;
   /// Removes a waiting entry and replies NotRun to its waiters.
   void Refuse(Ticket aTicket,
               RefusalReason aReason,
@@ -229,6 +282,11 @@
   void ApplyNotice(const UpstreamNotice& aNotice,
                    MonotonicTime aNow,
                    GuardActions& aActions);
+  bool IsServing() const
+  {
+    return m_upstream.m_state == UpstreamState::Starting ||
+           m_upstream.m_state == UpstreamState::Live;
+  }
   bool IsDraining() const
   {
     return m_isDraining || m_isEvacuated || m_notice.m_isLeaving ||
@@ -243,6 +301,11 @@
   bool m_isEvacuated = false;
   UpstreamNotice m_notice;
   StartLimiter m_starts;
+  ColdUpstream m_cold;
+  /// The rate that m_coldStarts applies, as the service states it.
+  std::optional<CallRate> m_coldRate;
+  StartLimiter m_coldStarts;
+  ColdCounters m_coldCounters;
   /// Set while waiting calls can't start because of the rate limit.
   std::optional<MonotonicTime> m_nextStart;
   Entries m_entries;
--- a/src/request/StartLimiter.h
+++ b/src/request/StartLimiter.h
@@ -26,12 +26,16 @@
 class StartLimiter
 {
 public:
-  /// Not set: no limit.
-  void SetLimit(std::optional<CallRate> aLimit, MonotonicTime aNow)
+  /// \param aLimit not set: no limit.
+  /// \param aBurst calls that may start at once, at least 1; not set: those of
+  /// one second.
+  void SetLimit(std::optional<CallRate> aLimit,
+                MonotonicTime aNow,
+                std::optional<double> aBurst = std::nullopt)
   {
     m_rate = aLimit ? std::optional(std::max(*aLimit, kMinRate)) : std::nullopt;
     if (m_rate) {
-      m_tokens.SetRate(m_rate->Value(), Burst(*m_rate), aNow);
+      m_tokens.SetRate(m_rate->Value(), aBurst.value_or(Burst(*m_rate)), aNow);
     }
   }
 
