--- a/src/process/Runtime.cmake
+++ b/src/process/Runtime.cmake
@@ -16,6 +16,8 @@
 tt_library(tt_guard_thread SRCS GuardThread.cpp
   DEPS tt_frame_codec tt_guard tt_http_client tt_ledger tt_log tt_metrics tt_peer_link
        tt_thread_loop tt_upstream_pool)
+tt_test(guard_thread_test SRCS GuardThreadTest.cpp
+  DEPS tt_guard_thread tt_http_server)
 
 tt_decision_library(tt_view_builder
   SRCS ViewBuilder.cpp HDRS ViewBuilder.h DEPS tt_balancing)
--- a/src/request/ColdUpstreamTest.cpp
+++ b/src/request/ColdUpstreamTest.cpp
@@ -287,6 +287,23 @@
   cr_assert(!silent.m_guard->IsLimitedAsCold());
 }
 
+/// Heartbeats that were held up contradict what the upstream has stated since.
+Test(ColdUpstream, HeartbeatsLiftTheLimitBeforeTheStatedTime)
+{
+  Driver driver = WarmDriver();
+  driver.Evacuate(true);
+  driver.Evacuate(false);
+  driver.AnswerHealth(milliseconds(2'500));
+  for (int i = 0; i < 3; ++i) {
+    driver.Run(milliseconds(500));
+    driver.Hear(Heartbeat(1));
+    cr_assert(driver.m_guard->IsLimitedAsCold());
+  }
+  driver.Run(milliseconds(1'010));
+  driver.Hear(Heartbeat(1));
+  cr_assert(!driver.m_guard->IsLimitedAsCold());
+}
+
 /// Two heartbeats lift the limit where health requests are not answered.
 Test(ColdUpstream, UpstreamWithoutHealthAnswersStaysLimited)
 {
