--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -458,7 +458,7 @@
     m_settings.m_prefixes.begin(),
     m_settings.m_prefixes.end(),
     [&](const WatchedPrefix& aWatched) { return aWatched.m_keys == prefix; });
-  return isWatched && !m_hasHeardEvacuations &&
+  return isWatched && !m_hasReceivedEvacuations &&
          WatchAfter(prefix) == Revision(0) && !m_gossip.MayServe();
 }
 
@@ -467,7 +467,7 @@
 {
   // A process of this node that ran before may have known of the evacuation.
   const bool awaitsEvacuations = AwaitsEvacuations();
-  m_hasHeardEvacuations |= !awaitsEvacuations;
+  m_hasReceivedEvacuations |= !awaitsEvacuations;
   const bool isEvacuated =
     awaitsEvacuations ||
     m_evacuations.Contains(m_gossip.Members().Self().m_dataCentre);
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -320,8 +320,9 @@
   bool m_ordersChanged = false;
   Evacuations m_evacuations;
   bool m_evacuationsChanged = false;
-  /// Whether evacuations were listed, or peers were heard, since the start.
-  bool m_hasHeardEvacuations = false;
+  /// Whether this node has listed the evacuations, or has synchronised with
+  /// its peers, since its start.
+  bool m_hasReceivedEvacuations = false;
   /// Whether the guard refuses all calls, as published last.
   bool m_isEvacuated = false;
   /// The earliest time of the next attempt to record that orders' moves have
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -256,7 +256,7 @@
       Start(std::move(run));
     }
     if (aActions.m_healthTarget) {
-      AskHealth(std::move(*aActions.m_healthTarget));
+      SendHealthRequest(std::move(*aActions.m_healthTarget));
     }
     UpdateStats();
     ScheduleTick();
@@ -276,7 +276,7 @@
 
   /// Sends a health request to the upstream on a connection of its own, so that
   /// the answer is not one of an earlier process.
-  void AskHealth(std::string aTarget)
+  void SendHealthRequest(std::string aTarget)
   {
     HttpCall call;
     call.m_request.m_method = "GET";
--- a/src/process/GuardThreadTest.cpp
+++ b/src/process/GuardThreadTest.cpp
@@ -1,5 +1,5 @@
-// Tests that the guard thread asks a cold upstream until it is warm, over
-// loopback.
+// Tests that the guard thread sends health requests to a cold upstream until it
+// is warm, over loopback.
 #include "process/GuardThread.h"
 
 #include <atomic>
@@ -77,7 +77,7 @@
 
   NetworkAddress Address() const { return m_server->Address(); }
 
-  std::atomic<int> m_asked = 0;
+  std::atomic<int> m_requests = 0;
   std::atomic<int> m_others = 0;
 
 private:
@@ -86,9 +86,9 @@
     if (aRequest.m_method != "GET" || aRequest.m_target != "/health?deep=1") {
       ++m_others;
     }
-    const int asked = ++m_asked;
-    HttpAnswerParts answer = TextAnswer(asked == 2 ? 503 : 200, "");
-    answer.m_headers.push_back({ "x-cold-ms", asked == 1 ? "300" : "0" });
+    const int number = ++m_requests;
+    HttpAnswerParts answer = TextAnswer(number == 2 ? 503 : 200, "");
+    answer.m_headers.push_back({ "x-cold-ms", number == 1 ? "300" : "0" });
     return answer;
   }
 
@@ -101,7 +101,7 @@
 
 /// Nobody tells the guard that its upstream is warm, or an answer that tells
 /// nothing does.
-Test(GuardThread, ColdUpstreamIsNotAskedUntilItIsWarm)
+Test(GuardThread, HealthRequestsEndBeforeTheUpstreamIsWarm)
 {
   Upstream upstream;
   SystemClock clock;
@@ -132,7 +132,7 @@
   // The stated time, and the wait after the answer that told nothing.
   cr_assert(clock.Now() >= start + milliseconds(800));
   std::this_thread::sleep_for(milliseconds(700));
-  cr_assert_eq(upstream.m_asked, 3);
+  cr_assert_eq(upstream.m_requests, 3);
   cr_assert_eq(upstream.m_others, 0);
   guard->Stop();
 }
--- a/src/request/ColdUpstream.cpp
+++ b/src/request/ColdUpstream.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-/// A heartbeat that arrives after a doubt began may have been sent before; the
-/// next one was not.
+/// The first heartbeat that arrives after an event may have been sent before
+/// it; the next one was not.
 constexpr int kNeededHeartbeats = 2;
 /// Wait after a health request that failed; doubles up to the longest.
-constexpr Duration kLongestAskInterval = std::chrono::seconds(1);
+constexpr Duration kLongestRequestInterval = std::chrono::seconds(1);
 /// Added to the time that the upstream states, which it may have rounded down.
 constexpr Duration kColdMargin = std::chrono::milliseconds(50);
 /// The rate before the configuration is known.
@@ -19,59 +19,60 @@
 } // namespace
 
 std::string_view
-Name(DoubtReason aReason)
+Name(ColdReason aReason)
 {
   switch (aReason) {
-    case DoubtReason::Start:
+    case ColdReason::Start:
       return "start";
-    case DoubtReason::NewProcess:
+    case ColdReason::NewProcess:
       return "new-process";
-    case DoubtReason::Unreachable:
+    case ColdReason::Unreachable:
       return "unreachable";
-    case DoubtReason::Silent:
+    case ColdReason::Silent:
       return "silent";
-    case DoubtReason::Evacuated:
+    case ColdReason::Evacuated:
       return "evacuated";
-    case DoubtReason::Reported:
+    case ColdReason::Reported:
       break;
   }
   return "reported";
 }
 
 void
-ColdUpstream::Doubt(DoubtReason aReason, MonotonicTime aNow)
+ColdUpstream::SuspectCold(ColdReason aReason, MonotonicTime aNow)
 {
-  if (!m_isDoubtful) {
+  if (!m_mayBeCold) {
     m_reason = aReason;
-    m_askInterval = kFirstAskInterval;
-    m_askAt = aNow;
+    m_requestInterval = kFirstRequestInterval;
+    m_nextRequestAt = aNow;
   }
-  m_isDoubtful = true;
-  m_doubtAt = aNow;
+  m_mayBeCold = true;
+  m_suspectedAt = aNow;
   m_coldUntil = MonotonicTime();
   m_heartbeats = 0;
   m_lost = 0;
   // A wait for the end of the stated time does not apply any more, one after a
   // failure does.
-  m_askAt = std::min(m_askAt, std::max(aNow, m_askedAt + m_askInterval));
+  m_nextRequestAt = std::min(m_nextRequestAt,
+                             std::max(aNow, m_requestedAt + m_requestInterval));
 }
 
 void
 ColdUpstream::OnHeartbeat(const UpstreamHeartbeat& aHeartbeat,
                           MonotonicTime aNow)
 {
-  m_heardAt = aNow;
+  m_lastHeartbeat = aNow;
   const bool isNewProcess = m_process != aHeartbeat.m_process;
   if (isNewProcess) {
-    Doubt(m_process ? DoubtReason::NewProcess : DoubtReason::Start, aNow);
+    SuspectCold(m_process ? ColdReason::NewProcess : ColdReason::Start, aNow);
     m_process = aHeartbeat.m_process;
   }
   ++m_heartbeats;
   // The first one of a process was sent after the process started.
-  const bool isSentSinceDoubt =
+  const bool isSentSinceEvent =
     isNewProcess || m_heartbeats >= kNeededHeartbeats;
   if (aHeartbeat.m_coldRemaining > Duration::zero() ||
-      (isSentSinceDoubt && aNow >= m_coldUntil)) {
+      (isSentSinceEvent && aNow >= m_coldUntil)) {
     OnReport(aHeartbeat.m_coldRemaining, aNow);
   }
 }
@@ -80,12 +81,13 @@
 ColdUpstream::OnHealthAnswer(std::optional<Duration> aColdRemaining,
                              MonotonicTime aNow)
 {
-  m_isAsking = false;
+  m_isRequestOpen = false;
   if (!aColdRemaining) {
-    m_askAt = aNow + m_askInterval;
-    m_askInterval = std::min(2 * m_askInterval, kLongestAskInterval);
-  } else if (m_askedAt < m_doubtAt) {
-    m_askAt = aNow;
+    m_nextRequestAt = aNow + m_requestInterval;
+    m_requestInterval =
+      std::min(2 * m_requestInterval, kLongestRequestInterval);
+  } else if (m_requestedAt < m_suspectedAt) {
+    m_nextRequestAt = aNow;
   } else {
     OnReport(*aColdRemaining, aNow);
   }
@@ -95,15 +97,15 @@
 ColdUpstream::OnReport(Duration aColdRemaining, MonotonicTime aNow)
 {
   if (aColdRemaining <= Duration::zero()) {
-    m_isDoubtful = false;
+    m_mayBeCold = false;
     return;
   }
-  if (!m_isDoubtful) {
-    Doubt(DoubtReason::Reported, aNow);
+  if (!m_mayBeCold) {
+    SuspectCold(ColdReason::Reported, aNow);
   }
   m_coldUntil = aNow + aColdRemaining;
-  m_askAt = m_coldUntil + kColdMargin;
-  m_askInterval = kFirstAskInterval;
+  m_nextRequestAt = m_coldUntil + kColdMargin;
+  m_requestInterval = kFirstRequestInterval;
 }
 
 void
@@ -123,16 +125,16 @@
   const bool hadNoConnection = aAnswer.m_outcome == CallOutcome::NotRun;
   ++m_lost;
   if (hadNoConnection || m_lost >= kMaxLost) {
-    Doubt(DoubtReason::Unreachable, aNow);
+    SuspectCold(ColdReason::Unreachable, aNow);
   }
 }
 
 void
 ColdUpstream::Tick(MonotonicTime aNow)
 {
-  if (m_heardAt && aNow >= *m_heardAt + kMaxSilence) {
-    m_heardAt.reset();
-    Doubt(DoubtReason::Silent, aNow);
+  if (m_lastHeartbeat && aNow >= *m_lastHeartbeat + kMaxSilence) {
+    m_lastHeartbeat.reset();
+    SuspectCold(ColdReason::Silent, aNow);
   }
 }
 
@@ -140,11 +142,11 @@
 ColdUpstream::NextTick() const
 {
   std::optional<MonotonicTime> next;
-  if (m_heardAt) {
-    next = *m_heardAt + kMaxSilence;
+  if (m_lastHeartbeat) {
+    next = *m_lastHeartbeat + kMaxSilence;
   }
   if (IsHealthDue()) {
-    next = std::min(next.value_or(m_askAt), m_askAt);
+    next = std::min(next.value_or(m_nextRequestAt), m_nextRequestAt);
   }
   return next;
 }
@@ -152,18 +154,18 @@
 bool
 ColdUpstream::IsHealthDue() const
 {
-  return m_isDoubtful && m_isInUse && !m_isAsking && m_bounds &&
+  return m_mayBeCold && m_isInUse && !m_isRequestOpen && m_bounds &&
          m_bounds->m_rate && !m_bounds->m_healthTarget.empty();
 }
 
 bool
 ColdUpstream::TakeHealthRequest(MonotonicTime aNow)
 {
-  if (!IsHealthDue() || aNow < m_askAt) {
+  if (!IsHealthDue() || aNow < m_nextRequestAt) {
     return false;
   }
-  m_isAsking = true;
-  m_askedAt = aNow;
+  m_isRequestOpen = true;
+  m_requestedAt = aNow;
   return true;
 }
 
@@ -177,7 +179,7 @@
 std::optional<CallRate>
 ColdUpstream::Rate() const
 {
-  if (!m_isDoubtful) {
+  if (!m_mayBeCold) {
     return std::nullopt;
   }
   return m_bounds ? m_bounds->m_rate : kRateWithoutBounds;
--- a/src/request/ColdUpstream.h
+++ b/src/request/ColdUpstream.h
@@ -1,16 +1,16 @@
 /// \file
-/// Decides whether an upstream is or may be cold, and when to ask it.
+/// Decides whether an upstream is or may be cold, and when to send it a health
+/// request.
 ///
 /// A cold upstream tolerates fewer calls than a warm one. It is not known to be
 /// warm when this node has just started, when another process of it announces
 /// itself, after it could not be reached or was silent, and after an
-/// evacuation. Such an event is a doubt. It ends by a report of the upstream
-/// that it is not cold, from a health answer that was requested after the
-/// event, or from a heartbeat that was sent after it. Without a doubt no health
-/// request is made.
+/// evacuation. From then on it counts as possibly cold, until it reports that
+/// it is not: in the answer to a health request that was sent after the event,
+/// or in a heartbeat that was. Health requests are sent only meanwhile.
 ///
-///     upstream.Doubt(DoubtReason::Unreachable, now);
-///     if (upstream.TakeHealthRequest(now)) { ask the upstream }
+///     upstream.SuspectCold(ColdReason::Unreachable, now);
+///     if (upstream.TakeHealthRequest(now)) { send it }
 ///     upstream.OnHealthAnswer(coldRemaining, now);
 ///     limiter.SetLimit(upstream.Rate(), now);
 ///
@@ -57,7 +57,7 @@
 };
 
 /// Why an upstream may be cold.
-enum class DoubtReason : std::uint8_t
+enum class ColdReason : std::uint8_t
 {
   /// This node has just started.
   Start,
@@ -75,7 +75,7 @@
 
 /// "start", "new-process", "unreachable", "silent", "evacuated" or "reported".
 std::string_view
-Name(DoubtReason aReason);
+Name(ColdReason aReason);
 
 /// See the file comment.
 class ColdUpstream
@@ -94,7 +94,8 @@
 
   /// \name Events
   /// \{
-  void Doubt(DoubtReason aReason, MonotonicTime aNow);
+  /// From now on it counts as possibly cold.
+  void SuspectCold(ColdReason aReason, MonotonicTime aNow);
   /// Precondition: the heartbeat is newer than the ones before.
   void OnHeartbeat(const UpstreamHeartbeat& aHeartbeat, MonotonicTime aNow);
   /// The answer to the health request, or its failure when not set.
@@ -112,13 +113,14 @@
   bool TakeHealthRequest(MonotonicTime aNow);
   const std::string& HealthTarget() const;
 
-  bool IsDoubtful() const { return m_isDoubtful; }
-  DoubtReason Reason() const { return m_reason; }
+  bool MayBeCold() const { return m_mayBeCold; }
+  ColdReason Reason() const { return m_reason; }
   /// The calls per second that may be started at present; not set: any number.
   std::optional<CallRate> Rate() const;
 
 private:
-  static constexpr Duration kFirstAskInterval = std::chrono::milliseconds(500);
+  static constexpr Duration kFirstRequestInterval =
+    std::chrono::milliseconds(500);
 
   bool IsHealthDue() const;
   void OnReport(Duration aColdRemaining, MonotonicTime aNow);
@@ -126,20 +128,20 @@
   /// Not set until the configuration is known.
   std::optional<ColdBounds> m_bounds;
   bool m_isInUse = false;
-  bool m_isDoubtful = true;
-  DoubtReason m_reason = DoubtReason::Start;
-  MonotonicTime m_doubtAt{};
-  /// Heartbeats since the doubt began.
+  bool m_mayBeCold = true;
+  ColdReason m_reason = ColdReason::Start;
+  MonotonicTime m_suspectedAt{};
+  /// Heartbeats since m_suspectedAt.
   int m_heartbeats = 0;
   /// A report told that it is cold until then.
   MonotonicTime m_coldUntil{};
   std::optional<UpstreamProcess> m_process;
-  std::optional<MonotonicTime> m_heardAt;
+  std::optional<MonotonicTime> m_lastHeartbeat;
   int m_lost = 0;
-  bool m_isAsking = false;
-  MonotonicTime m_askedAt{};
-  MonotonicTime m_askAt{};
-  Duration m_askInterval = kFirstAskInterval;
+  bool m_isRequestOpen = false;
+  MonotonicTime m_requestedAt{};
+  MonotonicTime m_nextRequestAt{};
+  Duration m_requestInterval = kFirstRequestInterval;
 };
 
 } // namespace tarragontray
--- a/src/request/ColdUpstreamTest.cpp
+++ b/src/request/ColdUpstreamTest.cpp
@@ -54,7 +54,7 @@
     Apply(m_guard->SetUpstream({ kService, kVersion, aState, SlotCount(6) },
                                m_now));
   }
-  void Hear(const UpstreamHeartbeat& aHeartbeat)
+  void Receive(const UpstreamHeartbeat& aHeartbeat)
   {
     Apply(m_guard->OnHeartbeat(aHeartbeat, m_now));
   }
@@ -65,8 +65,8 @@
   /// Answers the health request that is open.
   void AnswerHealth(std::optional<Duration> aColdRemaining)
   {
-    cr_assert(m_isAsked);
-    m_isAsked = false;
+    cr_assert(m_isRequested);
+    m_isRequested = false;
     Apply(m_guard->OnHealthAnswer(aColdRemaining, m_now));
   }
   void Submit(Duration aTimeRemaining = seconds(3))
@@ -140,7 +140,7 @@
   std::deque<std::pair<Ticket, MonotonicTime>> m_running;
   std::vector<MonotonicTime> m_starts;
   std::vector<Reply> m_refusals;
-  bool m_isAsked = false;
+  bool m_isRequested = false;
   bool m_isDown = false;
 
 private:
@@ -155,7 +155,7 @@
         m_refusals.push_back(reply);
       }
     }
-    m_isAsked |= aActions.m_healthTarget.has_value();
+    m_isRequested |= aActions.m_healthTarget.has_value();
   }
 
   std::uint64_t m_lastId = 0;
@@ -167,11 +167,11 @@
 WarmDriver()
 {
   Driver driver;
-  driver.Hear(Heartbeat(1));
+  driver.Receive(Heartbeat(1));
   driver.AnswerHealth(std::nullopt);
   for (int i = 0; i < 4; ++i) {
     driver.Run(milliseconds(1'500));
-    driver.Hear(Heartbeat(1));
+    driver.Receive(Heartbeat(1));
   }
   return driver;
 }
@@ -191,7 +191,7 @@
   Driver driver(std::nullopt);
   driver.Run(seconds(2));
   cr_assert_geq(driver.MostInASecond(MonotonicTime()), 150);
-  cr_assert(!driver.m_isAsked);
+  cr_assert(!driver.m_isRequested);
   Driver other;
   other.m_guard->SetColdBounds({}, other.m_now);
   other.Run(seconds(2));
@@ -199,14 +199,14 @@
 }
 
 /// Each health request has a price.
-Test(ColdUpstream, WarmUpstreamIsAskedOrLimited)
+Test(ColdUpstream, WarmUpstreamIsLimitedOrGetsHealthRequests)
 {
   Driver driver = WarmDriver();
   const std::uint64_t before = HealthRequests(driver);
   const MonotonicTime since = driver.m_now;
   for (int i = 0; i < 20; ++i) {
     driver.Run(milliseconds(1'500));
-    driver.Hear(Heartbeat(1));
+    driver.Receive(Heartbeat(1));
   }
   cr_assert_eq(HealthRequests(driver), before);
   cr_assert_geq(driver.MostInASecond(since), 150);
@@ -223,14 +223,14 @@
   cr_assert_leq(started.MostInASecond(MonotonicTime()), kTolerated - 8);
   Driver driver = WarmDriver();
   const MonotonicTime since = driver.m_now;
-  driver.Hear(Heartbeat(2, seconds(3)));
+  driver.Receive(Heartbeat(2, seconds(3)));
   driver.Run(seconds(3));
   cr_assert_leq(driver.MostInASecond(since), kTolerated - 8);
   cr_assert_geq(driver.MostInASecond(since), 13);
   cr_assert(driver.m_guard->IsLimitedAsCold());
   // The stated time is over, and the upstream confirms that.
   driver.Run(milliseconds(100));
-  cr_assert(driver.m_isAsked);
+  cr_assert(driver.m_isRequested);
   driver.AnswerHealth(Duration(0));
   cr_assert(!driver.m_guard->IsLimitedAsCold());
 }
@@ -245,7 +245,7 @@
   const MonotonicTime since = driver.m_now;
   driver.m_isDown = false;
   // Sent before it went away.
-  driver.Hear(Heartbeat(1));
+  driver.Receive(Heartbeat(1));
   cr_assert(driver.m_guard->IsLimitedAsCold());
   driver.AnswerHealth(std::nullopt);
   driver.Run(seconds(1));
@@ -258,16 +258,16 @@
 }
 
 /// The request was answered by a process that has ended since.
-Test(ColdUpstream, HealthAnswerFromBeforeTheDoubtLiftsTheLimit)
+Test(ColdUpstream, HealthAnswerFromBeforeTheEventLiftsTheLimit)
 {
   Driver driver = WarmDriver();
   driver.m_isDown = true;
   driver.Run(milliseconds(50));
-  cr_assert(driver.m_isAsked);
+  cr_assert(driver.m_isRequested);
   driver.Run(milliseconds(500));
   driver.AnswerHealth(Duration(0));
   cr_assert(driver.m_guard->IsLimitedAsCold());
-  cr_assert(driver.m_isAsked);
+  cr_assert(driver.m_isRequested);
 }
 
 Test(ColdUpstream, LostCallsInARowOrSilenceAreMissed)
@@ -282,7 +282,7 @@
   Driver silent = WarmDriver();
   silent.Run(ColdUpstream::kMaxSilence + milliseconds(10));
   cr_assert(silent.m_guard->IsLimitedAsCold());
-  cr_assert(silent.m_isAsked);
+  cr_assert(silent.m_isRequested);
   silent.AnswerHealth(Duration(0));
   cr_assert(!silent.m_guard->IsLimitedAsCold());
 }
@@ -296,11 +296,11 @@
   driver.AnswerHealth(milliseconds(2'500));
   for (int i = 0; i < 3; ++i) {
     driver.Run(milliseconds(500));
-    driver.Hear(Heartbeat(1));
+    driver.Receive(Heartbeat(1));
     cr_assert(driver.m_guard->IsLimitedAsCold());
   }
   driver.Run(milliseconds(1'010));
-  driver.Hear(Heartbeat(1));
+  driver.Receive(Heartbeat(1));
   cr_assert(!driver.m_guard->IsLimitedAsCold());
 }
 
@@ -313,10 +313,10 @@
   driver.m_isDown = false;
   driver.Run(milliseconds(100));
   driver.AnswerHealth(std::nullopt);
-  driver.Hear(Heartbeat(1));
+  driver.Receive(Heartbeat(1));
   cr_assert(driver.m_guard->IsLimitedAsCold());
   driver.Run(milliseconds(1'500));
-  driver.Hear(Heartbeat(1));
+  driver.Receive(Heartbeat(1));
   cr_assert(!driver.m_guard->IsLimitedAsCold());
 }
 
@@ -327,10 +327,10 @@
   const std::uint64_t before = HealthRequests(driver);
   driver.Run(seconds(2));
   cr_assert_eq(HealthRequests(driver), before);
-  driver.Hear(Heartbeat(1));
+  driver.Receive(Heartbeat(1));
   const MonotonicTime since = driver.m_now;
   driver.Evacuate(false);
-  cr_assert(driver.m_isAsked);
+  cr_assert(driver.m_isRequested);
   driver.AnswerHealth(seconds(3));
   driver.Run(seconds(3));
   cr_assert_leq(driver.MostInASecond(since), kTolerated - 8);
@@ -346,7 +346,7 @@
     driver.Submit(seconds(1));
   }
   driver.m_refusals.clear();
-  driver.Hear(Heartbeat(2, seconds(3)));
+  driver.Receive(Heartbeat(2, seconds(3)));
   // About 14 of 50 can start within a second.
   cr_assert_geq(driver.m_refusals.size(), 25);
   cr_assert_leq(driver.m_refusals.size(), 45);
@@ -360,7 +360,7 @@
   cr_assert_eq(driver.m_refusals.size(), refused + 1);
 }
 
-/// Without a limit on the requests themselves, a dead upstream is asked in a
+/// Without a limit on the requests themselves, a dead upstream gets them in a
 /// loop.
 Test(ColdUpstream, FailedHealthRequestsAreRepeatedAtOnce)
 {
@@ -369,7 +369,7 @@
   driver.m_isDown = true;
   for (int i = 0; i < 10'000; ++i) {
     driver.Run(milliseconds(1));
-    if (driver.m_isAsked) {
+    if (driver.m_isRequested) {
       driver.AnswerHealth(std::nullopt);
     }
   }
@@ -413,10 +413,10 @@
                                 Heartbeat(1, remaining()));
       }
       if (!heartbeats.empty() && heartbeats.front().first <= driver.m_now) {
-        driver.Hear(heartbeats.front().second);
+        driver.Receive(heartbeats.front().second);
         heartbeats.pop_front();
       }
-      if (driver.m_isAsked && answerAt == MonotonicTime::max()) {
+      if (driver.m_isRequested && answerAt == MonotonicTime::max()) {
         answerAt = driver.m_now + milliseconds(6);
       }
       if (driver.m_now >= answerAt) {
--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -475,7 +475,7 @@
   }
   const bool isGone = aUpstream.m_state == UpstreamState::Absent || isReplaced;
   if (wasServing && aUpstream.m_state == UpstreamState::Absent) {
-    m_cold.Doubt(DoubtReason::Silent, aNow);
+    m_cold.SuspectCold(ColdReason::Silent, aNow);
   }
   UpdateCold(aNow, actions);
   if (isGone || aUpstream.m_state == UpstreamState::Draining) {
@@ -497,7 +497,7 @@
   if (m_isEvacuated) {
     RefuseWaiting(RefusalReason::Evacuated, aNow, actions);
   } else if (wasEvacuated) {
-    m_cold.Doubt(DoubtReason::Evacuated, aNow);
+    m_cold.SuspectCold(ColdReason::Evacuated, aNow);
   }
   UpdateCold(aNow, actions);
   return actions;
--- a/src/request/Guard.h
+++ b/src/request/Guard.h
@@ -90,7 +90,7 @@
 {
   bool m_isLimited = false;
   /// Why it began.
-  DoubtReason m_reason = DoubtReason::Start;
+  ColdReason m_reason = ColdReason::Start;
 };
 
 /// Counts calls and health requests while the upstream was or might have been
