--- a/src/process/FrontThreadTest.cpp
+++ b/src/process/FrontThreadTest.cpp
@@ -82,8 +82,80 @@
   return answer;
 }
 
+/// Reads an API key from x-key.
+class KeyDialect final : public NativeCallerDialect
+{
+public:
+  Result<CallerRequest> Read(const HttpRequestParts& aRequest) const override
+  {
+    BOOST_OUTCOME_TRY(auto request, NativeCallerDialect::Read(aRequest));
+    if (const std::string* key = FindHeader(aRequest.m_headers, "x-key")) {
+      request.m_credential = { CallerCredential::Kind::ApiKey,
+                               DigestApiKey(*key) };
+    }
+    return request;
+  }
+};
+
+/// MakeView with one account, which holds "key-1", and a route "/open/" that
+/// allows anonymous calls.
+std::shared_ptr<const View>
+MakeViewWithAccounts()
+{
+  const auto view = MakeView(seconds(1));
+  Configuration configuration = *view->m_configurations.at(kAccount);
+  configuration.m_callers.push_back({ ClientAccountId("caller"), {}, {} });
+  configuration.m_callerKeys.push_back({ DigestApiKey("key-1"), 0 });
+  RouteSpec open = configuration.m_routes.front();
+  open.m_pathPrefix = "/open/";
+  open.m_allowsAnonymous = true;
+  configuration.m_routes.insert(configuration.m_routes.begin(), open);
+  auto changed = std::make_shared<View>(*view);
+  changed->m_configurations[kAccount] =
+    std::make_shared<const Configuration>(std::move(configuration));
+  return changed;
+}
+
 } // namespace
 
+/// With accounts in the configuration, "no-target" shows that a call was
+/// accepted: the service has no target.
+Test(FrontThread, ACallWithoutAValidKeyIsAccepted)
+{
+  SystemClock clock;
+  Metrics metrics(VmId("vm-1"), DataCentreId("dc"));
+  IdleSignal inFlight;
+  FrontSettings settings;
+  settings.m_address = NetworkAddress(0x7F000001, 0);
+  settings.m_dialect = std::make_shared<KeyDialect>();
+  std::unique_ptr<FrontThread> front =
+    FrontThread::Create(settings, clock, metrics, inFlight, [](auto) {
+    }).value();
+  front->Publish(MakeViewWithAccounts());
+  const auto reasonOf = [&](const std::string& aPath, const std::string& aKey) {
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect(tcp::endpoint(asio::ip::address_v4(front->Address().Ip()),
+                                 front->Address().Port()));
+    asio::write(socket,
+                asio::buffer("GET " + aPath + " HTTP/1.1\r\nconnection: close" +
+                             "\r\nx-client-account: mesqel-gate\r\n" +
+                             (aKey.empty() ? "" : "x-key: " + aKey + "\r\n") +
+                             "\r\n"));
+    std::string answer;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(answer), error);
+    const auto begin = answer.find("x-reason: ") + 10;
+    return answer.substr(begin, answer.find('\r', begin) - begin);
+  };
+  cr_assert(reasonOf("/", "key-1") == "no-target");
+  cr_assert(reasonOf("/", "key-2") == "unknown-caller");
+  cr_assert(reasonOf("/", "") == "unknown-caller");
+  cr_assert(reasonOf("/open/", "") == "no-target");
+  cr_assert(reasonOf("/open/", "key-2") == "unknown-caller");
+  front->Stop();
+}
+
 /// The call would be cut off while its target is at work.
 Test(FrontThread, RequestReadAfterDrainIsForwardedWithoutEnoughTime)
 {
--- a/src/request/NativeDialect.h
+++ b/src/request/NativeDialect.h
@@ -10,7 +10,7 @@
 
 /// Reads x-client-account, idempotency-key and x-time-remaining-ms; writes
 /// x-outcome and x-reason.
-class NativeCallerDialect final : public CallerDialect
+class NativeCallerDialect : public CallerDialect
 {
 public:
   Result<CallerRequest> Read(const HttpRequestParts& aRequest) const override;
