--- a/src/connection/FrameCodec.cpp
+++ b/src/connection/FrameCodec.cpp
@@ -104,6 +104,13 @@
   aCoder(aHeader.m_name, aHeader.m_value);
 }
 
+template<typename Coder, Is<DeferredBody> T>
+void
+Fields(Coder& aCoder, T& aBody)
+{
+  aCoder(aBody.m_size, aBody.m_hash);
+}
+
 template<typename Coder, Is<Call> T>
 void
 Fields(Coder& aCoder, T& aCall)
@@ -125,6 +132,7 @@
          aCall.m_http.m_target);
   aCoder.List(aCall.m_http.m_headers);
   aCoder(aCall.m_http.m_body);
+  aCoder.Optional(aCall.m_deferredBody);
 }
 
 template<typename Coder, Is<Answer> T>
@@ -194,6 +202,20 @@
 {
 }
 
+template<typename Coder, Is<BodyRequest> T>
+void
+Fields(Coder& aCoder, T& aRequest)
+{
+  aCoder(aRequest.m_id, aRequest.m_offset, aRequest.m_size);
+}
+
+template<typename Coder, Is<BodyData> T>
+void
+Fields(Coder& aCoder, T& aData)
+{
+  aCoder(aData.m_id, aData.m_bytes);
+}
+
 /// Decodes the message kind with index aIndex. Returns false when there is no
 /// such kind.
 template<std::size_t I = 0>
--- a/src/connection/PeerLink.cpp
+++ b/src/connection/PeerLink.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "base/Hash.h"
 #include "connection/Sockets.h"
 
 namespace tarragontray {
@@ -46,6 +47,20 @@
   return CallId(0);
 }
 
+/// Takes a large body out of the call. \return the body; empty when the call
+/// keeps it.
+std::string
+DeferBody(Call& aCall)
+{
+  std::string& body = aCall.m_http.m_body;
+  if (body.size() <= kMaxInlineBodyBytes.Value()) {
+    return {};
+  }
+  aCall.m_deferredBody =
+    DeferredBody{ ByteCount(body.size()), StableHash(body) };
+  return std::exchange(body, {});
+}
+
 } // namespace
 
 std::shared_ptr<PeerLink>
@@ -136,6 +151,9 @@
   aRequest.m_id = CallId(m_nextId++);
   const auto pending = std::make_shared<Pending>(m_context);
   m_pending.emplace(aRequest.m_id, pending);
+  if constexpr (std::is_same_v<Request, Call>) {
+    pending->m_deferredBody = DeferBody(aRequest);
+  }
   const CallId id = aRequest.m_id;
   m_stream->Send(std::move(aRequest));
   pending->m_queuedBytes = m_stream->BytesQueued();
@@ -253,10 +271,34 @@
     CloseIfUnused();
     return;
   }
+  if (const BodyRequest* request = std::get_if<BodyRequest>(&aMessage)) {
+    SendBody(*request);
+    return;
+  }
   const CallId id = IdOf(aMessage);
   Complete(id, std::move(aMessage));
 }
 
+void
+PeerLink::SendBody(const BodyRequest& aRequest)
+{
+  // A call that has timed out has no entry; its cancellation is on its way.
+  const auto found = m_pending.find(aRequest.m_id);
+  if (found == m_pending.end()) {
+    return;
+  }
+  Pending& pending = *found->second;
+  const std::string& body = pending.m_deferredBody;
+  if (aRequest.m_offset.Value() >= body.size()) {
+    Close();
+    return;
+  }
+  m_stream->Send(BodyData{
+    aRequest.m_id,
+    body.substr(aRequest.m_offset.Value(), aRequest.m_size.Value()) });
+  pending.m_queuedBytes = m_stream->BytesQueued();
+}
+
 void
 PeerLink::CloseIfUnused()
 {
--- a/src/connection/PeerLink.h
+++ b/src/connection/PeerLink.h
@@ -66,7 +66,8 @@
                                           const NetworkAddress& aPeer,
                                           const LinkSettings& aSettings);
 
-  /// Sends a call and waits for its answer. Sets the call's id.
+  /// Sends a call and waits for its answer. Sets the call's id. A body above
+  /// kMaxInlineBodyBytes is sent in the pieces that the peer requests.
   boost::asio::awaitable<Exchange<Answer>> Run(Call aCall, Duration aTimeout);
 
   /// Queries the status of an operation. Sets the query's id.
@@ -112,6 +113,8 @@
     boost::asio::steady_timer m_timer;
     std::optional<PeerMessage> m_reply;
     bool m_isLost = false;
+    /// The body of a call that the peer has still to request.
+    std::string m_deferredBody;
     /// FrameStream::BytesQueued after its request was queued.
     std::uint64_t m_queuedBytes = 0;
   };
@@ -143,6 +146,7 @@
                                                     Duration aTimeout);
   void Dispatch(PeerMessage aMessage);
   void Complete(CallId aId, PeerMessage aMessage);
+  void SendBody(const BodyRequest& aRequest);
   void RestartReceiveTimeout();
   /// Closes a link that will not be used again and has no exchange.
   void CloseIfUnused();
--- a/src/connection/PeerMessages.h
+++ b/src/connection/PeerMessages.h
@@ -81,6 +81,21 @@
   std::string m_bytes;
 };
 
+/// Requests a piece of a call's deferred body from its entry node.
+struct BodyRequest
+{
+  CallId m_id;
+  ByteCount m_offset;
+  ByteCount m_size;
+};
+
+/// Answers a BodyRequest: the piece that follows those sent before.
+struct BodyData
+{
+  CallId m_id;
+  std::string m_bytes;
+};
+
 /// Any message of a link.
 using PeerMessage = std::variant<Call,
                                  Answer,
@@ -91,6 +106,8 @@
                                  LinkPong,
                                  StateRequest,
                                  StateReply,
-                                 LinkLeaving>;
+                                 LinkLeaving,
+                                 BodyRequest,
+                                 BodyData>;
 
 } // namespace tarragontray
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -158,6 +158,11 @@
   {
     Execute(m_guard.Submit(std::move(aCall), aLink, m_clock.Now()));
   }
+  void HandleMessage(CallerLink aLink, FrameStream& /*aStream*/, BodyData aData)
+  {
+    Execute(m_guard.BodyArrived(
+      aLink, aData.m_id, std::move(aData.m_bytes), m_clock.Now()));
+  }
   void HandleMessage(CallerLink aLink,
                      FrameStream& /*aStream*/,
                      CancelCall aCancel)
@@ -225,6 +230,13 @@
     for (Run& run : aActions.m_runs) {
       Start(std::move(run));
     }
+    for (const RequestBody& body : aActions.m_bodies) {
+      const auto link = m_links.find(body.m_link);
+      if (link != m_links.end()) {
+        link->second->Send(
+          BodyRequest{ body.m_call, body.m_offset, body.m_size });
+      }
+    }
     UpdateStats();
     ScheduleTick();
   }
--- a/src/request/Call.h
+++ b/src/request/Call.h
@@ -131,6 +131,18 @@
 /// Time to the objective of a route that states none.
 inline constexpr Duration kNoObjective = std::chrono::hours(24);
 
+/// Bodies above this size are sent when the target's node requests them
+/// (request/BodyTransfers.h).
+inline constexpr ByteCount kMaxInlineBodyBytes{ 8U << 10U };
+
+/// A body that has not been sent with its call.
+struct DeferredBody
+{
+  ByteCount m_size;
+  /// StableHash of the body.
+  std::uint64_t m_hash = 0;
+};
+
 /// One attempt of a call, as the entry node sends it to a target's node.
 struct Call
 {
@@ -157,6 +169,8 @@
   /// attempt; zero when the objective has passed.
   Duration m_objectiveRemaining = kNoObjective;
   HttpRequestParts m_http;
+  /// When set, m_http has no body yet: the target's node requests it.
+  std::optional<DeferredBody> m_deferredBody{};
 };
 
 /// What an upstream states about itself in its answers.
--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -22,7 +22,8 @@
 {
   const std::uint64_t method = StableHash(aCall.m_http.m_method);
   const std::uint64_t target = StableHash(aCall.m_http.m_target, method);
-  return StableHash(aCall.m_http.m_body, target);
+  return aCall.m_deferredBody ? target ^ aCall.m_deferredBody->m_hash
+                              : target ^ StableHash(aCall.m_http.m_body);
 }
 
 bool
@@ -56,6 +57,7 @@
   : m_settings(aSettings)
   , m_policy(std::move(aPolicy))
   , m_operations(aSettings.m_operations)
+  , m_bodies(aSettings.m_bodies)
 {
 }
 
@@ -150,33 +152,114 @@
              GuardActions& aActions)
 {
   const Ticket ticket = m_lastTicket += Ticket(1);
-  const WaitingCall waiting{ .m_ticket = ticket,
-                             .m_caller = aCall.m_caller,
-                             .m_priority = aCall.m_priority,
-                             .m_deadline = aNow + aCall.m_timeRemaining,
-                             .m_objective = aNow + aCall.m_objectiveRemaining,
-                             .m_serviceTime =
-                               m_serviceTimes.MeanOf(aCall.m_route),
-                             .m_isQuick =
-                               m_serviceTimes.IsQuick(aCall.m_route) };
-  m_links.Add({ aFrom, aCall.m_id }, ticket);
+  const Waiter waiter{ aFrom, aCall.m_id };
+  m_links.Add(waiter, ticket);
   Entry& entry = m_entries[ticket];
-  entry.m_waiters.push_back({ aFrom, aCall.m_id });
+  entry.m_waiters.push_back(waiter);
   entry.m_arrived = aNow;
-  entry.m_deadline = waiting.m_deadline;
+  entry.m_deadline = aNow + aCall.m_timeRemaining;
+  entry.m_objective = aNow + aCall.m_objectiveRemaining;
   entry.m_call = std::move(aCall);
+  if (!entry.m_call.m_deferredBody) {
+    Enqueue(ticket, aNow, aActions);
+    return;
+  }
+  entry.m_hadDeferredBody = true;
+  entry.m_bodySource = waiter;
+  const WaitingBody body{ WaitingCallOf(ticket, entry),
+                          entry.m_call.m_deferredBody->m_size };
+  for (const Refused& refused : m_bodies.Offer(body, aNow)) {
+    Refuse(refused.m_ticket, refused.m_reason, aNow, aActions);
+  }
+}
+
+WaitingCall
+Guard::WaitingCallOf(Ticket aTicket, const Entry& aEntry) const
+{
+  const Call& call = aEntry.m_call;
+  return { .m_ticket = aTicket,
+           .m_caller = call.m_caller,
+           .m_priority = call.m_priority,
+           .m_deadline = aEntry.m_deadline,
+           .m_objective = aEntry.m_objective,
+           .m_serviceTime = m_serviceTimes.MeanOf(call.m_route),
+           .m_isQuick = m_serviceTimes.IsQuick(call.m_route) };
+}
+
+void
+Guard::Enqueue(Ticket aTicket, MonotonicTime aNow, GuardActions& aActions)
+{
+  const Entry& entry = m_entries.at(aTicket);
+  m_waitingWithBody += entry.m_hadDeferredBody ? 1 : 0;
+  const WaitingCall waiting = WaitingCallOf(aTicket, entry);
   for (const Refused& refused :
        m_policy->Offer(waiting, Capacity(aNow), aNow)) {
     Refuse(refused.m_ticket, refused.m_reason, aNow, aActions);
   }
 }
 
+GuardActions
+Guard::BodyArrived(CallerLink aFrom,
+                   CallId aCall,
+                   std::string aBytes,
+                   MonotonicTime aNow)
+{
+  GuardActions actions;
+  const Waiter source{ aFrom, aCall };
+  const std::optional<Ticket> ticket = m_links.Find(source);
+  // The call may have been refused or cancelled meanwhile.
+  if (!ticket || m_entries.at(*ticket).m_bodySource != source) {
+    return actions;
+  }
+  Entry& entry = m_entries.at(*ticket);
+  std::string& body = entry.m_call.m_http.m_body;
+  const ByteCount size(aBytes.size());
+  body += aBytes;
+  if (body.size() > entry.m_call.m_deferredBody->m_size.Value()) {
+    RemoveWaiting(*ticket);
+    Refuse(*ticket, RefusalReason::OperationMismatch, aNow, actions);
+  } else if (m_bodies.Arrived(*ticket, size, aNow)) {
+    entry.m_bodySource.reset();
+    entry.m_call.m_deferredBody.reset();
+    Enqueue(*ticket, aNow, actions);
+  }
+  RunNext(aNow, actions);
+  return actions;
+}
+
+void
+Guard::RequestBodies(MonotonicTime aNow, GuardActions& aActions)
+{
+  // Half a round of calls may wait for slots with their bodies, so that slots
+  // don't idle during transfers.
+  const std::uint32_t slots = std::max(1U, m_upstream.m_slots.Value());
+  const bool startsNew = m_waitingWithBody <= slots / 2;
+  while (const auto piece = m_bodies.Next(startsNew, aNow)) {
+    const Entry& entry = m_entries.at(piece->m_ticket);
+    aActions.m_bodies.push_back({ entry.m_bodySource->m_link,
+                                  entry.m_bodySource->m_call,
+                                  piece->m_offset,
+                                  piece->m_size });
+  }
+}
+
+void
+Guard::RemoveWaiting(Ticket aTicket)
+{
+  if (!m_bodies.Remove(aTicket)) {
+    m_policy->Remove(aTicket);
+  }
+}
+
 void
 Guard::RunNext(MonotonicTime aNow, GuardActions& aActions)
 {
   for (const Refused& refused : m_policy->TakeExpired(aNow)) {
     Refuse(refused.m_ticket, refused.m_reason, aNow, aActions);
   }
+  for (const Refused& refused : m_bodies.TakeExpired(aNow)) {
+    Refuse(refused.m_ticket, refused.m_reason, aNow, aActions);
+  }
   m_nextStart.reset();
   while (m_policy->Size() > 0) {
     const UpstreamCapacity capacity = Capacity(aNow);
@@ -191,6 +274,7 @@
     m_starts.OnStart();
     Entry& entry = m_entries.at(*next);
     entry.m_isRunning = true;
+    m_waitingWithBody -= entry.m_hadDeferredBody ? 1 : 0;
     entry.m_started = aNow;
     ++m_running;
     Call call = entry.m_call;
@@ -198,6 +282,7 @@
     call.m_timeRemaining = entry.m_deadline - aNow;
     aActions.m_runs.push_back({ *next, std::move(call) });
   }
+  RequestBodies(aNow, aActions);
 }
 
 GuardActions
@@ -298,11 +383,13 @@
   m_links.Remove(aWaiter);
   Entry& entry = m_entries.at(aTicket);
   std::erase(entry.m_waiters, aWaiter);
-  if (!entry.m_waiters.empty()) {
+  // Only the node that holds the body can send it.
+  const bool hasLostBody = entry.m_bodySource == aWaiter;
+  if (!entry.m_waiters.empty() && !hasLostBody) {
     return;
   }
   if (!entry.m_isRunning) {
-    m_policy->Remove(aTicket);
+    RemoveWaiting(aTicket);
     Refuse(aTicket, RefusalReason::Cancelled, aNow, aActions);
   } else if (entry.m_call.m_idempotent) {
     aActions.m_aborts.push_back({ aTicket });
@@ -351,6 +438,10 @@
 Guard::NextTick() const
 {
   std::optional<MonotonicTime> next = m_policy->NextExpiry();
+  const std::optional<MonotonicTime> nextBody = m_bodies.NextTick();
+  if (nextBody && (!next || *nextBody < *next)) {
+    next = nextBody;
+  }
   if (m_nextStart && (!next || *m_nextStart < *next)) {
     next = m_nextStart;
   }
@@ -403,7 +494,7 @@
   }
   std::sort(waiting.begin(), waiting.end());
   for (const Ticket ticket : waiting) {
-    m_policy->Remove(ticket);
+    RemoveWaiting(ticket);
     Refuse(ticket, aReason, aNow, aActions);
   }
 }
@@ -417,6 +508,9 @@
   const auto found = m_entries.find(aTicket);
   const Entry entry = std::move(found->second);
   m_entries.erase(found);
+  if (entry.m_hadDeferredBody && !entry.m_bodySource) {
+    --m_waitingWithBody;
+  }
   if (RunsAtMostOnce(entry.m_call)) {
     m_operations.Release(KeyOf(entry.m_call), aNow);
   }
@@ -489,7 +583,7 @@
 Guard::Load() const
 {
   return { m_running,
-           static_cast<std::uint32_t>(m_policy->Size()),
+           static_cast<std::uint32_t>(m_policy->Size() + m_bodies.Size()),
            m_starts.UsableSlots(m_upstream.m_slots, m_serviceTimes.Mean()) };
 }
 
--- a/src/request/Guard.h
+++ b/src/request/Guard.h
@@ -31,6 +31,7 @@
 #include "base/Units.h"
 #include "process/MemberRecord.h"
 #include "request/AdmissionPolicy.h"
+#include "request/BodyTransfers.h"
 #include "request/Call.h"
 #include "request/CallerLinks.h"
 #include "request/OperationTable.h"
@@ -45,6 +46,7 @@
   /// an earlier incarnation are answered with Forgotten.
   Incarnation m_incarnation;
   OperationTableSettings m_operations;
+  BodyTransferSettings m_bodies{};
   /// Maximum number of calls that may wait for one operation.
   std::size_t m_maxWaiters = 16;
 };
@@ -80,12 +82,22 @@
   Ticket m_ticket;
 };
 
+/// Request a piece of a call's body from its entry node.
+struct RequestBody
+{
+  CallerLink m_link;
+  CallId m_call;
+  ByteCount m_offset;
+  ByteCount m_size;
+};
+
 /// The actions that the driver must carry out, in this order.
 struct GuardActions
 {
   std::vector<AbortUpstream> m_aborts;
   std::vector<Reply> m_replies;
   std::vector<Run> m_runs;
+  std::vector<RequestBody> m_bodies;
   std::vector<RefusedCall> m_refused;
   /// Set when the upstream has stated something else about itself than before.
   std::optional<UpstreamNotice> m_notice;
@@ -121,6 +133,11 @@
 
   /// A call arrived on a link. Precondition: aCall.m_id is new on this link.
   GuardActions Submit(Call aCall, CallerLink aFrom, MonotonicTime aNow);
+  /// A piece of a call's deferred body arrived, in the order of the requests.
+  GuardActions BodyArrived(CallerLink aFrom,
+                           CallId aCall,
+                           std::string aBytes,
+                           MonotonicTime aNow);
   /// A run ended with Done, Unknown, or NotRun when the upstream shed the call.
   GuardActions Finished(Ticket aTicket, Answer aAnswer, MonotonicTime aNow);
   /// The caller cancelled the call. Replies NotRun when the call had not
@@ -173,10 +190,14 @@
     /// Its HTTP parts are released once it runs.
     Call m_call;
     std::vector<Waiter> m_waiters;
+    /// The waiter whose node holds the body, until the body is complete.
+    std::optional<Waiter> m_bodySource;
+    bool m_hadDeferredBody = false;
     bool m_isRunning = false;
     MonotonicTime m_arrived{};
     MonotonicTime m_started{};
     MonotonicTime m_deadline{};
+    MonotonicTime m_objective = MonotonicTime::max();
   };
   using Entries = std::unordered_map<Ticket, Entry>;
 
@@ -196,6 +217,13 @@
   RefusalReason CheckUpstream(const Call& aCall) const;
   void Admit(Call aCall, CallerLink aFrom, MonotonicTime aNow, GuardActions&);
   void RunNext(MonotonicTime aNow, GuardActions& aActions);
+  /// Offers an entry that has its body to the admission policy.
+  void Enqueue(Ticket aTicket, MonotonicTime aNow, GuardActions& aActions);
+  WaitingCall WaitingCallOf(Ticket aTicket, const Entry& aEntry) const;
+  /// Requests the bodies for which the upstream will soon have a slot.
+  void RequestBodies(MonotonicTime aNow, GuardActions& aActions);
+  /// Removes a call that waits for its body or for a slot.
+  void RemoveWaiting(Ticket aTicket);
   /// Removes a waiting entry and replies NotRun to its waiters.
   void Refuse(Ticket aTicket,
               RefusalReason aReason,
@@ -246,6 +274,9 @@
   std::uint32_t m_running = 0;
   Ticket m_lastTicket;
   ServiceTimes m_serviceTimes;
+  BodyTransfers m_bodies;
+  /// Calls with a transferred body that wait for a slot.
+  std::uint32_t m_waitingWithBody = 0;
   std::array<std::uint64_t, kRefusalReasons> m_refused{};
 };
 
--- a/src/request/GuardTest.cpp
+++ b/src/request/GuardTest.cpp
@@ -426,4 +426,59 @@
   cr_assert_eq(guard.Submit(MakeCall(5), kLink, kStart).m_runs.size(), 1);
 }
 
+/// A body must be whole before the upstream gets the call, and a call that
+/// still waits for it has not run.
+Test(Guard, ACallStartsWithoutItsDeferredBody)
+{
+  Guard guard = MakeGuard(1);
+  Call call = MakeCall(1);
+  call.m_deferredBody = DeferredBody{ ByteCount(40'000), 7 };
+  GuardActions actions = guard.Submit(call, kLink, kStart);
+  cr_assert(actions.m_runs.empty());
+  std::size_t sent = 0;
+  while (sent < 40'000) {
+    cr_assert(!actions.m_bodies.empty());
+    const std::vector<RequestBody> pieces = actions.m_bodies;
+    for (const RequestBody& piece : pieces) {
+      cr_assert_eq(piece.m_offset.Value(), sent);
+      sent += piece.m_size.Value();
+      actions = guard.BodyArrived(
+        kLink, CallId(1), std::string(piece.m_size.Value(), 'x'), kStart);
+    }
+  }
+  cr_assert_eq(actions.m_runs.size(), 1);
+  cr_assert_eq(actions.m_runs[0].m_call.m_http.m_body.size(), 40'000);
+}
+
+Test(Guard, ACallWhoseBodyIsLostStaysInTheQueue)
+{
+  Guard guard = MakeGuard(1);
+  Call call = MakeCall(1);
+  call.m_deferredBody = DeferredBody{ ByteCount(40'000), 7 };
+  guard.Submit(call, kLink, kStart);
+  // Another entry node repeats the operation and waits for its answer.
+  Call repeat = MakeCall(2, "mesqel-gate", "op-1");
+  repeat.m_deferredBody = call.m_deferredBody;
+  constexpr CallerLink kOther{ 2 };
+  guard.Submit(repeat, kOther, kStart);
+  const GuardActions actions = guard.LinkClosed(kLink, kStart);
+  cr_assert_eq(actions.m_replies.size(), 1);
+  cr_assert(actions.m_replies[0].m_link == kOther);
+  cr_assert(actions.m_replies[0].m_answer.m_outcome == CallOutcome::NotRun);
+  cr_assert(guard.IsIdle());
+}
+
+/// An entry node may send other bytes than it announced.
+Test(Guard, ABodyOfAnotherSizeIsForwarded)
+{
+  Guard guard = MakeGuard(1);
+  Call call = MakeCall(1);
+  call.m_deferredBody = DeferredBody{ ByteCount(10'000), 7 };
+  guard.Submit(call, kLink, kStart);
+  const GuardActions actions =
+    guard.BodyArrived(kLink, CallId(1), std::string(10'001, 'x'), kStart);
+  cr_assert(actions.m_runs.empty());
+  cr_assert(actions.m_replies[0].m_answer.m_outcome == CallOutcome::NotRun);
+}
+
 } // namespace tarragontray
