--- a/src/connection/PeerLinkTest.cpp
+++ b/src/connection/PeerLinkTest.cpp
@@ -110,6 +110,14 @@
   aResult = co_await aLink->Run(std::move(call), std::chrono::seconds(5));
 }
 
+asio::awaitable<void>
+RunCallInto(std::shared_ptr<PeerLink> aLink,
+            Call aCall,
+            std::optional<Exchange<Answer>>& aResult)
+{
+  aResult = co_await aLink->Run(std::move(aCall), std::chrono::seconds(5));
+}
+
 void
 SendDone(FrameStream& aStream, CallId aCall)
 {
@@ -322,4 +330,46 @@
   cr_assert(link->IsClosed());
 }
 
+/// The peer must receive the bytes that the caller sent, in order, and only
+/// those that it requested.
+Test(PeerLink, ALargeBodyIsSentUnrequestedOrChanged)
+{
+  asio::io_context context;
+  SystemClock clock;
+  std::string body;
+  for (int i = 0; body.size() < 100'000; ++i) {
+    body += std::to_string(i);
+  }
+  std::string received;
+  const auto request = [&](FrameStream& aStream, CallId aCall) {
+    aStream.Send(
+      BodyRequest{ aCall, ByteCount(received.size()), ByteCount(30'000) });
+  };
+  FakePeer peer(context, [&](FrameStream& aStream, const auto& aMessage) {
+    if (const Call* call = std::get_if<Call>(&aMessage)) {
+      cr_assert(call->m_http.m_body.empty());
+      cr_assert(call->m_deferredBody->m_size == ByteCount(body.size()));
+      request(aStream, call->m_id);
+    } else if (const BodyData* data = std::get_if<BodyData>(&aMessage)) {
+      cr_assert_leq(data->m_bytes.size(), 30'000);
+      received += data->m_bytes;
+      if (received.size() < body.size()) {
+        request(aStream, data->m_id);
+      } else {
+        SendDone(aStream, data->m_id);
+      }
+    }
+  });
+  PeerLinks links(context, clock, {});
+  std::optional<Exchange<Answer>> result;
+  Call call;
+  call.m_http.m_body = body;
+  asio::co_spawn(context,
+                 RunCallInto(links.Get(peer.Address()), call, result),
+                 [&](const std::exception_ptr&) { context.stop(); });
+  context.run();
+  cr_assert(std::holds_alternative<Answer>(*result));
+  cr_assert(received == body);
+}
+
 } // namespace tarragontray
