Withdraw calls that wait in a guard's queue shortly before their deadline

A call that was still waiting when its deadline passed was answered as one that may have run: the guard's refusal came too late. The entry node now asks the guard for its word up to 30 ms before the deadline, at most a sixteenth of the call's time. A call that has not started is refused as not run; one that runs goes on, and its answer still counts. From then on no further attempt is sent, and the last query about a lost operation comes at that time.

--- a/src/connection/FrameCodec.cpp
+++ b/src/connection/FrameCodec.cpp
@@ -149,7 +149,7 @@
 void
 Fields(Coder& aCoder, T& aCancel)
 {
-  aCoder(aCancel.m_id);
+  aCoder(aCancel.m_id, aCancel.m_onlyIfWaiting);
 }
 
 template<typename Coder, Is<OperationQuery> T>
--- a/src/connection/PeerLink.cpp
+++ b/src/connection/PeerLink.cpp
@@ -72,9 +72,9 @@
 }
 
 asio::awaitable<Exchange<Answer>>
-PeerLink::Run(Call aCall, Duration aTimeout)
+PeerLink::Run(Call aCall, Duration aTimeout, Duration aWithdrawAfter)
 {
-  return RoundTrip<Answer>(std::move(aCall), aTimeout);
+  return RoundTrip<Answer>(std::move(aCall), aTimeout, aWithdrawAfter);
 }
 
 asio::awaitable<Exchange<OperationReply>>
@@ -114,11 +114,14 @@
 
 template<typename Reply, typename Request>
 asio::awaitable<Exchange<Reply>>
-PeerLink::RoundTrip(Request aRequest, Duration aTimeout)
+PeerLink::RoundTrip(Request aRequest,
+                    Duration aTimeout,
+                    Duration aWithdrawAfter)
 {
   const auto self = shared_from_this();
   const ExchangeCount count(*this);
-  const MonotonicTime deadline = m_clock.Now() + aTimeout;
+  const MonotonicTime start = m_clock.Now();
+  const MonotonicTime deadline = start + aTimeout;
   if constexpr (std::is_same_v<Reply, Answer>) {
     if (m_isLeaving) {
       co_return RefusalOfLeavingPeer();
@@ -140,9 +143,12 @@
   m_stream->Send(std::move(aRequest));
   pending->m_queuedBytes = m_stream->BytesQueued();
   RestartReceiveTimeout();
-  pending->m_timer.expires_after(
-    std::max(deadline - m_clock.Now(), Duration(0)));
-  co_await pending->m_timer.async_wait(kAwait);
+  const bool isWithdrawn = aWithdrawAfter < aTimeout;
+  const MonotonicTime end = isWithdrawn ? start + aWithdrawAfter : deadline;
+  if (co_await IsPendingUntil(pending, end) && isWithdrawn) {
+    m_stream->Send(CancelCall{ id, true });
+    co_await IsPendingUntil(pending, deadline);
+  }
   m_pending.erase(id);
   if (pending->m_reply) {
     if (Reply* reply = std::get_if<Reply>(&*pending->m_reply)) {
@@ -161,6 +167,14 @@
   co_return ExchangeTimeout{};
 }
 
+asio::awaitable<bool>
+PeerLink::IsPendingUntil(std::shared_ptr<Pending> aPending, MonotonicTime aTime)
+{
+  aPending->m_timer.expires_after(std::max(aTime - m_clock.Now(), Duration(0)));
+  const auto [error] = co_await aPending->m_timer.async_wait(kAwait);
+  co_return !error && !aPending->m_reply && !aPending->m_isLost;
+}
+
 asio::awaitable<Result<void>>
 PeerLink::EnsureOpen()
 {
--- a/src/connection/PeerLink.h
+++ b/src/connection/PeerLink.h
@@ -67,7 +67,10 @@
                                           const LinkSettings& aSettings);
 
   /// Sends a call and waits for its answer. Sets the call's id.
-  boost::asio::awaitable<Exchange<Answer>> Run(Call aCall, Duration aTimeout);
+  /// \param aWithdrawAfter when there is no answer by then, the peer is asked
+  /// to refuse the call unless it has started.
+  boost::asio::awaitable<Exchange<Answer>>
+  Run(Call aCall, Duration aTimeout, Duration aWithdrawAfter = Duration::max());
 
   /// Queries the status of an operation. Sets the query's id.
   boost::asio::awaitable<Exchange<OperationReply>> Ask(OperationQuery aQuery,
@@ -139,8 +142,14 @@
   /// large request is in transit.
   Duration ReceiveTimeout() const;
   template<typename Reply, typename Request>
-  boost::asio::awaitable<Exchange<Reply>> RoundTrip(Request aRequest,
-                                                    Duration aTimeout);
+  boost::asio::awaitable<Exchange<Reply>> RoundTrip(
+    Request aRequest,
+    Duration aTimeout,
+    Duration aWithdrawAfter = Duration::max());
+  /// Waits for the reply, the loss of the link or the caller's cancellation.
+  /// Returns true when none of them has come by aTime.
+  boost::asio::awaitable<bool> IsPendingUntil(std::shared_ptr<Pending> aPending,
+                                              MonotonicTime aTime);
   void Dispatch(PeerMessage aMessage);
   void Complete(CallId aId, PeerMessage aMessage);
   void RestartReceiveTimeout();
--- a/src/connection/PeerLinkTest.cpp
+++ b/src/connection/PeerLinkTest.cpp
@@ -4,9 +4,13 @@
 #include <thread>
 #include <vector>
 
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <criterion/criterion.h>
 
 #include "connection/Sockets.h"
@@ -110,6 +114,17 @@
   aResult = co_await aLink->Run(std::move(call), std::chrono::seconds(5));
 }
 
+asio::awaitable<void>
+RunWithWithdrawal(std::shared_ptr<PeerLink> aLink,
+                  std::optional<Exchange<Answer>>& aResult)
+{
+  co_await asio::this_coro::throw_if_cancelled(false);
+  Call call;
+  aResult = co_await aLink->Run(std::move(call),
+                                std::chrono::milliseconds(200),
+                                std::chrono::milliseconds(40));
+}
+
 void
 SendDone(FrameStream& aStream, CallId aCall)
 {
@@ -292,6 +307,48 @@
   cr_assert_eq(peer.OpenConnections(), 1);
 }
 
+/// A peer whose answer is overdue is asked for its word before the deadline,
+/// and its answer still counts. A caller that has left withdraws nothing, but
+/// cancels.
+Test(PeerLink, OverdueCallsAreWithdrawnAndStillAnswered)
+{
+  asio::io_context context(1);
+  const SystemClock clock;
+  std::vector<bool> cancels;
+  const FakePeer peer(
+    context, [&](FrameStream& aStream, const PeerMessage& aMessage) {
+      if (const auto* cancel = std::get_if<CancelCall>(&aMessage)) {
+        cancels.push_back(cancel->m_onlyIfWaiting);
+        SendDone(aStream, cancel->m_id);
+      }
+    });
+  PeerLinks links(context, clock, LinkSettings{});
+  const auto run = [&](asio::cancellation_signal& aSignal,
+                       std::optional<Exchange<Answer>>& aResult) {
+    asio::co_spawn(
+      context,
+      RunWithWithdrawal(links.Get(peer.Address()), aResult),
+      asio::bind_cancellation_slot(aSignal.slot(), asio::detached));
+    context.restart();
+    context.run_for(std::chrono::milliseconds(20));
+  };
+  asio::cancellation_signal overdueSignal;
+  std::optional<Exchange<Answer>> overdue;
+  run(overdueSignal, overdue);
+  context.restart();
+  context.run_for(std::chrono::milliseconds(100));
+  cr_assert(overdue && std::holds_alternative<Answer>(*overdue));
+  cr_assert(cancels == std::vector<bool>{ true });
+  asio::cancellation_signal leftSignal;
+  std::optional<Exchange<Answer>> left;
+  run(leftSignal, left);
+  leftSignal.emit(asio::cancellation_type::terminal);
+  context.restart();
+  context.run_for(std::chrono::milliseconds(100));
+  cr_assert(left && std::holds_alternative<ExchangeTimeout>(*left));
+  cr_assert(cancels == (std::vector<bool>{ true, false }));
+}
+
 Test(PeerLink, AReplacedLinkLosesItsPendingCall)
 {
   asio::io_context context(1);
--- a/src/connection/PeerMessages.h
+++ b/src/connection/PeerMessages.h
@@ -25,6 +25,9 @@
 struct CancelCall
 {
   CallId m_id;
+  /// The caller still waits: only a call that has not started is cancelled, and
+  /// answered with NotRun.
+  bool m_onlyIfWaiting = false;
 };
 
 /// Queries the status of an operation. If the guard has not received the
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -162,7 +162,9 @@
                      FrameStream& /*aStream*/,
                      CancelCall aCancel)
   {
-    Execute(m_guard.Cancel(aLink, aCancel.m_id, m_clock.Now()));
+    const MonotonicTime now = m_clock.Now();
+    Execute(aCancel.m_onlyIfWaiting ? m_guard.Withdraw(aLink, aCancel.m_id, now)
+                                    : m_guard.Cancel(aLink, aCancel.m_id, now));
   }
   void HandleMessage(CallerLink /*aLink*/,
                      FrameStream& aStream,
--- a/src/request/CallPlan.cpp
+++ b/src/request/CallPlan.cpp
@@ -11,6 +11,12 @@
 constexpr Duration kMaxAskInterval = std::chrono::milliseconds(200);
 /// Failed queries about an attempt after which its outcome is unknown.
 constexpr std::uint8_t kMaxAskFailures = 3;
+/// A call is withdrawn from its guard's queue this long before its deadline,
+/// but not before the last 1 / kWithdrawDivisor of its time. Covers the way to
+/// the guard and back, some 3 ms between data centres, and the pauses of two
+/// nodes that have a tenth of a core each.
+constexpr Duration kWithdrawMargin = std::chrono::milliseconds(30);
+constexpr int kWithdrawDivisor = 16;
 /// An attempt that waited for less than 1 / kMinWaitDivisor of its route's
 /// timeout is not evidence about the version: it was a late retry, or the
 /// caller's deadline was short.
@@ -61,6 +67,9 @@
 Step
 CallPlan::Begin(MonotonicTime aNow)
 {
+  const Duration remaining = Setup().m_deadline - aNow;
+  m_withdrawAt = Setup().m_deadline -
+                 std::min(kWithdrawMargin, remaining / kWithdrawDivisor);
   if (aNow >= Setup().m_deadline) {
     return m_targets.IsPinned() ? EndUnknown()
                                 : End(NotRun(RefusalReason::DeadlineTooShort));
@@ -239,6 +248,7 @@
   send.m_attempt = m_attempts;
   send.m_version = aTarget.m_version;
   send.m_timeRemaining = Setup().m_deadline - aNow;
+  send.m_withdrawAfter = std::max(m_withdrawAt - aNow, Duration(0));
   if (Setup().m_objective != MonotonicTime::max()) {
     send.m_objectiveRemaining =
       std::max(Setup().m_objective - aNow, Duration(0));
@@ -249,7 +259,7 @@
 Step
 CallPlan::RetryOrFinish(Answer aAnswer, RetryReason aReason, MonotonicTime aNow)
 {
-  if (aNow < Setup().m_deadline && m_attempts < Setup().m_route.m_maxAttempts) {
+  if (aNow < m_withdrawAt && m_attempts < Setup().m_route.m_maxAttempts) {
     const Target* target = m_targets.Next(aReason, aNow);
     if (target != nullptr && MayRetry(aReason, aNow)) {
       const Target* former = m_targets.FormerHomeOfNext(aNow);
@@ -301,7 +311,10 @@
 CallPlan::AskLater(MonotonicTime aNow)
 {
   m_state = State::WaitingToAsk;
-  const MonotonicTime next = std::min(aNow + m_askInterval, Setup().m_deadline);
+  // The last query comes when there is just time for its answer.
+  const MonotonicTime latest =
+    aNow < m_withdrawAt ? m_withdrawAt : Setup().m_deadline;
+  const MonotonicTime next = std::min(aNow + m_askInterval, latest);
   m_askInterval = std::min(m_askInterval * 2, kMaxAskInterval);
   return WaitUntil{ next };
 }
--- a/src/request/CallPlan.h
+++ b/src/request/CallPlan.h
@@ -23,6 +23,10 @@
 /// states that no call with the key ran, so it is returned only when the home
 /// confirms it. See docs/design/requests.md.
 ///
+/// A call that waits in its guard's queue is withdrawn shortly before its
+/// deadline, so that its caller hears that it has not run. From then on, no
+/// other attempt is sent: there would be no time to learn its outcome.
+///
 /// Each SendAttempt, AskOperation and WaitUntil is answered by exactly one
 /// event, or by OnTimer at CallSetup::m_deadline. When a step returns Finish
 /// while an attempt is in flight, the driver cancels that attempt; a later
@@ -64,6 +68,9 @@
   UpstreamVersion m_version;
   Duration m_timeRemaining{ 0 };
   Duration m_objectiveRemaining = kNoObjective;
+  /// Without an answer by then, ask the guard to refuse the call unless it has
+  /// started (Guard::Withdraw), and wait on for its answer.
+  Duration m_withdrawAfter{ 0 };
 };
 
 /// Ask the node about the operation over a new connection. The query (Question
@@ -203,6 +210,8 @@
   bool m_isAttemptInFlight = false;
   MonotonicTime m_attemptStart{};
   std::uint8_t m_attempts = 0;
+  /// When a call without an answer is withdrawn; set by Begin.
+  MonotonicTime m_withdrawAt{};
   std::uint8_t m_askFailures = 0;
   Duration m_askInterval{ 0 };
   /// An earlier attempt ended and may have run.
--- a/src/request/CallRunner.cpp
+++ b/src/request/CallRunner.cpp
@@ -60,7 +60,7 @@
     m_call.m_objectiveRemaining = aSend.m_objectiveRemaining;
     const auto link = m_links.Get(aSend.m_target->m_peerAddress);
     const Exchange<Answer> exchange =
-      co_await link->Run(m_call, aSend.m_timeRemaining);
+      co_await link->Run(m_call, aSend.m_timeRemaining, aSend.m_withdrawAfter);
     const MonotonicTime now = m_clock.Now();
     if (const auto* answer = std::get_if<Answer>(&exchange)) {
       co_return m_plan.OnAnswer(*answer, now);
--- a/src/request/ExchangeTest.cpp
+++ b/src/request/ExchangeTest.cpp
@@ -85,6 +85,37 @@
   }
 }
 
+/// Sends more calls than the slots can serve, so that many wait in the guards'
+/// queues until their deadlines. On request, nodes pause and some calls repeat
+/// the key of another, which may run after them.
+FakeExchange
+RunOverload(std::uint64_t aSeed, FaultPlan& aFaults, bool aHasPausesAndKeys)
+{
+  SeededRandom random(aSeed + 2000);
+  FakeExchangeSettings settings;
+  settings.m_seed = aSeed;
+  settings.m_targets = 1 + random.Below(3);
+  settings.m_slots = 1;
+  settings.m_serviceTime = std::chrono::milliseconds(100 + random.Below(300));
+  FakeExchange exchange(settings, aFaults);
+  for (int i = 0; i < 40; ++i) {
+    FakeCallSpec spec;
+    spec.m_isCallerKey = aHasPausesAndKeys && random.Below(4) == 0;
+    spec.m_isIdempotent = !spec.m_isCallerKey && random.Below(3) == 0;
+    spec.m_operation =
+      Operation(spec.m_isCallerKey ? random.Below(8) : 100 + i);
+    spec.m_timeout = std::chrono::milliseconds(100 + random.Below(600));
+    exchange.Start(spec);
+    exchange.RunFor(std::chrono::milliseconds(random.Below(80)));
+    if (aHasPausesAndKeys && random.Below(8) == 0) {
+      exchange.Pause(random.Below(settings.m_targets),
+                     std::chrono::milliseconds(random.Below(900)));
+    }
+  }
+  exchange.RunFor(kSettleDuration);
+  return exchange;
+}
+
 /// Runs calls, some with repeated keys, under random faults, pauses, drains and
 /// at most one join; on request also with a move or with restarts.
 void
@@ -197,6 +228,62 @@
   }
 }
 
+/// Overload: a call that waited in a guard's queue until its deadline was
+/// reported as one that may have run.
+Test(Exchange, ACallThatWaitsUntilItsDeadlineIsReportedAsNotRun)
+{
+  FixedFaults faults{ AttemptFault::None, AskFault::None };
+  FakeExchangeSettings settings;
+  settings.m_targets = 1;
+  settings.m_slots = 1;
+  settings.m_serviceTime = std::chrono::milliseconds(500);
+  for (const bool isIdempotent : { false, true }) {
+    FakeExchange exchange(settings, faults);
+    FakeCallSpec spec;
+    spec.m_isIdempotent = isIdempotent;
+    spec.m_timeout = std::chrono::milliseconds(480);
+    for (const int call : { 0, 1 }) {
+      spec.m_operation = Operation(call);
+      exchange.Start(spec);
+    }
+    exchange.RunFor(std::chrono::milliseconds(480));
+    // The first call runs beyond its deadline.
+    cr_assert(exchange.Answers()[0]->m_outcome == CallOutcome::Unknown);
+    cr_assert(exchange.Answers()[1]->m_outcome == CallOutcome::NotRun);
+    exchange.RunFor(kSettleDuration);
+    cr_assert_eq(exchange.Executions(Operation(1)), 0);
+    AssertGuaranteesHold(exchange, 0);
+  }
+}
+
+/// As above, for drawn loads: without faults, each call that is reported as one
+/// that may have run has run.
+Test(Exchange, OverloadAloneLeavesNoOutcomeUnknown)
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    FixedFaults faults{ AttemptFault::None, AskFault::None };
+    const FakeExchange exchange = RunOverload(seed, faults, false);
+    AssertGuaranteesHold(exchange, seed);
+    for (const OperationId& operation : exchange.UnknownOperations()) {
+      cr_assert(exchange.Executions(operation) > 0,
+                "seed %lu: %s\n%s",
+                seed,
+                operation.Value().c_str(),
+                exchange.Log().c_str());
+    }
+  }
+}
+
+/// A withdrawn call must never run, whichever messages are lost or late.
+Test(Exchange, DrawnFaultsInOverloadRunNoCallThatWasReportedAsNotRun)
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    DrawnFaults faults(seed);
+    const FakeExchange exchange = RunOverload(seed, faults, true);
+    AssertGuaranteesHold(exchange, seed);
+  }
+}
+
 Test(Exchange, RepeatedKeyThroughAnotherNodeRunsOnce)
 {
   FixedFaults faults{ AttemptFault::AnswerDropped, AskFault::Unreachable };
--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -278,6 +278,22 @@
   return actions;
 }
 
+GuardActions
+Guard::Withdraw(CallerLink aFrom, CallId aCall, MonotonicTime aNow)
+{
+  GuardActions actions;
+  const std::optional<Ticket> ticket = m_links.Find({ aFrom, aCall });
+  if (!ticket) {
+    return actions;
+  }
+  const Entry& entry = m_entries.at(*ticket);
+  if (!entry.m_isRunning && entry.m_waiters.size() == 1) {
+    m_policy->Remove(*ticket);
+    Refuse(*ticket, RefusalReason::DeadlineTooShort, aNow, actions);
+  }
+  return actions;
+}
+
 GuardActions
 Guard::LinkClosed(CallerLink aFrom, MonotonicTime aNow)
 {
--- a/src/request/Guard.h
+++ b/src/request/Guard.h
@@ -126,6 +126,10 @@
   /// The caller cancelled the call. Replies NotRun when the call had not
   /// started; otherwise sends no reply.
   GuardActions Cancel(CallerLink aFrom, CallId aCall, MonotonicTime aNow);
+  /// The caller's deadline is near. Replies NotRun and drops the call when it
+  /// is waiting and no other call waits for its operation; otherwise does
+  /// nothing.
+  GuardActions Withdraw(CallerLink aFrom, CallId aCall, MonotonicTime aNow);
   /// The link was closed. Drops its waiting calls and aborts its running
   /// idempotent ones.
   GuardActions LinkClosed(CallerLink aFrom, MonotonicTime aNow);
--- a/src/request/GuardTest.cpp
+++ b/src/request/GuardTest.cpp
@@ -123,6 +123,31 @@
   cr_assert(guard.IsIdle());
 }
 
+/// Overload: the entry node withdraws a call shortly before its deadline. Only
+/// a call that can't run any more may be answered with NotRun.
+Test(Guard, OnlyAWaitingCallIsWithdrawn)
+{
+  Guard guard = MakeGuard(1);
+  Call idempotent = MakeCall(1);
+  idempotent.m_idempotent = true;
+  const Ticket running =
+    guard.Submit(idempotent, kLink, kStart).m_runs.at(0).m_ticket;
+  guard.Submit(MakeCall(2), kLink, kStart);
+  guard.Submit(MakeCall(3, "a", "k"), kLink, kStart);
+  guard.Submit(MakeCall(4, "a", "k"), CallerLink(2), kStart);
+  const GuardActions waiting = guard.Withdraw(kLink, CallId(2), kStart);
+  cr_assert(waiting.m_replies.at(0).m_answer.m_outcome == CallOutcome::NotRun);
+  // A run is neither aborted nor does it lose its caller; call 4 may still run
+  // the operation of call 3.
+  for (const CallId id : { CallId(1), CallId(3), CallId(9) }) {
+    const GuardActions actions = guard.Withdraw(kLink, id, kStart);
+    cr_assert(actions.m_aborts.empty() && actions.m_replies.empty());
+  }
+  const GuardActions end = guard.Finished(running, Done("x"), kStart);
+  cr_assert_eq(end.m_replies.size(), 1);
+  cr_assert_eq(end.m_runs.size(), 1);
+}
+
 Test(Guard, ClosedLinkAbortsOnlyIdempotentRuns)
 {
   Guard guard = MakeGuard(2);
--- a/src/request/testing/FakeExchange.cpp
+++ b/src/request/testing/FakeExchange.cpp
@@ -193,6 +193,18 @@
   return found == m_executions.end() ? 0 : found->second.size();
 }
 
+std::vector<OperationId>
+FakeExchange::UnknownOperations() const
+{
+  std::vector<OperationId> operations;
+  for (std::size_t i = 0; i < m_answers.size(); ++i) {
+    if (m_answers[i] && m_answers[i]->m_outcome == CallOutcome::Unknown) {
+      operations.push_back(m_calls[i].m_spec.m_operation);
+    }
+  }
+  return operations;
+}
+
 void
 FakeExchange::At(Duration aDelay, Event aEvent)
 {
@@ -266,6 +278,7 @@
     const Duration delay = fault == AttemptFault::Late ? kLateness : kLatency;
     AtNode(node, delay, [this, link, call] { Deliver(link, call); });
   }
+  ScheduleWithdrawal(aCall, link, aStep.m_withdrawAfter);
   if (fault != AttemptFault::None && fault != AttemptFault::AnswerDropped) {
     FailLink(aCall, link, LostStage::Sent);
     const Duration seenAtNode = kDetection * m_random.Below(4);
@@ -275,6 +288,26 @@
   }
 }
 
+void
+FakeExchange::ScheduleWithdrawal(std::size_t aCall,
+                                 std::uint64_t aLink,
+                                 Duration aDelay)
+{
+  At(aDelay, [this, aCall, aLink] {
+    const Link& link = m_links[aLink];
+    if (m_calls[aCall].m_exchange != link.m_exchange || !link.m_isOpen) {
+      return;
+    }
+    AppendLog("withdraw call=" + std::to_string(aCall));
+    const std::size_t node = link.m_node;
+    AtNode(node, kLatency, [this, aCall, aLink, node] {
+      Apply(node,
+            m_nodes[node].m_guard->Withdraw(
+              CallerLink(aLink), CallId(aCall), m_now));
+    });
+  });
+}
+
 void
 FakeExchange::FailLink(std::size_t aCall, std::uint64_t aLink, LostStage aStage)
 {
--- a/src/request/testing/FakeExchange.h
+++ b/src/request/testing/FakeExchange.h
@@ -110,6 +110,8 @@
   {
     return m_answers;
   }
+  /// The operations of the calls that were answered with Unknown.
+  std::vector<OperationId> UnknownOperations() const;
   /// One line for each violated guarantee.
   const std::vector<std::string>& Violations() const { return m_violations; }
   /// One line for each step and message, for golden files.
@@ -156,6 +158,10 @@
   std::unique_ptr<Guard> MakeGuard(Incarnation aIncarnation) const;
   void Perform(std::size_t aCall, const Step& aStep);
   void Send(std::size_t aCall, const SendAttempt& aStep);
+  /// Asks the guard to refuse the attempt if it still waits by then.
+  void ScheduleWithdrawal(std::size_t aCall,
+                          std::uint64_t aLink,
+                          Duration aDelay);
   void FailLink(std::size_t aCall, std::uint64_t aLink, LostStage aStage);
   void Deliver(std::uint64_t aLink, const Call& aCall);
   void Ask(std::size_t aCall, const AskOperation& aStep);
