Calls that were never written to a lost link have not run

When a link failed, each of its calls counted as received by the peer, also those that were still queued behind others on a congested link. The stream now knows how much of its queue can have been passed to the operating system; a call whose end lies beyond is reported as not sent and may go elsewhere.

--- a/src/connection/FrameStream.cpp
+++ b/src/connection/FrameStream.cpp
@@ -1,5 +1,6 @@
 #include "connection/FrameStream.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -60,8 +61,17 @@
 {
   m_writing.clear();
   std::swap(m_writing, m_queued);
+  m_batchBytesSent = 0;
+  const auto countWrites =
+    [self = shared_from_this()](const boost::system::error_code& aError,
+                                std::size_t aSoFar) -> std::size_t {
+    self->m_batchBytesSent = aSoFar;
+    return aError ? 0
+                  : std::min(self->m_writing.size() - aSoFar, kMaxWriteBytes);
+  };
   asio::async_write(m_socket,
                     asio::buffer(m_writing),
+                    countWrites,
                     [self = shared_from_this()](
                       const boost::system::error_code& aError, std::size_t) {
                       if (aError) {
@@ -70,6 +80,7 @@
                         return;
                       }
                       self->m_bytesSent += self->m_writing.size();
+                      self->m_batchBytesSent = 0;
                       if (self->m_queued.empty()) {
                         self->EndWrite();
                       } else {
--- a/src/connection/FrameStream.h
+++ b/src/connection/FrameStream.h
@@ -61,6 +61,12 @@
   std::uint64_t BytesSent() const { return m_bytesSent; }
   /// Size of all messages passed to Send, whether written or not.
   std::uint64_t BytesQueued() const { return m_bytesQueued; }
+  /// False when the message that ended at this offset of BytesQueued can't have
+  /// been written to its end. On a closed stream, it never will be.
+  bool MayHaveWritten(std::uint64_t aEnd) const
+  {
+    return aEnd <= m_bytesSent + m_batchBytesSent + kMaxWriteBytes;
+  }
   /// Includes the part that has arrived of an incomplete message.
   std::uint64_t BytesReceived() const { return m_bytesReceived; }
 
@@ -69,6 +75,10 @@
 private:
   FrameStream(boost::asio::ip::tcp::socket aSocket, std::string aPeer);
 
+  /// Maximum size of one write to the socket. The last one may have been passed
+  /// to the operating system before its completion is known here.
+  static constexpr std::size_t kMaxWriteBytes = 64U << 10U;
+
   void StartWrite();
   void EndWrite();
   Error Fail(Error aError);
@@ -86,6 +96,8 @@
   bool m_isWriting = false;
   std::function<void(bool)> m_onWriting;
   std::uint64_t m_bytesSent = 0;
+  /// The part of m_writing that is known to be written.
+  std::size_t m_batchBytesSent = 0;
   std::uint64_t m_bytesQueued = 0;
   std::uint64_t m_bytesReceived = 0;
 };
--- a/src/connection/PeerLink.cpp
+++ b/src/connection/PeerLink.cpp
@@ -31,6 +31,15 @@
   return answer;
 }
 
+LinkFailure
+ConnectionLost(LostStage aStage, const NetworkAddress& aPeer)
+{
+  return {
+    aStage,
+    Error(ErrorCode::Closed, "link.call", aPeer.ToString(), "connection lost")
+  };
+}
+
 CallId
 IdOf(const PeerMessage& aMessage)
 {
@@ -136,6 +145,9 @@
       co_return RefusalOfLeavingPeer();
     }
   }
+  if (!m_stream->IsOpen()) {
+    co_return ConnectionLost(LostStage::NotSent, m_peer);
+  }
   aRequest.m_id = CallId(m_nextId++);
   const auto pending = std::make_shared<Pending>(m_context);
   m_pending.emplace(aRequest.m_id, pending);
@@ -157,11 +169,10 @@
     Close();
   }
   if (pending->m_isLost || IsClosed()) {
-    co_return LinkFailure{ LostStage::Sent,
-                           Error(ErrorCode::Closed,
-                                 "link.call",
-                                 m_peer.ToString(),
-                                 "connection lost") };
+    co_return ConnectionLost(m_stream->MayHaveWritten(pending->m_queuedBytes)
+                               ? LostStage::Sent
+                               : LostStage::NotSent,
+                             m_peer);
   }
   m_stream->Send(CancelCall{ id });
   co_return ExchangeTimeout{};
--- a/src/connection/PeerLinkTest.cpp
+++ b/src/connection/PeerLinkTest.cpp
@@ -108,10 +108,10 @@
 
 asio::awaitable<void>
 RunInto(std::shared_ptr<PeerLink> aLink,
-        std::optional<Exchange<Answer>>& aResult)
+        std::optional<Exchange<Answer>>& aResult,
+        Call aCall = {})
 {
-  Call call;
-  aResult = co_await aLink->Run(std::move(call), std::chrono::seconds(5));
+  aResult = co_await aLink->Run(std::move(aCall), std::chrono::seconds(5));
 }
 
 asio::awaitable<void>
@@ -214,6 +214,37 @@
   cr_assert_eq(peer.Connections(), 1);
 }
 
+/// A link that is cut while it is congested: a call behind others that had not
+/// been written was reported as one that may have run.
+Test(PeerLink, ACallThatIsStillQueuedWhenTheLinkClosesWasNotSent)
+{
+  asio::io_context context(1);
+  const SystemClock clock;
+  // Connections are established, but nothing reads from them.
+  tcp::acceptor silent(
+    context, { asio::ip::address_v4::loopback(), std::uint16_t{ 0 } });
+  LinkSettings settings;
+  settings.m_minBytesPerSecond = 1U << 30U;
+  PeerLinks links(context, clock, settings);
+  const auto link = links.Get(AddressOf(silent.local_endpoint()));
+  // More than the buffers of the two sockets hold.
+  constexpr std::size_t kCalls = 12;
+  std::vector<std::optional<Exchange<Answer>>> results(kCalls);
+  for (auto& result : results) {
+    Call call;
+    call.m_http.m_body.assign(kMaxFrameBytes / 2, 'x');
+    asio::co_spawn(
+      context, RunInto(link, result, std::move(call)), asio::detached);
+  }
+  context.run_for(std::chrono::seconds(2));
+  const auto stageOf = [](const std::optional<Exchange<Answer>>& aResult) {
+    cr_assert(aResult.has_value());
+    return std::get<LinkFailure>(*aResult).m_stage;
+  };
+  cr_assert(stageOf(results.front()) == LostStage::Sent);
+  cr_assert(stageOf(results.back()) == LostStage::NotSent);
+}
+
 /// After a pause of this process, all its links seem silent at once.
 Test(PeerLink, OwnPauseClosesTheLinkToAHealthyPeer)
 {
