Refuse expiring calls early enough for their reply

The guard counts a call's remaining time from its arrival, so that its deadline lies behind that of the entry node by the way of the request, 48 ms for 60 KB at 10 Mbit/s. Waiting calls are now refused up to 10 ms earlier, at most 1/32 of the time that they arrived with.

--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -11,6 +11,19 @@
 
 namespace {
 
+/// A waiting call is refused this long before its deadline, so that the refusal
+/// reaches the entry node in time; at most this fraction of the time that it
+/// arrived with.
+constexpr Duration kReplyMargin = std::chrono::milliseconds(10);
+constexpr int kReplyMarginDivisor = 32;
+
+Duration
+ReplyMargin(Duration aTimeRemaining)
+{
+  return std::clamp(
+    aTimeRemaining / kReplyMarginDivisor, Duration(0), kReplyMargin);
+}
+
 OperationKey
 KeyOf(const Call& aCall)
 {
@@ -150,20 +163,21 @@
              GuardActions& aActions)
 {
   const Ticket ticket = m_lastTicket += Ticket(1);
-  const WaitingCall waiting{ .m_ticket = ticket,
-                             .m_caller = aCall.m_caller,
-                             .m_priority = aCall.m_priority,
-                             .m_deadline = aNow + aCall.m_timeRemaining,
-                             .m_objective = aNow + aCall.m_objectiveRemaining,
-                             .m_serviceTime =
-                               m_serviceTimes.MeanOf(aCall.m_route),
-                             .m_isQuick =
-                               m_serviceTimes.IsQuick(aCall.m_route) };
+  const WaitingCall waiting{
+    .m_ticket = ticket,
+    .m_caller = aCall.m_caller,
+    .m_priority = aCall.m_priority,
+    .m_deadline =
+      aNow + aCall.m_timeRemaining - ReplyMargin(aCall.m_timeRemaining),
+    .m_objective = aNow + aCall.m_objectiveRemaining,
+    .m_serviceTime = m_serviceTimes.MeanOf(aCall.m_route),
+    .m_isQuick = m_serviceTimes.IsQuick(aCall.m_route)
+  };
   m_links.Add({ aFrom, aCall.m_id }, ticket);
   Entry& entry = m_entries[ticket];
   entry.m_waiters.push_back({ aFrom, aCall.m_id });
   entry.m_arrived = aNow;
-  entry.m_deadline = waiting.m_deadline;
+  entry.m_deadline = aNow + aCall.m_timeRemaining;
   entry.m_call = std::move(aCall);
   for (const Refused& refused :
        m_policy->Offer(waiting, Capacity(aNow), aNow)) {
--- a/src/request/GuardTest.cpp
+++ b/src/request/GuardTest.cpp
@@ -148,6 +148,22 @@
   cr_assert_eq(end.m_runs.size(), 1);
 }
 
+/// Overload on a slow link: the refusal of an expired call arrived after its
+/// deadline, so that its caller heard that it may have run.
+Test(Guard, AnExpiringCallIsRefusedEarlyEnoughForItsReply)
+{
+  Guard guard = MakeGuard(1);
+  guard.Submit(MakeCall(1), kLink, kStart);
+  Call call = MakeCall(2);
+  call.m_timeRemaining = milliseconds(1'000);
+  guard.Submit(call, kLink, kStart);
+  const MonotonicTime due = guard.NextTick().value();
+  cr_assert(due <= kStart + milliseconds(990));
+  cr_assert(due >= kStart + milliseconds(950));
+  const GuardActions late = guard.Tick(due + milliseconds(1));
+  cr_assert(late.m_replies.at(0).m_answer.m_outcome == CallOutcome::NotRun);
+}
+
 Test(Guard, ClosedLinkAbortsOnlyIdempotentRuns)
 {
   Guard guard = MakeGuard(2);
