Ask longer about a lost operation

Three failed queries, within 20 ms when the connection is refused, ended a call as one that may have run. Queries now go on for at least 0.7 s or until the deadline; those to a former home of a key stay at three.

--- a/src/request/CallPlan.cpp
+++ b/src/request/CallPlan.cpp
@@ -9,8 +9,13 @@
 
 constexpr Duration kFirstAskInterval = std::chrono::milliseconds(5);
 constexpr Duration kMaxAskInterval = std::chrono::milliseconds(200);
-/// Failed queries about an attempt after which its outcome is unknown.
-constexpr std::uint8_t kMaxAskFailures = 3;
+/// Failed queries about an attempt after which its outcome is unknown. With the
+/// growing interval, they span at least 0.7 s, so that a cut that ends within
+/// that time leaves no outcome unknown.
+constexpr std::uint8_t kMaxAskFailures = 9;
+/// As above, of queries to a former home of the call's key. Its caller can
+/// repeat the key at once.
+constexpr std::uint8_t kMaxFormerHomeFailures = 3;
 /// A call is withdrawn from its guard's queue this long before its deadline,
 /// but not before the last 1 / kWithdrawDivisor of its time. Covers the way to
 /// the guard and back, some 3 ms between data centres, and the pauses of two
@@ -202,7 +207,8 @@
 CallPlan::OnAskFailed(MonotonicTime aNow)
 {
   ++m_askFailures;
-  if (m_askFailures < kMaxAskFailures) {
+  if (m_askFailures <
+      (IsAskingFormerHome() ? kMaxFormerHomeFailures : kMaxAskFailures)) {
     return AskLater(aNow);
   }
   EndAttempt(nullptr, true, aNow);
--- a/src/request/ExchangeTest.cpp
+++ b/src/request/ExchangeTest.cpp
@@ -63,6 +63,27 @@
   SeededRandom m_random;
 };
 
+/// Loses the answer to the first attempt; the first queries fail.
+class BriefCut final : public FaultPlan
+{
+public:
+  explicit BriefCut(int aFailedQueries)
+    : m_failedQueries(aFailedQueries)
+  {
+  }
+  AttemptFault OnAttempt(std::uint8_t aAttempt) override
+  {
+    return aAttempt == 1 ? AttemptFault::AnswerDropped : AttemptFault::None;
+  }
+  AskFault OnAsk() override
+  {
+    return m_failedQueries-- > 0 ? AskFault::Unreachable : AskFault::None;
+  }
+
+private:
+  int m_failedQueries = 0;
+};
+
 /// Number of random sessions in each test.
 constexpr std::uint64_t kSeeds = 300;
 constexpr Duration kSettleDuration = std::chrono::seconds(30);
@@ -284,6 +305,19 @@
   }
 }
 
+/// The outcome was given up as unknown after three queries, which a refused
+/// connection fails within 20 ms.
+Test(Exchange, ACutOfHalfASecondLeavesNoOutcomeUnknown)
+{
+  BriefCut faults(7);
+  FakeExchange exchange(FakeExchangeSettings{}, faults);
+  exchange.Start({ Operation(1) });
+  exchange.RunFor(kSettleDuration);
+  cr_assert(exchange.Answers()[0]->m_outcome == CallOutcome::Done);
+  cr_assert_eq(exchange.Executions(Operation(1)), 1);
+  AssertGuaranteesHold(exchange, 0);
+}
+
 Test(Exchange, RepeatedKeyThroughAnotherNodeRunsOnce)
 {
   FixedFaults faults{ AttemptFault::AnswerDropped, AskFault::Unreachable };
