--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -11,6 +11,19 @@
 
 namespace {
 
+/// A waiting call is refused this long before its deadline, so that the refusal
+/// reaches the entry node in time; at most this fraction of the time that it
+/// arrived with.
+constexpr Duration kReplyMargin = std::chrono::milliseconds(10);
+constexpr int kReplyMarginDivisor = 32;
+
+Duration
+ReplyMargin(Duration aTimeRemaining)
+{
+  return std::clamp(
+    aTimeRemaining / kReplyMarginDivisor, Duration(0), kReplyMargin);
+}
+
 OperationKey
 KeyOf(const Call& aCall)
 {
@@ -158,6 +171,7 @@
   entry.m_waiters.push_back(waiter);
   entry.m_arrived = aNow;
   entry.m_deadline = aNow + aCall.m_timeRemaining;
+  entry.m_refuseAt = entry.m_deadline - ReplyMargin(aCall.m_timeRemaining);
   entry.m_objective = aNow + aCall.m_objectiveRemaining;
   entry.m_call = std::move(aCall);
   if (!entry.m_call.m_deferredBody) {
@@ -180,7 +194,7 @@
   return { .m_ticket = aTicket,
            .m_caller = call.m_caller,
            .m_priority = call.m_priority,
-           .m_deadline = aEntry.m_deadline,
+           .m_deadline = aEntry.m_refuseAt,
            .m_objective = aEntry.m_objective,
            .m_serviceTime = m_serviceTimes.MeanOf(call.m_route),
            .m_isQuick = m_serviceTimes.IsQuick(call.m_route) };
@@ -363,6 +377,22 @@
   return actions;
 }
 
+GuardActions
+Guard::Withdraw(CallerLink aFrom, CallId aCall, MonotonicTime aNow)
+{
+  GuardActions actions;
+  const std::optional<Ticket> ticket = m_links.Find({ aFrom, aCall });
+  if (!ticket) {
+    return actions;
+  }
+  const Entry& entry = m_entries.at(*ticket);
+  if (!entry.m_isRunning && entry.m_waiters.size() == 1) {
+    RemoveWaiting(*ticket);
+    Refuse(*ticket, RefusalReason::DeadlineTooShort, aNow, actions);
+  }
+  return actions;
+}
+
 GuardActions
 Guard::LinkClosed(CallerLink aFrom, MonotonicTime aNow)
 {
--- a/src/request/Guard.h
+++ b/src/request/Guard.h
@@ -143,6 +143,10 @@
   /// The caller cancelled the call. Replies NotRun when the call had not
   /// started; otherwise sends no reply.
   GuardActions Cancel(CallerLink aFrom, CallId aCall, MonotonicTime aNow);
+  /// The caller's deadline is near. Replies NotRun and drops the call when it
+  /// is waiting and no other call waits for its operation; otherwise does
+  /// nothing.
+  GuardActions Withdraw(CallerLink aFrom, CallId aCall, MonotonicTime aNow);
   /// The link was closed. Drops its waiting calls and aborts its running
   /// idempotent ones.
   GuardActions LinkClosed(CallerLink aFrom, MonotonicTime aNow);
@@ -197,6 +201,8 @@
     MonotonicTime m_arrived{};
     MonotonicTime m_started{};
     MonotonicTime m_deadline{};
+    /// While it waits: refused by then, so that the reply arrives in time.
+    MonotonicTime m_refuseAt{};
     MonotonicTime m_objective = MonotonicTime::max();
   };
   using Entries = std::unordered_map<Ticket, Entry>;
