Guard: the upstream's own load report is read, and its pace goes into answers

Upstreams that share their VM state how long work takes there at present. The guard reports that figure to entry nodes for 200 ms after an answer, and uses it for its estimates of waits and service times. A report that can't be read is counted and ignored. Without reports nothing changes.

--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -316,7 +316,10 @@
   {
     UpdateBusy();
     const std::lock_guard lock(m_statsMutex);
-    m_stats = { m_guard.Load(), CallCount(m_refused), CallCount(m_ran) };
+    m_stats = { m_guard.Load(),
+                CallCount(m_refused),
+                CallCount(m_ran),
+                CallCount(m_guard.UnreadableLoads()) };
   }
 
   /// The guard counts as busy until all answers have been written.
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -133,6 +133,12 @@
     Gauge("guard_refused", "Calls that the guard refused since the start.");
   prometheus::Gauge& m_ran =
     Gauge("guard_ran", "Calls that the upstream ended since the start.");
+  prometheus::Gauge& m_pace = Gauge(
+    "guard_pace_percent",
+    "Time that work takes on the upstream's VM, in per cent of the usual.");
+  prometheus::Gauge& m_unreadableLoads =
+    Gauge("guard_unreadable_loads",
+          "Answers whose load report could not be read since the start.");
 };
 
 Metrics::Metrics(const VmId& aVm, const DataCentreId& aDataCentre)
@@ -182,6 +188,9 @@
   m_state->m_queued.Set(aStats.m_load.m_queued);
   m_state->m_refused.Set(static_cast<double>(aStats.m_refused.Value()));
   m_state->m_ran.Set(static_cast<double>(aStats.m_ran.Value()));
+  m_state->m_pace.Set(aStats.m_load.m_pace.Value());
+  m_state->m_unreadableLoads.Set(
+    static_cast<double>(aStats.m_unreadableLoads.Value()));
 }
 
 std::string
--- a/src/process/Metrics.h
+++ b/src/process/Metrics.h
@@ -53,6 +53,8 @@
   LoadReport m_load;
   CallCount m_refused;
   CallCount m_ran;
+  /// Answers whose load report could not be read.
+  CallCount m_unreadableLoads;
 };
 
 /// See the file comment.
--- a/src/request/Call.h
+++ b/src/request/Call.h
@@ -169,6 +169,8 @@
   bool m_isLeaving = false;
   /// Its own report of its load. Not set without one.
   std::optional<LoadReport> m_load{};
+  /// It reported its load in a form that can't be read.
+  bool m_isLoadUnreadable = false;
   /// How long it will stay cold. Not set when it doesn't say.
   std::optional<Duration> m_coldRemaining{};
 
--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -150,15 +150,16 @@
              GuardActions& aActions)
 {
   const Ticket ticket = m_lastTicket += Ticket(1);
-  const WaitingCall waiting{ .m_ticket = ticket,
-                             .m_caller = aCall.m_caller,
-                             .m_priority = aCall.m_priority,
-                             .m_deadline = aNow + aCall.m_timeRemaining,
-                             .m_objective = aNow + aCall.m_objectiveRemaining,
-                             .m_serviceTime =
-                               m_serviceTimes.MeanOf(aCall.m_route),
-                             .m_isQuick =
-                               m_serviceTimes.IsQuick(aCall.m_route) };
+  const WaitingCall waiting{
+    .m_ticket = ticket,
+    .m_caller = aCall.m_caller,
+    .m_priority = aCall.m_priority,
+    .m_deadline = aNow + aCall.m_timeRemaining,
+    .m_objective = aNow + aCall.m_objectiveRemaining,
+    .m_serviceTime =
+      AtPace(m_serviceTimes.MeanOf(aCall.m_route), m_pace.At(aNow)),
+    .m_isQuick = m_serviceTimes.IsQuick(aCall.m_route)
+  };
   m_links.Add({ aFrom, aCall.m_id }, ticket);
   Entry& entry = m_entries[ticket];
   entry.m_waiters.push_back({ aFrom, aCall.m_id });
@@ -213,8 +214,12 @@
   --m_running;
   m_policy->Released(entry.m_call.m_caller);
   aAnswer.m_serviceTime = aNow - entry.m_started;
+  if (aAnswer.m_notice) {
+    RecordLoad(*aAnswer.m_notice, aNow);
+  }
   if (aAnswer.m_outcome == CallOutcome::Done) {
-    m_serviceTimes.Record(entry.m_call.m_route, aAnswer.m_serviceTime);
+    m_serviceTimes.Record(entry.m_call.m_route,
+                          AtUsualPace(aAnswer.m_serviceTime, m_paceNow));
   }
   if (RunsAtMostOnce(entry.m_call)) {
     if (aAnswer.m_outcome == CallOutcome::NotRun) {
@@ -234,12 +239,25 @@
   return actions;
 }
 
+void
+Guard::RecordLoad(const UpstreamNotice& aNotice, MonotonicTime aNow)
+{
+  if (aNotice.m_load) {
+    m_pace.Set(aNotice.m_load->m_pace, aNow);
+  }
+  m_unreadableLoads += aNotice.m_isLoadUnreadable ? 1 : 0;
+  m_paceNow = m_pace.At(aNow);
+}
+
 void
 Guard::ApplyNotice(const UpstreamNotice& aNotice,
                    MonotonicTime aNow,
                    GuardActions& aActions)
 {
   UpstreamNotice notice = aNotice;
+  // The load changes with each answer; it is no news for the driver.
+  notice.m_load.reset();
+  notice.m_isLoadUnreadable = false;
   notice.m_isLeaving |= m_notice.m_isLeaving;
   if (notice == m_notice) {
     return;
@@ -478,9 +496,10 @@
 UpstreamCapacity
 Guard::Capacity(MonotonicTime aNow)
 {
+  m_paceNow = m_pace.At(aNow);
   return { m_upstream.m_slots,
            m_running,
-           m_serviceTimes.Mean(),
+           AtPace(m_serviceTimes.Mean(), m_paceNow),
            m_starts.Interval(),
            m_starts.Delay(aNow) };
 }
@@ -490,7 +509,8 @@
 {
   return { m_running,
            static_cast<std::uint32_t>(m_policy->Size()),
-           m_starts.UsableSlots(m_upstream.m_slots, m_serviceTimes.Mean()) };
+           m_starts.UsableSlots(m_upstream.m_slots, m_serviceTimes.Mean()),
+           m_paceNow };
 }
 
 } // namespace tarragontray
--- a/src/request/Guard.h
+++ b/src/request/Guard.h
@@ -34,6 +34,7 @@
 #include "request/Call.h"
 #include "request/CallerLinks.h"
 #include "request/OperationTable.h"
+#include "request/Pace.h"
 #include "request/ServiceTimes.h"
 #include "request/StartLimiter.h"
 
@@ -155,7 +156,10 @@
   /// True when no call is waiting or running.
   bool IsIdle() const { return m_entries.empty(); }
 
+  /// The pace in it is that of the last event.
   LoadReport Load() const;
+  /// Number of answers whose load report could not be read.
+  std::uint64_t UnreadableLoads() const { return m_unreadableLoads; }
   /// Number of calls refused for this reason.
   std::uint64_t RefusedFor(RefusalReason aReason) const
   {
@@ -223,6 +227,8 @@
                    RefusalReason aReason,
                    GuardActions& aActions);
   UpstreamCapacity Capacity(MonotonicTime aNow);
+  /// Records the pace that the upstream reports.
+  void RecordLoad(const UpstreamNotice& aNotice, MonotonicTime aNow);
   void ApplyNotice(const UpstreamNotice& aNotice,
                    MonotonicTime aNow,
                    GuardActions& aActions);
@@ -238,6 +244,10 @@
   UpstreamAnnouncement m_upstream;
   bool m_isDraining = false;
   UpstreamNotice m_notice;
+  PaceRecord m_pace;
+  /// What m_pace gave at the last event.
+  PacePercent m_paceNow = kUsualPace;
+  std::uint64_t m_unreadableLoads = 0;
   StartLimiter m_starts;
   /// Set while waiting calls can't start because of the rate limit.
   std::optional<MonotonicTime> m_nextStart;
--- a/src/request/GuardTest.cpp
+++ b/src/request/GuardTest.cpp
@@ -426,4 +426,36 @@
   cr_assert_eq(guard.Submit(MakeCall(5), kLink, kStart).m_runs.size(), 1);
 }
 
+/// Load: an upstream that shares its VM and is at 250 % for less than a second.
+/// Guards against a report that outlives that, against taking its long calls
+/// for the usual, and against a log line for each report.
+Test(Guard, ReportsThePaceForAShortTime)
+{
+  Guard guard = MakeGuard(1);
+  const auto run = [&](std::uint64_t aId, MonotonicTime aStart, int aPace) {
+    const GuardActions actions = guard.Submit(MakeCall(aId), kLink, aStart);
+    Answer answer = Done("x");
+    answer.m_notice = UpstreamNotice{};
+    answer.m_notice->m_load = LoadReport{
+      1, 0, SlotCount(1), PacePercent(static_cast<std::uint32_t>(aPace))
+    };
+    return guard.Finished(
+      actions.m_runs.at(0).m_ticket, answer, aStart + milliseconds(aPace));
+  };
+  const GuardActions end = run(1, kStart, 250);
+  cr_assert(!end.m_notice);
+  cr_assert(end.m_replies.at(0).m_answer.m_load.m_pace == PacePercent(250));
+  const MonotonicTime soon = kStart + milliseconds(400);
+  guard.Submit(MakeCall(2), kLink, soon);
+  // Refused: the one before takes 250 ms at this pace.
+  Call hurried = MakeCall(3);
+  hurried.m_timeRemaining = milliseconds(200);
+  cr_assert_eq(guard.Submit(hurried, kLink, soon).m_refused.size(), 1);
+  // Accepted: it takes 100 ms at the usual pace.
+  hurried.m_id = CallId(4);
+  const MonotonicTime late = kStart + milliseconds(600);
+  cr_assert_eq(guard.Submit(hurried, kLink, late).m_refused.size(), 0);
+  cr_assert(guard.Load().m_pace == kUsualPace);
+}
+
 } // namespace tarragontray
