Balancing by expected completion time where upstreams report their pace

Two targets are compared by wait and service time at their speed and pace, and the transfer of a large body to another VM; a free slot at a target that would miss the objective is no capacity. Old reports decay to the mean load of their data centre, so that a full one is not taken for idle by entry nodes that hear from each upstream once in some seconds. Without an unusual pace in the last 10 s, and for bodies below 4 KiB, the choice is as before.

--- a/src/process/FrontThread.cpp
+++ b/src/process/FrontThread.cpp
@@ -141,7 +141,8 @@
     , m_onBatch(std::move(aOnBatch))
     , m_loop("front-" + std::to_string(aSettings.m_index))
     , m_random(aSettings.m_seed)
-    , m_balancing(TwoChoicesSettings{ .m_region = aSettings.m_region })
+    , m_balancing(TwoChoicesSettings{ .m_vm = aSettings.m_vm,
+                                      .m_region = aSettings.m_region })
     , m_versionSplitter(m_random)
     , m_serviceSplitter(m_random)
     , m_retries(aSettings.m_retries)
@@ -272,7 +273,8 @@
                      .m_deadline = std::min(aStart + timeout, m_end),
                      .m_dataCentre = m_settings.m_dataCentre,
                      .m_policies = policies,
-                     .m_objective = Objective(aCaller, route, aStart) };
+                     .m_objective = Objective(aCaller, route, aStart),
+                     .m_bodyBytes = ByteCount(aRequest.m_body.size()) };
     Call call = MakeCall(setup);
     call.m_origin = m_settings.m_origin;
     call.m_http = std::move(aRequest);
--- a/src/request/BalancingPolicy.h
+++ b/src/request/BalancingPolicy.h
@@ -43,6 +43,8 @@
   Duration m_timeToObjective{ 0 };
   /// Choose no target rather than one that seems saturated.
   bool m_requiresCapacity = false;
+  /// Size of the call's body.
+  ByteCount m_bodyBytes{ 0 };
 };
 
 /// Chooses targets, using the results of earlier attempts.
--- a/src/request/BalancingTest.cpp
+++ b/src/request/BalancingTest.cpp
@@ -154,6 +154,126 @@
   cr_assert(counts[0] <= 2, "limited target got %d of 8 calls", counts[0]);
 }
 
+namespace {
+
+/// Ends one call at the target with this load report.
+void
+ReportLoad(TwoChoicesBalancing& aPolicy,
+           const Target& aTarget,
+           std::uint32_t aCalls,
+           PacePercent aPace,
+           MonotonicTime aNow,
+           Duration aServiceTime = milliseconds(100))
+{
+  aPolicy.Started(aTarget.m_vm, aNow);
+  aPolicy.Finished(aTarget.m_vm,
+                   { .m_latency = aServiceTime,
+                     .m_serviceTime = aServiceTime,
+                     .m_load = LoadReport{ aCalls, 0, SlotCount(10), aPace } },
+                   aNow);
+}
+
+/// How many of 200 calls the targets get when none of them adds load.
+std::vector<int>
+Shares(TwoChoicesBalancing& aPolicy,
+       const std::vector<Target>& aTargets,
+       const ChoiceConstraints& aConstraints,
+       MonotonicTime aNow)
+{
+  SeededRandom random(1);
+  std::vector<int> counts(aTargets.size());
+  const std::vector<const Target*> candidates = Pointers(aTargets);
+  for (int i = 0; i < 200; ++i) {
+    ++counts[aPolicy.Choose(candidates, 0, kOwn, aConstraints, aNow, random)
+               .value()];
+  }
+  return counts;
+}
+
+} // namespace
+
+/// Load: upstreams that share their VMs, one of which is at 250 % of its usual
+/// time. Guards against sending it calls that others finish sooner, and against
+/// using the figure after it has changed.
+Test(TwoChoices, SlowPaceCostsCallsOnlyWhileItIsRecent)
+{
+  const std::vector<Target> targets = MakeTargets(3, 3);
+  TwoChoicesBalancing policy = MakePolicy();
+  const ChoiceConstraints constraints{ .m_timeToObjective = milliseconds(600) };
+  ReportLoad(policy, targets[0], 2, PacePercent(250), kNow, milliseconds(250));
+  ReportLoad(policy, targets[1], 2, kUsualPace, kNow);
+  ReportLoad(policy, targets[2], 2, kUsualPace, kNow);
+  const std::vector<int> at = Shares(policy, targets, constraints, kNow);
+  cr_assert(at[0] == 0, "slow target got %d of 200 calls", at[0]);
+  const MonotonicTime later = kNow + std::chrono::seconds(2);
+  ReportLoad(policy, targets[1], 4, kUsualPace, later);
+  ReportLoad(policy, targets[2], 4, kUsualPace, later);
+  const std::vector<int> after = Shares(policy, targets, constraints, later);
+  cr_assert(after[0] >= 50, "after its slow phase it got %d", after[0]);
+}
+
+/// Load: a data centre at its peak of demand, seen by an entry node that hears
+/// from each upstream once in some seconds. Guards against taking full
+/// upstreams for idle ones once their reports are old.
+Test(TwoChoices, FullDataCentreIsNotTakenForIdleWhenReportsAreOld)
+{
+  const std::vector<Target> targets = MakeTargets(8, 5);
+  TwoChoicesBalancing policy = MakePolicy();
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    const bool isOwn = targets[i].m_dataCentre == kOwn;
+    ReportLoad(policy,
+               targets[i],
+               isOwn ? 50 : 3,
+               i == 7 ? PacePercent(110) : kUsualPace,
+               kNow + i * milliseconds(200));
+  }
+  const MonotonicTime now = kNow + milliseconds(2400);
+  const std::vector<int> counts =
+    Shares(policy, targets, { .m_timeToObjective = milliseconds(600) }, now);
+  cr_assert(counts[5] + counts[6] + counts[7] == 200,
+            "neighbours got %d",
+            counts[5] + counts[6] + counts[7]);
+}
+
+/// Load: uploads of 360 KB over links of 10 Mbit/s, 576 ms there and back of an
+/// objective of 800 ms. Guards against sending them over the network while the
+/// entry node's own upstream is nearly as free, and against queueing there
+/// when it is full.
+Test(TwoChoices, LargeBodiesStayOnTheOwnVmUnlessItIsFull)
+{
+  const std::vector<Target> targets = MakeTargets(4, 4);
+  TwoChoicesSettings settings;
+  settings.m_vm = targets[1].m_vm;
+  settings.m_region = RegionId("r1");
+  TwoChoicesBalancing policy(settings);
+  const ChoiceConstraints upload{ .m_timeToObjective = milliseconds(800),
+                                  .m_bodyBytes = ByteCount(360'000) };
+  const auto report = [&](std::uint32_t aOwnCalls) {
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+      ReportLoad(policy, targets[i], i == 1 ? aOwnCalls : 2, kUsualPace, kNow);
+    }
+  };
+  report(8);
+  cr_assert(Shares(policy, targets, upload, kNow)[1] == 200);
+  const ChoiceConstraints small{ .m_timeToObjective = milliseconds(800) };
+  cr_assert(Shares(policy, targets, small, kNow)[1] == 0);
+  report(90);
+  cr_assert(Shares(policy, targets, upload, kNow)[1] == 0);
+}
+
+/// Load: an upstream at 2.7 times the usual time, and slow at present too.
+/// Guards against a free slot there that makes calls miss their objective.
+Test(TwoChoices, FreeButTooSlowTargetIsPassedOver)
+{
+  const std::vector<Target> targets = MakeTargets(3, 2);
+  TwoChoicesBalancing policy = MakePolicy();
+  ReportLoad(policy, targets[0], 0, PacePercent(250), kNow, milliseconds(675));
+  ReportLoad(policy, targets[1], 60, kUsualPace, kNow);
+  ReportLoad(policy, targets[2], 5, kUsualPace, kNow);
+  const ChoiceConstraints constraints{ .m_timeToObjective = milliseconds(500) };
+  cr_assert(Shares(policy, targets, constraints, kNow)[2] == 200);
+}
+
 Test(Subset, OwnDataCentreFirstBoundedAndStable)
 {
   std::vector<Target> targets = MakeTargets(100, 8);
--- a/src/request/TargetSequence.h
+++ b/src/request/TargetSequence.h
@@ -50,6 +50,8 @@
   TrafficPolicies& m_policies;
   /// The latency objective of the call; max() when it has none.
   MonotonicTime m_objective = MonotonicTime::max();
+  /// Size of the call's body.
+  ByteCount m_bodyBytes{ 0 };
 };
 
 /// Why a call is to be retried.
--- a/src/request/TwoChoicesBalancing.cpp
+++ b/src/request/TwoChoicesBalancing.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "request/Pace.h"
+
 namespace tarragontray {
 
 namespace {
@@ -18,6 +20,22 @@
   return std::chrono::duration<double>(aDuration).count();
 }
 
+/// The weight of a value of this age in seconds.
+double
+Faded(double aAge, Duration aHalfLife)
+{
+  return std::exp2(-aAge / Seconds(aHalfLife));
+}
+
+/// The expected wait for a slot, in service times. \param aLoad calls per slot,
+/// with the new one. Below 1 the wait isn't 0, because the load is an estimate
+/// and calls come in bursts.
+double
+ExpectedQueue(double aLoad)
+{
+  return aLoad < 1 ? aLoad * aLoad / 2 : aLoad - 0.5;
+}
+
 void
 Smooth(double& aMean, double aValue)
 {
@@ -38,9 +56,17 @@
     return std::nullopt;
   }
   m_candidateStates.clear();
-  for (const Target* target : aCandidates) {
-    m_candidateStates.push_back(
-      Assess(*target, aOwnDataCentre, aConstraints.m_timeToObjective, aNow));
+  if (UsesCompletionTime(aConstraints, aNow)) {
+    UpdateMeans(aCandidates, aNow);
+    for (const Target* target : aCandidates) {
+      m_candidateStates.push_back(
+        AssessCompletion(*target, aOwnDataCentre, aConstraints, aNow));
+    }
+  } else {
+    for (const Target* target : aCandidates) {
+      m_candidateStates.push_back(
+        Assess(*target, aOwnDataCentre, aConstraints.m_timeToObjective, aNow));
+    }
   }
   LimitEjections(aTried);
   SelectTier(aConstraints.m_requiresCapacity);
@@ -51,13 +77,40 @@
   if (count == 1) {
     return m_eligible.front();
   }
+  return ChooseEligible(aCandidates, aConstraints.m_bodyBytes, aRandom);
+}
+
+std::size_t
+TwoChoicesBalancing::ChooseEligible(
+  const std::vector<const Target*>& aCandidates,
+  ByteCount aBody,
+  Random& aRandom) const
+{
+  const std::size_t count = m_eligible.size();
   const std::size_t first = aRandom.Below(count);
   const std::size_t second = (first + 1 + aRandom.Below(count - 1)) % count;
-  const std::size_t left = m_eligible[first];
-  const std::size_t right = m_eligible[second];
-  return m_candidateStates[left].m_cost <= m_candidateStates[right].m_cost
-           ? left
-           : right;
+  const auto better = [&](std::size_t aLeft, std::size_t aRight) {
+    return m_candidateStates[aLeft].m_cost <= m_candidateStates[aRight].m_cost
+             ? aLeft
+             : aRight;
+  };
+  const std::size_t best = better(m_eligible[first], m_eligible[second]);
+  if (aBody < m_settings.m_minTransfer) {
+    return best;
+  }
+  const auto own =
+    std::find_if(m_eligible.begin(), m_eligible.end(), [&](std::size_t aIndex) {
+      return aCandidates[aIndex]->m_vm == m_settings.m_vm;
+    });
+  return own == m_eligible.end() ? best : better(best, *own);
+}
+
+const TwoChoicesBalancing::Stats&
+TwoChoicesBalancing::StatsOf(const VmId& aVm) const
+{
+  static const Stats kNoStats;
+  const auto found = m_stats.find(aVm);
+  return found == m_stats.end() ? kNoStats : found->second;
 }
 
 TwoChoicesBalancing::CandidateState
@@ -66,9 +119,7 @@
                             Duration aTimeToObjective,
                             MonotonicTime aNow) const
 {
-  static const Stats kNoStats;
-  const auto found = m_stats.find(aTarget.m_vm);
-  const Stats& stats = found == m_stats.end() ? kNoStats : found->second;
+  const Stats& stats = StatsOf(aTarget.m_vm);
   const double slots = UsableSlots(aTarget, stats, aNow);
   const double load = EstimateLoad(stats, aNow) / slots;
   const double latency = stats.m_latency > 0 ? stats.m_latency : m_meanLatency;
@@ -83,6 +134,124 @@
   return state;
 }
 
+bool
+TwoChoicesBalancing::UsesCompletionTime(const ChoiceConstraints& aConstraints,
+                                        MonotonicTime aNow) const
+{
+  const bool isPaced =
+    m_unusualPace && aNow < *m_unusualPace + m_settings.m_paceLapse;
+  return isPaced || aConstraints.m_bodyBytes >= m_settings.m_minTransfer;
+}
+
+TwoChoicesBalancing::CandidateState
+TwoChoicesBalancing::AssessCompletion(const Target& aTarget,
+                                      const DataCentreId& aOwnDataCentre,
+                                      const ChoiceConstraints& aConstraints,
+                                      MonotonicTime aNow) const
+{
+  const Stats& stats = StatsOf(aTarget.m_vm);
+  const double age = Seconds(aNow - stats.m_reportTime);
+  const double pace =
+    1 + (PaceFactor(stats.m_pace) - 1) * Faded(age, m_settings.m_paceHalfLife);
+  const bool isStarting = aTarget.m_state == UpstreamState::Starting;
+  const double usual =
+    stats.m_serviceTime > 0 ? stats.m_serviceTime : m_meanServiceTime;
+  const double service =
+    usual * pace * (isStarting ? m_settings.m_startingPace : 1.0);
+  const double transfer = TransferTime(aTarget, aConstraints.m_bodyBytes);
+  const double toObjective = Seconds(aConstraints.m_timeToObjective);
+  const double budget = m_settings.m_maxWaitFraction * toObjective;
+  // A starting target gets a full share of the calls that tolerate the delay.
+  const bool toleratesStart =
+    isStarting && stats.m_ejections == 0 && service + transfer <= budget;
+  const double slots = toleratesStart ? ReportedSlots(aTarget, stats, aNow)
+                                      : UsableSlots(aTarget, stats, aNow);
+  const double mean = MeanLoad(aTarget.m_dataCentre);
+  const double reported =
+    mean + (stats.m_reported / ReportedSlots(aTarget, stats, aNow) - mean) *
+             Faded(age, m_settings.m_reportHalfLife);
+  const double load = std::max(stats.m_inFlight / slots, reported);
+  const double end = service * (1 + ExpectedQueue(load + 1 / slots)) + transfer;
+  const bool hasObjective = toObjective > 0;
+  const bool isFree =
+    load < m_settings.m_saturation && (!hasObjective || end <= toObjective);
+  CandidateState state;
+  state.m_isEjected = aNow < stats.m_ejectedUntil;
+  state.m_isAccepting = aNow >= stats.m_avoidUntil;
+  state.m_hasCapacity =
+    state.m_isAccepting && (isFree || (service > 0 && end <= budget));
+  state.m_tier = Tier(aTarget, aOwnDataCentre);
+  state.m_cost = end;
+  return state;
+}
+
+void
+TwoChoicesBalancing::UpdateMeans(const std::vector<const Target*>& aCandidates,
+                                 MonotonicTime aNow)
+{
+  m_dataCentreLoads.clear();
+  double serviceTimes = 0;
+  int measured = 0;
+  for (const Target* target : aCandidates) {
+    const Stats& stats = StatsOf(target->m_vm);
+    if (stats.m_reportedSlots > SlotCount(0)) {
+      DataCentreLoad& dataCentre = LoadOf(target->m_dataCentre);
+      const double weight =
+        Faded(Seconds(aNow - stats.m_reportTime), m_settings.m_meanHalfLife);
+      dataCentre.m_weight += weight;
+      dataCentre.m_load +=
+        weight * stats.m_reported / ReportedSlots(*target, stats, aNow);
+    }
+    serviceTimes += stats.m_serviceTime;
+    measured += stats.m_serviceTime > 0 ? 1 : 0;
+  }
+  m_meanServiceTime = measured > 0 ? serviceTimes / measured : m_meanLatency;
+}
+
+TwoChoicesBalancing::DataCentreLoad&
+TwoChoicesBalancing::LoadOf(const DataCentreId& aDataCentre)
+{
+  for (DataCentreLoad& load : m_dataCentreLoads) {
+    if (*load.m_id == aDataCentre) {
+      return load;
+    }
+  }
+  m_dataCentreLoads.push_back({ &aDataCentre });
+  return m_dataCentreLoads.back();
+}
+
+double
+TwoChoicesBalancing::MeanLoad(const DataCentreId& aDataCentre) const
+{
+  for (const DataCentreLoad& load : m_dataCentreLoads) {
+    if (*load.m_id == aDataCentre) {
+      return load.Mean();
+    }
+  }
+  return 0;
+}
+
+double
+TwoChoicesBalancing::DataCentreLoad::Mean() const
+{
+  // With less evidence than half a fresh report, the mean decays to zero, so
+  // that a data centre that gets no calls is tried again.
+  return m_load / std::max(m_weight, 0.5);
+}
+
+double
+TwoChoicesBalancing::TransferTime(const Target& aTarget, ByteCount aBody) const
+{
+  constexpr double kLinks = 2;
+  constexpr double kBitsPerByte = 8;
+  const bool isTransferred =
+    aBody >= m_settings.m_minTransfer && aTarget.m_vm != m_settings.m_vm;
+  return isTransferred
+           ? kLinks * kBitsPerByte * static_cast<double>(aBody.Value()) /
+               m_settings.m_linkRate
+           : 0.0;
+}
+
 bool
 TwoChoicesBalancing::CanMeetObjective(double aLoad,
                                       const Stats& aStats,
@@ -162,20 +331,28 @@
 }
 
 double
-TwoChoicesBalancing::UsableSlots(const Target& aTarget,
-                                 const Stats& aStats,
-                                 MonotonicTime aNow) const
+TwoChoicesBalancing::ReportedSlots(const Target& aTarget,
+                                   const Stats& aStats,
+                                   MonotonicTime aNow) const
 {
-  const bool isRecovering = aStats.m_ejections > 0;
-  const bool isLimited =
-    isRecovering || aTarget.m_state == UpstreamState::Starting;
   const bool isReported =
     aStats.m_reportedSlots > SlotCount(0) &&
     aNow - aStats.m_reportTime < m_settings.m_slotReportLapse;
   const SlotCount usable = isReported
                              ? std::min(aTarget.m_slots, aStats.m_reportedSlots)
                              : aTarget.m_slots;
-  const double slots = std::max<double>(1, usable.Value());
+  return std::max<double>(1, usable.Value());
+}
+
+double
+TwoChoicesBalancing::UsableSlots(const Target& aTarget,
+                                 const Stats& aStats,
+                                 MonotonicTime aNow) const
+{
+  const bool isRecovering = aStats.m_ejections > 0;
+  const bool isLimited =
+    isRecovering || aTarget.m_state == UpstreamState::Starting;
+  const double slots = ReportedSlots(aTarget, aStats, aNow);
   return isLimited ? slots / m_settings.m_startingPenalty : slots;
 }
 
@@ -210,6 +387,10 @@
   if (aResult.m_load) {
     stats.m_reported = aResult.m_load->m_running + aResult.m_load->m_queued;
     stats.m_reportedSlots = aResult.m_load->m_slots;
+    stats.m_pace = aResult.m_load->m_pace;
+    if (stats.m_pace != kUsualPace) {
+      m_unusualPace = aNow;
+    }
     stats.m_reportTime = aNow;
   }
   if (aResult.m_isAbandoned) {
@@ -222,7 +403,9 @@
     return;
   }
   if (aResult.m_serviceTime > Duration::zero()) {
-    Smooth(stats.m_serviceTime, Seconds(aResult.m_serviceTime));
+    const double factor =
+      aResult.m_load ? PaceFactor(aResult.m_load->m_pace) : 1.0;
+    Smooth(stats.m_serviceTime, Seconds(aResult.m_serviceTime) / factor);
   }
   const double latency = Seconds(aResult.m_latency);
   Smooth(stats.m_latency, latency);
--- a/src/request/TwoChoicesBalancing.h
+++ b/src/request/TwoChoicesBalancing.h
@@ -16,6 +16,14 @@
 /// failures in a row is ejected for a bounded time. When more than half of the
 /// candidates are ejected, ejections are ignored.
 ///
+/// Where upstreams report an unusual pace, and for calls with a large body, the
+/// two targets are compared by the expected completion time instead: the wait
+/// and the service time at the target's speed and pace, and the transfer of the
+/// body to another VM. A target that would miss the objective then has no
+/// capacity, even when a slot is free. Such an entry node hears from each
+/// target once in some seconds, so that a report decays to the mean load of its
+/// data centre: towards zero, a full data centre would seem idle.
+///
 /// Each traffic thread owns one instance. Thread safety: one thread.
 #pragma once
 
@@ -31,6 +39,8 @@
 
 struct TwoChoicesSettings
 {
+  /// The VM of this node. A call to its own upstream crosses no link.
+  VmId m_vm;
   /// The region of this node. Its targets are used before those of other
   /// regions.
   RegionId m_region;
@@ -44,6 +54,21 @@
   Duration m_slotReportLapse = std::chrono::seconds(3);
   /// Half-life of the weight of a load report.
   Duration m_reportHalfLife = std::chrono::milliseconds(500);
+  /// Half-life of the weight of a load report in the mean of its data centre.
+  Duration m_meanHalfLife = std::chrono::seconds(1);
+  /// Half-life of a reported pace. The pace of a VM changes every 600 ms.
+  Duration m_paceHalfLife = std::chrono::milliseconds(200);
+  /// How long an unusual pace shows that the upstreams report theirs. Of the
+  /// upstreams that do, about one in seven has an unusual pace at any time.
+  Duration m_paceLapse = std::chrono::seconds(10);
+  /// Bits per second of the links between VMs. A body crosses two: from the
+  /// entry node and to the target.
+  double m_linkRate = 10e6;
+  /// Smaller bodies have no transfer time: the two links take at most 7 ms for
+  /// them, less than the spread of service times.
+  ByteCount m_minTransfer{ 4096 };
+  /// Work at a starting target takes this many times as long.
+  double m_startingPace = 2;
   /// Number of failures in a row after which a target is ejected.
   std::uint32_t m_ejectAfter = 5;
   Duration m_firstEjection = std::chrono::milliseconds(500);
@@ -97,8 +122,10 @@
     /// Mean latency in seconds, exponentially weighted; 0 until the first
     /// answer.
     double m_latency = 0;
-    /// As m_latency, of the time in the upstream only.
+    /// As m_latency, of the time in the upstream only, at the usual pace.
     double m_serviceTime = 0;
+    /// The pace in the last report.
+    PacePercent m_pace = kUsualPace;
     std::uint32_t m_failuresInRow = 0;
     std::uint32_t m_ejections = 0;
     MonotonicTime m_ejectedUntil{};
@@ -118,14 +145,47 @@
     bool m_hasCapacity = true;
     int m_tier = 0;
     /// The value that the two choices compare: load per usable slot, weighted
-    /// by latency.
+    /// by latency; or the expected completion time in seconds.
     double m_cost = 0;
   };
+  /// What the recent reports of a data centre's candidates say together.
+  struct DataCentreLoad
+  {
+    const DataCentreId* m_id = nullptr;
+    double m_weight = 0;
+    /// Sum of the loads per slot by weight.
+    double m_load = 0;
+
+    double Mean() const;
+  };
 
   CandidateState Assess(const Target& aTarget,
                         const DataCentreId& aOwnDataCentre,
                         Duration aTimeToObjective,
                         MonotonicTime aNow) const;
+  /// Whether targets are compared by expected completion time.
+  bool UsesCompletionTime(const ChoiceConstraints& aConstraints,
+                          MonotonicTime aNow) const;
+  /// As Assess, by the expected completion time. Precondition: the means are
+  /// those of the candidates.
+  CandidateState AssessCompletion(const Target& aTarget,
+                                  const DataCentreId& aOwnDataCentre,
+                                  const ChoiceConstraints& aConstraints,
+                                  MonotonicTime aNow) const;
+  /// Fills m_dataCentreLoads and m_meanServiceTime.
+  void UpdateMeans(const std::vector<const Target*>& aCandidates,
+                   MonotonicTime aNow);
+  DataCentreLoad& LoadOf(const DataCentreId& aDataCentre);
+  /// The mean load per slot of a data centre's candidates.
+  double MeanLoad(const DataCentreId& aDataCentre) const;
+  /// Seconds that the body takes to the target.
+  double TransferTime(const Target& aTarget, ByteCount aBody) const;
+  /// The better of two random candidates of m_eligible, or of three when the
+  /// own VM's is eligible and the body is large. Precondition: there are two.
+  std::size_t ChooseEligible(const std::vector<const Target*>& aCandidates,
+                             ByteCount aBody,
+                             Random& aRandom) const;
+  const Stats& StatsOf(const VmId& aVm) const;
   /// True when the call is expected to finish at the saturated target within
   /// its share of the time to the objective.
   bool CanMeetObjective(double aLoad,
@@ -139,8 +199,12 @@
   /// ejected. \param aRequiresCapacity leave m_eligible empty when no target
   /// has capacity.
   void SelectTier(bool aRequiresCapacity);
-  /// The slots of the target, reduced while it is starting, has not succeeded
-  /// since its ejection or reports fewer.
+  /// The slots of the target, unless it reports fewer.
+  double ReportedSlots(const Target& aTarget,
+                       const Stats& aStats,
+                       MonotonicTime aNow) const;
+  /// As ReportedSlots, reduced while the target is starting or has not
+  /// succeeded since its ejection.
   double UsableSlots(const Target& aTarget,
                      const Stats& aStats,
                      MonotonicTime aNow) const;
@@ -156,8 +220,13 @@
   /// Mean latency over all targets in seconds; used for targets that have not
   /// answered yet.
   double m_meanLatency = 0;
+  /// The last report of an unusual pace.
+  std::optional<MonotonicTime> m_unusualPace;
+  /// Mean service time of the candidates in seconds; 0 when unknown.
+  double m_meanServiceTime = 0;
   /// Buffers, reused to avoid allocations.
   std::vector<CandidateState> m_candidateStates;
+  std::vector<DataCentreLoad> m_dataCentreLoads;
   std::vector<std::size_t> m_eligible;
 };
 
