--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -196,7 +196,8 @@
            .m_priority = call.m_priority,
            .m_deadline = aEntry.m_refuseAt,
            .m_objective = aEntry.m_objective,
-           .m_serviceTime = m_serviceTimes.MeanOf(call.m_route),
+           .m_serviceTime =
+             AtPace(m_serviceTimes.MeanOf(call.m_route), m_paceNow),
            .m_isQuick = m_serviceTimes.IsQuick(call.m_route) };
 }
 
@@ -312,8 +313,12 @@
   --m_running;
   m_policy->Released(entry.m_call.m_caller);
   aAnswer.m_serviceTime = aNow - entry.m_started;
+  if (aAnswer.m_notice) {
+    RecordLoad(*aAnswer.m_notice, aNow);
+  }
   if (aAnswer.m_outcome == CallOutcome::Done) {
-    m_serviceTimes.Record(entry.m_call.m_route, aAnswer.m_serviceTime);
+    m_serviceTimes.Record(entry.m_call.m_route,
+                          AtUsualPace(aAnswer.m_serviceTime, m_paceNow));
   }
   if (RunsAtMostOnce(entry.m_call)) {
     if (aAnswer.m_outcome == CallOutcome::NotRun) {
@@ -333,12 +338,25 @@
   return actions;
 }
 
+void
+Guard::RecordLoad(const UpstreamNotice& aNotice, MonotonicTime aNow)
+{
+  if (aNotice.m_load) {
+    m_pace.Set(aNotice.m_load->m_pace, aNow);
+  }
+  m_unreadableLoads += aNotice.m_isLoadUnreadable ? 1 : 0;
+  m_paceNow = m_pace.At(aNow);
+}
+
 void
 Guard::ApplyNotice(const UpstreamNotice& aNotice,
                    MonotonicTime aNow,
                    GuardActions& aActions)
 {
   UpstreamNotice notice = aNotice;
+  // The load changes with each answer; it is no news for the driver.
+  notice.m_load.reset();
+  notice.m_isLoadUnreadable = false;
   notice.m_isLeaving |= m_notice.m_isLeaving;
   if (notice == m_notice) {
     return;
@@ -602,9 +620,10 @@
 UpstreamCapacity
 Guard::Capacity(MonotonicTime aNow)
 {
+  m_paceNow = m_pace.At(aNow);
   return { m_upstream.m_slots,
            m_running,
-           m_serviceTimes.Mean(),
+           AtPace(m_serviceTimes.Mean(), m_paceNow),
            m_starts.Interval(),
            m_starts.Delay(aNow) };
 }
@@ -614,7 +633,8 @@
 {
   return { m_running,
            static_cast<std::uint32_t>(m_policy->Size() + m_bodies.Size()),
-           m_starts.UsableSlots(m_upstream.m_slots, m_serviceTimes.Mean()) };
+           m_starts.UsableSlots(m_upstream.m_slots, m_serviceTimes.Mean()),
+           m_paceNow };
 }
 
 } // namespace tarragontray
