--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -180,7 +180,7 @@
   }
   entry.m_hadDeferredBody = true;
   entry.m_bodySource = waiter;
-  const WaitingBody body{ WaitingCallOf(ticket, entry),
+  const WaitingBody body{ WaitingCallOf(ticket, entry, aNow),
                           entry.m_call.m_deferredBody->m_size };
   for (const Refused& refused : m_bodies.Offer(body, aNow)) {
     Refuse(refused.m_ticket, refused.m_reason, aNow, aActions);
@@ -188,7 +188,9 @@
 }
 
 WaitingCall
-Guard::WaitingCallOf(Ticket aTicket, const Entry& aEntry) const
+Guard::WaitingCallOf(Ticket aTicket,
+                     const Entry& aEntry,
+                     MonotonicTime aNow) const
 {
   const Call& call = aEntry.m_call;
   return { .m_ticket = aTicket,
@@ -197,7 +199,7 @@
            .m_deadline = aEntry.m_refuseAt,
            .m_objective = aEntry.m_objective,
            .m_serviceTime =
-             AtPace(m_serviceTimes.MeanOf(call.m_route), m_paceNow),
+             AtPace(m_serviceTimes.MeanOf(call.m_route), m_pace.At(aNow)),
            .m_isQuick = m_serviceTimes.IsQuick(call.m_route) };
 }
 
@@ -206,7 +208,7 @@
 {
   const Entry& entry = m_entries.at(aTicket);
   m_waitingWithBody += entry.m_hadDeferredBody ? 1 : 0;
-  const WaitingCall waiting = WaitingCallOf(aTicket, entry);
+  const WaitingCall waiting = WaitingCallOf(aTicket, entry, aNow);
   for (const Refused& refused :
        m_policy->Offer(waiting, Capacity(aNow), aNow)) {
     Refuse(refused.m_ticket, refused.m_reason, aNow, aActions);
--- a/src/request/Guard.h
+++ b/src/request/Guard.h
@@ -229,7 +229,9 @@
   void RunNext(MonotonicTime aNow, GuardActions& aActions);
   /// Offers an entry that has its body to the admission policy.
   void Enqueue(Ticket aTicket, MonotonicTime aNow, GuardActions& aActions);
-  WaitingCall WaitingCallOf(Ticket aTicket, const Entry& aEntry) const;
+  WaitingCall WaitingCallOf(Ticket aTicket,
+                            const Entry& aEntry,
+                            MonotonicTime aNow) const;
   /// Requests the bodies for which the upstream will soon have a slot.
   void RequestBodies(MonotonicTime aNow, GuardActions& aActions);
   /// Removes a call that waits for its body or for a slot.
