Refusals state when a slot is expected, and callers are told in time

Callers were told 200 ms for every refusal because of load: too late for an objective of 250 ms, and the same for all. A guard's refusal now states the expected start of such a call, by its place in the queue; the entry node tells the shortest stated wait, at most a third of the time left and of the time to the objective, spread by chance. Only on routes with an objective; others get the stated wait or the fixed one as before.

--- a/src/process/FrontThread.cpp
+++ b/src/process/FrontThread.cpp
@@ -15,6 +15,7 @@
 #include "process/ThreadLoop.h"
 #include "request/CallPlan.h"
 #include "request/CallRunner.h"
+#include "request/RetryAfter.h"
 #include "request/RetryBudget.h"
 #include "request/ServiceSplitter.h"
 #include "request/TwoChoicesBalancing.h"
@@ -35,13 +36,6 @@
 /// Margin between the deadline of the last calls and the end of the node, in
 /// which their answers are written.
 constexpr Duration kShutdownMargin = std::chrono::milliseconds(200);
-/// Retry-after for calls refused because of load: by then many of the calls
-/// that are running have completed.
-constexpr Duration kLoadRetryAfter = std::chrono::milliseconds(200);
-/// Retry-after while there is no configuration or no target: one may have been
-/// received by then.
-constexpr Duration kAbsenceRetryAfter = std::chrono::milliseconds(400);
-
 /// The account of a call and whether the call may be made.
 struct Identification
 {
@@ -70,31 +64,6 @@
   return result;
 }
 
-Answer
-Refusal(RefusalReason aReason)
-{
-  Answer answer;
-  answer.m_outcome = CallOutcome::NotRun;
-  answer.m_refusal = aReason;
-  return answer;
-}
-
-Duration
-RetryAfter(RefusalReason aReason)
-{
-  switch (aReason) {
-    case RefusalReason::NoConfiguration:
-    case RefusalReason::NoTarget:
-    case RefusalReason::UpstreamGone:
-      return kAbsenceRetryAfter;
-    case RefusalReason::NoRoute:
-    case RefusalReason::UnknownCaller:
-      return Duration(0);
-    default:
-      return kLoadRetryAfter;
-  }
-}
-
 std::uint8_t
 PriorityOf(const Configuration& aConfiguration, const ClassName& aClass)
 {
@@ -278,6 +247,10 @@
     call.m_http = std::move(aRequest);
     CallPlan plan = CallPlan::Start(setup);
     Answer answer = co_await RunCall(plan, std::move(call), m_links, m_clock);
+    if (answer.m_outcome == CallOutcome::NotRun) {
+      answer.m_retryAfter = RetryAfter(
+        answer.m_refusal, TimesOf(setup, answer.m_retryAfter), m_random);
+    }
     if (service->second.m_split.m_move) {
       Report(plan.Observations());
     }
@@ -285,11 +258,30 @@
     co_return answer;
   }
 
+  Answer Refusal(RefusalReason aReason)
+  {
+    Answer answer;
+    answer.m_outcome = CallOutcome::NotRun;
+    answer.m_refusal = aReason;
+    answer.m_retryAfter = RetryAfter(aReason, {}, m_random);
+    return answer;
+  }
+
+  RefusedCallTimes TimesOf(const CallSetup& aSetup, Duration aStated) const
+  {
+    if (aSetup.m_objective == MonotonicTime::max()) {
+      return { .m_stated = aStated };
+    }
+    const MonotonicTime now = m_clock.Now();
+    return { .m_stated = aStated,
+             .m_timeLeft = aSetup.m_deadline - now,
+             .m_timeToObjective =
+               std::max(aSetup.m_objective - now, Duration(0)) };
+  }
+
   HttpAnswerParts Write(const CallerRequest& aCaller, Answer aAnswer)
   {
     if (aAnswer.m_outcome == CallOutcome::NotRun) {
-      aAnswer.m_retryAfter =
-        std::max(aAnswer.m_retryAfter, RetryAfter(aAnswer.m_refusal));
       if (aAnswer.m_refusal == RefusalReason::NoConfiguration ||
           aAnswer.m_refusal == RefusalReason::NoRoute ||
           aAnswer.m_refusal == RefusalReason::UnknownCaller) {
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -263,6 +263,7 @@
           { "reason", std::string(Name(aRefused.m_reason)) },
           { "waited_ms", Milliseconds(aRefused.m_waited) },
           { "left_ms", Milliseconds(aRefused.m_left) },
+          { "retry_after_ms", Milliseconds(aRefused.m_retryAfter) },
           { "running", std::to_string(load.m_running) },
           { "waiting", std::to_string(load.m_queued) },
           { "slots", std::to_string(load.m_slots.Value()) } });
--- a/src/request/AdmissionPolicy.h
+++ b/src/request/AdmissionPolicy.h
@@ -10,6 +10,7 @@
 /// The guard owns the calls and counts the running ones.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -108,6 +109,17 @@
   virtual void Released(const ClientAccountId& aCaller) = 0;
   /// Number of waiting calls.
   virtual std::size_t Size() const = 0;
+  /// The expected time until a call like aCall would start if it arrived now.
+  /// For callers that are refused; by default, after all calls that wait.
+  virtual Duration ExpectedStart(const WaitingCall& /*aCall*/,
+                                 const UpstreamCapacity& aCapacity,
+                                 MonotonicTime /*aNow*/) const
+  {
+    const std::uint32_t slots = std::max(1U, aCapacity.m_slots.Value());
+    return aCapacity.m_running < slots
+             ? Duration(0)
+             : aCapacity.m_serviceTime * static_cast<int>(Size() + 1) / slots;
+  }
 };
 
 } // namespace tarragontray
--- a/src/request/CallPlan.cpp
+++ b/src/request/CallPlan.cpp
@@ -141,8 +141,9 @@
   const bool provesNotRun =
     reason != RetryReason::Draining || !m_targets.IsPinned();
   Answer refused = provesNotRun ? aAnswer : Answer{};
-  m_retryAfter = std::min(m_retryAfter, aAnswer.m_retryAfter);
-  refused.m_retryAfter = m_retryAfter;
+  if (aAnswer.m_retryAfter > Duration::zero()) {
+    m_retryAfter = std::min(m_retryAfter, aAnswer.m_retryAfter);
+  }
   return RetryOrFinish(std::move(refused), reason, aNow);
 }
 
@@ -329,6 +330,10 @@
 CallPlan::End(Answer aAnswer)
 {
   m_state = State::Finished;
+  const bool isStated = m_retryAfter != Duration::max();
+  if (isStated && aAnswer.m_outcome == CallOutcome::NotRun) {
+    aAnswer.m_retryAfter = m_retryAfter;
+  }
   return Finish{ std::move(aAnswer) };
 }
 
--- a/src/request/CallPlan.h
+++ b/src/request/CallPlan.h
@@ -218,8 +218,8 @@
   bool m_mayHaveRun = false;
   /// The last complete answer of an upstream; returned when no retry succeeds.
   std::optional<Answer> m_lastDone;
-  /// The shortest wait that a refusal has stated: the caller may return as soon
-  /// as one of the targets may have capacity.
+  /// The shortest wait that a refusal has stated; max() when none has. The
+  /// caller may return as soon as one of the targets may have capacity.
   Duration m_retryAfter = Duration::max();
   std::vector<AttemptObservation> m_observations;
 };
--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -17,6 +17,10 @@
 constexpr Duration kReplyMargin = std::chrono::milliseconds(10);
 constexpr int kReplyMarginDivisor = 32;
 
+/// The longest wait that a refusal states. Upstreams and loads change within
+/// seconds.
+constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
+
 Duration
 ReplyMargin(Duration aTimeRemaining)
 {
@@ -156,6 +160,19 @@
   return isServing ? RefusalReason::None : RefusalReason::UpstreamGone;
 }
 
+WaitingCall
+Guard::Describe(Ticket aTicket, const Call& aCall, MonotonicTime aArrived) const
+{
+  return { .m_ticket = aTicket,
+           .m_caller = aCall.m_caller,
+           .m_priority = aCall.m_priority,
+           .m_deadline = aArrived + aCall.m_timeRemaining -
+                         ReplyMargin(aCall.m_timeRemaining),
+           .m_objective = aArrived + aCall.m_objectiveRemaining,
+           .m_serviceTime = m_serviceTimes.MeanOf(aCall.m_route),
+           .m_isQuick = m_serviceTimes.IsQuick(aCall.m_route) };
+}
+
 void
 Guard::Admit(Call aCall,
              CallerLink aFrom,
@@ -163,16 +180,7 @@
              GuardActions& aActions)
 {
   const Ticket ticket = m_lastTicket += Ticket(1);
-  const WaitingCall waiting{
-    .m_ticket = ticket,
-    .m_caller = aCall.m_caller,
-    .m_priority = aCall.m_priority,
-    .m_deadline =
-      aNow + aCall.m_timeRemaining - ReplyMargin(aCall.m_timeRemaining),
-    .m_objective = aNow + aCall.m_objectiveRemaining,
-    .m_serviceTime = m_serviceTimes.MeanOf(aCall.m_route),
-    .m_isQuick = m_serviceTimes.IsQuick(aCall.m_route)
-  };
+  const WaitingCall waiting = Describe(ticket, aCall, aNow);
   m_links.Add({ aFrom, aCall.m_id }, ticket);
   Entry& entry = m_entries[ticket];
   entry.m_waiters.push_back({ aFrom, aCall.m_id });
@@ -286,7 +294,7 @@
   const bool wasRunning = m_entries.at(*ticket).m_isRunning;
   RemoveWaiter(*ticket, waiter, aNow, actions);
   if (!wasRunning && !m_entries.contains(*ticket)) {
-    ReplyNotRun(waiter, RefusalReason::Cancelled, actions);
+    ReplyNotRun(waiter, RefusalReason::Cancelled, Duration(0), actions);
   }
   RunNext(aNow, actions);
   return actions;
@@ -454,12 +462,30 @@
   RefusedCall& refused = aActions.m_refused.back();
   refused.m_waited = aNow - entry.m_arrived;
   refused.m_left = entry.m_deadline - aNow;
+  refused.m_retryAfter = RetryAfter(aTicket, entry, aReason, aNow);
   for (const Waiter& waiter : entry.m_waiters) {
-    ReplyNotRun(waiter, aReason, aActions);
+    ReplyNotRun(waiter, aReason, refused.m_retryAfter, aActions);
     m_links.Remove(waiter);
   }
 }
 
+Duration
+Guard::RetryAfter(Ticket aTicket,
+                  const Entry& aEntry,
+                  RefusalReason aReason,
+                  MonotonicTime aNow)
+{
+  if (aReason != RefusalReason::QueueFull &&
+      aReason != RefusalReason::DeadlineTooShort &&
+      aReason != RefusalReason::FairShare) {
+    return Duration(0);
+  }
+  const WaitingCall call = Describe(aTicket, aEntry.m_call, aEntry.m_arrived);
+  const Duration wait = m_policy->ExpectedStart(call, Capacity(aNow), aNow);
+  return std::min(kMaxRetryAfter,
+                  std::max(wait, m_starts.RetryAfter(m_policy->Size())));
+}
+
 void
 Guard::RefuseAtOnce(const Call& aCall,
                     CallerLink aFrom,
@@ -467,7 +493,7 @@
                     GuardActions& aActions)
 {
   RecordRefusal(aCall, aReason, aActions);
-  ReplyNotRun({ aFrom, aCall.m_id }, aReason, aActions);
+  ReplyNotRun({ aFrom, aCall.m_id }, aReason, Duration(0), aActions);
 }
 
 void
@@ -492,16 +518,14 @@
 void
 Guard::ReplyNotRun(const Waiter& aWaiter,
                    RefusalReason aReason,
+                   Duration aRetryAfter,
                    GuardActions& aActions)
 {
   ++m_refused[static_cast<std::size_t>(aReason)];
   Answer answer;
   answer.m_outcome = CallOutcome::NotRun;
   answer.m_refusal = aReason;
-  if (aReason == RefusalReason::QueueFull ||
-      aReason == RefusalReason::DeadlineTooShort) {
-    answer.m_retryAfter = m_starts.RetryAfter(m_policy->Size());
-  }
+  answer.m_retryAfter = aRetryAfter;
   ReplyTo(aWaiter, std::move(answer), aActions);
 }
 
--- a/src/request/Guard.h
+++ b/src/request/Guard.h
@@ -72,6 +72,8 @@
   Duration m_waited{ 0 };
   /// Time to its deadline; negative when the deadline had passed.
   Duration m_left{ 0 };
+  /// The wait that the refusal states; zero when it states none.
+  Duration m_retryAfter{ 0 };
 };
 
 /// Cancel a running call.
@@ -198,6 +200,9 @@
                     CallerLink aFrom,
                     GuardActions& aActions);
   RefusalReason CheckUpstream(const Call& aCall) const;
+  WaitingCall Describe(Ticket aTicket,
+                       const Call& aCall,
+                       MonotonicTime aArrived) const;
   void Admit(Call aCall, CallerLink aFrom, MonotonicTime aNow, GuardActions&);
   void RunNext(MonotonicTime aNow, GuardActions& aActions);
   /// Removes a waiting entry and replies NotRun to its waiters.
@@ -225,7 +230,14 @@
                             GuardActions& aActions);
   void ReplyNotRun(const Waiter& aWaiter,
                    RefusalReason aReason,
+                   Duration aRetryAfter,
                    GuardActions& aActions);
+  /// When a slot is expected for a call that is refused because of load; zero
+  /// for other reasons.
+  Duration RetryAfter(Ticket aTicket,
+                      const Entry& aEntry,
+                      RefusalReason aReason,
+                      MonotonicTime aNow);
   UpstreamCapacity Capacity(MonotonicTime aNow);
   void ApplyNotice(const UpstreamNotice& aNotice,
                    MonotonicTime aNow,
--- a/src/request/GuardTest.cpp
+++ b/src/request/GuardTest.cpp
@@ -164,6 +164,26 @@
   cr_assert(late.m_replies.at(0).m_answer.m_outcome == CallOutcome::NotRun);
 }
 
+/// Overload: a refusal stated no wait unless the upstream limited its rate, so
+/// that callers returned after a fixed time.
+Test(Guard, ARefusalStatesWhenASlotIsExpected)
+{
+  Guard guard = MakeGuard(1, 2);
+  const Ticket first =
+    guard.Submit(MakeCall(1), kLink, kStart).m_runs.at(0).m_ticket;
+  guard.Submit(MakeCall(2), kLink, kStart);
+  const MonotonicTime later = kStart + milliseconds(100);
+  guard.Finished(first, Done("x"), later);
+  guard.Submit(MakeCall(3), kLink, later);
+  guard.Submit(MakeCall(4), kLink, later);
+  const GuardActions full = guard.Submit(MakeCall(5), kLink, later);
+  const Answer& refusal = full.m_replies.at(0).m_answer;
+  cr_assert(refusal.m_outcome == CallOutcome::NotRun);
+  // The running call and two waiting ones, of 100 ms each.
+  cr_assert(refusal.m_retryAfter == milliseconds(300));
+  cr_assert(full.m_refused.at(0).m_retryAfter == milliseconds(300));
+}
+
 Test(Guard, ClosedLinkAbortsOnlyIdempotentRuns)
 {
   Guard guard = MakeGuard(2);
--- a/src/request/ObjectiveAdmission.cpp
+++ b/src/request/ObjectiveAdmission.cpp
@@ -266,6 +266,17 @@
   return next;
 }
 
+Duration
+ObjectiveAdmission::ExpectedStart(const WaitingCall& aCall,
+                                  const UpstreamCapacity& aCapacity,
+                                  MonotonicTime aNow) const
+{
+  const Duration timely = ExpectedWait(aCall, false, aCapacity);
+  return aNow + timely <= LatestTimelyStart(aCall)
+           ? timely
+           : ExpectedWait(aCall, true, aCapacity);
+}
+
 bool
 ObjectiveAdmission::Remove(Ticket aTicket)
 {
--- a/src/request/ObjectiveAdmission.h
+++ b/src/request/ObjectiveAdmission.h
@@ -44,6 +44,9 @@
   bool Remove(Ticket aTicket) override;
   void Released(const ClientAccountId& /*aCaller*/) override {}
   std::size_t Size() const override { return m_timely.size() + m_late.size(); }
+  Duration ExpectedStart(const WaitingCall& aCall,
+                         const UpstreamCapacity& aCapacity,
+                         MonotonicTime aNow) const override;
 
 private:
   explicit ObjectiveAdmission(AdmissionBounds aBounds)
--- a/src/request/ObjectiveAdmissionTest.cpp
+++ b/src/request/ObjectiveAdmissionTest.cpp
@@ -105,6 +105,22 @@
   cr_assert_eq(policy->Size(), 0);
 }
 
+/// Overload: refused callers that are all told the same time return together,
+/// and the more urgent ones no earlier than others.
+Test(ObjectiveAdmission, ARefusedCallIsToldWhenASlotIsExpectedForItsPriority)
+{
+  const auto policy = MakePolicy();
+  policy->Offer(MakeCall(1, milliseconds(900), 1), kBusy, kStart);
+  policy->Offer(MakeCall(2, milliseconds(-1), 1), kBusy, kStart);
+  const auto waitOf = [&](const WaitingCall& aCall) {
+    return policy->ExpectedStart(aCall, kBusy, kStart);
+  };
+  // After the running call; after the timely one too; after all.
+  cr_assert(waitOf(MakeCall(3, milliseconds(900), 0)) == kMeanServiceTime);
+  cr_assert(waitOf(MakeCall(4, milliseconds(900), 2)) == 2 * kMeanServiceTime);
+  cr_assert(waitOf(MakeCall(5, milliseconds(-1), 2)) == 3 * kMeanServiceTime);
+}
+
 Test(ObjectiveAdmission, QuickCallStaysTimelyAfterItsObjective)
 {
   const auto policy = MakePolicy();
