Refuse late calls that will not get their turn

Late calls start only when no timely call waits. In overload they were held until their deadline and then refused, when their callers had no time left. The guard's queue now forecasts the starts of late calls from those of the last seconds and refuses the excess at once, the least urgent first. It keeps at least as many as there are slots, so that a slot that becomes free is used.

--- a/src/request/ObjectiveAdmission.cpp
+++ b/src/request/ObjectiveAdmission.cpp
@@ -163,6 +163,7 @@
                           const UpstreamCapacity& aCapacity,
                           MonotonicTime aNow)
 {
+  m_capacity = aCapacity;
   DemoteLateCalls(aNow);
   WaitingCall call = aCall;
   if (call.m_isQuick) {
@@ -225,6 +226,7 @@
 std::optional<Ticket>
 ObjectiveAdmission::Next(const UpstreamCapacity& aCapacity, MonotonicTime aNow)
 {
+  m_capacity = aCapacity;
   const bool isLate = m_timely.empty();
   std::vector<WaitingCall>& calls = isLate ? m_late : m_timely;
   if (calls.empty() || aCapacity.m_running >= aCapacity.m_slots.Value()) {
@@ -235,12 +237,16 @@
     RecordStart({ isLate, calls.front().m_priority }, aNow);
   }
   calls.erase(calls.begin());
+  if (isLate) {
+    m_backlog.OnStart();
+  }
   return ticket;
 }
 
 std::vector<Refused>
 ObjectiveAdmission::TakeExpired(MonotonicTime aNow)
 {
+  m_backlog.Advance(!m_late.empty(), aNow);
   DemoteLateCalls(aNow);
   std::vector<Refused> refused;
   std::erase_if(m_late, [&](const WaitingCall& aCall) {
@@ -250,9 +256,27 @@
     }
     return isUnreachable;
   });
+  Shorten(aNow, refused);
   return refused;
 }
 
+void
+ObjectiveAdmission::Shorten(MonotonicTime aNow, std::vector<Refused>& aRefused)
+{
+  std::size_t kept = 0;
+  std::erase_if(m_late, [&](const WaitingCall& aCall) {
+    const double starts =
+      m_backlog.StartsWithin(LatestUsefulStart(aCall) - aNow, m_capacity);
+    const bool isExcess = static_cast<double>(kept) >= starts;
+    if (isExcess) {
+      aRefused.push_back({ aCall.m_ticket, RefusalReason::DeadlineTooShort });
+    } else {
+      ++kept;
+    }
+    return isExcess;
+  });
+}
+
 std::optional<MonotonicTime>
 ObjectiveAdmission::NextExpiry() const
 {
--- a/src/request/ObjectiveAdmission.h
+++ b/src/request/ObjectiveAdmission.h
@@ -8,7 +8,8 @@
 /// it can't meet its deadline. Under overload, this gives the slots to calls
 /// that can meet their objective, where a first-in, first-out queue would make
 /// all calls late. A call is refused when the queue ahead of it leaves no time
-/// to answer it before its deadline.
+/// to answer it before its deadline, and a late one as soon as too few late
+/// calls start for it to get its turn.
 ///
 /// All accounts are treated alike; use FairAdmission where several accounts
 /// share an upstream.
@@ -23,6 +24,7 @@
 
 #include "base/Result.h"
 #include "request/AdmissionPolicy.h"
+#include "request/LateBacklog.h"
 
 namespace tarragontray {
 
@@ -84,6 +86,9 @@
   void Append(const WaitingCall& aCall, bool aIsLate);
   /// Moves timely calls that can't meet their objective to the late queue.
   void DemoteLateCalls(MonotonicTime aNow);
+  /// Removes the late calls that are not expected to start in time, the least
+  /// urgent first.
+  void Shorten(MonotonicTime aNow, std::vector<Refused>& aRefused);
 
   /// In the order in which the groups start, while the upstream limits its rate
   /// of calls.
@@ -93,6 +98,9 @@
   std::vector<WaitingCall> m_timely;
   /// Sorted by priority, then quick calls first, then deadline.
   std::vector<WaitingCall> m_late;
+  LateBacklog m_backlog;
+  /// As of the last Offer or Next.
+  UpstreamCapacity m_capacity;
 };
 
 } // namespace tarragontray
--- a/src/request/ObjectiveAdmissionTest.cpp
+++ b/src/request/ObjectiveAdmissionTest.cpp
@@ -121,6 +121,69 @@
   cr_assert(waitOf(MakeCall(5, milliseconds(-1), 2)) == 3 * kMeanServiceTime);
 }
 
+/// Overload: late calls that never got their turn were held until their
+/// deadline, when their callers had no time left to try elsewhere.
+Test(ObjectiveAdmission, LateCallsThatNeverStartAreRefusedEarlyLeastUrgentFirst)
+{
+  const auto policy = MakePolicy(16);
+  constexpr UpstreamCapacity kTwoBusy{ SlotCount(2), 2, milliseconds(100) };
+  const auto offer = [&](std::uint64_t aTicket, Duration aNow) {
+    WaitingCall late = MakeCall(aTicket,
+                                milliseconds(-1),
+                                aTicket % 2 == 0 ? 0 : 2,
+                                std::chrono::seconds(5));
+    policy->Offer(late, kTwoBusy, kStart + aNow);
+    return policy->TakeExpired(kStart + aNow);
+  };
+  // Nothing is known yet of how many start.
+  for (std::uint64_t ticket = 1; ticket <= 8; ++ticket) {
+    cr_assert(offer(ticket, Duration(0)).empty());
+  }
+  // For a second, only timely calls start.
+  for (int i = 1; i <= 20; ++i) {
+    const MonotonicTime now = kStart + i * milliseconds(50);
+    const WaitingCall timely =
+      MakeCall(100 + i, std::chrono::seconds(3), 1, std::chrono::seconds(5));
+    policy->Offer(timely, kTwoBusy, now);
+    policy->TakeExpired(now);
+    cr_assert(
+      policy->Next({ SlotCount(2), 1, milliseconds(100) }, now)->Value() >=
+      100);
+  }
+  std::vector<std::uint64_t> refused;
+  for (int i = 0; i < 60 && refused.empty(); ++i) {
+    const Duration now = milliseconds(1'000 + 50 * i);
+    for (const Refused& call : policy->TakeExpired(kStart + now)) {
+      refused.push_back(call.m_ticket.Value());
+    }
+  }
+  // With more than a second left, the calls of priority 2 are given up first,
+  // and at least as many as there are slots are kept.
+  cr_assert(!refused.empty());
+  for (const std::uint64_t ticket : refused) {
+    cr_assert(ticket % 2 == 1, "ticket %lu", ticket);
+  }
+  cr_assert(policy->Size() >= 2);
+}
+
+/// A queue that moves keeps its late calls.
+Test(ObjectiveAdmission, LateCallsThatStartInTimeAreKept)
+{
+  const auto policy = MakePolicy(16);
+  constexpr UpstreamCapacity kOneFree{ SlotCount(2), 1, milliseconds(100) };
+  std::uint64_t ticket = 0;
+  for (int i = 0; i < 200; ++i) {
+    const MonotonicTime now = kStart + i * milliseconds(50);
+    for (int call = 0; call < (i == 0 ? 8 : 1); ++call) {
+      WaitingCall late = MakeCall(++ticket, milliseconds(-1));
+      late.m_deadline = now + std::chrono::seconds(1);
+      policy->Offer(late, kOneFree, now);
+    }
+    cr_assert(policy->TakeExpired(now).empty(), "at step %d", i);
+    cr_assert(policy->Next(kOneFree, now).has_value());
+  }
+}
+
 Test(ObjectiveAdmission, QuickCallStaysTimelyAfterItsObjective)
 {
   const auto policy = MakePolicy();
