Refuse a call at once that all targets have just refused

The entry node offered such a call again and waited for the next refusal. Only on routes with an objective.

--- a/src/process/FrontThread.cpp
+++ b/src/process/FrontThread.cpp
@@ -221,9 +221,11 @@
     if (service == aView.m_services.end()) {
       co_return Refusal(RefusalReason::NoTarget);
     }
-    TrafficPolicies policies{
-      m_balancing, m_versionSplitter, m_retries, m_random
-    };
+    TrafficPolicies policies{ .m_balancing = m_balancing,
+                              .m_splitter = m_versionSplitter,
+                              .m_retries = m_retries,
+                              .m_random = m_random,
+                              .m_refusals = &m_refusals };
     const Duration timeout = std::min(
       aCaller.m_timeRemaining.value_or(route.m_timeout), route.m_timeout);
     if (m_isDraining && aStart + timeout > m_end) {
@@ -444,6 +446,7 @@
   VersionSplitter m_versionSplitter;
   ServiceSplitter m_serviceSplitter;
   RetryBudget m_retries;
+  RefusalMemory m_refusals;
   PeerLinks m_links;
   std::map<std::pair<ClientAccountId, ClassName>, CallMetrics*> m_series;
   /// The longest remaining time that callers of each route have stated.
--- a/src/request/CallPlan.cpp
+++ b/src/request/CallPlan.cpp
@@ -92,6 +92,10 @@
 Step
 CallPlan::SendFirst(MonotonicTime aNow)
 {
+  if (const std::optional<Duration> wait = m_targets.WaitEverywhere(aNow)) {
+    m_retryAfter = std::min(m_retryAfter, *wait);
+    return End(NotRun(RefusalReason::DeadlineTooShort));
+  }
   const Target* target = m_targets.First(aNow);
   if (target == nullptr) {
     return End(NotRun(RefusalReason::NoTarget));
@@ -141,6 +145,9 @@
   const bool provesNotRun =
     reason != RetryReason::Draining || !m_targets.IsPinned();
   Answer refused = provesNotRun ? aAnswer : Answer{};
+  if (reason == RetryReason::Overload) {
+    m_targets.RecordRefusal(*m_target, aAnswer.m_retryAfter, aNow);
+  }
   if (aAnswer.m_retryAfter > Duration::zero()) {
     m_retryAfter = std::min(m_retryAfter, aAnswer.m_retryAfter);
   }
--- a/src/request/CallPlan.h
+++ b/src/request/CallPlan.h
@@ -23,6 +23,7 @@
 /// states that no call with the key ran, so it is returned only when the home
 /// confirms it. See docs/design/requests.md.
 ///
+/// A call that all targets have just refused is refused without an attempt.
 /// A call that waits in its guard's queue is withdrawn shortly before its
 /// deadline, so that its caller hears that it has not run. From then on, no
 /// other attempt is sent: there would be no time to learn its outcome.
--- a/src/request/TargetSequence.cpp
+++ b/src/request/TargetSequence.cpp
@@ -30,6 +30,37 @@
 {
 }
 
+std::optional<Duration>
+TargetSequence::WaitEverywhere(MonotonicTime aNow) const
+{
+  const RefusalMemory* refusals = m_setup.m_policies.m_refusals;
+  if (refusals == nullptr || m_isPinned || !HasObjective()) {
+    return std::nullopt;
+  }
+  const RefusableCall call = Describe(aNow);
+  std::optional<Duration> shortest;
+  for (const Target& target : m_setup.m_service.m_targets) {
+    const std::optional<Duration> wait =
+      refusals->WaitAt(target.m_vm, call, aNow);
+    if (!wait) {
+      return std::nullopt;
+    }
+    shortest = std::min(shortest.value_or(*wait), *wait);
+  }
+  return shortest;
+}
+
+void
+TargetSequence::RecordRefusal(const Target& aTarget,
+                              Duration aStated,
+                              MonotonicTime aNow)
+{
+  if (m_setup.m_policies.m_refusals != nullptr && HasObjective()) {
+    m_setup.m_policies.m_refusals->Record(
+      aTarget.m_vm, Describe(aNow), aStated, aNow);
+  }
+}
+
 const Target*
 TargetSequence::First(MonotonicTime aNow)
 {
@@ -62,7 +93,7 @@
   // version must not get more than its share.
   const VersionSplit& split = m_setup.m_service.m_split;
   const bool requiresCapacity =
-    m_setup.m_objective != MonotonicTime::max() &&
+    HasObjective() &&
     (aReason == RetryReason::Overload || aReason == RetryReason::Shed ||
      aReason == RetryReason::Failed);
   const Target* target = ChooseAmong(split.m_from, requiresCapacity, aNow);
@@ -168,9 +199,8 @@
 Duration
 TargetSequence::TimeToObjective(MonotonicTime aNow) const
 {
-  const bool hasObjective = m_setup.m_objective != MonotonicTime::max();
-  return hasObjective ? std::max(m_setup.m_objective - aNow, Duration(0))
-                      : Duration(0);
+  return HasObjective() ? std::max(m_setup.m_objective - aNow, Duration(0))
+                        : Duration(0);
 }
 
 const Target*
--- a/src/request/TargetSequence.h
+++ b/src/request/TargetSequence.h
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "base/Ids.h"
@@ -17,6 +18,7 @@
 #include "base/Units.h"
 #include "process/View.h"
 #include "request/BalancingPolicy.h"
+#include "request/RefusalMemory.h"
 #include "request/RetryPolicy.h"
 #include "request/VersionSplitter.h"
 #include "version/Configuration.h"
@@ -32,6 +34,8 @@
   Random& m_random;
   /// Buffer for the candidates of one choice, reused to avoid allocations.
   std::vector<const Target*> m_candidates = {};
+  /// Null: calls are offered to a target whatever was refused before.
+  RefusalMemory* m_refusals = nullptr;
 };
 
 /// The parameters of one call. The references must outlive the plan; the driver
@@ -78,6 +82,15 @@
   /// The references of aSetup must outlive this object.
   explicit TargetSequence(const CallSetup& aSetup);
 
+  /// The shortest time until a target is expected to have a slot, when all
+  /// targets have just refused such a call. Not set for a call without an
+  /// objective or with its caller's key.
+  std::optional<Duration> WaitEverywhere(MonotonicTime aNow) const;
+  /// Remembers that the target refused the call because of load.
+  /// \param aStated the wait that the refusal stated, or zero.
+  void RecordRefusal(const Target& aTarget,
+                     Duration aStated,
+                     MonotonicTime aNow);
   /// The target of the first attempt; null when there is none.
   const Target* First(MonotonicTime aNow);
   /// The target of the next attempt; null when there is none.
@@ -109,6 +122,17 @@
   /// The former home of index aIndex, or null when it doesn't apply.
   const Target* FormerHome(std::size_t aIndex, MonotonicTime aNow) const;
   Duration TimeToObjective(MonotonicTime aNow) const;
+  bool HasObjective() const
+  {
+    return m_setup.m_objective != MonotonicTime::max();
+  }
+  RefusableCall Describe(MonotonicTime aNow) const
+  {
+    return { m_setup.m_route.m_name,
+             m_setup.m_caller,
+             m_setup.m_priority,
+             m_setup.m_deadline - aNow };
+  }
   /// \param aRequiresCapacity skip targets that seem saturated.
   const Target* ChooseAmong(const UpstreamVersion& aVersion,
                             bool aRequiresCapacity,
