Offer refused calls to other targets beyond the retry budget

A guard's refusal because of load cost a token of the retry budget, a tenth of the calls, so that most refused calls were never offered to a target with free slots. On routes with an objective such a call goes only to a target that seems to have capacity, within the attempts of its route; the offer costs a message and no upstream's time, and is now free. Failures stay within the budget.

--- a/src/request/CallPlan.cpp
+++ b/src/request/CallPlan.cpp
@@ -297,10 +297,12 @@
 CallPlan::MayRetry(RetryReason aReason, MonotonicTime aNow)
 {
   // The other reasons don't add load: a call that was not handed over runs only
-  // once, and a draining target runs none.
+  // once, and a draining target runs none. A call with an objective that a
+  // guard refused goes only to a target that seems to have capacity.
+  const bool hasObjective = Setup().m_objective != MonotonicTime::max();
   const bool addsLoad = aReason == RetryReason::Failed ||
                         aReason == RetryReason::Shed ||
-                        aReason == RetryReason::Overload;
+                        (aReason == RetryReason::Overload && !hasObjective);
   return !addsLoad || Setup().m_policies.m_retries.TryRetry(
                         Setup().m_service.m_id, m_attempts, aNow);
 }
--- a/src/request/CallPlanTest.cpp
+++ b/src/request/CallPlanTest.cpp
@@ -114,6 +114,28 @@
   cr_assert(std::get<Finish>(step).m_answer.m_retryAfter == milliseconds(300));
 }
 
+/// Uneven load: the retry budget of a tenth kept calls that one guard had
+/// refused from targets with free slots. Failures stay within the budget.
+Test(CallPlan, ARefusedCallIsOfferedToAnotherTargetBeyondTheRetryBudget)
+{
+  EntryNode entry(2);
+  int offered = 0;
+  int retried = 0;
+  for (int i = 0; i < 40; ++i) {
+    const MonotonicTime now = kStart + i * milliseconds(200);
+    CallPlan refused = entry.Start(now);
+    refused.Begin(now);
+    offered += std::holds_alternative<SendAttempt>(refused.OnAnswer(
+      Refusal(RefusalReason::QueueFull, milliseconds(100)), now));
+    CallPlan shed = entry.Start(now);
+    shed.Begin(now);
+    retried += std::holds_alternative<SendAttempt>(
+      shed.OnAnswer(Refusal(RefusalReason::UpstreamShed, Duration(0)), now));
+  }
+  cr_assert_eq(offered, 40);
+  cr_assert(retried < 30, "%d", retried);
+}
+
 /// Overload: calls were offered to guards that had just refused such calls.
 Test(CallPlan, ACallThatAllTargetsHaveJustRefusedIsRefusedAtOnce)
 {
