Only 200 to 599 is a final answer of an upstream or of the store

Responses with a status such as 000, 099, 600 or 999 were handed on as answers, and the HTTP client took an interim response for the final one. Such bytes are no response: the call may have run, an idempotent one may go elsewhere, and the connection is closed. The HTTP client skips up to 8 interim responses. An entry node treats a peer's answer with such a status alike. Status lines without three digits and ambiguous lengths were refused already; tests hold it.

--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -35,6 +35,8 @@
 constexpr std::size_t kReadBytes = 8U << 10U;
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
+using Parser = http::response_parser<http::string_body>;
+
 http::request<http::string_body>
 ToBeast(const HttpRequestParts& aParts, const NetworkAddress& aPeer)
 {
@@ -193,22 +195,46 @@
     if (sendError) {
       co_return Fail(aPending, CodeOf(sendError), ".send", sendError);
     }
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(m_settings.m_maxBody.Value());
-    while (!parser.is_done()) {
-      const auto [readError, received] =
-        co_await http::async_read_some(*m_stream, m_buffer, parser, kAwait);
-      if (readError) {
-        co_return Fail(aPending, CodeOf(readError), ".receive", readError);
-      }
-      m_bytesReceived += received;
-      m_stream->expires_at(NextReadDeadline(aPending));
+    std::optional<Parser> parser;
+    error_code readError = co_await ReadResponse(aPending, parser);
+    for (int i = 0; i < kMaxInterimResponses && IsInterim(readError, *parser);
+         ++i) {
+      readError = co_await ReadResponse(aPending, parser);
+    }
+    if (!readError && !IsFinalStatus(parser->get().result_int())) {
+      readError = http::error::bad_status;
+    }
+    if (readError) {
+      co_return Fail(aPending, CodeOf(readError), ".receive", readError);
     }
     m_stream->expires_never();
-    if (!parser.keep_alive()) {
+    if (!parser->keep_alive()) {
       Disconnect();
     }
-    co_return FromBeast(parser.release());
+    co_return FromBeast(parser->release());
+  }
+
+  static bool IsInterim(const error_code& aError, const Parser& aParser)
+  {
+    return !aError && IsInterimStatus(aParser.get().result_int());
+  }
+
+  /// Reads one response, which may be an interim one.
+  asio::awaitable<error_code> ReadResponse(const Pending& aPending,
+                                           std::optional<Parser>& aParser)
+  {
+    aParser.emplace();
+    aParser->body_limit(m_settings.m_maxBody.Value());
+    while (!aParser->is_done()) {
+      const auto [error, received] =
+        co_await http::async_read_some(*m_stream, m_buffer, *aParser, kAwait);
+      if (error) {
+        co_return error;
+      }
+      m_bytesReceived += received;
+      m_stream->expires_at(NextReadDeadline(aPending));
+    }
+    co_return error_code();
   }
 
   std::chrono::steady_clock::time_point NextReadDeadline(
--- a/src/connection/HttpClient.h
+++ b/src/connection/HttpClient.h
@@ -1,6 +1,9 @@
 /// \file
 /// An HTTP/1.1 client for one peer over one keep-alive connection.
 ///
+/// Interim responses (1xx) are skipped, up to a bound. A response with another
+/// status that is not one of a final response (200 to 599) is Malformed.
+///
 /// Calls run one after the other, in the order of Send. Any error closes the
 /// connection, and the next call opens a new one. The deadline of a call is
 /// extended while its answer keeps arriving, so that a large answer may take
--- a/src/connection/HttpClientTest.cpp
+++ b/src/connection/HttpClientTest.cpp
@@ -167,4 +167,43 @@
   cr_assert_lt(ended.m_after, settings.m_connectTimeout * 2);
 }
 
+/// The platform's store or an upstream's health answer, through a faulty
+/// intermediary: an interim or invalid response must not pass for an answer.
+Test(HttpClient, ResponsesWithoutAValidStatusFail)
+{
+  const std::string rest = "content-length: 2\r\n\r\nok";
+  for (const char* status :
+       { "000", "099", "600", "999", "20", "2000", "2x0", "" }) {
+    const Ended ended = GetFromSlowServer(
+      "HTTP/1.1 " + std::string(status) + " OK\r\n" + rest, "", 0, {}, 1s);
+    cr_assert(!ended.m_answer, "\"%s\"", status);
+    cr_assert(
+      ended.m_answer.error().Code() == ErrorCode::Malformed, "\"%s\"", status);
+  }
+}
+
+Test(HttpClient, InterimResponsesAreSkippedAndBounded)
+{
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\na: b\r\n\r\n";
+  const std::string final = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+  const Ended one = GetFromSlowServer(interim + final, "", 0, {}, 1s);
+  cr_assert(one.m_answer.has_value());
+  cr_assert_eq(one.m_answer.value().m_status, 200);
+  const Ended endless = GetFromSlowServer(interim, interim, 100, {}, 10s);
+  cr_assert(!endless.m_answer);
+  cr_assert(endless.m_answer.error().Code() == ErrorCode::Malformed);
+}
+
+Test(HttpClient, TwoDifferentLengthsFail)
+{
+  const Ended ended = GetFromSlowServer(
+    "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nok!",
+    "",
+    0,
+    {},
+    1s);
+  cr_assert(!ended.m_answer);
+  cr_assert(ended.m_answer.error().Code() == ErrorCode::Malformed);
+}
+
 } // namespace tarragontray
--- a/src/connection/HttpFields.h
+++ b/src/connection/HttpFields.h
@@ -27,6 +27,9 @@
 /// fields after the last chunk: it buffers these until their end has arrived.
 inline constexpr std::size_t kMaxUnparsedBytes = 64U << 10U;
 
+/// Maximum number of interim responses (1xx) before the final one.
+inline constexpr int kMaxInterimResponses = 8;
+
 /// True for headers that apply to one connection only.
 inline bool
 IsHopByHop(std::string_view aLowerCaseName)
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -46,9 +46,6 @@
 /// Time limit for connecting.
 constexpr Duration kConnectLimit = std::chrono::seconds(1);
 
-/// Maximum number of interim answers (1xx) before the final answer of a call.
-constexpr int kMaxInterimAnswers = 8;
-
 /// A connection and its buffer, which its calls reuse.
 struct Connection
 {
@@ -208,25 +205,26 @@
     m_call.m_timeRemaining = m_deadline - m_clock.Now();
     StartWrite();
     m_connection.m_buffer.reserve(kReadBytes);
-    for (int interim = 0; interim <= kMaxInterimAnswers; ++interim) {
+    for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
       aParser.emplace();
       aParser->body_limit(kMaxCallBytes.Value());
       aParser->skip(m_call.m_http.m_method == "HEAD");
       const auto [error, received] = co_await http::async_read(
         m_connection.m_socket, m_connection.m_buffer, *aParser, kAwait);
-      if (error || !IsInterim(*aParser)) {
+      if (error) {
+        co_return error;
+      }
+      const unsigned status = aParser->get().result_int();
+      if (IsFinalStatus(status)) {
         co_return error;
       }
+      if (!IsInterimStatus(status)) {
+        break;
+      }
     }
     co_return make_error_code(http::error::bad_status);
   }
 
-  static bool IsInterim(const Parser& aParser)
-  {
-    return http::to_status_class(aParser.get().result_int()) ==
-           http::status_class::informational;
-  }
-
   /// Starts to write the request. The answer is read concurrently: an upstream
   /// may answer before it has read the whole request.
   void StartWrite()
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -6,8 +6,9 @@
 /// closed by the upstream; any other call uses a connection that became idle a
 /// moment ago, or a new one. The connection of an aborted or failed call is
 /// closed, so that a late answer never reaches another caller.
-/// Interim answers (1xx) are skipped. An answer fails when one of its parts
-/// exceeds its bound.
+/// Interim answers (1xx) are skipped, up to a bound. An answer fails when one
+/// of its parts exceeds its bound, or when its status is not one of a final
+/// response: such bytes are no answer, and the call may have run.
 #pragma once
 
 #include <cstddef>
--- a/src/connection/UpstreamPoolTest.cpp
+++ b/src/connection/UpstreamPoolTest.cpp
@@ -270,4 +270,70 @@
   }
 }
 
+/// A faulty upstream: bytes that are no response were handed to the caller, or
+/// ended the process when they were written to it.
+Test(UpstreamPool, ResponsesWithoutAValidStatusAreNoAnswers)
+{
+  const std::string rest = "content-length: 2\r\n\r\nok";
+  for (const char* status : { "000",
+                              "099",
+                              "600",
+                              "999",
+                              "20",
+                              "2000",
+                              "2x0",
+                              "-20",
+                              "",
+                              "65736" }) {
+    const std::string line =
+      "HTTP/1.1 " + std::string(status) + " OK\r\n" + rest;
+    ScriptedUpstream upstream({ line });
+    const Answer answer = upstream.Run(false);
+    cr_assert(answer.m_outcome == CallOutcome::Unknown, "\"%s\"", status);
+    cr_assert_eq(answer.m_http.m_status, 0);
+    cr_assert(answer.m_http.m_body.empty());
+  }
+  for (const char* status : { "200", "404", "599" }) {
+    ScriptedUpstream upstream(
+      { "HTTP/1.1 " + std::string(status) + " OK\r\n" + rest });
+    cr_assert(upstream.Run(false).m_outcome == CallOutcome::Done);
+  }
+}
+
+/// After such bytes the connection must not carry another call's answer.
+Test(UpstreamPool, AConnectionWithAnInvalidResponseIsNotUsedAgain)
+{
+  const std::string rest = "content-length: 0\r\n\r\n";
+  ScriptedUpstream upstream(
+    { "HTTP/1.1 600 Odd\r\n" + rest, "HTTP/1.1 200 OK\r\n" + rest });
+  cr_assert(upstream.Run(false).m_outcome == CallOutcome::Unknown);
+  upstream.Run(false);
+  cr_assert_eq(upstream.m_connections, 2);
+}
+
+Test(UpstreamPool, InterimResponsesWithoutEndAreNoAnswer)
+{
+  std::string interim;
+  for (int i = 0; i < 1'000; ++i) {
+    interim += "HTTP/1.1 102 Processing\r\n\r\n";
+  }
+  ScriptedUpstream upstream({ interim });
+  cr_assert(upstream.Run(false).m_outcome == CallOutcome::Unknown);
+}
+
+Test(UpstreamPool, ResponsesWhoseLengthIsAmbiguousAreNoAnswers)
+{
+  for (const char* lengths :
+       { "content-length: 2\r\ncontent-length: 3\r\n",
+         "content-length: 2, 3\r\n",
+         "content-length: 2\r\ntransfer-encoding: chunked\r\n",
+         "content-length: -2\r\n" }) {
+    ScriptedUpstream upstream(
+      { "HTTP/1.1 200 OK\r\n" + std::string(lengths) + "\r\nok!" });
+    cr_assert(upstream.Run(false).m_outcome == CallOutcome::Unknown,
+              "after \"%s\"",
+              lengths);
+  }
+}
+
 } // namespace tarragontray
--- a/src/request/Call.h
+++ b/src/request/Call.h
@@ -175,6 +175,21 @@
   bool operator==(const UpstreamNotice&) const = default;
 };
 
+/// True for the status of a final response. Others that have three digits don't
+/// belong to HTTP (RFC 9110, section 15) or to an interim response.
+constexpr bool
+IsFinalStatus(unsigned aStatus)
+{
+  return aStatus >= 200 && aStatus <= 599;
+}
+
+/// True for the status of an interim response.
+constexpr bool
+IsInterimStatus(unsigned aStatus)
+{
+  return aStatus >= 100 && aStatus <= 199;
+}
+
 /// How one attempt ended.
 struct Answer
 {
@@ -184,6 +199,7 @@
   /// With NotRun: how long the caller should wait before a retry; zero when not
   /// stated.
   Duration m_retryAfter{ 0 };
+  /// With Done, a response with a final status.
   HttpAnswerParts m_http;
   LoadReport m_load;
   /// Time in the upstream, without queueing and network time.
--- a/src/request/CallPlan.cpp
+++ b/src/request/CallPlan.cpp
@@ -35,6 +35,14 @@
   return aAnswer.m_http.m_status >= kFirstServerError;
 }
 
+/// A peer's answer that no upstream can have given: the call may have run.
+bool
+IsInvalid(const Answer& aAnswer)
+{
+  return aAnswer.m_outcome == CallOutcome::Done &&
+         !IsFinalStatus(aAnswer.m_http.m_status);
+}
+
 bool
 IsCallerError(const Answer& aAnswer)
 {
@@ -107,6 +115,9 @@
 Step
 CallPlan::OnAnswer(const Answer& aAnswer, MonotonicTime aNow)
 {
+  if (IsInvalid(aAnswer)) {
+    return OnAnswer(Answer{}, aNow);
+  }
   if (aAnswer.m_outcome == CallOutcome::NotRun) {
     return OnRefused(aAnswer, aNow);
   }
@@ -180,7 +191,9 @@
   switch (aStatus) {
     case OperationStatus::Done:
       if (aAnswer) {
-        return IsAskingFormerHome() ? End(*aAnswer) : OnAnswer(*aAnswer, aNow);
+        return IsAskingFormerHome()
+                 ? End(IsInvalid(*aAnswer) ? Answer{} : *aAnswer)
+                 : OnAnswer(*aAnswer, aNow);
       }
       break;
     case OperationStatus::Running:
--- a/src/request/CallPlanTest.cpp
+++ b/src/request/CallPlanTest.cpp
@@ -20,8 +20,9 @@
 class EntryNode
 {
 public:
-  explicit EntryNode(std::size_t aTargets)
+  explicit EntryNode(std::size_t aTargets, bool aIsIdempotent = false)
   {
+    m_route.m_idempotent = aIsIdempotent;
     m_route.m_name = RouteName("read");
     m_route.m_timeout = kTimeout;
     m_view.m_split.m_from = UpstreamVersion("v1");
@@ -163,4 +164,25 @@
   cr_assert(IsSent(entry, kStart + milliseconds(1)));
 }
 
+/// A peer with a fault, or of an earlier version, passes on bytes that are no
+/// response; writing such a status to the caller throws.
+Test(CallPlan, APeersAnswerWithoutAValidStatusIsNoAnswer)
+{
+  for (const std::uint16_t status : { 0, 99, 100, 600, 999, 65'535 }) {
+    for (const bool isIdempotent : { false, true }) {
+      EntryNode entry(2, isIdempotent);
+      CallPlan plan = entry.Start(kStart);
+      plan.Begin(kStart);
+      Answer answer;
+      answer.m_outcome = CallOutcome::Done;
+      answer.m_http.m_status = status;
+      const Step step = plan.OnAnswer(answer, kStart);
+      cr_assert(std::holds_alternative<SendAttempt>(step) == isIdempotent);
+      if (const auto* finish = std::get_if<Finish>(&step)) {
+        cr_assert(finish->m_answer.m_outcome == CallOutcome::Unknown);
+      }
+    }
+  }
+}
+
 } // namespace tarragontray
