--- a/src/request/CallPlan.cpp
+++ b/src/request/CallPlan.cpp
@@ -35,6 +35,14 @@
   return aAnswer.m_http.m_status >= kFirstServerError;
 }
 
+/// A peer's answer that no upstream can have given: the call may have run.
+bool
+IsInvalid(const Answer& aAnswer)
+{
+  return aAnswer.m_outcome == CallOutcome::Done &&
+         !IsFinalStatus(aAnswer.m_http.m_status);
+}
+
 bool
 IsCallerError(const Answer& aAnswer)
 {
@@ -93,6 +101,10 @@
 Step
 CallPlan::SendFirst(MonotonicTime aNow)
 {
+  if (const std::optional<Duration> wait = m_targets.WaitEverywhere(aNow)) {
+    m_retryAfter = std::min(m_retryAfter, *wait);
+    return End(NotRun(RefusalReason::DeadlineTooShort));
+  }
   const Target* target = m_targets.First(aNow);
   if (target == nullptr) {
     return End(NotRun(RefusalReason::NoTarget));
@@ -104,6 +116,9 @@
 Step
 CallPlan::OnAnswer(const Answer& aAnswer, MonotonicTime aNow)
 {
+  if (IsInvalid(aAnswer)) {
+    return OnAnswer(Answer{}, aNow);
+  }
   if (aAnswer.m_outcome == CallOutcome::NotRun) {
     return OnRefused(aAnswer, aNow);
   }
@@ -142,8 +157,12 @@
   const bool provesNotRun =
     reason != RetryReason::Draining || !m_targets.IsPinned();
   Answer refused = provesNotRun ? aAnswer : Answer{};
-  m_retryAfter = std::min(m_retryAfter, aAnswer.m_retryAfter);
-  refused.m_retryAfter = m_retryAfter;
+  if (reason == RetryReason::Overload) {
+    m_targets.RecordRefusal(*m_target, aAnswer.m_retryAfter, aNow);
+  }
+  if (aAnswer.m_retryAfter > Duration::zero()) {
+    m_retryAfter = std::min(m_retryAfter, aAnswer.m_retryAfter);
+  }
   return RetryOrFinish(std::move(refused), reason, aNow);
 }
 
@@ -173,7 +192,9 @@
   switch (aStatus) {
     case OperationStatus::Done:
       if (aAnswer) {
-        return IsAskingFormerHome() ? End(*aAnswer) : OnAnswer(*aAnswer, aNow);
+        return IsAskingFormerHome()
+                 ? End(IsInvalid(*aAnswer) ? Answer{} : *aAnswer)
+                 : OnAnswer(*aAnswer, aNow);
       }
       break;
     case OperationStatus::Running:
@@ -290,10 +311,12 @@
 CallPlan::MayRetry(RetryReason aReason, MonotonicTime aNow)
 {
   // The other reasons don't add load: a call that was not handed over runs only
-  // once, and a draining target runs none.
+  // once, and a draining target runs none. A call with an objective that a
+  // guard refused goes only to a target that seems to have capacity.
+  const bool hasObjective = Setup().m_objective != MonotonicTime::max();
   const bool addsLoad = aReason == RetryReason::Failed ||
                         aReason == RetryReason::Shed ||
-                        aReason == RetryReason::Overload;
+                        (aReason == RetryReason::Overload && !hasObjective);
   return !addsLoad || Setup().m_policies.m_retries.TryRetry(
                         Setup().m_service.m_id, m_attempts, aNow);
 }
@@ -330,6 +353,10 @@
 CallPlan::End(Answer aAnswer)
 {
   m_state = State::Finished;
+  const bool isStated = m_retryAfter != Duration::max();
+  if (isStated && aAnswer.m_outcome == CallOutcome::NotRun) {
+    aAnswer.m_retryAfter = m_retryAfter;
+  }
   return Finish{ std::move(aAnswer) };
 }
 
--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -17,6 +17,10 @@
 constexpr Duration kReplyMargin = std::chrono::milliseconds(10);
 constexpr int kReplyMarginDivisor = 32;
 
+/// The longest wait that a refusal states. Upstreams and loads change within
+/// seconds.
+constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
+
 Duration
 ReplyMargin(Duration aTimeRemaining)
 {
@@ -394,7 +398,7 @@
   const bool wasRunning = m_entries.at(*ticket).m_isRunning;
   RemoveWaiter(*ticket, waiter, aNow, actions);
   if (!wasRunning && !m_entries.contains(*ticket)) {
-    ReplyNotRun(waiter, RefusalReason::Cancelled, actions);
+    ReplyNotRun(waiter, RefusalReason::Cancelled, Duration(0), actions);
   }
   RunNext(aNow, actions);
   return actions;
@@ -582,12 +586,33 @@
   RefusedCall& refused = aActions.m_refused.back();
   refused.m_waited = aNow - entry.m_arrived;
   refused.m_left = entry.m_deadline - aNow;
+  refused.m_retryAfter = RetryAfter(aTicket, entry, aReason, aNow);
   for (const Waiter& waiter : entry.m_waiters) {
-    ReplyNotRun(waiter, aReason, aActions);
+    ReplyNotRun(waiter, aReason, refused.m_retryAfter, aActions);
     m_links.Remove(waiter);
   }
 }
 
+Duration
+Guard::RetryAfter(Ticket aTicket,
+                  const Entry& aEntry,
+                  RefusalReason aReason,
+                  MonotonicTime aNow)
+{
+  if (aReason != RefusalReason::QueueFull &&
+      aReason != RefusalReason::DeadlineTooShort &&
+      aReason != RefusalReason::FairShare) {
+    return Duration(0);
+  }
+  const WaitingCall call = WaitingCallOf(aTicket, aEntry, aNow);
+  const Duration forSlot = m_policy->ExpectedStart(call, Capacity(aNow), aNow);
+  const Duration wait = aEntry.m_hadDeferredBody
+                          ? std::max(forSlot, m_bodies.ExpectedWait())
+                          : forSlot;
+  return std::min(kMaxRetryAfter,
+                  std::max(wait, m_starts.RetryAfter(m_policy->Size())));
+}
+
 void
 Guard::RefuseAtOnce(const Call& aCall,
                     CallerLink aFrom,
@@ -595,7 +620,7 @@
                     GuardActions& aActions)
 {
   RecordRefusal(aCall, aReason, aActions);
-  ReplyNotRun({ aFrom, aCall.m_id }, aReason, aActions);
+  ReplyNotRun({ aFrom, aCall.m_id }, aReason, Duration(0), aActions);
 }
 
 void
@@ -620,16 +645,14 @@
 void
 Guard::ReplyNotRun(const Waiter& aWaiter,
                    RefusalReason aReason,
+                   Duration aRetryAfter,
                    GuardActions& aActions)
 {
   ++m_refused[static_cast<std::size_t>(aReason)];
   Answer answer;
   answer.m_outcome = CallOutcome::NotRun;
   answer.m_refusal = aReason;
-  if (aReason == RefusalReason::QueueFull ||
-      aReason == RefusalReason::DeadlineTooShort) {
-    answer.m_retryAfter = m_starts.RetryAfter(m_policy->Size());
-  }
+  answer.m_retryAfter = aRetryAfter;
   ReplyTo(aWaiter, std::move(answer), aActions);
 }
 
--- a/src/request/Guard.h
+++ b/src/request/Guard.h
@@ -75,6 +75,8 @@
   Duration m_waited{ 0 };
   /// Time to its deadline; negative when the deadline had passed.
   Duration m_left{ 0 };
+  /// The wait that the refusal states; zero when it states none.
+  Duration m_retryAfter{ 0 };
 };
 
 /// Cancel a running call.
@@ -264,7 +266,14 @@
                             GuardActions& aActions);
   void ReplyNotRun(const Waiter& aWaiter,
                    RefusalReason aReason,
+                   Duration aRetryAfter,
                    GuardActions& aActions);
+  /// When a slot is expected for a call that is refused because of load; zero
+  /// for other reasons.
+  Duration RetryAfter(Ticket aTicket,
+                      const Entry& aEntry,
+                      RefusalReason aReason,
+                      MonotonicTime aNow);
   UpstreamCapacity Capacity(MonotonicTime aNow);
   /// Records the pace that the upstream reports.
   void RecordLoad(const UpstreamNotice& aNotice, MonotonicTime aNow);
