--- a/src/request/ObjectiveAdmissionTest.cpp
+++ b/src/request/ObjectiveAdmissionTest.cpp
@@ -212,6 +212,55 @@
   cr_assert_eq(TakeNext(*policy), 1);
 }
 
+/// Load: calls that wait as long as they may under overload. Guards against
+/// starts that leave only the mean service time to the objective, and against
+/// a margin that no call with a short objective could keep.
+Test(ObjectiveAdmission, CallKeepsAMarginBeforeItsObjective)
+{
+  const auto policy = MakePolicy();
+  policy->Offer(MakeCall(1, milliseconds(600), 0), kBusy, kStart);
+  policy->Offer(MakeCall(2, milliseconds(900), 2), kBusy, kStart);
+  // 290 ms remain to the objective of the first call, less than 1.5 times 200.
+  const MonotonicTime later = kStart + milliseconds(310);
+  policy->TakeExpired(later);
+  cr_assert_eq(policy->Next(kFree, later)->Value(), 2);
+  // A call that can wait for 60 ms keeps half of them.
+  WaitingCall brief = MakeCall(3, milliseconds(310 + 260), 0);
+  policy->Offer(brief, kFree, later);
+  policy->Offer(MakeCall(4, milliseconds(900), 2), kFree, later);
+  policy->TakeExpired(later + milliseconds(25));
+  cr_assert_eq(policy->Next(kFree, later)->Value(), 3);
+}
+
+/// Load: inner calls of a less urgent kind at upstreams that more urgent calls
+/// keep full. Guards against refusing them after their parents' work, and
+/// against starving the urgent calls.
+Test(ObjectiveAdmission, QuickCallIsRaisedByOnePriorityWithinAThirdOfTheSlots)
+{
+  const auto policy = MakePolicy(64);
+  const auto offer =
+    [&](std::uint64_t aTicket, std::uint8_t aPriority, bool aIsQuick) {
+      WaitingCall call = MakeCall(
+        aTicket, std::chrono::seconds(20), aPriority, std::chrono::seconds(20));
+      call.m_isQuick = aIsQuick;
+      policy->Offer(call, kFree, kStart);
+    };
+  offer(1, 1, false);
+  offer(2, 0, false);
+  offer(3, 2, true);
+  cr_assert_eq(TakeNext(*policy), 2);
+  cr_assert_eq(TakeNext(*policy), 3);
+  cr_assert_eq(TakeNext(*policy), 1);
+  // Four calls of 200 ms within 2 s are more than a third of the one slot.
+  for (std::uint64_t ticket = 10; ticket < 13; ++ticket) {
+    offer(ticket, 2, true);
+    cr_assert_eq(TakeNext(*policy), ticket);
+  }
+  offer(20, 1, false);
+  offer(21, 2, true);
+  cr_assert_eq(TakeNext(*policy), 20);
+}
+
 Test(ServiceTimes, RareLongCallsDetermineWhichRoutesAreQuick)
 {
   const RouteName lookup("lookup");
