--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -144,6 +144,16 @@
   prometheus::Gauge& m_unreadableLoads =
     Gauge("guard_unreadable_loads",
           "Answers whose load report could not be read since the start.");
+  prometheus::Gauge& m_isLimitedAsCold =
+    Gauge("guard_cold", "1 while the upstream is or may be cold.");
+  prometheus::Gauge& m_delayedAsCold =
+    Gauge("guard_cold_delayed",
+          "Calls that waited while the upstream was or might have been cold.");
+  prometheus::Gauge& m_refusedAsCold =
+    Gauge("guard_cold_refused",
+          "Calls refused while the upstream was or might have been cold.");
+  prometheus::Gauge& m_healthRequests =
+    Gauge("guard_health_requests", "Health requests since the start.");
 };
 
 Metrics::Metrics(const VmId& aVm, const DataCentreId& aDataCentre)
@@ -199,6 +209,13 @@
   m_state->m_pace.Set(aStats.m_load.m_pace.Value());
   m_state->m_unreadableLoads.Set(
     static_cast<double>(aStats.m_unreadableLoads.Value()));
+  m_state->m_isLimitedAsCold.Set(aStats.m_isLimitedAsCold ? 1 : 0);
+  m_state->m_delayedAsCold.Set(
+    static_cast<double>(aStats.m_delayedAsCold.Value()));
+  m_state->m_refusedAsCold.Set(
+    static_cast<double>(aStats.m_refusedAsCold.Value()));
+  m_state->m_healthRequests.Set(
+    static_cast<double>(aStats.m_healthRequests.Value()));
 }
 
 std::string
--- a/src/process/Metrics.h
+++ b/src/process/Metrics.h
@@ -58,6 +58,12 @@
   CallCount m_ran;
   /// Answers whose load report could not be read.
   CallCount m_unreadableLoads;
+  /// Whether starts are limited because the upstream is or may be cold.
+  bool m_isLimitedAsCold = false;
+  /// Calls that waited, and that were refused, under that limit.
+  CallCount m_delayedAsCold;
+  CallCount m_refusedAsCold;
+  CallCount m_healthRequests;
 };
 
 /// See the file comment.
--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -278,6 +278,7 @@
 void
 Guard::RunNext(MonotonicTime aNow, GuardActions& aActions)
 {
+  UpdateCold(aNow, aActions);
   for (const Refused& refused : m_policy->TakeExpired(aNow)) {
     Refuse(refused.m_ticket, refused.m_reason, aNow, aActions);
   }
@@ -296,7 +297,9 @@
       break;
     }
     m_starts.OnStart();
+    m_coldStarts.OnStart();
     Entry& entry = m_entries.at(*next);
+    m_coldCounters.m_delayed += m_coldRate && entry.m_arrived < aNow ? 1 : 0;
     entry.m_isRunning = true;
     m_waitingWithBody -= entry.m_hadDeferredBody ? 1 : 0;
     entry.m_started = aNow;
@@ -309,6 +312,89 @@
   RequestBodies(aNow, aActions);
 }
 
+void
+Guard::UpdateCold(MonotonicTime aNow, GuardActions& aActions)
+{
+  if (!m_settings.m_cold) {
+    return;
+  }
+  m_cold.SetInUse(IsServing() && !IsDraining());
+  m_cold.Tick(aNow);
+  if (const auto rate = m_cold.Rate(); rate != m_coldRate) {
+    if (rate.has_value() != m_coldRate.has_value()) {
+      aActions.m_coldChange = ColdChange{ rate.has_value(), m_cold.Reason() };
+    }
+    m_coldRate = rate;
+    // The stated rate and half of the slack as a burst: together well below
+    // what is allowed, since a call may be counted in the second in which it
+    // arrives.
+    const ColdAllowance& allowed = *m_settings.m_cold;
+    const double share = std::min(1.0, allowed.m_excess);
+    m_coldStarts.SetLimit(rate ? std::optional(CallRate(rate->Value() * share))
+                               : std::nullopt,
+                          aNow,
+                          std::max(1.0, allowed.m_slack / 2));
+    if (rate) {
+      OfferAgain(aNow, aActions);
+    }
+  }
+  if (m_cold.TakeHealthRequest(aNow)) {
+    ++m_coldCounters.m_healthRequests;
+    aActions.m_healthTarget = m_cold.HealthTarget();
+  }
+}
+
+void
+Guard::OfferAgain(MonotonicTime aNow, GuardActions& aActions)
+{
+  const std::vector<Ticket> waiting = WaitingTickets();
+  for (const Ticket ticket : waiting) {
+    m_policy->Remove(ticket);
+  }
+  for (const Ticket ticket : waiting) {
+    const auto found = m_entries.find(ticket);
+    if (found == m_entries.end()) {
+      continue;
+    }
+    // A call without its body is not admitted yet.
+    if (found->second.m_bodySource) {
+      continue;
+    }
+    const WaitingCall call = WaitingCallOf(ticket, found->second, aNow);
+    for (const Refused& refused : m_policy->Offer(call, Capacity(aNow), aNow)) {
+      Refuse(refused.m_ticket, refused.m_reason, aNow, aActions);
+    }
+  }
+}
+
+GuardActions
+Guard::SetColdBounds(const ColdBounds& aBounds, MonotonicTime aNow)
+{
+  GuardActions actions;
+  m_cold.SetBounds(aBounds);
+  RunNext(aNow, actions);
+  return actions;
+}
+
+GuardActions
+Guard::OnHeartbeat(const UpstreamHeartbeat& aHeartbeat, MonotonicTime aNow)
+{
+  GuardActions actions;
+  m_cold.OnHeartbeat(aHeartbeat, aNow);
+  RunNext(aNow, actions);
+  return actions;
+}
+
+GuardActions
+Guard::OnHealthAnswer(std::optional<Duration> aColdRemaining,
+                      MonotonicTime aNow)
+{
+  GuardActions actions;
+  m_cold.OnHealthAnswer(aColdRemaining, aNow);
+  RunNext(aNow, actions);
+  return actions;
+}
+
 GuardActions
 Guard::Finished(Ticket aTicket, Answer aAnswer, MonotonicTime aNow)
 {
@@ -321,6 +407,9 @@
   m_entries.erase(found);
   --m_running;
   m_policy->Released(entry.m_call.m_caller);
+  if (!entry.m_isAborted) {
+    m_cold.OnCallEnded(aAnswer, aNow);
+  }
   aAnswer.m_serviceTime = aNow - entry.m_started;
   if (aAnswer.m_notice) {
     RecordLoad(*aAnswer.m_notice, aNow);
@@ -367,6 +456,8 @@
   notice.m_load.reset();
   notice.m_isLoadUnreadable = false;
   notice.m_isLeaving |= m_notice.m_isLeaving;
+  // It differs in each answer; ColdUpstream reads it.
+  notice.m_coldRemaining.reset();
   if (notice == m_notice) {
     return;
   }
@@ -449,6 +540,7 @@
     RemoveWaiting(aTicket);
     Refuse(aTicket, RefusalReason::Cancelled, aNow, aActions);
   } else if (entry.m_call.m_idempotent) {
+    entry.m_isAborted = true;
     aActions.m_aborts.push_back({ aTicket });
   }
 }
@@ -502,6 +594,10 @@
   if (m_nextStart && (!next || *m_nextStart < *next)) {
     next = m_nextStart;
   }
+  const auto cold = m_settings.m_cold ? m_cold.NextTick() : std::nullopt;
+  if (cold && (!next || *cold < *next)) {
+    next = cold;
+  }
   return next;
 }
 
@@ -509,6 +605,7 @@
 Guard::SetUpstream(const UpstreamAnnouncement& aUpstream, MonotonicTime aNow)
 {
   GuardActions actions;
+  const bool wasServing = IsServing();
   const bool isReplaced = aUpstream.m_service != m_upstream.m_service ||
                           aUpstream.m_version != m_upstream.m_version;
   m_upstream = aUpstream;
@@ -518,6 +615,10 @@
     m_notice.m_isLeaving = false;
   }
   const bool isGone = aUpstream.m_state == UpstreamState::Absent || isReplaced;
+  if (wasServing && aUpstream.m_state == UpstreamState::Absent) {
+    m_cold.Doubt(DoubtReason::Silent, aNow);
+  }
+  UpdateCold(aNow, actions);
   if (isGone || aUpstream.m_state == UpstreamState::Draining) {
     RefuseWaiting(isGone ? RefusalReason::UpstreamGone
                          : RefusalReason::Draining,
@@ -533,10 +634,13 @@
 Guard::SetEvacuated(bool aIsEvacuated, MonotonicTime aNow)
 {
   GuardActions actions;
-  m_isEvacuated = aIsEvacuated;
+  const bool wasEvacuated = std::exchange(m_isEvacuated, aIsEvacuated);
   if (m_isEvacuated) {
     RefuseWaiting(RefusalReason::Evacuated, aNow, actions);
+  } else if (wasEvacuated) {
+    m_cold.Doubt(DoubtReason::Evacuated, aNow);
   }
+  UpdateCold(aNow, actions);
   return actions;
 }
 
@@ -553,6 +657,15 @@
 Guard::RefuseWaiting(RefusalReason aReason,
                      MonotonicTime aNow,
                      GuardActions& aActions)
+{
+  for (const Ticket ticket : WaitingTickets()) {
+    RemoveWaiting(ticket);
+    Refuse(ticket, aReason, aNow, aActions);
+  }
+}
+
+std::vector<Ticket>
+Guard::WaitingTickets() const
 {
   std::vector<Ticket> waiting;
   for (const auto& [ticket, entry] : m_entries) {
@@ -561,10 +674,7 @@
     }
   }
   std::sort(waiting.begin(), waiting.end());
-  for (const Ticket ticket : waiting) {
-    RemoveWaiting(ticket);
-    Refuse(ticket, aReason, aNow, aActions);
-  }
+  return waiting;
 }
 
 void
@@ -582,6 +692,9 @@
   if (RunsAtMostOnce(entry.m_call)) {
     m_operations.Release(KeyOf(entry.m_call), aNow);
   }
+  const bool isForCapacity = aReason == RefusalReason::DeadlineTooShort ||
+                             aReason == RefusalReason::QueueFull;
+  m_coldCounters.m_refused += m_coldRate && isForCapacity ? 1 : 0;
   RecordRefusal(entry.m_call, aReason, aActions);
   RefusedCall& refused = aActions.m_refused.back();
   refused.m_waited = aNow - entry.m_arrived;
@@ -610,7 +723,9 @@
                           ? std::max(forSlot, m_bodies.ExpectedWait())
                           : forSlot;
   return std::min(kMaxRetryAfter,
-                  std::max(wait, m_starts.RetryAfter(m_policy->Size())));
+                  std::max({ wait,
+                             m_starts.RetryAfter(m_policy->Size()),
+                             m_coldStarts.RetryAfter(m_policy->Size()) }));
 }
 
 void
@@ -663,16 +778,18 @@
   return { m_upstream.m_slots,
            m_running,
            AtPace(m_serviceTimes.Mean(), m_paceNow),
-           m_starts.Interval(),
-           m_starts.Delay(aNow) };
+           std::max(m_starts.Interval(), m_coldStarts.Interval()),
+           std::max(m_starts.Delay(aNow), m_coldStarts.Delay(aNow)) };
 }
 
 LoadReport
 Guard::Load() const
 {
+  const Duration mean = m_serviceTimes.Mean();
   return { m_running,
            static_cast<std::uint32_t>(m_policy->Size() + m_bodies.Size()),
-           m_starts.UsableSlots(m_upstream.m_slots, m_serviceTimes.Mean()),
+           std::min(m_starts.UsableSlots(m_upstream.m_slots, mean),
+                    m_coldStarts.UsableSlots(m_upstream.m_slots, mean)),
            m_paceNow };
 }
 
