--- a/src/connection/PeerLink.cpp
+++ b/src/connection/PeerLink.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "base/Hash.h"
 #include "connection/Sockets.h"
 
 namespace tarragontray {
@@ -31,6 +32,15 @@
   return answer;
 }
 
+LinkFailure
+ConnectionLost(LostStage aStage, const NetworkAddress& aPeer)
+{
+  return {
+    aStage,
+    Error(ErrorCode::Closed, "link.call", aPeer.ToString(), "connection lost")
+  };
+}
+
 CallId
 IdOf(const PeerMessage& aMessage)
 {
@@ -46,6 +56,20 @@
   return CallId(0);
 }
 
+/// Takes a large body out of the call. \return the body; empty when the call
+/// keeps it.
+std::string
+DeferBody(Call& aCall)
+{
+  std::string& body = aCall.m_http.m_body;
+  if (body.size() <= kMaxInlineBodyBytes.Value()) {
+    return {};
+  }
+  aCall.m_deferredBody =
+    DeferredBody{ ByteCount(body.size()), StableHash(body) };
+  return std::exchange(body, {});
+}
+
 } // namespace
 
 std::shared_ptr<PeerLink>
@@ -72,9 +96,9 @@
 }
 
 asio::awaitable<Exchange<Answer>>
-PeerLink::Run(Call aCall, Duration aTimeout)
+PeerLink::Run(Call aCall, Duration aTimeout, Duration aWithdrawAfter)
 {
-  return RoundTrip<Answer>(std::move(aCall), aTimeout);
+  return RoundTrip<Answer>(std::move(aCall), aTimeout, aWithdrawAfter);
 }
 
 asio::awaitable<Exchange<OperationReply>>
@@ -114,11 +138,14 @@
 
 template<typename Reply, typename Request>
 asio::awaitable<Exchange<Reply>>
-PeerLink::RoundTrip(Request aRequest, Duration aTimeout)
+PeerLink::RoundTrip(Request aRequest,
+                    Duration aTimeout,
+                    Duration aWithdrawAfter)
 {
   const auto self = shared_from_this();
   const ExchangeCount count(*this);
-  const MonotonicTime deadline = m_clock.Now() + aTimeout;
+  const MonotonicTime start = m_clock.Now();
+  const MonotonicTime deadline = start + aTimeout;
   if constexpr (std::is_same_v<Reply, Answer>) {
     if (m_isLeaving) {
       co_return RefusalOfLeavingPeer();
@@ -133,16 +160,25 @@
       co_return RefusalOfLeavingPeer();
     }
   }
+  if (!m_stream->IsOpen()) {
+    co_return ConnectionLost(LostStage::NotSent, m_peer);
+  }
   aRequest.m_id = CallId(m_nextId++);
   const auto pending = std::make_shared<Pending>(m_context);
   m_pending.emplace(aRequest.m_id, pending);
+  if constexpr (std::is_same_v<Request, Call>) {
+    pending->m_deferredBody = DeferBody(aRequest);
+  }
   const CallId id = aRequest.m_id;
   m_stream->Send(std::move(aRequest));
   pending->m_queuedBytes = m_stream->BytesQueued();
   RestartReceiveTimeout();
-  pending->m_timer.expires_after(
-    std::max(deadline - m_clock.Now(), Duration(0)));
-  co_await pending->m_timer.async_wait(kAwait);
+  const bool isWithdrawn = aWithdrawAfter < aTimeout;
+  const MonotonicTime end = isWithdrawn ? start + aWithdrawAfter : deadline;
+  if (co_await IsPendingUntil(pending, end) && isWithdrawn) {
+    m_stream->Send(CancelCall{ id, true });
+    co_await IsPendingUntil(pending, deadline);
+  }
   m_pending.erase(id);
   if (pending->m_reply) {
     if (Reply* reply = std::get_if<Reply>(&*pending->m_reply)) {
@@ -151,16 +187,23 @@
     Close();
   }
   if (pending->m_isLost || IsClosed()) {
-    co_return LinkFailure{ LostStage::Sent,
-                           Error(ErrorCode::Closed,
-                                 "link.call",
-                                 m_peer.ToString(),
-                                 "connection lost") };
+    co_return ConnectionLost(m_stream->MayHaveWritten(pending->m_queuedBytes)
+                               ? LostStage::Sent
+                               : LostStage::NotSent,
+                             m_peer);
   }
   m_stream->Send(CancelCall{ id });
   co_return ExchangeTimeout{};
 }
 
+asio::awaitable<bool>
+PeerLink::IsPendingUntil(std::shared_ptr<Pending> aPending, MonotonicTime aTime)
+{
+  aPending->m_timer.expires_after(std::max(aTime - m_clock.Now(), Duration(0)));
+  const auto [error] = co_await aPending->m_timer.async_wait(kAwait);
+  co_return !error && !aPending->m_reply && !aPending->m_isLost;
+}
+
 asio::awaitable<Result<void>>
 PeerLink::EnsureOpen()
 {
@@ -253,10 +296,34 @@
     CloseIfUnused();
     return;
   }
+  if (const BodyRequest* request = std::get_if<BodyRequest>(&aMessage)) {
+    SendBody(*request);
+    return;
+  }
   const CallId id = IdOf(aMessage);
   Complete(id, std::move(aMessage));
 }
 
+void
+PeerLink::SendBody(const BodyRequest& aRequest)
+{
+  // A call that has timed out has no entry; its cancellation is on its way.
+  const auto found = m_pending.find(aRequest.m_id);
+  if (found == m_pending.end()) {
+    return;
+  }
+  Pending& pending = *found->second;
+  const std::string& body = pending.m_deferredBody;
+  if (aRequest.m_offset.Value() >= body.size()) {
+    Close();
+    return;
+  }
+  m_stream->Send(BodyData{
+    aRequest.m_id,
+    body.substr(aRequest.m_offset.Value(), aRequest.m_size.Value()) });
+  pending.m_queuedBytes = m_stream->BytesQueued();
+}
+
 void
 PeerLink::CloseIfUnused()
 {
--- a/src/connection/PeerLink.h
+++ b/src/connection/PeerLink.h
@@ -66,8 +66,12 @@
                                           const NetworkAddress& aPeer,
                                           const LinkSettings& aSettings);
 
-  /// Sends a call and waits for its answer. Sets the call's id.
-  boost::asio::awaitable<Exchange<Answer>> Run(Call aCall, Duration aTimeout);
+  /// Sends a call and waits for its answer. Sets the call's id. A body above
+  /// kMaxInlineBodyBytes is sent in the pieces that the peer requests.
+  /// \param aWithdrawAfter when there is no answer by then, the peer is asked
+  /// to refuse the call unless it has started.
+  boost::asio::awaitable<Exchange<Answer>>
+  Run(Call aCall, Duration aTimeout, Duration aWithdrawAfter = Duration::max());
 
   /// Queries the status of an operation. Sets the query's id.
   boost::asio::awaitable<Exchange<OperationReply>> Ask(OperationQuery aQuery,
@@ -112,6 +116,8 @@
     boost::asio::steady_timer m_timer;
     std::optional<PeerMessage> m_reply;
     bool m_isLost = false;
+    /// The body of a call that the peer has still to request.
+    std::string m_deferredBody;
     /// FrameStream::BytesQueued after its request was queued.
     std::uint64_t m_queuedBytes = 0;
   };
@@ -139,10 +145,17 @@
   /// large request is in transit.
   Duration ReceiveTimeout() const;
   template<typename Reply, typename Request>
-  boost::asio::awaitable<Exchange<Reply>> RoundTrip(Request aRequest,
-                                                    Duration aTimeout);
+  boost::asio::awaitable<Exchange<Reply>> RoundTrip(
+    Request aRequest,
+    Duration aTimeout,
+    Duration aWithdrawAfter = Duration::max());
+  /// Waits for the reply, the loss of the link or the caller's cancellation.
+  /// Returns true when none of them has come by aTime.
+  boost::asio::awaitable<bool> IsPendingUntil(std::shared_ptr<Pending> aPending,
+                                              MonotonicTime aTime);
   void Dispatch(PeerMessage aMessage);
   void Complete(CallId aId, PeerMessage aMessage);
+  void SendBody(const BodyRequest& aRequest);
   void RestartReceiveTimeout();
   /// Closes a link that will not be used again and has no exchange.
   void CloseIfUnused();
--- a/src/connection/PeerLinkTest.cpp
+++ b/src/connection/PeerLinkTest.cpp
@@ -4,9 +4,13 @@
 #include <thread>
 #include <vector>
 
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <criterion/criterion.h>
 
 #include "connection/Sockets.h"
@@ -104,10 +108,21 @@
 
 asio::awaitable<void>
 RunInto(std::shared_ptr<PeerLink> aLink,
-        std::optional<Exchange<Answer>>& aResult)
+        std::optional<Exchange<Answer>>& aResult,
+        Call aCall = {})
 {
+  aResult = co_await aLink->Run(std::move(aCall), std::chrono::seconds(5));
+}
+
+asio::awaitable<void>
+RunWithWithdrawal(std::shared_ptr<PeerLink> aLink,
+                  std::optional<Exchange<Answer>>& aResult)
+{
+  co_await asio::this_coro::throw_if_cancelled(false);
   Call call;
-  aResult = co_await aLink->Run(std::move(call), std::chrono::seconds(5));
+  aResult = co_await aLink->Run(std::move(call),
+                                std::chrono::milliseconds(200),
+                                std::chrono::milliseconds(40));
 }
 
 void
@@ -199,6 +214,38 @@
   cr_assert_eq(peer.Connections(), 1);
 }
 
+/// A link that is cut while it is congested: a call behind others that had not
+/// been written was reported as one that may have run.
+Test(PeerLink, ACallThatIsStillQueuedWhenTheLinkClosesWasNotSent)
+{
+  asio::io_context context(1);
+  const SystemClock clock;
+  // Connections are established, but nothing reads from them.
+  tcp::acceptor silent(
+    context, { asio::ip::address_v4::loopback(), std::uint16_t{ 0 } });
+  LinkSettings settings;
+  settings.m_minBytesPerSecond = 1U << 30U;
+  PeerLinks links(context, clock, settings);
+  const auto link = links.Get(AddressOf(silent.local_endpoint()));
+  // More than the buffers of the two sockets hold.
+  constexpr std::size_t kCalls = 12;
+  std::vector<std::optional<Exchange<Answer>>> results(kCalls);
+  for (auto& result : results) {
+    Call call;
+    // A large body would be sent on request only.
+    call.m_http.m_target.assign(kMaxFrameBytes / 2, 'x');
+    asio::co_spawn(
+      context, RunInto(link, result, std::move(call)), asio::detached);
+  }
+  context.run_for(std::chrono::seconds(2));
+  const auto stageOf = [](const std::optional<Exchange<Answer>>& aResult) {
+    cr_assert(aResult.has_value());
+    return std::get<LinkFailure>(*aResult).m_stage;
+  };
+  cr_assert(stageOf(results.front()) == LostStage::Sent);
+  cr_assert(stageOf(results.back()) == LostStage::NotSent);
+}
+
 /// After a pause of this process, all its links seem silent at once.
 Test(PeerLink, OwnPauseClosesTheLinkToAHealthyPeer)
 {
@@ -292,6 +339,48 @@
   cr_assert_eq(peer.OpenConnections(), 1);
 }
 
+/// A peer whose answer is overdue is asked for its word before the deadline,
+/// and its answer still counts. A caller that has left withdraws nothing, but
+/// cancels.
+Test(PeerLink, OverdueCallsAreWithdrawnAndStillAnswered)
+{
+  asio::io_context context(1);
+  const SystemClock clock;
+  std::vector<bool> cancels;
+  const FakePeer peer(
+    context, [&](FrameStream& aStream, const PeerMessage& aMessage) {
+      if (const auto* cancel = std::get_if<CancelCall>(&aMessage)) {
+        cancels.push_back(cancel->m_onlyIfWaiting);
+        SendDone(aStream, cancel->m_id);
+      }
+    });
+  PeerLinks links(context, clock, LinkSettings{});
+  const auto run = [&](asio::cancellation_signal& aSignal,
+                       std::optional<Exchange<Answer>>& aResult) {
+    asio::co_spawn(
+      context,
+      RunWithWithdrawal(links.Get(peer.Address()), aResult),
+      asio::bind_cancellation_slot(aSignal.slot(), asio::detached));
+    context.restart();
+    context.run_for(std::chrono::milliseconds(20));
+  };
+  asio::cancellation_signal overdueSignal;
+  std::optional<Exchange<Answer>> overdue;
+  run(overdueSignal, overdue);
+  context.restart();
+  context.run_for(std::chrono::milliseconds(100));
+  cr_assert(overdue && std::holds_alternative<Answer>(*overdue));
+  cr_assert(cancels == std::vector<bool>{ true });
+  asio::cancellation_signal leftSignal;
+  std::optional<Exchange<Answer>> left;
+  run(leftSignal, left);
+  leftSignal.emit(asio::cancellation_type::terminal);
+  context.restart();
+  context.run_for(std::chrono::milliseconds(100));
+  cr_assert(left && std::holds_alternative<ExchangeTimeout>(*left));
+  cr_assert(cancels == (std::vector<bool>{ true, false }));
+}
+
 Test(PeerLink, AReplacedLinkLosesItsPendingCall)
 {
   asio::io_context context(1);
@@ -322,4 +411,46 @@
   cr_assert(link->IsClosed());
 }
 
+/// The peer must receive the bytes that the caller sent, in order, and only
+/// those that it requested.
+Test(PeerLink, ALargeBodyIsSentUnrequestedOrChanged)
+{
+  asio::io_context context;
+  SystemClock clock;
+  std::string body;
+  for (int i = 0; body.size() < 100'000; ++i) {
+    body += std::to_string(i);
+  }
+  std::string received;
+  const auto request = [&](FrameStream& aStream, CallId aCall) {
+    aStream.Send(
+      BodyRequest{ aCall, ByteCount(received.size()), ByteCount(30'000) });
+  };
+  FakePeer peer(context, [&](FrameStream& aStream, const auto& aMessage) {
+    if (const Call* call = std::get_if<Call>(&aMessage)) {
+      cr_assert(call->m_http.m_body.empty());
+      cr_assert(call->m_deferredBody->m_size == ByteCount(body.size()));
+      request(aStream, call->m_id);
+    } else if (const BodyData* data = std::get_if<BodyData>(&aMessage)) {
+      cr_assert_leq(data->m_bytes.size(), 30'000);
+      received += data->m_bytes;
+      if (received.size() < body.size()) {
+        request(aStream, data->m_id);
+      } else {
+        SendDone(aStream, data->m_id);
+      }
+    }
+  });
+  PeerLinks links(context, clock, {});
+  std::optional<Exchange<Answer>> result;
+  Call call;
+  call.m_http.m_body = body;
+  asio::co_spawn(context,
+                 RunInto(links.Get(peer.Address()), result, call),
+                 [&](const std::exception_ptr&) { context.stop(); });
+  context.run();
+  cr_assert(std::holds_alternative<Answer>(*result));
+  cr_assert(received == body);
+}
+
 } // namespace tarragontray
--- a/src/connection/PeerMessages.h
+++ b/src/connection/PeerMessages.h
@@ -25,6 +25,9 @@
 struct CancelCall
 {
   CallId m_id;
+  /// The caller still waits: only a call that has not started is cancelled, and
+  /// answered with NotRun.
+  bool m_onlyIfWaiting = false;
 };
 
 /// Queries the status of an operation. If the guard has not received the
@@ -81,6 +84,21 @@
   std::string m_bytes;
 };
 
+/// Requests a piece of a call's deferred body from its entry node.
+struct BodyRequest
+{
+  CallId m_id;
+  ByteCount m_offset;
+  ByteCount m_size;
+};
+
+/// Answers a BodyRequest: the piece that follows those sent before.
+struct BodyData
+{
+  CallId m_id;
+  std::string m_bytes;
+};
+
 /// Any message of a link.
 using PeerMessage = std::variant<Call,
                                  Answer,
@@ -91,6 +109,8 @@
                                  LinkPong,
                                  StateRequest,
                                  StateReply,
-                                 LinkLeaving>;
+                                 LinkLeaving,
+                                 BodyRequest,
+                                 BodyData>;
 
 } // namespace tarragontray
--- a/src/process/FrontThread.cpp
+++ b/src/process/FrontThread.cpp
@@ -15,6 +15,7 @@
 #include "process/ThreadLoop.h"
 #include "request/CallPlan.h"
 #include "request/CallRunner.h"
+#include "request/RetryAfter.h"
 #include "request/RetryBudget.h"
 #include "request/ServiceSplitter.h"
 #include "request/TwoChoicesBalancing.h"
@@ -35,13 +36,6 @@
 /// Margin between the deadline of the last calls and the end of the node, in
 /// which their answers are written.
 constexpr Duration kShutdownMargin = std::chrono::milliseconds(200);
-/// Retry-after for calls refused because of load: by then many of the calls
-/// that are running have completed.
-constexpr Duration kLoadRetryAfter = std::chrono::milliseconds(200);
-/// Retry-after while there is no configuration or no target: one may have been
-/// received by then.
-constexpr Duration kAbsenceRetryAfter = std::chrono::milliseconds(400);
-
 /// The account of a call and whether the call may be made.
 struct Identification
 {
@@ -70,31 +64,6 @@
   return result;
 }
 
-Answer
-Refusal(RefusalReason aReason)
-{
-  Answer answer;
-  answer.m_outcome = CallOutcome::NotRun;
-  answer.m_refusal = aReason;
-  return answer;
-}
-
-Duration
-RetryAfter(RefusalReason aReason)
-{
-  switch (aReason) {
-    case RefusalReason::NoConfiguration:
-    case RefusalReason::NoTarget:
-    case RefusalReason::UpstreamGone:
-      return kAbsenceRetryAfter;
-    case RefusalReason::NoRoute:
-    case RefusalReason::UnknownCaller:
-      return Duration(0);
-    default:
-      return kLoadRetryAfter;
-  }
-}
-
 std::uint8_t
 PriorityOf(const Configuration& aConfiguration, const ClassName& aClass)
 {
@@ -141,7 +110,8 @@
     , m_onBatch(std::move(aOnBatch))
     , m_loop("front-" + std::to_string(aSettings.m_index))
     , m_random(aSettings.m_seed)
-    , m_balancing(TwoChoicesSettings{ .m_region = aSettings.m_region })
+    , m_balancing(TwoChoicesSettings{ .m_vm = aSettings.m_vm,
+                                      .m_region = aSettings.m_region })
     , m_versionSplitter(m_random)
     , m_serviceSplitter(m_random)
     , m_retries(aSettings.m_retries)
@@ -252,9 +222,11 @@
     if (service == aView.m_services.end()) {
       co_return Refusal(RefusalReason::NoTarget);
     }
-    TrafficPolicies policies{
-      m_balancing, m_versionSplitter, m_retries, m_random
-    };
+    TrafficPolicies policies{ .m_balancing = m_balancing,
+                              .m_splitter = m_versionSplitter,
+                              .m_retries = m_retries,
+                              .m_random = m_random,
+                              .m_refusals = &m_refusals };
     const Duration timeout = std::min(
       aCaller.m_timeRemaining.value_or(route.m_timeout), route.m_timeout);
     if (m_isDraining && aStart + timeout > m_end) {
@@ -272,12 +244,17 @@
                      .m_deadline = std::min(aStart + timeout, m_end),
                      .m_dataCentre = m_settings.m_dataCentre,
                      .m_policies = policies,
-                     .m_objective = Objective(aCaller, route, aStart) };
+                     .m_objective = Objective(aCaller, route, aStart),
+                     .m_bodyBytes = ByteCount(aRequest.m_body.size()) };
     Call call = MakeCall(setup);
     call.m_origin = m_settings.m_origin;
     call.m_http = std::move(aRequest);
     CallPlan plan = CallPlan::Start(setup);
     Answer answer = co_await RunCall(plan, std::move(call), m_links, m_clock);
+    if (answer.m_outcome == CallOutcome::NotRun) {
+      answer.m_retryAfter = RetryAfter(
+        answer.m_refusal, TimesOf(setup, answer.m_retryAfter), m_random);
+    }
     if (service->second.m_split.m_move) {
       Report(plan.Observations());
     }
@@ -285,11 +262,30 @@
     co_return answer;
   }
 
+  Answer Refusal(RefusalReason aReason)
+  {
+    Answer answer;
+    answer.m_outcome = CallOutcome::NotRun;
+    answer.m_refusal = aReason;
+    answer.m_retryAfter = RetryAfter(aReason, {}, m_random);
+    return answer;
+  }
+
+  RefusedCallTimes TimesOf(const CallSetup& aSetup, Duration aStated) const
+  {
+    if (aSetup.m_objective == MonotonicTime::max()) {
+      return { .m_stated = aStated };
+    }
+    const MonotonicTime now = m_clock.Now();
+    return { .m_stated = aStated,
+             .m_timeLeft = aSetup.m_deadline - now,
+             .m_timeToObjective =
+               std::max(aSetup.m_objective - now, Duration(0)) };
+  }
+
   HttpAnswerParts Write(const CallerRequest& aCaller, Answer aAnswer)
   {
     if (aAnswer.m_outcome == CallOutcome::NotRun) {
-      aAnswer.m_retryAfter =
-        std::max(aAnswer.m_retryAfter, RetryAfter(aAnswer.m_refusal));
       if (aAnswer.m_refusal == RefusalReason::NoConfiguration ||
           aAnswer.m_refusal == RefusalReason::NoRoute ||
           aAnswer.m_refusal == RefusalReason::UnknownCaller) {
@@ -452,6 +448,7 @@
   VersionSplitter m_versionSplitter;
   ServiceSplitter m_serviceSplitter;
   RetryBudget m_retries;
+  RefusalMemory m_refusals;
   PeerLinks m_links;
   std::map<std::pair<ClientAccountId, ClassName>, CallMetrics*> m_series;
   /// The longest remaining time that callers of each route have stated.
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -185,11 +185,18 @@
   {
     Execute(m_guard.Submit(std::move(aCall), aLink, m_clock.Now()));
   }
+  void HandleMessage(CallerLink aLink, FrameStream& /*aStream*/, BodyData aData)
+  {
+    Execute(m_guard.BodyArrived(
+      aLink, aData.m_id, std::move(aData.m_bytes), m_clock.Now()));
+  }
   void HandleMessage(CallerLink aLink,
                      FrameStream& /*aStream*/,
                      CancelCall aCancel)
   {
-    Execute(m_guard.Cancel(aLink, aCancel.m_id, m_clock.Now()));
+    const MonotonicTime now = m_clock.Now();
+    Execute(aCancel.m_onlyIfWaiting ? m_guard.Withdraw(aLink, aCancel.m_id, now)
+                                    : m_guard.Cancel(aLink, aCancel.m_id, now));
   }
   void HandleMessage(CallerLink /*aLink*/,
                      FrameStream& aStream,
@@ -255,6 +262,13 @@
     for (Run& run : aActions.m_runs) {
       Start(std::move(run));
     }
+    for (const RequestBody& body : aActions.m_bodies) {
+      const auto link = m_links.find(body.m_link);
+      if (link != m_links.end()) {
+        link->second->Send(
+          BodyRequest{ body.m_call, body.m_offset, body.m_size });
+      }
+    }
     if (aActions.m_healthTarget) {
       SendHealthRequest(std::move(*aActions.m_healthTarget));
     }
@@ -310,7 +324,9 @@
     if (status < kFirstSuccess || status > kLastSuccess) {
       return std::nullopt;
     }
-    return m_settings.m_dialect->ReadNotice(aAnswer.value()).m_coldRemaining;
+    // A warm upstream need not state that it is.
+    return m_settings.m_dialect->ReadNotice(aAnswer.value())
+      .m_coldRemaining.value_or(Duration(0));
   }
 
   void HandleNotice(const UpstreamNotice& aNotice)
@@ -345,6 +361,7 @@
           { "reason", std::string(Name(aRefused.m_reason)) },
           { "waited_ms", Milliseconds(aRefused.m_waited) },
           { "left_ms", Milliseconds(aRefused.m_left) },
+          { "retry_after_ms", Milliseconds(aRefused.m_retryAfter) },
           { "running", std::to_string(load.m_running) },
           { "waiting", std::to_string(load.m_queued) },
           { "slots", std::to_string(load.m_slots.Value()) } });
@@ -405,6 +422,7 @@
     m_stats.m_refusedEvacuated =
       CallCount(m_guard.RefusedFor(RefusalReason::Evacuated));
     m_stats.m_ran = CallCount(m_ran);
+    m_stats.m_unreadableLoads = CallCount(m_guard.UnreadableLoads());
     const ColdCounters& cold = m_guard.Cold();
     m_stats.m_isLimitedAsCold = m_guard.IsLimitedAsCold();
     m_stats.m_delayedAsCold = CallCount(cold.m_delayed);
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -138,6 +138,12 @@
           "Calls that the guard refused because of an evacuation.");
   prometheus::Gauge& m_ran =
     Gauge("guard_ran", "Calls that the upstream ended since the start.");
+  prometheus::Gauge& m_pace = Gauge(
+    "guard_pace_percent",
+    "Time that work takes on the upstream's VM, in per cent of the usual.");
+  prometheus::Gauge& m_unreadableLoads =
+    Gauge("guard_unreadable_loads",
+          "Answers whose load report could not be read since the start.");
   prometheus::Gauge& m_isLimitedAsCold =
     Gauge("guard_cold", "1 while the upstream is or may be cold.");
   prometheus::Gauge& m_delayedAsCold =
@@ -200,6 +206,9 @@
   m_state->m_refusedEvacuated.Set(
     static_cast<double>(aStats.m_refusedEvacuated.Value()));
   m_state->m_ran.Set(static_cast<double>(aStats.m_ran.Value()));
+  m_state->m_pace.Set(aStats.m_load.m_pace.Value());
+  m_state->m_unreadableLoads.Set(
+    static_cast<double>(aStats.m_unreadableLoads.Value()));
   m_state->m_isLimitedAsCold.Set(aStats.m_isLimitedAsCold ? 1 : 0);
   m_state->m_delayedAsCold.Set(
     static_cast<double>(aStats.m_delayedAsCold.Value()));
--- a/src/process/Metrics.h
+++ b/src/process/Metrics.h
@@ -56,6 +56,8 @@
   /// Those of m_refused that were refused because of an evacuation.
   CallCount m_refusedEvacuated;
   CallCount m_ran;
+  /// Answers whose load report could not be read.
+  CallCount m_unreadableLoads;
   /// Whether starts are limited because the upstream is or may be cold.
   bool m_isLimitedAsCold = false;
   /// Calls that waited, and that were refused, under that limit.
--- a/src/request/Call.h
+++ b/src/request/Call.h
@@ -131,6 +131,18 @@
 /// Time to the objective of a route that states none.
 inline constexpr Duration kNoObjective = std::chrono::hours(24);
 
+/// Bodies above this size are sent when the target's node requests them
+/// (request/BodyTransfers.h).
+inline constexpr ByteCount kMaxInlineBodyBytes{ 8U << 10U };
+
+/// A body that has not been sent with its call.
+struct DeferredBody
+{
+  ByteCount m_size;
+  /// StableHash of the body.
+  std::uint64_t m_hash = 0;
+};
+
 /// One attempt of a call, as the entry node sends it to a target's node.
 struct Call
 {
@@ -157,6 +169,8 @@
   /// attempt; zero when the objective has passed.
   Duration m_objectiveRemaining = kNoObjective;
   HttpRequestParts m_http;
+  /// When set, m_http has no body yet: the target's node requests it.
+  std::optional<DeferredBody> m_deferredBody{};
 };
 
 /// What an upstream states about itself in its answers.
@@ -169,12 +183,29 @@
   bool m_isLeaving = false;
   /// Its own report of its load. Not set without one.
   std::optional<LoadReport> m_load{};
+  /// It reported its load in a form that can't be read.
+  bool m_isLoadUnreadable = false;
   /// How long it will stay cold. Not set when it doesn't say.
   std::optional<Duration> m_coldRemaining{};
 
   bool operator==(const UpstreamNotice&) const = default;
 };
 
+/// True for the status of a final response. Others that have three digits don't
+/// belong to HTTP (RFC 9110, section 15) or to an interim response.
+constexpr bool
+IsFinalStatus(unsigned aStatus)
+{
+  return aStatus >= 200 && aStatus <= 599;
+}
+
+/// True for the status of an interim response.
+constexpr bool
+IsInterimStatus(unsigned aStatus)
+{
+  return aStatus >= 100 && aStatus <= 199;
+}
+
 /// How one attempt ended.
 struct Answer
 {
@@ -184,6 +215,7 @@
   /// With NotRun: how long the caller should wait before a retry; zero when not
   /// stated.
   Duration m_retryAfter{ 0 };
+  /// With Done, a response with a final status.
   HttpAnswerParts m_http;
   LoadReport m_load;
   /// Time in the upstream, without queueing and network time.
--- a/src/request/CallPlan.cpp
+++ b/src/request/CallPlan.cpp
@@ -9,8 +9,19 @@
 
 constexpr Duration kFirstAskInterval = std::chrono::milliseconds(5);
 constexpr Duration kMaxAskInterval = std::chrono::milliseconds(200);
-/// Failed queries about an attempt after which its outcome is unknown.
-constexpr std::uint8_t kMaxAskFailures = 3;
+/// Failed queries about an attempt after which its outcome is unknown. With the
+/// growing interval, they span at least 0.7 s, so that a cut that ends within
+/// that time leaves no outcome unknown.
+constexpr std::uint8_t kMaxAskFailures = 9;
+/// As above, of queries to a former home of the call's key. Its caller can
+/// repeat the key at once.
+constexpr std::uint8_t kMaxFormerHomeFailures = 3;
+/// A call is withdrawn from its guard's queue this long before its deadline,
+/// but not before the last 1 / kWithdrawDivisor of its time. Covers the way to
+/// the guard and back, some 3 ms between data centres, and the pauses of two
+/// nodes that have a tenth of a core each.
+constexpr Duration kWithdrawMargin = std::chrono::milliseconds(30);
+constexpr int kWithdrawDivisor = 16;
 /// An attempt that waited for less than 1 / kMinWaitDivisor of its route's
 /// timeout is not evidence about the version: it was a late retry, or the
 /// caller's deadline was short.
@@ -24,6 +35,14 @@
   return aAnswer.m_http.m_status >= kFirstServerError;
 }
 
+/// A peer's answer that no upstream can have given: the call may have run.
+bool
+IsInvalid(const Answer& aAnswer)
+{
+  return aAnswer.m_outcome == CallOutcome::Done &&
+         !IsFinalStatus(aAnswer.m_http.m_status);
+}
+
 bool
 IsCallerError(const Answer& aAnswer)
 {
@@ -62,6 +81,9 @@
 Step
 CallPlan::Begin(MonotonicTime aNow)
 {
+  const Duration remaining = Setup().m_deadline - aNow;
+  m_withdrawAt = Setup().m_deadline -
+                 std::min(kWithdrawMargin, remaining / kWithdrawDivisor);
   if (aNow >= Setup().m_deadline) {
     return m_targets.IsPinned() ? EndUnknown()
                                 : End(NotRun(RefusalReason::DeadlineTooShort));
@@ -79,6 +101,10 @@
 Step
 CallPlan::SendFirst(MonotonicTime aNow)
 {
+  if (const std::optional<Duration> wait = m_targets.WaitEverywhere(aNow)) {
+    m_retryAfter = std::min(m_retryAfter, *wait);
+    return End(NotRun(RefusalReason::DeadlineTooShort));
+  }
   const Target* target = m_targets.First(aNow);
   if (target == nullptr) {
     return End(NotRun(RefusalReason::NoTarget));
@@ -90,6 +116,9 @@
 Step
 CallPlan::OnAnswer(const Answer& aAnswer, MonotonicTime aNow)
 {
+  if (IsInvalid(aAnswer)) {
+    return OnAnswer(Answer{}, aNow);
+  }
   if (aAnswer.m_outcome == CallOutcome::NotRun) {
     return OnRefused(aAnswer, aNow);
   }
@@ -128,8 +157,12 @@
   const bool provesNotRun =
     reason != RetryReason::Draining || !m_targets.IsPinned();
   Answer refused = provesNotRun ? aAnswer : Answer{};
-  m_retryAfter = std::min(m_retryAfter, aAnswer.m_retryAfter);
-  refused.m_retryAfter = m_retryAfter;
+  if (reason == RetryReason::Overload) {
+    m_targets.RecordRefusal(*m_target, aAnswer.m_retryAfter, aNow);
+  }
+  if (aAnswer.m_retryAfter > Duration::zero()) {
+    m_retryAfter = std::min(m_retryAfter, aAnswer.m_retryAfter);
+  }
   return RetryOrFinish(std::move(refused), reason, aNow);
 }
 
@@ -159,7 +192,9 @@
   switch (aStatus) {
     case OperationStatus::Done:
       if (aAnswer) {
-        return IsAskingFormerHome() ? End(*aAnswer) : OnAnswer(*aAnswer, aNow);
+        return IsAskingFormerHome()
+                 ? End(IsInvalid(*aAnswer) ? Answer{} : *aAnswer)
+                 : OnAnswer(*aAnswer, aNow);
       }
       break;
     case OperationStatus::Running:
@@ -194,7 +229,8 @@
 CallPlan::OnAskFailed(MonotonicTime aNow)
 {
   ++m_askFailures;
-  if (m_askFailures < kMaxAskFailures) {
+  if (m_askFailures <
+      (IsAskingFormerHome() ? kMaxFormerHomeFailures : kMaxAskFailures)) {
     return AskLater(aNow);
   }
   EndAttempt(nullptr, true, aNow);
@@ -240,6 +276,7 @@
   send.m_attempt = m_attempts;
   send.m_version = aTarget.m_version;
   send.m_timeRemaining = Setup().m_deadline - aNow;
+  send.m_withdrawAfter = std::max(m_withdrawAt - aNow, Duration(0));
   if (Setup().m_objective != MonotonicTime::max()) {
     send.m_objectiveRemaining =
       std::max(Setup().m_objective - aNow, Duration(0));
@@ -250,7 +287,7 @@
 Step
 CallPlan::RetryOrFinish(Answer aAnswer, RetryReason aReason, MonotonicTime aNow)
 {
-  if (aNow < Setup().m_deadline && m_attempts < Setup().m_route.m_maxAttempts) {
+  if (aNow < m_withdrawAt && m_attempts < Setup().m_route.m_maxAttempts) {
     const Target* target = m_targets.Next(aReason, aNow);
     if (target != nullptr && MayRetry(aReason, aNow)) {
       const Target* former = m_targets.FormerHomeOfNext(aNow);
@@ -274,10 +311,12 @@
 CallPlan::MayRetry(RetryReason aReason, MonotonicTime aNow)
 {
   // The other reasons don't add load: a call that was not handed over runs only
-  // once, and a draining target runs none.
+  // once, and a draining target runs none. A call with an objective that a
+  // guard refused goes only to a target that seems to have capacity.
+  const bool hasObjective = Setup().m_objective != MonotonicTime::max();
   const bool addsLoad = aReason == RetryReason::Failed ||
                         aReason == RetryReason::Shed ||
-                        aReason == RetryReason::Overload;
+                        (aReason == RetryReason::Overload && !hasObjective);
   return !addsLoad || Setup().m_policies.m_retries.TryRetry(
                         Setup().m_service.m_id, m_attempts, aNow);
 }
@@ -302,7 +341,10 @@
 CallPlan::AskLater(MonotonicTime aNow)
 {
   m_state = State::WaitingToAsk;
-  const MonotonicTime next = std::min(aNow + m_askInterval, Setup().m_deadline);
+  // The last query comes when there is just time for its answer.
+  const MonotonicTime latest =
+    aNow < m_withdrawAt ? m_withdrawAt : Setup().m_deadline;
+  const MonotonicTime next = std::min(aNow + m_askInterval, latest);
   m_askInterval = std::min(m_askInterval * 2, kMaxAskInterval);
   return WaitUntil{ next };
 }
@@ -311,6 +353,10 @@
 CallPlan::End(Answer aAnswer)
 {
   m_state = State::Finished;
+  const bool isStated = m_retryAfter != Duration::max();
+  if (isStated && aAnswer.m_outcome == CallOutcome::NotRun) {
+    aAnswer.m_retryAfter = m_retryAfter;
+  }
   return Finish{ std::move(aAnswer) };
 }
 
--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -11,6 +11,23 @@
 
 namespace {
 
+/// A waiting call is refused this long before its deadline, so that the refusal
+/// reaches the entry node in time; at most this fraction of the time that it
+/// arrived with.
+constexpr Duration kReplyMargin = std::chrono::milliseconds(10);
+constexpr int kReplyMarginDivisor = 32;
+
+/// The longest wait that a refusal states. Upstreams and loads change within
+/// seconds.
+constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
+
+Duration
+ReplyMargin(Duration aTimeRemaining)
+{
+  return std::clamp(
+    aTimeRemaining / kReplyMarginDivisor, Duration(0), kReplyMargin);
+}
+
 OperationKey
 KeyOf(const Call& aCall)
 {
@@ -22,7 +39,8 @@
 {
   const std::uint64_t method = StableHash(aCall.m_http.m_method);
   const std::uint64_t target = StableHash(aCall.m_http.m_target, method);
-  return StableHash(aCall.m_http.m_body, target);
+  return aCall.m_deferredBody ? target ^ aCall.m_deferredBody->m_hash
+                              : target ^ StableHash(aCall.m_http.m_body);
 }
 
 bool
@@ -56,6 +74,7 @@
   : m_settings(aSettings)
   , m_policy(std::move(aPolicy))
   , m_operations(aSettings.m_operations)
+  , m_bodies(aSettings.m_bodies)
 {
 }
 
@@ -146,20 +165,6 @@
   return isServing ? RefusalReason::None : RefusalReason::UpstreamGone;
 }
 
-WaitingCall
-Guard::WaitingCallOf(Ticket aTicket,
-                     const Call& aCall,
-                     MonotonicTime aArrived) const
-{
-  return { .m_ticket = aTicket,
-           .m_caller = aCall.m_caller,
-           .m_priority = aCall.m_priority,
-           .m_deadline = aArrived + aCall.m_timeRemaining,
-           .m_objective = aArrived + aCall.m_objectiveRemaining,
-           .m_serviceTime = m_serviceTimes.MeanOf(aCall.m_route),
-           .m_isQuick = m_serviceTimes.IsQuick(aCall.m_route) };
-}
-
 void
 Guard::Admit(Call aCall,
              CallerLink aFrom,
@@ -167,19 +172,109 @@
              GuardActions& aActions)
 {
   const Ticket ticket = m_lastTicket += Ticket(1);
-  const WaitingCall waiting = WaitingCallOf(ticket, aCall, aNow);
-  m_links.Add({ aFrom, aCall.m_id }, ticket);
+  const Waiter waiter{ aFrom, aCall.m_id };
+  m_links.Add(waiter, ticket);
   Entry& entry = m_entries[ticket];
-  entry.m_waiters.push_back({ aFrom, aCall.m_id });
+  entry.m_waiters.push_back(waiter);
   entry.m_arrived = aNow;
-  entry.m_deadline = waiting.m_deadline;
+  entry.m_deadline = aNow + aCall.m_timeRemaining;
+  entry.m_refuseAt = entry.m_deadline - ReplyMargin(aCall.m_timeRemaining);
+  entry.m_objective = aNow + aCall.m_objectiveRemaining;
   entry.m_call = std::move(aCall);
+  if (!entry.m_call.m_deferredBody) {
+    Enqueue(ticket, aNow, aActions);
+    return;
+  }
+  entry.m_hadDeferredBody = true;
+  entry.m_bodySource = waiter;
+  const WaitingBody body{ WaitingCallOf(ticket, entry, aNow),
+                          entry.m_call.m_deferredBody->m_size };
+  for (const Refused& refused : m_bodies.Offer(body, aNow)) {
+    Refuse(refused.m_ticket, refused.m_reason, aNow, aActions);
+  }
+}
+
+WaitingCall
+Guard::WaitingCallOf(Ticket aTicket,
+                     const Entry& aEntry,
+                     MonotonicTime aNow) const
+{
+  const Call& call = aEntry.m_call;
+  return { .m_ticket = aTicket,
+           .m_caller = call.m_caller,
+           .m_priority = call.m_priority,
+           .m_deadline = aEntry.m_refuseAt,
+           .m_objective = aEntry.m_objective,
+           .m_serviceTime =
+             AtPace(m_serviceTimes.MeanOf(call.m_route), m_pace.At(aNow)),
+           .m_isQuick = m_serviceTimes.IsQuick(call.m_route) };
+}
+
+void
+Guard::Enqueue(Ticket aTicket, MonotonicTime aNow, GuardActions& aActions)
+{
+  const Entry& entry = m_entries.at(aTicket);
+  m_waitingWithBody += entry.m_hadDeferredBody ? 1 : 0;
+  const WaitingCall waiting = WaitingCallOf(aTicket, entry, aNow);
   for (const Refused& refused :
        m_policy->Offer(waiting, Capacity(aNow), aNow)) {
     Refuse(refused.m_ticket, refused.m_reason, aNow, aActions);
   }
 }
 
+GuardActions
+Guard::BodyArrived(CallerLink aFrom,
+                   CallId aCall,
+                   std::string aBytes,
+                   MonotonicTime aNow)
+{
+  GuardActions actions;
+  const Waiter source{ aFrom, aCall };
+  const std::optional<Ticket> ticket = m_links.Find(source);
+  // The call may have been refused or cancelled meanwhile.
+  if (!ticket || m_entries.at(*ticket).m_bodySource != source) {
+    return actions;
+  }
+  Entry& entry = m_entries.at(*ticket);
+  std::string& body = entry.m_call.m_http.m_body;
+  const ByteCount size(aBytes.size());
+  body += aBytes;
+  if (body.size() > entry.m_call.m_deferredBody->m_size.Value()) {
+    RemoveWaiting(*ticket);
+    Refuse(*ticket, RefusalReason::OperationMismatch, aNow, actions);
+  } else if (m_bodies.Arrived(*ticket, size, aNow)) {
+    entry.m_bodySource.reset();
+    entry.m_call.m_deferredBody.reset();
+    Enqueue(*ticket, aNow, actions);
+  }
+  RunNext(aNow, actions);
+  return actions;
+}
+
+void
+Guard::RequestBodies(MonotonicTime aNow, GuardActions& aActions)
+{
+  // Half a round of calls may wait for slots with their bodies, so that slots
+  // don't idle during transfers.
+  const std::uint32_t slots = std::max(1U, m_upstream.m_slots.Value());
+  const bool startsNew = m_waitingWithBody <= slots / 2;
+  while (const auto piece = m_bodies.Next(startsNew, aNow)) {
+    const Entry& entry = m_entries.at(piece->m_ticket);
+    aActions.m_bodies.push_back({ entry.m_bodySource->m_link,
+                                  entry.m_bodySource->m_call,
+                                  piece->m_offset,
+                                  piece->m_size });
+  }
+}
+
+void
+Guard::RemoveWaiting(Ticket aTicket)
+{
+  if (!m_bodies.Remove(aTicket)) {
+    m_policy->Remove(aTicket);
+  }
+}
+
 void
 Guard::RunNext(MonotonicTime aNow, GuardActions& aActions)
 {
@@ -187,6 +282,9 @@
   for (const Refused& refused : m_policy->TakeExpired(aNow)) {
     Refuse(refused.m_ticket, refused.m_reason, aNow, aActions);
   }
+  for (const Refused& refused : m_bodies.TakeExpired(aNow)) {
+    Refuse(refused.m_ticket, refused.m_reason, aNow, aActions);
+  }
   m_nextStart.reset();
   while (m_policy->Size() > 0) {
     const UpstreamCapacity capacity = Capacity(aNow);
@@ -203,6 +301,7 @@
     Entry& entry = m_entries.at(*next);
     m_coldCounters.m_delayed += m_coldRate && entry.m_arrived < aNow ? 1 : 0;
     entry.m_isRunning = true;
+    m_waitingWithBody -= entry.m_hadDeferredBody ? 1 : 0;
     entry.m_started = aNow;
     ++m_running;
     Call call = entry.m_call;
@@ -210,6 +309,7 @@
     call.m_timeRemaining = entry.m_deadline - aNow;
     aActions.m_runs.push_back({ *next, std::move(call) });
   }
+  RequestBodies(aNow, aActions);
 }
 
 void
@@ -256,9 +356,11 @@
     if (found == m_entries.end()) {
       continue;
     }
-    const Entry& entry = found->second;
-    const WaitingCall call =
-      WaitingCallOf(ticket, entry.m_call, entry.m_arrived);
+    // A call without its body is not admitted yet.
+    if (found->second.m_bodySource) {
+      continue;
+    }
+    const WaitingCall call = WaitingCallOf(ticket, found->second, aNow);
     for (const Refused& refused : m_policy->Offer(call, Capacity(aNow), aNow)) {
       Refuse(refused.m_ticket, refused.m_reason, aNow, aActions);
     }
@@ -309,8 +411,12 @@
     m_cold.OnCallEnded(aAnswer, aNow);
   }
   aAnswer.m_serviceTime = aNow - entry.m_started;
+  if (aAnswer.m_notice) {
+    RecordLoad(*aAnswer.m_notice, aNow);
+  }
   if (aAnswer.m_outcome == CallOutcome::Done) {
-    m_serviceTimes.Record(entry.m_call.m_route, aAnswer.m_serviceTime);
+    m_serviceTimes.Record(entry.m_call.m_route,
+                          AtUsualPace(aAnswer.m_serviceTime, m_paceNow));
   }
   if (RunsAtMostOnce(entry.m_call)) {
     if (aAnswer.m_outcome == CallOutcome::NotRun) {
@@ -330,12 +436,25 @@
   return actions;
 }
 
+void
+Guard::RecordLoad(const UpstreamNotice& aNotice, MonotonicTime aNow)
+{
+  if (aNotice.m_load) {
+    m_pace.Set(aNotice.m_load->m_pace, aNow);
+  }
+  m_unreadableLoads += aNotice.m_isLoadUnreadable ? 1 : 0;
+  m_paceNow = m_pace.At(aNow);
+}
+
 void
 Guard::ApplyNotice(const UpstreamNotice& aNotice,
                    MonotonicTime aNow,
                    GuardActions& aActions)
 {
   UpstreamNotice notice = aNotice;
+  // The load changes with each answer; it is no news for the driver.
+  notice.m_load.reset();
+  notice.m_isLoadUnreadable = false;
   notice.m_isLeaving |= m_notice.m_isLeaving;
   // It differs in each answer; ColdUpstream reads it.
   notice.m_coldRemaining.reset();
@@ -370,12 +489,28 @@
   const bool wasRunning = m_entries.at(*ticket).m_isRunning;
   RemoveWaiter(*ticket, waiter, aNow, actions);
   if (!wasRunning && !m_entries.contains(*ticket)) {
-    ReplyNotRun(waiter, RefusalReason::Cancelled, actions);
+    ReplyNotRun(waiter, RefusalReason::Cancelled, Duration(0), actions);
   }
   RunNext(aNow, actions);
   return actions;
 }
 
+GuardActions
+Guard::Withdraw(CallerLink aFrom, CallId aCall, MonotonicTime aNow)
+{
+  GuardActions actions;
+  const std::optional<Ticket> ticket = m_links.Find({ aFrom, aCall });
+  if (!ticket) {
+    return actions;
+  }
+  const Entry& entry = m_entries.at(*ticket);
+  if (!entry.m_isRunning && entry.m_waiters.size() == 1) {
+    RemoveWaiting(*ticket);
+    Refuse(*ticket, RefusalReason::DeadlineTooShort, aNow, actions);
+  }
+  return actions;
+}
+
 GuardActions
 Guard::LinkClosed(CallerLink aFrom, MonotonicTime aNow)
 {
@@ -396,11 +531,13 @@
   m_links.Remove(aWaiter);
   Entry& entry = m_entries.at(aTicket);
   std::erase(entry.m_waiters, aWaiter);
-  if (!entry.m_waiters.empty()) {
+  // Only the node that holds the body can send it.
+  const bool hasLostBody = entry.m_bodySource == aWaiter;
+  if (!entry.m_waiters.empty() && !hasLostBody) {
     return;
   }
   if (!entry.m_isRunning) {
-    m_policy->Remove(aTicket);
+    RemoveWaiting(aTicket);
     Refuse(aTicket, RefusalReason::Cancelled, aNow, aActions);
   } else if (entry.m_call.m_idempotent) {
     entry.m_isAborted = true;
@@ -450,6 +587,10 @@
 Guard::NextTick() const
 {
   std::optional<MonotonicTime> next = m_policy->NextExpiry();
+  const std::optional<MonotonicTime> nextBody = m_bodies.NextTick();
+  if (nextBody && (!next || *nextBody < *next)) {
+    next = nextBody;
+  }
   if (m_nextStart && (!next || *m_nextStart < *next)) {
     next = m_nextStart;
   }
@@ -518,7 +659,7 @@
                      GuardActions& aActions)
 {
   for (const Ticket ticket : WaitingTickets()) {
-    m_policy->Remove(ticket);
+    RemoveWaiting(ticket);
     Refuse(ticket, aReason, aNow, aActions);
   }
 }
@@ -545,6 +686,9 @@
   const auto found = m_entries.find(aTicket);
   const Entry entry = std::move(found->second);
   m_entries.erase(found);
+  if (entry.m_hadDeferredBody && !entry.m_bodySource) {
+    --m_waitingWithBody;
+  }
   if (RunsAtMostOnce(entry.m_call)) {
     m_operations.Release(KeyOf(entry.m_call), aNow);
   }
@@ -555,12 +699,35 @@
   RefusedCall& refused = aActions.m_refused.back();
   refused.m_waited = aNow - entry.m_arrived;
   refused.m_left = entry.m_deadline - aNow;
+  refused.m_retryAfter = RetryAfter(aTicket, entry, aReason, aNow);
   for (const Waiter& waiter : entry.m_waiters) {
-    ReplyNotRun(waiter, aReason, aActions);
+    ReplyNotRun(waiter, aReason, refused.m_retryAfter, aActions);
     m_links.Remove(waiter);
   }
 }
 
+Duration
+Guard::RetryAfter(Ticket aTicket,
+                  const Entry& aEntry,
+                  RefusalReason aReason,
+                  MonotonicTime aNow)
+{
+  if (aReason != RefusalReason::QueueFull &&
+      aReason != RefusalReason::DeadlineTooShort &&
+      aReason != RefusalReason::FairShare) {
+    return Duration(0);
+  }
+  const WaitingCall call = WaitingCallOf(aTicket, aEntry, aNow);
+  const Duration forSlot = m_policy->ExpectedStart(call, Capacity(aNow), aNow);
+  const Duration wait = aEntry.m_hadDeferredBody
+                          ? std::max(forSlot, m_bodies.ExpectedWait())
+                          : forSlot;
+  return std::min(kMaxRetryAfter,
+                  std::max({ wait,
+                             m_starts.RetryAfter(m_policy->Size()),
+                             m_coldStarts.RetryAfter(m_policy->Size()) }));
+}
+
 void
 Guard::RefuseAtOnce(const Call& aCall,
                     CallerLink aFrom,
@@ -568,7 +735,7 @@
                     GuardActions& aActions)
 {
   RecordRefusal(aCall, aReason, aActions);
-  ReplyNotRun({ aFrom, aCall.m_id }, aReason, aActions);
+  ReplyNotRun({ aFrom, aCall.m_id }, aReason, Duration(0), aActions);
 }
 
 void
@@ -593,26 +760,24 @@
 void
 Guard::ReplyNotRun(const Waiter& aWaiter,
                    RefusalReason aReason,
+                   Duration aRetryAfter,
                    GuardActions& aActions)
 {
   ++m_refused[static_cast<std::size_t>(aReason)];
   Answer answer;
   answer.m_outcome = CallOutcome::NotRun;
   answer.m_refusal = aReason;
-  if (aReason == RefusalReason::QueueFull ||
-      aReason == RefusalReason::DeadlineTooShort) {
-    answer.m_retryAfter = std::max(m_starts.RetryAfter(m_policy->Size()),
-                                   m_coldStarts.RetryAfter(m_policy->Size()));
-  }
+  answer.m_retryAfter = aRetryAfter;
   ReplyTo(aWaiter, std::move(answer), aActions);
 }
 
 UpstreamCapacity
 Guard::Capacity(MonotonicTime aNow)
 {
+  m_paceNow = m_pace.At(aNow);
   return { m_upstream.m_slots,
            m_running,
-           m_serviceTimes.Mean(),
+           AtPace(m_serviceTimes.Mean(), m_paceNow),
            std::max(m_starts.Interval(), m_coldStarts.Interval()),
            std::max(m_starts.Delay(aNow), m_coldStarts.Delay(aNow)) };
 }
@@ -622,9 +787,10 @@
 {
   const Duration mean = m_serviceTimes.Mean();
   return { m_running,
-           static_cast<std::uint32_t>(m_policy->Size()),
+           static_cast<std::uint32_t>(m_policy->Size() + m_bodies.Size()),
            std::min(m_starts.UsableSlots(m_upstream.m_slots, mean),
-                    m_coldStarts.UsableSlots(m_upstream.m_slots, mean)) };
+                    m_coldStarts.UsableSlots(m_upstream.m_slots, mean)),
+           m_paceNow };
 }
 
 } // namespace tarragontray
--- a/src/request/Guard.h
+++ b/src/request/Guard.h
@@ -32,10 +32,12 @@
 #include "base/Units.h"
 #include "process/MemberRecord.h"
 #include "request/AdmissionPolicy.h"
+#include "request/BodyTransfers.h"
 #include "request/Call.h"
 #include "request/CallerLinks.h"
 #include "request/ColdUpstream.h"
 #include "request/OperationTable.h"
+#include "request/Pace.h"
 #include "request/ServiceTimes.h"
 #include "request/StartLimiter.h"
 
@@ -47,6 +49,7 @@
   /// an earlier incarnation are answered with Forgotten.
   Incarnation m_incarnation;
   OperationTableSettings m_operations;
+  BodyTransferSettings m_bodies{};
   /// Maximum number of calls that may wait for one operation.
   std::size_t m_maxWaiters = 16;
   /// Limits the starts of calls while the upstream is or may be cold; not set:
@@ -77,6 +80,8 @@
   Duration m_waited{ 0 };
   /// Time to its deadline; negative when the deadline had passed.
   Duration m_left{ 0 };
+  /// The wait that the refusal states; zero when it states none.
+  Duration m_retryAfter{ 0 };
 };
 
 /// Cancel a running call.
@@ -85,6 +90,15 @@
   Ticket m_ticket;
 };
 
+/// Request a piece of a call's body from its entry node.
+struct RequestBody
+{
+  CallerLink m_link;
+  CallId m_call;
+  ByteCount m_offset;
+  ByteCount m_size;
+};
+
 /// The limit for a cold upstream has begun or ended.
 struct ColdChange
 {
@@ -110,6 +124,7 @@
   std::vector<AbortUpstream> m_aborts;
   std::vector<Reply> m_replies;
   std::vector<Run> m_runs;
+  std::vector<RequestBody> m_bodies;
   std::vector<RefusedCall> m_refused;
   /// Set when the upstream has stated something else about itself than before.
   std::optional<UpstreamNotice> m_notice;
@@ -149,11 +164,20 @@
 
   /// A call arrived on a link. Precondition: aCall.m_id is new on this link.
   GuardActions Submit(Call aCall, CallerLink aFrom, MonotonicTime aNow);
+  /// A piece of a call's deferred body arrived, in the order of the requests.
+  GuardActions BodyArrived(CallerLink aFrom,
+                           CallId aCall,
+                           std::string aBytes,
+                           MonotonicTime aNow);
   /// A run ended with Done, Unknown, or NotRun when the upstream shed the call.
   GuardActions Finished(Ticket aTicket, Answer aAnswer, MonotonicTime aNow);
   /// The caller cancelled the call. Replies NotRun when the call had not
   /// started; otherwise sends no reply.
   GuardActions Cancel(CallerLink aFrom, CallId aCall, MonotonicTime aNow);
+  /// The caller's deadline is near. Replies NotRun and drops the call when it
+  /// is waiting and no other call waits for its operation; otherwise does
+  /// nothing.
+  GuardActions Withdraw(CallerLink aFrom, CallId aCall, MonotonicTime aNow);
   /// The link was closed. Drops its waiting calls and aborts its running
   /// idempotent ones.
   GuardActions LinkClosed(CallerLink aFrom, MonotonicTime aNow);
@@ -201,7 +225,10 @@
   /// True when no call is waiting or running.
   bool IsIdle() const { return m_entries.empty(); }
 
+  /// The pace in it is that of the last event.
   LoadReport Load() const;
+  /// Number of answers whose load report could not be read.
+  std::uint64_t UnreadableLoads() const { return m_unreadableLoads; }
   /// Number of calls refused for this reason.
   std::uint64_t RefusedFor(RefusalReason aReason) const
   {
@@ -219,11 +246,17 @@
     /// Its HTTP parts are released once it runs.
     Call m_call;
     std::vector<Waiter> m_waiters;
+    /// The waiter whose node holds the body, until the body is complete.
+    std::optional<Waiter> m_bodySource;
+    bool m_hadDeferredBody = false;
     bool m_isRunning = false;
     bool m_isAborted = false;
     MonotonicTime m_arrived{};
     MonotonicTime m_started{};
     MonotonicTime m_deadline{};
+    /// While it waits: refused by then, so that the reply arrives in time.
+    MonotonicTime m_refuseAt{};
+    MonotonicTime m_objective = MonotonicTime::max();
   };
   using Entries = std::unordered_map<Ticket, Entry>;
 
@@ -242,10 +275,16 @@
                     GuardActions& aActions);
   RefusalReason CheckUpstream(const Call& aCall) const;
   void Admit(Call aCall, CallerLink aFrom, MonotonicTime aNow, GuardActions&);
-  WaitingCall WaitingCallOf(Ticket aTicket,
-                            const Call& aCall,
-                            MonotonicTime aArrived) const;
   void RunNext(MonotonicTime aNow, GuardActions& aActions);
+  /// Offers an entry that has its body to the admission policy.
+  void Enqueue(Ticket aTicket, MonotonicTime aNow, GuardActions& aActions);
+  WaitingCall WaitingCallOf(Ticket aTicket,
+                            const Entry& aEntry,
+                            MonotonicTime aNow) const;
+  /// Requests the bodies for which the upstream will soon have a slot.
+  void RequestBodies(MonotonicTime aNow, GuardActions& aActions);
+  /// Removes a call that waits for its body or for a slot.
+  void RemoveWaiting(Ticket aTicket);
   /// Applies what is known about the upstream's warmth to the limit of starts.
   void UpdateCold(MonotonicTime aNow, GuardActions& aActions);
   /// Admits the waiting calls anew, after the capacity has shrunk.
@@ -277,8 +316,17 @@
                             GuardActions& aActions);
   void ReplyNotRun(const Waiter& aWaiter,
                    RefusalReason aReason,
+                   Duration aRetryAfter,
                    GuardActions& aActions);
+  /// When a slot is expected for a call that is refused because of load; zero
+  /// for other reasons.
+  Duration RetryAfter(Ticket aTicket,
+                      const Entry& aEntry,
+                      RefusalReason aReason,
+                      MonotonicTime aNow);
   UpstreamCapacity Capacity(MonotonicTime aNow);
+  /// Records the pace that the upstream reports.
+  void RecordLoad(const UpstreamNotice& aNotice, MonotonicTime aNow);
   void ApplyNotice(const UpstreamNotice& aNotice,
                    MonotonicTime aNow,
                    GuardActions& aActions);
@@ -300,6 +348,10 @@
   bool m_isDraining = false;
   bool m_isEvacuated = false;
   UpstreamNotice m_notice;
+  PaceRecord m_pace;
+  /// What m_pace gave at the last event.
+  PacePercent m_paceNow = kUsualPace;
+  std::uint64_t m_unreadableLoads = 0;
   StartLimiter m_starts;
   ColdUpstream m_cold;
   /// The rate that m_coldStarts applies, as the service states it.
@@ -313,6 +365,9 @@
   std::uint32_t m_running = 0;
   Ticket m_lastTicket;
   ServiceTimes m_serviceTimes;
+  BodyTransfers m_bodies;
+  /// Calls with a transferred body that wait for a slot.
+  std::uint32_t m_waitingWithBody = 0;
   std::array<std::uint64_t, kRefusalReasons> m_refused{};
 };
 
--- a/src/request/GuardTest.cpp
+++ b/src/request/GuardTest.cpp
@@ -123,6 +123,67 @@
   cr_assert(guard.IsIdle());
 }
 
+/// Overload: the entry node withdraws a call shortly before its deadline. Only
+/// a call that can't run any more may be answered with NotRun.
+Test(Guard, OnlyAWaitingCallIsWithdrawn)
+{
+  Guard guard = MakeGuard(1);
+  Call idempotent = MakeCall(1);
+  idempotent.m_idempotent = true;
+  const Ticket running =
+    guard.Submit(idempotent, kLink, kStart).m_runs.at(0).m_ticket;
+  guard.Submit(MakeCall(2), kLink, kStart);
+  guard.Submit(MakeCall(3, "a", "k"), kLink, kStart);
+  guard.Submit(MakeCall(4, "a", "k"), CallerLink(2), kStart);
+  const GuardActions waiting = guard.Withdraw(kLink, CallId(2), kStart);
+  cr_assert(waiting.m_replies.at(0).m_answer.m_outcome == CallOutcome::NotRun);
+  // A run is neither aborted nor does it lose its caller; call 4 may still run
+  // the operation of call 3.
+  for (const CallId id : { CallId(1), CallId(3), CallId(9) }) {
+    const GuardActions actions = guard.Withdraw(kLink, id, kStart);
+    cr_assert(actions.m_aborts.empty() && actions.m_replies.empty());
+  }
+  const GuardActions end = guard.Finished(running, Done("x"), kStart);
+  cr_assert_eq(end.m_replies.size(), 1);
+  cr_assert_eq(end.m_runs.size(), 1);
+}
+
+/// Overload on a slow link: the refusal of an expired call arrived after its
+/// deadline, so that its caller heard that it may have run.
+Test(Guard, AnExpiringCallIsRefusedEarlyEnoughForItsReply)
+{
+  Guard guard = MakeGuard(1);
+  guard.Submit(MakeCall(1), kLink, kStart);
+  Call call = MakeCall(2);
+  call.m_timeRemaining = milliseconds(1'000);
+  guard.Submit(call, kLink, kStart);
+  const MonotonicTime due = guard.NextTick().value();
+  cr_assert(due <= kStart + milliseconds(990));
+  cr_assert(due >= kStart + milliseconds(950));
+  const GuardActions late = guard.Tick(due + milliseconds(1));
+  cr_assert(late.m_replies.at(0).m_answer.m_outcome == CallOutcome::NotRun);
+}
+
+/// Overload: a refusal stated no wait unless the upstream limited its rate, so
+/// that callers returned after a fixed time.
+Test(Guard, ARefusalStatesWhenASlotIsExpected)
+{
+  Guard guard = MakeGuard(1, 2);
+  const Ticket first =
+    guard.Submit(MakeCall(1), kLink, kStart).m_runs.at(0).m_ticket;
+  guard.Submit(MakeCall(2), kLink, kStart);
+  const MonotonicTime later = kStart + milliseconds(100);
+  guard.Finished(first, Done("x"), later);
+  guard.Submit(MakeCall(3), kLink, later);
+  guard.Submit(MakeCall(4), kLink, later);
+  const GuardActions full = guard.Submit(MakeCall(5), kLink, later);
+  const Answer& refusal = full.m_replies.at(0).m_answer;
+  cr_assert(refusal.m_outcome == CallOutcome::NotRun);
+  // The running call and two waiting ones, of 100 ms each.
+  cr_assert(refusal.m_retryAfter == milliseconds(300));
+  cr_assert(full.m_refused.at(0).m_retryAfter == milliseconds(300));
+}
+
 Test(Guard, ClosedLinkAbortsOnlyIdempotentRuns)
 {
   Guard guard = MakeGuard(2);
@@ -426,6 +487,93 @@
   cr_assert_eq(guard.Submit(MakeCall(5), kLink, kStart).m_runs.size(), 1);
 }
 
+/// A body must be whole before the upstream gets the call, and a call that
+/// still waits for it has not run.
+Test(Guard, ACallStartsWithoutItsDeferredBody)
+{
+  Guard guard = MakeGuard(1);
+  Call call = MakeCall(1);
+  call.m_deferredBody = DeferredBody{ ByteCount(40'000), 7 };
+  GuardActions actions = guard.Submit(call, kLink, kStart);
+  cr_assert(actions.m_runs.empty());
+  std::size_t sent = 0;
+  while (sent < 40'000) {
+    cr_assert(!actions.m_bodies.empty());
+    const std::vector<RequestBody> pieces = actions.m_bodies;
+    for (const RequestBody& piece : pieces) {
+      cr_assert_eq(piece.m_offset.Value(), sent);
+      sent += piece.m_size.Value();
+      actions = guard.BodyArrived(
+        kLink, CallId(1), std::string(piece.m_size.Value(), 'x'), kStart);
+    }
+  }
+  cr_assert_eq(actions.m_runs.size(), 1);
+  cr_assert_eq(actions.m_runs[0].m_call.m_http.m_body.size(), 40'000);
+}
+
+Test(Guard, ACallWhoseBodyIsLostStaysInTheQueue)
+{
+  Guard guard = MakeGuard(1);
+  Call call = MakeCall(1);
+  call.m_deferredBody = DeferredBody{ ByteCount(40'000), 7 };
+  guard.Submit(call, kLink, kStart);
+  // Another entry node repeats the operation and waits for its answer.
+  Call repeat = MakeCall(2, "mesqel-gate", "op-1");
+  repeat.m_deferredBody = call.m_deferredBody;
+  constexpr CallerLink kOther{ 2 };
+  guard.Submit(repeat, kOther, kStart);
+  const GuardActions actions = guard.LinkClosed(kLink, kStart);
+  cr_assert_eq(actions.m_replies.size(), 1);
+  cr_assert(actions.m_replies[0].m_link == kOther);
+  cr_assert(actions.m_replies[0].m_answer.m_outcome == CallOutcome::NotRun);
+  cr_assert(guard.IsIdle());
+}
+
+/// An entry node may send other bytes than it announced.
+Test(Guard, ABodyOfAnotherSizeIsForwarded)
+{
+  Guard guard = MakeGuard(1);
+  Call call = MakeCall(1);
+  call.m_deferredBody = DeferredBody{ ByteCount(10'000), 7 };
+  guard.Submit(call, kLink, kStart);
+  const GuardActions actions =
+    guard.BodyArrived(kLink, CallId(1), std::string(10'001, 'x'), kStart);
+  cr_assert(actions.m_runs.empty());
+  cr_assert(actions.m_replies[0].m_answer.m_outcome == CallOutcome::NotRun);
+}
+
+/// Load: an upstream that shares its VM and is at 250 % for less than a
+/// second. Guards against a report that outlives that, against taking its
+/// long calls for the usual, and against a log line for each report.
+Test(Guard, ReportsThePaceForAShortTime)
+{
+  Guard guard = MakeGuard(1);
+  const auto run = [&](std::uint64_t aId, MonotonicTime aStart, int aPace) {
+    const GuardActions actions = guard.Submit(MakeCall(aId), kLink, aStart);
+    Answer answer = Done("x");
+    answer.m_notice = UpstreamNotice{};
+    answer.m_notice->m_load = LoadReport{
+      1, 0, SlotCount(1), PacePercent(static_cast<std::uint32_t>(aPace))
+    };
+    return guard.Finished(
+      actions.m_runs.at(0).m_ticket, answer, aStart + milliseconds(aPace));
+  };
+  const GuardActions end = run(1, kStart, 250);
+  cr_assert(!end.m_notice);
+  cr_assert(end.m_replies.at(0).m_answer.m_load.m_pace == PacePercent(250));
+  const MonotonicTime soon = kStart + milliseconds(400);
+  guard.Submit(MakeCall(2), kLink, soon);
+  // Refused: the one before takes 250 ms at this pace.
+  Call hurried = MakeCall(3);
+  hurried.m_timeRemaining = milliseconds(200);
+  cr_assert_eq(guard.Submit(hurried, kLink, soon).m_refused.size(), 1);
+  // Accepted: it takes 100 ms at the usual pace.
+  hurried.m_id = CallId(4);
+  const MonotonicTime late = kStart + milliseconds(600);
+  cr_assert_eq(guard.Submit(hurried, kLink, late).m_refused.size(), 0);
+  cr_assert(guard.Load().m_pace == kUsualPace);
+}
+
 /// Calls reach the upstreams of an evacuated data centre, or the end of the
 /// evacuation is missed.
 Test(Guard, EvacuatedGuardStartsCalls)
--- a/src/request/ObjectiveAdmission.cpp
+++ b/src/request/ObjectiveAdmission.cpp
@@ -13,6 +13,19 @@
 /// a call starts. Less than 1, because some calls are faster than the mean.
 constexpr double kMinServiceFraction = 0.5;
 
+/// The margin of a call before its objective, as a fraction of its mean service
+/// time: four in five calls take less than 1.5 times the mean.
+constexpr double kMarginFraction = 0.5;
+/// A margin above this fraction of the time that a call can wait would make
+/// calls late whose objective leaves little time beyond their service time.
+constexpr double kMaxSlackFraction = 0.5;
+
+/// No call is raised to this priority.
+constexpr std::uint8_t kMostUrgent = 0;
+/// Quick calls are raised while they use less than this part of the slots, so
+/// that they can't starve the others.
+constexpr double kQuickShare = 1.0 / 3;
+
 /// Time constant of the rates of starts.
 constexpr Duration kRateTime = std::chrono::seconds(1);
 /// When calls of earlier groups leave less than this fraction of the upstream's
@@ -45,10 +58,24 @@
 MonotonicTime
 LatestTimelyStart(const WaitingCall& aCall)
 {
-  return std::min(LatestStart(aCall, aCall.m_objective, 1.0),
+  return std::min(aCall.m_objective == MonotonicTime::max()
+                    ? aCall.m_objective
+                    : aCall.m_objective - aCall.m_serviceTime - aCall.m_margin,
                   LatestStart(aCall, aCall.m_deadline, kMinServiceFraction));
 }
 
+/// The time before its objective that a call keeps beyond its mean service
+/// time. Under overload most calls start as late as they may; with no margin,
+/// about two in five of them would take longer than the mean and miss their
+/// objective. \param aLeft time from the arrival to the objective.
+Duration
+MarginOf(Duration aServiceTime, Duration aLeft)
+{
+  const Duration slack = std::max(aLeft - aServiceTime, Duration(0));
+  return std::min(Scaled(aServiceTime, kMarginFraction),
+                  Scaled(slack, kMaxSlackFraction));
+}
+
 MonotonicTime
 LatestUsefulStart(const WaitingCall& aCall)
 {
@@ -163,12 +190,17 @@
                           const UpstreamCapacity& aCapacity,
                           MonotonicTime aNow)
 {
+  m_capacity = aCapacity;
   DemoteLateCalls(aNow);
   WaitingCall call = aCall;
+  if (call.m_objective != MonotonicTime::max()) {
+    call.m_margin = MarginOf(call.m_serviceTime, call.m_objective - aNow);
+  }
   if (call.m_isQuick) {
     // A quick call delays others little, and its caller may still meet an
     // objective of its own.
     call.m_objective = call.m_deadline;
+    RaiseQuickCall(call, aCapacity, aNow);
   }
   const bool isLate =
     aNow + ExpectedWait(call, false, aCapacity) > LatestTimelyStart(call);
@@ -183,6 +215,18 @@
   return {};
 }
 
+void
+ObjectiveAdmission::RaiseQuickCall(WaitingCall& aCall,
+                                   const UpstreamCapacity& aCapacity,
+                                   MonotonicTime aNow) const
+{
+  const double bound = kQuickShare * aCapacity.m_slots.Value();
+  if (aCall.m_priority > kMostUrgent + 1 &&
+      m_quickUse.PerSecond(aNow) < bound) {
+    --aCall.m_priority;
+  }
+}
+
 std::vector<Refused>
 ObjectiveAdmission::OfferToFull(const WaitingCall& aCall, bool aIsLate)
 {
@@ -225,22 +269,30 @@
 std::optional<Ticket>
 ObjectiveAdmission::Next(const UpstreamCapacity& aCapacity, MonotonicTime aNow)
 {
+  m_capacity = aCapacity;
   const bool isLate = m_timely.empty();
   std::vector<WaitingCall>& calls = isLate ? m_late : m_timely;
   if (calls.empty() || aCapacity.m_running >= aCapacity.m_slots.Value()) {
     return std::nullopt;
   }
   const Ticket ticket = calls.front().m_ticket;
+  if (calls.front().m_isQuick) {
+    m_quickUse.Add(Seconds(calls.front().m_serviceTime), aNow);
+  }
   if (aCapacity.m_startInterval > Duration::zero()) {
     RecordStart({ isLate, calls.front().m_priority }, aNow);
   }
   calls.erase(calls.begin());
+  if (isLate) {
+    m_backlog.OnStart();
+  }
   return ticket;
 }
 
 std::vector<Refused>
 ObjectiveAdmission::TakeExpired(MonotonicTime aNow)
 {
+  m_backlog.Advance(!m_late.empty(), aNow);
   DemoteLateCalls(aNow);
   std::vector<Refused> refused;
   std::erase_if(m_late, [&](const WaitingCall& aCall) {
@@ -250,9 +302,27 @@
     }
     return isUnreachable;
   });
+  Shorten(aNow, refused);
   return refused;
 }
 
+void
+ObjectiveAdmission::Shorten(MonotonicTime aNow, std::vector<Refused>& aRefused)
+{
+  std::size_t kept = 0;
+  std::erase_if(m_late, [&](const WaitingCall& aCall) {
+    const double starts =
+      m_backlog.StartsWithin(LatestUsefulStart(aCall) - aNow, m_capacity);
+    const bool isExcess = static_cast<double>(kept) >= starts;
+    if (isExcess) {
+      aRefused.push_back({ aCall.m_ticket, RefusalReason::DeadlineTooShort });
+    } else {
+      ++kept;
+    }
+    return isExcess;
+  });
+}
+
 std::optional<MonotonicTime>
 ObjectiveAdmission::NextExpiry() const
 {
@@ -266,6 +336,17 @@
   return next;
 }
 
+Duration
+ObjectiveAdmission::ExpectedStart(const WaitingCall& aCall,
+                                  const UpstreamCapacity& aCapacity,
+                                  MonotonicTime aNow) const
+{
+  const Duration timely = ExpectedWait(aCall, false, aCapacity);
+  return aNow + timely <= LatestTimelyStart(aCall)
+           ? timely
+           : ExpectedWait(aCall, true, aCapacity);
+}
+
 bool
 ObjectiveAdmission::Remove(Ticket aTicket)
 {
