--- a/src/connection/HttpServerTest.cpp
+++ b/src/connection/HttpServerTest.cpp
@@ -204,6 +204,8 @@
   std::atomic<int> m_ended = 0;
   std::atomic<int> m_cancelled = 0;
   std::atomic<int> m_served = 0;
+  /// Requests that had begun when the last slow one ended.
+  std::atomic<int> m_servedBeforeSlow = 0;
 
 private:
   asio::awaitable<HttpAnswerParts> Serve(HttpRequestParts aRequest)
@@ -214,6 +216,7 @@
       const auto [error] =
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
       m_cancelled += error ? 1 : 0;
+      m_servedBeforeSlow = m_served.load();
     }
     co_return TextAnswer(200, aRequest.m_target);
   }
@@ -264,6 +267,23 @@
   cr_assert(slow < quick && quick < second && second < answers.find("/last"));
 }
 
+/// Overload: a caller that pipelines must not be slowed by a call that waits at
+/// the head of its connection.
+Test(HttpServer, ASlowRequestAtTheHeadDelaysNoStart)
+{
+  SlowServer server;
+  asio::io_context context;
+  tcp::socket socket = server.Connect(context);
+  std::string requests = "GET /slow HTTP/1.1\r\n\r\n";
+  for (int i = 0; i < 14; ++i) {
+    requests += "GET /quick HTTP/1.1\r\n\r\n";
+  }
+  requests += "GET /last HTTP/1.1\r\n\r\n";
+  asio::write(socket, asio::buffer(requests));
+  ReadUntil(socket, "/last");
+  cr_assert_eq(server.m_servedBeforeSlow, 16);
+}
+
 Test(HttpServer, ADisconnectingCallerCancelsItsRequests)
 {
   SlowServer server;
--- a/src/process/FrontThread.cpp
+++ b/src/process/FrontThread.cpp
@@ -323,7 +323,8 @@
           { "attempts", std::to_string(aPlan.Attempts()) },
           { "target", aPlan.LastTarget().Value() },
           { "took_ms", Milliseconds(m_clock.Now() - aStart) },
-          { "left_ms", Milliseconds(aSetup.m_deadline - m_clock.Now()) } });
+          { "left_ms", Milliseconds(aSetup.m_deadline - m_clock.Now()) },
+          { "retry_after_ms", Milliseconds(aAnswer.m_retryAfter) } });
   }
 
   /// Returns the time by which the call should complete, max() when its route
