Admission by objective knows client accounts

Within a priority, calls of an account that used more than its share of the slot time of the last seconds come after those of the others (AccountShares). While there are others, an account holds half of the queue at most. Calls without an account, such as inner calls, are not concerned, and with one account the order is as before.

--- a/src/request/AdmissionPolicy.h
+++ b/src/request/AdmissionPolicy.h
@@ -41,6 +41,9 @@
   /// Time that the call should keep before its objective beyond m_serviceTime;
   /// set by policies that use one.
   Duration m_margin{ 0 };
+  /// The call's account used more than its share; set by policies that keep
+  /// shares.
+  bool m_isOverShare = false;
   /// Calls of this route take much less time than the mean holding time of a
   /// slot (see ServiceTimes::IsQuick).
   bool m_isQuick = false;
--- a/src/request/MixModelTest.cpp
+++ b/src/request/MixModelTest.cpp
@@ -74,4 +74,32 @@
   }
 }
 
+/// Load: the first deployment's calls, with an account of a seventh of them
+/// that rises to 3.5 times its usual rate. Guards against calls of the others
+/// that pay for it, and against starving the account.
+Test(MixModel, AccountAboveItsUsualRateDelaysItselfFirst)
+{
+  for (const std::uint64_t seed : kSeeds) {
+    MixSettings settings = AtLoad(testing::StationsMix(), seed, 0.7);
+    settings.m_accounts.assign(40, 1.0);
+    settings.m_accounts[0] = 7;
+    settings.m_flood = 3.5;
+    settings.m_warmUp = seconds(6);
+    settings.m_duration = seconds(14);
+    const MixResult result = testing::RunMix(settings);
+    const MixStats& large = result.m_accounts[0];
+    MixStats others;
+    for (std::size_t i = 1; i < result.m_accounts.size(); ++i) {
+      others.m_value += result.m_accounts[i].m_value;
+      others.m_offeredValue += result.m_accounts[i].m_offeredValue;
+    }
+    cr_assert(others.ValueShare() >= large.ValueShare() + 0.05,
+              "seed %lu: %.3f, others %.3f",
+              seed,
+              large.ValueShare(),
+              others.ValueShare());
+    cr_assert(large.ServedShare() >= 0.5 * result.Total().ServedShare());
+  }
+}
+
 } // namespace tarragontray
--- a/src/request/ObjectiveAdmission.cpp
+++ b/src/request/ObjectiveAdmission.cpp
@@ -82,13 +82,16 @@
   return LatestStart(aCall, aCall.m_deadline, kMinServiceFraction);
 }
 
-/// Sort key of waiting calls: priority, then quick calls first, then aEnd, then
-/// order of arrival.
+/// Sort key of waiting calls: priority, then accounts within their share, then
+/// quick calls, then aEnd, then order of arrival.
 auto
 SortKey(const WaitingCall& aCall, MonotonicTime aEnd)
 {
-  return std::tuple(
-    aCall.m_priority, !aCall.m_isQuick, aEnd, aCall.m_ticket.Value());
+  return std::tuple(aCall.m_priority,
+                    aCall.m_isOverShare,
+                    !aCall.m_isQuick,
+                    aEnd,
+                    aCall.m_ticket.Value());
 }
 
 bool
@@ -195,6 +198,10 @@
   if (call.m_objective != MonotonicTime::max()) {
     call.m_margin = MarginOf(call.m_serviceTime, call.m_objective - aNow);
   }
+  if (IsOfAnAccount(call)) {
+    m_shares.OnOffered(call.m_caller, aNow);
+    call.m_isOverShare = m_shares.IsOverShare(call.m_caller, aNow);
+  }
   if (call.m_isQuick) {
     // A quick call delays others little, and its caller may still meet an
     // objective of its own.
@@ -207,6 +214,9 @@
       aNow + ExpectedWait(call, true, aCapacity) > LatestUsefulStart(call)) {
     return { { call.m_ticket, RefusalReason::DeadlineTooShort } };
   }
+  if (HoldsMostOfQueue(call)) {
+    return OfferWithinAccount(call, isLate);
+  }
   if (Size() >= m_bounds.m_limit) {
     return OfferToFull(call, isLate);
   }
@@ -242,6 +252,46 @@
   return { { victim.m_ticket, RefusalReason::QueueFull } };
 }
 
+bool
+ObjectiveAdmission::HoldsMostOfQueue(const WaitingCall& aCall) const
+{
+  if (!IsOfAnAccount(aCall) || m_shares.ActiveAccounts() < 2) {
+    return false;
+  }
+  const auto isSameAccount = [&](const WaitingCall& aOther) {
+    return aOther.m_caller == aCall.m_caller;
+  };
+  const auto count =
+    std::count_if(m_timely.begin(), m_timely.end(), isSameAccount) +
+    std::count_if(m_late.begin(), m_late.end(), isSameAccount);
+  return static_cast<std::size_t>(count) >=
+         std::max<std::size_t>(1, m_bounds.m_limit / 2);
+}
+
+std::vector<Refused>
+ObjectiveAdmission::OfferWithinAccount(const WaitingCall& aCall, bool aIsLate)
+{
+  const auto isSameAccount = [&](const WaitingCall& aOther) {
+    return aOther.m_caller == aCall.m_caller;
+  };
+  std::vector<WaitingCall>* calls = &m_late;
+  auto last = std::find_if(m_late.rbegin(), m_late.rend(), isSameAccount);
+  if (last == m_late.rend()) {
+    calls = &m_timely;
+    last = std::find_if(m_timely.rbegin(), m_timely.rend(), isSameAccount);
+  }
+  const bool isLastLate = calls == &m_late;
+  const bool isBetter = isLastLate ? !aIsLate || LatePrecedes(aCall, *last)
+                                   : !aIsLate && TimelyPrecedes(aCall, *last);
+  if (!isBetter) {
+    return { { aCall.m_ticket, RefusalReason::FairShare } };
+  }
+  const Ticket victim = last->m_ticket;
+  calls->erase(std::next(last).base());
+  Append(aCall, aIsLate);
+  return { { victim, RefusalReason::FairShare } };
+}
+
 void
 ObjectiveAdmission::DemoteLateCalls(MonotonicTime aNow)
 {
@@ -274,6 +324,10 @@
     return std::nullopt;
   }
   const Ticket ticket = calls.front().m_ticket;
+  if (IsOfAnAccount(calls.front())) {
+    m_shares.OnStarted(
+      calls.front().m_caller, calls.front().m_serviceTime, aNow);
+  }
   if (calls.front().m_isQuick) {
     m_quickUse.Add(Seconds(calls.front().m_serviceTime), aNow);
   }
--- a/src/request/ObjectiveAdmission.h
+++ b/src/request/ObjectiveAdmission.h
@@ -15,8 +15,10 @@
 /// calls late. A call is refused when the queue ahead of it leaves no time to
 /// answer it before its deadline.
 ///
-/// All accounts are treated alike; use FairAdmission where several accounts
-/// share an upstream.
+/// Within a priority, the calls of an account that used more than its share of
+/// the slot time come after those of others (AccountShares), and an account
+/// can't hold more than half of the queue while there are others. Calls that
+/// carry the owner's id are of no account.
 ///
 /// Thread safety: one thread for each instance.
 #pragma once
@@ -27,6 +29,7 @@
 #include <vector>
 
 #include "base/Result.h"
+#include "request/AccountShares.h"
 #include "request/AdmissionPolicy.h"
 #include "request/RecentUse.h"
 
@@ -88,6 +91,19 @@
   void RaiseQuickCall(WaitingCall& aCall,
                       const UpstreamCapacity& aCapacity,
                       MonotonicTime aNow) const;
+  /// True for a call of a client account. Calls without one, which include all
+  /// inner calls, carry the owner's id and must not be held back as its calls.
+  bool IsOfAnAccount(const WaitingCall& aCall) const
+  {
+    return aCall.m_caller != m_bounds.m_owner;
+  }
+  /// True when the account of the call holds half of the queue and there are
+  /// others.
+  bool HoldsMostOfQueue(const WaitingCall& aCall) const;
+  /// Adds the call in place of the last one of its account, or refuses it.
+  /// Precondition: HoldsMostOfQueue.
+  std::vector<Refused> OfferWithinAccount(const WaitingCall& aCall,
+                                          bool aIsLate);
   std::vector<Refused> OfferToFull(const WaitingCall& aCall, bool aIsLate);
   void Append(const WaitingCall& aCall, bool aIsLate);
   /// Moves timely calls that can't meet their objective to the late queue.
@@ -97,11 +113,13 @@
   /// of calls.
   std::map<StartGroup, StartRate> m_starts;
   AdmissionBounds m_bounds;
+  AccountShares m_shares;
   /// Slot time of the quick calls that started in the last seconds.
   RecentUse m_quickUse{ std::chrono::seconds(2) };
-  /// Sorted by priority, then quick calls first, then objective.
+  /// Sorted by priority, then accounts within their share, then quick calls
+  /// first, then objective.
   std::vector<WaitingCall> m_timely;
-  /// Sorted by priority, then quick calls first, then deadline.
+  /// As m_timely, with the deadline for the objective.
   std::vector<WaitingCall> m_late;
 };
 
--- a/src/request/testing/MixModel.cpp
+++ b/src/request/testing/MixModel.cpp
@@ -130,6 +130,10 @@
   double HoldTime(const MixKind& aKind) const;
   void ScheduleArrival(std::size_t aKind, std::size_t aDataCentre);
   void Arrive(std::size_t aKind, std::size_t aDataCentre);
+  double Flood() const
+  {
+    return m_now < kStart + m_settings.m_warmUp ? 1.0 : m_settings.m_flood;
+  }
   void Attempt(const CallerCall& aCall);
   void EndOfAttempt(const CallerCall& aCall, const Answer& aAnswer);
   void Count(const CallerCall& aCall, const Answer& aAnswer);
@@ -340,8 +344,11 @@
 void
 Mix::ScheduleArrival(std::size_t aKind, std::size_t aDataCentre)
 {
-  const double rate =
-    m_settings.m_kinds[aKind].m_rate * m_rateFactor / kDataCentres;
+  const auto& accounts = m_settings.m_accounts;
+  const double usual = std::accumulate(accounts.begin(), accounts.end(), 0.0);
+  const double flood = (Flood() - 1) * accounts.front() / usual;
+  const double rate = m_settings.m_kinds[aKind].m_rate * m_rateFactor *
+                      (1 + flood) / kDataCentres;
   if (rate <= 0) {
     return;
   }
@@ -364,7 +371,8 @@
   CallerCall call;
   call.m_kind = aKind;
   call.m_start = m_now;
-  const auto& rates = m_settings.m_accounts;
+  std::vector<double> rates = m_settings.m_accounts;
+  rates.front() *= Flood();
   double drawn =
     m_random.Fraction() * std::accumulate(rates.begin(), rates.end(), 0.0);
   while (call.m_account + 1 < rates.size() && drawn >= rates[call.m_account]) {
--- a/src/request/testing/MixModel.h
+++ b/src/request/testing/MixModel.h
@@ -81,6 +81,8 @@
   double m_pacedShare = 0.15;
   /// Callers' accounts by their rates; one that is named "owner" when empty.
   std::vector<double> m_accounts;
+  /// From m_warmUp, the first account's rate is multiplied by this.
+  double m_flood = 1;
 };
 
 /// Results of the callers' calls of one kind or one account.
