Admission: calls that can't start in time are refused at once

The expected wait counted the calls in the queue only. A late or less urgent call waited for its whole time while timely or more urgent ones kept coming, and was refused at its deadline. The wait now counts the slot time that earlier groups used in the last second, as it did for rate limits, and waiting late calls are refused as soon as it leaves them no time.

CallThatTheRateLimitKeepsFromItsDeadlineWaits expected a call that can't start any more to stay in the queue; it now checks that just this call is refused.

--- a/src/request/MixModelTest.cpp
+++ b/src/request/MixModelTest.cpp
@@ -102,4 +102,24 @@
   }
 }
 
+/// Load: both deployments' calls at 1.3 and 2 times their upstreams' capacity.
+/// Guards against calls that wait until their deadline behind others that keep
+/// coming, instead of a refusal after which their caller can try again.
+Test(MixModel, NoCallIsHeldForMostOfItsTimeAndThenRefused)
+{
+  for (const double load : { 1.3, 2.0 }) {
+    for (const MixSettings& mix :
+         { testing::PreOrderMix(), testing::StationsMix() }) {
+      const MixResult result = testing::RunMix(AtLoad(mix, 1, load));
+      const MixStats total = result.Total();
+      const double offered = static_cast<double>(total.m_offered);
+      cr_assert(static_cast<double>(total.m_heldToDeadline) <= 0.01 * offered &&
+                  static_cast<double>(total.m_unknown) <= 0.01 * offered,
+                "load %.1f\n%s",
+                load,
+                result.Text().c_str());
+    }
+  }
+}
+
 } // namespace tarragontray
--- a/src/request/ObjectiveAdmission.cpp
+++ b/src/request/ObjectiveAdmission.cpp
@@ -1,7 +1,6 @@
 #include "request/ObjectiveAdmission.h"
 
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -26,10 +25,8 @@
 /// that they can't starve the others.
 constexpr double kQuickShare = 1.0 / 3;
 
-/// Time constant of the rates of starts.
-constexpr Duration kRateTime = std::chrono::seconds(1);
 /// When calls of earlier groups leave less than this fraction of the upstream's
-/// rate limit, a call is not expected to start.
+/// slots or rate limit, a call is not expected to start.
 constexpr double kMinRateLeft = 0.05;
 constexpr Duration kNoStart = std::chrono::hours(1);
 
@@ -128,7 +125,8 @@
 Duration
 ObjectiveAdmission::WaitForStart(const StartGroup& aGroup,
                                  int aCallsAhead,
-                                 const UpstreamCapacity& aCapacity) const
+                                 const UpstreamCapacity& aCapacity,
+                                 MonotonicTime aNow) const
 {
   const Duration wait =
     aCapacity.m_startDelay + aCallsAhead * aCapacity.m_startInterval;
@@ -137,30 +135,61 @@
   }
   // Calls of earlier groups that arrive during the wait start first.
   double earlier = 0;
-  for (const auto& [group, starts] : m_starts) {
-    earlier += group < aGroup ? starts.m_perSecond : 0.0;
+  for (const auto& [group, rate] : m_starts) {
+    earlier += group < aGroup ? rate.m_starts.PerSecond(aNow) : 0.0;
   }
   const double left = 1.0 - earlier * Seconds(aCapacity.m_startInterval);
   return left <= kMinRateLeft ? kNoStart : Scaled(wait, 1.0 / left);
 }
 
-void
-ObjectiveAdmission::RecordStart(const StartGroup& aGroup, MonotonicTime aNow)
+Duration
+ObjectiveAdmission::WaitForSlot(const StartGroup& aGroup,
+                                Duration aWork,
+                                const UpstreamCapacity& aCapacity,
+                                MonotonicTime aNow) const
 {
-  const double seconds = Seconds(kRateTime);
-  for (auto& [group, starts] : m_starts) {
-    starts.m_perSecond *= std::exp(-Seconds(aNow - starts.m_at) / seconds);
-    starts.m_at = aNow;
+  const std::uint32_t slots = std::max(1U, aCapacity.m_slots.Value());
+  if (aCapacity.m_running < slots) {
+    return Duration(0);
   }
+  // On average a slot becomes free every mean service time / slots. Calls of
+  // earlier groups that arrive during the wait take their part of them.
+  double earlier = 0;
+  for (const auto& [group, rate] : m_starts) {
+    earlier += group < aGroup ? rate.m_work.PerSecond(aNow) : 0.0;
+  }
+  const double left = 1.0 - earlier / slots;
+  return left <= kMinRateLeft
+           ? kNoStart
+           : Scaled((aCapacity.m_serviceTime + aWork) / slots, 1.0 / left);
+}
+
+Duration
+ObjectiveAdmission::Wait(const StartGroup& aGroup,
+                         Duration aWork,
+                         int aCallsAhead,
+                         const UpstreamCapacity& aCapacity,
+                         MonotonicTime aNow) const
+{
+  return std::max(WaitForStart(aGroup, aCallsAhead, aCapacity, aNow),
+                  WaitForSlot(aGroup, aWork, aCapacity, aNow));
+}
+
+void
+ObjectiveAdmission::RecordStart(const StartGroup& aGroup,
+                                Duration aServiceTime,
+                                MonotonicTime aNow)
+{
   StartRate& own = m_starts[aGroup];
-  own.m_perSecond += 1.0 / seconds;
-  own.m_at = aNow;
+  own.m_starts.Add(1, aNow);
+  own.m_work.Add(Seconds(aServiceTime), aNow);
 }
 
 Duration
 ObjectiveAdmission::ExpectedWait(const WaitingCall& aCall,
                                  bool aIsLate,
-                                 const UpstreamCapacity& aCapacity) const
+                                 const UpstreamCapacity& aCapacity,
+                                 MonotonicTime aNow) const
 {
   Duration work{ 0 };
   int calls = 0;
@@ -178,14 +207,30 @@
     work += waiting.m_serviceTime;
     ++calls;
   }
-  const Duration forStart =
-    WaitForStart({ aIsLate, aCall.m_priority }, calls, aCapacity);
-  const std::uint32_t slots = std::max(1U, aCapacity.m_slots.Value());
-  if (aCapacity.m_running < slots) {
-    return forStart;
+  return Wait({ aIsLate, aCall.m_priority }, work, calls, aCapacity, aNow);
+}
+
+void
+ObjectiveAdmission::RefuseHopeless(const UpstreamCapacity& aCapacity,
+                                   MonotonicTime aNow,
+                                   std::vector<Refused>& aRefused)
+{
+  Duration work{ 0 };
+  for (const WaitingCall& waiting : m_timely) {
+    work += waiting.m_serviceTime;
   }
-  // On average a slot becomes free every mean service time / slots.
-  return std::max(forStart, (aCapacity.m_serviceTime + work) / slots);
+  auto calls = static_cast<int>(m_timely.size());
+  std::erase_if(m_late, [&](const WaitingCall& aCall) {
+    const Duration wait =
+      Wait({ true, aCall.m_priority }, work, calls, aCapacity, aNow);
+    if (aNow + wait > LatestUsefulStart(aCall)) {
+      aRefused.push_back({ aCall.m_ticket, RefusalReason::DeadlineTooShort });
+      return true;
+    }
+    work += aCall.m_serviceTime;
+    ++calls;
+    return false;
+  });
 }
 
 std::vector<Refused>
@@ -209,9 +254,9 @@
     RaiseQuickCall(call, aCapacity, aNow);
   }
   const bool isLate =
-    aNow + ExpectedWait(call, false, aCapacity) > LatestTimelyStart(call);
-  if (isLate &&
-      aNow + ExpectedWait(call, true, aCapacity) > LatestUsefulStart(call)) {
+    aNow + ExpectedWait(call, false, aCapacity, aNow) > LatestTimelyStart(call);
+  if (isLate && aNow + ExpectedWait(call, true, aCapacity, aNow) >
+                  LatestUsefulStart(call)) {
     return { { call.m_ticket, RefusalReason::DeadlineTooShort } };
   }
   if (HoldsMostOfQueue(call)) {
@@ -221,7 +266,9 @@
     return OfferToFull(call, isLate);
   }
   Append(call, isLate);
-  return {};
+  std::vector<Refused> refused;
+  RefuseHopeless(aCapacity, aNow, refused);
+  return refused;
 }
 
 void
@@ -331,9 +378,8 @@
   if (calls.front().m_isQuick) {
     m_quickUse.Add(Seconds(calls.front().m_serviceTime), aNow);
   }
-  if (aCapacity.m_startInterval > Duration::zero()) {
-    RecordStart({ isLate, calls.front().m_priority }, aNow);
-  }
+  RecordStart(
+    { isLate, calls.front().m_priority }, calls.front().m_serviceTime, aNow);
   calls.erase(calls.begin());
   return ticket;
 }
--- a/src/request/ObjectiveAdmission.h
+++ b/src/request/ObjectiveAdmission.h
@@ -12,8 +12,9 @@
 /// most are inner calls, whose parents hold a slot of another upstream and fail
 /// when they are refused. Under overload, this gives the slots to calls that
 /// can meet their objective, where a first-in, first-out queue would make all
-/// calls late. A call is refused when the queue ahead of it leaves no time to
-/// answer it before its deadline.
+/// calls late. A call is refused when the queue ahead of it, and the calls of
+/// earlier groups that are expected to arrive meanwhile, leave no time to answer
+/// it before its deadline. Late calls are refused as soon as that is so.
 ///
 /// Within a priority, the calls of an account that used more than its share of
 /// the slot time come after those of others (AccountShares), and an account
@@ -69,23 +70,44 @@
 
     auto operator<=>(const StartGroup&) const = default;
   };
-  /// The calls of one group that have started per second, smoothed, as of
-  /// m_at.
+  /// Starts and slot time in seconds of the calls of one group.
   struct StartRate
   {
-    double m_perSecond = 0;
-    MonotonicTime m_at{};
+    RecentUse m_starts{ kRateTime };
+    RecentUse m_work{ kRateTime };
   };
+  /// Time constant of the rates of starts.
+  static constexpr Duration kRateTime = std::chrono::seconds(1);
 
   /// The wait for the upstream's rate limit, with aCallsAhead calls first.
   Duration WaitForStart(const StartGroup& aGroup,
                         int aCallsAhead,
-                        const UpstreamCapacity& aCapacity) const;
-  void RecordStart(const StartGroup& aGroup, MonotonicTime aNow);
+                        const UpstreamCapacity& aCapacity,
+                        MonotonicTime aNow) const;
+  /// The wait for a slot, with calls of aWork service time first.
+  Duration WaitForSlot(const StartGroup& aGroup,
+                       Duration aWork,
+                       const UpstreamCapacity& aCapacity,
+                       MonotonicTime aNow) const;
+  /// The wait for both.
+  Duration Wait(const StartGroup& aGroup,
+                Duration aWork,
+                int aCallsAhead,
+                const UpstreamCapacity& aCapacity,
+                MonotonicTime aNow) const;
+  void RecordStart(const StartGroup& aGroup,
+                   Duration aServiceTime,
+                   MonotonicTime aNow);
   /// Expected time until the call would start in the timely or the late queue.
   Duration ExpectedWait(const WaitingCall& aCall,
                         bool aIsLate,
-                        const UpstreamCapacity& aCapacity) const;
+                        const UpstreamCapacity& aCapacity,
+                        MonotonicTime aNow) const;
+  /// Removes the late calls that are not expected to start in time for their
+  /// deadline.
+  void RefuseHopeless(const UpstreamCapacity& aCapacity,
+                      MonotonicTime aNow,
+                      std::vector<Refused>& aRefused);
   /// Gives the call the next more urgent priority, except the highest, while
   /// quick calls leave most of the slots to others.
   void RaiseQuickCall(WaitingCall& aCall,
@@ -109,8 +131,7 @@
   /// Moves timely calls that can't meet their objective to the late queue.
   void DemoteLateCalls(MonotonicTime aNow);
 
-  /// In the order in which the groups start, while the upstream limits its rate
-  /// of calls.
+  /// In the order in which the groups start.
   std::map<StartGroup, StartRate> m_starts;
   AdmissionBounds m_bounds;
   AccountShares m_shares;
--- a/src/request/ObjectiveAdmissionTest.cpp
+++ b/src/request/ObjectiveAdmissionTest.cpp
@@ -249,9 +249,16 @@
     policy->Offer(MakeCall(3, milliseconds(900)), limited, kStart);
   cr_assert_eq(refused.size(), 1);
   cr_assert(refused[0].m_reason == RefusalReason::DeadlineTooShort);
-  // A more urgent call starts first.
-  cr_assert(
-    policy->Offer(MakeCall(4, milliseconds(900), 0), limited, kStart).empty());
+  // A more urgent call starts first. The last of the others, which could have
+  // started after 700 ms, can't start in time any more and is refused at once.
+  const std::vector<Refused> displaced =
+    policy->Offer(MakeCall(4, milliseconds(900), 0), limited, kStart);
+  cr_assert_eq(displaced.size(), 1);
+  cr_assert_eq(displaced[0].m_ticket.Value(), 2);
+  cr_assert(displaced[0].m_reason == RefusalReason::DeadlineTooShort);
+  cr_assert_eq(TakeNext(*policy), 4);
+  cr_assert_eq(TakeNext(*policy), 1);
+  cr_assert_eq(policy->Size(), 0);
 }
 
 namespace {
--- a/src/request/testing/MixModel.cpp
+++ b/src/request/testing/MixModel.cpp
@@ -121,6 +121,8 @@
     std::size_t m_node = 0;
     ByteCount m_body;
     MonotonicTime m_start{};
+    /// Start of the attempt.
+    MonotonicTime m_attempt{};
   };
   using OnEnd = std::function<void(const Answer&)>;
 
@@ -392,10 +394,12 @@
 Mix::Attempt(const CallerCall& aCall)
 {
   const MixKind& kind = m_settings.m_kinds[aCall.m_kind];
-  Begin(aCall,
+  CallerCall call = aCall;
+  call.m_attempt = m_now;
+  Begin(call,
         aCall.m_start + kind.m_deadline - m_now,
         aCall.m_start + kind.m_objective,
-        [=, this](const Answer& aAnswer) { EndOfAttempt(aCall, aAnswer); });
+        [=, this](const Answer& aAnswer) { EndOfAttempt(call, aAnswer); });
 }
 
 void
@@ -423,6 +427,9 @@
                            &m_result.m_accounts[aCall.m_account] }) {
     ++stats->m_offered;
     stats->m_offeredValue += kind.m_value;
+    const bool isServed = aAnswer.m_outcome == CallOutcome::Done;
+    stats->m_heldToDeadline +=
+      !isServed && m_now - aCall.m_attempt > kind.m_deadline / 2 ? 1 : 0;
     if (aAnswer.m_outcome == CallOutcome::NotRun) {
       ++stats->m_refused;
     } else if (aAnswer.m_outcome == CallOutcome::Unknown ||
@@ -689,6 +696,7 @@
     total.m_refused += stats.m_refused;
     total.m_failed += stats.m_failed;
     total.m_unknown += stats.m_unknown;
+    total.m_heldToDeadline += stats.m_heldToDeadline;
     total.m_value += stats.m_value;
     total.m_offeredValue += stats.m_offeredValue;
   }
@@ -710,7 +718,7 @@
     std::snprintf(line,
                   sizeof line,
                   "%-12s offered %6lu value %.3f in time %.3f late %.3f "
-                  "refused %.3f failed %.3f unknown %.3f\n",
+                  "refused %.3f failed %.3f unknown %.3f held %.3f\n",
                   row.m_name.c_str(),
                   static_cast<unsigned long>(row.m_offered),
                   row.ValueShare(),
@@ -718,7 +726,8 @@
                   part(row.m_late),
                   part(row.m_refused),
                   part(row.m_failed),
-                  part(row.m_unknown));
+                  part(row.m_unknown),
+                  part(row.m_heldToDeadline));
     text += row.m_offered > 0 ? line : "";
   }
   return text;
--- a/src/request/testing/MixModel.h
+++ b/src/request/testing/MixModel.h
@@ -97,6 +97,9 @@
   /// Ended as a 500 of an upstream, because of an inner call.
   std::uint64_t m_failed = 0;
   std::uint64_t m_unknown = 0;
+  /// Refused or unknown after an attempt that took more than half of the
+  /// call's time.
+  std::uint64_t m_heldToDeadline = 0;
   double m_value = 0;
   double m_offeredValue = 0;
 
