--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -319,7 +319,10 @@
     m_stats = { m_guard.Load(),
                 CallCount(m_refused),
                 CallCount(m_ran),
-                CallCount(m_guard.UnreadableLoads()) };
+                CallCount(m_guard.UnreadableLoads()),
+                CallCount(m_guard.RefusedFor(RefusalReason::DeadlineTooShort)),
+                CallCount(m_guard.RefusedFor(RefusalReason::FairShare)),
+                m_guard.Admission() };
   }
 
   /// The guard counts as busy until all answers have been written.
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -139,6 +139,20 @@
   prometheus::Gauge& m_unreadableLoads =
     Gauge("guard_unreadable_loads",
           "Answers whose load report could not be read since the start.");
+  prometheus::Gauge& m_refusedForTime =
+    Gauge("guard_refused_for_time",
+          "Calls refused since the start that could not be answered in time.");
+  prometheus::Gauge& m_refusedForShare =
+    Gauge("guard_refused_for_share",
+          "Calls refused since the start as their account filled the queue.");
+  prometheus::Gauge& m_activeAccounts =
+    Gauge("guard_accounts_active", "Accounts with calls in the last seconds.");
+  prometheus::Gauge& m_overShare =
+    Gauge("guard_calls_over_share",
+          "Calls since the start that came after those of other accounts.");
+  prometheus::Gauge& m_untracked =
+    Gauge("guard_calls_untracked",
+          "Calls since the start of accounts beyond those with a share.");
 };
 
 Metrics::Metrics(const VmId& aVm, const DataCentreId& aDataCentre)
@@ -191,6 +205,14 @@
   m_state->m_pace.Set(aStats.m_load.m_pace.Value());
   m_state->m_unreadableLoads.Set(
     static_cast<double>(aStats.m_unreadableLoads.Value()));
+  m_state->m_refusedForTime.Set(
+    static_cast<double>(aStats.m_refusedForTime.Value()));
+  m_state->m_refusedForShare.Set(
+    static_cast<double>(aStats.m_refusedForShare.Value()));
+  m_state->m_activeAccounts.Set(
+    static_cast<double>(aStats.m_admission.m_activeAccounts));
+  m_state->m_overShare.Set(static_cast<double>(aStats.m_admission.m_overShare));
+  m_state->m_untracked.Set(static_cast<double>(aStats.m_admission.m_untracked));
 }
 
 std::string
--- a/src/process/Metrics.h
+++ b/src/process/Metrics.h
@@ -18,6 +18,7 @@
 
 #include "base/Ids.h"
 #include "base/Units.h"
+#include "request/AdmissionPolicy.h"
 #include "request/Call.h"
 
 namespace tarragontray {
@@ -55,6 +56,11 @@
   CallCount m_ran;
   /// Answers whose load report could not be read.
   CallCount m_unreadableLoads;
+  /// Calls refused because they could not be answered in time.
+  CallCount m_refusedForTime;
+  /// Calls refused because their account held its part of the queue.
+  CallCount m_refusedForShare;
+  AdmissionCounters m_admission;
 };
 
 /// See the file comment.
--- a/src/request/AdmissionPolicy.h
+++ b/src/request/AdmissionPolicy.h
@@ -83,6 +83,18 @@
   bool operator==(const AdmissionBounds&) const = default;
 };
 
+/// Figures of a policy, for metrics.
+struct AdmissionCounters
+{
+  /// Accounts that offered a call in the last seconds; 0 for a policy that
+  /// keeps no shares.
+  std::size_t m_activeAccounts = 0;
+  /// Calls of accounts beyond the number for which shares are kept.
+  std::uint64_t m_untracked = 0;
+  /// Calls that came after others because their account was over its share.
+  std::uint64_t m_overShare = 0;
+};
+
 /// Orders and bounds the waiting calls.
 /// Thread safety: one thread for each instance.
 class AdmissionPolicy
@@ -114,6 +126,7 @@
   virtual void Released(const ClientAccountId& aCaller) = 0;
   /// Number of waiting calls.
   virtual std::size_t Size() const = 0;
+  virtual AdmissionCounters Counters() const { return {}; }
 };
 
 } // namespace tarragontray
--- a/src/request/Guard.h
+++ b/src/request/Guard.h
@@ -165,6 +165,7 @@
   {
     return m_refused[static_cast<std::size_t>(aReason)];
   }
+  AdmissionCounters Admission() const { return m_policy->Counters(); }
   const OperationTableCounters& OperationCounters() const
   {
     return m_operations.Counters();
--- a/src/request/ObjectiveAdmission.cpp
+++ b/src/request/ObjectiveAdmission.cpp
@@ -246,6 +246,7 @@
   if (IsOfAnAccount(call)) {
     m_shares.OnOffered(call.m_caller, aNow);
     call.m_isOverShare = m_shares.IsOverShare(call.m_caller, aNow);
+    m_overShare += call.m_isOverShare ? 1 : 0;
   }
   if (call.m_isQuick) {
     // A quick call delays others little, and its caller may still meet an
--- a/src/request/ObjectiveAdmission.h
+++ b/src/request/ObjectiveAdmission.h
@@ -13,8 +13,8 @@
 /// when they are refused. Under overload, this gives the slots to calls that
 /// can meet their objective, where a first-in, first-out queue would make all
 /// calls late. A call is refused when the queue ahead of it, and the calls of
-/// earlier groups that are expected to arrive meanwhile, leave no time to answer
-/// it before its deadline. Late calls are refused as soon as that is so.
+/// earlier groups that are expected to arrive meanwhile, leave no time to
+/// answer it before its deadline. Late calls are refused as soon as that is so.
 ///
 /// Within a priority, the calls of an account that used more than its share of
 /// the slot time come after those of others (AccountShares), and an account
@@ -54,6 +54,10 @@
   bool Remove(Ticket aTicket) override;
   void Released(const ClientAccountId& /*aCaller*/) override {}
   std::size_t Size() const override { return m_timely.size() + m_late.size(); }
+  AdmissionCounters Counters() const override
+  {
+    return { m_shares.ActiveAccounts(), m_shares.Untracked(), m_overShare };
+  }
 
 private:
   explicit ObjectiveAdmission(AdmissionBounds aBounds)
@@ -135,6 +139,7 @@
   std::map<StartGroup, StartRate> m_starts;
   AdmissionBounds m_bounds;
   AccountShares m_shares;
+  std::uint64_t m_overShare = 0;
   /// Slot time of the quick calls that started in the last seconds.
   RecentUse m_quickUse{ std::chrono::seconds(2) };
   /// Sorted by priority, then accounts within their share, then quick calls
