--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -428,6 +428,11 @@
     m_stats.m_delayedAsCold = CallCount(cold.m_delayed);
     m_stats.m_refusedAsCold = CallCount(cold.m_refused);
     m_stats.m_healthRequests = CallCount(cold.m_healthRequests);
+    m_stats.m_refusedForTime =
+      CallCount(m_guard.RefusedFor(RefusalReason::DeadlineTooShort));
+    m_stats.m_refusedForShare =
+      CallCount(m_guard.RefusedFor(RefusalReason::FairShare));
+    m_stats.m_admission = m_guard.Admission();
   }
 
   /// The guard counts as busy until all answers have been written.
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -154,6 +154,20 @@
           "Calls refused while the upstream was or might have been cold.");
   prometheus::Gauge& m_healthRequests =
     Gauge("guard_health_requests", "Health requests since the start.");
+  prometheus::Gauge& m_refusedForTime =
+    Gauge("guard_refused_for_time",
+          "Calls refused since the start that could not be answered in time.");
+  prometheus::Gauge& m_refusedForShare =
+    Gauge("guard_refused_for_share",
+          "Calls refused since the start as their account filled the queue.");
+  prometheus::Gauge& m_activeAccounts =
+    Gauge("guard_accounts_active", "Accounts with calls in the last seconds.");
+  prometheus::Gauge& m_overShare =
+    Gauge("guard_calls_over_share",
+          "Calls since the start that came after those of other accounts.");
+  prometheus::Gauge& m_untracked =
+    Gauge("guard_calls_untracked",
+          "Calls since the start of accounts beyond those with a share.");
 };
 
 Metrics::Metrics(const VmId& aVm, const DataCentreId& aDataCentre)
@@ -216,6 +230,14 @@
     static_cast<double>(aStats.m_refusedAsCold.Value()));
   m_state->m_healthRequests.Set(
     static_cast<double>(aStats.m_healthRequests.Value()));
+  m_state->m_refusedForTime.Set(
+    static_cast<double>(aStats.m_refusedForTime.Value()));
+  m_state->m_refusedForShare.Set(
+    static_cast<double>(aStats.m_refusedForShare.Value()));
+  m_state->m_activeAccounts.Set(
+    static_cast<double>(aStats.m_admission.m_activeAccounts));
+  m_state->m_overShare.Set(static_cast<double>(aStats.m_admission.m_overShare));
+  m_state->m_untracked.Set(static_cast<double>(aStats.m_admission.m_untracked));
 }
 
 std::string
--- a/src/request/AdmissionPolicy.h
+++ b/src/request/AdmissionPolicy.h
@@ -42,6 +42,9 @@
   /// Time that the call should keep before its objective beyond m_serviceTime;
   /// set by policies that use one.
   Duration m_margin{ 0 };
+  /// The call's account used more than its share; set by policies that keep
+  /// shares.
+  bool m_isOverShare = false;
   /// Calls of this route take much less time than the mean holding time of a
   /// slot (see ServiceTimes::IsQuick).
   bool m_isQuick = false;
@@ -81,6 +84,18 @@
   bool operator==(const AdmissionBounds&) const = default;
 };
 
+/// Figures of a policy, for metrics.
+struct AdmissionCounters
+{
+  /// Accounts that offered a call in the last seconds; 0 for a policy that
+  /// keeps no shares.
+  std::size_t m_activeAccounts = 0;
+  /// Calls of accounts beyond the number for which shares are kept.
+  std::uint64_t m_untracked = 0;
+  /// Calls that came after others because their account was over its share.
+  std::uint64_t m_overShare = 0;
+};
+
 /// Orders and bounds the waiting calls.
 /// Thread safety: one thread for each instance.
 class AdmissionPolicy
@@ -123,6 +138,7 @@
              ? Duration(0)
              : aCapacity.m_serviceTime * static_cast<int>(Size() + 1) / slots;
   }
+  virtual AdmissionCounters Counters() const { return {}; }
 };
 
 } // namespace tarragontray
