--- a/src/base/Units.h
+++ b/src/base/Units.h
@@ -20,6 +20,13 @@
 /// Time on the monotonic clock, for durations and timeouts.
 using MonotonicTime =
   std::chrono::time_point<std::chrono::steady_clock, Duration>;
+/// The clock that Linux calls CLOCK_BOOTTIME: as the monotonic clock, but it
+/// also counts the time in which the VM was suspended.
+struct BootClock
+{
+  using duration = Duration; // NOLINT(readability-identifier-naming)
+};
+using BootTime = std::chrono::time_point<BootClock, Duration>;
 /// Wall-clock time, for deadlines that operators set.
 using WallTime = std::chrono::time_point<std::chrono::system_clock, Duration>;
 
