Strict revocation and account rates in the node

Messages LeaseRequest and LeaseReply on the peer link. The view names the possible coordinators of the data centre and the nodes that read the store's revision; the guard thread holds the pool and asks other data centres for missing tokens; the front thread refuses calls with API keys whose configuration is not confirmed (503) and calls beyond their account's rate (429). A node that no other node tells the age reads the store's revision itself. Without accounts nothing is sent; without revocation-limit-ms no age is checked.

--- a/src/connection/FrameCodec.cpp
+++ b/src/connection/FrameCodec.cpp
@@ -194,6 +194,56 @@
 {
 }
 
+template<typename Coder, Is<TokenAmount> T>
+void
+Fields(Coder& aCoder, T& aAmount)
+{
+  aCoder(aAmount.m_account, aAmount.m_tokens);
+}
+
+template<typename Coder, Is<TokenGrant> T>
+void
+Fields(Coder& aCoder, T& aGrant)
+{
+  aCoder(
+    aGrant.m_account, aGrant.m_tokens, aGrant.m_next, aGrant.m_isPlentiful);
+}
+
+template<typename Coder, Is<Duration> T>
+void
+Fields(Coder& aCoder, T& aDuration)
+{
+  aCoder(aDuration);
+}
+
+template<typename Coder, Is<LeaseRequest> T>
+void
+Fields(Coder& aCoder, T& aRequest)
+{
+  aCoder(aRequest.m_id);
+  aCoder.Enum(aRequest.m_kind, LeaseKind::Transfer);
+  aCoder(aRequest.m_node,
+         aRequest.m_incarnation,
+         aRequest.m_front,
+         aRequest.m_fronts,
+         aRequest.m_number,
+         aRequest.m_configuration,
+         aRequest.m_exclusiveFor,
+         aRequest.m_echo.m_coordinator,
+         aRequest.m_echo.m_time);
+  aCoder.List(aRequest.m_wanted);
+}
+
+template<typename Coder, Is<LeaseReply> T>
+void
+Fields(Coder& aCoder, T& aReply)
+{
+  aCoder(aReply.m_id, aReply.m_stamp.m_coordinator, aReply.m_stamp.m_time);
+  aCoder.Optional(aReply.m_age);
+  aCoder(aReply.m_confirmed);
+  aCoder.List(aReply.m_granted);
+}
+
 /// Decodes the message kind with index aIndex. Returns false when there is no
 /// such kind.
 template<std::size_t I = 0>
--- a/src/connection/FrameCodecTest.cpp
+++ b/src/connection/FrameCodecTest.cpp
@@ -31,6 +31,14 @@
   return bytes;
 }
 
+PeerMessage
+Decoded(const PeerMessage& aMessage)
+{
+  const std::string frame = FrameOf(aMessage);
+  return DecodeMessage(std::string_view(frame).substr(kFrameHeaderBytes), "p")
+    .value();
+}
+
 } // namespace
 
 Test(FrameCodec, CallRoundTrips)
@@ -77,6 +85,36 @@
   }
 }
 
+// A field that is left out of the encoding would let a delayed request count,
+// or make an answer without an age look like a fresh one.
+Test(FrameCodec, LeaseMessagesRoundTrip)
+{
+  LeaseRequest request;
+  request.m_id = CallId(5);
+  request.m_kind = LeaseKind::Transfer;
+  request.m_node = VmId("vm-1");
+  request.m_incarnation = Incarnation(3);
+  request.m_front = 1;
+  request.m_fronts = 2;
+  request.m_number = 9;
+  request.m_configuration = Revision(77);
+  request.m_exclusiveFor = std::chrono::milliseconds(1200);
+  request.m_echo = { Incarnation(4), std::chrono::microseconds(123'456) };
+  request.m_wanted = { { ClientAccountId("north"), Tokens(2500) } };
+  cr_assert(std::get<LeaseRequest>(Decoded(request)) == request);
+  LeaseReply reply;
+  reply.m_id = CallId(5);
+  reply.m_stamp = request.m_echo;
+  reply.m_confirmed = Revision(77);
+  reply.m_granted = { { ClientAccountId("north"),
+                        Tokens(1000),
+                        std::chrono::milliseconds(20),
+                        true } };
+  cr_assert(std::get<LeaseReply>(Decoded(reply)) == reply);
+  reply.m_age = std::chrono::milliseconds(300);
+  cr_assert(std::get<LeaseReply>(Decoded(reply)) == reply);
+}
+
 Test(FrameCodec, EveryTruncationIsRefused)
 {
   const std::string frame = FrameOf(SampleCall());
--- a/src/connection/PeerLink.cpp
+++ b/src/connection/PeerLink.cpp
@@ -43,6 +43,9 @@
   if (const StateReply* reply = std::get_if<StateReply>(&aMessage)) {
     return reply->m_id;
   }
+  if (const LeaseReply* reply = std::get_if<LeaseReply>(&aMessage)) {
+    return reply->m_id;
+  }
   return CallId(0);
 }
 
@@ -90,6 +93,12 @@
                                aTimeout);
 }
 
+asio::awaitable<Exchange<LeaseReply>>
+PeerLink::Lease(LeaseRequest aRequest, Duration aTimeout)
+{
+  return RoundTrip<LeaseReply>(std::move(aRequest), aTimeout);
+}
+
 /// Counts an exchange while it runs, and closes the link after the last one if
 /// it will not be used again.
 class PeerLink::ExchangeCount
--- a/src/connection/PeerLink.h
+++ b/src/connection/PeerLink.h
@@ -77,6 +77,11 @@
   boost::asio::awaitable<Exchange<StateReply>> Fetch(std::string aRequest,
                                                      Duration aTimeout);
 
+  /// Asks for the age of the peer's confirmation and for tokens. Sets the
+  /// request's id.
+  boost::asio::awaitable<Exchange<LeaseReply>> Lease(LeaseRequest aRequest,
+                                                     Duration aTimeout);
+
   /// True once the peer has announced its shutdown: new calls are refused as
   /// Draining without being sent.
   bool IsLeaving() const { return m_isLeaving; }
--- a/src/connection/PeerMessages.h
+++ b/src/connection/PeerMessages.h
@@ -14,6 +14,7 @@
 #include <variant>
 
 #include "base/Ids.h"
+#include "connection/LeaseMessages.h"
 #include "request/Call.h"
 
 namespace tarragontray {
@@ -91,6 +92,8 @@
                                  LinkPong,
                                  StateRequest,
                                  StateReply,
-                                 LinkLeaving>;
+                                 LinkLeaving,
+                                 LeaseRequest,
+                                 LeaseReply>;
 
 } // namespace tarragontray
--- a/src/process/ControlCore.cpp
+++ b/src/process/ControlCore.cpp
@@ -281,6 +281,34 @@
   return Finish(m_gossip.Tick(aTimes.m_now), aTimes);
 }
 
+std::optional<Revision>
+ControlCore::HeldAccountsRevision() const
+{
+  if (!m_view || !m_view->m_accounts) {
+    return std::nullopt;
+  }
+  const Document* held = m_gossip.Documents().Table().Find(
+    ConfigurationKey(m_view->m_accounts->m_owner));
+  return held == nullptr ? std::nullopt : std::optional(held->m_revision);
+}
+
+Revision
+ControlCore::SettledRevision(const ClientAccountId& aAccount) const
+{
+  const std::vector<AccountStatus> all = m_store.Status();
+  const auto found =
+    std::find_if(all.begin(), all.end(), [&](const AccountStatus& aStatus) {
+      return aStatus.m_account == aAccount;
+    });
+  if (found == all.end()) {
+    return Revision(0);
+  }
+  const Revision inForce = found->m_inForce.value_or(Revision(0));
+  const bool isRejected =
+    found->m_pending && found->m_pending->m_reason == PendingReason::Rejected;
+  return isRejected ? std::max(inForce, found->m_pending->m_version) : inForce;
+}
+
 bool
 ControlCore::IsNews(const Document& aDocument) const
 {
@@ -306,6 +334,7 @@
 void
 ControlCore::OnNodes(std::vector<NetworkAddress> aAddresses, MonotonicTime aNow)
 {
+  m_registeredNodes = aAddresses.size() + 1;
   m_gossip.Members().SetSeeds(std::move(aAddresses), aNow);
 }
 
@@ -418,6 +447,12 @@
     m_ordersChanged |= m_orders.Rejected() != rejected;
     auto changes = m_store.Offer(documents);
     std::move(changes.begin(), changes.end(), std::back_inserter(m_changes));
+    // A rejected version changes nothing but the settled revision.
+    if (m_view && m_view->m_accounts &&
+        SettledRevision(m_view->m_accounts->m_owner) !=
+          m_view->m_accounts->m_revision) {
+      m_viewDue = aTimes.m_now;
+    }
   }
 }
 
@@ -518,7 +553,11 @@
     ViewInputs{ m_gossip.Members().Members(),
                 configurations,
                 [this](const ServiceId& aService) { return SplitOf(aService); },
-                m_view.get() });
+                m_view.get(),
+                [this](const ClientAccountId& aAccount) {
+                  return SettledRevision(aAccount);
+                },
+                m_registeredNodes });
   m_view = aActions.m_view;
   const auto bounds = OwnBounds();
   if (bounds != m_bounds) {
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -173,6 +173,9 @@
   /// Records that this node's documents of all watched prefixes were current at
   /// aAsOf.
   ControlActions OnDocumentsConfirmed(MonotonicTime aAsOf, const Times& aTimes);
+  /// The newest revision that this node holds of the configuration with
+  /// accounts, whether in use or not; not set without accounts.
+  std::optional<Revision> HeldAccountsRevision() const;
   /// Whether the document is newer than this node's, or unknown to it.
   bool IsNews(const Document& aDocument) const;
   /// Handles the result of a list, a watch or the read of a template.
@@ -276,6 +279,9 @@
   std::optional<VmId> CoordinatorOf(const MoveId& aMove) const;
   std::vector<std::shared_ptr<const Configuration>> InForce() const;
   std::optional<AdmissionBounds> OwnBounds() const;
+  /// The account's version in force, or a newer one that was rejected, since
+  /// that changes nothing.
+  Revision SettledRevision(const ClientAccountId& aAccount) const;
   void ScheduleView(MonotonicTime aNow);
   /// When it is due, uses the changed membership for the conditions of
   /// configurations, for the roles of this node and for a view.
@@ -323,6 +329,8 @@
   std::optional<PlatformEra> m_entryEra;
   std::optional<AdmissionBounds> m_bounds;
   std::vector<ConfigurationChange> m_changes;
+  /// Nodes in the last list of the platform's entries; 0 before.
+  std::size_t m_registeredNodes = 0;
 };
 
 } // namespace tarragontray
--- a/src/process/ControlThread.cpp
+++ b/src/process/ControlThread.cpp
@@ -106,16 +106,17 @@
       m_admins.push_back(std::move(server));
     }
     BOOST_OUTCOME_TRY(auto platforms, MakePlatforms());
-    BOOST_OUTCOME_TRY(m_platform,
-                      PlatformLoop::Create(m_loop.Context(),
-                                           LoopSettings(),
-                                           std::move(platforms),
-                                           m_clock,
-                                           *m_core,
-                                           m_random,
-                                           [this](ControlActions aActions) {
-                                             Handle(std::move(aActions));
-                                           }));
+    BOOST_OUTCOME_TRY(
+      m_platform,
+      PlatformLoop::Create(
+        m_loop.Context(),
+        LoopSettings(),
+        std::move(platforms),
+        m_clock,
+        *m_core,
+        m_random,
+        [this](ControlActions aActions) { Handle(std::move(aActions)); },
+        [this](BootTime aAsOf) { Confirm(aAsOf); }));
     asio::co_spawn(m_loop.Context(), ReceiveLoop(), asio::detached);
     m_loop.Post([this] { Handle(m_core->OnTick(Now())); });
     m_loop.Start();
@@ -160,6 +161,11 @@
     });
   }
 
+  void CheckRevision() override
+  {
+    m_loop.Post([this] { m_platform->CheckRevisionNow(); });
+  }
+
   void RefuseCallers() override
   {
     m_loop.Post([this] { m_isDraining = true; });
@@ -287,6 +293,14 @@
     Schedule();
   }
 
+  void Confirm(BootTime aAsOf)
+  {
+    const std::optional<Revision> held = m_core->HeldAccountsRevision();
+    if (held && m_traffic.m_confirm) {
+      m_traffic.m_confirm({ aAsOf, *held });
+    }
+  }
+
   void LogHistory()
   {
     if (m_core->IsDepartureHistoryKnown() &&
@@ -454,7 +468,7 @@
     }
     if (aRequest.m_target == "/metrics") {
       m_metrics.Set(ControlStatsOf(m_core->Status(m_clock.WallNow())));
-      m_metrics.Set(m_traffic.m_guardStats());
+      m_metrics.Set(m_traffic.m_guardStats(), m_clock.BootNow());
       return TextAnswer(200, m_metrics.Text(), "text/plain; version=0.0.4");
     }
     if (aRequest.m_target == "/health") {
--- a/src/process/ControlThread.h
+++ b/src/process/ControlThread.h
@@ -18,6 +18,7 @@
 #include "base/NetworkAddress.h"
 #include "base/Result.h"
 #include "process/ControlCore.h"
+#include "process/FreshnessLease.h"
 #include "process/Metrics.h"
 #include "process/NodeDialects.h"
 #include "process/TrafficReport.h"
@@ -54,6 +55,8 @@
     m_setUpstream;
   std::function<void(const AdmissionBounds&)> m_setBounds;
   std::function<GuardStats()> m_guardStats;
+  /// The store has confirmed the configuration with accounts. May be empty.
+  std::function<void(const Confirmation&)> m_confirm;
 };
 
 /// See the file comment.
@@ -82,6 +85,8 @@
   /// control thread, and not at all when the request does not decode.
   virtual void AnswerState(std::string aRequest,
                            std::function<void(std::string)> aReply) = 0;
+  /// Reads the store's revision, whatever the rank of this node.
+  virtual void CheckRevision() = 0;
   /// Readiness checks fail from now on, so that no new callers are sent here.
   virtual void RefuseCallers() = 0;
   /// Announces to the peers that this node is leaving. Implies RefuseCallers.
--- a/src/process/FrontThread.cpp
+++ b/src/process/FrontThread.cpp
@@ -11,6 +11,7 @@
 
 #include "base/Random.h"
 #include "connection/HttpServer.h"
+#include "process/AccountGate.h"
 #include "process/Log.h"
 #include "process/ThreadLoop.h"
 #include "request/CallPlan.h"
@@ -89,6 +90,9 @@
       return kAbsenceRetryAfter;
     case RefusalReason::NoRoute:
     case RefusalReason::UnknownCaller:
+    // The account gate sets the time of these two.
+    case RefusalReason::StaleConfiguration:
+    case RefusalReason::AccountRate:
       return Duration(0);
     default:
       return kLoadRetryAfter;
@@ -154,6 +158,19 @@
 
   Result<void> Listen()
   {
+    AccountGateSettings accounts;
+    accounts.m_tokens.m_vm = m_settings.m_vm;
+    accounts.m_tokens.m_incarnation = m_settings.m_incarnation;
+    accounts.m_tokens.m_front = m_settings.m_index;
+    accounts.m_tokens.m_fronts = m_settings.m_count;
+    accounts.m_tokens.m_rates = m_settings.m_rates;
+    accounts.m_freshness = m_settings.m_freshness;
+    accounts.m_onConfirmed = m_settings.m_onConfirmed;
+    accounts.m_onNeedsRead = m_settings.m_onNeedsRead;
+    BOOST_OUTCOME_TRY(
+      m_accounts,
+      AccountGate::Create(
+        m_loop.Context(), m_clock, m_links, m_random, accounts));
     HttpServerSettings settings;
     settings.m_address = m_settings.m_address;
     settings.m_sharesPort = true;
@@ -177,9 +194,15 @@
       m_view = std::move(view);
       m_retries.SetNodeCount(m_view->m_nodes);
       ApplyCallerLimits();
+      m_accounts->Publish(m_view->m_accounts);
     });
   }
 
+  void Confirm(const Confirmation& aConfirmation) override
+  {
+    m_loop.Post([this, aConfirmation] { m_accounts->Confirm(aConfirmation); });
+  }
+
   void Leave(MonotonicTime aEnd) override
   {
     m_loop.Post([this, aEnd] {
@@ -223,6 +246,15 @@
                                 ? RefusalReason::NoConfiguration
                                 : RefusalReason::NoRoute));
     }
+    if (!configuration->m_callers.empty() &&
+        caller.value().m_credential.m_kind == CallerCredential::Kind::ApiKey &&
+        !m_accounts->IsFresh()) {
+      // A key that is unknown here may have been added, so that this goes
+      // before the identification.
+      co_return Refuse(caller.value(),
+                       RefusalReason::StaleConfiguration,
+                       m_accounts->RetryWhenStale());
+    }
     const Identification identity =
       IdentifyCaller(*configuration, *route, caller.value().m_credential);
     if (!identity.m_isAccepted) {
@@ -234,8 +266,22 @@
                        aRequest);
     }
     const CallContext context{ *configuration, *route, identity.m_account };
+    Admission admission;
+    if (identity.m_account != nullptr && identity.m_account->m_rate) {
+      const Duration timeout =
+        std::min(caller.value().m_timeRemaining.value_or(route->m_timeout),
+                 route->m_timeout);
+      admission = co_await m_accounts->Admit(*identity.m_account, timeout);
+      if (!admission.m_isAdmitted) {
+        co_return Refuse(
+          caller.value(), RefusalReason::AccountRate, admission.m_retryAfter);
+      }
+    }
     Answer answer = co_await ServeRoute(
       std::move(aRequest), caller.value(), *view, context, start);
+    if (answer.m_outcome == CallOutcome::NotRun && admission.m_permit) {
+      m_accounts->Return(*identity.m_account, admission);
+    }
     SeriesOf(context.Account(), route->m_class)
       .Observe(answer.m_outcome, m_clock.Now() - start);
     co_return Write(caller.value(), std::move(answer));
@@ -285,6 +331,16 @@
     co_return answer;
   }
 
+  HttpAnswerParts Refuse(const CallerRequest& aCaller,
+                         RefusalReason aReason,
+                         Duration aRetryAfter)
+  {
+    m_metrics.CountRefusal(aReason);
+    Answer answer = Refusal(aReason);
+    answer.m_retryAfter = aRetryAfter;
+    return Write(aCaller, std::move(answer));
+  }
+
   HttpAnswerParts Write(const CallerRequest& aCaller, Answer aAnswer)
   {
     if (aAnswer.m_outcome == CallOutcome::NotRun) {
@@ -453,6 +509,8 @@
   ServiceSplitter m_serviceSplitter;
   RetryBudget m_retries;
   PeerLinks m_links;
+  /// Set by Listen.
+  std::shared_ptr<AccountGate> m_accounts;
   std::map<std::pair<ClientAccountId, ClassName>, CallMetrics*> m_series;
   /// The longest remaining time that callers of each route have stated.
   std::unordered_map<RouteName, Duration> m_maxTimeRemaining;
--- a/src/process/FrontThread.h
+++ b/src/process/FrontThread.h
@@ -22,6 +22,8 @@
 #include "base/NetworkAddress.h"
 #include "base/Result.h"
 #include "connection/PeerLink.h"
+#include "process/AccountRules.h"
+#include "process/FreshnessLease.h"
 #include "process/IdleSignal.h"
 #include "process/Metrics.h"
 #include "process/TrafficReport.h"
@@ -50,6 +52,16 @@
   std::uint64_t m_seed = 0;
   LinkSettings m_links;
   RetryBudgetSettings m_retries;
+  /// The front threads of the process.
+  std::uint32_t m_count = 1;
+  RateSettings m_rates;
+  FreshnessSettings m_freshness;
+  /// The store has confirmed the accounts, as another node told. Called on the
+  /// front thread. May be empty.
+  std::function<void(const Confirmation&)> m_onConfirmed;
+  /// This node should read the store's revision, since no other node tells its
+  /// age. Called on the front thread. May be empty.
+  std::function<void()> m_onNeedsRead;
 };
 
 /// See the file comment.
@@ -61,7 +73,8 @@
 
   virtual ~FrontThread() = default;
 
-  /// Listens and starts the thread. Errors: Unavailable.
+  /// Listens and starts the thread. Errors: Unavailable; InvalidArgument when
+  /// the revocation limit is too short.
   /// \param aClock, aMetrics, aInFlight must outlive the thread. aInFlight
   /// counts calls from the first byte read to the last byte written.
   static Result<std::unique_ptr<FrontThread>> Create(
@@ -75,6 +88,8 @@
   virtual NetworkAddress Address() const = 0;
   /// Calls that begin from now on use aView.
   virtual void Publish(std::shared_ptr<const View> aView) = 0;
+  /// Adopts a confirmation that another thread has received.
+  virtual void Confirm(const Confirmation& aConfirmation) = 0;
   /// Asks callers, in each answer, to use another node. Calls that begin from
   /// now on are answered before aEnd.
   virtual void Leave(MonotonicTime aEnd) = 0;
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -11,8 +11,10 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "connection/FrameStream.h"
+#include "connection/PeerLink.h"
 #include "connection/Sockets.h"
 #include "connection/UpstreamPool.h"
+#include "process/AccountPool.h"
 #include "process/Log.h"
 #include "process/ThreadLoop.h"
 #include "request/FairAdmission.h"
@@ -28,6 +30,8 @@
 
 constexpr Duration kUsageInterval = std::chrono::seconds(1);
 constexpr char kPart[] = "guard";
+/// Tokens that arrive later from another data centre have expired.
+constexpr Duration kTransferTimeout = std::chrono::milliseconds(150);
 
 class GuardLoop final : public GuardThread
 {
@@ -48,6 +52,8 @@
     , m_usageTimer(m_loop.Context())
     , m_pool(
         UpstreamPool::Create(m_loop.Context(), aClock, aSettings.m_dialect))
+    , m_accountPool(aSettings.m_rates, aSettings.m_incarnation)
+    , m_peers(m_loop.Context(), aClock, LinkSettings{})
   {
   }
 
@@ -82,6 +88,30 @@
     m_loop.Post([this, aBounds] { m_guard.SetBounds(aBounds); });
   }
 
+  void Publish(std::shared_ptr<const View> aView) override
+  {
+    m_loop.Post([this, accounts = aView->m_accounts] {
+      m_accounts = accounts;
+      if (m_accounts) {
+        m_accountPool.SetAccounts(m_accounts->m_rates,
+                                  m_accounts->m_knownNodes,
+                                  m_accounts->m_dataCentres,
+                                  m_clock.BootNow());
+      } else {
+        m_accountPool.SetAccounts({}, 1, 1, m_clock.BootNow());
+      }
+    });
+  }
+
+  void Confirm(const Confirmation& aConfirmation) override
+  {
+    m_loop.Post([this, aConfirmation] {
+      if (!m_confirmation || aConfirmation.m_asOf > m_confirmation->m_asOf) {
+        m_confirmation = aConfirmation;
+      }
+    });
+  }
+
   void Drain() override
   {
     m_loop.Post([this] {
@@ -195,6 +225,26 @@
         });
       });
   }
+  void HandleMessage(CallerLink /*aLink*/,
+                     FrameStream& aStream,
+                     LeaseRequest aRequest)
+  {
+    const BootTime now = m_clock.BootNow();
+    LeaseReply reply;
+    if (aRequest.m_kind == LeaseKind::Pool) {
+      reply = m_accountPool.OnRequest(aRequest, now);
+    } else if (aRequest.m_kind == LeaseKind::Transfer) {
+      reply = m_accountPool.OnTransferRequest(aRequest, now);
+    }
+    reply.m_id = aRequest.m_id;
+    if (m_confirmation) {
+      reply.m_age = now - m_confirmation->m_asOf;
+      reply.m_confirmed = m_confirmation->m_revision;
+    }
+    aStream.Send(std::move(reply));
+    AskOtherPools(now);
+    UpdateStats();
+  }
   /// Closes the link on any other message: a node does not send it to the
   /// accepting side of a link.
   template<typename Unexpected>
@@ -205,6 +255,38 @@
     aStream.Close();
   }
 
+  /// Asks the coordinators of the other data centres for missing tokens, when
+  /// that is due.
+  void AskOtherPools(BootTime aNow)
+  {
+    if (!m_accounts || !m_accountPool.WantsTransfer(aNow)) {
+      return;
+    }
+    LeaseRequest request;
+    request.m_kind = LeaseKind::Transfer;
+    request.m_node = m_settings.m_vm;
+    request.m_incarnation = m_settings.m_incarnation;
+    request.m_configuration = m_accounts->m_revision;
+    request.m_wanted = m_accountPool.TakeTransferWants(aNow);
+    for (const AccountPeer& peer : m_accounts->m_otherCoordinators) {
+      asio::co_spawn(m_loop.Context(),
+                     AskPool(m_peers.Get(peer.m_address), request, aNow),
+                     asio::detached);
+    }
+  }
+
+  asio::awaitable<void> AskPool(std::shared_ptr<PeerLink> aLink,
+                                LeaseRequest aRequest,
+                                BootTime aAskedAt)
+  {
+    const Exchange<LeaseReply> exchange =
+      co_await aLink->Lease(std::move(aRequest), kTransferTimeout);
+    if (const auto* reply = std::get_if<LeaseReply>(&exchange)) {
+      m_accountPool.OnTransferred(*reply, aAskedAt, m_clock.BootNow());
+      UpdateStats();
+    }
+  }
+
   void Execute(GuardActions aActions)
   {
     for (const AbortUpstream& abort : aActions.m_aborts) {
@@ -317,6 +399,14 @@
     UpdateBusy();
     const std::lock_guard lock(m_statsMutex);
     m_stats = { m_guard.Load(), CallCount(m_refused), CallCount(m_ran) };
+    if (m_confirmation) {
+      m_stats.m_confirmedAt = m_confirmation->m_asOf;
+    }
+    const PoolCounters& pool = m_accountPool.Counters();
+    m_stats.m_tokensGranted = pool.m_granted;
+    m_stats.m_tokensReceived = pool.m_transferredIn;
+    m_stats.m_tokensGiven = pool.m_transferredOut;
+    m_stats.m_tokenRequestsRejected = pool.m_rejected;
   }
 
   /// The guard counts as busy until all answers have been written.
@@ -364,6 +454,12 @@
   UpstreamVersion m_version;
   UpstreamEndpoint m_place;
   std::unique_ptr<UpstreamPool> m_pool;
+  /// Null without accounts.
+  std::shared_ptr<const AccountsView> m_accounts;
+  AccountPool m_accountPool;
+  /// Links to the pools of other data centres.
+  PeerLinks m_peers;
+  std::optional<Confirmation> m_confirmation;
   std::unordered_map<CallerLink, std::shared_ptr<FrameStream>> m_links;
   std::unordered_map<Ticket, std::shared_ptr<UpstreamRun>> m_runs;
   bool m_isLeaving = false;
--- a/src/process/GuardThread.h
+++ b/src/process/GuardThread.h
@@ -17,10 +17,13 @@
 #include "base/Clock.h"
 #include "base/NetworkAddress.h"
 #include "base/Result.h"
+#include "process/AccountRules.h"
+#include "process/FreshnessLease.h"
 #include "process/IdleSignal.h"
 #include "process/MemberRecord.h"
 #include "process/Metrics.h"
 #include "process/TrafficReport.h"
+#include "process/View.h"
 #include "request/AdmissionPolicy.h"
 #include "request/HttpDialect.h"
 
@@ -39,6 +42,7 @@
   bool m_admitsByObjective = false;
   /// Maximum number of open peer links; further connections are closed.
   std::size_t m_maxLinks = 4096;
+  RateSettings m_rates;
 };
 
 /// Callbacks from the guard thread to the control thread; called on the guard
@@ -75,6 +79,11 @@
                            const UpstreamEndpoint& aPlace) = 0;
   /// Sets the admission bounds of the service owner's configuration.
   virtual void SetBounds(const AdmissionBounds& aBounds) = 0;
+  /// Uses the accounts of aView for the pool of tokens.
+  virtual void Publish(std::shared_ptr<const View> aView) = 0;
+  /// Adopts a confirmation if it is later than the last one, to tell its age to
+  /// other nodes.
+  virtual void Confirm(const Confirmation& aConfirmation) = 0;
   /// Refuses waiting and new calls with NotRun; running calls continue. Asks
   /// all peers to send no further calls and to close their links.
   virtual void Drain() = 0;
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -133,6 +133,23 @@
     Gauge("guard_refused", "Calls that the guard refused since the start.");
   prometheus::Gauge& m_ran =
     Gauge("guard_ran", "Calls that the upstream ended since the start.");
+  prometheus::Gauge& m_confirmationAge =
+    Gauge("confirmation_age_seconds",
+          "Time since the store confirmed the accounts; -1 when it never did.");
+  prometheus::Gauge& m_tokensGranted =
+    Gauge("tokens_granted", "Calls granted by this node's pool.");
+  prometheus::Gauge& m_tokensReceived =
+    Gauge("tokens_received", "Calls received from other data centres' pools.");
+  prometheus::Gauge& m_tokensGiven =
+    Gauge("tokens_given", "Calls given to other data centres' pools.");
+  prometheus::Gauge& m_tokenRequestsRejected =
+    Gauge("token_requests_rejected",
+          "Requests for tokens that were out of date or over a bound.");
+  prometheus::Gauge& m_refusedRate =
+    Gauge("refused_account_rate", "Calls refused by their account's rate.");
+  prometheus::Gauge& m_refusedStale =
+    Gauge("refused_stale_configuration",
+          "Calls refused because the accounts were not confirmed in time.");
 };
 
 Metrics::Metrics(const VmId& aVm, const DataCentreId& aDataCentre)
@@ -176,14 +193,33 @@
 }
 
 void
-Metrics::Set(const GuardStats& aStats)
+Metrics::Set(const GuardStats& aStats, BootTime aNow)
 {
+  m_state->m_confirmationAge.Set(
+    aStats.m_confirmedAt ? Seconds(aNow - *aStats.m_confirmedAt) : -1);
+  m_state->m_tokensGranted.Set(
+    static_cast<double>(aStats.m_tokensGranted.Value()));
+  m_state->m_tokensReceived.Set(
+    static_cast<double>(aStats.m_tokensReceived.Value()));
+  m_state->m_tokensGiven.Set(static_cast<double>(aStats.m_tokensGiven.Value()));
+  m_state->m_tokenRequestsRejected.Set(
+    static_cast<double>(aStats.m_tokenRequestsRejected));
   m_state->m_running.Set(aStats.m_load.m_running);
   m_state->m_queued.Set(aStats.m_load.m_queued);
   m_state->m_refused.Set(static_cast<double>(aStats.m_refused.Value()));
   m_state->m_ran.Set(static_cast<double>(aStats.m_ran.Value()));
 }
 
+void
+Metrics::CountRefusal(RefusalReason aReason)
+{
+  if (aReason == RefusalReason::AccountRate) {
+    m_state->m_refusedRate.Increment();
+  } else if (aReason == RefusalReason::StaleConfiguration) {
+    m_state->m_refusedStale.Increment();
+  }
+}
+
 std::string
 Metrics::Text() const
 {
--- a/src/process/Metrics.h
+++ b/src/process/Metrics.h
@@ -14,6 +14,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/Ids.h"
@@ -53,6 +54,15 @@
   LoadReport m_load;
   CallCount m_refused;
   CallCount m_ran;
+  /// The time of the last confirmation of the configuration with accounts.
+  std::optional<BootTime> m_confirmedAt{};
+  /// What this node's pool of account tokens has granted to nodes of its data
+  /// centre, and exchanged with other data centres, in calls.
+  CallCount m_tokensGranted{};
+  CallCount m_tokensReceived{};
+  CallCount m_tokensGiven{};
+  /// Requests for tokens that were older than the last one or over a bound.
+  std::uint64_t m_tokenRequestsRejected = 0;
 };
 
 /// See the file comment.
@@ -71,7 +81,11 @@
   /// Updates the gauges of the control thread.
   void Set(const ControlStats& aStats);
   /// Updates the gauges of the guard.
-  void Set(const GuardStats& aStats);
+  /// \param aNow for the age of the last confirmation.
+  void Set(const GuardStats& aStats, BootTime aNow);
+  /// Counts a call that an entry node refused because of its account's rate or
+  /// because the configuration was not confirmed. Other reasons are ignored.
+  void CountRefusal(RefusalReason aReason);
   /// Returns all series in the Prometheus text format.
   std::string Text() const;
 
--- a/src/process/Node.cpp
+++ b/src/process/Node.cpp
@@ -110,6 +110,7 @@
     settings.m_admitsByObjective = m_settings.m_admitsByObjective;
     settings.m_vm = m_settings.m_vm;
     settings.m_incarnation = m_incarnation;
+    settings.m_rates = m_settings.m_rates;
     GuardEvents events;
     events.m_onUsage = [this](UsageBatch aBatch) {
       m_control->Account(std::move(aBatch));
@@ -141,6 +142,17 @@
       settings.m_dialect = m_dialects.m_callers;
       settings.m_origin = m_settings.m_service;
       settings.m_retries = m_settings.m_retries;
+      settings.m_count = m_settings.m_frontThreads;
+      settings.m_rates = m_settings.m_rates;
+      settings.m_freshness = m_settings.m_freshness;
+      settings.m_onConfirmed = [this](const Confirmation& aConfirmation) {
+        Confirm(aConfirmation);
+      };
+      settings.m_onNeedsRead = [this] {
+        if (m_isRunning) {
+          m_control->CheckRevision();
+        }
+      };
       settings.m_index = i;
       settings.m_seed = Seed() + i + 1;
       BOOST_OUTCOME_TRY(auto front,
@@ -199,6 +211,7 @@
       for (const auto& front : m_fronts) {
         front->Publish(aView);
       }
+      m_guard->Publish(aView);
     };
     ports.m_setUpstream = [this](const UpstreamAnnouncement& aUpstream,
                                  const UpstreamEndpoint& aPlace) {
@@ -207,10 +220,22 @@
     ports.m_setBounds = [this](const AdmissionBounds& aBounds) {
       m_guard->SetBounds(aBounds);
     };
+    ports.m_confirm = [this](const Confirmation& aConfirmation) {
+      Confirm(aConfirmation);
+    };
     ports.m_guardStats = [this] { return m_guard->Stats(); };
     return ports;
   }
 
+  /// Any thread.
+  void Confirm(const Confirmation& aConfirmation)
+  {
+    m_guard->Confirm(aConfirmation);
+    for (const auto& front : m_fronts) {
+      front->Confirm(aConfirmation);
+    }
+  }
+
   std::uint64_t Seed() const
   {
     return StableHash(m_settings.m_vm.Value(), m_incarnation.Value());
--- a/src/process/NodeSettings.cpp
+++ b/src/process/NodeSettings.cpp
@@ -94,6 +94,29 @@
                           "objective first.",
                           { "fair", "objective" },
                           "fair" });
+  parser.Add(
+    IntegerSetting{ "revocation-limit-ms",
+                    "ms",
+                    "A call with an API key must not run later than this after "
+                    "the key's removal was acknowledged; nodes that can't tell "
+                    "refuse it. 0: not checked; otherwise above 250.",
+                    0,
+                    600'000,
+                    0 });
+  parser.Add(IntegerSetting{ "rate-window-ms",
+                             "ms",
+                             "Length of the window over which the rates of "
+                             "accounts hold.",
+                             1'000,
+                             600'000,
+                             5'000 });
+  parser.Add(IntegerSetting{ "rate-slack",
+                             "calls",
+                             "Calls that an account may make beyond its rate "
+                             "in each window, over all nodes.",
+                             0,
+                             1'000'000,
+                             20 });
   parser.Add(TextSetting{ "join",
                           "How nodes find each other: by --seeds, or through "
                           "the platform; every node then registers there and "
@@ -250,6 +273,10 @@
   if (history > Duration::zero()) {
     settings.m_watchWait = std::min(settings.m_watchWait, history * 3 / 4);
   }
+  settings.m_freshness.m_limit = aSettings.Milliseconds("revocation-limit-ms");
+  settings.m_rates.m_window = aSettings.Milliseconds("rate-window-ms");
+  settings.m_rates.m_slack =
+    CallCount(static_cast<std::uint64_t>(aSettings.Integer("rate-slack")));
   settings.m_watchRest = aSettings.Milliseconds("watch-rest-ms");
   settings.m_admitsByObjective = aSettings.Text("admission") == "objective";
   settings.m_logLevel = aSettings.Text("log-level");
--- a/src/process/NodeSettings.h
+++ b/src/process/NodeSettings.h
@@ -11,6 +11,8 @@
 #include "base/Ids.h"
 #include "base/NetworkAddress.h"
 #include "base/Units.h"
+#include "process/AccountRules.h"
+#include "process/FreshnessLease.h"
 #include "process/Gossip.h"
 #include "process/Settings.h"
 #include "request/RetryBudget.h"
@@ -63,6 +65,8 @@
   /// Admits calls by their objectives instead of by fair shares of accounts.
   bool m_admitsByObjective = false;
   RetryBudgetSettings m_retries;
+  FreshnessSettings m_freshness;
+  RateSettings m_rates;
   /// "debug", "info", "warning" or "error".
   std::string m_logLevel;
 };
--- a/src/process/PlatformLoop.cpp
+++ b/src/process/PlatformLoop.cpp
@@ -63,7 +63,8 @@
                      const Clock& aClock,
                      ControlCore& aCore,
                      Random& aRandom,
-                     Handle aHandle)
+                     Handle aHandle,
+                     OnConfirmed aOnConfirmed)
 {
   if (aPlatforms.empty()) {
     return Error(
@@ -74,7 +75,8 @@
                                                       aClock,
                                                       aCore,
                                                       aRandom,
-                                                      std::move(aHandle)));
+                                                      std::move(aHandle),
+                                                      std::move(aOnConfirmed)));
   loop->m_platforms = std::move(aPlatforms);
   return loop;
 }
@@ -84,11 +86,13 @@
                            const Clock& aClock,
                            ControlCore& aCore,
                            Random& aRandom,
-                           Handle aHandle)
+                           Handle aHandle,
+                           OnConfirmed aOnConfirmed)
   : m_clock(aClock)
   , m_core(aCore)
   , m_random(aRandom)
   , m_handle(std::move(aHandle))
+  , m_onConfirmed(std::move(aOnConfirmed))
   , m_retry(aContext)
   , m_settings(std::move(aSettings))
   , m_wait(m_settings.m_watchWait)
@@ -226,6 +230,13 @@
   }
 }
 
+void
+PlatformLoop::CheckRevisionNow()
+{
+  m_isCheckRequested = true;
+  Check();
+}
+
 void
 PlatformLoop::CheckRevision(MonotonicTime aNow)
 {
@@ -236,7 +247,8 @@
   if (m_checkCalls > 0 || isListing) {
     return;
   }
-  const MonotonicTime due = m_core.NextRevisionCheck(aNow);
+  const MonotonicTime due =
+    m_isCheckRequested ? aNow : m_core.NextRevisionCheck(aNow);
   if (due == MonotonicTime::max()) {
     return;
   }
@@ -249,21 +261,23 @@
     return;
   }
   m_checkCalls = 1;
-  Current().ReadRevision([this, aNow](const Result<Revision>& aRevision) {
+  m_isCheckRequested = false;
+  const CheckTime asOf{ aNow, m_clock.BootNow() };
+  Current().ReadRevision([this, asOf](const Result<Revision>& aRevision) {
     if (aRevision) {
       Log(LogLevel::Debug,
           kPart,
           "Revision read.",
           { { "revision", std::to_string(aRevision.value().Value()) } });
-      ListBehind(aRevision.value(), aNow);
+      ListBehind(aRevision.value(), asOf);
     }
     EndCheckCall(aRevision ? std::nullopt : std::optional(aRevision.error()),
-                 aNow);
+                 asOf);
   });
 }
 
 void
-PlatformLoop::ListBehind(Revision aRevision, MonotonicTime aAsOf)
+PlatformLoop::ListBehind(Revision aRevision, const CheckTime& aAsOf)
 {
   for (Prefix& prefix : m_prefixes) {
     const std::string& keys = prefix.m_watched.m_keys;
@@ -315,7 +329,7 @@
 
 void
 PlatformLoop::EndCheckCall(const std::optional<Error>& aError,
-                           MonotonicTime aAsOf)
+                           const CheckTime& aAsOf)
 {
   --m_checkCalls;
   m_hasCheckFailed |= aError.has_value();
@@ -327,7 +341,10 @@
     OnSuccess();
   }
   if (m_checkCalls == 0 && !std::exchange(m_hasCheckFailed, false)) {
-    m_handle(m_core.OnDocumentsConfirmed(aAsOf, Now()));
+    m_handle(m_core.OnDocumentsConfirmed(aAsOf.m_monotonic, Now()));
+    if (m_onConfirmed) {
+      m_onConfirmed(aAsOf.m_boot);
+    }
   }
 }
 
--- a/src/process/PlatformLoop.h
+++ b/src/process/PlatformLoop.h
@@ -74,6 +74,9 @@
 {
 public:
   using Handle = std::function<void(ControlActions)>;
+  /// Receives the time just before a read of the store's revision, after which
+  /// this node's documents of all watched prefixes were complete as of then.
+  using OnConfirmed = std::function<void(BootTime)>;
 
   /// \param aPlatforms in order of preference, at least one.
   /// Errors: InvalidArgument. All references must outlive the result.
@@ -84,8 +87,11 @@
     const Clock& aClock,
     ControlCore& aCore,
     Random& aRandom,
-    Handle aHandle);
+    Handle aHandle,
+    OnConfirmed aOnConfirmed = {});
 
+  /// Reads the store's revision at once, whatever the rank of this node.
+  void CheckRevisionNow();
   /// Starts the platform calls that are due and not already running.
   void Check();
   void Write(const std::vector<MoveOutcome>& aOutcomes,
@@ -123,6 +129,13 @@
     NodeEntry m_content;
   };
 
+  /// When a revision check began, on both clocks.
+  struct CheckTime
+  {
+    MonotonicTime m_monotonic;
+    BootTime m_boot;
+  };
+
   /// The request that a result of List or Watch belongs to.
   struct PrefixCall
   {
@@ -136,7 +149,8 @@
                const Clock& aClock,
                ControlCore& aCore,
                Random& aRandom,
-               Handle aHandle);
+               Handle aHandle,
+               OnConfirmed aOnConfirmed);
 
   Times Now() const { return { m_clock.Now(), m_clock.WallNow() }; }
   Platform& Current() { return *m_platforms[m_current]; }
@@ -156,13 +170,13 @@
   /// prefixes that are behind it.
   void CheckRevision(MonotonicTime aNow);
   /// Lists the prefixes that are behind aRevision, beside their watches.
-  void ListBehind(Revision aRevision, MonotonicTime aAsOf);
+  void ListBehind(Revision aRevision, const CheckTime& aAsOf);
   void OnListedBeside(Prefix& aPrefix,
                       const PrefixCall& aCall,
                       const PlatformListing& aListing);
   /// Ends a call of the revision check; the last one confirms this node's
   /// documents as of aAsOf unless a call failed.
-  void EndCheckCall(const std::optional<Error>& aError, MonotonicTime aAsOf);
+  void EndCheckCall(const std::optional<Error>& aError, const CheckTime& aAsOf);
   /// Drops the watches when this one is behind peers and has received nothing
   /// for m_stallTimeout.
   void CheckForStall(Prefix& aPrefix, MonotonicTime aNow);
@@ -186,6 +200,7 @@
   ControlCore& m_core;
   Random& m_random;
   Handle m_handle;
+  OnConfirmed m_onConfirmed;
   boost::asio::steady_timer m_retry;
   std::vector<std::unique_ptr<Platform>> m_platforms;
   std::size_t m_current = 0;
@@ -198,6 +213,7 @@
   /// for each prefix that is listed.
   std::size_t m_checkCalls = 0;
   bool m_hasCheckFailed = false;
+  bool m_isCheckRequested = false;
   /// The latest era in any listing; not set before the first one.
   std::optional<PlatformEra> m_era;
   /// Whether this node's entry is being written or all entries are being read.
--- a/src/process/Runtime.cmake
+++ b/src/process/Runtime.cmake
@@ -10,11 +10,11 @@
 tt_library(tt_metrics SRCS Metrics.cpp DEPS tt_call prometheus-cpp::core)
 tt_test(metrics_test SRCS MetricsTest.cpp DEPS tt_metrics)
 
-tt_library(tt_front_thread SRCS FrontThread.cpp
-  DEPS tt_call_runner tt_http_server tt_ledger tt_log tt_metrics tt_thread_loop)
+tt_library(tt_front_thread SRCS AccountGate.cpp FrontThread.cpp
+  DEPS tt_accounts tt_call_runner tt_http_server tt_ledger tt_log tt_metrics tt_thread_loop)
 tt_test(front_thread_test SRCS FrontThreadTest.cpp DEPS tt_front_thread)
 tt_library(tt_guard_thread SRCS GuardThread.cpp
-  DEPS tt_frame_codec tt_guard tt_ledger tt_log tt_metrics tt_peer_link
+  DEPS tt_accounts tt_frame_codec tt_guard tt_ledger tt_log tt_metrics tt_peer_link
        tt_thread_loop tt_upstream_pool)
 
 tt_decision_library(tt_view_builder
@@ -34,7 +34,7 @@
   DEPS tt_configuration_json tt_http_dialect tt_platform_session tt_status)
 tt_library(tt_control_thread SRCS StateChangeLog.cpp ControlThread.cpp PlatformEntries.cpp
        PlatformLoop.cpp
-  DEPS tt_control_core tt_datagrams tt_http_server tt_log tt_node_dialects
+  DEPS tt_accounts tt_control_core tt_datagrams tt_http_server tt_log tt_node_dialects
        tt_peer_link tt_platform_session tt_status tt_thread_loop)
 tt_test(state_change_log_test SRCS StateChangeLogTest.cpp DEPS tt_control_thread)
 tt_library(tt_node SRCS Node.cpp
--- a/src/process/TokenClient.cpp
+++ b/src/process/TokenClient.cpp
@@ -261,6 +261,7 @@
   }
   m_isInFlight = true;
   m_sentAt = aNow;
+  m_sentTo = m_coordinator;
   return request;
 }
 
@@ -282,6 +283,9 @@
       account.m_batches.push_back({ expiry, calls });
     }
   }
+  if (m_sentTo != m_coordinator) {
+    return;
+  }
   m_answeredAt = aNow;
   m_echo = aReply.m_stamp;
   if (m_isReleasing && !m_hasClaimed) {
--- a/src/process/TokenClient.h
+++ b/src/process/TokenClient.h
@@ -169,6 +169,8 @@
   bool m_isInFlight = false;
   bool m_hasClaimed = false;
   BootTime m_sentAt{};
+  /// The coordinator that the last request was for.
+  VmId m_sentTo;
   std::uint64_t m_number = 0;
   std::uint32_t m_waiting = 0;
 };
--- a/src/process/View.h
+++ b/src/process/View.h
@@ -16,6 +16,7 @@
 #include "base/Ids.h"
 #include "base/NetworkAddress.h"
 #include "base/Units.h"
+#include "process/AccountRules.h"
 #include "process/MemberRecord.h"
 #include "version/Configuration.h"
 #include "version/VersionSplit.h"
@@ -59,6 +60,32 @@
   std::shared_ptr<const KeyPlacement> m_keys;
 };
 
+/// A node and where its guard listens.
+struct AccountPeer
+{
+  VmId m_vm;
+  NetworkAddress m_address;
+};
+
+/// The configuration with accounts, and the nodes that take part in checking
+/// its freshness and its rates. A deployment has one such configuration.
+struct AccountsView
+{
+  ClientAccountId m_owner;
+  /// The newest version that this node uses or has rejected.
+  Revision m_revision;
+  AccountRates m_rates;
+  /// The possible coordinators of this node's data centre, by rank.
+  std::vector<AccountPeer> m_coordinators;
+  /// The nodes that read the store's revision, by rank.
+  std::vector<AccountPeer> m_readers;
+  /// The first coordinator of each other data centre.
+  std::vector<AccountPeer> m_otherCoordinators;
+  /// Nodes of all data centres, dead ones that are still remembered included.
+  std::size_t m_knownNodes = 1;
+  std::size_t m_dataCentres = 1;
+};
+
 /// Everything a traffic thread needs to serve a call.
 struct View
 {
@@ -67,6 +94,8 @@
   std::unordered_map<ClientAccountId, std::shared_ptr<const Configuration>>
     m_configurations;
   std::unordered_map<ServiceId, ServiceView> m_services;
+  /// Null without accounts.
+  std::shared_ptr<const AccountsView> m_accounts;
 };
 
 } // namespace tarragontray
--- a/src/process/ViewBuilder.cpp
+++ b/src/process/ViewBuilder.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/Hash.h"
 #include "request/Subset.h"
 
 namespace tarragontray {
@@ -103,6 +104,73 @@
   return service;
 }
 
+/// Nodes that take part in one role, and how many of them a view names.
+constexpr std::size_t kRankedPeers = 3;
+
+std::vector<AccountPeer>
+RankPeers(std::string_view aPurpose,
+          const std::map<VmId, MemberRecord>& aMembers,
+          const std::function<bool(const MemberRecord&)>& aTakesPart,
+          std::size_t aCount)
+{
+  std::vector<VmId> candidates;
+  for (const auto& [vm, member] : aMembers) {
+    if (member.m_state != NodeState::Dead && aTakesPart(member)) {
+      candidates.push_back(vm);
+    }
+  }
+  std::vector<AccountPeer> peers;
+  for (const VmId& vm : TopRanked(aPurpose, candidates, aCount)) {
+    peers.push_back({ vm, aMembers.at(vm).m_peerAddress });
+  }
+  return peers;
+}
+
+std::shared_ptr<const AccountsView>
+BuildAccounts(const MemberRecord& aSelf, const ViewInputs& aInputs)
+{
+  const auto found =
+    std::find_if(aInputs.m_configurations.begin(),
+                 aInputs.m_configurations.end(),
+                 [](const auto& aEntry) { return !aEntry->m_callers.empty(); });
+  if (found == aInputs.m_configurations.end()) {
+    return nullptr;
+  }
+  const Configuration& configuration = **found;
+  auto view = std::make_shared<AccountsView>();
+  view->m_owner = configuration.m_account;
+  view->m_revision = aInputs.m_revisionOf
+                       ? aInputs.m_revisionOf(configuration.m_account)
+                       : configuration.m_version;
+  view->m_rates = RatesOf(configuration);
+  view->m_knownNodes =
+    std::max(aInputs.m_members.size(), aInputs.m_registeredNodes);
+  std::set<DataCentreId> dataCentres{ aSelf.m_dataCentre };
+  for (const auto& [vm, member] : aInputs.m_members) {
+    dataCentres.insert(member.m_dataCentre);
+  }
+  view->m_dataCentres = dataCentres.size();
+  for (const DataCentreId& dataCentre : dataCentres) {
+    const bool isOwn = dataCentre == aSelf.m_dataCentre;
+    auto peers = RankPeers(
+      "accounts",
+      aInputs.m_members,
+      [&](const MemberRecord& aMember) {
+        return aMember.m_dataCentre == dataCentre;
+      },
+      isOwn ? kRankedPeers : 1);
+    auto& list = isOwn ? view->m_coordinators : view->m_otherCoordinators;
+    std::move(peers.begin(), peers.end(), std::back_inserter(list));
+  }
+  // Ranked as Membership ranks the relays, which read the store's revision.
+  view->m_readers = RankPeers(
+    "relays",
+    aInputs.m_members,
+    [&](const MemberRecord& aMember) { return aMember.m_cell == aSelf.m_cell; },
+    kRankedPeers);
+  return view;
+}
+
 } // namespace
 
 std::shared_ptr<const View>
@@ -117,6 +185,7 @@
     aInputs.m_members.begin(), aInputs.m_members.end(), [](const auto& aEntry) {
       return aEntry.second.m_state != NodeState::Dead;
     }));
+  view->m_accounts = BuildAccounts(aSelf, aInputs);
   for (const auto& configuration : aInputs.m_configurations) {
     view->m_configurations.emplace(configuration->m_account, configuration);
     for (const ServiceSpec& spec : configuration->m_services) {
--- a/src/process/ViewBuilder.h
+++ b/src/process/ViewBuilder.h
@@ -37,6 +37,11 @@
   /// The previous view, or null. Key placements are reused from it for services
   /// with unchanged targets.
   const View* m_previous = nullptr;
+  /// The newest version of an account's configuration that this node uses or
+  /// has rejected. May be empty: the one in use.
+  std::function<Revision(const ClientAccountId&)> m_revisionOf{};
+  /// Nodes that have registered with the platform, 0 when not known.
+  std::size_t m_registeredNodes = 0;
 };
 
 /// Builds the view of the node described by aSelf.
