--- a/src/process/Runtime.cmake
+++ b/src/process/Runtime.cmake
@@ -17,6 +17,9 @@
   DEPS tt_accounts tt_frame_codec tt_guard tt_ledger tt_log tt_metrics tt_peer_link
        tt_thread_loop tt_upstream_pool)
 
+tt_test(account_gate_test SRCS AccountGateTest.cpp
+  DEPS tt_front_thread tt_guard_thread)
+
 tt_decision_library(tt_view_builder
   SRCS ViewBuilder.cpp HDRS ViewBuilder.h DEPS tt_balancing)
 tt_library(tt_node_settings SRCS NodeSettings.cpp DEPS tt_gossip tt_settings)
