--- a/src/process/AccountGate.cpp
+++ b/src/process/AccountGate.cpp
@@ -8,12 +8,15 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "process/Log.h"
+
 namespace tarragontray {
 
 namespace asio = boost::asio;
 
 namespace {
 
+constexpr char kPart[] = "accounts";
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 /// Far above a round trip within a data centre, and short enough that a
 /// coordinator that does not answer is replaced within 400 ms.
@@ -84,6 +87,7 @@
                        m_view ? m_view->m_knownNodes : 1,
                        now);
   m_tokens.SetCoordinators(std::move(ranked), now);
+  LogChanges();
   Schedule();
 }
 
@@ -93,6 +97,32 @@
   m_lease.Confirm(aConfirmation);
 }
 
+void
+AccountGate::LogChanges()
+{
+  const VmId* coordinator = m_tokens.Coordinator();
+  if (coordinator != nullptr && m_tokens.HasAccounts() &&
+      *coordinator != m_loggedCoordinator) {
+    m_loggedCoordinator = *coordinator;
+    Log(LogLevel::Info,
+        kPart,
+        "Token coordinator chosen.",
+        { { "coordinator", coordinator->Value() } });
+  }
+  const BootTime now = m_clock.BootNow();
+  const bool isFresh = !m_view || m_lease.IsFresh(now);
+  if (isFresh != std::exchange(m_isLoggedFresh, isFresh)) {
+    const std::optional<Duration> age = m_lease.Age(now);
+    Log(isFresh ? LogLevel::Info : LogLevel::Warning,
+        kPart,
+        "Confirmation of accounts changed.",
+        { { "fresh", isFresh ? "yes" : "no" },
+          { "revision",
+            m_view ? std::to_string(m_view->m_revision.Value()) : "none" },
+          { "age_ms", age ? Milliseconds(*age) : "none" } });
+  }
+}
+
 bool
 AccountGate::IsFresh()
 {
@@ -238,6 +268,7 @@
   }
   m_isAsking = false;
   WakeWaiting();
+  LogChanges();
   AskReaders();
   Schedule();
 }
--- a/src/process/AccountGate.h
+++ b/src/process/AccountGate.h
@@ -103,6 +103,8 @@
   boost::asio::awaitable<void> AskReader(std::shared_ptr<PeerLink> aLink);
   void OnReadersAsked();
   void WakeWaiting();
+  /// Logs when the coordinator or the freshness has changed.
+  void LogChanges();
 
   boost::asio::io_context& m_context;
   const Clock& m_clock;
@@ -120,6 +122,9 @@
   std::size_t m_askedReaders = 0;
   BootTime m_askedAt{};
   BootTime m_calledAt{};
+  /// As logged last.
+  VmId m_loggedCoordinator;
+  bool m_isLoggedFresh = true;
   /// The earliest time of the next own read of the store's revision.
   BootTime m_mayReadAt{};
 };
--- a/src/process/FrontThreadTest.cpp
+++ b/src/process/FrontThreadTest.cpp
@@ -82,8 +82,108 @@
   return answer;
 }
 
+/// Takes the API key from the header "key".
+class KeyDialect final : public CallerDialect
+{
+public:
+  Result<CallerRequest> Read(const HttpRequestParts& aRequest) const override
+  {
+    BOOST_OUTCOME_TRY(auto caller, m_native.Read(aRequest));
+    for (const HttpHeader& header : aRequest.m_headers) {
+      if (header.m_name == "key") {
+        caller.m_credential = { CallerCredential::Kind::ApiKey,
+                                DigestApiKey(header.m_value) };
+      }
+    }
+    return caller;
+  }
+  HttpAnswerParts Reject(const Error& aError) const override
+  {
+    return m_native.Reject(aError);
+  }
+  HttpAnswerParts Write(Answer aAnswer) const override
+  {
+    return m_native.Write(std::move(aAnswer));
+  }
+
+private:
+  NativeCallerDialect m_native;
+};
+
+/// A view of one account with one API key, "k", and one call a second.
+std::shared_ptr<const View>
+MakeAccountView()
+{
+  auto view = std::make_shared<View>(*MakeView(seconds(1)));
+  auto configuration =
+    std::make_shared<Configuration>(*view->m_configurations[kAccount]);
+  CallerAccount& account = configuration->m_callers.emplace_back();
+  account.m_id = ClientAccountId("north");
+  account.m_rate = AccountRate{ CallRate(1), CallCount(1) };
+  configuration->m_callerKeys.push_back({ DigestApiKey("k"), 0 });
+  auto accounts = std::make_shared<AccountsView>();
+  accounts->m_revision = Revision(7);
+  accounts->m_rates = RatesOf(*configuration);
+  view->m_configurations[kAccount] = std::move(configuration);
+  view->m_accounts = std::move(accounts);
+  return view;
+}
+
+std::string
+AnswerTo(const NetworkAddress& aAddress, const std::string& aKey)
+{
+  asio::io_context context;
+  tcp::socket socket(context);
+  socket.connect(
+    tcp::endpoint(asio::ip::address_v4(aAddress.Ip()), aAddress.Port()));
+  asio::write(socket,
+              asio::buffer("POST / HTTP/1.1\r\nx-client-account: mesqel-gate"
+                           "\r\nkey: " +
+                           aKey +
+                           "\r\nconnection: close\r\ncontent-length: 0"
+                           "\r\n\r\n"));
+  std::string answer;
+  boost::system::error_code error;
+  asio::read(socket, asio::dynamic_buffer(answer), error);
+  return answer;
+}
+
+bool
+Contains(const std::string& aText, const char* aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
 } // namespace
 
+// A node that doesn't know whether a key was revoked must not serve it, nor
+// call a key unknown that may have been added. Without a token, no call of an
+// account with a rate may pass.
+Test(FrontThread, CallsWithKeysNeedAConfirmationAndAToken)
+{
+  SystemClock clock;
+  Metrics metrics(VmId("vm-1"), DataCentreId("dc"));
+  IdleSignal inFlight;
+  FrontSettings settings;
+  settings.m_vm = VmId("vm-1");
+  settings.m_address = NetworkAddress(0x7F000001, 0);
+  settings.m_dialect = std::make_shared<KeyDialect>();
+  settings.m_freshness.m_limit = seconds(5);
+  auto front =
+    FrontThread::Create(settings, clock, metrics, inFlight, [](auto) {
+    }).value();
+  front->Publish(MakeAccountView());
+  for (const char* key : { "k", "other" }) {
+    cr_assert(Contains(AnswerTo(front->Address(), key), "stale-configuration"));
+  }
+  front->Confirm({ clock.BootNow(), Revision(7) });
+  cr_assert(Contains(AnswerTo(front->Address(), "other"), "unknown-caller"));
+  cr_assert(Contains(AnswerTo(front->Address(), "k"), "account-rate"));
+  const std::string text = metrics.Text();
+  cr_assert(Contains(text, "refused_stale_configuration"));
+  front->Stop();
+}
+
 /// The call would be cut off while its target is at work.
 Test(FrontThread, RequestReadAfterDrainIsForwardedWithoutEnoughTime)
 {
