--- a/src/process/AccountGate.cpp
+++ b/src/process/AccountGate.cpp
@@ -50,8 +50,8 @@
                     const AccountGateSettings& aSettings)
 {
   BOOST_OUTCOME_TRY(auto lease, FreshnessLease::Create(aSettings.m_freshness));
-  return std::shared_ptr<AccountGate>(new AccountGate(
-    aContext, aClock, aLinks, aRandom, aSettings, std::move(lease)));
+  return std::shared_ptr<AccountGate>(
+    new AccountGate(aContext, aClock, aLinks, aRandom, aSettings, lease));
 }
 
 AccountGate::AccountGate(asio::io_context& aContext,
@@ -59,13 +59,13 @@
                          PeerLinks& aLinks,
                          Random& aRandom,
                          const AccountGateSettings& aSettings,
-                         FreshnessLease aLease)
+                         const FreshnessLease& aLease)
   : m_context(aContext)
   , m_clock(aClock)
   , m_links(aLinks)
   , m_random(aRandom)
   , m_settings(aSettings)
-  , m_lease(std::move(aLease))
+  , m_lease(aLease)
   , m_tokens(aSettings.m_tokens, aRandom, aClock.BootNow())
   , m_timer(aContext)
 {
--- a/src/process/AccountGate.h
+++ b/src/process/AccountGate.h
@@ -86,7 +86,7 @@
               PeerLinks& aLinks,
               Random& aRandom,
               const AccountGateSettings& aSettings,
-              FreshnessLease aLease);
+              const FreshnessLease& aLease);
 
   bool IsActive() const
   {
--- a/src/process/AccountPool.cpp
+++ b/src/process/AccountPool.cpp
@@ -189,7 +189,7 @@
     return 0;
   }
   const auto burst = static_cast<double>(aAccount.m_rate.m_burst.Value());
-  return std::max(1.0, burst * Share());
+  return 1.0 + burst * Share();
 }
 
 void
--- a/src/process/AccountRules.h
+++ b/src/process/AccountRules.h
@@ -6,8 +6,8 @@
 /// + slack. Half of the slack raises the rate, so that small accounts are
 /// served wherever their callers are. The tenth covers the time that tokens
 /// live outside of a bucket, which is at most a tenth of the window. The other
-/// half of the slack, and a tenth of the burst, cover that a bucket holds at
-/// least one token.
+/// half of the slack, and a tenth of the burst, cover that each bucket holds
+/// one token beyond its part of the burst.
 ///
 /// Thread safety: values.
 #pragma once
--- a/src/process/AccountsTest.cpp
+++ b/src/process/AccountsTest.cpp
@@ -23,6 +23,7 @@
 constexpr Duration kPropagation = 2500ms;
 constexpr double kExcess = 1.1;
 constexpr double kSlack = 20;
+constexpr Duration kMaxWait = 150ms;
 constexpr Duration kReplyTimeout = 200ms;
 
 struct FleetSettings
@@ -112,6 +113,16 @@
     }
   }
 
+  /// Calls that come at random times and wait for a token for 150 ms.
+  void SetCallers(std::size_t aNode, double aCallsPerSecond)
+  {
+    SetDemand(aNode, 0);
+    m_nodes[aNode].m_callsPerSecond = aCallsPerSecond;
+  }
+  double RefusedPart() const
+  {
+    return static_cast<double>(m_refused) / static_cast<double>(m_calls);
+  }
   void SetAllDemand(std::uint64_t aCallsPerStep)
   {
     for (std::size_t node = 0; node < m_nodes.size(); ++node) {
@@ -154,6 +165,8 @@
     std::optional<Duration> m_askedAt;
     std::uint64_t m_requestNumber = 0;
     std::uint64_t m_demand = 50;
+    double m_callsPerSecond = 0;
+    std::deque<Duration> m_calls;
   };
   struct Message
   {
@@ -246,6 +259,7 @@
       node.m_client->OnFailure(Now(aNode));
     }
     Spend(aNode);
+    ServeCalls(aNode);
     if (Now(aNode) >= node.m_client->NextRequest()) {
       Message message;
       message.m_request = node.m_client->MakeRequest(Now(aNode));
@@ -275,6 +289,30 @@
                               static_cast<int>(node.m_demand - served));
     m_spent.back() += served;
   }
+  void ServeCalls(std::size_t aNode)
+  {
+    Node& node = m_nodes[aNode];
+    if (node.m_callsPerSecond <= 0) {
+      return;
+    }
+    const double perStep =
+      node.m_callsPerSecond * std::chrono::duration<double>(kStep).count();
+    if (m_random.Fraction() < perStep) {
+      ++m_calls;
+      node.m_client->AddDemand(kAccount, Now(aNode));
+      node.m_calls.push_back(m_now);
+    }
+    while (!node.m_calls.empty() && node.m_client->Take(kAccount, Now(aNode))) {
+      node.m_calls.pop_front();
+      ++m_spent.back();
+    }
+    while (!node.m_calls.empty() && m_now - node.m_calls.front() >= kMaxWait) {
+      node.m_calls.pop_front();
+      ++m_refused;
+    }
+    node.m_client->AddWaiting(kAccount, -1000);
+    node.m_client->AddWaiting(kAccount, static_cast<int>(node.m_calls.size()));
+  }
   void AskOthers(std::size_t aNode)
   {
     Node& node = m_nodes[aNode];
@@ -354,6 +392,8 @@
   Duration m_delay = kStep;
   std::vector<std::uint64_t> m_spent;
   bool m_hasCountedTwice = false;
+  std::uint64_t m_calls = 0;
+  std::uint64_t m_refused = 0;
 };
 
 std::uint64_t
@@ -545,6 +585,30 @@
   }
 }
 
+// Calls that are refused below the limit are lost value: the callers of a small
+// account are at one or two of many nodes.
+Test(Accounts, CallsBelowTheRateAreServed)
+{
+  for (const double rate : { 3.0, 10.0, 60.0 }) {
+    FleetSettings settings;
+    settings.m_dataCentres = 4;
+    settings.m_nodesEach = 19;
+    settings.m_rate = { CallRate(rate),
+                        CallCount(static_cast<std::uint64_t>(rate)) };
+    Fleet fleet(settings);
+    fleet.SetAllDemand(0);
+    fleet.Run(4s);
+    fleet.SetCallers(3, rate * 0.4);
+    fleet.SetCallers(25, rate * 0.3);
+    fleet.Run(60s);
+    cr_assert_lt(fleet.RefusedPart(),
+                 0.02,
+                 "rate %f: %f refused",
+                 rate,
+                 fleet.RefusedPart());
+  }
+}
+
 // A killed coordinator must not stop the calls of its data centre for long.
 Test(Accounts, TokensAreGrantedAgainAfterTheCoordinatorIsKilled)
 {
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -227,7 +227,7 @@
   }
   void HandleMessage(CallerLink /*aLink*/,
                      FrameStream& aStream,
-                     LeaseRequest aRequest)
+                     const LeaseRequest& aRequest)
   {
     const BootTime now = m_clock.BootNow();
     LeaseReply reply;
--- a/src/process/PlatformLoopTest.cpp
+++ b/src/process/PlatformLoopTest.cpp
@@ -113,13 +113,15 @@
     }
     std::vector<std::unique_ptr<Platform>> platforms;
     platforms.push_back(std::make_unique<ScriptedPlatform>(m_script));
-    m_loop = PlatformLoop::Create(m_context,
-                                  settings,
-                                  std::move(platforms),
-                                  m_clock,
-                                  *m_core,
-                                  m_random,
-                                  [this](const ControlActions&) { Check(); })
+    m_loop = PlatformLoop::Create(
+               m_context,
+               settings,
+               std::move(platforms),
+               m_clock,
+               *m_core,
+               m_random,
+               [this](const ControlActions&) { Check(); },
+               [this](BootTime aAsOf) { m_confirmedAt.push_back(aAsOf); })
                .value();
     m_core->OnTick(Now());
     Check();
@@ -224,7 +226,12 @@
   }
   const DepartedUpstreams& Departed() const { return m_core->Departed(); }
 
+  BootTime BootNow() const { return m_clock.BootNow(); }
+  void CheckRevisionNow() { m_loop->CheckRevisionNow(); }
+
   PlatformScript m_script;
+  /// The times of the confirmations.
+  std::vector<BootTime> m_confirmedAt;
 
 private:
   template<typename T>
@@ -502,4 +509,28 @@
   cr_assert_eq(node.m_script.m_writes.size(), 1);
 }
 
+// Freshness must count from before the read, and only once the documents are
+// complete up to the revision that was read.
+Test(PlatformLoop, RequestedCheckConfirmsOnceTheDocumentsAreComplete)
+{
+  WatchingNode node;
+  node.AnswerList(5);
+  const BootTime before = node.BootNow();
+  node.CheckRevisionNow();
+  cr_assert_eq(node.m_confirmedAt.size(), 1U);
+  cr_assert(node.m_confirmedAt.back() >= before);
+  node.m_script.m_revision = Revision(6);
+  node.CheckRevisionNow();
+  cr_assert_eq(node.m_confirmedAt.size(), 1U);
+  const BootTime asked = node.BootNow();
+  node.RunFor(5ms);
+  node.AnswerList(6);
+  cr_assert_eq(node.m_confirmedAt.size(), 2U);
+  cr_assert(node.m_confirmedAt.back() <= asked);
+  node.m_script.m_revision = Revision(7);
+  node.CheckRevisionNow();
+  node.FailList();
+  cr_assert_eq(node.m_confirmedAt.size(), 2U);
+}
+
 } // namespace tarragontray
--- a/src/process/TokenClient.cpp
+++ b/src/process/TokenClient.cpp
@@ -144,8 +144,8 @@
   OwnShare& own = *aAccount.m_own;
   const double burst =
     static_cast<double>(aAccount.m_rate.m_burst.Value()) / nodes;
-  own.m_level = std::min(std::max(1.0, burst),
-                         own.m_level + rate * Seconds(aNow - own.m_filledAt));
+  own.m_level =
+    std::min(1.0 + burst, own.m_level + rate * Seconds(aNow - own.m_filledAt));
   own.m_filledAt = aNow;
   if (own.m_level < 1) {
     return false;
