--- a/src/process/AccountGate.cpp
+++ b/src/process/AccountGate.cpp
@@ -193,7 +193,11 @@
   const BootTime forAge =
     m_lease.IsStrict() ? m_askedAt + (isIdle ? kIdleAgeInterval : kAgeInterval)
                        : BootTime::max();
-  return std::min(m_tokens.NextRequest(), forAge);
+  const BootTime next = std::min(m_tokens.NextRequest(), forAge);
+  // Also when a request ended at once, nothing is sent without a pause.
+  return next == BootTime::max()
+           ? next
+           : std::max(next, m_askedAt + m_settings.m_tokens.m_minInterval);
 }
 
 void
--- a/src/process/ViewBuilderTest.cpp
+++ b/src/process/ViewBuilderTest.cpp
@@ -116,4 +116,50 @@
   }
 }
 
+// Nodes must agree on the coordinators, and a share must not grow when others
+// die: dead nodes that are remembered still count.
+Test(ViewBuilder, NamesTheCoordinatorsOfEachDataCentreAndCountsAllNodes)
+{
+  std::map<VmId, MemberRecord> members;
+  for (const char* vm : { "a", "b", "c", "d", "e", "f" }) {
+    members[VmId(vm)] = Member(vm, kBoxOffice);
+  }
+  members[VmId("e")].m_dataCentre = DataCentreId("addis-2");
+  members[VmId("f")].m_dataCentre = DataCentreId("addis-2");
+  members[VmId("f")].m_state = NodeState::Dead;
+  Configuration configuration;
+  configuration.m_account = kAccount;
+  configuration.m_version = Revision(3);
+  std::vector<std::shared_ptr<const Configuration>> configurations = {
+    std::make_shared<const Configuration>(configuration)
+  };
+  const auto noMove = [](const ServiceId&) {
+    return std::optional<VersionSplit>();
+  };
+  const auto build = [&](const char* aVm) {
+    return BuildView(members.at(VmId(aVm)),
+                     ViewInputs{ members, configurations, noMove, nullptr });
+  };
+  cr_assert(build("a")->m_accounts == nullptr);
+  CallerAccount& account = configuration.m_callers.emplace_back();
+  account.m_id = ClientAccountId("north");
+  account.m_rate = AccountRate{ CallRate(5), CallCount(1) };
+  configurations = { std::make_shared<const Configuration>(configuration) };
+  const auto first = build("a")->m_accounts;
+  const auto second = build("b")->m_accounts;
+  const auto other = build("e")->m_accounts;
+  cr_assert(first && second && other);
+  cr_assert_eq(first->m_coordinators.size(), 3U);
+  cr_assert(first->m_coordinators[0].m_vm == second->m_coordinators[0].m_vm);
+  cr_assert(other->m_coordinators.size() == 1U &&
+            other->m_coordinators[0].m_vm == VmId("e"));
+  cr_assert(first->m_otherCoordinators.size() == 1U &&
+            first->m_otherCoordinators[0].m_vm == VmId("e"));
+  cr_assert(other->m_otherCoordinators[0].m_vm ==
+            first->m_coordinators[0].m_vm);
+  cr_assert_eq(first->m_knownNodes, 6U);
+  cr_assert_eq(first->m_dataCentres, 2U);
+  cr_assert(first->m_revision == Revision(3) && first->m_rates.size() == 1U);
+}
+
 } // namespace tarragontray
