--- a/src/connection/PeerMessages.h
+++ b/src/connection/PeerMessages.h
@@ -14,6 +14,7 @@
 #include <variant>
 
 #include "base/Ids.h"
+#include "connection/LeaseMessages.h"
 #include "request/Call.h"
 
 namespace tarragontray {
@@ -111,6 +112,8 @@
                                  StateReply,
                                  LinkLeaving,
                                  BodyRequest,
-                                 BodyData>;
+                                 BodyData,
+                                 LeaseRequest,
+                                 LeaseReply>;
 
 } // namespace tarragontray
--- a/src/process/ControlCore.h
+++ b/src/process/ControlCore.h
@@ -195,6 +195,9 @@
   /// Records that this node's documents of all watched prefixes were current at
   /// aAsOf.
   ControlActions OnDocumentsConfirmed(MonotonicTime aAsOf, const Times& aTimes);
+  /// The newest revision that this node holds of the configuration with
+  /// accounts, whether in use or not; not set without accounts.
+  std::optional<Revision> HeldAccountsRevision() const;
   /// Whether the document is newer than this node's, or unknown to it.
   bool IsNews(const Document& aDocument) const;
   /// Handles the result of a list, a watch or the read of a template.
@@ -308,6 +311,9 @@
   /// the next change of the store.
   const ServiceSpec* OwnService() const;
   std::optional<AdmissionBounds> OwnBounds() const;
+  /// The account's version in force, or a newer one that was rejected, since
+  /// that changes nothing.
+  Revision SettledRevision(const ClientAccountId& aAccount) const;
   void ScheduleView(MonotonicTime aNow);
   /// When it is due, uses the changed membership for the conditions of
   /// configurations, for the roles of this node and for a view.
@@ -363,6 +369,8 @@
   std::optional<AdmissionBounds> m_bounds;
   std::optional<ColdBounds> m_coldBounds;
   std::vector<ConfigurationChange> m_changes;
+  /// Nodes in the last list of the platform's entries; 0 before.
+  std::size_t m_registeredNodes = 0;
 };
 
 } // namespace tarragontray
--- a/src/process/FrontThreadTest.cpp
+++ b/src/process/FrontThreadTest.cpp
@@ -116,6 +116,50 @@
   return changed;
 }
 
+/// A view of one account with one API key, "k", and one call a second.
+std::shared_ptr<const View>
+MakeAccountView()
+{
+  auto view = std::make_shared<View>(*MakeView(seconds(1)));
+  auto configuration =
+    std::make_shared<Configuration>(*view->m_configurations[kAccount]);
+  CallerAccount& account = configuration->m_callers.emplace_back();
+  account.m_id = ClientAccountId("north");
+  account.m_rate = AccountRate{ CallRate(1), CallCount(1) };
+  configuration->m_callerKeys.push_back({ DigestApiKey("k"), 0 });
+  auto accounts = std::make_shared<AccountsView>();
+  accounts->m_revision = Revision(7);
+  accounts->m_rates = RatesOf(*configuration);
+  view->m_configurations[kAccount] = std::move(configuration);
+  view->m_accounts = std::move(accounts);
+  return view;
+}
+
+std::string
+AnswerTo(const NetworkAddress& aAddress, const std::string& aKey)
+{
+  asio::io_context context;
+  tcp::socket socket(context);
+  socket.connect(
+    tcp::endpoint(asio::ip::address_v4(aAddress.Ip()), aAddress.Port()));
+  asio::write(socket,
+              asio::buffer("POST / HTTP/1.1\r\nx-client-account: mesqel-gate"
+                           "\r\nx-key: " +
+                           aKey +
+                           "\r\nconnection: close\r\ncontent-length: 0"
+                           "\r\n\r\n"));
+  std::string answer;
+  boost::system::error_code error;
+  asio::read(socket, asio::dynamic_buffer(answer), error);
+  return answer;
+}
+
+bool
+Contains(const std::string& aText, const char* aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
 } // namespace
 
 /// With accounts in the configuration, "no-target" shows that a call was
@@ -173,4 +217,32 @@
             answer.c_str());
 }
 
+// A node that doesn't know whether a key was revoked must not serve it, nor
+// call a key unknown that may have been added. Without a token, no call of an
+// account with a rate may pass.
+Test(FrontThread, CallsWithKeysNeedAConfirmationAndAToken)
+{
+  SystemClock clock;
+  Metrics metrics(VmId("vm-1"), DataCentreId("dc"));
+  IdleSignal inFlight;
+  FrontSettings settings;
+  settings.m_vm = VmId("vm-1");
+  settings.m_address = NetworkAddress(0x7F000001, 0);
+  settings.m_dialect = std::make_shared<KeyDialect>();
+  settings.m_freshness.m_limit = seconds(5);
+  auto front =
+    FrontThread::Create(settings, clock, metrics, inFlight, [](auto) {
+    }).value();
+  front->Publish(MakeAccountView());
+  for (const char* key : { "k", "other" }) {
+    cr_assert(Contains(AnswerTo(front->Address(), key), "stale-configuration"));
+  }
+  front->Confirm({ clock.BootNow(), Revision(7) });
+  cr_assert(Contains(AnswerTo(front->Address(), "other"), "unknown-caller"));
+  cr_assert(Contains(AnswerTo(front->Address(), "k"), "account-rate"));
+  const std::string text = metrics.Text();
+  cr_assert(Contains(text, "refused_stale_configuration"));
+  front->Stop();
+}
+
 } // namespace tarragontray
--- a/src/process/NodeSettings.h
+++ b/src/process/NodeSettings.h
@@ -12,6 +12,8 @@
 #include "base/Ids.h"
 #include "base/NetworkAddress.h"
 #include "base/Units.h"
+#include "process/AccountRules.h"
+#include "process/FreshnessLease.h"
 #include "process/Gossip.h"
 #include "process/Settings.h"
 #include "request/ColdUpstream.h"
@@ -67,6 +69,8 @@
   RetryBudgetSettings m_retries;
   /// Limits the calls to an upstream that is or may be cold; not set: no limit.
   std::optional<ColdAllowance> m_cold;
+  FreshnessSettings m_freshness;
+  RateSettings m_rates;
   /// "debug", "info", "warning" or "error".
   std::string m_logLevel;
 };
--- a/src/process/ViewBuilder.h
+++ b/src/process/ViewBuilder.h
@@ -40,6 +40,11 @@
   const View* m_previous = nullptr;
   /// The data centres whose upstreams must not receive calls; null: none.
   const std::set<DataCentreId>* m_evacuated = nullptr;
+  /// The newest version of an account's configuration that this node uses or
+  /// has rejected. May be empty: the one in use.
+  std::function<Revision(const ClientAccountId&)> m_revisionOf{};
+  /// Nodes that have registered with the platform, 0 when not known.
+  std::size_t m_registeredNodes = 0;
 };
 
 /// Builds the view of the node described by aSelf.
--- a/src/request/ObjectiveAdmission.cpp
+++ b/src/request/ObjectiveAdmission.cpp
@@ -442,10 +442,10 @@
                                   const UpstreamCapacity& aCapacity,
                                   MonotonicTime aNow) const
 {
-  const Duration timely = ExpectedWait(aCall, false, aCapacity);
+  const Duration timely = ExpectedWait(aCall, false, aCapacity, aNow);
   return aNow + timely <= LatestTimelyStart(aCall)
            ? timely
-           : ExpectedWait(aCall, true, aCapacity);
+           : ExpectedWait(aCall, true, aCapacity, aNow);
 }
 
 bool
