A late call's refusal says nothing about calls that can meet their objective

The entry node's memory of refusals compared the time to the deadline only, so that a timely call with a short deadline could be refused without an attempt.

--- a/src/request/CallPlanTest.cpp
+++ b/src/request/CallPlanTest.cpp
@@ -155,6 +155,23 @@
   cr_assert(IsSent(entry, kStart + RefusalMemory::kTrust));
 }
 
+/// A late call is refused where one that can meet its objective starts at once.
+Test(CallPlan, ATimelyCallIsOfferedWhereALateOneWasRefused)
+{
+  EntryNode entry(1);
+  CallPlan late = entry.Start(kStart);
+  late.Begin(kStart);
+  const MonotonicTime now = kStart + milliseconds(600);
+  late.OnAnswer(Refusal(RefusalReason::DeadlineTooShort, milliseconds(300)),
+                now);
+  cr_assert(IsSent(entry, now, 1, milliseconds(590)));
+  CallPlan second = entry.Start(now, 1, milliseconds(590));
+  second.Begin(now);
+  second.OnAnswer(Refusal(RefusalReason::DeadlineTooShort, milliseconds(300)),
+                  now);
+  cr_assert(!IsSent(entry, now, 1, milliseconds(590)));
+}
+
 Test(CallPlan, OneTargetThatHasNotRefusedIsTried)
 {
   EntryNode entry(3);
--- a/src/request/RefusalMemory.cpp
+++ b/src/request/RefusalMemory.cpp
@@ -17,10 +17,7 @@
     m_refusals.clear();
   }
   m_refusals[{ aVm, aCall.m_route, aCall.m_caller }] = {
-    aCall.m_priority,
-    aCall.m_timeLeft,
-    aNow + std::min(aStated, kTrust),
-    aNow + aStated
+    aCall, aNow + std::min(aStated, kTrust), aNow + aStated
   };
 }
 
@@ -34,9 +31,10 @@
     return std::nullopt;
   }
   const Refusal& refusal = found->second;
-  const bool isRefused = aNow < refusal.m_until &&
-                         aCall.m_priority >= refusal.m_priority &&
-                         aCall.m_timeLeft <= refusal.m_timeLeft;
+  const bool isRefused =
+    aNow < refusal.m_until && aCall.m_priority >= refusal.m_call.m_priority &&
+    aCall.m_timeLeft <= refusal.m_call.m_timeLeft &&
+    aCall.m_timeToObjective <= refusal.m_call.m_timeToObjective;
   return isRefused ? std::optional<Duration>(refusal.m_slotExpected - aNow)
                    : std::nullopt;
 }
--- a/src/request/RefusalMemory.h
+++ b/src/request/RefusalMemory.h
@@ -7,9 +7,9 @@
 ///       memory.WaitAt(vm, { route, caller, priority, timeLeft }, now);
 ///
 /// A guard that has refused a call because of load also refuses one of the same
-/// route and account that is no more urgent and has no more time left, until
-/// its queue has moved on. A refusal counts for kTrust at most, and no longer
-/// than the wait that it states.
+/// route and account that is no more urgent and has no more time to its
+/// deadline and its objective, until its queue has moved on. A refusal counts
+/// for kTrust at most, and no longer than the wait that it states.
 ///
 /// Each traffic thread owns one instance. Thread safety: one thread.
 #pragma once
@@ -31,6 +31,9 @@
   ClientAccountId m_caller;
   std::uint8_t m_priority = 0;
   Duration m_timeLeft{ 0 };
+  /// Time to the latency objective; zero when it has passed. A guard starts
+  /// calls that can meet theirs before all others.
+  Duration m_timeToObjective{ 0 };
 };
 
 /// See the file comment.
@@ -76,8 +79,7 @@
   };
   struct Refusal
   {
-    std::uint8_t m_priority = 0;
-    Duration m_timeLeft{ 0 };
+    RefusableCall m_call;
     MonotonicTime m_until{};
     MonotonicTime m_slotExpected{};
   };
--- a/src/request/TargetSequence.h
+++ b/src/request/TargetSequence.h
@@ -131,7 +131,8 @@
     return { m_setup.m_route.m_name,
              m_setup.m_caller,
              m_setup.m_priority,
-             m_setup.m_deadline - aNow };
+             m_setup.m_deadline - aNow,
+             TimeToObjective(aNow) };
   }
   /// \param aRequiresCapacity skip targets that seem saturated.
   const Target* ChooseAmong(const UpstreamVersion& aVersion,
