A key's third home that has just joined does not run its operation

While the first two homes of a key drained and the third had just joined, its former home was not asked and could have run the operation. The outcome is now unknown.

--- a/src/request/ExchangeTest.cpp
+++ b/src/request/ExchangeTest.cpp
@@ -240,6 +240,9 @@
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     RunDrawnSession(seed, false, false);
   }
+  // Regression: while two homes drained, the third had just joined and ran an
+  // operation that its former home had run.
+  RunDrawnSession(7956, false, false);
 }
 
 Test(Exchange, DrawnFaultsWhileTheShareOfAMoveChanges)
--- a/src/request/TargetSequence.cpp
+++ b/src/request/TargetSequence.cpp
@@ -87,7 +87,7 @@
 TargetSequence::Next(RetryReason aReason, MonotonicTime aNow)
 {
   if (m_isPinned) {
-    return NextPinnedTarget(aReason);
+    return NextPinnedTarget(aReason, aNow);
   }
   // Retries go to the old version of the move: it is proven, and the new
   // version must not get more than its share.
@@ -107,7 +107,7 @@
 }
 
 const Target*
-TargetSequence::NextPinnedTarget(RetryReason aReason)
+TargetSequence::NextPinnedTarget(RetryReason aReason, MonotonicTime aNow)
 {
   switch (aReason) {
     case RetryReason::NotSent:
@@ -115,9 +115,13 @@
       return m_tried.back();
     case RetryReason::Draining: {
       const Target* next = NextHome();
-      if (next != nullptr) {
-        m_tried.push_back(next);
+      // The former home of the last rank is not known, and may have run the
+      // operation.
+      if (next == nullptr || (m_tried.size() + 1 == KeyPlacement::kRanks &&
+                              JoinedRecently(next, aNow))) {
+        return nullptr;
       }
+      m_tried.push_back(next);
       return next;
     }
     case RetryReason::TargetGone:
--- a/src/request/TargetSequence.h
+++ b/src/request/TargetSequence.h
@@ -113,7 +113,7 @@
 private:
   /// The home of the next rank; null when there is none.
   const Target* NextHome() const;
-  const Target* NextPinnedTarget(RetryReason aReason);
+  const Target* NextPinnedTarget(RetryReason aReason, MonotonicTime aNow);
   /// The home of the rank after aRank when the one of aRank joined recently,
   /// else null.
   const Target* FormerHomeOf(const UpstreamVersion& aVersion,
