Retry-After: bound the attempts of a caller that is always refused

A third of the time left shrank with every refusal, so that the attempts of one call followed each other ever faster towards its deadline. When a third of the time left is less than 150 ms, the full wait is told, which ends the attempts; for the time to the objective the bound is 60 ms.

--- a/src/request/RetryAfter.cpp
+++ b/src/request/RetryAfter.cpp
@@ -14,8 +14,13 @@
 constexpr Duration kAbsenceRetryAfter = std::chrono::milliseconds(400);
 /// The largest part of the time left that a wait may take.
 constexpr double kMaxFraction = 1.0 / 3;
-/// An objective that is nearer than this can't be met by another attempt.
-constexpr Duration kMinTimeToObjective = std::chrono::milliseconds(60);
+/// When a third of the time left is less than this, another attempt would start
+/// so late that it mostly ends after the deadline. Without this bound, a
+/// caller's attempts would also follow each other ever faster.
+constexpr Duration kMinWait = std::chrono::milliseconds(150);
+/// As kMinWait, for a third of the time to the objective. An objective of 250
+/// ms allows one more attempt.
+constexpr Duration kMinWaitForObjective = std::chrono::milliseconds(60);
 /// The wait is drawn between this fraction of the longest one and all of it.
 constexpr double kMinSpread = 0.6;
 
@@ -56,8 +61,12 @@
     return isUseless ? Duration(0) : wait;
   }
   Duration longest = Scaled(*aTimes.m_timeLeft, kMaxFraction);
-  if (aTimes.m_timeToObjective >= kMinTimeToObjective) {
-    longest = std::min(longest, Scaled(aTimes.m_timeToObjective, kMaxFraction));
+  if (longest < kMinWait) {
+    return wait;
+  }
+  const Duration forObjective = Scaled(aTimes.m_timeToObjective, kMaxFraction);
+  if (forObjective >= kMinWaitForObjective) {
+    longest = std::min(longest, forObjective);
   }
   const double spread = kMinSpread + (1 - kMinSpread) * aRandom.Fraction();
   // The mean of the spread is 0.8, so that few return before their wait.
--- a/src/request/RetryAfter.h
+++ b/src/request/RetryAfter.h
@@ -30,7 +30,8 @@
 /// no use. With m_timeLeft set, at most a third of it, and a third of the time
 /// to the objective while that lies ahead, so that another attempt can meet it.
 /// Spread by chance, so that callers that were refused together don't return
-/// together.
+/// together. When too little time is left for another attempt, the full wait,
+/// which exceeds a third of it.
 Duration
 RetryAfter(RefusalReason aReason,
            const RefusedCallTimes& aTimes,
--- a/src/request/RetryAfterTest.cpp
+++ b/src/request/RetryAfterTest.cpp
@@ -41,6 +41,30 @@
   }
 }
 
+/// Overload: the attempts of a caller that is always refused must not follow
+/// each other ever faster.
+Test(RetryAfter, BoundsTheAttemptsOfOneCall)
+{
+  SeededRandom random(1);
+  Duration left = std::chrono::seconds(4);
+  int attempts = 1;
+  while (attempts < 100) {
+    const Duration wait =
+      RetryAfter(RefusalReason::DeadlineTooShort,
+                 { .m_stated = milliseconds(5'000),
+                   .m_timeLeft = left,
+                   .m_timeToObjective =
+                     std::max(left - milliseconds(3'400), Duration(0)) },
+                 random);
+    if (wait > left / 3) {
+      break;
+    }
+    left -= wait;
+    ++attempts;
+  }
+  cr_assert(attempts <= 16, "%d attempts", attempts);
+}
+
 Test(RetryAfter, WithoutAnObjectiveIsTheStatedWaitOrAFixedOne)
 {
   SeededRandom random(1);
