--- a/src/request/TargetSequence.h
+++ b/src/request/TargetSequence.h
@@ -115,7 +115,7 @@
 private:
   /// The home of the next rank; null when there is none.
   const Target* NextHome() const;
-  const Target* NextPinnedTarget(RetryReason aReason);
+  const Target* NextPinnedTarget(RetryReason aReason, MonotonicTime aNow);
   /// The home of the rank after aRank when the one of aRank joined recently,
   /// else null.
   const Target* FormerHomeOf(const UpstreamVersion& aVersion,
@@ -133,7 +133,8 @@
     return { m_setup.m_route.m_name,
              m_setup.m_caller,
              m_setup.m_priority,
-             m_setup.m_deadline - aNow };
+             m_setup.m_deadline - aNow,
+             TimeToObjective(aNow) };
   }
   /// \param aRequiresCapacity skip targets that seem saturated.
   const Target* ChooseAmong(const UpstreamVersion& aVersion,
