--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -26,19 +26,25 @@
   endforeach()
 endfunction()
 
-# tt_test(NAME SRCS files... [DEPS targets...] [TIMEOUT seconds])
+# tt_test(NAME SRCS files... [DEPS targets...] [TIMEOUT seconds] [SERIAL])
+# SERIAL: its cases run one at a time, and CTest runs no other test beside it.
 function(tt_test NAME)
   if(NOT TARRAGONTRAY_TESTS)
     return()
   endif()
-  cmake_parse_arguments(ARG "" "TIMEOUT" "SRCS;DEPS" ${ARGN})
+  cmake_parse_arguments(ARG "SERIAL" "TIMEOUT" "SRCS;DEPS" ${ARGN})
   if(NOT ARG_TIMEOUT)
     set(ARG_TIMEOUT 120)
   endif()
+  set(jobs 2)
+  if(ARG_SERIAL)
+    set(jobs 1)
+  endif()
   add_executable(${NAME} ${ARG_SRCS})
   target_link_libraries(${NAME} PRIVATE ${ARG_DEPS} PkgConfig::CRITERION)
-  add_test(NAME ${NAME} COMMAND ${NAME} -j2)
+  add_test(NAME ${NAME} COMMAND ${NAME} -j${jobs})
   set_tests_properties(${NAME} PROPERTIES TIMEOUT ${ARG_TIMEOUT}
+    RUN_SERIAL $<BOOL:${ARG_SERIAL}>
     ENVIRONMENT "RC_PARAMS=seed=20261204;TT_GOLDEN_DIR=${CMAKE_CURRENT_SOURCE_DIR}/golden;TT_BIN_DIR=${CMAKE_BINARY_DIR}/bin;TT_EXAMPLES_DIR=${CMAKE_SOURCE_DIR}/examples")
 endfunction()
 
--- a/src/programs/testing/ChildProcess.h
+++ b/src/programs/testing/ChildProcess.h
@@ -44,6 +44,7 @@
   /// Returns the exit status, or 128 plus the signal number if a signal ended
   /// the process; nothing if it has not ended within aLimit.
   std::optional<int> WaitForExit(Duration aLimit);
+  pid_t Pid() const { return m_pid; }
 
 private:
   ChildProcess(pid_t aPid, int aOutput, std::string aProgram);
--- a/src/programs/testing/LocalDeployment.cpp
+++ b/src/programs/testing/LocalDeployment.cpp
@@ -24,8 +24,21 @@
 /// Time between two requests for a node's status.
 constexpr Duration kStatusInterval = std::chrono::milliseconds(25);
 
+std::unique_ptr<ChildProcess>
+StartAndWaitForReady(const std::string& aProgram,
+                     std::vector<std::string> aArguments)
+{
+  auto child = ChildProcess::Start(aProgram, std::move(aArguments));
+  if (!child || !child.value().WaitForReady(kStartLimit)) {
+    std::abort();
+  }
+  return std::make_unique<ChildProcess>(std::move(child.value()));
+}
+
+} // namespace
+
 Result<HttpAnswerParts>
-Exchange(const std::string& aAddress, HttpRequestParts aRequest)
+SendRequest(const std::string& aAddress, HttpRequestParts aRequest)
 {
   BOOST_OUTCOME_TRY(const auto address, NetworkAddress::Parse(aAddress));
   boost::asio::io_context context;
@@ -41,44 +54,31 @@
   return std::move(*result);
 }
 
-std::unique_ptr<ChildProcess>
-StartAndWaitForReady(const std::string& aProgram,
-                     std::vector<std::string> aArguments)
-{
-  auto child = ChildProcess::Start(aProgram, std::move(aArguments));
-  if (!child || !child.value().WaitForReady(kStartLimit)) {
-    std::abort();
-  }
-  return std::make_unique<ChildProcess>(std::move(child.value()));
-}
-
-} // namespace
-
-LocalDeployment::LocalDeployment()
+LoopbackNetwork::LoopbackNetwork()
 {
   constexpr int kFirstNetwork = 64;
   constexpr int kNetworks = 128;
   const int pid = getpid();
-  m_network = "127." + std::to_string(kFirstNetwork + pid % kNetworks) + "." +
-              std::to_string(pid / kNetworks % kNetworks) + ".";
+  m_prefix = "127." + std::to_string(kFirstNetwork + pid % kNetworks) + "." +
+             std::to_string(pid / kNetworks % kNetworks) + ".";
 }
 
 std::string
-LocalDeployment::Ip(std::size_t aVm) const
+LoopbackNetwork::Address(std::size_t aHost, std::uint16_t aPort) const
 {
-  return m_network + std::to_string(aVm + 2);
+  return m_prefix + std::to_string(aHost) + ":" + std::to_string(aPort);
 }
 
 std::string
 LocalDeployment::AddressOf(std::size_t aVm, std::uint16_t aPort) const
 {
-  return Ip(aVm) + ":" + std::to_string(aPort);
+  return m_network.Address(aVm + 2, aPort);
 }
 
 std::string
 LocalDeployment::PlatformAddress(std::uint16_t aPort) const
 {
-  return m_network + "1:" + std::to_string(aPort);
+  return m_network.Address(1, aPort);
 }
 
 std::string
@@ -87,6 +87,12 @@
   return AddressOf(aVm, 8000);
 }
 
+std::string
+LocalDeployment::AdminAddress(std::size_t aVm) const
+{
+  return AddressOf(aVm, 8002);
+}
+
 std::string
 LocalDeployment::UpstreamAdmin(std::size_t aVm) const
 {
@@ -157,8 +163,8 @@
 {
   const std::string body = json::serialize(json::object{
     { "expected", nullptr }, { "operation", "test" }, { "body", aBody } });
-  const auto answer =
-    Exchange(PlatformAddress(7000), { "PUT", "/v1/objects/" + aKey, {}, body });
+  const auto answer = SendRequest(PlatformAddress(7000),
+                                  { "PUT", "/v1/objects/" + aKey, {}, body });
   if (!answer || answer.value().m_status != 200) {
     std::abort();
   }
@@ -179,7 +185,7 @@
 LocalDeployment::SetPlatformFaults(const std::string& aFaults)
 {
   const auto answer =
-    Exchange(PlatformAddress(7001), { "POST", "/faults", {}, aFaults });
+    SendRequest(PlatformAddress(7001), { "POST", "/faults", {}, aFaults });
   if (!answer || answer.value().m_status / 100 != 2) {
     std::abort();
   }
@@ -197,13 +203,13 @@
   if (!aKey.empty()) {
     request.m_headers.push_back({ "idempotency-key", aKey });
   }
-  return Exchange(FrontAddress(aVm), std::move(request));
+  return SendRequest(FrontAddress(aVm), std::move(request));
 }
 
 Result<HttpAnswerParts>
 LocalDeployment::Admin(std::size_t aVm, const std::string& aTarget)
 {
-  return Exchange(AddressOf(aVm, 8002), { "GET", aTarget, {}, "" });
+  return SendRequest(AdminAddress(aVm), { "GET", aTarget, {}, "" });
 }
 
 bool
--- a/src/programs/testing/LocalDeployment.h
+++ b/src/programs/testing/LocalDeployment.h
@@ -47,13 +47,27 @@
   std::string m_faults = "[]";
 };
 
+/// The loopback network of this test process, 127.a.b.0.
+class LoopbackNetwork
+{
+public:
+  LoopbackNetwork();
+  /// "127.a.b.HOST:PORT".
+  std::string Address(std::size_t aHost, std::uint16_t aPort) const;
+
+private:
+  std::string m_prefix;
+};
+
+/// Sends one request to "a.b.c.d:port". Errors: those of HttpClient.
+Result<HttpAnswerParts>
+SendRequest(const std::string& aAddress, HttpRequestParts aRequest);
+
 /// The processes of a deployment; see the file comment. The destructor kills
 /// them.
 class LocalDeployment
 {
 public:
-  LocalDeployment();
-
   /// Starts the stand-in platform.
   void StartPlatform();
   /// Starts a node and its upstream. \return the VM's index.
@@ -94,6 +108,7 @@
   ChildProcess& Node(std::size_t aVm) { return *m_vms[aVm].m_node; }
   ChildProcess& Upstream(std::size_t aVm) { return *m_vms[aVm].m_upstream; }
   std::string FrontAddress(std::size_t aVm) const;
+  std::string AdminAddress(std::size_t aVm) const;
   std::string UpstreamAdmin(std::size_t aVm) const;
   std::size_t Size() const { return m_vms.size(); }
 
@@ -114,13 +129,12 @@
     std::unique_ptr<ChildProcess> m_upstream;
   };
 
-  std::string Ip(std::size_t aVm) const;
   std::string AddressOf(std::size_t aVm, std::uint16_t aPort) const;
   std::string PlatformAddress(std::uint16_t aPort) const;
   std::unique_ptr<ChildProcess> StartNode(std::size_t aVm);
   std::unique_ptr<ChildProcess> StartUpstream(std::size_t aVm);
 
-  std::string m_network;
+  LoopbackNetwork m_network;
   std::unique_ptr<ChildProcess> m_platform;
   std::vector<Vm> m_vms;
 };
