A budget for what callers can make a node keep

CallerBudget decides for each listener which connection to close and whether a request or a connection fits; sessions report what they hold and when their caller last sent or read a byte. The memory and the descriptors of the process are divided into fixed shares of the front and admin listeners. Over the budget the session with the most bytes times its pause is closed first; new requests that don't fit are refused from their heads with 503. Header fields are limited (431); a request that stops gets 408; a body is timed by its progress and a least rate of 1 KiB/s instead of one limit for the whole; an answer by the progress of its writing. Pipelined requests of one connection stop at a number of bytes. A full listener closes the connection that has stopped for longest. Socket buffers are 64 KiB, so that the kernel doesn't take megabytes of answers for a caller that reads none.

Settings: memory-mb, caller-memory-mb, caller-connections, caller-header-fields, caller-pipelined-kb.

--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include <iterator>
 #include <list>
+#include <optional>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -18,6 +19,12 @@
 
 namespace {
 
+/// Size of each of a socket's two buffers; the kernel doubles it. Without it
+/// the kernel keeps several megabytes for a caller that reads no answers, and a
+/// session that writes to it seems to make progress. It holds what a link of
+/// 200 Mbit/s carries in 5 ms.
+constexpr int kSocketBufferBytes = 64 << 10;
+
 using SessionList = std::list<std::shared_ptr<HttpSession>>;
 
 class BeastServer final
@@ -29,11 +36,9 @@
               const HttpServerSettings& aSettings,
               HttpHandler aHandler)
     : m_context(aContext)
-    , m_state(std::make_shared<HttpServerState>())
+    , m_state(std::make_shared<HttpServerState>(aSettings, std::move(aHandler)))
     , m_acceptor(aContext)
   {
-    m_state->m_settings = aSettings;
-    m_state->m_handler = std::move(aHandler);
   }
 
   Result<void> Listen()
@@ -96,13 +101,19 @@
       if (!socket.is_open()) {
         continue;
       }
-      if (m_sessions.size() >= m_state->m_settings.m_maxSessions) {
+      const std::optional<CallerSession> number = m_state->Open();
+      if (!number) {
         ++m_state->m_counters.m_refusedSessions;
         continue;
       }
       boost::system::error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
-      m_sessions.push_back(HttpSession::Create(std::move(socket), m_state));
+      socket.set_option(asio::socket_base::send_buffer_size(kSocketBufferBytes),
+                        ignored);
+      socket.set_option(
+        asio::socket_base::receive_buffer_size(kSocketBufferBytes), ignored);
+      m_sessions.push_back(
+        HttpSession::Create(std::move(socket), *number, m_state));
       asio::co_spawn(
         m_context,
         [self, position = std::prev(m_sessions.end())] {
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -7,9 +7,11 @@
 ///     server.value()->Leave();   // answers carry "connection: close"
 ///     server.value()->Drain();   // closes idle sessions, accepts no more
 ///
-/// A request is read completely before the handler is called; its answer is
-/// written in one operation. Malformed or oversized requests are answered with
-/// 400, 413 or 431, and the session is closed.
+/// A request is read completely before the handler is called. Malformed or
+/// oversized requests are answered with 400, 413 or 431, and the session is
+/// closed. What all sessions hold is bounded by a CallerBudget: requests that
+/// don't fit are answered with 503 and have not been run, and sessions that
+/// hold much without progress are closed.
 ///
 /// Thread safety: one thread, that of the io_context.
 #pragma once
@@ -26,6 +28,7 @@
 #include "base/NetworkAddress.h"
 #include "base/Result.h"
 #include "base/Units.h"
+#include "process/CallerBudget.h"
 #include "request/HttpDialect.h"
 
 namespace tarragontray {
@@ -34,17 +37,24 @@
 struct HttpServerSettings
 {
   NetworkAddress m_address;
-  std::size_t m_maxSessions = 4096;
+  /// The bounds of all sessions together.
+  CallerBudgetSettings m_budget;
   std::uint32_t m_maxHeaderBytes = 16U << 10U;
   std::uint64_t m_maxBodyBytes = 1U << 20U;
-  /// Time after which a session is closed when no request has been read
-  /// completely, no answer has been written and none is awaited.
+  /// As many as fit into a header of 16 KiB.
+  std::size_t m_maxHeaderFields = 4096;
+  /// Time after which a session is closed when no byte has been read or written
+  /// and no answer is awaited.
   Duration m_idleLimit{ std::chrono::seconds(60) };
-  /// Time limit for reading a request, from its first byte to its last.
+  /// Time limit for reading the head of a request, from its first byte. A body
+  /// may take as much again as it takes at the least rate.
   Duration m_requestLimit{ std::chrono::seconds(60) };
   /// Maximum number of requests of one session that are served concurrently;
   /// their answers are written in the order of the requests.
   std::size_t m_maxPipelined = 16;
+  /// A session that holds more for requests and answers reads no third request
+  /// before an answer is written.
+  std::size_t m_maxPipelinedBytes = 256U << 10U;
   /// Whether several servers of this process may listen on the address.
   bool m_sharesPort = false;
   /// Optional hooks for each request. m_onBegin is called when the last byte of
@@ -52,6 +62,10 @@
   /// of its answer was written or lost.
   std::function<void()> m_onBegin = nullptr;
   std::function<void()> m_onEnd = nullptr;
+  /// Counts what is limited; may be shared by servers. Null: not counted.
+  std::shared_ptr<CallerLimitCounters> m_counters = nullptr;
+  /// Optional. Called when a limit of m_counters acts, at most every 10 s.
+  std::function<void(const CallerLimitCounters&)> m_onLimited = nullptr;
 };
 
 /// Counters since the server was created.
@@ -61,7 +75,7 @@
   std::uint64_t m_badRequests = 0;
   /// Requests whose caller closed the connection before the answer.
   std::uint64_t m_abandoned = 0;
-  /// Connections closed at once because m_maxSessions were open.
+  /// Connections closed at once because too many were open.
   std::uint64_t m_refusedSessions = 0;
 };
 
--- a/src/connection/HttpServerTest.cpp
+++ b/src/connection/HttpServerTest.cpp
@@ -302,4 +302,179 @@
   cr_assert(rest.empty());
 }
 
+namespace {
+
+/// A server with low limits, and its counters.
+class LimitedServer
+{
+public:
+  explicit LimitedServer(HttpServerSettings aSettings = {})
+  {
+    aSettings.m_address = NetworkAddress(0x7F000001, 0);
+    aSettings.m_counters = m_counters;
+    m_server = HttpServer::Create(m_context, aSettings, Echo).value();
+    m_thread = std::thread([this] { m_context.run(); });
+  }
+  ~LimitedServer()
+  {
+    m_context.stop();
+    m_thread.join();
+  }
+
+  tcp::socket Connect(const std::string& aBytes)
+  {
+    tcp::socket socket(m_client);
+    socket.connect(
+      { asio::ip::address_v4::loopback(), m_server->Address().Port() });
+    asio::write(socket, asio::buffer(aBytes));
+    return socket;
+  }
+  const CallerLimitCounters& Counters() const { return *m_counters; }
+
+private:
+  const std::shared_ptr<CallerLimitCounters> m_counters =
+    std::make_shared<CallerLimitCounters>();
+  asio::io_context m_client;
+  asio::io_context m_context{ 1 };
+  std::shared_ptr<HttpServer> m_server;
+  std::thread m_thread;
+};
+
+HttpServerSettings
+WithMemory(std::size_t aBytes)
+{
+  HttpServerSettings settings;
+  settings.m_budget.m_memory = ByteCount(aBytes);
+  return settings;
+}
+
+std::string
+ReadToEnd(tcp::socket& aSocket)
+{
+  std::string text;
+  boost::system::error_code error;
+  asio::read(aSocket, asio::dynamic_buffer(text), error);
+  return text;
+}
+
+} // namespace
+
+/// Guards against bodies that exceed the memory one after the other.
+Test(HttpServer, RefusesABodyThatDoesNotFitBeforeItIsRead)
+{
+  LimitedServer server(WithMemory(100'000));
+  tcp::socket socket =
+    server.Connect("POST / HTTP/1.1\r\ncontent-length: 90000\r\n\r\n");
+  const std::string answer = ReadToEnd(socket);
+  cr_assert(answer.starts_with("HTTP/1.1 503"), "%s", answer.c_str());
+  cr_assert(answer.find("retry-after: 1") != std::string::npos);
+  cr_assert_eq(server.Counters().m_refusedForMemory, 1);
+}
+
+/// Guards against a body without a length that grows beyond the memory.
+Test(HttpServer, RefusesAChunkedBodyThatOutgrowsTheMemory)
+{
+  LimitedServer server(WithMemory(100'000));
+  tcp::socket socket = server.Connect(
+    "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n20000\r\n" +
+    std::string(0x20000, 'b'));
+  const std::string answer = ReadToEnd(socket);
+  cr_assert(answer.starts_with("HTTP/1.1 503"), "%s", answer.c_str());
+  cr_assert_eq(server.Counters().m_closedForMemory, 1);
+}
+
+/// Guards against refusing an ordinary caller while others hold the memory
+/// with bodies that have stopped.
+Test(HttpServer, AStoppedBodyMakesRoomForAnOrdinaryRequest)
+{
+  LimitedServer server(WithMemory(150'000));
+  tcp::socket stopped =
+    server.Connect("POST / HTTP/1.1\r\ncontent-length: 80000\r\n\r\n" +
+                   std::string(79'999, 'b'));
+  std::this_thread::sleep_for(std::chrono::milliseconds(1'200));
+  tcp::socket ordinary = server.Connect(
+    "POST / HTTP/1.1\r\nconnection: close\r\ncontent-length: 50000\r\n\r\n" +
+    std::string(50'000, 'b'));
+  cr_assert(ReadToEnd(ordinary).starts_with("HTTP/1.1 200"));
+  cr_assert(ReadToEnd(stopped).starts_with("HTTP/1.1 503"));
+}
+
+/// Guards against a head of many small fields, which take much memory.
+Test(HttpServer, RefusesTooManyHeaderFields)
+{
+  HttpServerSettings settings;
+  settings.m_maxHeaderFields = 2;
+  LimitedServer server(settings);
+  tcp::socket socket =
+    server.Connect("GET / HTTP/1.1\r\na:\r\nb:\r\nc:\r\n\r\n");
+  cr_assert(ReadToEnd(socket).starts_with("HTTP/1.1 431"));
+  cr_assert_eq(server.Counters().m_oversized, 1);
+}
+
+/// Guards against a request that never ends, and against one that ends a
+/// connection without an answer although it has not run.
+Test(HttpServer, AnswersARequestThatStopped)
+{
+  HttpServerSettings settings;
+  settings.m_idleLimit = std::chrono::milliseconds(200);
+  LimitedServer server(settings);
+  tcp::socket socket =
+    server.Connect("POST / HTTP/1.1\r\ncontent-length: 5\r\n\r\nb");
+  cr_assert(ReadToEnd(socket).starts_with("HTTP/1.1 408"));
+  cr_assert_eq(server.Counters().m_slow, 1);
+}
+
+/// Guards against closing a slow upload that makes progress: the whole takes
+/// longer than both limits.
+Test(HttpServer, ASlowBodyThatProgressesIsServed)
+{
+  constexpr int kPieces = 10;
+  HttpServerSettings settings;
+  settings.m_idleLimit = std::chrono::milliseconds(600);
+  settings.m_requestLimit = std::chrono::milliseconds(600);
+  LimitedServer server(settings);
+  tcp::socket socket = server.Connect(
+    "POST / HTTP/1.1\r\nconnection: close\r\ncontent-length: 20000\r\n\r\n");
+  for (int i = 0; i < kPieces; ++i) {
+    asio::write(socket, asio::buffer(std::string(2'000, 'b')));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  cr_assert(ReadToEnd(socket).starts_with("HTTP/1.1 200"));
+}
+
+/// Guards against connections that keep new callers out.
+Test(HttpServer, AStoppedConnectionMakesRoomForANewOne)
+{
+  HttpServerSettings settings;
+  settings.m_budget.m_maxSessions = 2;
+  LimitedServer server(settings);
+  const std::string request = "GET / HTTP/1.1\r\nconnection: close\r\n\r\n";
+  tcp::socket first = server.Connect("GET /");
+  tcp::socket second = server.Connect("GET /");
+  std::this_thread::sleep_for(std::chrono::milliseconds(1'200));
+  tcp::socket third = server.Connect(request);
+  cr_assert(ReadToEnd(third).starts_with("HTTP/1.1 200"));
+  cr_assert(ReadToEnd(first).empty());
+  cr_assert_eq(server.Counters().m_surplusSessions, 1);
+}
+
+/// Guards against sums that drift, by which a server refuses all in time.
+Test(HttpServer, ClosedConnectionsHoldNothing)
+{
+  LimitedServer server;
+  for (int i = 0; i < 20; ++i) {
+    tcp::socket socket = server.Connect(
+      i % 2 == 0 ? "GET / HTTP/1.1\r\nconnection: close\r\n\r\n"
+                 : "POST / HTTP/1.1\r\ncontent-length: 9\r\n\r\nb");
+    if (i % 2 == 0) {
+      ReadToEnd(socket);
+    }
+  }
+  for (int i = 0; i < 500 && server.Counters().m_sessions > 0; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  cr_assert_eq(server.Counters().m_sessions, 0);
+  cr_assert_eq(server.Counters().m_heldBytes, 0);
+}
+
 } // namespace tarragontray
--- a/src/connection/HttpSession.cpp
+++ b/src/connection/HttpSession.cpp
@@ -1,7 +1,6 @@
 #include "connection/HttpSession.h"
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <deque>
 #include <optional>
@@ -33,10 +32,24 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 /// Maximum size of one read; Beast reads no more than the buffer's capacity.
 constexpr std::size_t kReadBytes = 8U << 10U;
+constexpr std::size_t kMinReadBytes = 512;
 /// Longest wait for the caller to close the connection after the last answer.
 constexpr Duration kLingerLimit = std::chrono::seconds(1);
 /// Number of checks of a session within the shorter of its time limits.
 constexpr int kChecksPerLimit = 4;
+/// Least rate at which a body must arrive on average.
+constexpr std::uint64_t kMinBodyBytesPerSecond = 1U << 10U;
+/// \name Estimates of the memory that is taken besides texts
+/// \{
+/// A session with its coroutine, besides its buffer.
+constexpr std::size_t kSessionBytes = 6U << 10U;
+/// A request that waits or runs.
+constexpr std::size_t kRequestBytes = 8U << 10U;
+/// One header field, parsed and copied.
+constexpr std::size_t kFieldBytes = 160;
+/// \}
+/// Least time between two calls of m_onLimited.
+constexpr Duration kNoticeInterval = std::chrono::seconds(10);
 using Parser = http::request_parser<http::string_body>;
 
 HttpRequestParts
@@ -93,6 +106,8 @@
   bool m_isHead = false;
   bool m_keepsAlive = true;
   std::optional<HttpAnswerParts> m_answer;
+  /// Memory of the request, or of its answer.
+  std::size_t m_bytes = 0;
   asio::cancellation_signal m_cancel;
 };
 
@@ -102,20 +117,28 @@
   , public std::enable_shared_from_this<Session>
 {
 public:
-  Session(tcp::socket aSocket, std::shared_ptr<HttpServerState> aState)
+  Session(tcp::socket aSocket,
+          CallerSession aNumber,
+          std::shared_ptr<HttpServerState> aState)
     : m_socket(std::move(aSocket))
+    , m_number(aNumber)
     , m_state(std::move(aState))
     , m_timer(m_socket.get_executor())
     , m_exchangeEnded(m_socket.get_executor(),
                       asio::steady_timer::time_point::max())
   {
     m_buffer.max_size(m_state->m_settings.m_maxHeaderBytes + kMaxUnparsedBytes);
+    m_state->Register(m_number, *this);
   }
+  ~Session() override { m_state->Close(m_number); }
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
 
   asio::awaitable<void> Run() override
   {
     const auto self = shared_from_this();
     m_buffer.reserve(kReadBytes);
+    Report();
     CheckLimits();
     while (!m_isClosed && !m_isLastRead && !m_state->m_isDraining) {
       co_await ReadOne();
@@ -135,6 +158,21 @@
     }
   }
 
+  void Evict() override
+  {
+    if (m_isClosed) {
+      return;
+    }
+    if (IsOnlyReading()) {
+      Interrupt(503, "not run: too little memory for the request\n");
+      m_state->Update(m_number, Holding());
+    } else {
+      Close();
+    }
+  }
+
+  void Abort() override { Close(); }
+
 private:
   using Exchanges = std::deque<std::shared_ptr<ServerExchange>>;
 
@@ -148,6 +186,7 @@
     m_socket.close(ignored);
     m_timer.cancel();
     m_exchangeEnded.cancel();
+    m_state->Close(m_number);
     if (m_isBeginReported) {
       ReportEnd();
     }
@@ -161,31 +200,131 @@
     }
   }
 
+  bool IsPipelineFull() const
+  {
+    const HttpServerSettings& settings = m_state->m_settings;
+    return m_exchanges.size() >= settings.m_maxPipelined ||
+           (m_exchanges.size() > 1 &&
+            m_queuedBytes >= settings.m_maxPipelinedBytes);
+  }
+
   asio::awaitable<void> ReadOne()
   {
-    while (m_exchanges.size() >= m_state->m_settings.m_maxPipelined &&
-           !m_isClosed) {
+    while (IsPipelineFull() && !m_isClosed) {
       co_await m_exchangeEnded.async_wait(kAwait);
     }
     Parser parser;
     parser.header_limit(m_state->m_settings.m_maxHeaderBytes);
     parser.body_limit(m_state->m_settings.m_maxBodyBytes);
+    parser.eager(true);
     m_parser = &parser;
-    const auto [error, size] =
-      co_await http::async_read(m_socket, m_buffer, parser, kAwait);
+    m_headBytes = 0;
+    const boost::system::error_code error = co_await ReadRequest(parser);
     m_parser = nullptr;
     m_requestBegan.reset();
+    m_readingBytes = 0;
     // Input after the last request of a session is ignored.
     if (m_isClosed || m_isLastRead) {
+      Report();
       co_return;
     }
     if (error) {
-      Refuse(error, parser.got_some());
+      RefuseUnreadable(error, parser.got_some());
       co_return;
     }
     Dispatch(parser);
   }
 
+  /// Reads until the request is complete or refused.
+  asio::awaitable<boost::system::error_code> ReadRequest(Parser& aParser)
+  {
+    boost::system::error_code error;
+    while (true) {
+      std::size_t used = m_buffer.size();
+      while (used > 0 && m_buffer.size() > 0 && !error && !aParser.is_done()) {
+        used = aParser.put(m_buffer.data(), error);
+        m_buffer.consume(used);
+      }
+      if (error && error != http::error::need_more) {
+        co_return error;
+      }
+      if (m_headBytes == 0 && aParser.is_header_done() &&
+          !AcceptHead(aParser)) {
+        co_return boost::system::error_code();
+      }
+      if (aParser.is_done()) {
+        co_return boost::system::error_code();
+      }
+      ReportReading(aParser);
+      if (m_isClosed || m_isLastRead) {
+        co_return boost::system::error_code();
+      }
+      error = co_await ReadSome();
+      if (error || m_isClosed || m_isLastRead) {
+        co_return error;
+      }
+      m_lastProgress = Now();
+    }
+  }
+
+  /// Reports the memory of a request whose head has been read. May close the
+  /// session or refuse the request.
+  void ReportReading(const Parser& aParser)
+  {
+    if (m_headBytes > 0) {
+      const std::string& body = aParser.get().body();
+      // Of a body of known length, only the received part takes memory.
+      m_readingBytes =
+        m_headBytes +
+        (aParser.content_length() ? body.size() : body.capacity());
+    }
+    if (aParser.got_some()) {
+      Report();
+    }
+  }
+
+  asio::awaitable<boost::system::error_code> ReadSome()
+  {
+    const std::size_t free = m_buffer.capacity() - m_buffer.size();
+    const std::size_t size = std::min(std::max(free, kMinReadBytes),
+                                      m_buffer.max_size() - m_buffer.size());
+    if (size == 0) {
+      co_return make_error_code(http::error::buffer_overflow);
+    }
+    const auto [error, read] =
+      co_await m_socket.async_read_some(m_buffer.prepare(size), kAwait);
+    m_buffer.commit(read);
+    co_return error;
+  }
+
+  /// Checks the head of a request before its body is read. \return false when
+  /// the request was refused.
+  bool AcceptHead(const Parser& aParser)
+  {
+    const auto& request = aParser.get();
+    std::size_t fields = 0;
+    m_headBytes = kRequestBytes;
+    for (const auto& field : request) {
+      ++fields;
+      m_headBytes +=
+        kFieldBytes + field.name_string().size() + field.value().size();
+    }
+    if (fields > m_state->m_settings.m_maxHeaderFields) {
+      m_state->Count(&CallerLimitCounters::m_oversized);
+      Refuse(431, "not run: too many header fields\n");
+      return false;
+    }
+    const std::uint64_t length = aParser.content_length().value_or(0);
+    if (!m_state->MakeRoom(m_number,
+                           ByteCount(m_headBytes + length),
+                           aParser.chunked() || length > 0)) {
+      m_state->Count(&CallerLimitCounters::m_refusedForMemory);
+      Refuse(503, "not run: too little memory for the request\n");
+      return false;
+    }
+    return true;
+  }
+
   void Dispatch(Parser& aParser)
   {
     ++m_state->m_counters.m_requests;
@@ -196,6 +335,8 @@
     exchange->m_keepsAlive = aParser.get().keep_alive();
     exchange->m_isHead = aParser.get().method() == http::verb::head;
     m_isLastRead = !exchange->m_keepsAlive;
+    exchange->m_bytes = m_headBytes + aParser.get().body().size();
+    m_queuedBytes += exchange->m_bytes;
     m_exchanges.push_back(exchange);
     m_lastProgress = Now();
     // The signal must outlive the coroutine that is bound to its slot.
@@ -205,6 +346,7 @@
       asio::bind_cancellation_slot(
         exchange->m_cancel.slot(),
         [self = shared_from_this(), exchange](const std::exception_ptr&) {}));
+    Report();
   }
 
   asio::awaitable<void> Serve(std::shared_ptr<ServerExchange> aExchange,
@@ -217,37 +359,81 @@
       Notify(m_state->m_settings.m_onEnd);
       co_return;
     }
+    m_queuedBytes -= aExchange->m_bytes;
+    aExchange->m_bytes = BytesOf(*aExchange->m_answer);
+    m_queuedBytes += aExchange->m_bytes;
     WriteReady();
+    Report();
+  }
+
+  static std::size_t BytesOf(const HttpAnswerParts& aAnswer)
+  {
+    std::size_t bytes = aAnswer.m_body.size();
+    for (const HttpHeader& header : aAnswer.m_headers) {
+      bytes += kFieldBytes + header.m_name.size() + header.m_value.size();
+    }
+    return bytes;
   }
 
   /// Ends the session after a request that could not be read: with an error
-  /// answer, after the answers to earlier requests, if there is a status for
-  /// it; otherwise at once, because the caller has disconnected.
-  void Refuse(const boost::system::error_code& aError, bool aGotSome)
+  /// answer if there is a status for it, otherwise at once, because the caller
+  /// has disconnected.
+  void RefuseUnreadable(const boost::system::error_code& aError, bool aGotSome)
   {
-    m_isLastRead = true;
     const std::uint16_t status = StatusOf(aError);
     if (status == 0 || !aGotSome) {
+      m_isLastRead = true;
       Close();
       return;
     }
+    if (status != 400) {
+      m_state->Count(&CallerLimitCounters::m_oversized);
+    }
+    Refuse(status, aError.message() + "\n");
+  }
+
+  /// Ends the session with an answer to the request that is being read, after
+  /// the answers to earlier requests.
+  void Refuse(std::uint16_t aStatus, const std::string& aText)
+  {
+    m_isLastRead = true;
     ++m_state->m_counters.m_badRequests;
     if (!std::exchange(m_isBeginReported, false)) {
       Notify(m_state->m_settings.m_onBegin);
     }
     const auto exchange = std::make_shared<ServerExchange>();
     exchange->m_keepsAlive = false;
-    exchange->m_answer = TextAnswer(status, aError.message() + "\n");
+    exchange->m_answer = TextAnswer(aStatus, aText);
+    if (aStatus == 503) {
+      exchange->m_answer->m_headers.push_back({ "retry-after", "1" });
+    }
     m_exchanges.push_back(exchange);
     WriteReady();
   }
 
+  /// Whether a request is being read, and no other waits or runs.
+  bool IsOnlyReading() const
+  {
+    return m_parser != nullptr && m_parser->got_some() && m_exchanges.empty() &&
+           !m_isLastRead;
+  }
+
+  /// Refuses the request that is being read and frees its memory.
+  /// Precondition: IsOnlyReading(), so that nothing is being written.
+  void Interrupt(std::uint16_t aStatus, const std::string& aText)
+  {
+    boost::system::error_code ignored;
+    m_socket.cancel(ignored);
+    m_readingBytes = 0;
+    Refuse(aStatus, aText);
+  }
+
   /// After the last request: closes the session if the caller disconnects.
   asio::awaitable<void> WaitForCaller()
   {
-    std::array<char, 256> ignored{};
+    m_buffer.clear();
     const auto [error, size] =
-      co_await m_socket.async_read_some(asio::buffer(ignored), kAwait);
+      co_await m_socket.async_read_some(m_buffer.prepare(kReadBytes), kAwait);
     if (error) {
       Close();
     }
@@ -268,18 +454,36 @@
     m_isLastRead |= m_endsSession;
     m_response = ResponseOf(
       std::move(*exchange.m_answer), !m_endsSession, exchange.m_isHead);
-    http::async_write(
+    m_serializer.emplace(m_response);
+    WriteSome();
+  }
+
+  /// Writes in several operations what the socket doesn't take at once, so that
+  /// a caller that reads slowly is told from one that doesn't read.
+  void WriteSome()
+  {
+    http::async_write_some(
       m_socket,
-      m_response,
+      *m_serializer,
       [self = shared_from_this()](const boost::system::error_code& aError,
-                                  std::size_t) { self->OnWritten(aError); });
+                                  std::size_t) {
+        if (aError || self->m_serializer->is_done()) {
+          self->OnWritten(aError);
+          return;
+        }
+        self->m_lastProgress = Now();
+        self->Report();
+        self->WriteSome();
+      });
   }
 
   void OnWritten(const boost::system::error_code& aError)
   {
     m_isWriting = false;
     m_lastProgress = Now();
+    m_queuedBytes -= m_exchanges.front()->m_bytes;
     m_exchanges.pop_front();
+    m_response = {};
     Notify(m_state->m_settings.m_onEnd);
     const bool isDrained =
       m_state->m_isDraining && m_exchanges.empty() && !m_isBeginReported;
@@ -293,6 +497,7 @@
     }
     m_exchangeEnded.cancel();
     WriteReady();
+    Report();
   }
 
   /// Shuts down the sending side and discards further input. Closing a socket
@@ -304,6 +509,11 @@
     m_isLingering = true;
     boost::system::error_code ignored;
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    CloseAfterLinger();
+  }
+
+  void CloseAfterLinger()
+  {
     m_timer.expires_after(kLingerLimit);
     m_timer.async_wait([weak = weak_from_this()](const auto& aError) {
       const auto self = weak.lock();
@@ -331,10 +541,9 @@
     const bool isServing = !m_exchanges.empty() && !m_isWriting;
     const bool isIdle =
       !isServing && now - m_lastProgress >= settings.m_idleLimit;
-    const bool isSlow =
-      m_requestBegan && now - *m_requestBegan >= settings.m_requestLimit;
+    const bool isSlow = m_requestBegan && now - *m_requestBegan >= ReadLimit();
     if (isIdle || isSlow) {
-      Close();
+      CloseSlow();
       return;
     }
     m_timer.expires_after(
@@ -348,6 +557,50 @@
     });
   }
 
+  /// Time limit of the request that is being read.
+  Duration ReadLimit() const
+  {
+    const std::size_t body = m_parser->is_header_done()
+                               ? m_parser->get().body().size()
+                               : std::size_t(0);
+    return m_state->m_settings.m_requestLimit +
+           std::chrono::seconds(body / kMinBodyBytesPerSecond);
+  }
+
+  /// Ends a session whose caller is too slow; one without a request just ends.
+  void CloseSlow()
+  {
+    if (m_parser == nullptr || m_parser->got_some() || m_isWriting) {
+      m_state->Count(&CallerLimitCounters::m_slow);
+    }
+    if (!IsOnlyReading()) {
+      Close();
+      return;
+    }
+    Interrupt(408, "not run: the request was sent too slowly\n");
+    // The answer is written, or the session closed, within the linger time.
+    CloseAfterLinger();
+  }
+
+  /// What the budget is told.
+  CallerHolding Holding() const
+  {
+    CallerHolding holding;
+    holding.m_bytes = ByteCount(kSessionBytes + m_buffer.capacity() +
+                                m_readingBytes + m_queuedBytes);
+    holding.m_lastProgress = m_lastProgress;
+    holding.m_isServed = !m_exchanges.empty() && !m_exchanges.front()->m_answer;
+    return holding;
+  }
+
+  /// Reports what the session holds; may close it.
+  void Report()
+  {
+    if (!m_isClosed) {
+      m_state->Report(m_number, Holding());
+    }
+  }
+
   static std::chrono::steady_clock::time_point Now()
   {
     return std::chrono::steady_clock::now();
@@ -372,10 +625,12 @@
   }
 
   tcp::socket m_socket;
+  const CallerSession m_number;
   std::shared_ptr<HttpServerState> m_state;
   beast::flat_buffer m_buffer;
   Exchanges m_exchanges;
   http::response<http::string_body> m_response;
+  std::optional<http::response_serializer<http::string_body>> m_serializer;
   asio::steady_timer m_timer;
   /// Never expires; cancelled when an exchange has ended.
   asio::steady_timer m_exchangeEnded;
@@ -383,6 +638,12 @@
   const Parser* m_parser = nullptr;
   std::chrono::steady_clock::time_point m_lastProgress = Now();
   std::optional<std::chrono::steady_clock::time_point> m_requestBegan;
+  /// Memory of the head that is being read; 0 before it is complete.
+  std::size_t m_headBytes = 0;
+  /// Memory of the request that is being read.
+  std::size_t m_readingBytes = 0;
+  /// Memory of all exchanges.
+  std::size_t m_queuedBytes = 0;
   bool m_isWriting = false;
   bool m_endsSession = false;
   /// All answers are written; waits for the caller to close the connection.
@@ -396,11 +657,112 @@
 
 } // namespace
 
+HttpServerState::HttpServerState(const HttpServerSettings& aSettings,
+                                 HttpHandler aHandler)
+  : m_settings(aSettings)
+  , m_handler(std::move(aHandler))
+  , m_budget(aSettings.m_budget)
+  , m_limited(aSettings.m_counters ? aSettings.m_counters
+                                   : std::make_shared<CallerLimitCounters>())
+{
+}
+
+HttpServerState::~HttpServerState() = default;
+
+std::optional<CallerSession>
+HttpServerState::Open()
+{
+  const CallerSession number(m_last.Value() + 1);
+  const CallerBudget::Opening opening =
+    m_budget.Open(number, std::chrono::steady_clock::now());
+  if (opening.m_close) {
+    m_open.at(*opening.m_close)->Abort();
+  }
+  if (opening.m_close || !opening.m_isAccepted) {
+    Count(&CallerLimitCounters::m_surplusSessions);
+  }
+  if (!opening.m_isAccepted) {
+    return std::nullopt;
+  }
+  m_last = number;
+  ++m_limited->m_sessions;
+  return number;
+}
+
+void
+HttpServerState::Register(CallerSession aNumber, HttpSession& aSession)
+{
+  m_open[aNumber] = &aSession;
+}
+
+void
+HttpServerState::Close(CallerSession aNumber)
+{
+  if (m_open.erase(aNumber) == 0) {
+    return;
+  }
+  Update(aNumber, CallerHolding());
+  m_budget.Close(aNumber);
+  --m_limited->m_sessions;
+}
+
+void
+HttpServerState::Update(CallerSession aNumber, const CallerHolding& aHolding)
+{
+  const ByteCount before = m_budget.Held();
+  m_budget.Report(aNumber, aHolding);
+  // Wraps when the difference is negative, and so does the sum.
+  m_limited->m_heldBytes.fetch_add(m_budget.Held().Value() - before.Value(),
+                                   std::memory_order_relaxed);
+}
+
+void
+HttpServerState::Report(CallerSession aNumber, const CallerHolding& aHolding)
+{
+  Update(aNumber, aHolding);
+  const MonotonicTime now = std::chrono::steady_clock::now();
+  while (const auto excess = m_budget.NextExcess(now)) {
+    m_budget.SetClosing(*excess);
+    Count(&CallerLimitCounters::m_closedForMemory);
+    m_open.at(*excess)->Evict();
+  }
+}
+
+bool
+HttpServerState::MakeRoom(CallerSession aFor, ByteCount aBytes, bool aHasBody)
+{
+  while (!m_budget.Fits(aBytes, aHasBody)) {
+    const auto stalled =
+      m_budget.NextStalled(aFor, std::chrono::steady_clock::now());
+    if (!stalled) {
+      return false;
+    }
+    m_budget.SetClosing(*stalled);
+    Count(&CallerLimitCounters::m_closedForMemory);
+    m_open.at(*stalled)->Evict();
+  }
+  return true;
+}
+
+void
+HttpServerState::Count(LimitCounter aCounter)
+{
+  CallerLimitCounters& limited = *m_limited;
+  ++(limited.*aCounter);
+  const MonotonicTime now = std::chrono::steady_clock::now();
+  if (m_settings.m_onLimited && now >= m_nextNotice) {
+    m_nextNotice = now + kNoticeInterval;
+    m_settings.m_onLimited(limited);
+  }
+}
+
 std::shared_ptr<HttpSession>
 HttpSession::Create(tcp::socket aSocket,
+                    CallerSession aNumber,
                     std::shared_ptr<HttpServerState> aState)
 {
-  return std::make_shared<Session>(std::move(aSocket), std::move(aState));
+  return std::make_shared<Session>(
+    std::move(aSocket), aNumber, std::move(aState));
 }
 
 } // namespace tarragontray
--- a/src/connection/Links.cmake
+++ b/src/connection/Links.cmake
@@ -5,7 +5,7 @@
 tt_library(tt_sockets SRCS Sockets.cpp DEPS tt_base Threads::Threads)
 tt_library(tt_upstream_pool SRCS UpstreamPool.cpp DEPS tt_http_dialect tt_sockets)
 tt_library(tt_http_server SRCS HttpServer.cpp HttpSession.cpp
-  DEPS tt_http_dialect tt_sockets)
+  DEPS tt_caller_budget tt_http_dialect tt_sockets)
 tt_test(http_server_test SRCS HttpServerTest.cpp DEPS tt_http_server)
 
 tt_library(tt_peer_link SRCS FrameStream.cpp PeerLink.cpp
--- a/src/process/ControlThread.cpp
+++ b/src/process/ControlThread.cpp
@@ -97,6 +97,11 @@
     for (const NetworkAddress& address : m_settings.m_adminAddresses) {
       HttpServerSettings admin;
       admin.m_address = address;
+      admin.m_budget = m_settings.m_admin.m_budget;
+      admin.m_maxHeaderFields = m_settings.m_admin.m_maxHeaderFields;
+      admin.m_maxPipelinedBytes = m_settings.m_admin.m_maxPipelined.Value();
+      admin.m_counters = m_settings.m_admin.m_counters;
+      admin.m_onLimited = LogLimited;
       BOOST_OUTCOME_TRY(
         auto server,
         HttpServer::Create(
@@ -386,6 +391,23 @@
     });
   }
 
+  static void LogLimited(const CallerLimitCounters& aCounters)
+  {
+    const auto text = [](const std::atomic<std::uint64_t>& aCount) {
+      return std::to_string(aCount.load());
+    };
+    Log(LogLevel::Warning,
+        kPart,
+        "Callers limited.",
+        { { "sessions", text(aCounters.m_sessions) },
+          { "held_bytes", text(aCounters.m_heldBytes) },
+          { "closed_for_memory", text(aCounters.m_closedForMemory) },
+          { "refused_for_memory", text(aCounters.m_refusedForMemory) },
+          { "oversized", text(aCounters.m_oversized) },
+          { "slow", text(aCounters.m_slow) },
+          { "surplus_sessions", text(aCounters.m_surplusSessions) } });
+  }
+
   asio::awaitable<HttpAnswerParts> ServeAdmin(HttpRequestParts aRequest)
   {
     const auto request = m_settings.m_dialects.m_control->Read(aRequest);
@@ -455,6 +477,9 @@
     if (aRequest.m_target == "/metrics") {
       m_metrics.Set(ControlStatsOf(m_core->Status(m_clock.WallNow())));
       m_metrics.Set(m_traffic.m_guardStats());
+      if (m_settings.m_admin.m_counters) {
+        m_metrics.Set(*m_settings.m_admin.m_counters);
+      }
       return TextAnswer(200, m_metrics.Text(), "text/plain; version=0.0.4");
     }
     if (aRequest.m_target == "/health") {
--- a/src/process/ControlThread.h
+++ b/src/process/ControlThread.h
@@ -18,6 +18,7 @@
 #include "base/NetworkAddress.h"
 #include "base/Result.h"
 #include "process/ControlCore.h"
+#include "process/ListenerSettings.h"
 #include "process/Metrics.h"
 #include "process/NodeDialects.h"
 #include "process/TrafficReport.h"
@@ -32,6 +33,8 @@
   NetworkAddress m_peerAddress;
   /// HTTP addresses for operators, upstream announcements and readiness checks.
   std::vector<NetworkAddress> m_adminAddresses;
+  /// For each admin address. Its counters, if set, are shown as metrics.
+  ListenerSettings m_admin;
   /// Addresses of the platform, in order of preference.
   std::vector<NetworkAddress> m_platform;
   NodeDialects m_dialects;
--- a/src/process/FrontThread.cpp
+++ b/src/process/FrontThread.cpp
@@ -159,6 +159,11 @@
     settings.m_sharesPort = true;
     settings.m_onBegin = [this] { m_inFlight.Begin(); };
     settings.m_onEnd = [this] { m_inFlight.End(); };
+    settings.m_budget = m_settings.m_callers.m_budget;
+    settings.m_maxHeaderFields = m_settings.m_callers.m_maxHeaderFields;
+    settings.m_maxPipelinedBytes = m_settings.m_callers.m_maxPipelined.Value();
+    settings.m_counters = m_settings.m_callers.m_counters;
+    settings.m_onLimited = LogLimited;
     BOOST_OUTCOME_TRY(m_server,
                       HttpServer::Create(m_loop.Context(),
                                          settings,
@@ -199,6 +204,23 @@
   void Stop() override { m_loop.Stop(); }
 
 private:
+  static void LogLimited(const CallerLimitCounters& aCounters)
+  {
+    const auto text = [](const std::atomic<std::uint64_t>& aCount) {
+      return std::to_string(aCount.load());
+    };
+    Log(LogLevel::Warning,
+        kPart,
+        "Callers limited.",
+        { { "sessions", text(aCounters.m_sessions) },
+          { "held_bytes", text(aCounters.m_heldBytes) },
+          { "closed_for_memory", text(aCounters.m_closedForMemory) },
+          { "refused_for_memory", text(aCounters.m_refusedForMemory) },
+          { "oversized", text(aCounters.m_oversized) },
+          { "slow", text(aCounters.m_slow) },
+          { "surplus_sessions", text(aCounters.m_surplusSessions) } });
+  }
+
   asio::awaitable<HttpAnswerParts> Serve(HttpRequestParts aRequest)
   {
     const MonotonicTime start = m_clock.Now();
--- a/src/process/FrontThread.h
+++ b/src/process/FrontThread.h
@@ -23,6 +23,7 @@
 #include "base/Result.h"
 #include "connection/PeerLink.h"
 #include "process/IdleSignal.h"
+#include "process/ListenerSettings.h"
 #include "process/Metrics.h"
 #include "process/TrafficReport.h"
 #include "process/View.h"
@@ -50,6 +51,7 @@
   std::uint64_t m_seed = 0;
   LinkSettings m_links;
   RetryBudgetSettings m_retries;
+  ListenerSettings m_callers;
 };
 
 /// See the file comment.
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -133,6 +133,24 @@
     Gauge("guard_refused", "Calls that the guard refused since the start.");
   prometheus::Gauge& m_ran =
     Gauge("guard_ran", "Calls that the upstream ended since the start.");
+  prometheus::Gauge& m_callerSessions =
+    Gauge("caller_sessions", "Open connections of callers.");
+  prometheus::Gauge& m_callerHeld =
+    Gauge("caller_held_bytes", "Memory that callers make the process keep.");
+  prometheus::Gauge& m_closedForMemory =
+    Gauge("caller_closed_for_memory",
+          "Connections closed over the budget of memory since the start.");
+  prometheus::Gauge& m_refusedForMemory =
+    Gauge("caller_refused_for_memory",
+          "Requests refused over the budget of memory since the start.");
+  prometheus::Gauge& m_oversized =
+    Gauge("caller_oversized",
+          "Requests refused for their size since the start.");
+  prometheus::Gauge& m_slow =
+    Gauge("caller_slow", "Connections closed as too slow since the start.");
+  prometheus::Gauge& m_surplusSessions =
+    Gauge("caller_surplus_sessions",
+          "Connections closed because too many were open since the start.");
 };
 
 Metrics::Metrics(const VmId& aVm, const DataCentreId& aDataCentre)
@@ -184,6 +202,22 @@
   m_state->m_ran.Set(static_cast<double>(aStats.m_ran.Value()));
 }
 
+void
+Metrics::Set(const CallerLimitCounters& aCounters)
+{
+  const auto set = [](prometheus::Gauge& aGauge,
+                      const std::atomic<std::uint64_t>& aCount) {
+    aGauge.Set(static_cast<double>(aCount.load()));
+  };
+  set(m_state->m_callerSessions, aCounters.m_sessions);
+  set(m_state->m_callerHeld, aCounters.m_heldBytes);
+  set(m_state->m_closedForMemory, aCounters.m_closedForMemory);
+  set(m_state->m_refusedForMemory, aCounters.m_refusedForMemory);
+  set(m_state->m_oversized, aCounters.m_oversized);
+  set(m_state->m_slow, aCounters.m_slow);
+  set(m_state->m_surplusSessions, aCounters.m_surplusSessions);
+}
+
 std::string
 Metrics::Text() const
 {
--- a/src/process/Metrics.h
+++ b/src/process/Metrics.h
@@ -18,6 +18,7 @@
 
 #include "base/Ids.h"
 #include "base/Units.h"
+#include "process/CallerBudget.h"
 #include "request/Call.h"
 
 namespace tarragontray {
@@ -72,6 +73,8 @@
   void Set(const ControlStats& aStats);
   /// Updates the gauges of the guard.
   void Set(const GuardStats& aStats);
+  /// Updates the gauges of what callers hold and what was limited.
+  void Set(const CallerLimitCounters& aCounters);
   /// Returns all series in the Prometheus text format.
   std::string Text() const;
 
--- a/src/process/Node.cpp
+++ b/src/process/Node.cpp
@@ -6,6 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include <sys/resource.h>
+
 #include "base/Hash.h"
 #include "connection/ZstdPatchCodec.h"
 #include "process/ControlThread.h"
@@ -21,6 +23,25 @@
 /// does not delay the shutdown.
 constexpr Duration kLinkCloseLimit = std::chrono::seconds(2);
 
+/// The descriptors that this process may open.
+std::size_t
+MaxDescriptors()
+{
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  return static_cast<std::size_t>(limit.rlim_cur);
+}
+
+CallerShares
+SharesOf(const NodeSettings& aSettings)
+{
+  return DivideAmongListeners(aSettings.m_callers.m_memory,
+                              MaxDescriptors(),
+                              aSettings.m_callers.m_connections,
+                              aSettings.m_frontThreads,
+                              aSettings.m_adminAddresses.size());
+}
+
 class ThreadedNode final : public Node
 {
 public:
@@ -31,6 +52,7 @@
     , m_dialects(std::move(aDialects))
     , m_clock(aClock)
     , m_metrics(aSettings.m_vm, aSettings.m_dataCentre)
+    , m_shares(SharesOf(aSettings))
   {
     const auto sinceEpoch = aClock.WallNow().time_since_epoch();
     m_incarnation = Incarnation(static_cast<std::uint64_t>(
@@ -102,6 +124,16 @@
     return std::max(aEnd - m_clock.Now(), Duration(0));
   }
 
+  ListenerSettings Listener(const CallerBudgetSettings& aShare) const
+  {
+    ListenerSettings settings;
+    settings.m_budget = aShare;
+    settings.m_maxHeaderFields = m_settings.m_callers.m_headerFields;
+    settings.m_maxPipelined = m_settings.m_callers.m_pipelined;
+    settings.m_counters = m_callerLimits;
+    return settings;
+  }
+
   Result<void> StartGuard()
   {
     GuardThreadSettings settings;
@@ -141,6 +173,7 @@
       settings.m_dialect = m_dialects.m_callers;
       settings.m_origin = m_settings.m_service;
       settings.m_retries = m_settings.m_retries;
+      settings.m_callers = Listener(m_shares.m_front);
       settings.m_index = i;
       settings.m_seed = Seed() + i + 1;
       BOOST_OUTCOME_TRY(auto front,
@@ -171,6 +204,7 @@
     settings.m_core.m_seeds = m_settings.m_seeds;
     settings.m_peerAddress = m_settings.m_peerAddress;
     settings.m_adminAddresses = m_settings.m_adminAddresses;
+    settings.m_admin = Listener(m_shares.m_admin);
     settings.m_dialects = m_dialects;
     settings.m_isRegistered = m_settings.m_isRegistered;
     settings.m_watchWait = m_settings.m_watchWait;
@@ -221,6 +255,9 @@
   const Clock& m_clock;
   Metrics m_metrics;
   Incarnation m_incarnation;
+  const CallerShares m_shares;
+  const std::shared_ptr<CallerLimitCounters> m_callerLimits =
+    std::make_shared<CallerLimitCounters>();
   IdleSignal m_guardCalls;
   IdleSignal m_frontCalls;
   std::unique_ptr<GuardThread> m_guard;
--- a/src/process/NodeSettings.cpp
+++ b/src/process/NodeSettings.cpp
@@ -1,9 +1,85 @@
 #include "process/NodeSettings.h"
 
+#include <algorithm>
+
 #include "version/ObjectKeys.h"
 
 namespace tarragontray {
 
+namespace {
+
+/// Default of --caller-memory-mb when the memory of the VM is not known.
+constexpr std::int64_t kCallerMegabytes = 48;
+/// Part of the VM's memory that callers may fill.
+constexpr std::int64_t kCallerMemoryDenominator = 4;
+constexpr std::int64_t kMinCallerMegabytes = 8;
+
+void
+AddCallerSettings(SettingsParser& aParser)
+{
+  aParser.Add(IntegerSetting{
+    "memory-mb", "MiB", "Memory of this VM; 0: not known.", 0, 1'048'576, 0 });
+  aParser.Add(IntegerSetting{ "caller-memory-mb",
+                              "MiB",
+                              "Memory for requests that are being read, wait "
+                              "or run, for answers that wait to be read, and "
+                              "for connections, of callers and of the admin "
+                              "address; 0: a quarter of --memory-mb, 48 if "
+                              "that is not known.",
+                              0,
+                              1'048'576,
+                              0 });
+  aParser.Add(IntegerSetting{ "caller-connections",
+                              "connections",
+                              "Most connections of callers; 0 and as an upper "
+                              "bound: half of the process's descriptors, at "
+                              "most 4096.",
+                              0,
+                              4'096,
+                              0 });
+  aParser.Add(IntegerSetting{ "caller-header-fields",
+                              "fields",
+                              "Most header fields of a request.",
+                              16,
+                              1'000'000,
+                              4'096 });
+  aParser.Add(IntegerSetting{ "caller-pipelined-kb",
+                              "KiB",
+                              "A connection whose requests and answers hold "
+                              "more has at most two requests at a time.",
+                              16,
+                              1'048'576,
+                              256 });
+}
+
+ByteCount
+Megabytes(std::int64_t aCount)
+{
+  return ByteCount(static_cast<std::uint64_t>(aCount) << 20U);
+}
+
+NodeCallerSettings
+ReadCallerSettings(const Settings& aSettings)
+{
+  NodeCallerSettings callers;
+  std::int64_t memory = aSettings.Integer("caller-memory-mb");
+  if (memory == 0) {
+    const std::int64_t all = aSettings.Integer("memory-mb");
+    memory = all == 0 ? kCallerMegabytes : all / kCallerMemoryDenominator;
+  }
+  callers.m_memory = Megabytes(std::max(memory, kMinCallerMegabytes));
+  callers.m_connections =
+    static_cast<std::size_t>(aSettings.Integer("caller-connections"));
+  callers.m_headerFields =
+    static_cast<std::size_t>(aSettings.Integer("caller-header-fields"));
+  callers.m_pipelined = ByteCount(
+    static_cast<std::uint64_t>(aSettings.Integer("caller-pipelined-kb"))
+    << 10U);
+  return callers;
+}
+
+} // namespace
+
 SettingsParser
 NodeSettingsParser()
 {
@@ -132,6 +208,7 @@
     100,
     600'000,
     3'000 });
+  AddCallerSettings(parser);
   parser.Add(TextSetting{ "log-level",
                           "Lowest severity that is logged.",
                           { "debug", "info", "warning", "error" },
@@ -252,6 +329,7 @@
   }
   settings.m_watchRest = aSettings.Milliseconds("watch-rest-ms");
   settings.m_admitsByObjective = aSettings.Text("admission") == "objective";
+  settings.m_callers = ReadCallerSettings(aSettings);
   settings.m_logLevel = aSettings.Text("log-level");
   return settings;
 }
--- a/src/process/NodeSettings.h
+++ b/src/process/NodeSettings.h
@@ -4,6 +4,7 @@
 /// Thread safety: values.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -18,6 +19,18 @@
 
 namespace tarragontray {
 
+/// Limits of what callers can make a node keep; see process/CallerBudget.h.
+struct NodeCallerSettings
+{
+  /// For all listeners together.
+  ByteCount m_memory;
+  /// Connections to the front listeners; 0: as the descriptors allow.
+  std::size_t m_connections = 0;
+  std::size_t m_headerFields = 0;
+  /// For the requests and answers of one connection.
+  ByteCount m_pipelined;
+};
+
 /// The settings of a node; fixed for the life of the process.
 struct NodeSettings
 {
@@ -63,6 +76,7 @@
   /// Admits calls by their objectives instead of by fair shares of accounts.
   bool m_admitsByObjective = false;
   RetryBudgetSettings m_retries;
+  NodeCallerSettings m_callers;
   /// "debug", "info", "warning" or "error".
   std::string m_logLevel;
 };
--- a/src/process/Runtime.cmake
+++ b/src/process/Runtime.cmake
@@ -7,7 +7,11 @@
 
 tt_library(tt_thread_loop SRCS ThreadLoop.cpp DEPS tt_base Threads::Threads)
 
-tt_library(tt_metrics SRCS Metrics.cpp DEPS tt_call prometheus-cpp::core)
+tt_decision_library(tt_caller_budget
+  SRCS CallerBudget.cpp HDRS CallerBudget.h DEPS tt_base)
+tt_test(caller_budget_test SRCS CallerBudgetTest.cpp DEPS tt_caller_budget)
+
+tt_library(tt_metrics SRCS Metrics.cpp DEPS tt_call tt_caller_budget prometheus-cpp::core)
 tt_test(metrics_test SRCS MetricsTest.cpp DEPS tt_metrics)
 
 tt_library(tt_front_thread SRCS FrontThread.cpp
