--- a/src/connection/Links.cmake
+++ b/src/connection/Links.cmake
@@ -16,3 +16,5 @@
   DEPS tt_http_server tt_upstream_pool)
 tt_test(slow_link_test SRCS SlowLinkTest.cpp DEPS tt_peer_link)
 tt_test(endless_answer_test SRCS EndlessAnswerTest.cpp DEPS tt_upstream_pool)
+tt_test(http_fuzz_test SRCS HttpFuzzTest.cpp
+  DEPS tt_http_server tt_upstream_pool)
