Tests of limits in time: longer pauses

A busy machine can delay a server by some hundred milliseconds; the stalled time of 1 s is now waited for 2.5 s, and the limits of the slow body are 1.5 s instead of 0.6 s with twice the pauses. What the tests guard is unchanged.

--- a/src/connection/HttpServerTest.cpp
+++ b/src/connection/HttpServerTest.cpp
@@ -391,7 +391,7 @@
   tcp::socket stopped =
     server.Connect("POST / HTTP/1.1\r\ncontent-length: 80000\r\n\r\n" +
                    std::string(79'999, 'b'));
-  std::this_thread::sleep_for(std::chrono::milliseconds(1'200));
+  std::this_thread::sleep_for(std::chrono::milliseconds(2'500));
   tcp::socket ordinary = server.Connect(
     "POST / HTTP/1.1\r\nconnection: close\r\ncontent-length: 50000\r\n\r\n" +
     std::string(50'000, 'b'));
@@ -430,14 +430,14 @@
 {
   constexpr int kPieces = 10;
   HttpServerSettings settings;
-  settings.m_idleLimit = std::chrono::milliseconds(600);
-  settings.m_requestLimit = std::chrono::milliseconds(600);
+  settings.m_idleLimit = std::chrono::milliseconds(1'500);
+  settings.m_requestLimit = std::chrono::milliseconds(1'500);
   LimitedServer server(settings);
   tcp::socket socket = server.Connect(
     "POST / HTTP/1.1\r\nconnection: close\r\ncontent-length: 20000\r\n\r\n");
   for (int i = 0; i < kPieces; ++i) {
     asio::write(socket, asio::buffer(std::string(2'000, 'b')));
-    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
   }
   cr_assert(ReadToEnd(socket).starts_with("HTTP/1.1 200"));
 }
@@ -450,8 +450,9 @@
   LimitedServer server(settings);
   const std::string request = "GET / HTTP/1.1\r\nconnection: close\r\n\r\n";
   tcp::socket first = server.Connect("GET /");
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
   tcp::socket second = server.Connect("GET /");
-  std::this_thread::sleep_for(std::chrono::milliseconds(1'200));
+  std::this_thread::sleep_for(std::chrono::milliseconds(2'500));
   tcp::socket third = server.Connect(request);
   cr_assert(ReadToEnd(third).starts_with("HTTP/1.1 200"));
   cr_assert(ReadToEnd(first).empty());
