--- a/src/connection/Links.cmake
+++ b/src/connection/Links.cmake
@@ -5,7 +5,7 @@
 tt_library(tt_sockets SRCS Sockets.cpp DEPS tt_base Threads::Threads)
 tt_library(tt_upstream_pool SRCS UpstreamPool.cpp DEPS tt_http_dialect tt_sockets)
 tt_library(tt_http_server SRCS HttpServer.cpp HttpSession.cpp
-  DEPS tt_http_dialect tt_sockets)
+  DEPS tt_caller_budget tt_http_dialect tt_sockets)
 tt_test(http_server_test SRCS HttpServerTest.cpp DEPS tt_http_server)
 
 tt_library(tt_peer_link SRCS FrameStream.cpp PeerLink.cpp
@@ -16,3 +16,5 @@
   DEPS tt_http_server tt_upstream_pool)
 tt_test(slow_link_test SRCS SlowLinkTest.cpp DEPS tt_peer_link)
 tt_test(endless_answer_test SRCS EndlessAnswerTest.cpp DEPS tt_upstream_pool)
+tt_test(http_fuzz_test SRCS HttpFuzzTest.cpp
+  DEPS tt_http_server tt_upstream_pool)
--- a/src/process/FrontThread.h
+++ b/src/process/FrontThread.h
@@ -25,6 +25,7 @@
 #include "process/AccountRules.h"
 #include "process/FreshnessLease.h"
 #include "process/IdleSignal.h"
+#include "process/ListenerSettings.h"
 #include "process/Metrics.h"
 #include "process/TrafficReport.h"
 #include "process/View.h"
@@ -62,6 +63,7 @@
   /// This node should read the store's revision, since no other node tells its
   /// age. Called on the front thread. May be empty.
   std::function<void()> m_onNeedsRead;
+  ListenerSettings m_callers;
 };
 
 /// See the file comment.
--- a/src/process/Metrics.h
+++ b/src/process/Metrics.h
@@ -19,6 +19,7 @@
 
 #include "base/Ids.h"
 #include "base/Units.h"
+#include "process/CallerBudget.h"
 #include "request/AdmissionPolicy.h"
 #include "request/Call.h"
 
@@ -103,6 +104,8 @@
   /// Counts a call that an entry node refused because of its account's rate or
   /// because the configuration was not confirmed. Other reasons are ignored.
   void CountRefusal(RefusalReason aReason);
+  /// Updates the gauges of what callers hold and what was limited.
+  void Set(const CallerLimitCounters& aCounters);
   /// Returns all series in the Prometheus text format.
   std::string Text() const;
 
