--- a/src/request/testing/MixModel.cpp
+++ b/src/request/testing/MixModel.cpp
@@ -155,7 +155,7 @@
                 const Call& aParent,
                 MonotonicTime aDeadline,
                 int aLeft,
-                OnEnd aOnEnd);
+                const OnEnd& aOnEnd);
   void EndRun(std::size_t aNode, Ticket aTicket, bool aIsSuccess);
   void ScheduleTick(std::size_t aNode);
   void ChangePaces();
@@ -641,7 +641,7 @@
               const Call& aParent,
               MonotonicTime aDeadline,
               int aLeft,
-              OnEnd aOnEnd)
+              const OnEnd& aOnEnd)
 {
   const auto parent =
     std::find_if(m_settings.m_kinds.begin(),
