Revert "Balancing: large bodies are sent only where they can arrive in time"

The guard's transfers (BodyTransfers) already keep bodies off a full link, and know the VM's queue, which an entry node does not.

--- a/src/request/BalancingPolicy.h
+++ b/src/request/BalancingPolicy.h
@@ -31,8 +31,6 @@
   Duration m_latency{ 0 };
   /// The time spent in the upstream; zero when unknown.
   Duration m_serviceTime{ 0 };
-  /// Size of the call's body.
-  ByteCount m_bodyBytes{ 0 };
   /// Set when the answer carried a load report.
   std::optional<LoadReport> m_load = std::nullopt;
 };
@@ -47,8 +45,6 @@
   bool m_requiresCapacity = false;
   /// Size of the call's body.
   ByteCount m_bodyBytes{ 0 };
-  /// The call has a latency objective, which may have passed.
-  bool m_hasObjective = false;
 };
 
 /// Chooses targets, using the results of earlier attempts.
--- a/src/request/CallPlan.cpp
+++ b/src/request/CallPlan.cpp
@@ -393,7 +393,6 @@
   m_isAttemptInFlight = false;
   AttemptResult result = aResult;
   result.m_latency = aNow - m_attemptStart;
-  result.m_bodyBytes = Setup().m_bodyBytes;
   Setup().m_policies.m_balancing.Finished(m_target->m_vm, result, aNow);
 }
 
--- a/src/request/MixModelTest.cpp
+++ b/src/request/MixModelTest.cpp
@@ -122,21 +122,4 @@
   }
 }
 
-/// Load: the second deployment's uploads at 0.9 of what the links of their
-/// upstreams carry. Guards against bodies that fill the links in their bursts,
-/// so that uploads are late or get no answer (0.53 of the value, a tenth
-/// unknown), and against refusing many while there is room.
-Test(MixModel, LargeBodiesDoNotFillTheLinks)
-{
-  for (const std::uint64_t seed : kSeeds) {
-    const MixResult result =
-      testing::RunMix(AtLoad(testing::PreOrderMix(), seed, 0.7));
-    const MixStats& upload = result.Kind("upload");
-    cr_assert(upload.ValueShare() >= 0.7 && upload.m_unknown == 0,
-              "seed %lu\n%s",
-              seed,
-              result.Text().c_str());
-  }
-}
-
 } // namespace tarragontray
--- a/src/request/TargetSequence.cpp
+++ b/src/request/TargetSequence.cpp
@@ -225,10 +225,7 @@
       candidates,
       m_tried.size(),
       m_setup.m_dataCentre,
-      { TimeToObjective(aNow),
-        aRequiresCapacity,
-        m_setup.m_bodyBytes,
-        m_setup.m_objective != MonotonicTime::max() },
+      { TimeToObjective(aNow), aRequiresCapacity, m_setup.m_bodyBytes },
       aNow,
       m_setup.m_policies.m_random);
   return index ? candidates[*index] : nullptr;
--- a/src/request/TwoChoicesBalancing.cpp
+++ b/src/request/TwoChoicesBalancing.cpp
@@ -11,9 +11,6 @@
 
 /// Weight of a new value in an exponentially weighted mean.
 constexpr double kLatencyWeight = 0.2;
-/// With less evidence than half a fresh report, a mean over targets decays to
-/// zero, so that targets that get no calls are tried again.
-constexpr double kMinEvidence = 0.5;
 /// Own data centre, own region, all others.
 constexpr int kTiers = 3;
 
@@ -72,14 +69,9 @@
     }
   }
   LimitEjections(aTried);
-  const bool isLarge = aConstraints.m_bodyBytes >= m_settings.m_minTransfer;
-  SelectTier(aConstraints.m_requiresCapacity ||
-             (isLarge && aConstraints.m_hasObjective));
+  SelectTier(aConstraints.m_requiresCapacity);
   const std::size_t count = m_eligible.size();
   if (count == 0) {
-    if (isLarge && aConstraints.m_timeToObjective > Duration::zero()) {
-      m_bodiesHeld = aNow;
-    }
     return std::nullopt;
   }
   if (count == 1) {
@@ -179,15 +171,10 @@
     mean + (stats.m_reported / ReportedSlots(aTarget, stats, aNow) - mean) *
              Faded(age, m_settings.m_reportHalfLife);
   const double load = std::max(stats.m_inFlight / slots, reported);
-  const double bodyWait =
-    transfer > 0 ? BodyWait(stats, transfer, service, aNow) : 0.0;
-  const double end =
-    service +
-    std::max(service * ExpectedQueue(load + 1 / slots) + transfer, bodyWait);
-  const double limit = transfer > 0 ? budget : toObjective;
-  const bool isInTime =
-    toObjective > 0 ? end <= limit : transfer == 0 || !IsHoldingBodies(aNow);
-  const bool isFree = load < m_settings.m_saturation && isInTime;
+  const double end = service * (1 + ExpectedQueue(load + 1 / slots)) + transfer;
+  const bool hasObjective = toObjective > 0;
+  const bool isFree =
+    load < m_settings.m_saturation && (!hasObjective || end <= toObjective);
   CandidateState state;
   state.m_isEjected = aNow < stats.m_ejectedUntil;
   state.m_isAccepting = aNow >= stats.m_avoidUntil;
@@ -202,7 +189,6 @@
 TwoChoicesBalancing::UpdateMeans(const std::vector<const Target*>& aCandidates,
                                  MonotonicTime aNow)
 {
-  UpdateBodyWait(aCandidates, aNow);
   m_dataCentreLoads.clear();
   double serviceTimes = 0;
   int measured = 0;
@@ -248,7 +234,9 @@
 double
 TwoChoicesBalancing::DataCentreLoad::Mean() const
 {
-  return m_load / std::max(m_weight, kMinEvidence);
+  // With less evidence than half a fresh report, the mean decays to zero, so
+  // that a data centre that gets no calls is tried again.
+  return m_load / std::max(m_weight, 0.5);
 }
 
 double
@@ -264,50 +252,6 @@
            : 0.0;
 }
 
-void
-TwoChoicesBalancing::UpdateBodyWait(
-  const std::vector<const Target*>& aCandidates,
-  MonotonicTime aNow)
-{
-  double waits = 0;
-  double weights = 0;
-  const auto add = [&](double aWait, double aWeight) {
-    waits += aWait * aWeight;
-    weights += aWeight;
-  };
-  for (const Target* target : aCandidates) {
-    const Stats& stats = StatsOf(target->m_vm);
-    if (stats.m_bodyWait > 0) {
-      add(
-        stats.m_bodyWait,
-        Faded(Seconds(aNow - stats.m_bodyTime), m_settings.m_bodyWaitHalfLife));
-    }
-    const Duration oldest =
-      stats.m_starts.empty() ? Duration(0) : aNow - stats.m_starts.front();
-    if (oldest > m_settings.m_longWait) {
-      add(Seconds(oldest), 1);
-    }
-  }
-  m_meanBodyWait = waits / std::max(weights, kMinEvidence);
-}
-
-double
-TwoChoicesBalancing::BodyWait(const Stats& aStats,
-                              double aTransfer,
-                              double aServiceTime,
-                              MonotonicTime aNow) const
-{
-  const double own =
-    aStats.m_bodyWait > 0
-      ? Faded(Seconds(aNow - aStats.m_bodyTime), m_settings.m_bodyWaitHalfLife)
-      : 0.0;
-  const double measured =
-    m_meanBodyWait + own * (aStats.m_bodyWait - m_meanBodyWait);
-  const double oldest =
-    aStats.m_starts.empty() ? 0.0 : Seconds(aNow - aStats.m_starts.front());
-  return std::max({ aTransfer, measured, oldest - aServiceTime });
-}
-
 bool
 TwoChoicesBalancing::CanMeetObjective(double aLoad,
                                       const Stats& aStats,
@@ -425,14 +369,12 @@
 }
 
 void
-TwoChoicesBalancing::Started(const VmId& aVm, MonotonicTime aNow)
+TwoChoicesBalancing::Started(const VmId& aVm, MonotonicTime /*aNow*/)
 {
   if (m_stats.size() >= m_settings.m_maxTargets) {
     RemoveIdleTargets();
   }
-  Stats& stats = m_stats[aVm];
-  ++stats.m_inFlight;
-  stats.m_starts.push_back(aNow);
+  ++m_stats[aVm].m_inFlight;
 }
 
 void
@@ -442,13 +384,6 @@
 {
   Stats& stats = m_stats[aVm];
   stats.m_inFlight -= stats.m_inFlight > 0 ? 1 : 0;
-  const auto start = std::find(
-    stats.m_starts.begin(), stats.m_starts.end(), aNow - aResult.m_latency);
-  if (start != stats.m_starts.end()) {
-    stats.m_starts.erase(start);
-  } else if (!stats.m_starts.empty()) {
-    stats.m_starts.erase(stats.m_starts.begin());
-  }
   if (aResult.m_load) {
     stats.m_reported = aResult.m_load->m_running + aResult.m_load->m_queued;
     stats.m_reportedSlots = aResult.m_load->m_slots;
@@ -461,11 +396,6 @@
   if (aResult.m_isAbandoned) {
     return;
   }
-  if (aResult.m_bodyBytes >= m_settings.m_minTransfer) {
-    Smooth(stats.m_bodyWait,
-           Seconds(aResult.m_latency - aResult.m_serviceTime));
-    stats.m_bodyTime = aNow;
-  }
   if (aResult.m_isRefused) {
     // A refusal is quick, but its latency says nothing about the target's
     // speed. The target has no capacity, whatever load it reports.
--- a/src/request/TwoChoicesBalancing.h
+++ b/src/request/TwoChoicesBalancing.h
@@ -20,9 +20,7 @@
 /// two targets are compared by the expected completion time instead: the wait
 /// and the service time at the target's speed and pace, and the transfer of the
 /// body to another VM. A target that would miss the objective then has no
-/// capacity, even when a slot is free. A call with a large body gets no target
-/// when none has capacity: sent all the same, such bodies fill the links until
-/// no call gets through in time. Such an entry node hears from each
+/// capacity, even when a slot is free. Such an entry node hears from each
 /// target once in some seconds, so that a report decays to the mean load of its
 /// data centre: towards zero, a full data centre would seem idle.
 ///
@@ -66,17 +64,9 @@
   /// Bits per second of the links between VMs. A body crosses two: from the
   /// entry node and to the target.
   double m_linkRate = 10e6;
-  /// Half-life of the measured wait of large bodies.
-  Duration m_bodyWaitHalfLife = std::chrono::seconds(2);
-  /// A call in flight for longer shows that bodies wait: the work of the calls
-  /// with large bodies takes a third of it.
-  Duration m_longWait = std::chrono::milliseconds(400);
-  /// How long large bodies of calls that have missed their objective are held
-  /// back, once links were too full for those that had not.
-  Duration m_lateBodyPause = std::chrono::seconds(5);
-  /// Smaller bodies have no transfer time: the two links take at most 26 ms for
+  /// Smaller bodies have no transfer time: the two links take at most 7 ms for
   /// them, less than the spread of service times.
-  ByteCount m_minTransfer{ 16384 };
+  ByteCount m_minTransfer{ 4096 };
   /// Work at a starting target takes this many times as long.
   double m_startingPace = 2;
   /// Number of failures in a row after which a target is ejected.
@@ -136,12 +126,6 @@
     double m_serviceTime = 0;
     /// The pace in the last report.
     PacePercent m_pace = kUsualPace;
-    /// Mean time that calls with a large body spent outside the upstream, in
-    /// seconds, and when the last of them ended.
-    double m_bodyWait = 0;
-    MonotonicTime m_bodyTime{};
-    /// Starts of the calls in flight, oldest first.
-    std::vector<MonotonicTime> m_starts;
     std::uint32_t m_failuresInRow = 0;
     std::uint32_t m_ejections = 0;
     MonotonicTime m_ejectedUntil{};
@@ -196,21 +180,6 @@
   double MeanLoad(const DataCentreId& aDataCentre) const;
   /// Seconds that the body takes to the target.
   double TransferTime(const Target& aTarget, ByteCount aBody) const;
-  /// Fills m_meanBodyWait from the ended calls of all candidates, and from
-  /// those in flight for long: one entry node sends a single target too few
-  /// bodies.
-  void UpdateBodyWait(const std::vector<const Target*>& aCandidates,
-                      MonotonicTime aNow);
-  bool IsHoldingBodies(MonotonicTime aNow) const
-  {
-    return m_bodiesHeld && aNow < *m_bodiesHeld + m_settings.m_lateBodyPause;
-  }
-  /// Seconds that a call with this body spends outside the upstream, by the
-  /// last such calls and by the oldest call in flight.
-  double BodyWait(const Stats& aStats,
-                  double aTransfer,
-                  double aServiceTime,
-                  MonotonicTime aNow) const;
   /// The better of two random candidates of m_eligible, or of three when the
   /// own VM's is eligible and the body is large. Precondition: there are two.
   std::size_t ChooseEligible(const std::vector<const Target*>& aCandidates,
@@ -253,10 +222,6 @@
   double m_meanLatency = 0;
   /// The last report of an unusual pace.
   std::optional<MonotonicTime> m_unusualPace;
-  /// Mean time that large bodies spend outside the upstreams, in seconds.
-  double m_meanBodyWait = 0;
-  /// When a large body that could have met its objective last got no target.
-  std::optional<MonotonicTime> m_bodiesHeld;
   /// Mean service time of the candidates in seconds; 0 when unknown.
   double m_meanServiceTime = 0;
   /// Buffers, reused to avoid allocations.
--- a/src/request/testing/MixModel.cpp
+++ b/src/request/testing/MixModel.cpp
@@ -70,9 +70,6 @@
   DataCentreId m_dataCentre;
   double m_slowness = 1;
   PacePercent m_pace = kUsualPace;
-  /// When the bodies that the link carries now have passed, each way.
-  MonotonicTime m_sentUntil = kStart;
-  MonotonicTime m_receivedUntil = kStart;
   std::unique_ptr<Guard> m_guard;
   SeededRandom m_random;
   TwoChoicesBalancing m_balancing;
@@ -159,9 +156,7 @@
   void EndRun(std::size_t aNode, Ticket aTicket, bool aIsSuccess);
   void ScheduleTick(std::size_t aNode);
   void ChangePaces();
-  /// Seconds that a message takes from one node to another. Bodies pass a link
-  /// one after the other; small messages don't wait for them.
-  double Delay(std::size_t aFrom, std::size_t aTo, ByteCount aBody);
+  double Delay(std::size_t aFrom, std::size_t aTo, ByteCount aBody) const;
   void At(double aDelay, std::function<void()> aRun);
   double Exponential(double aMean)
   {
@@ -541,24 +536,15 @@
 }
 
 double
-Mix::Delay(std::size_t aFrom, std::size_t aTo, ByteCount aBody)
+Mix::Delay(std::size_t aFrom, std::size_t aTo, ByteCount aBody) const
 {
   if (aFrom == aTo) {
     return 0;
   }
   const bool isNear =
     m_nodes[aFrom]->m_dataCentre == m_nodes[aTo]->m_dataCentre;
-  const double network = isNear ? kNear : kFar;
-  if (aBody.Value() == 0) {
-    return network;
-  }
-  const Duration time =
-    FromSeconds(8 * static_cast<double>(aBody.Value()) / kLinkRate);
-  MonotonicTime& sent = m_nodes[aFrom]->m_sentUntil;
-  sent = std::max(sent, m_now) + time;
-  MonotonicTime& received = m_nodes[aTo]->m_receivedUntil;
-  received = std::max(received, sent) + time;
-  return network + Seconds(received - m_now);
+  return (isNear ? kNear : kFar) +
+         2 * 8 * static_cast<double>(aBody.Value()) / kLinkRate;
 }
 
 void
