--- a/src/base/ApiKey.cpp
+++ b/src/base/ApiKey.cpp
@@ -23,11 +23,11 @@
 const Secret&
 ProcessSecret()
 {
-  static const Secret secret = [] {
+  static const Secret kSecret = [] {
     std::random_device device;
     return Secret{ DrawSeed(device), DrawSeed(device) };
   }();
-  return secret;
+  return kSecret;
 }
 
 } // namespace
--- a/src/process/FrontThread.cpp
+++ b/src/process/FrontThread.cpp
@@ -432,7 +432,7 @@
     Call call;
     call.m_operation = aSetup.m_operation;
     call.m_caller = aSetup.m_caller;
-    call.m_service = aSetup.m_route.m_service;
+    call.m_service = aSetup.m_service.m_id;
     call.m_route = aSetup.m_route.m_name;
     call.m_class = aSetup.m_route.m_class;
     call.m_priority = aSetup.m_priority;
--- a/src/process/FrontThreadTest.cpp
+++ b/src/process/FrontThreadTest.cpp
@@ -3,6 +3,8 @@
 #include <string>
 #include <thread>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -10,6 +12,8 @@
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 
+#include "connection/FrameStream.h"
+#include "connection/Sockets.h"
 #include "request/NativeDialect.h"
 
 namespace tarragontray {
@@ -160,6 +164,19 @@
   return aText.find(aPart) != std::string::npos;
 }
 
+/// Accepts one link and returns the service of the first call on it.
+asio::awaitable<ServiceId>
+ServiceOfFirstCall(tcp::acceptor& aAcceptor)
+{
+  auto stream = FrameStream::Create(co_await Accept(aAcceptor), "caller");
+  while (true) {
+    auto message = co_await stream->Receive();
+    if (const Call* call = std::get_if<Call>(&message.value())) {
+      co_return call->m_service;
+    }
+  }
+}
+
 } // namespace
 
 /// With accounts in the configuration, "no-target" shows that a call was
@@ -245,4 +262,52 @@
   front->Stop();
 }
 
+/// A guard refuses calls for another service than that of its upstream. All
+/// calls of the second part of a split were refused as upstream-gone, since
+/// they named the route's first service.
+Test(FrontThread, ACallOfASplitNamesTheFirstService)
+{
+  const ServiceId part{ kAccount, ServiceName("catalogue") };
+  asio::io_context context;
+  tcp::acceptor peer(context,
+                     { asio::ip::address_v4::loopback(), std::uint16_t{ 0 } });
+  auto view = std::make_shared<View>(*MakeView(seconds(1)));
+  Configuration configuration = *view->m_configurations.at(kAccount);
+  configuration.m_routes[0].m_weightedServices = { { part, 1 } };
+  view->m_configurations[kAccount] =
+    std::make_shared<const Configuration>(std::move(configuration));
+  Target target;
+  target.m_vm = VmId("vm-2");
+  target.m_peerAddress = AddressOf(peer.local_endpoint());
+  target.m_slots = SlotCount(1);
+  ServiceView& service = view->m_services[part];
+  service.m_id = part;
+  service.m_targets = { target };
+  SystemClock clock;
+  Metrics metrics(VmId("vm-1"), DataCentreId("dc"));
+  IdleSignal inFlight;
+  FrontSettings settings;
+  settings.m_address = NetworkAddress(0x7F000001, 0);
+  settings.m_dialect = std::make_shared<NativeCallerDialect>();
+  std::unique_ptr<FrontThread> front =
+    FrontThread::Create(settings, clock, metrics, inFlight, [](auto) {
+    }).value();
+  front->Publish(view);
+  tcp::socket socket(context);
+  socket.connect(tcp::endpoint(asio::ip::address_v4(front->Address().Ip()),
+                               front->Address().Port()));
+  asio::write(socket,
+              asio::buffer(std::string("GET / HTTP/1.1\r\nx-client-account: "
+                                       "mesqel-gate\r\n\r\n")));
+  ServiceId received;
+  asio::co_spawn(context,
+                 ServiceOfFirstCall(peer),
+                 [&](const std::exception_ptr&, const ServiceId& aService) {
+                   received = aService;
+                 });
+  context.run();
+  cr_assert(received == part, "%s", received.m_name.Value().c_str());
+  front->Stop();
+}
+
 } // namespace tarragontray
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -217,8 +217,8 @@
   }
   void HandleMessage(CallerLink aLink, FrameStream& /*aStream*/, BodyData aData)
   {
-    Execute(m_guard.BodyArrived(
-      aLink, aData.m_id, std::move(aData.m_bytes), m_clock.Now()));
+    Execute(
+      m_guard.BodyArrived(aLink, aData.m_id, aData.m_bytes, m_clock.Now()));
   }
   void HandleMessage(CallerLink aLink,
                      FrameStream& /*aStream*/,
--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -225,7 +225,7 @@
 GuardActions
 Guard::BodyArrived(CallerLink aFrom,
                    CallId aCall,
-                   std::string aBytes,
+                   const std::string& aBytes,
                    MonotonicTime aNow)
 {
   GuardActions actions;
@@ -238,7 +238,7 @@
   Entry& entry = m_entries.at(*ticket);
   std::string& body = entry.m_call.m_http.m_body;
   const ByteCount size(aBytes.size());
-  body += aBytes;
+  body.append(aBytes);
   if (body.size() > entry.m_call.m_deferredBody->m_size.Value()) {
     RemoveWaiting(*ticket);
     Refuse(*ticket, RefusalReason::OperationMismatch, aNow, actions);
--- a/src/request/Guard.h
+++ b/src/request/Guard.h
@@ -167,7 +167,7 @@
   /// A piece of a call's deferred body arrived, in the order of the requests.
   GuardActions BodyArrived(CallerLink aFrom,
                            CallId aCall,
-                           std::string aBytes,
+                           const std::string& aBytes,
                            MonotonicTime aNow);
   /// A run ended with Done, Unknown, or NotRun when the upstream shed the call.
   GuardActions Finished(Ticket aTicket, Answer aAnswer, MonotonicTime aNow);
