--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -215,7 +215,9 @@
   {
     Execute(m_guard.Submit(std::move(aCall), aLink, m_clock.Now()));
   }
-  void HandleMessage(CallerLink aLink, FrameStream& /*aStream*/, BodyData aData)
+  void HandleMessage(CallerLink aLink,
+                     FrameStream& /*aStream*/,
+                     const BodyData& aData)
   {
     Execute(
       m_guard.BodyArrived(aLink, aData.m_id, aData.m_bytes, m_clock.Now()));
