--- a/src/process/AccountGate.cpp
+++ b/src/process/AccountGate.cpp
@@ -29,6 +29,11 @@
 /// time that it has left.
 constexpr Duration kMaxWait = std::chrono::milliseconds(150);
 constexpr int kMaxWaitPart = 4;
+/// Added to the time over which refused callers return, for each call that
+/// comes beyond one for a token.
+constexpr Duration kRetrySpread = std::chrono::milliseconds(200);
+/// Callers wait at most this part of the time that they have left.
+constexpr int kMaxRetryPart = 3;
 constexpr Duration kReadInterval = std::chrono::seconds(1);
 constexpr Duration kReadJitter = std::chrono::milliseconds(300);
 /// By then the next request for the age has been answered.
@@ -167,14 +172,24 @@
   m_tokens.AddWaiting(aAccount.m_id, -1);
   if (!admission.m_permit) {
     admission.m_isAdmitted = false;
-    // Spread, so that the refused callers don't return together.
-    admission.m_retryAfter =
-      Scaled(m_tokens.TimeToNext(aAccount.m_id, m_clock.BootNow()),
-             1 + m_random.Fraction());
+    admission.m_retryAfter = RetryAfter(aAccount.m_id, aTimeLeft);
   }
   co_return admission;
 }
 
+Duration
+AccountGate::RetryAfter(const ClientAccountId& aAccount, Duration aTimeLeft)
+{
+  const BootTime now = m_clock.BootNow();
+  const Duration next = m_tokens.TimeToNext(aAccount, now);
+  // The next token is not for all refused callers. The more there are, the
+  // longer is the time over which they return.
+  const Duration spread =
+    next + Scaled(kRetrySpread, m_tokens.Pressure(aAccount, now) - 1);
+  return std::min(next + Scaled(spread, m_random.Fraction()),
+                  aTimeLeft / kMaxRetryPart);
+}
+
 void
 AccountGate::Return(const CallerAccount& aAccount, const Admission& aAdmission)
 {
--- a/src/process/AccountGate.h
+++ b/src/process/AccountGate.h
@@ -92,6 +92,7 @@
   {
     return m_view && (m_tokens.HasAccounts() || m_lease.IsStrict());
   }
+  Duration RetryAfter(const ClientAccountId& aAccount, Duration aTimeLeft);
   BootTime NextAsk() const;
   /// Sets the timer to the next request.
   void Schedule();
--- a/src/process/AccountGateTest.cpp
+++ b/src/process/AccountGateTest.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr Revision kRevision{ 7 };
+constexpr Duration kTimeLeft = 1s;
 /// Above the time until a node counts at its coordinator, 1.2 s.
 constexpr Duration kLimit = 10s;
 
@@ -99,7 +100,7 @@
     asio::co_spawn(
       m_context,
       [&]() -> asio::awaitable<void> {
-        result = co_await m_gate->Admit(aAccount, 1s);
+        result = co_await m_gate->Admit(aAccount, kTimeLeft);
       },
       asio::detached);
     RunUntil([&] { return result.has_value(); });
@@ -134,6 +135,7 @@
   }
   cr_assert(!last.m_isAdmitted);
   cr_assert(last.m_retryAfter > Duration::zero());
+  cr_assert(last.m_retryAfter <= kTimeLeft / 3);
   CallerAccount unlimited;
   unlimited.m_id = ClientAccountId("south");
   const Admission free = fixture.Admit(unlimited);
--- a/src/process/TokenClient.cpp
+++ b/src/process/TokenClient.cpp
@@ -115,9 +115,11 @@
   if (!account.m_batches.empty()) {
     Batch& batch = account.m_batches.front();
     --batch.m_calls;
+    account.m_served.Add(1, aNow);
     return Permit{ batch.m_expiry };
   }
   if (TakeOwn(account, aNow)) {
+    account.m_served.Add(1, aNow);
     return Permit{};
   }
   return std::nullopt;
@@ -190,6 +192,19 @@
   return found->second.m_nextAt - aNow;
 }
 
+double
+TokenClient::Pressure(const ClientAccountId& aAccount, BootTime aNow)
+{
+  const auto found = m_accounts.find(aAccount);
+  if (found == m_accounts.end()) {
+    return 1;
+  }
+  Account& account = found->second;
+  const auto demand = static_cast<double>(account.m_demand.LastSecond(aNow));
+  const auto served = static_cast<double>(account.m_served.LastSecond(aNow));
+  return std::max(1.0, demand / std::max(1.0, served));
+}
+
 BootTime
 TokenClient::NextRequest() const
 {
--- a/src/process/TokenClient.h
+++ b/src/process/TokenClient.h
@@ -104,6 +104,10 @@
   /// When the account's next tokens can be expected, from now on.
   Duration TimeToNext(const ClientAccountId& aAccount, BootTime aNow) const;
 
+  /// How many calls of the last second came for each one that got a token; at
+  /// least 1.
+  double Pressure(const ClientAccountId& aAccount, BootTime aNow);
+
   /// When the next request is due; max() while one is in flight, and without
   /// accounts or a coordinator.
   BootTime NextRequest() const;
@@ -131,6 +135,7 @@
     std::deque<Batch> m_batches;
     std::optional<OwnShare> m_own;
     DemandWindow m_demand;
+    DemandWindow m_served;
     std::uint32_t m_waiting = 0;
     bool m_isPlentiful = false;
     BootTime m_nextAt{};
