--- a/src/process/AccountGate.cpp
+++ b/src/process/AccountGate.cpp
@@ -308,8 +308,11 @@
 void
 AccountGate::AskReaders()
 {
+  const VmId* coordinator = m_tokens.Coordinator();
+  const bool isCoordinator =
+    coordinator != nullptr && *coordinator == m_settings.m_tokens.m_vm;
   if (!m_view || !m_lease.IsStrict() || m_askedReaders > 0 ||
-      !m_lease.NeedsReaders(m_clock.BootNow())) {
+      !m_lease.NeedsReaders(m_clock.BootNow(), isCoordinator)) {
     return;
   }
   for (const AccountPeer& reader : m_view->m_readers) {
--- a/src/process/FreshnessLease.h
+++ b/src/process/FreshnessLease.h
@@ -44,6 +44,9 @@
   /// the 300 ms between two requests, an age stays below 1.75 s, so that a node
   /// serves for 3 s after it has lost the store if the limit is 5 s.
   Duration m_askReadersAfter = std::chrono::milliseconds(1200);
+  /// The same at a coordinator. Lower by the time between two requests, so that
+  /// the nodes that ask the coordinator rarely have to ask the readers.
+  Duration m_coordinatorAsksAfter = std::chrono::milliseconds(900);
   /// Age from which on this node reads the store's revision itself.
   Duration m_readAfter = std::chrono::seconds(2);
 };
@@ -65,9 +68,11 @@
   std::optional<Duration> Age(BootTime aNow) const;
   /// Whether a call with an API key may be served.
   bool IsFresh(BootTime aNow) const;
-  bool NeedsReaders(BootTime aNow) const
+  bool NeedsReaders(BootTime aNow, bool aIsCoordinator) const
   {
-    return IsOlder(m_settings.m_askReadersAfter, aNow);
+    return IsOlder(aIsCoordinator ? m_settings.m_coordinatorAsksAfter
+                                  : m_settings.m_askReadersAfter,
+                   aNow);
   }
   bool NeedsOwnRead(BootTime aNow) const
   {
--- a/src/process/FreshnessLeaseTest.cpp
+++ b/src/process/FreshnessLeaseTest.cpp
@@ -67,6 +67,24 @@
   cr_assert(lease.IsFresh(clock.BootNow()));
 }
 
+// A node has to ask others before the knowledge of its coordinator is too old
+// to outlast 3 s without the store.
+Test(FreshnessLease, AsksReadersAndTheStoreAsTheAgeGrows)
+{
+  ManualClock clock;
+  FreshnessLease lease = MakeLease();
+  cr_assert(lease.NeedsReaders(clock.BootNow(), false));
+  lease.Confirm({ clock.BootNow(), kRevision });
+  clock.Advance(1s);
+  cr_assert(lease.NeedsReaders(clock.BootNow(), true));
+  cr_assert(!lease.NeedsReaders(clock.BootNow(), false));
+  clock.Advance(500ms);
+  cr_assert(lease.NeedsReaders(clock.BootNow(), false));
+  cr_assert(!lease.NeedsOwnRead(clock.BootNow()));
+  clock.Advance(600ms);
+  cr_assert(lease.NeedsOwnRead(clock.BootNow()));
+}
+
 // An answer that was delayed must not make the knowledge look older or newer.
 Test(FreshnessLease, KeepsTheLatestConfirmation)
 {
--- a/src/process/TokenClient.cpp
+++ b/src/process/TokenClient.cpp
@@ -211,8 +211,13 @@
   if (m_isInFlight || m_accounts.empty() || m_coordinator.IsEmpty()) {
     return BootTime::max();
   }
-  return m_sentAt +
-         (m_waiting > 0 ? m_settings.m_minInterval : m_settings.m_interval);
+  const BootTime earliest = m_sentAt + m_settings.m_minInterval;
+  BootTime next = m_waiting > 0 ? earliest : m_sentAt + m_settings.m_interval;
+  if (m_echo && m_claimedAt != m_coordinator) {
+    // The pool lacks this node's share until it is claimed there.
+    next = std::min(next, std::max(earliest, m_claimedUntil));
+  }
+  return next;
 }
 
 bool
