--- a/review/10/case.py
+++ b/review/10/case.py
@@ -14,16 +14,19 @@
 LONG_WORK_S = 2.3
 
 
-async def one_round(mesh, target, has_trouble):
-    m1 = mesh.machines[0]
+async def one_round(mesh, targets, number, has_trouble):
+    """\return (what was broken, the position of the target that left)."""
     arrivals = {}
+    long_at = asyncio.get_running_loop().create_future()
 
     async def work(target, request, reader, writer):
         attempt = request.get("x-tarragontray-attempt-id")
         is_first = attempt not in arrivals
-        arrivals.setdefault(attempt, []).append(now())
+        arrivals.setdefault(attempt, []).append((now(), target))
         if "/list/long" not in request.first:
             return False
+        if is_first:
+            long_at.set_result(target)
         target.run(request)
         await asyncio.sleep(LONG_WORK_S if is_first else 0.05)
         if has_trouble and is_first:
@@ -34,42 +37,47 @@
         await writer.drain()
         return True
 
-    target.hook = work
-    client = await Client(mesh, m1).open()
-    for _ in range(30):
+    for target in targets:
+        target.hook = work
+    client = await Client(mesh, mesh.machines[0]).open()
+    for _ in range(90):
         await client.call("GET", "/list/short", deadline_ms=5000)
     long_request = asyncio.create_task(client.call("GET", "/list/long", deadline_ms=5000))
-    await asyncio.sleep(0.03)
-    target.state = "draining"
-    while await target.beat() != 200:
+    leaving = await long_at
+    leaving.state = "draining"
+    while await leaving.beat() != 200:
         await asyncio.sleep(0.1)
     acknowledged = now()
-    mesh.record("acknowledged", target.id, "draining")
+    mesh.record("acknowledged", leaving.id, "draining")
     await long_request
     client.close()
     await asyncio.sleep(0.5)
-    await post(m1.control, f"/api/rpc?call=instances.deregister&of={target.id}", {"born": target.born})
-    await target.stop()
-    late = [(at - acknowledged, attempt) for attempt, times in arrivals.items() for at in times
-            if at > acknowledged + DRAIN_S]
-    return [f"DRAIN: {target.id} was sent {attempt} {after:.2f} s after the acknowledgement that it is draining"
-            for after, attempt in late]
+    await post(leaving.machine.control, f"/api/rpc?call=instances.deregister&of={leaving.id}",
+               {"born": leaving.born})
+    await leaving.stop()
+    late = [(at - acknowledged, attempt) for attempt, times in arrivals.items() for at, target in times
+            if target is leaving and at > acknowledged + DRAIN_S]
+    mesh.record("round", number, "requests:", len(arrivals), "of these reset: 1" if has_trouble else "")
+    return [f"DRAIN: {leaving.id} was sent {attempt} {after:.2f} s after the acknowledgement that it is draining"
+            for after, attempt in late], targets.index(leaving)
 
 
 async def case(mesh, has_trouble):
     mesh.configure([mesh.route("list", "/list/", "idempotent", "desk", timeout="5000ms")])
     await mesh.start()
     broken = []
-    target = mesh.targets[0]
+    targets = list(mesh.targets)
     for number in range(ROUNDS):
-        broken += await one_round(mesh, target, has_trouble)
-        target = Target(mesh.machines[0], "desk", mesh.record)
-        target.id += f"-{number + 2}"
-        mesh.targets.append(target)
-        await target.start()
-        await asyncio.sleep(1)
-    await target.stop()
+        lines, left = await one_round(mesh, targets, number, has_trouble)
+        broken += lines
+        successor = Target(targets[left].machine, "desk", mesh.record)
+        successor.id += f"-{number + 2}"
+        targets[left] = successor
+        await successor.start()
+        await asyncio.sleep(1.5)
+    for target in targets:
+        await target.stop()
     return broken
 
 
-main(case, services=("desk", "records"), per_service=1)
+main(case, per_service=3)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,9 +13,12 @@
 
 ROUNDS = 11
 STOPPED = 4
-# Time between the stops of two nodes.
-GAP_S = 1.8
-LONG_WORK_S = 4.2
+# Least time between the stops of two nodes.
+GAP_S = 1.3
+# The site's event-list works for 2.4 s at most.
+LONG_WORK_S = 2.35
+# The long request is sent this long after the SIGTERM.
+LONG_AT_S = 1.2
 PURCHASE_WORK_S = 1.1
 PURCHASE_BYTES = 24000
 # The purchase's first byte is sent this long after the SIGTERM, its last byte
@@ -36,7 +39,7 @@
 
 async def review(mesh, machine, service):
     client = await Client(mesh, machine).open()
-    result = await client.call("GET", f"/review/{service}/1", deadline_ms=6000)
+    result = await client.call("GET", f"/review/{service}/1", deadline_ms=5000)
     client.close()
     return result
 
@@ -73,14 +76,22 @@
     return attempt, answer, last
 
 
-async def one_stop(mesh, machine, has_trouble):
+async def wait_for_turn(turns, lock=asyncio.Lock()):
+    """Returns GAP_S after the call before it at the earliest."""
+    async with lock:
+        await asyncio.sleep(max(0, turns[-1] + GAP_S - now()) if turns else 0)
+        turns.append(now())
+
+
+async def one_stop(mesh, machine, turns, has_trouble):
     """Stops the node of a machine and starts it again. \return what was broken."""
-    long_request = asyncio.create_task(review(mesh, mesh.machines[-1], machine.service))
-    await asyncio.sleep(0.3)
+    await wait_for_turn(turns)
     stopped = now()
     if has_trouble:
         machine.signal(signal.SIGTERM)
-    await asyncio.sleep(PURCHASE_AT_S)
+    await asyncio.sleep(LONG_AT_S)
+    long_request = asyncio.create_task(review(mesh, mesh.machines[-1], machine.service))
+    await asyncio.sleep(PURCHASE_AT_S - LONG_AT_S)
     attempt, answer, last = await purchase(mesh, machine)
     ended = now()
     await long_request
@@ -99,22 +110,23 @@
     return []
 
 
-async def stop_again_and_again(mesh, number, has_trouble):
-    await asyncio.sleep(number * GAP_S)
+async def stop_again_and_again(mesh, number, turns, has_trouble):
     broken = []
     for _ in range(ROUNDS):
-        broken += await one_stop(mesh, mesh.machines[number], has_trouble)
+        broken += await one_stop(mesh, mesh.machines[number], turns, has_trouble)
     return broken
 
 
 async def case(mesh, has_trouble):
     for target in mesh.targets:
         target.hook = work
-    mesh.configure([*(mesh.route(service, f"/review/{service}/", "idempotent", service, timeout="6000ms")
+    mesh.configure([*(mesh.route(service, f"/review/{service}/", "idempotent", service, timeout="5000ms")
                       for service in RECORDS),
                     mesh.route("buy", "/buy/", "non_idempotent", "desk", timeout="1500ms")])
     await mesh.start()
-    broken = await asyncio.gather(*(stop_again_and_again(mesh, number, has_trouble) for number in range(STOPPED)))
+    turns = []
+    broken = await asyncio.gather(*(stop_again_and_again(mesh, number, turns, has_trouble)
+                                    for number in range(STOPPED)))
     return [line for lines in broken for line in lines]
 
 
