A stopping node waits until its fronts have ended their sessions

Cause: Node::Drain posted Drain to the front threads and at once asked a counter of calls in flight that the fronts had not set yet. It then waited for the guard only, so that the process exited while a front still read.

Change: FrontThread::WaitForSessions counts from the call of Drain until the last session has ended; the node waits for it. The guard counts as busy until it has processed Drain, and is asked again after its links are closed. A draining server answers a request that waits in the socket instead of resetting it, and lets sessions that linger end.

The new lines "Front draining." and "Front drained." show the order in a log.

--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -85,8 +85,11 @@
     for (const auto& session : m_sessions) {
       session->Drain();
     }
+    NotifyWhenDrained();
   }
 
+  std::size_t OpenSessions() const override { return m_sessions.size(); }
+
   const HttpServerCounters& Counters() const override
   {
     return m_state->m_counters;
@@ -98,7 +101,7 @@
     const auto self = shared_from_this();
     while (m_acceptor.is_open()) {
       tcp::socket socket = co_await Accept(m_acceptor);
-      if (!socket.is_open()) {
+      if (!socket.is_open() || m_state->m_isDraining) {
         continue;
       }
       const std::optional<CallerSession> number = m_state->Open();
@@ -129,6 +132,15 @@
     const std::shared_ptr<HttpSession> session = *aPosition;
     co_await session->Run();
     m_sessions.erase(aPosition);
+    NotifyWhenDrained();
+  }
+
+  void NotifyWhenDrained()
+  {
+    if (m_state->m_isDraining && m_sessions.empty() &&
+        m_state->m_settings.m_onDrained) {
+      std::exchange(m_state->m_settings.m_onDrained, nullptr)();
+    }
   }
 
   asio::io_context& m_context;
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -62,6 +62,9 @@
   /// of its answer was written or lost.
   std::function<void()> m_onBegin = nullptr;
   std::function<void()> m_onEnd = nullptr;
+  /// Optional. Called once after Drain, when the last session has ended; may be
+  /// called within Drain.
+  std::function<void()> m_onDrained = nullptr;
   /// Counts what is limited; may be shared by servers. Null: not counted.
   std::shared_ptr<CallerLimitCounters> m_counters = nullptr;
   /// Optional. Called when a limit of m_counters acts, at most every 10 s.
@@ -116,8 +119,10 @@
   /// From now on an answer ends its session; idle sessions stay open.
   virtual void Leave() = 0;
   /// Stops accepting sessions and closes the idle ones. Each other session ends
-  /// after the requests that are being read or served.
+  /// after the requests that are being read or served, and after those that
+  /// have arrived but were not read yet.
   virtual void Drain() = 0;
+  virtual std::size_t OpenSessions() const = 0;
   virtual const HttpServerCounters& Counters() const = 0;
 };
 
--- a/src/connection/HttpServerTest.cpp
+++ b/src/connection/HttpServerTest.cpp
@@ -86,6 +86,28 @@
     return answer;
   }
 
+  /// Sends a request on an idle connection and drains the server before it can
+  /// read the request.
+  std::string ExchangeUnreadAtDrain(const std::string& aRequest)
+  {
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect(
+      tcp::endpoint(asio::ip::address_v4(m_address.Ip()), m_address.Port()));
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+    std::string answer;
+    asio::read_until(socket, asio::dynamic_buffer(answer), "GET ");
+    // The server's thread runs this task and reads nothing meanwhile.
+    asio::post(m_context, [&] {
+      asio::write(socket, asio::buffer(aRequest));
+      m_server->Drain();
+    });
+    boost::system::error_code error;
+    answer.clear();
+    asio::read(socket, asio::dynamic_buffer(answer), error);
+    return answer;
+  }
+
 private:
   asio::io_context m_context{ 1 };
   std::shared_ptr<HttpServer> m_server;
@@ -141,6 +163,17 @@
     answer.find("POST abcd") != std::string::npos, "%s", answer.c_str());
 }
 
+/// Guards against a reset in place of the answer to a request that has arrived
+/// on a kept connection when the server drains.
+Test(HttpServer, DrainAnswersARequestThatWasNotReadYet)
+{
+  RunningServer server;
+  const std::string answer = server.ExchangeUnreadAtDrain(
+    "POST / HTTP/1.1\r\ncontent-length: 4\r\n\r\nabcd");
+  cr_assert(
+    answer.find("POST abcd") != std::string::npos, "%s", answer.c_str());
+}
+
 Test(HttpServer, NamesTheAddressInUse)
 {
   asio::io_context context;
--- a/src/connection/HttpSession.cpp
+++ b/src/connection/HttpSession.cpp
@@ -153,8 +153,10 @@
   {
     if (m_parser != nullptr && m_parser->got_some()) {
       ReportBegin();
-    } else if (m_exchanges.empty()) {
-      Close();
+    } else if (m_exchanges.empty() && !m_isLingering && !HasInput()) {
+      // Ends Run, unless the read has already completed with a request.
+      boost::system::error_code ignored;
+      m_socket.cancel(ignored);
     }
   }
 
@@ -200,6 +202,13 @@
     }
   }
 
+  /// Whether input has arrived that was not read yet.
+  bool HasInput() const
+  {
+    boost::system::error_code ignored;
+    return m_socket.available(ignored) > 0;
+  }
+
   bool IsPipelineFull() const
   {
     const HttpServerSettings& settings = m_state->m_settings;
@@ -245,6 +254,9 @@
         used = aParser.put(m_buffer.data(), error);
         m_buffer.consume(used);
       }
+      if (m_state->m_isDraining && aParser.got_some()) {
+        ReportBegin();
+      }
       if (error && error != http::error::need_more) {
         co_return error;
       }
--- a/src/connection/HttpSession.h
+++ b/src/connection/HttpSession.h
@@ -79,7 +79,8 @@
 
   /// Reads and serves requests until the session ends, and keeps it alive.
   virtual boost::asio::awaitable<void> Run() = 0;
-  /// Starts no further request; one of which a byte was read is still served.
+  /// Starts no further request; one of which a byte has arrived is still
+  /// served.
   virtual void Drain() = 0;
   /// Frees what the session holds: refuses the request that is being read, or
   /// closes the session if others wait or run.
--- a/src/process/FrontThread.cpp
+++ b/src/process/FrontThread.cpp
@@ -143,6 +143,10 @@
     settings.m_sharesPort = true;
     settings.m_onBegin = [this] { m_inFlight.Begin(); };
     settings.m_onEnd = [this] { m_inFlight.End(); };
+    settings.m_onDrained = [this] {
+      Log(LogLevel::Info, kPart, "Front drained.");
+      m_draining.End();
+    };
     settings.m_budget = m_settings.m_callers.m_budget;
     settings.m_maxHeaderFields = m_settings.m_callers.m_maxHeaderFields;
     settings.m_maxPipelinedBytes = m_settings.m_callers.m_maxPipelined.Value();
@@ -185,12 +189,24 @@
 
   void Drain() override
   {
+    // Begins here and not on the loop: otherwise WaitForSessions could return
+    // before the loop has run the task.
+    m_draining.Begin();
     m_loop.Post([this] {
       m_isDraining = true;
+      Log(LogLevel::Info,
+          kPart,
+          "Front draining.",
+          { { "sessions", std::to_string(m_server->OpenSessions()) } });
       m_server->Drain();
     });
   }
 
+  bool WaitForSessions(Duration aLimit) override
+  {
+    return m_draining.WaitFor(aLimit);
+  }
+
   void Stop() override { m_loop.Stop(); }
 
 private:
@@ -514,6 +530,8 @@
   Metrics& m_metrics;
   IdleSignal& m_inFlight;
   OnBatch m_onBatch;
+  /// Busy from Drain until the last session has ended.
+  IdleSignal m_draining;
   ThreadLoop m_loop;
   std::shared_ptr<HttpServer> m_server;
 
--- a/src/process/FrontThread.h
+++ b/src/process/FrontThread.h
@@ -98,7 +98,12 @@
   /// Accepts no new calls; running calls continue. A request that is still
   /// being read is refused unless its call can take its full time before the
   /// end of Leave.
+  /// Call once.
   virtual void Drain() = 0;
+  /// Blocks until the thread has processed Drain and its last session has
+  /// ended, at most for aLimit. Call after Drain. \return true when no session
+  /// is open.
+  virtual bool WaitForSessions(Duration aLimit) = 0;
   /// Ends the thread and aborts the calls that are still running.
   virtual void Stop() = 0;
 };
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -141,12 +141,15 @@
 
   void Drain() override
   {
+    // Counts as in flight until the loop has run the task.
+    m_inFlight.Begin();
     m_loop.Post([this] {
       m_isLeaving = true;
       for (const auto& [link, stream] : m_links) {
         stream->Send(LinkLeaving{});
       }
       Execute(m_guard.Drain(m_clock.Now()));
+      m_inFlight.End();
     });
   }
 
--- a/src/process/GuardThread.h
+++ b/src/process/GuardThread.h
@@ -72,7 +72,8 @@
 
   /// Listens and starts the thread. Errors: Unavailable, InvalidArgument.
   /// \param aClock, aInFlight must outlive the thread. The count of aInFlight
-  /// is non-zero while calls wait or run or answers are being written.
+  /// is non-zero while calls wait or run, answers are being written, or Drain
+  /// has not been processed.
   static Result<std::unique_ptr<GuardThread>> Create(
     const GuardThreadSettings& aSettings,
     const Clock& aClock,
--- a/src/process/Node.cpp
+++ b/src/process/Node.cpp
@@ -112,10 +112,17 @@
     }
     const MonotonicTime end =
       start + m_settings.m_leaveNotice + m_settings.m_drainLimit;
-    const bool isFrontIdle = m_frontCalls.WaitFor(TimeUntil(end));
-    const bool isGuardIdle = m_guardCalls.WaitFor(TimeUntil(end));
+    // A request counts as in flight only from its first byte on, so that the
+    // count may be zero while sessions still read. Sessions end after their
+    // last answer.
+    for (const auto& front : m_fronts) {
+      front->WaitForSessions(TimeUntil(end));
+    }
+    m_guardCalls.WaitFor(TimeUntil(end));
     m_guard->WaitForLinks(std::min<Duration>(kLinkCloseLimit, TimeUntil(end)));
-    return isGuardIdle && isFrontIdle;
+    // A call that arrived before its link was closed is still being refused.
+    const bool isGuardIdle = m_guardCalls.WaitFor(TimeUntil(end));
+    return isGuardIdle && m_frontCalls.InFlight() == 0;
   }
 
 private:
--- a/src/process/Runtime.cmake
+++ b/src/process/Runtime.cmake
@@ -49,6 +49,7 @@
 tt_library(tt_node SRCS Node.cpp
   DEPS tt_control_thread tt_front_thread tt_guard_thread tt_node_settings
        tt_zstd_patches)
+tt_test(node_test SRCS NodeTest.cpp DEPS tt_node)
 tt_library(tt_node_program SRCS NodeProgram.cpp DEPS tt_node)
 tt_test(crash_handler_test SRCS CrashHandlerTest.cpp DEPS tt_log)
 tt_test(view_builder_test SRCS ViewBuilderTest.cpp DEPS tt_view_builder)
