The guard decides whether a call is sent to its upstream once more

Cause: UpstreamPool took any reset before the first byte of an answer on a reused connection for one that the upstream had dropped while idle, and sent an idempotent call again by itself, however long the upstream had worked on it. Neither the guard's door nor the retry budget was asked.

Change: the pool asks. Guard::MayResend allows it only while new calls may be sent to the upstream and when the reset came within 50 ms, so that the upstream can't have read the call. Otherwise the call ends as unknown and the plan decides. Resends and refused resends are counted.

UpstreamPool.AnIdempotentCallIsSentAgainAfterAReset keeps its assertions and grants the resend.

--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -118,12 +118,14 @@
       const Clock& aClock,
       std::shared_ptr<const UpstreamDialect> aDialect,
       std::shared_ptr<Connections> aConnections,
-      Call aCall)
+      Call aCall,
+      UpstreamPool::MayResend aMayResend)
     : m_context(aContext)
     , m_clock(aClock)
     , m_dialect(std::move(aDialect))
     , m_connections(std::move(aConnections))
     , m_call(std::move(aCall))
+    , m_mayResend(std::move(aMayResend))
     , m_connection{ tcp::socket(aContext) }
     , m_timer(aContext)
   {
@@ -156,7 +158,8 @@
     TryResult tried = co_await ExchangeOnce(parser);
     const bool isConnectionStale =
       tried && *tried && m_isReused && !m_isAborted && !parser->got_some();
-    if (isConnectionStale && m_call.m_idempotent) {
+    if (isConnectionStale && m_mayResend &&
+        m_mayResend(m_clock.Now() - m_sentAt)) {
       // The upstream may have dropped the other connections too.
       m_connections->m_idle.clear();
       boost::system::error_code ignored;
@@ -202,7 +205,8 @@
       co_return std::nullopt;
     }
     AbortAt(m_deadline);
-    m_call.m_timeRemaining = m_deadline - m_clock.Now();
+    m_sentAt = m_clock.Now();
+    m_call.m_timeRemaining = m_deadline - m_sentAt;
     StartWrite();
     m_connection.m_buffer.reserve(kReadBytes);
     for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
@@ -338,12 +342,14 @@
   std::shared_ptr<const UpstreamDialect> m_dialect;
   std::shared_ptr<Connections> m_connections;
   Call m_call;
+  UpstreamPool::MayResend m_mayResend;
   Connection m_connection;
   /// Shared with its write operation, which may outlast ExchangeOnce.
   std::shared_ptr<Request> m_request;
   bool m_isReused = false;
   asio::steady_timer m_timer;
   MonotonicTime m_deadline{};
+  MonotonicTime m_sentAt{};
   MonotonicTime m_abortAt{};
   bool m_isWritten = false;
   bool m_isAborted = false;
@@ -370,10 +376,16 @@
     }
   }
 
-  std::shared_ptr<UpstreamRun> Start(Call aCall, Done aDone) override
+  std::shared_ptr<UpstreamRun> Start(Call aCall,
+                                     Done aDone,
+                                     MayResend aMayResend) override
   {
-    auto run = std::make_shared<Run>(
-      m_context, m_clock, m_dialect, m_connections, std::move(aCall));
+    auto run = std::make_shared<Run>(m_context,
+                                     m_clock,
+                                     m_dialect,
+                                     m_connections,
+                                     std::move(aCall),
+                                     std::move(aMayResend));
     asio::co_spawn(
       m_context,
       [run, done = std::move(aDone)]() mutable {
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -1,11 +1,12 @@
 /// \file
 /// HTTP connections to the upstream of this node's own VM.
 ///
-/// Each call uses one connection; idle connections are kept for later calls. An
-/// idempotent call is sent again when a reused connection turns out to be
-/// closed by the upstream; any other call uses a connection that became idle a
-/// moment ago, or a new one. The connection of an aborted or failed call is
-/// closed, so that a late answer never reaches another caller.
+/// Each call uses one connection; idle connections are kept for later calls.
+/// When a reused connection turns out to be closed by the upstream, the owner
+/// decides whether the call is sent once more. A call that is not idempotent
+/// uses a connection that became idle a moment ago, or a new one. The
+/// connection of an aborted or failed call is closed, so that a late answer
+/// never reaches another caller.
 /// Interim answers (1xx) are skipped, up to a bound. An answer fails when one
 /// of its parts exceeds its bound, or when its status is not one of a final
 /// response: such bytes are no answer, and the call may have run.
@@ -14,6 +15,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <utility>
 
 #include "base/Clock.h"
 #include "base/NetworkAddress.h"
@@ -44,6 +46,12 @@
   /// shed the call; Unknown for any failure after the call was handed over.
   using Done = std::function<void(Answer)>;
 
+  /// Decides whether a call is sent once more, on a new connection. Asked when
+  /// the upstream has closed a connection that an earlier call had used, before
+  /// any byte of the answer arrived. \param aSinceSent time since the call was
+  /// sent.
+  using MayResend = std::function<bool(Duration aSinceSent)>;
+
   virtual ~UpstreamPool() = default;
 
   /// \param aClock must outlive the pool.
@@ -62,7 +70,15 @@
   }
 
   /// Hands a call to the upstream. aDone is called once, after Start returned.
-  virtual std::shared_ptr<UpstreamRun> Start(Call aCall, Done aDone) = 0;
+  /// aMayResend is called at most once, before aDone; null: the call is never
+  /// sent again.
+  virtual std::shared_ptr<UpstreamRun> Start(Call aCall,
+                                             Done aDone,
+                                             MayResend aMayResend) = 0;
+  std::shared_ptr<UpstreamRun> Start(Call aCall, Done aDone)
+  {
+    return Start(std::move(aCall), std::move(aDone), nullptr);
+  }
 
   /// Maximum number of idle connections.
   static constexpr std::size_t kMaxIdle = 64;
--- a/src/connection/UpstreamPoolTest.cpp
+++ b/src/connection/UpstreamPoolTest.cpp
@@ -113,16 +113,20 @@
     call.m_http.m_target = "/";
     call.m_timeRemaining = std::chrono::seconds(5);
     std::optional<Answer> result;
-    const auto run = m_pool->Start(call, [&](Answer aAnswer) {
+    const auto done = [&](Answer aAnswer) {
       result = std::move(aAnswer);
       m_context.stop();
-    });
+    };
+    const auto run = m_mayResend ? m_pool->Start(call, done, m_mayResend)
+                                 : m_pool->Start(call, done);
     m_context.restart();
     m_context.run();
     return *result;
   }
 
   int m_connections = 0;
+  /// Null: no call is sent again.
+  UpstreamPool::MayResend m_mayResend;
 
 protected:
   virtual asio::awaitable<void> Serve(asio::ip::tcp::socket aSocket) = 0;
@@ -174,9 +178,15 @@
 };
 
 /// Answers the first request of each connection, keeps the connection open and
-/// resets it when the second request arrives.
+/// resets it when the second request has arrived, after a pause.
 class ResettingUpstream final : public RawUpstream
 {
+public:
+  explicit ResettingUpstream(Duration aPause = Duration(0))
+    : m_pause(aPause)
+  {
+  }
+
 private:
   asio::awaitable<void> Serve(asio::ip::tcp::socket aSocket) override
   {
@@ -186,8 +196,12 @@
     co_await asio::async_write(
       aSocket, asio::buffer(answer), asio::use_awaitable);
     co_await aSocket.async_read_some(asio::buffer(bytes), asio::use_awaitable);
+    asio::steady_timer timer(aSocket.get_executor(), m_pause);
+    co_await timer.async_wait(asio::use_awaitable);
     aSocket.set_option(asio::socket_base::linger(true, 0));
   }
+
+  const Duration m_pause;
 };
 
 } // namespace
@@ -195,12 +209,37 @@
 Test(UpstreamPool, AnIdempotentCallIsSentAgainAfterAReset)
 {
   ResettingUpstream upstream;
+  upstream.m_mayResend = [](Duration /*aSinceSent*/) { return true; };
   for (int i = 0; i < 3; ++i) {
     cr_assert(upstream.Run(true).m_outcome == CallOutcome::Done);
   }
   cr_assert_eq(upstream.m_connections, 3);
 }
 
+/// Guards against a second send that nobody has decided on: the upstream may
+/// leave, and calls beyond its retry budget reach it.
+Test(UpstreamPool, AnIdempotentCallIsNotSentAgainByThePoolItself)
+{
+  ResettingUpstream upstream;
+  cr_assert(upstream.Run(true).m_outcome == CallOutcome::Done);
+  cr_assert(upstream.Run(true).m_outcome == CallOutcome::Unknown);
+  cr_assert_eq(upstream.m_connections, 1);
+}
+
+Test(UpstreamPool, TheDecisionToSendAgainKnowsHowLongTheCallWasAtTheUpstream)
+{
+  ResettingUpstream upstream(kSlow);
+  Duration sinceSent{ 0 };
+  upstream.m_mayResend = [&](Duration aSinceSent) {
+    sinceSent = aSinceSent;
+    return false;
+  };
+  cr_assert(upstream.Run(true).m_outcome == CallOutcome::Done);
+  cr_assert(upstream.Run(true).m_outcome == CallOutcome::Unknown);
+  cr_assert(sinceSent >= kSlow);
+  cr_assert_eq(upstream.m_connections, 1);
+}
+
 Test(UpstreamPool, ANonIdempotentCallIsNotSentAgain)
 {
   ResettingUpstream upstream;
--- a/src/process/GuardThread.cpp
+++ b/src/process/GuardThread.cpp
@@ -473,10 +473,14 @@
     const Ticket ticket = aRun.m_ticket;
     const UsageKey usage{ aRun.m_call.m_caller, aRun.m_call.m_service.m_owner };
     auto run = m_pool->Start(
-      std::move(aRun.m_call), [this, ticket, usage](Answer aAnswer) {
+      std::move(aRun.m_call),
+      [this, ticket, usage](Answer aAnswer) {
         m_runs.erase(ticket);
         AddUsage(usage, aAnswer);
         Execute(m_guard.Finished(ticket, std::move(aAnswer), m_clock.Now()));
+      },
+      [this, ticket](Duration aSinceSent) {
+        return m_guard.MayResend(ticket, aSinceSent, m_clock.Now());
       });
     m_runs.emplace(ticket, std::move(run));
   }
@@ -515,6 +519,10 @@
     m_stats.m_delayedAsCold = CallCount(cold.m_delayed);
     m_stats.m_refusedAsCold = CallCount(cold.m_refused);
     m_stats.m_healthRequests = CallCount(cold.m_healthRequests);
+    const ResendCounters& resends = m_guard.Resends();
+    m_stats.m_resent = CallCount(resends.m_resent);
+    m_stats.m_resendsLate = CallCount(resends.m_late);
+    m_stats.m_resendsClosed = CallCount(resends.m_closed);
     m_stats.m_refusedForTime =
       CallCount(m_guard.RefusedFor(RefusalReason::DeadlineTooShort));
     m_stats.m_refusedForShare =
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -154,6 +154,17 @@
           "Calls refused while the upstream was or might have been cold.");
   prometheus::Gauge& m_healthRequests =
     Gauge("guard_health_requests", "Health requests since the start.");
+  prometheus::Gauge& m_resent =
+    Gauge("guard_resent",
+          "Calls sent once more since the start, after a reused connection "
+          "was closed.");
+  prometheus::Gauge& m_resendsLate =
+    Gauge("guard_resends_late",
+          "Calls not sent once more since the start, as the upstream may have "
+          "read them.");
+  prometheus::Gauge& m_resendsClosed =
+    Gauge("guard_resends_closed",
+          "Calls not sent once more since the start, as the upstream leaves.");
   prometheus::Gauge& m_refusedForTime =
     Gauge("guard_refused_for_time",
           "Calls refused since the start that could not be answered in time.");
@@ -274,6 +285,10 @@
     static_cast<double>(aStats.m_refusedAsCold.Value()));
   m_state->m_healthRequests.Set(
     static_cast<double>(aStats.m_healthRequests.Value()));
+  m_state->m_resent.Set(static_cast<double>(aStats.m_resent.Value()));
+  m_state->m_resendsLate.Set(static_cast<double>(aStats.m_resendsLate.Value()));
+  m_state->m_resendsClosed.Set(
+    static_cast<double>(aStats.m_resendsClosed.Value()));
   m_state->m_refusedForTime.Set(
     static_cast<double>(aStats.m_refusedForTime.Value()));
   m_state->m_refusedForShare.Set(
--- a/src/process/Metrics.h
+++ b/src/process/Metrics.h
@@ -67,6 +67,12 @@
   CallCount m_delayedAsCold;
   CallCount m_refusedAsCold;
   CallCount m_healthRequests;
+  /// Calls whose reused connection was closed before an answer began: those
+  /// sent once more, those that the upstream may have read, and those that it
+  /// takes no more since it leaves.
+  CallCount m_resent;
+  CallCount m_resendsLate;
+  CallCount m_resendsClosed;
   /// Calls refused because they could not be answered in time.
   CallCount m_refusedForTime;
   /// Calls refused because their account held its part of the queue.
--- a/src/process/StatusJson.cpp
+++ b/src/process/StatusJson.cpp
@@ -136,7 +136,10 @@
            { "cold", aStats.m_isLimitedAsCold },
            { "cold_delayed", aStats.m_delayedAsCold.Value() },
            { "cold_refused", aStats.m_refusedAsCold.Value() },
-           { "health_requests", aStats.m_healthRequests.Value() } };
+           { "health_requests", aStats.m_healthRequests.Value() },
+           { "resent", aStats.m_resent.Value() },
+           { "resends_late", aStats.m_resendsLate.Value() },
+           { "resends_closed", aStats.m_resendsClosed.Value() } };
 }
 
 Error
--- a/src/request/Guard.cpp
+++ b/src/request/Guard.cpp
@@ -21,6 +21,11 @@
 /// seconds.
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
 
+/// The upstream's host resets a connection that the upstream has closed as soon
+/// as a call arrives on it. A later reset may come from the upstream itself,
+/// after it has read the call.
+constexpr Duration kMaxStaleReset = std::chrono::milliseconds(50);
+
 Duration
 ReplyMargin(Duration aTimeRemaining)
 {
@@ -436,6 +441,30 @@
   return actions;
 }
 
+bool
+Guard::MayResend(Ticket aTicket, Duration aSinceSent, MonotonicTime aNow)
+{
+  const auto found = m_entries.find(aTicket);
+  if (found == m_entries.end()) {
+    return false;
+  }
+  const Entry& entry = found->second;
+  if (!entry.m_isRunning || entry.m_isAborted || !entry.m_call.m_idempotent ||
+      aNow >= entry.m_deadline) {
+    return false;
+  }
+  if (CheckUpstream(entry.m_call) != RefusalReason::None) {
+    ++m_resends.m_closed;
+    return false;
+  }
+  if (aSinceSent > kMaxStaleReset) {
+    ++m_resends.m_late;
+    return false;
+  }
+  ++m_resends.m_resent;
+  return true;
+}
+
 void
 Guard::RecordLoad(const UpstreamNotice& aNotice, MonotonicTime aNow)
 {
--- a/src/request/Guard.h
+++ b/src/request/Guard.h
@@ -118,6 +118,17 @@
   std::uint64_t m_healthRequests = 0;
 };
 
+/// Counts calls that failed on a reused connection before any byte of the
+/// answer arrived, by what was decided.
+struct ResendCounters
+{
+  std::uint64_t m_resent = 0;
+  /// Not sent again: the upstream may have read the call.
+  std::uint64_t m_late = 0;
+  /// Not sent again: the upstream leaves, or is another one by now.
+  std::uint64_t m_closed = 0;
+};
+
 /// The actions that the driver must carry out, in this order.
 struct GuardActions
 {
@@ -171,6 +182,12 @@
                            MonotonicTime aNow);
   /// A run ended with Done, Unknown, or NotRun when the upstream shed the call.
   GuardActions Finished(Ticket aTicket, Answer aAnswer, MonotonicTime aNow);
+  /// Decides whether a running call is sent to the upstream once more, after a
+  /// reused connection was closed before any byte of the answer arrived: only
+  /// an idempotent call that the upstream can't have read, while new calls may
+  /// still be sent there. \param aSinceSent time since the call was sent.
+  bool MayResend(Ticket aTicket, Duration aSinceSent, MonotonicTime aNow);
+  const ResendCounters& Resends() const { return m_resends; }
   /// The caller cancelled the call. Replies NotRun when the call had not
   /// started; otherwise sends no reply.
   GuardActions Cancel(CallerLink aFrom, CallId aCall, MonotonicTime aNow);
@@ -359,6 +376,7 @@
   std::optional<CallRate> m_coldRate;
   StartLimiter m_coldStarts;
   ColdCounters m_coldCounters;
+  ResendCounters m_resends;
   /// Set while waiting calls can't start because of the rate limit.
   std::optional<MonotonicTime> m_nextStart;
   Entries m_entries;
--- a/src/request/GuardTest.cpp
+++ b/src/request/GuardTest.cpp
@@ -603,4 +603,54 @@
   cr_assert_eq(guard.Submit(MakeCall(5), kLink, kStart).m_runs.size(), 1);
 }
 
+/// Guards against a call that reaches a leaving upstream once more after a
+/// reset, and against one that is repeated although the upstream has read it.
+Test(Guard, OnlyACallThatTheUpstreamCannotHaveReadIsSentAgain)
+{
+  constexpr Duration kAtOnce = milliseconds(2);
+  Guard guard = MakeGuard(4);
+  Call call = MakeCall(1);
+  call.m_idempotent = true;
+  const GuardActions actions = guard.Submit(call, kLink, kStart);
+  const Ticket ticket = actions.m_runs.at(0).m_ticket;
+  cr_assert(guard.MayResend(ticket, kAtOnce, kStart + kAtOnce));
+  cr_assert(
+    !guard.MayResend(ticket, milliseconds(51), kStart + milliseconds(51)));
+  cr_assert(!guard.MayResend(ticket, kAtOnce, kStart + std::chrono::hours(1)));
+  cr_assert(!guard.MayResend(Ticket(99), kAtOnce, kStart));
+
+  const GuardActions once = guard.Submit(MakeCall(2), kLink, kStart);
+  cr_assert(!guard.MayResend(once.m_runs.at(0).m_ticket, kAtOnce, kStart));
+
+  guard.SetUpstream(
+    { kService, kVersion, UpstreamState::Draining, SlotCount(4) }, kStart);
+  cr_assert(!guard.MayResend(ticket, kAtOnce, kStart + kAtOnce));
+  cr_assert_eq(guard.Resends().m_resent, 1);
+  cr_assert_eq(guard.Resends().m_late, 1);
+  cr_assert_eq(guard.Resends().m_closed, 1);
+}
+
+/// The same for an upstream that says so in an answer, and for one whose node
+/// stops.
+Test(Guard, NoCallIsSentAgainAfterTheDoorHasClosed)
+{
+  for (const bool isNotice : { false, true }) {
+    Guard guard = MakeGuard(4);
+    Call call = MakeCall(1);
+    call.m_idempotent = true;
+    const GuardActions first = guard.Submit(call, kLink, kStart);
+    const GuardActions second = guard.Submit(MakeCall(2), kLink, kStart);
+    if (isNotice) {
+      Answer answer = Done("x");
+      answer.m_notice.emplace().m_isLeaving = true;
+      guard.Finished(second.m_runs.at(0).m_ticket, answer, kStart);
+    } else {
+      guard.Drain(kStart);
+    }
+    cr_assert(
+      !guard.MayResend(first.m_runs.at(0).m_ticket, milliseconds(1), kStart));
+    cr_assert_eq(guard.Resends().m_closed, 1);
+  }
+}
+
 } // namespace tarragontray
