An answer without a length is complete only after a whole request

Cause: an answer without a length ends with its connection. The kernel reports a reset to one operation. If that is the pending write of the request, the read sees an ordinary end.

Change: after such an answer the pool waits until the write has ended. If the request was not written whole, the call ends as unknown.

--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -128,6 +128,7 @@
     , m_mayResend(std::move(aMayResend))
     , m_connection{ tcp::socket(aContext) }
     , m_timer(aContext)
+    , m_writeEnded(aContext, asio::steady_timer::time_point::max())
   {
   }
 
@@ -151,6 +152,14 @@
   }
 
 private:
+  /// State of the write of the request.
+  enum class Writing : std::uint8_t
+  {
+    InProgress,
+    Complete,
+    Failed,
+  };
+
   asio::awaitable<Answer> Exchange()
   {
     Answer answer;
@@ -181,7 +190,8 @@
       Abort();
       co_return answer;
     }
-    const bool isReusable = m_isWritten && parser->get().keep_alive() &&
+    const bool isReusable = m_writing == Writing::Complete &&
+                            parser->get().keep_alive() &&
                             m_connection.m_buffer.size() == 0;
     m_connection.m_idleSince = m_clock.Now();
     m_connection.m_reusableUntil =
@@ -220,6 +230,10 @@
       }
       const unsigned status = aParser->get().result_int();
       if (IsFinalStatus(status)) {
+        // GCC 12 awaits in both branches of a conditional expression.
+        if (aParser->need_eof()) {
+          co_return co_await ErrorAtEnd();
+        }
         co_return error;
       }
       if (!IsInterimStatus(status)) {
@@ -229,11 +243,25 @@
     co_return make_error_code(http::error::bad_status);
   }
 
+  /// Error of an answer that ended with its connection. A reset is reported to
+  /// one operation only: if that is the write of the request, the read sees an
+  /// ordinary end. Thus waits until the write has ended; if the request was not
+  /// written whole, nothing shows that the answer is.
+  asio::awaitable<boost::system::error_code> ErrorAtEnd()
+  {
+    while (m_writing == Writing::InProgress) {
+      co_await m_writeEnded.async_wait(kAwait);
+    }
+    co_return m_writing == Writing::Complete
+      ? boost::system::error_code()
+      : make_error_code(http::error::partial_message);
+  }
+
   /// Starts to write the request. The answer is read concurrently: an upstream
   /// may answer before it has read the whole request.
   void StartWrite()
   {
-    m_isWritten = false;
+    m_writing = Writing::InProgress;
     m_request = std::make_shared<Request>(
       ToBeast(m_dialect->Write(m_call, m_connections->m_endpoint)));
     http::async_write(m_connection.m_socket,
@@ -241,7 +269,9 @@
                       [self = shared_from_this(), request = m_request](
                         const boost::system::error_code& aError, std::size_t) {
                         if (request == self->m_request) {
-                          self->m_isWritten = !aError;
+                          self->m_writing =
+                            aError ? Writing::Failed : Writing::Complete;
+                          self->m_writeEnded.cancel();
                         }
                       });
   }
@@ -348,10 +378,12 @@
   std::shared_ptr<Request> m_request;
   bool m_isReused = false;
   asio::steady_timer m_timer;
+  /// Never expires; cancelled when the write of the request has ended.
+  asio::steady_timer m_writeEnded;
   MonotonicTime m_deadline{};
   MonotonicTime m_sentAt{};
   MonotonicTime m_abortAt{};
-  bool m_isWritten = false;
+  Writing m_writing = Writing::InProgress;
   bool m_isAborted = false;
 };
 
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -7,6 +7,8 @@
 /// uses a connection that became idle a moment ago, or a new one. The
 /// connection of an aborted or failed call is closed, so that a late answer
 /// never reaches another caller.
+/// An answer that ends with its connection fails unless the whole request was
+/// written.
 /// Interim answers (1xx) are skipped, up to a bound. An answer fails when one
 /// of its parts exceeds its bound, or when its status is not one of a final
 /// response: such bytes are no answer, and the call may have run.
--- a/src/connection/UpstreamPoolTest.cpp
+++ b/src/connection/UpstreamPoolTest.cpp
@@ -16,6 +16,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
+#include <netinet/tcp.h>
 
 #include "connection/HttpServer.h"
 
@@ -25,6 +26,7 @@
 
 namespace {
 
+constexpr Duration kPauseBeforeEnd = std::chrono::milliseconds(5);
 constexpr Duration kSlow = std::chrono::milliseconds(60);
 
 /// An upstream that answers with the target of the request; "/slow" is answered
@@ -111,6 +113,7 @@
     call.m_idempotent = aIsIdempotent;
     call.m_http.m_method = "POST";
     call.m_http.m_target = "/";
+    call.m_http.m_body = m_body;
     call.m_timeRemaining = std::chrono::seconds(5);
     std::optional<Answer> result;
     const auto done = [&](Answer aAnswer) {
@@ -124,6 +127,8 @@
     return *result;
   }
 
+  /// Sent with each call.
+  std::string m_body;
   int m_connections = 0;
   /// Null: no call is sent again.
   UpstreamPool::MayResend m_mayResend;
@@ -131,6 +136,10 @@
 protected:
   virtual asio::awaitable<void> Serve(asio::ip::tcp::socket aSocket) = 0;
 
+  asio::io_context m_context{ 1 };
+  SystemClock m_clock;
+  asio::ip::tcp::acceptor m_acceptor;
+
 private:
   asio::awaitable<void> Accept()
   {
@@ -142,13 +151,67 @@
     }
   }
 
-  asio::io_context m_context{ 1 };
-  SystemClock m_clock;
-  asio::ip::tcp::acceptor m_acceptor;
   std::unique_ptr<UpstreamPool> m_pool;
   std::uint64_t m_calls = 0;
 };
 
+/// How an upstream ends its connection after an early answer.
+enum class Ending
+{
+  Reset,
+  CloseWithUnreadInput,
+  /// Shuts down its sending side and reads the rest of the request.
+  HalfClose,
+  /// Reads the rest of the request and keeps the connection open.
+  None,
+};
+
+/// Reads the first bytes of a request, writes an answer at once and ends the
+/// connection while the request is still being written.
+class EarlyUpstream final : public RawUpstream
+{
+public:
+  EarlyUpstream(std::string aAnswer, Ending aEnding)
+    : m_answer(std::move(aAnswer))
+    , m_ending(aEnding)
+  {
+    // A small window keeps the write of a large request from ending early.
+    using MaxSegment =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_MAXSEG>;
+    m_acceptor.set_option(MaxSegment(1400));
+    m_acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+  }
+
+private:
+  asio::awaitable<void> Serve(asio::ip::tcp::socket aSocket) override
+  {
+    std::array<char, 1024> bytes{};
+    boost::system::error_code error;
+    auto token = asio::redirect_error(asio::use_awaitable, error);
+    co_await aSocket.async_read_some(asio::buffer(bytes), token);
+    co_await asio::async_write(aSocket, asio::buffer(m_answer), token);
+    // Until the write of the request waits for the window.
+    asio::steady_timer timer(aSocket.get_executor(), kPauseBeforeEnd);
+    co_await timer.async_wait(token);
+    if (m_ending == Ending::Reset) {
+      aSocket.set_option(asio::socket_base::linger(true, 0));
+      // The destructor would not reset the connection.
+      aSocket.close();
+      co_return;
+    }
+    if (m_ending == Ending::HalfClose) {
+      aSocket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    }
+    while (!error &&
+           (m_ending == Ending::HalfClose || m_ending == Ending::None)) {
+      co_await aSocket.async_read_some(asio::buffer(bytes), token);
+    }
+  }
+
+  const std::string m_answer;
+  const Ending m_ending;
+};
+
 /// Writes fixed bytes for each request of a connection, then closes it.
 class ScriptedUpstream final : public RawUpstream
 {
@@ -375,4 +438,76 @@
   }
 }
 
+namespace {
+
+/// Runs calls with large bodies against upstreams that answer at once.
+void
+CheckEarlyAnswers(const std::string& aAnswer,
+                  Ending aEnding,
+                  CallOutcome aExpected)
+{
+  constexpr int kCallsOfEachSize = 20;
+  for (const std::size_t size : { 200'000, 900'000 }) {
+    for (int i = 0; i < kCallsOfEachSize; ++i) {
+      EarlyUpstream upstream(aAnswer, aEnding);
+      upstream.m_body = std::string(size, 'u');
+      const Answer answer = upstream.Run(false);
+      cr_assert(answer.m_outcome == aExpected,
+                "%zu bytes sent, call %d: status %d with %zu bytes",
+                size,
+                i,
+                answer.m_http.m_status,
+                answer.m_http.m_body.size());
+    }
+  }
+}
+
+const std::string kPart(1500, 'a');
+
+} // namespace
+
+/// Guards against a part of an answer that passes for all of it: the reset that
+/// cuts it off is reported to the write of the request.
+Test(UpstreamPool, AnAnswerWithoutALengthIsNotCompleteAfterAReset)
+{
+  const std::string answer =
+    "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n" + kPart;
+  CheckEarlyAnswers(answer, Ending::Reset, CallOutcome::Unknown);
+  CheckEarlyAnswers(answer, Ending::CloseWithUnreadInput, CallOutcome::Unknown);
+  const std::string old = "HTTP/1.0 200 OK\r\n\r\n" + kPart;
+  CheckEarlyAnswers(old, Ending::Reset, CallOutcome::Unknown);
+}
+
+Test(UpstreamPool, AnAnswerWithALengthIsNotCompleteAfterAReset)
+{
+  const std::string length =
+    "HTTP/1.1 200 OK\r\ncontent-length: 4000\r\n\r\n" + kPart;
+  CheckEarlyAnswers(length, Ending::Reset, CallOutcome::Unknown);
+  const std::string chunked =
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5dc\r\n" + kPart;
+  CheckEarlyAnswers(chunked, Ending::Reset, CallOutcome::Unknown);
+}
+
+/// The other side of the same rule: an early answer that is whole is delivered.
+Test(UpstreamPool, AnEarlyAnswerIsCompleteWhenItsEndIsCertain)
+{
+  const std::string endless =
+    "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n" + kPart;
+  CheckEarlyAnswers(endless, Ending::HalfClose, CallOutcome::Done);
+  const std::string length =
+    "HTTP/1.1 200 OK\r\ncontent-length: 1500\r\n\r\n" + kPart;
+  CheckEarlyAnswers(length, Ending::None, CallOutcome::Done);
+}
+
+/// The rest of the request would be taken for the next one.
+Test(UpstreamPool, AConnectionIsNotReusedAfterAnEarlyAnswer)
+{
+  EarlyUpstream upstream("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+                         Ending::None);
+  upstream.m_body = std::string(900'000, 'u');
+  cr_assert(upstream.Run(false).m_outcome == CallOutcome::Done);
+  cr_assert(upstream.Run(false).m_outcome == CallOutcome::Done);
+  cr_assert_eq(upstream.m_connections, 2);
+}
+
 } // namespace tarragontray
