Bad versions that fail only under load: trials need evidence and a budget

Cause: "not suspect" counted as a passed trial, also when no evidence had come; each route was judged alone, though a mild fault shows only in their sum; what trials cost was not counted.

Change: failures are tested on all routes together; a version in doubt gets no full share; a trial passes only with reports from a majority of the nodes; no trial begins beyond a budget of calls; what can't be cleared any more is rolled back before its deadline.

--- a/src/version/BriefJudge.cpp
+++ b/src/version/BriefJudge.cpp
@@ -26,6 +26,8 @@
 constexpr Duration kConcurrentAfter = std::chrono::seconds(1);
 /// The fraction of the verdict score from which the version is suspect.
 constexpr double kSuspicion = 0.4;
+/// The fraction of the verdict score from which the version is in doubt.
+constexpr double kDoubt = 0.3;
 /// Up to this share a suspect version keeps its share.
 constexpr double kMaxSuspectShare = 0.2;
 /// With fewer bad calls to the new version, a high score may be chance.
@@ -196,11 +198,20 @@
          (aCounts.m_calls - aCounts.m_failures) * std::log(1 - aRate);
 }
 
-/// The log-likelihood ratio of the best alternative, in which the new version
+/// One log-likelihood ratio for each of kFailureExcess.
+using ExcessScores = std::array<double, kFailureExcess.size()>;
+
+double
+Best(const ExcessScores& aScores)
+{
+  return *std::max_element(aScores.begin(), aScores.end());
+}
+
+/// The log-likelihood ratios of the alternatives, in which the new version
 /// fails more often than the old one, to equal failure rates. The old version's
 /// rate is estimated under either hypothesis.
-double
-FailureScore(const Counts& aNew, const Counts& aOld)
+ExcessScores
+FailureScores(const Counts& aNew, const Counts& aOld)
 {
   const auto bounded = [](double aRate) {
     return std::clamp(aRate, kMinFailureRate, kMaxFailureRate);
@@ -208,15 +219,26 @@
   const double equal = bounded((aNew.m_failures + aOld.m_failures) /
                                (aNew.m_calls + aOld.m_calls));
   const double null = LogLikelihood(aNew, equal) + LogLikelihood(aOld, equal);
-  double best = -std::numeric_limits<double>::infinity();
-  for (const double excess : kFailureExcess) {
+  ExcessScores scores{};
+  for (std::size_t i = 0; i < scores.size(); ++i) {
+    const double excess = kFailureExcess[i];
+    double best = -std::numeric_limits<double>::infinity();
     for (double old = kMinFailureRate; old + excess <= kMaxFailureRate;
          old *= kRateStep) {
       best = std::max(
         best, LogLikelihood(aNew, old + excess) + LogLikelihood(aOld, old));
     }
+    scores[i] = best - null;
+  }
+  return scores;
+}
+
+void
+AddScores(const ExcessScores& aScores, ExcessScores& aSum)
+{
+  for (std::size_t i = 0; i < aSum.size(); ++i) {
+    aSum[i] += aScores[i];
   }
-  return best - null;
 }
 
 /// The old version's calls.
@@ -271,6 +293,36 @@
   return calls;
 }
 
+/// The target with the most failures on all routes together; empty when there
+/// is only one target.
+VmId
+WorstTarget(const std::map<RouteName, CountsByTarget>& aRoutes)
+{
+  std::map<VmId, double> failures;
+  for (const auto& [route, targets] : aRoutes) {
+    for (const auto& [target, counts] : targets) {
+      failures[target] += counts.m_failures;
+    }
+  }
+  const auto worst =
+    std::max_element(failures.begin(),
+                     failures.end(),
+                     [](const auto& aFirst, const auto& aSecond) {
+                       return aFirst.second < aSecond.second;
+                     });
+  return failures.size() > 1 ? worst->first : VmId();
+}
+
+Counts
+TotalWithout(const VmId& aTarget, const CountsByTarget& aTargets)
+{
+  Counts total = Total(aTargets);
+  if (const auto found = aTargets.find(aTarget); found != aTargets.end()) {
+    total.Add(found->second, -1.0);
+  }
+  return total;
+}
+
 std::string
 Fraction(double aBad, double aCalls)
 {
@@ -330,9 +382,13 @@
   AddWindow(aWindow);
   Findings findings;
   findings.m_verdictScore = kSuspicion * m_settings.m_verdictScore;
-  for (const RouteName& route : RoutesOfNewVersion()) {
+  const std::set<RouteName> routes = RoutesOfNewVersion();
+  for (const RouteName& route : routes) {
     ScoreRoute(route, findings);
   }
+  for (const int divisor : kSpanDivisors) {
+    ScoreRoutesTogether(routes, m_settings.m_lookback / divisor, findings);
+  }
   // Evidence at a large share costs many calls, and the rest may be too few for
   // a comparison.
   if (findings.m_verdict.m_kind == VerdictKind::Suspect &&
@@ -348,26 +404,25 @@
   OldCounts m_counts;
 };
 
-void
-BriefJudge::ScoreRoute(const RouteName& aRoute, Findings& aFindings) const
+struct BriefJudge::TargetHistory
 {
-  CountsByTarget targets;
+  CountsByTarget m_targets;
+};
+
+BriefJudge::TargetHistory
+BriefJudge::HistoryOf(const RouteName& aRoute) const
+{
+  TargetHistory history;
   if (const auto known = m_history.find(aRoute); known != m_history.end()) {
     for (const auto& [target, counters] : known->second) {
-      targets[target].Add(counters);
+      history.m_targets[target].Add(counters);
     }
   }
-  const RouteHistory history{ MakeOldCounts(targets) };
-  for (const int divisor : kSpanDivisors) {
-    ScoreSpan(aRoute, m_settings.m_lookback / divisor, history, aFindings);
-  }
+  return history;
 }
 
-void
-BriefJudge::ScoreSpan(const RouteName& aRoute,
-                      Duration aSpan,
-                      const RouteHistory& aHistory,
-                      Findings& aFindings) const
+std::vector<const EvidenceWindow*>
+BriefJudge::LastWindows(Duration aSpan) const
 {
   std::vector<const EvidenceWindow*> windows;
   Duration length{ 0 };
@@ -378,6 +433,119 @@
     windows.push_back(&*window);
   }
   std::reverse(windows.begin(), windows.end());
+  return windows;
+}
+
+void
+BriefJudge::ScoreRoutesTogether(const std::set<RouteName>& aRoutes,
+                                Duration aSpan,
+                                Findings& aFindings) const
+{
+  const std::vector<const EvidenceWindow*> windows = LastWindows(aSpan);
+  std::map<RouteName, Comparison> comparisons;
+  std::map<RouteName, CountsByTarget> fresh;
+  std::map<RouteName, CountsByTarget> old;
+  std::map<RouteName, CountsByTarget> history;
+  double oldCalls = 0;
+  for (const RouteName& route : aRoutes) {
+    const Comparison& comparison = comparisons[route] = Compare(windows, route);
+    fresh[route] = comparison.m_new;
+    old[route] = comparison.m_old;
+    history[route] = HistoryOf(route).m_targets;
+    oldCalls += comparison.m_oldCalls;
+  }
+  const VmId worstNew = WorstTarget(fresh);
+  const VmId worstOld = WorstTarget(old);
+  const VmId worstHistoric = WorstTarget(history);
+  ExcessScores historic{};
+  ExcessScores concurrent{};
+  Counts allNew;
+  Counts allOld;
+  RouteName worstRoute;
+  double worstScore = -std::numeric_limits<double>::infinity();
+  for (const RouteName& route : aRoutes) {
+    const Comparison& comparison = comparisons[route];
+    const Counts newCounts = TotalWithout(worstNew, comparison.m_new);
+    if (newCounts.m_calls <= 0) {
+      continue;
+    }
+    const ExcessScores scores =
+      FailureScores(newCounts, TotalWithout(worstHistoric, history[route]));
+    AddScores(scores, historic);
+    const Counts weighted = TotalWithout(worstOld, comparison.m_old);
+    const double weight = Total(comparison.m_old).m_calls;
+    const Counts oldCounts =
+      weight > 0
+        ? Scaled(weighted, comparison.m_oldCalls * weighted.m_calls / weight)
+        : Counts();
+    AddScores(FailureScores(newCounts, oldCounts), concurrent);
+    allNew.Add(newCounts);
+    allOld.Add(oldCounts);
+    if (Best(scores) > worstScore) {
+      worstScore = Best(scores);
+      worstRoute = route;
+    }
+  }
+  if (allNew.m_calls <= 0) {
+    return;
+  }
+  const bool isCompared = oldCalls >= kMinConcurrentCalls;
+  const double score =
+    isCompared ? std::min(Best(historic), Best(concurrent)) : Best(historic);
+  aFindings.m_verdict.m_isInDoubt |=
+    allNew.m_failures >= kMinBadCalls &&
+    score >= kDoubt * m_settings.m_verdictScore;
+  Offer({ .m_score = score,
+          .m_bad = allNew.m_failures,
+          .m_calls = allNew.m_calls,
+          .m_isCompared = isCompared,
+          .m_route = worstRoute,
+          .m_reason = "failures on all routes new=" +
+                      Fraction(allNew.m_failures, allNew.m_calls) +
+                      " old=" + Fraction(allOld.m_failures, allOld.m_calls) },
+        aFindings);
+}
+
+void
+BriefJudge::Offer(const Finding& aFinding, Findings& aFindings) const
+{
+  Verdict& verdict = aFindings.m_verdict;
+  if (aFinding.m_score >= aFindings.m_evidenceScore) {
+    aFindings.m_evidenceScore = aFinding.m_score;
+    verdict.m_evidence = aFinding.m_route.Value() + " " + aFinding.m_reason +
+                         ScoreText(aFinding.m_score);
+  }
+  if (aFinding.m_bad < kMinBadCalls) {
+    return;
+  }
+  if (aFinding.m_score < aFindings.m_verdictScore) {
+    return;
+  }
+  aFindings.m_verdictScore = aFinding.m_score;
+  const bool isCertain =
+    aFinding.m_isCompared && aFinding.m_score >= m_settings.m_verdictScore;
+  verdict.m_kind = isCertain ? VerdictKind::Bad : VerdictKind::Suspect;
+  verdict.m_route = aFinding.m_route;
+  verdict.m_reason = aFinding.m_reason;
+  verdict.m_calls = CallCount(static_cast<std::uint64_t>(aFinding.m_calls));
+}
+
+void
+BriefJudge::ScoreRoute(const RouteName& aRoute, Findings& aFindings) const
+{
+  const RouteHistory history{ MakeOldCounts(HistoryOf(aRoute).m_targets) };
+  for (const int divisor : kSpanDivisors) {
+    ScoreSpan(aRoute, m_settings.m_lookback / divisor, history, aFindings);
+  }
+}
+
+void
+BriefJudge::ScoreSpan(const RouteName& aRoute,
+                      Duration aSpan,
+                      const RouteHistory& aHistory,
+                      Findings& aFindings) const
+{
+  const std::vector<const EvidenceWindow*> windows = LastWindows(aSpan);
   const Comparison comparison = Compare(windows, aRoute);
   const Counts newCounts = TotalWithoutWorst(comparison.m_new);
   if (newCounts.m_calls <= 0) {
@@ -386,23 +554,16 @@
   const OldCounts& historic = aHistory.m_counts;
   const OldCounts concurrent = ConcurrentCounts(comparison);
   const bool isCompared = comparison.m_oldCalls >= kMinConcurrentCalls;
-  const auto offer = [&](
-                       double aScore, double aBad, const std::string& aReason) {
-    Verdict& verdict = aFindings.m_verdict;
-    if (aScore >= aFindings.m_evidenceScore) {
-      aFindings.m_evidenceScore = aScore;
-      verdict.m_evidence = aRoute.Value() + " " + aReason + ScoreText(aScore);
-    }
-    if (aScore < aFindings.m_verdictScore || aBad < kMinBadCalls) {
-      return;
-    }
-    aFindings.m_verdictScore = aScore;
-    const bool isCertain = isCompared && aScore >= m_settings.m_verdictScore;
-    verdict.m_kind = isCertain ? VerdictKind::Bad : VerdictKind::Suspect;
-    verdict.m_route = aRoute;
-    verdict.m_reason = aReason;
-    verdict.m_calls = CallCount(static_cast<std::uint64_t>(newCounts.m_calls));
-  };
+  const auto offer =
+    [&](double aScore, double aBad, const std::string& aReason) {
+      Offer({ .m_score = aScore,
+              .m_bad = aBad,
+              .m_calls = newCounts.m_calls,
+              .m_isCompared = isCompared,
+              .m_route = aRoute,
+              .m_reason = aReason },
+            aFindings);
+    };
   const auto score = [&](const auto& aTest) {
     const double historicScore = aTest(historic);
     return isCompared ? std::min(historicScore, aTest(concurrent))
@@ -410,7 +571,7 @@
   };
 
   offer(score([&](const OldCounts& aOld) {
-          return FailureScore(newCounts, aOld.m_withoutWorst);
+          return Best(FailureScores(newCounts, aOld.m_withoutWorst));
         }),
         newCounts.m_failures,
         "failures new=" + Fraction(newCounts.m_failures, newCounts.m_calls) +
--- a/src/version/BriefJudge.h
+++ b/src/version/BriefJudge.h
@@ -7,7 +7,9 @@
 /// Compares the new version with the old one on every route over several time
 /// spans, up to BriefMoveSettings::m_lookback. Two likelihood-ratio tests, for
 /// failures and for slow calls, each consider several sizes of the fault. The
-/// worst target of each version is excluded.
+/// worst target of each version is excluded. Failures are also tested on all
+/// routes together; there, less evidence than for a suspicion puts the version
+/// in doubt.
 ///
 /// The share changes within a span, so the old version's calls are weighted by
 /// the number of calls to the new version at about the same time. A fault of
@@ -23,6 +25,8 @@
 #include <limits>
 #include <map>
 #include <set>
+#include <string>
+#include <vector>
 
 #include "version/BriefMovePolicy.h"
 
@@ -53,8 +57,31 @@
     Verdict m_verdict;
   };
 
+  /// The result of one test.
+  struct Finding
+  {
+    double m_score = 0;
+    /// Bad calls to the new version, and all its calls.
+    double m_bad = 0;
+    double m_calls = 0;
+    /// Whether it was compared with enough concurrent calls.
+    bool m_isCompared = false;
+    RouteName m_route;
+    std::string m_reason;
+  };
+
   void AddWindow(const EvidenceWindow& aWindow);
   std::set<RouteName> RoutesOfNewVersion() const;
+  /// The last windows, which together last aSpan or a little longer.
+  std::vector<const EvidenceWindow*> LastWindows(Duration aSpan) const;
+  struct TargetHistory;
+  TargetHistory HistoryOf(const RouteName& aRoute) const;
+  void Offer(const Finding& aFinding, Findings& aFindings) const;
+  /// Tests whether the new version fails more often on its routes together. A
+  /// fault of all routes shows earlier in their sum than on any one of them.
+  void ScoreRoutesTogether(const std::set<RouteName>& aRoutes,
+                           Duration aSpan,
+                           Findings& aFindings) const;
   struct RouteHistory;
   void ScoreRoute(const RouteName& aRoute, Findings& aFindings) const;
   void ScoreSpan(const RouteName& aRoute,
--- a/src/version/BriefMovePolicy.cpp
+++ b/src/version/BriefMovePolicy.cpp
@@ -33,6 +33,11 @@
 constexpr double kTrialFraction = 0.03;
 constexpr double kMinStepFraction = 0.035;
 constexpr double kLastTrialFraction = 0.75;
+/// No trial begins after which a version would have received more than this
+/// part of the calls between start and deadline.
+constexpr double kMaxExposureByTrials = 0.12;
+/// The time until all nodes apply the end of a trial.
+constexpr Duration kTrialEndDelay = std::chrono::milliseconds(100);
 /// The minimum time for which evidence is collected before and after a trial,
 /// as a fraction of the planned time.
 constexpr double kEvidenceFraction = 0.10;
@@ -54,6 +59,16 @@
   return std::chrono::duration_cast<Duration>(aDuration * aFraction);
 }
 
+/// Whether the exposure budget has room for one more trial.
+bool
+FitsTrial(const PaceInput& aInput)
+{
+  const Duration planned = PlannedTime(aInput.m_plan);
+  const Duration trial = FractionOf(planned, kTrialFraction) + kTrialEndDelay;
+  return aInput.m_spent + FractionOf(trial, kTrialShare) <=
+         FractionOf(planned, kMaxExposureByTrials);
+}
+
 } // namespace
 
 Result<std::unique_ptr<MovePolicy>>
@@ -91,13 +106,15 @@
   const bool isTooLate = !aInput.m_hasPassedTrial &&
                          elapsed >= FractionOf(planned, kLastTrialFraction) &&
                          elapsed < planned;
+  const bool mayTry =
+    aInput.m_hasPassedTrial || (!isTooLate && FitsTrial(aInput));
   // At most one stage per call, even if several are overdue.
   for (const Stage& stage : stages) {
     const Share share = Share::FromFraction(stage.m_share);
     if (elapsed >= FractionOf(planned, stage.m_from) &&
         share > aInput.m_share) {
       const bool isTrial = share >= Share::FromFraction(kTrialShare);
-      return isTrial && isTooLate ? aInput.m_share : share;
+      return isTrial && !mayTry ? aInput.m_share : share;
     }
   }
   return aInput.m_share;
@@ -124,6 +141,16 @@
              FractionOf(PlannedTime(aInput.m_plan), kDecisionFraction);
 }
 
+bool
+BriefMovePolicy::MustGiveUp(const PaceInput& aInput) const
+{
+  return !aInput.m_hasPassedTrial && aInput.m_share < Share::All() &&
+         aInput.m_lowerings > ProgressEpoch(0) && !FitsTrial(aInput) &&
+         aInput.m_wall >=
+           aInput.m_plan.m_start +
+             FractionOf(PlannedTime(aInput.m_plan), kDecisionFraction);
+}
+
 Share
 BriefMovePolicy::ComparisonShare(Share aEqualLoad) const
 {
--- a/src/version/BriefMovePolicy.h
+++ b/src/version/BriefMovePolicy.h
@@ -11,7 +11,8 @@
 /// tenth of the calls. A version that is suspect at a large share returns to a
 /// small one, where the judge (version/BriefJudge.h) compares it with
 /// concurrent calls to the old version. The full share requires a trial without
-/// evidence against the version since.
+/// evidence against the version since. Trials are limited by a budget of calls;
+/// a version that was not cleared within it is rolled back.
 #pragma once
 
 #include <memory>
@@ -43,6 +44,7 @@
 
   Share NextShare(const PaceInput& aInput) const override;
   Share ShareAfterTrial(const PaceInput& aInput) const override;
+  bool MustGiveUp(const PaceInput& aInput) const override;
   bool MustDecide(const PaceInput& aInput) const override;
   Share ComparisonShare(Share aEqualLoad) const override;
   std::unique_ptr<VersionJudge> MakeJudge(EvidenceScope aScope) const override;
--- a/src/version/BriefMovePolicyTest.cpp
+++ b/src/version/BriefMovePolicyTest.cpp
@@ -206,7 +206,7 @@
        elapsed += std::chrono::milliseconds(100)) {
     const Times times{ MonotonicTime(std::chrono::hours(1) + elapsed),
                        start + elapsed };
-    successor.Advance({}, 0, own.m_share, times, progress);
+    successor.Advance({}, 0, { own.m_share, {} }, times, progress);
     hasTried |=
       own.m_share < Share::All() && own.m_share > Share::FromFraction(0.5);
     cr_assert(own.m_share < Share::All() || hasTried);
@@ -236,7 +236,7 @@
        elapsed += std::chrono::milliseconds(100)) {
     const Times times{ MonotonicTime(std::chrono::hours(1) + elapsed),
                        start + elapsed };
-    successor.Advance({}, 0, own.m_share, times, progress);
+    successor.Advance({}, 0, { own.m_share, {} }, times, progress);
     trials += own.m_share > before && own.m_share < Share::All() ? 1 : 0;
     before = own.m_share;
     cr_assert(own.m_share < Share::All() || trials > 0);
@@ -282,4 +282,87 @@
   }
 }
 
+/// Guards against a version that passes a trial whose evidence never came: a
+/// coordinator was cut off in the trial, and raised the share to all when the
+/// cut had ended.
+Test(BriefMovePolicy, ATrialWithoutReportsFromAMajorityIsNotPassed)
+{
+  const auto policy = MakePolicy();
+  const DataCentreId dataCentre("dc");
+  const MovePlan plan = PlanOf(16s);
+  MoveCoordinator coordinator(plan, dataCentre, *policy, 1s);
+  MoveProgress progress;
+  DataCentreProgress& own = progress.m_dataCentres[dataCentre];
+  std::size_t trials = 0;
+  Share before = Share::None();
+  for (Duration elapsed = 0s; elapsed < 16s; elapsed += 100ms) {
+    const Times times{ MonotonicTime(1h + elapsed), kWall + elapsed };
+    // The cut begins in the trial.
+    const bool isCut = trials == 1 && elapsed < 11s;
+    const int reporters = isCut ? 1 : 3;
+    for (int i = 0; i < reporters; ++i) {
+      EvidenceReport report;
+      report.m_reporter = VmId("n-" + std::to_string(i));
+      coordinator.AddReport(report, times.m_now);
+    }
+    coordinator.Advance({}, 3, { own.m_share, {} }, times, progress);
+    trials += own.m_share > before && own.m_share < Share::All() &&
+                  own.m_share > Share::FromFraction(0.5)
+                ? 1
+                : 0;
+    before = own.m_share;
+    cr_assert(own.m_share < Share::All() || trials > 1);
+  }
+  cr_assert(own.m_share == Share::All());
+}
+
+/// Guards against trials that together give a bad version more calls than it
+/// may receive.
+Test(BriefMovePolicy, NoTrialBeginsBeyondTheExposureBudget)
+{
+  const auto policy = MakePolicy();
+  const MovePlan plan = PlanOf(16s);
+  PaceInput pace;
+  pace.m_plan = plan;
+  pace.m_wall = kWall + 9s;
+  pace.m_share = policy->ComparisonShare(Share::All());
+  pace.m_sinceChange = 3s;
+  pace.m_lowerings = ProgressEpoch(1);
+  pace.m_spent = 900ms;
+  cr_assert(policy->NextShare(pace) > Share::FromFraction(0.5));
+  pace.m_spent = 1'500ms;
+  cr_assert(policy->NextShare(pace) == pace.m_share);
+  // What can't be cleared any more is rolled back before the deadline.
+  cr_assert(!policy->MustGiveUp(pace));
+  pace.m_wall = kWall + 15s;
+  cr_assert(policy->MustGiveUp(pace));
+  pace.m_hasPassedTrial = true;
+  cr_assert(!policy->MustGiveUp(pace));
+}
+
+/// Guards against a fault of all routes that is too small on each of them to be
+/// found in time.
+Test(BriefMovePolicy, FailuresOnSeveralRoutesAreAddedUp)
+{
+  const auto judge = MakePolicy()->MakeJudge(EvidenceScope::DataCentre);
+  const auto window = [](std::uint64_t aNewFailures) {
+    EvidenceWindow result;
+    result.m_length = 100ms;
+    for (const char* route : { "a", "b", "c", "d" }) {
+      for (const char* target : { "n-1", "n-2", "n-3" }) {
+        WindowEntry entry = Entry(VersionSide::New, target, 10, aNewFailures);
+        entry.m_route = RouteName(route);
+        result.m_entries.push_back(entry);
+      }
+      WindowEntry old = Entry(VersionSide::Old, "o-1", 60, 0);
+      old.m_route = RouteName(route);
+      result.m_entries.push_back(old);
+    }
+    return result;
+  };
+  cr_assert(judge->Judge(window(0)).m_kind == VerdictKind::Clear);
+  cr_assert(judge->Judge(window(1)).m_kind != VerdictKind::Clear);
+  cr_assert(judge->Judge(window(1)).m_kind == VerdictKind::Bad);
+}
+
 } // namespace tarragontray
--- a/src/version/BriefMoveRegressionTest.cpp
+++ b/src/version/BriefMoveRegressionTest.cpp
@@ -54,6 +54,20 @@
   ExpectLimitedExposure(BriefKind::FailsUnderLoad);
 }
 
+/// Guards against a version whose fault shows late, on several routes, and only
+/// in part of its calls under load.
+Test(BriefMoveRegression, MildFaultUnderLoadReachesTooManyCalls)
+{
+  for (const std::uint64_t seed : { 21, 24 }) {
+    const BriefOutcome outcome =
+      RunWithBriefPolicy(BriefKind::FailsUnderLoad, seed);
+    cr_expect(!outcome.m_isOverexposed && outcome.m_isTakenBack,
+              "seed %lu: %.1f %% of the calls",
+              seed,
+              100.0 * outcome.m_exposure);
+  }
+}
+
 Test(BriefMoveRegression, CutOffCoordinatorCompletesBadVersion)
 {
   ExpectLimitedExposure(BriefKind::BadWhileCoordinatorCut);
--- a/src/version/Move.cpp
+++ b/src/version/Move.cpp
@@ -158,7 +158,8 @@
 {
   return !m_coordinator ||
          (m_coordinator->HasQuorum(m_nodeCount, aNow) &&
-          m_coordinator->LastVerdict().m_kind == VerdictKind::Clear);
+          m_coordinator->LastVerdict().m_kind == VerdictKind::Clear &&
+          !m_coordinator->LastVerdict().m_isInDoubt);
 }
 
 bool
@@ -181,8 +182,8 @@
   }
   if (m_coordinator) {
     m_coordinator->AddReport(m_evidence.FullReport(), aTimes.m_now);
-    m_mustSendProgress |=
-      m_coordinator->Advance(m_slots, m_nodeCount, share, aTimes, m_progress);
+    m_mustSendProgress |= m_coordinator->Advance(
+      m_slots, m_nodeCount, { share, m_spent }, aTimes, m_progress);
   }
   m_windowShare = DataCentreShare();
   if (!m_progress.m_veto && MayComplete(aTimes.m_now) &&
@@ -313,6 +314,9 @@
 void
 Move::UpdateShareAge(MonotonicTime aNow)
 {
+  m_spent += std::chrono::duration_cast<Duration>(
+    (aNow - m_shareCountedTo.value_or(aNow)) * m_heldShare.Fraction());
+  m_shareCountedTo = aNow;
   if (DataCentreShare() != m_heldShare) {
     m_heldShare = DataCentreShare();
     m_heldSince = aNow;
--- a/src/version/Move.h
+++ b/src/version/Move.h
@@ -151,6 +151,9 @@
   /// The data centre's share at the last tick, and since when it was that.
   Share m_heldShare = Share::None();
   MonotonicTime m_heldSince{};
+  /// The integral of the share over time, and up to when it is counted.
+  Duration m_spent{ 0 };
+  std::optional<MonotonicTime> m_shareCountedTo;
   std::optional<MonotonicTime> m_lastWindow;
   /// The data centre's highest share since m_lastWindow.
   Share m_windowShare = Share::None();
--- a/src/version/MoveCoordinator.cpp
+++ b/src/version/MoveCoordinator.cpp
@@ -93,7 +93,8 @@
                     aProgress.m_share,
                     aTimes.m_now - m_lastChange,
                     m_hasPassedTrial,
-                    aProgress.m_epoch };
+                    aProgress.m_epoch,
+                    m_spent };
 }
 
 bool
@@ -126,7 +127,7 @@
 bool
 MoveCoordinator::Advance(const WarmSlots& aSlots,
                          std::size_t aNodes,
-                         Share aWindowShare,
+                         const ShareUse& aUse,
                          const Times& aTimes,
                          MoveProgress& aProgress)
 {
@@ -142,14 +143,21 @@
   EvidenceWindow window = m_table.TakeWindow(aTimes.m_now);
   window.m_oldSlots = aSlots.m_old;
   window.m_newSlots = aSlots.m_new;
-  window.m_share = aWindowShare;
+  window.m_share = aUse.m_highest;
+  m_spent = aUse.m_spent;
   m_verdict = m_judge->Judge(window);
   if (aProgress.m_veto) {
     return false;
   }
   DataCentreProgress& own = aProgress.m_dataCentres[m_dataCentre];
-  const bool isOverdue = m_verdict.m_kind != VerdictKind::Clear &&
-                         m_policy->MustDecide(Pace(aTimes, own));
+  const bool isSuspect = m_verdict.m_kind != VerdictKind::Clear;
+  if (!isSuspect && HasQuorum(aNodes, aTimes.m_now) &&
+      m_policy->MustGiveUp(Pace(aTimes, own))) {
+    aProgress.m_veto =
+      Veto{ aTimes.m_wall, m_dataCentre, {}, "not cleared by its trials" };
+    return true;
+  }
+  const bool isOverdue = isSuspect && m_policy->MustDecide(Pace(aTimes, own));
   if (m_verdict.m_kind == VerdictKind::Bad || isOverdue) {
     aProgress.m_veto = MakeVeto(m_verdict, m_dataCentre, aTimes.m_wall);
     return true;
@@ -160,7 +168,10 @@
   bool changed = Lower(m_policy->ShareAfterTrial(Pace(aTimes, own)), own);
   // The evidence of a trial that a predecessor began may be incomplete here.
   m_hasPassedTrial |= changed && m_hasRaised;
-  m_hasPassedTrial &= m_verdict.m_kind == VerdictKind::Clear;
+  // Without a quorum the evidence of a trial is incomplete.
+  if (isSuspect || m_verdict.m_isInDoubt || !HasQuorum(aNodes, aTimes.m_now)) {
+    m_hasPassedTrial = false;
+  }
   if (m_verdict.m_kind == VerdictKind::NeedsComparison) {
     changed |= Lower(
       m_policy->ComparisonShare(EqualLoadShare(aSlots.m_old, aSlots.m_new)),
--- a/src/version/MoveCoordinator.h
+++ b/src/version/MoveCoordinator.h
@@ -42,6 +42,15 @@
   WallTime m_wall{};
 };
 
+/// The shares of the new version in this data centre.
+struct ShareUse
+{
+  /// The highest one since the previous call.
+  Share m_highest = Share::None();
+  /// The integral over time since the start of the move.
+  Duration m_spent{ 0 };
+};
+
 /// The coordinator of one move in one data centre; see the file comment.
 class MoveCoordinator
 {
@@ -69,11 +78,11 @@
   /// observation time; reports added before the first call count as history.
   /// After a pause of the process, replace the coordinator with a new one.
   /// \param aNodes see HasQuorum.
-  /// \param aWindowShare the highest share in force since the previous call.
+  /// \param aUse the shares that were in force.
   /// \return true if the progress changed.
   bool Advance(const WarmSlots& aSlots,
                std::size_t aNodes,
-               Share aWindowShare,
+               const ShareUse& aUse,
                const Times& aTimes,
                MoveProgress& aProgress);
 
@@ -96,6 +105,8 @@
   Verdict m_verdict;
   Duration m_reportLapse;
   /// See PaceInput.
+  Duration m_spent{ 0 };
+  /// See PaceInput. Cleared while less than a majority of the nodes reports.
   bool m_hasPassedTrial = false;
   /// Whether this coordinator has raised the share.
   bool m_hasRaised = false;
--- a/src/version/MovePolicy.h
+++ b/src/version/MovePolicy.h
@@ -44,6 +44,9 @@
   std::string m_reason;
   /// The number of calls to the new version that the verdict is based on.
   CallCount m_calls;
+  /// With Clear: whether there is too much evidence against the new version for
+  /// the full share, though too little to suspect it.
+  bool m_isInDoubt = false;
   /// The strongest evidence against the new version, whatever the verdict: a
   /// route, its counts and their score, in one line; empty if there is none.
   std::string m_evidence{};
@@ -83,6 +86,8 @@
   bool m_hasPassedTrial = false;
   /// How often the share has been lowered, by the end of a trial or otherwise.
   ProgressEpoch m_lowerings{};
+  /// The integral of the share over time since the start of the move.
+  Duration m_spent{ 0 };
 };
 
 /// A strategy for pacing and judging moves.
@@ -103,6 +108,11 @@
     return aInput.m_share;
   }
 
+  /// Whether a version that is not suspect must be rolled back, because it has
+  /// not passed a trial and there is no room for another one. Thread safety:
+  /// any thread.
+  virtual bool MustGiveUp(const PaceInput& /*aInput*/) const { return false; }
+
   /// Whether a suspect version must be rolled back, because the remaining time
   /// does not suffice to clear it and complete the move. Thread safety: any
   /// thread.
