A draining session answers a request that arrived beside its last answer

Cause: Drain may run between the write of an answer and its completion. The completion then found no exchange, ended the session and ignored the request that had arrived, although the answer had not told the caller to close.

Change: the session ends there only if no request waits in the socket. The test waits until the request has arrived, so that it shows this case only.

--- a/src/connection/HttpServerTest.cpp
+++ b/src/connection/HttpServerTest.cpp
@@ -14,6 +14,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 namespace tarragontray {
 
@@ -28,6 +30,17 @@
   co_return TextAnswer(200, aRequest.m_method + " " + aRequest.m_body);
 }
 
+/// Blocks until the peer's kernel has taken all that was written.
+void
+WaitUntilArrived(tcp::socket& aSocket)
+{
+  int unacknowledged = 1;
+  while (unacknowledged > 0) {
+    cr_assert_eq(ioctl(aSocket.native_handle(), SIOCOUTQ, &unacknowledged), 0);
+    std::this_thread::yield();
+  }
+}
+
 /// A server on a free port, with its own thread.
 class RunningServer
 {
@@ -100,6 +113,7 @@
     // The server's thread runs this task and reads nothing meanwhile.
     asio::post(m_context, [&] {
       asio::write(socket, asio::buffer(aRequest));
+      WaitUntilArrived(socket);
       m_server->Drain();
     });
     boost::system::error_code error;
--- a/src/connection/HttpSession.cpp
+++ b/src/connection/HttpSession.cpp
@@ -497,8 +497,10 @@
     m_exchanges.pop_front();
     m_response = {};
     Notify(m_state->m_settings.m_onEnd);
-    const bool isDrained =
-      m_state->m_isDraining && m_exchanges.empty() && !m_isBeginReported;
+    // A request may have arrived before the answer told the caller to close.
+    const bool isRequestUnread = m_parser != nullptr && HasInput();
+    const bool isDrained = m_state->m_isDraining && m_exchanges.empty() &&
+                           !m_isBeginReported && !isRequestUnread;
     if (aError) {
       Close();
       return;
