Failures on all routes together are a suspicion, never a verdict

Cause: the test of all routes together, added in, may be certain at the full share. A disturbance that began with that share (13 upstreams lost answers) was compared with calls to the old version from before it.

Change: it only makes a version suspect, so that it goes back to a small share, where calls at the same time are compared.

--- a/src/version/BriefJudge.cpp
+++ b/src/version/BriefJudge.cpp
@@ -495,10 +495,13 @@
   aFindings.m_verdict.m_isInDoubt |=
     allNew.m_failures >= kMinBadCalls &&
     score >= kDoubt * m_settings.m_verdictScore;
+  // Suspicion only: a disturbance of several targets that begins with a large
+  // share shows in the sum of the routes, and hardly any calls to the old
+  // version are left to compare with.
   Offer({ .m_score = score,
           .m_bad = allNew.m_failures,
           .m_calls = allNew.m_calls,
-          .m_isCompared = isCompared,
+          .m_isCompared = false,
           .m_route = worstRoute,
           .m_reason = "failures on all routes new=" +
                       Fraction(allNew.m_failures, allNew.m_calls) +
@@ -515,15 +518,14 @@
     verdict.m_evidence = aFinding.m_route.Value() + " " + aFinding.m_reason +
                          ScoreText(aFinding.m_score);
   }
-  if (aFinding.m_bad < kMinBadCalls) {
-    return;
-  }
-  if (aFinding.m_score < aFindings.m_verdictScore) {
+  const bool isCertain =
+    aFinding.m_isCompared && aFinding.m_score >= m_settings.m_verdictScore;
+  if (aFinding.m_bad < kMinBadCalls ||
+      aFinding.m_score < aFindings.m_verdictScore ||
+      (verdict.m_kind == VerdictKind::Bad && !isCertain)) {
     return;
   }
   aFindings.m_verdictScore = aFinding.m_score;
-  const bool isCertain =
-    aFinding.m_isCompared && aFinding.m_score >= m_settings.m_verdictScore;
   verdict.m_kind = isCertain ? VerdictKind::Bad : VerdictKind::Suspect;
   verdict.m_route = aFinding.m_route;
   verdict.m_reason = aFinding.m_reason;
--- a/src/version/BriefMovePolicyTest.cpp
+++ b/src/version/BriefMovePolicyTest.cpp
@@ -361,8 +361,33 @@
     return result;
   };
   cr_assert(judge->Judge(window(0)).m_kind == VerdictKind::Clear);
-  cr_assert(judge->Judge(window(1)).m_kind != VerdictKind::Clear);
-  cr_assert(judge->Judge(window(1)).m_kind == VerdictKind::Bad);
+  cr_assert(judge->Judge(window(1)).m_kind == VerdictKind::Suspect);
+}
+
+/// Guards against the rollback of a good version beside a disturbance that
+/// begins when its share becomes large: the calls to the old version are from
+/// before it.
+Test(BriefMovePolicy, FailuresOfAllRoutesAtALargeShareAreNoVerdict)
+{
+  const auto judge = MakePolicy()->MakeJudge(EvidenceScope::DataCentre);
+  const char* const routes[] = { "a", "b", "c", "d", "e", "f" };
+  EvidenceWindow before;
+  before.m_length = 100ms;
+  before.m_share = Share::FromFraction(0.07);
+  EvidenceWindow after = before;
+  after.m_share = Share::All();
+  for (const char* route : routes) {
+    WindowEntry old = Entry(VersionSide::Old, "o-1", 60, 0);
+    old.m_route = RouteName(route);
+    before.m_entries.push_back(old);
+    for (const char* target : { "n-1", "n-2", "n-3" }) {
+      WindowEntry entry = Entry(VersionSide::New, target, 10, 1);
+      entry.m_route = RouteName(route);
+      after.m_entries.push_back(entry);
+    }
+  }
+  cr_assert(judge->Judge(before).m_kind == VerdictKind::Clear);
+  cr_assert(judge->Judge(after).m_kind == VerdictKind::NeedsComparison);
 }
 
 } // namespace tarragontray
