--- a/review/standins-3/mesh.py
+++ b/review/standins-3/mesh.py
@@ -220,13 +220,12 @@
         self.state = "ready"
         self.runs = []
         self.node = None
-        self.extra_headers = []
         self._server = None
         self._writers = set()
         self._beats = None
 
-    async def listen(self, port=0):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+    async def listen(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
 
@@ -300,7 +299,7 @@
         self._record.add(f"target {self.instance} runs {attempt}: {line}")
         await asyncio.sleep(self.work_s)
         headers = [("X-Tarragontray-Attempt-Id", attempt), (SIGNATURE, "s." + attempt),
-                   ("X-Tarragontray-Server-Load", "0,0,9")] + self.extra_headers
+                   ("X-Tarragontray-Server-Load", "0,0,9")]
         writer.write(message("HTTP/1.1 200 OK", headers, attempt.encode()))
         await writer.drain()
 
