--- a/review/13/case.py
+++ b/review/13/case.py
@@ -22,7 +22,7 @@
 
 async def case(make, has_trouble, record):
     mesh = make([("zone-a", "desk"), ("zone-b", "desk"), ("zone-c", "records"),
-                 ("zone-a", "records")])
+                 ("zone-a", "records"), ("zone-a", "desk"), ("zone-b", "desk")])
     await mesh.start(work_s=0.2)
     leaving, entry = mesh.targets[0], mesh.nodes[2]
     leaving.stop_beats()
--- a/review/standins-3/mesh.py
+++ b/review/standins-3/mesh.py
@@ -488,7 +488,8 @@
     rule was broken."""
     folder = tempfile.mkdtemp(prefix="mesh-case-")
     record = Record(os.path.join(os.path.dirname(os.path.abspath(script)), "record.txt"))
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    # run.sh says "calm" for TROUBLE=0.
+    has_trouble = sys.argv[1:] != ["calm"]
     meshes = []
 
     def make(machines):
